--- /dev/null
+++ b/scripts/generate.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Regenerates the committed FlatBuffers code; needs flatbuffers-compiler.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+flatc --cpp --scoped-enums -o platform/generated platform/peer_message.fbs
--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -7,3 +7,4 @@
 #include "systems/fleet_record.hpp"
 #include "systems/fleet_state.hpp"
 #include "systems/pool_owners.hpp"
+#include "systems/routing.hpp"
