--- /dev/null
+++ b/main/fleet_sync.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "main/node_context.hpp"
+#include "systems/fleet_log.hpp"
+
+#include <deque>
+#include <functional>
+
+namespace cowslippass
+{
+
+enum class append_status
+{
+    committed,
+    unavailable, ///< Not committed, and will not be.
+    unknown      ///< May be committed; ask again with the same command id.
+};
+
+struct append_result
+{
+    append_status status = append_status::unavailable;
+    config_version version;
+    std::size_t records = 0; ///< 0 when an earlier try had committed.
+};
+
+/// Keeps the fleet state equal to the fleet log, and appends to the log.
+class fleet_sync
+{
+public:
+    /// Plans records against a state; throws systems_error to refuse.
+    using planner =
+        std::function<std::vector<fleet_record>(const fleet_state&)>;
+
+    explicit fleet_sync(node_context& node);
+
+    /// Loads the log and registers this entry's session; tries again until
+    /// the platform answers.
+    asio::awaitable<void> join();
+
+    /// Starts reading the head and writing the heartbeat row.
+    void start();
+
+    /// Reads the head and applies what is new.
+    /// @return whether the platform confirmed the version in hand.
+    asio::awaitable<bool> catch_up();
+
+    /// Applies entries that a peer sent; used while the platform is out of
+    /// reach. Entries that do not follow the version in hand are ignored.
+    void apply_from_peer(const std::string& entries);
+
+    /// @return the entries after `version` as JSON, for a peer; bounded.
+    std::string get_entries_since(config_version version) const;
+
+    /// Commits one command exactly once, whatever is lost on the way.
+    /// @throws what the planner throws.
+    asio::awaitable<append_result> append(command_id command, planner plan);
+
+    /// @return the head as last read or written.
+    const fleet_head& get_head() const { return head_; }
+
+private:
+    asio::awaitable<bool> load_snapshot();
+    asio::awaitable<bool> read_entries(config_version until);
+    void apply_entry(config_version version, const std::string& records);
+    asio::awaitable<std::optional<append_result>> find_committed(
+        command_id command);
+    asio::awaitable<void> resolve_unknown(command_id command, fleet_head base);
+    asio::awaitable<void> head_loop();
+    asio::awaitable<void> heartbeat_loop();
+
+    node_context& node_;
+    fleet_head head_;
+    /// The newest entries, for peers that cannot reach the platform.
+    std::deque<std::pair<config_version, std::string>> recent_;
+    bool is_catching_up_ = false;
+    row_version heartbeat_row_{0};
+};
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/node_context.cpp
@@ -0,0 +1,70 @@
+#include "main/node_context.hpp"
+
+namespace cowslippass
+{
+
+monotonic_time get_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+node_context::node_context(asio::io_context& context, const settings& options,
+    table_client& platform)
+    : io(context), config(options), table(platform),
+      metrics(get_entry_metrics()), freshness(options.freshness_limit),
+      nonce(make_random_hex(16))
+{
+}
+
+bool node_context::may_start() const
+{
+    return session.get() != 0 && state.get_sessions().contains(session) &&
+        freshness.is_fresh(get_now());
+}
+
+std::optional<milliseconds> node_context::get_freshness_age() const
+{
+    return freshness.get_age(get_now());
+}
+
+bool node_context::is_admitted() const
+{
+    return admission && admission->is_admitted();
+}
+
+void node_context::notify_changed() const
+{
+    for (const auto& it : listeners)
+        it();
+}
+
+asio::awaitable<void> node_context::sleep(milliseconds time)
+{
+    asio::steady_timer timer(io);
+    timer.expires_after(time);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+void node_context::spawn(
+    const std::string& name, std::function<asio::awaitable<void>()> body)
+{
+    asio::co_spawn(
+        io,
+        [name, body = std::move(body)]() -> asio::awaitable<void>
+        {
+            try
+            {
+                co_await body();
+            }
+            catch (const std::exception& e)
+            {
+                write_log(log_level::error, name,
+                    "a background activity ended with an exception",
+                    {{"reason", std::string(e.what())}});
+            }
+        },
+        asio::detached);
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/node_context.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "platform/log.hpp"
+#include "platform/metrics.hpp"
+#include "platform/platform.hpp"
+#include "systems/freshness.hpp"
+#include "systems/session_admission.hpp"
+#include "systems/systems.hpp"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace cowslippass
+{
+
+/// What the parts of one entry daemon share. Everything runs on one thread.
+struct node_context
+{
+    node_context(asio::io_context& context, const settings& options,
+        table_client& platform);
+
+    /// @return whether tasks may be started on the configuration in hand.
+    bool may_start() const;
+
+    /// @return time since the freshness was confirmed, or nothing.
+    std::optional<milliseconds> get_freshness_age() const;
+
+    /// @return whether this entry may append changes to the fleet log.
+    bool is_admitted() const;
+
+    /// Runs every listener after the fleet state has changed.
+    void notify_changed() const;
+
+    /// Waits; returns early only when the io_context stops.
+    asio::awaitable<void> sleep(milliseconds time);
+
+    /// Runs a coroutine in the background; an exception is logged, not lost.
+    void spawn(const std::string& name,
+        std::function<asio::awaitable<void>()> body);
+
+    asio::io_context& io;
+    const settings& config;
+    table_client& table;
+    metrics_registry metrics;
+    fleet_state state;
+    cowslippass::freshness freshness;
+    session_id session{0}; ///< 0 until the platform has registered it.
+    std::string nonce;
+    /// Set once the session is registered.
+    std::optional<session_admission> admission;
+    bool is_leaving = false;
+    /// An append of this entry may still commit without its knowledge.
+    bool has_unresolved_change = false;
+    std::vector<std::function<void()>> listeners;
+};
+
+/// @return the local monotonic time.
+monotonic_time get_now();
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/peer_network.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "main/fleet_sync.hpp"
+#include "main/node_context.hpp"
+
+#include <map>
+#include <memory>
+
+namespace cowslippass
+{
+
+/// Links to the other live sessions: summaries, freshness through peers, the
+/// outage agreement, and calls for the other parts.
+class peer_network
+{
+public:
+    using summary_source = std::function<peer_summary()>;
+    using request_handler =
+        std::function<asio::awaitable<std::optional<peer_body>>(peer_body)>;
+
+    peer_network(node_context& node, fleet_sync& sync);
+    ~peer_network();
+
+    /// @param make_summary describes this entry.
+    /// @param handle answers forwards, cancellations and queries.
+    /// @throws platform_error (`cannot_listen`).
+    void listen(summary_source make_summary, request_handler handle);
+
+    unsigned short get_port() const;
+
+    /// Starts exchanging summaries; needs the session.
+    void start();
+
+    void stop();
+
+    /// @param was_sent is set to false when the peer cannot have received it.
+    asio::awaitable<std::optional<peer_body>> call(session_id session,
+        peer_body body, milliseconds timeout, bool& was_sent);
+
+    /// @return live sessions of a data centre that are not suspected, without
+    ///   those that are leaving; this session is included.
+    std::vector<session_id> get_live(const data_centre_id& data_centre) const;
+
+    /// @return the owner of a pool in a data centre, or nothing.
+    std::optional<session_id> find_owner(
+        const pool_id& pool, const data_centre_id& data_centre) const;
+
+    /// @return the newest summary of a session, or null.
+    const peer_summary* find_summary(session_id session) const;
+
+    /// @return whether a summary came within `membership_limit`.
+    bool is_heard(session_id session) const;
+
+    /// @return newest summaries of all live sessions, this one excluded.
+    std::vector<peer_summary> get_summaries() const;
+
+private:
+    struct peer
+    {
+        std::unique_ptr<peer_client> client;
+        std::optional<peer_summary> summary;
+        monotonic_time last_heard{};
+        monotonic_time first_seen{};
+        bool is_exchanging = false;
+    };
+
+    asio::awaitable<std::optional<peer_body>> handle_request(peer_body body);
+    asio::awaitable<void> exchange_loop();
+    asio::awaitable<void> exchange(session_id session);
+    asio::awaitable<void> agreement_loop();
+    asio::awaitable<void> fetch_entries(session_id session);
+    void accept_summary(const peer_summary& summary);
+    void update_peers();
+    bool is_exchange_due(session_id session, const peer& it) const;
+    void log_fault(const std::string& code, const std::string& message) const;
+
+    node_context& node_;
+    fleet_sync& sync_;
+    summary_source make_summary_;
+    request_handler handle_;
+    std::unique_ptr<peer_server> server_;
+    std::map<session_id, std::shared_ptr<peer>> peers_;
+    bool is_fetching_ = false;
+    std::uint64_t tick_ = 0;
+};
+
+} // namespace cowslippass
