Add the placement system of a pool owner

One owner queues and places for one pool in a data centre: urgent work first, shares by weighted deficit under contention, headroom, preemption of slow work in the steps throttle, checkpoint and stop, bounded queues and deadlines. Grants are taken before a start and returned in the decisions when they are not used. 15 tests pass, one of them a property over random orders of calls.

--- /dev/null
+++ b/systems/placement_policy.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/core.hpp"
+
+#include <cstdint>
+
+namespace cowslippass
+{
+
+/// Order in which waiting work gets free slots.
+enum class work_order
+{
+    urgent_then_shares,
+    first_come ///< Baseline: by arrival, without kinds and shares.
+};
+
+enum class target_choice
+{
+    spread, ///< Racks with least urgent work, then targets with least load.
+    random  ///< Baseline.
+};
+
+/// Strategy and limits of a `placement_system`.
+struct placement_policy
+{
+    work_order order = work_order::urgent_then_shares;
+    target_choice choice = target_choice::spread;
+    /// Part of the slots that slow work leaves free for urgent work. One
+    /// eighth is one slot of each target.
+    double headroom = 0.125;
+    bool is_preemptive = true;
+    /// Tasks of a team that may wait, for each kind; about 1 KB each.
+    std::uint32_t max_waiting = 10'000;
+    /// A victim stays throttled for so long before its checkpoint begins, as
+    /// a slot often frees by itself in that time.
+    milliseconds checkpoint_after{100};
+    /// A victim is stopped without a checkpoint after so long; together with
+    /// `checkpoint_after` and a start this stays below the bound of 2.2 s.
+    milliseconds stop_after{1000};
+    /// Slow work may be held back by urgent work for so long at the expense
+    /// of its team's share. Bursts last some seconds and fit into it.
+    milliseconds share_tolerance{10'000};
+    /// No task is placed on a target for so long after it refused a start,
+    /// unless it reports in the meantime.
+    milliseconds refusal_pause{500};
+    /// Seed of the random target choice.
+    std::uint64_t seed = 1;
+};
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/placement_preemption.cpp
@@ -0,0 +1,192 @@
+#include "systems/placement_system.hpp"
+
+#include <algorithm>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+/// Urgent work waits for so long before it takes a slot from slow work; most
+/// slots free sooner by themselves.
+constexpr milliseconds PREEMPT_AFTER{20};
+
+/// Victims of one team that are looked at for one that makes enough room.
+constexpr std::uint32_t MAX_VICTIMS_LOOKED_AT = 16;
+
+} // namespace
+
+void placement_system::preempt(context& ctx)
+{
+    std::uint32_t needed = count_needed(ctx.now);
+    while (freeing_count_ > needed &&
+           !(throttled_.empty() && checkpointing_.empty()))
+        resume_one(ctx);
+    take_due_steps(ctx);
+    std::vector<std::pair<double, team_row*>> teams;
+    for (auto& [id, team] : teams_)
+        if (!team.get_queue(queue_kind::urgent).empty())
+            teams.emplace_back(shares_.get_rank(team.account), &team);
+    std::sort(teams.begin(), teams.end());
+    for (auto& [rank, team] : teams)
+    {
+        std::size_t count = team->get_queue(queue_kind::urgent).size();
+        while (freeing_count_ < needed && count-- > 0)
+            if (!preempt_for(*team, ctx))
+                break;
+    }
+}
+
+std::uint32_t placement_system::count_needed(monotonic_time now) const
+{
+    std::size_t needed = 0;
+    for (const auto& [id, team] : teams_)
+    {
+        const task_order& queue = team.get_queue(queue_kind::urgent);
+        if (queue.empty() || team.is_without_grant)
+            continue;
+        if (now - std::get<0>(*queue.begin()) >= PREEMPT_AFTER)
+            needed += queue.size();
+    }
+    return static_cast<std::uint32_t>(needed);
+}
+
+bool placement_system::preempt_for(team_row& urgent, context& ctx)
+{
+    const task_order& queue = urgent.get_queue(queue_kind::urgent);
+    const task_row& head = *std::get<2>(*queue.begin());
+    std::uint32_t candidates = 0;
+    task_row* victim = choose_victim(urgent, head, candidates);
+    if (victim == nullptr)
+        return false;
+    // The grant is taken first: a slot freed for a team at its limit would
+    // be of no use to it.
+    if (urgent.held_grants < queue.size())
+    {
+        if (!take_grant(urgent, ctx))
+            return false;
+        ++urgent.held_grants;
+        ++held_grants_;
+    }
+    emit(*victim, placement_action::throttle, placement_rule::urgent_waits,
+        candidates, ctx);
+    victim->team->victims.erase({victim->started, victim->sequence, victim});
+    victim->is_freeing = true;
+    ++freeing_count_;
+    set_step(
+        *victim, task_state::throttled, ctx.now + policy_.checkpoint_after);
+    return true;
+}
+
+placement_system::task_row* placement_system::choose_victim(
+    team_row& urgent, const task_row& head, std::uint32_t& candidates)
+{
+    std::vector<std::pair<double, team_row*>> teams;
+    for (auto& [id, team] : teams_)
+    {
+        // Work of a team that is far below its share stays where it is.
+        bool is_protected = shares_.is_behind(
+            team.account, urgent.account, policy_.share_tolerance);
+        if (!team.victims.empty() && (&team == &urgent || !is_protected))
+            teams.emplace_back(shares_.get_rank(team.account), &team);
+    }
+    std::sort(teams.rbegin(), teams.rend());
+    for (auto& [rank, team] : teams)
+        if (task_row* victim = choose_victim_of(*team, head, candidates))
+            return victim;
+    return nullptr;
+}
+
+placement_system::task_row* placement_system::choose_victim_of(
+    team_row& team, const task_row& head, std::uint32_t& candidates)
+{
+    std::uint32_t looked_at = 0;
+    // The task that started last has the least work to repeat.
+    for (auto it = team.victims.rbegin(); it != team.victims.rend(); ++it)
+    {
+        if (looked_at++ == MAX_VICTIMS_LOOKED_AT)
+            return nullptr;
+        ++candidates;
+        task_row& row = *std::get<2>(*it);
+        if (placement_targets::would_fit(
+                *row.target, head.task, row.task.memory))
+            return &row;
+    }
+    return nullptr;
+}
+
+void placement_system::take_due_steps(context& ctx)
+{
+    auto next = [&](task_order& steps) -> task_row*
+    {
+        bool is_due = !steps.empty() && std::get<0>(*steps.begin()) <= ctx.now;
+        return is_due ? std::get<2>(*steps.begin()) : nullptr;
+    };
+    while (task_row* row = next(throttled_))
+    {
+        emit(*row, placement_action::checkpoint, placement_rule::urgent_waits,
+            1, ctx);
+        set_step(*row, task_state::checkpointing, ctx.now + policy_.stop_after);
+    }
+    while (task_row* row = next(checkpointing_))
+        stop_victim(*row,
+            row->is_checkpointed ? placement_rule::checkpoint_done
+                                 : placement_rule::checkpoint_overdue,
+            ctx);
+}
+
+void placement_system::resume_one(context& ctx)
+{
+    const task_order& steps = throttled_.empty() ? checkpointing_ : throttled_;
+    task_row& row = *std::get<2>(*steps.rbegin());
+    leave_ladder(row);
+    row.state = task_state::running;
+    row.is_checkpointed = false;
+    add_victim(row);
+    emit(row, placement_action::resume, placement_rule::urgent_served, 1, ctx);
+}
+
+void placement_system::add_victim(task_row& row)
+{
+    // A task that is not idempotent could not run again after a stop.
+    if (row.task.kind == queue_kind::slow && row.task.is_idempotent &&
+        !row.is_cancelled)
+        row.team->victims.emplace(row.started, row.sequence, &row);
+}
+
+void placement_system::set_step(
+    task_row& row, task_state state, monotonic_time due)
+{
+    throttled_.erase({row.due, row.sequence, &row});
+    checkpointing_.erase({row.due, row.sequence, &row});
+    row.state = state;
+    row.due = due;
+    task_order& steps =
+        state == task_state::throttled ? throttled_ : checkpointing_;
+    steps.emplace(due, row.sequence, &row);
+}
+
+void placement_system::leave_ladder(task_row& row)
+{
+    throttled_.erase({row.due, row.sequence, &row});
+    checkpointing_.erase({row.due, row.sequence, &row});
+    freeing_count_ -= row.is_freeing ? 1 : 0;
+    row.is_freeing = false;
+}
+
+void placement_system::stop_victim(
+    task_row& row, placement_rule rule, context& ctx)
+{
+    emit(row, placement_action::stop, rule, 1, ctx);
+    leave_ladder(row);
+    row.team->victims.erase({row.started, row.sequence, &row});
+    bool was_starting = row.state == task_state::starting;
+    if (!was_starting)
+        row.state = task_state::stopping;
+    // A stopping task is about to free its slot.
+    row.is_freeing = true;
+    ++freeing_count_;
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/placement_system.cpp
@@ -0,0 +1,503 @@
+#include "systems/placement_system.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+/// Tasks of a queue that are tried when the first does not fit, so that one
+/// large task does not hold up the small ones behind it.
+constexpr int LOOK_AHEAD = 8;
+
+} // namespace
+
+placement_system::task_order& placement_system::team_row::get_queue(
+    queue_kind kind)
+{
+    return waiting[static_cast<std::size_t>(kind)];
+}
+
+const placement_system::task_order& placement_system::team_row::get_queue(
+    queue_kind kind) const
+{
+    return waiting[static_cast<std::size_t>(kind)];
+}
+
+bool placement_system::team_row::is_waiting() const
+{
+    return !waiting[0].empty() || !waiting[1].empty();
+}
+
+placement_system::placement_system(placement_policy policy)
+    : policy_(policy), targets_(policy)
+{
+}
+
+void placement_system::set_target(const placement_target& target)
+{
+    targets_.set(target);
+}
+
+void placement_system::remove_target(const instance_id& id)
+{
+    targets_.remove(id);
+}
+
+void placement_system::set_team(const team_id& team, std::uint32_t share)
+{
+    if (share == 0)
+        throw systems_error("bad_share", "A share must be at least 1.");
+    shares_.set_weight(get_team(team).account, share);
+}
+
+std::optional<placement_decision> placement_system::add_task(
+    const placement_task& task)
+{
+    if (auto obstacle = find_obstacle(task))
+    {
+        task_row refused;
+        refused.task = task;
+        auto decision = make_decision(
+            refused, placement_action::refuse, *obstacle, task.arrival);
+        decision.candidates = targets_.count_rows();
+        return decision;
+    }
+    task_row& row = tasks_[task.id];
+    row.task = task;
+    row.team = &get_team(task.team);
+    row.sequence = ++last_sequence_;
+    enqueue(row);
+    return std::nullopt;
+}
+
+std::optional<placement_rule> placement_system::find_obstacle(
+    const placement_task& task)
+{
+    if (tasks_.contains(task.id))
+        return placement_rule::duplicate_task;
+    if (!targets_.can_ever_fit(task.memory))
+        return placement_rule::fits_no_target;
+    if (get_team(task.team).get_queue(task.kind).size() >= policy_.max_waiting)
+        return placement_rule::team_queue_full;
+    return std::nullopt;
+}
+
+placement_system::cancel_outcome placement_system::cancel_task(
+    const task_id& id)
+{
+    task_row* row = find_task(id);
+    if (row == nullptr)
+        return cancel_outcome::not_found;
+    if (row->state == task_state::waiting)
+    {
+        dequeue(*row);
+        erase(*row);
+        return cancel_outcome::not_run;
+    }
+    if (!row->is_cancelled)
+    {
+        row->is_cancelled = true;
+        cancelled_.push_back(id);
+    }
+    return cancel_outcome::stopping;
+}
+
+void placement_system::on_started(const task_id& id, monotonic_time now)
+{
+    task_row* row = find_task(id);
+    if (row == nullptr || row->state != task_state::starting)
+        return;
+    row->state = task_state::running;
+    row->started = now;
+    targets_.confirm_start(*row->target);
+    add_victim(*row);
+}
+
+void placement_system::on_start_refused(
+    const task_id& id, start_refusal reason, monotonic_time now)
+{
+    task_row* row = find_task(id);
+    if (row == nullptr || row->state != task_state::starting)
+        return;
+    targets_.on_refused(*row->target, reason, now);
+    vacate(*row, now);
+    ++row->team->held_grants;
+    ++held_grants_;
+    enqueue(*row);
+    if (row->is_cancelled)
+        cancelled_.push_back(id);
+}
+
+void placement_system::on_checkpointed(const task_id& id, monotonic_time now)
+{
+    task_row* row = find_task(id);
+    if (row == nullptr || row->state != task_state::checkpointing)
+        return;
+    row->is_checkpointed = true;
+    set_step(*row, task_state::checkpointing, now);
+}
+
+void placement_system::on_task_end(
+    const task_id& id, task_outcome /*outcome*/, monotonic_time now)
+{
+    task_row* row = find_task(id);
+    if (row == nullptr || row->state == task_state::waiting)
+        return;
+    vacate(*row, now);
+    erase(*row);
+}
+
+bool placement_system::adopt_running(
+    const placement_task& task, const instance_id& target, monotonic_time now)
+{
+    placement_targets::row* place = targets_.find(target);
+    task_row* known = find_task(task.id);
+    if (place == nullptr)
+        return false;
+    if (known != nullptr && known->state != task_state::waiting)
+        return false;
+    if (known != nullptr)
+        dequeue(*known);
+    task_row& row = tasks_[task.id];
+    row.task = task;
+    row.team = &get_team(task.team);
+    row.sequence = ++last_sequence_;
+    occupy(row, *place, task_state::running, now);
+    add_victim(row);
+    return true;
+}
+
+placement_decisions placement_system::tick(
+    monotonic_time now, const grant_strategy& take_grant)
+{
+    placement_decisions out;
+    context ctx{now, take_grant, out};
+    begin_tick(ctx);
+    finish_cancelled(ctx);
+    refuse_overdue(ctx);
+    start_waiting(ctx);
+    if (policy_.is_preemptive)
+        preempt(ctx);
+    end_tick(ctx);
+    return out;
+}
+
+std::uint32_t placement_system::count_waiting(queue_kind kind) const
+{
+    return waiting_count_[static_cast<std::size_t>(kind)];
+}
+
+std::uint32_t placement_system::count_waiting(const team_id& team) const
+{
+    auto it = teams_.find(team);
+    if (it == teams_.end())
+        return 0;
+    const auto& queues = it->second.waiting;
+    return static_cast<std::uint32_t>(queues[0].size() + queues[1].size());
+}
+
+std::uint32_t placement_system::count_running(const team_id& team) const
+{
+    auto it = teams_.find(team);
+    return it == teams_.end() ? 0 : it->second.account.running;
+}
+
+placement_system::team_row& placement_system::get_team(const team_id& id)
+{
+    auto [it, is_new] = teams_.try_emplace(id);
+    if (is_new)
+        it->second.id = id;
+    return it->second;
+}
+
+placement_system::task_row* placement_system::find_task(const task_id& id)
+{
+    auto it = tasks_.find(id);
+    return it == tasks_.end() ? nullptr : &it->second;
+}
+
+void placement_system::enqueue(task_row& row)
+{
+    team_row& team = *row.team;
+    if (!team.is_waiting())
+        team.is_joining = true;
+    row.state = task_state::waiting;
+    team.get_queue(row.task.kind).emplace(row.task.arrival, row.sequence, &row);
+    if (row.task.deadline != monotonic_time::max())
+        deadlines_.emplace(row.task.deadline, row.sequence, &row);
+    ++waiting_count_[static_cast<std::size_t>(row.task.kind)];
+}
+
+void placement_system::dequeue(task_row& row)
+{
+    row.team->get_queue(row.task.kind)
+        .erase({row.task.arrival, row.sequence, &row});
+    deadlines_.erase({row.task.deadline, row.sequence, &row});
+    --waiting_count_[static_cast<std::size_t>(row.task.kind)];
+}
+
+void placement_system::occupy(task_row& row, placement_targets::row& target,
+    task_state state, monotonic_time now)
+{
+    shares_.advance(now, is_contended_);
+    row.state = state;
+    row.target = &target;
+    row.started = now;
+    targets_.occupy(target, row.task, state == task_state::starting);
+    shares_.on_start(row.team->account);
+}
+
+void placement_system::vacate(task_row& row, monotonic_time now)
+{
+    shares_.advance(now, is_contended_);
+    leave_ladder(row);
+    row.team->victims.erase({row.started, row.sequence, &row});
+    targets_.vacate(*row.target, row.task, row.state == task_state::starting);
+    shares_.on_end(row.team->account);
+    row.target = nullptr;
+}
+
+void placement_system::erase(task_row& row)
+{
+    // A copy, as the key would be erased while it is used.
+    task_id id = row.task.id;
+    tasks_.erase(id);
+}
+
+void placement_system::begin_tick(context& ctx)
+{
+    shares_.advance(ctx.now, is_contended_);
+    targets_.begin_tick(ctx.now);
+    double weight = 0.0;
+    double least = std::numeric_limits<double>::max();
+    for (auto& [id, team] : teams_)
+    {
+        team.is_blocked[0] = team.is_blocked[1] = false;
+        team.is_without_grant = false;
+        if (team.is_waiting() || team.account.running > 0)
+            weight += team.account.weight;
+        if (team.is_waiting() && !team.is_joining)
+            least = std::min(least, shares_.get_served(team.account));
+    }
+    if (weight > 0.0)
+        shares_.set_slots_per_weight(targets_.count_usable() / weight);
+    if (least < std::numeric_limits<double>::max())
+        shares_.raise_floor(least);
+    for (auto& [id, team] : teams_)
+        if (std::exchange(team.is_joining, false))
+            shares_.join(team.account);
+}
+
+void placement_system::finish_cancelled(context& ctx)
+{
+    for (const task_id& id : cancelled_)
+    {
+        task_row* row = find_task(id);
+        if (row == nullptr)
+            continue;
+        if (row->state == task_state::waiting)
+        {
+            // Its start was refused after the cancellation.
+            emit(*row, placement_action::refuse, placement_rule::cancelled, 0,
+                ctx);
+            dequeue(*row);
+            erase(*row);
+            continue;
+        }
+        stop_victim(*row, placement_rule::cancelled, ctx);
+    }
+    cancelled_.clear();
+}
+
+void placement_system::refuse_overdue(context& ctx)
+{
+    while (!deadlines_.empty() && std::get<0>(*deadlines_.begin()) <= ctx.now)
+    {
+        task_row& row = *std::get<2>(*deadlines_.begin());
+        emit(row, placement_action::refuse, placement_rule::deadline_passed,
+            targets_.count_rows(), ctx);
+        dequeue(row);
+        erase(row);
+    }
+}
+
+void placement_system::start_waiting(context& ctx)
+{
+    using picker = pick (placement_system::*)();
+    static constexpr picker PICKERS[] = {
+        &placement_system::pick_by_shares, &placement_system::pick_first_come};
+    picker next = PICKERS[static_cast<std::size_t>(policy_.order)];
+    while (targets_.count_free() > 0)
+    {
+        pick chosen = (this->*next)();
+        if (chosen.team == nullptr)
+            return;
+        start_from(chosen, ctx);
+    }
+}
+
+placement_system::pick placement_system::pick_by_shares()
+{
+    team_row* urgent = find_neediest(queue_kind::urgent);
+    team_row* slow = find_neediest(queue_kind::slow);
+    if (urgent != nullptr && slow != nullptr &&
+        shares_.is_behind(
+            slow->account, urgent->account, policy_.share_tolerance))
+        return {slow, queue_kind::slow, placement_rule::share_debt};
+    if (urgent != nullptr)
+        return {urgent, queue_kind::urgent, placement_rule::urgent_first};
+    if (slow != nullptr && targets_.count_free() > get_headroom())
+        return {slow, queue_kind::slow, placement_rule::spare_capacity};
+    return {};
+}
+
+placement_system::pick placement_system::pick_first_come()
+{
+    pick best;
+    monotonic_time earliest = monotonic_time::max();
+    for (auto& [id, team] : teams_)
+    {
+        for (queue_kind kind : {queue_kind::urgent, queue_kind::slow})
+        {
+            const task_order& queue = team.get_queue(kind);
+            if (queue.empty() || team.is_without_grant ||
+                team.is_blocked[static_cast<std::size_t>(kind)])
+                continue;
+            if (kind == queue_kind::slow &&
+                targets_.count_free() <= get_headroom())
+                continue;
+            if (std::get<0>(*queue.begin()) >= earliest)
+                continue;
+            earliest = std::get<0>(*queue.begin());
+            best = {&team, kind, placement_rule::first_come};
+        }
+    }
+    return best;
+}
+
+placement_system::team_row* placement_system::find_neediest(queue_kind kind)
+{
+    team_row* best = nullptr;
+    double best_rank = 0.0;
+    for (auto& [id, team] : teams_)
+    {
+        if (team.get_queue(kind).empty() || team.is_without_grant ||
+            team.is_blocked[static_cast<std::size_t>(kind)])
+            continue;
+        double rank = shares_.get_rank(team.account);
+        if (best != nullptr && rank >= best_rank)
+            continue;
+        best = &team;
+        best_rank = rank;
+    }
+    return best;
+}
+
+void placement_system::start_from(const pick& chosen, context& ctx)
+{
+    team_row& team = *chosen.team;
+    int tries = LOOK_AHEAD;
+    for (const time_key& key : team.get_queue(chosen.kind))
+    {
+        if (tries-- == 0)
+            break;
+        task_row& row = *std::get<2>(key);
+        auto where = targets_.choose(row.task);
+        if (where.target == nullptr)
+            continue;
+        if (take_grant(team, ctx))
+            start(row, where, chosen.rule, ctx);
+        return;
+    }
+    team.is_blocked[static_cast<std::size_t>(chosen.kind)] = true;
+}
+
+bool placement_system::take_grant(team_row& team, context& ctx)
+{
+    if (team.held_grants > 0)
+    {
+        --team.held_grants;
+        --held_grants_;
+        return true;
+    }
+    if (ctx.take_grant(team.id))
+        return true;
+    team.is_without_grant = true;
+    ctx.out.teams_without_grant.push_back(team.id);
+    return false;
+}
+
+void placement_system::start(task_row& row,
+    const placement_targets::choice& where, placement_rule rule, context& ctx)
+{
+    placement_decision decision =
+        make_decision(row, placement_action::start, rule, ctx.now);
+    decision.target = where.target->target.id;
+    decision.target_epoch = where.target->target.epoch;
+    decision.rack = where.target->target.rack;
+    decision.candidates = where.candidates;
+    ctx.out.items.push_back(std::move(decision));
+    dequeue(row);
+    occupy(row, *where.target, task_state::starting, ctx.now);
+}
+
+std::uint32_t placement_system::get_headroom() const
+{
+    return static_cast<std::uint32_t>(
+        std::ceil(targets_.count_usable() * policy_.headroom));
+}
+
+void placement_system::end_tick(context& ctx)
+{
+    is_contended_ = false;
+    for (auto& [id, team] : teams_)
+    {
+        bool is_waiting = !team.waiting[0].empty() || !team.waiting[1].empty();
+        if (is_waiting && !team.is_without_grant)
+            is_contended_ = true;
+        std::size_t wanted = team.get_queue(queue_kind::urgent).size();
+        while (team.held_grants > wanted)
+        {
+            --team.held_grants;
+            --held_grants_;
+            ctx.out.returned_grants.push_back(id);
+        }
+    }
+}
+
+placement_decision placement_system::make_decision(const task_row& row,
+    placement_action action, placement_rule rule, monotonic_time now) const
+{
+    placement_decision decision;
+    decision.action = action;
+    decision.rule = rule;
+    decision.task = row.task.id;
+    decision.team = row.task.team;
+    decision.kind = row.task.kind;
+    if (row.target != nullptr)
+    {
+        decision.target = row.target->target.id;
+        decision.target_epoch = row.target->target.epoch;
+        decision.rack = row.target->target.rack;
+    }
+    decision.free_slots = targets_.count_free();
+    decision.waiting = count_waiting(row.task.kind);
+    decision.waited =
+        std::chrono::duration_cast<milliseconds>(now - row.task.arrival);
+    return decision;
+}
+
+void placement_system::emit(task_row& row, placement_action action,
+    placement_rule rule, std::uint32_t candidates, context& ctx)
+{
+    ctx.out.items.push_back(make_decision(row, action, rule, ctx.now));
+    ctx.out.items.back().candidates = candidates;
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/placement_targets.hpp
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "systems/placement_policy.hpp"
+#include "systems/placement_types.hpp"
+
+#include <map>
+#include <random>
+#include <set>
+#include <tuple>
+
+namespace cowslippass
+{
+
+/// Table of a pool's targets with an index of those that can take a task.
+class placement_targets
+{
+public:
+    struct row;
+    struct rack_row
+    {
+        std::uint32_t slots = 0;
+        std::uint32_t urgent = 0;
+        std::vector<row*> rows;
+    };
+    /// Probation, rack load, target load, number of the row.
+    using order_key =
+        std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, std::uint32_t>;
+    struct row
+    {
+        placement_target target;
+        rack_row* rack = nullptr;
+        std::uint32_t number = 0;
+        std::uint32_t tasks = 0;    ///< Placed by this owner and not ended.
+        std::uint32_t starting = 0; ///< Of these, not yet confirmed.
+        std::uint32_t urgent = 0;   ///< Of these, urgent.
+        std::uint32_t foreign = 0;  ///< Tasks that others placed.
+        std::uint64_t memory_used = 0;
+        bool is_removed = false;
+        bool is_paused = false; ///< After a refused start.
+        std::uint32_t free = 0; ///< Slots counted as free.
+        bool is_open = false;   ///< In the index.
+        order_key urgent_key;
+        order_key slow_key;
+        std::uint32_t open_position = 0;
+    };
+    struct choice
+    {
+        row* target = nullptr;
+        std::uint32_t candidates = 0;
+    };
+
+    explicit placement_targets(const placement_policy& policy);
+
+    void set(const placement_target& target);
+    void remove(const instance_id& id);
+    row* find(const instance_id& id);
+
+    /// Finds a target with room for the task, by the policy's choice.
+    choice choose(const placement_task& task);
+
+    /// @return whether the task would fit if `victim_memory` and one slot
+    ///   were free.
+    static bool would_fit(
+        const row& row, const placement_task& task, byte_count victim_memory);
+
+    void occupy(row& row, const placement_task& task, bool is_starting);
+    void confirm_start(row& row);
+    void vacate(row& row, const placement_task& task, bool was_starting);
+    void on_refused(row& row, start_refusal reason, monotonic_time now);
+
+    /// Ends pauses, and forgets which sizes did not fit.
+    void begin_tick(monotonic_time now);
+
+    /// @return whether some target has that much memory when empty; true as
+    ///   long as no target is known.
+    bool can_ever_fit(byte_count memory) const;
+
+    std::uint32_t count_free() const { return free_; }
+    /// @return slots of targets that are in service and not set aside.
+    std::uint32_t count_usable() const { return usable_; }
+    std::uint32_t count_rows() const
+    {
+        return static_cast<std::uint32_t>(rows_.size());
+    }
+
+private:
+    choice choose_spread(const placement_task& task);
+    choice choose_random(const placement_task& task);
+    bool is_fit(const row& row, const placement_task& task) const;
+    bool is_usable(const row& row) const;
+    std::uint32_t count_free_slots(const row& row) const;
+    void close(row& row);
+    void open(row& row);
+    void reindex(row& row);
+    void change_urgent(row& row, int by);
+    void join_rack(row& row);
+    /// Takes the row out of the index, its rack and the sums.
+    void forget(row& row);
+    void erase_if_gone(row& row);
+
+    target_choice choice_;
+    milliseconds refusal_pause_;
+    std::mt19937_64 random_;
+    std::map<instance_id, row> rows_;
+    std::map<rack_id, rack_row> racks_;
+    std::map<order_key, row*> urgent_order_;
+    std::map<order_key, row*> slow_order_;
+    std::vector<row*> open_;
+    std::multiset<std::uint64_t> memories_;
+    std::vector<std::pair<monotonic_time, instance_id>> paused_;
+    /// Smallest size that fitted nowhere in this tick, by kind.
+    std::uint64_t too_large_[2];
+    std::uint32_t next_number_ = 0;
+    std::uint32_t free_ = 0;
+    std::uint32_t usable_ = 0;
+};
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/placement_types.cpp
@@ -0,0 +1,72 @@
+#include "systems/placement_types.hpp"
+
+#include <sstream>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+template <class Enum, std::size_t Count>
+const char* get_name(const std::array<const char*, Count>& names, Enum value)
+{
+    auto index = static_cast<std::size_t>(value);
+    return index < Count ? names[index] : "invalid";
+}
+
+} // namespace
+
+const char* to_string(placement_action action)
+{
+    static constexpr std::array<const char*, 6> NAMES{
+        "start", "throttle", "resume", "checkpoint", "stop", "refuse"};
+    return get_name(NAMES, action);
+}
+
+const char* to_string(placement_rule rule)
+{
+    static constexpr std::array<const char*, 13> NAMES{"urgent_first",
+        "spare_capacity", "share_debt", "first_come", "urgent_waits",
+        "checkpoint_done", "checkpoint_overdue", "urgent_served", "cancelled",
+        "deadline_passed", "fits_no_target", "team_queue_full",
+        "duplicate_task"};
+    return get_name(NAMES, rule);
+}
+
+const char* to_string(start_refusal reason)
+{
+    static constexpr std::array<const char*, 4> NAMES{
+        "deadline_passed", "no_free_slot", "leaving", "unreachable"};
+    return get_name(NAMES, reason);
+}
+
+const char* to_string(task_outcome outcome)
+{
+    static constexpr std::array<const char*, 5> NAMES{
+        "done", "failed", "stopped", "lapsed", "unknown"};
+    return get_name(NAMES, outcome);
+}
+
+const char* to_string(target_health_state state)
+{
+    static constexpr std::array<const char*, 3> NAMES{
+        "sound", "probation", "set_aside"};
+    return get_name(NAMES, state);
+}
+
+std::string placement_decision::describe() const
+{
+    std::ostringstream out;
+    out << "action=" << to_string(action) << " rule=" << to_string(rule)
+        << " task=" << task.get() << " team=" << team.get()
+        << " kind=" << (kind == queue_kind::urgent ? "urgent" : "slow");
+    if (!target.get().empty())
+        out << " target=" << target.get() << " epoch=" << target_epoch
+            << " rack=" << rack.get();
+    out << " candidates=" << candidates << " free_slots=" << free_slots
+        << " waiting=" << waiting << " waited_ms=" << waited.count();
+    return out.str();
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/team_shares.cpp
@@ -0,0 +1,112 @@
+#include "systems/team_shares.hpp"
+
+#include <algorithm>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+using seconds = std::chrono::duration<double>;
+
+/// Accounts are closed when no work waited for so long. Shorter gaps occur
+/// within one burst.
+constexpr seconds PERIOD_GAP{5.0};
+
+/// A team that is ahead is held back for at most so long. Without the bound,
+/// long tasks that cannot be stopped would shut their team out for as long
+/// as they ran.
+constexpr seconds MAX_LEAD{30.0};
+
+/// A running task counts as if it had run for so long already. Differences
+/// in served time are corrected over about this time; a shorter one makes
+/// the number of running tasks swing.
+constexpr seconds PROJECTION{2.0};
+
+} // namespace
+
+void team_shares::advance(monotonic_time now, bool is_contended)
+{
+    if (now <= last_now_)
+        return;
+    if (is_contended)
+    {
+        // The first interval of a period begins at the last call.
+        clock_ += seconds(now - last_now_).count();
+        last_contended_ = now;
+        is_period_open_ = true;
+    }
+    else if (is_period_open_ && now - last_contended_ > PERIOD_GAP)
+    {
+        ++period_;
+        floor_ = 0.0;
+        is_period_open_ = false;
+    }
+    last_now_ = now;
+}
+
+void team_shares::on_start(account& team)
+{
+    settle(team);
+    ++team.running;
+}
+
+void team_shares::on_end(account& team)
+{
+    settle(team);
+    if (team.running > 0)
+        --team.running;
+}
+
+void team_shares::set_weight(account& team, double weight)
+{
+    settle(team);
+    team.served *= team.weight / weight;
+    team.weight = weight;
+}
+
+void team_shares::raise_floor(double served)
+{
+    floor_ = std::max(floor_, served);
+}
+
+void team_shares::join(account& team)
+{
+    settle(team);
+    team.served = std::max(team.served, floor_);
+}
+
+double team_shares::get_served(account& team) const
+{
+    settle(team);
+    return team.served;
+}
+
+double team_shares::get_rank(account& team) const
+{
+    return get_served(team) + team.running * PROJECTION.count() / team.weight;
+}
+
+bool team_shares::is_behind(
+    account& behind, account& ahead, milliseconds time) const
+{
+    double bound = seconds(time).count() * slots_per_weight_;
+    return get_served(behind) + bound < get_served(ahead);
+}
+
+void team_shares::settle(account& team) const
+{
+    if (team.period != period_)
+    {
+        team.period = period_;
+        team.served = 0.0;
+        team.seen = clock_;
+    }
+    team.served += team.running * (clock_ - team.seen) / team.weight;
+    team.seen = clock_;
+    double highest = floor_ + MAX_LEAD.count() * slots_per_weight_;
+    team.served = std::min(team.served, highest);
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/tests/systems/placement_system_test.cpp
@@ -0,0 +1,439 @@
+#include "systems/placement_system.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const monotonic_time EPOCH{1h};
+
+placement_target make_target(const std::string& id, std::uint32_t slots = 8)
+{
+    placement_target target;
+    target.id = instance_id(id);
+    target.rack = rack_id("r" + id);
+    target.slots = slot_count(slots);
+    return target;
+}
+
+placement_task make_task(const std::string& id, const std::string& team,
+    queue_kind kind = queue_kind::urgent, monotonic_time arrival = EPOCH)
+{
+    placement_task task;
+    task.id = task_id(id);
+    task.team = team_id(team);
+    task.kind = kind;
+    task.arrival = arrival;
+    return task;
+}
+
+bool always(const team_id&)
+{
+    return true;
+}
+
+/// Runs a tick and confirms every start.
+std::vector<placement_decision> tick(
+    placement_system& system, monotonic_time now)
+{
+    auto out = system.tick(now, always);
+    for (const auto& item : out.items)
+        if (item.action == placement_action::start)
+            system.on_started(item.task, now);
+    return out.items;
+}
+
+std::vector<placement_rule> get_rules(
+    const std::vector<placement_decision>& items)
+{
+    std::vector<placement_rule> rules;
+    for (const auto& item : items)
+        rules.push_back(item.rule);
+    return rules;
+}
+
+placement_policy make_policy(double headroom)
+{
+    placement_policy policy;
+    policy.headroom = headroom;
+    return policy;
+}
+
+} // namespace
+
+// Guards against head-of-line blocking of urgent work behind a batch.
+TEST(placement_system, urgent_work_starts_before_earlier_slow_work)
+{
+    placement_system system;
+    system.set_target(make_target("a", 1));
+    system.add_task(make_task("slow", "x", queue_kind::slow));
+    system.add_task(make_task("urgent", "y", queue_kind::urgent, EPOCH + 1s));
+    auto items = tick(system, EPOCH + 1s);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].task, task_id("urgent"));
+    EXPECT_EQ(items[0].rule, placement_rule::urgent_first);
+}
+
+// Guards against slow work that fills the pool and leaves no slot for an
+// urgent task that arrives a moment later.
+TEST(placement_system, slow_work_leaves_the_headroom_free)
+{
+    placement_system system(make_policy(0.125));
+    system.set_target(make_target("a"));
+    for (int i = 0; i < 10; ++i)
+        system.add_task(
+            make_task("s" + std::to_string(i), "x", queue_kind::slow));
+    EXPECT_EQ(tick(system, EPOCH).size(), 6u); // 7 connections less the sync
+    EXPECT_EQ(tick(system, EPOCH).size(), 1u);
+    EXPECT_EQ(system.count_free_slots(), 1u);
+}
+
+// Guards against a preemption that loses work although a checkpoint was
+// possible, and against one that never ends.
+TEST(placement_system, preempts_by_throttle_checkpoint_and_stop)
+{
+    placement_system system(make_policy(0.0));
+    system.set_target(make_target("a", 1));
+    system.add_task(make_task("slow", "x", queue_kind::slow));
+    tick(system, EPOCH);
+    auto now = EPOCH + 1s;
+    system.add_task(make_task("urgent", "y", queue_kind::urgent, now));
+    using rules = std::vector<placement_rule>;
+    EXPECT_EQ(get_rules(tick(system, now)), rules{});
+    now += 20ms;
+    EXPECT_EQ(
+        get_rules(tick(system, now)), rules{placement_rule::urgent_waits});
+    now += 100ms;
+    auto items = tick(system, now);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].action, placement_action::checkpoint);
+    system.on_checkpointed(task_id("slow"), now);
+    EXPECT_EQ(
+        get_rules(tick(system, now)), rules{placement_rule::checkpoint_done});
+    system.on_task_end(task_id("slow"), task_outcome::stopped, now);
+    EXPECT_EQ(
+        get_rules(tick(system, now)), rules{placement_rule::urgent_first});
+}
+
+// Guards against a checkpoint that never completes and holds up urgent work
+// beyond its bound.
+TEST(placement_system, stops_a_victim_whose_checkpoint_is_overdue)
+{
+    placement_system system(make_policy(0.0));
+    system.set_target(make_target("a", 1));
+    system.add_task(make_task("slow", "x", queue_kind::slow));
+    tick(system, EPOCH);
+    system.add_task(make_task("urgent", "y"));
+    tick(system, EPOCH + 20ms);
+    tick(system, EPOCH + 120ms);
+    EXPECT_EQ(get_rules(tick(system, EPOCH + 1120ms)),
+        std::vector{placement_rule::checkpoint_overdue});
+}
+
+// Guards against a stop of slow work although the urgent task found a slot.
+TEST(placement_system, resumes_a_victim_that_is_no_longer_needed)
+{
+    placement_system system(make_policy(0.0));
+    system.set_target(make_target("a", 1));
+    system.add_task(make_task("slow", "x", queue_kind::slow));
+    tick(system, EPOCH);
+    system.add_task(make_task("urgent", "y"));
+    tick(system, EPOCH + 20ms);
+    EXPECT_EQ(system.cancel_task(task_id("urgent")),
+        placement_system::cancel_outcome::not_run);
+    EXPECT_EQ(get_rules(tick(system, EPOCH + 30ms)),
+        std::vector{placement_rule::urgent_served});
+}
+
+// Guards against a stop of work that could not run again (I8).
+TEST(placement_system, never_preempts_work_that_is_not_idempotent)
+{
+    placement_system system(make_policy(0.0));
+    system.set_target(make_target("a", 1));
+    auto slow = make_task("slow", "x", queue_kind::slow);
+    slow.is_idempotent = false;
+    system.add_task(slow);
+    tick(system, EPOCH);
+    system.add_task(make_task("urgent", "y"));
+    EXPECT_TRUE(tick(system, EPOCH + 2s).empty());
+}
+
+// Guards against preemption for a team at its fleet-wide limit, which frees
+// a slot that the team may not use.
+TEST(placement_system, does_not_preempt_for_a_team_without_grant)
+{
+    placement_system system(make_policy(0.0));
+    system.set_target(make_target("a", 1));
+    system.add_task(make_task("slow", "x", queue_kind::slow));
+    tick(system, EPOCH);
+    system.add_task(make_task("urgent", "y"));
+    auto out = system.tick(EPOCH + 1s, [](const team_id&) { return false; });
+    EXPECT_TRUE(out.items.empty());
+    EXPECT_EQ(out.teams_without_grant, std::vector{team_id("y")});
+}
+
+// Guards against an idle team that collects credit and then takes the whole
+// pool, and against a busy team that pays for slots nobody wanted.
+TEST(placement_system, team_that_returns_gets_its_share_and_no_more)
+{
+    placement_system system(make_policy(0.0));
+    auto target = make_target("a", 8);
+    target.connections = 100;
+    system.set_target(target);
+    for (int i = 0; i < 200; ++i)
+        system.add_task(
+            make_task("x" + std::to_string(i), "x", queue_kind::slow));
+    auto now = EPOCH;
+    std::vector<placement_decision> running = tick(system, now);
+    auto run_for = [&](int rounds)
+    {
+        int started_y = 0;
+        for (int i = 0; i < rounds; ++i)
+        {
+            now += 1s;
+            for (const auto& item : running)
+                system.on_task_end(item.task, task_outcome::done, now);
+            running = tick(system, now);
+            for (const auto& item : running)
+                started_y += item.team == team_id("y") ? 1 : 0;
+        }
+        return started_y;
+    };
+    run_for(10);
+    for (int i = 0; i < 100; ++i)
+        system.add_task(
+            make_task("y" + std::to_string(i), "y", queue_kind::slow, now));
+    int started_y = run_for(5);
+    EXPECT_GE(started_y, 18);
+    EXPECT_LE(started_y, 22);
+}
+
+// Guards against slow work that starves behind urgent work of teams that are
+// far above their share.
+TEST(placement_system, slow_work_far_below_its_share_precedes_urgent_work)
+{
+    placement_system system(make_policy(0.0));
+    system.set_target(make_target("a", 2));
+    system.add_task(make_task("slow", "x", queue_kind::slow));
+    auto now = EPOCH;
+    int n = 0;
+    std::vector<placement_decision> running;
+    bool is_started = false;
+    for (; now < EPOCH + 60s && !is_started; now += 1s)
+    {
+        for (const auto& item : running)
+            system.on_task_end(item.task, task_outcome::done, now);
+        for (int i = 0; i < 4; ++i)
+            system.add_task(make_task(
+                "u" + std::to_string(++n), "y", queue_kind::urgent, now));
+        running = tick(system, now);
+        for (const auto& item : running)
+            is_started |= item.rule == placement_rule::share_debt;
+    }
+    EXPECT_TRUE(is_started);
+    EXPECT_GT(now, EPOCH + 5s);
+}
+
+// Guards against work that waits for ever, that runs after its caller left,
+// or that fills the memory.
+TEST(placement_system, refuses_with_the_reason)
+{
+    placement_policy policy;
+    policy.max_waiting = 1;
+    placement_system system(policy);
+    auto target = make_target("a", 1);
+    target.memory = byte_count(100);
+    system.set_target(target);
+    auto large = make_task("large", "x");
+    large.memory = byte_count(101);
+    EXPECT_EQ(system.add_task(large)->rule, placement_rule::fits_no_target);
+    auto task = make_task("t", "x");
+    task.deadline = EPOCH + 2s;
+    EXPECT_FALSE(system.add_task(task).has_value());
+    EXPECT_EQ(system.add_task(task)->rule, placement_rule::duplicate_task);
+    EXPECT_EQ(system.add_task(make_task("u", "x"))->rule,
+        placement_rule::team_queue_full);
+    EXPECT_EQ(get_rules(tick(system, EPOCH + 2s)),
+        std::vector{placement_rule::deadline_passed});
+    EXPECT_EQ(system.count_tasks(), 0u);
+}
+
+// Guards against a rack failure that takes most of the urgent work.
+TEST(placement_system, spreads_urgent_work_over_racks)
+{
+    placement_system system;
+    for (int i = 0; i < 8; ++i)
+    {
+        auto target = make_target(std::to_string(i));
+        target.rack = rack_id(i < 6 ? "large" : "small" + std::to_string(i));
+        system.set_target(target);
+    }
+    std::map<rack_id, int> count;
+    for (int i = 0; i < 8; ++i)
+        system.add_task(make_task(std::to_string(i), "x"));
+    for (const auto& item : tick(system, EPOCH))
+        ++count[item.rack];
+    EXPECT_EQ(count[rack_id("large")], 6);
+    EXPECT_EQ(count[rack_id("small6")], 1);
+}
+
+// Guards against starts on a target that just refused one, and on one that
+// another owner still uses.
+TEST(placement_system, avoids_targets_that_refuse_or_are_used_by_others)
+{
+    placement_system system;
+    system.set_target(make_target("a", 1));
+    system.add_task(make_task("t", "x"));
+    system.tick(EPOCH, always);
+    system.on_start_refused(task_id("t"), start_refusal::no_free_slot, EPOCH);
+    EXPECT_TRUE(tick(system, EPOCH + 100ms).empty());
+    auto target = make_target("a", 1);
+    target.free_slots = slot_count(0);
+    system.set_target(target);
+    EXPECT_TRUE(tick(system, EPOCH + 600ms).empty());
+    target.free_slots = slot_count(1);
+    system.set_target(target);
+    EXPECT_EQ(tick(system, EPOCH + 600ms).size(), 1u);
+}
+
+// Guards against double counting after a change of owner, and against a task
+// that outlives its target in the table.
+TEST(placement_system, counts_adopted_tasks_and_tasks_of_removed_targets)
+{
+    placement_system system;
+    system.set_target(make_target("a", 1));
+    EXPECT_TRUE(
+        system.adopt_running(make_task("t", "x"), instance_id("a"), EPOCH));
+    EXPECT_FALSE(
+        system.adopt_running(make_task("t", "x"), instance_id("a"), EPOCH));
+    system.add_task(make_task("u", "x"));
+    EXPECT_TRUE(tick(system, EPOCH).empty());
+    system.remove_target(instance_id("a"));
+    EXPECT_EQ(system.count_running(team_id("x")), 1u);
+    system.on_task_end(task_id("t"), task_outcome::lapsed, EPOCH);
+    EXPECT_TRUE(tick(system, EPOCH).empty());
+}
+
+// Guards against a cancelled task that starts again after a refused start.
+TEST(placement_system, cancelled_start_that_was_refused_has_not_run)
+{
+    placement_system system;
+    system.set_target(make_target("a", 1));
+    system.add_task(make_task("t", "x"));
+    system.tick(EPOCH, always);
+    EXPECT_EQ(system.cancel_task(task_id("t")),
+        placement_system::cancel_outcome::stopping);
+    auto items = tick(system, EPOCH);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].action, placement_action::stop);
+    system.on_start_refused(task_id("t"), start_refusal::leaving, EPOCH);
+    auto out = system.tick(EPOCH, always);
+    EXPECT_EQ(get_rules(out.items), std::vector{placement_rule::cancelled});
+    EXPECT_EQ(out.returned_grants, std::vector{team_id("x")});
+}
+
+// Guards against more tasks on a target than slots, lost or doubled grants,
+// and lost tasks, under any order of calls.
+RC_GTEST_PROP(placement_system, keeps_slots_grants_and_tasks, ())
+{
+    placement_system system(make_policy(0.1));
+    for (int i = 0; i < 3; ++i)
+        system.set_target(make_target(std::to_string(i), 2));
+    std::map<std::string, int> grants;
+    std::map<task_id, placement_decision> placed;
+    std::set<task_id> confirmed;
+    std::map<instance_id, int> on_target;
+    int added = 0;
+    int ended = 0;
+    auto now = EPOCH;
+    auto end = [&](const task_id& id)
+    {
+        --on_target[placed[id].target];
+        --grants[placed[id].team.get()];
+        placed.erase(id);
+        confirmed.erase(id);
+        ++ended;
+    };
+    auto apply = [&](const placement_decision& item)
+    {
+        if (item.action == placement_action::refuse)
+            ++ended;
+        if (item.action == placement_action::start)
+        {
+            placed[item.task] = item;
+            RC_ASSERT(++on_target[item.target] <= 2);
+        }
+        if (item.action == placement_action::stop)
+        {
+            system.on_task_end(item.task, task_outcome::stopped, now);
+            end(item.task);
+        }
+    };
+    auto steps =
+        *rc::gen::container<std::vector<int>>(150, rc::gen::inRange(0, 100));
+    for (int step : steps)
+    {
+        now += milliseconds(step);
+        std::string name = std::to_string(added);
+        if (step < 50)
+        {
+            auto task = make_task(name, "t" + std::to_string(step % 3),
+                step % 2 ? queue_kind::slow : queue_kind::urgent, now);
+            if (step % 5 == 0)
+                task.deadline = now + 1s;
+            ++added;
+            RC_ASSERT(!system.add_task(task));
+        }
+        else if (step < 55)
+        {
+            auto id = task_id(std::to_string(step % std::max(added, 1)));
+            ended += system.cancel_task(id) ==
+                     placement_system::cancel_outcome::not_run;
+        }
+        else if (!placed.empty())
+        {
+            auto it = std::next(
+                placed.begin(), step % static_cast<int>(placed.size()));
+            task_id id = it->first;
+            if (step < 65 && !confirmed.contains(id))
+            {
+                system.on_start_refused(
+                    id, start_refusal::deadline_passed, now);
+                --on_target[placed[id].target];
+                placed.erase(id);
+                continue;
+            }
+            system.on_started(id, now);
+            confirmed.insert(id);
+            system.on_checkpointed(id, now);
+            if (step < 65)
+                continue;
+            system.on_task_end(id, task_outcome::done, now);
+            end(id);
+        }
+        auto out = system.tick(now,
+            [&](const team_id& team)
+            {
+                if (grants[team.get()] >= 3)
+                    return false;
+                ++grants[team.get()];
+                return true;
+            });
+        for (const auto& team : out.returned_grants)
+            RC_ASSERT(--grants[team.get()] >= 0);
+        for (const auto& item : out.items)
+            apply(item);
+        RC_ASSERT(
+            system.count_tasks() == static_cast<std::size_t>(added - ended));
+    }
+}
+
+} // namespace cowslippass
