--- /dev/null
+++ b/tests/platform/settings_test.cpp
@@ -0,0 +1,115 @@
+#include "platform/settings.hpp"
+#include "platform/settings_table.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <gmock/gmock.h>
+#include <sstream>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+using testing::HasSubstr;
+
+constexpr const char* required = "entry = \"e1\"\n"
+                                 "data_centre = \"dc1\"\n"
+                                 "http_listen = \"127.0.0.1:0\"\n"
+                                 "peer_listen = \"[::1]:7000\"\n"
+                                 "platform = \"127.0.0.1:9000\"\n";
+
+settings load_text(const std::string& text)
+{
+    std::string path = testing::TempDir() + "cowslippass_settings_" +
+                       std::to_string(getpid()) + ".toml";
+    std::ofstream(path) << text;
+    return load_settings(path);
+}
+
+std::string get_faults(const std::string& text)
+{
+    try
+    {
+        load_text(text);
+    }
+    catch (const platform_error& e)
+    {
+        EXPECT_EQ(e.get_code(), "bad_settings");
+        return e.what();
+    }
+    return "";
+}
+
+} // namespace
+
+TEST(settings, values_and_defaults_are_read)
+{
+    settings it = load_text(std::string(required) +
+                            "freshness_limit_ms = 3000\nlog_level = \"warn\"");
+    EXPECT_EQ(it.entry, entry_id("e1"));
+    EXPECT_EQ(it.peer_listen.port(), 7000);
+    EXPECT_EQ(it.freshness_limit, milliseconds(3000));
+    EXPECT_EQ(it.task_lease, milliseconds(10'000));
+    EXPECT_EQ(it.log_level, "warn");
+}
+
+// Guards against a file that is corrected fault by fault, one start each.
+TEST(settings, every_fault_is_reported_with_its_line)
+{
+    std::string faults = get_faults("entry = 5\n"
+                                    "data_center = \"dc1\"\n"
+                                    "http_listen = \"localhost:80\"\n"
+                                    "platform = \"127.0.0.1:0\"\n"
+                                    "task_lease_ms = 2999\n"
+                                    "max_body_bytes = 1.5\n");
+    EXPECT_THAT(faults, HasSubstr(".toml:1: entry: must be 1 to 64"));
+    EXPECT_THAT(faults, HasSubstr(":2: data_center: unknown name; the nearest "
+                                  "known one is data_centre"));
+    EXPECT_THAT(faults, HasSubstr(":1: data_centre: required"));
+    EXPECT_THAT(faults, HasSubstr(":1: peer_listen: required"));
+    EXPECT_THAT(faults, HasSubstr(":3: http_listen: must be IP:port"));
+    EXPECT_THAT(faults, HasSubstr(":4: platform: must be IP:port"));
+    EXPECT_THAT(faults, HasSubstr(":5: task_lease_ms: must be 3000"));
+    EXPECT_THAT(faults, HasSubstr(":6: max_body_bytes: must be 1 to"));
+    EXPECT_EQ(std::ranges::count(faults, '\n'), 7);
+}
+
+// Guards against timing that ends live sessions or outlives freshness.
+TEST(settings, relations_between_settings_are_checked)
+{
+    std::string faults =
+        get_faults(std::string(required) + "heartbeat_interval_ms = 3001\n"
+                                           "session_death_ms = 9000\n"
+                                           "start_deadline_ms = 4001\n");
+    EXPECT_THAT(faults, HasSubstr(":6: heartbeat_interval_ms: must be"));
+    EXPECT_THAT(faults, HasSubstr(":8: start_deadline_ms: must be"));
+    EXPECT_EQ(
+        get_faults(std::string(required) + "heartbeat_interval_ms = 3000\n"
+                                           "session_death_ms = 9000\n"),
+        "");
+}
+
+TEST(settings, text_that_is_not_toml_is_reported_with_its_line)
+{
+    EXPECT_THAT(
+        get_faults("entry = \"e1\"\nentry = \"e2\"\n"), HasSubstr(".toml:2: "));
+    EXPECT_THROW(load_settings("/no/such/file"), platform_error);
+}
+
+// Guards against a page that lags behind the table. The page contains the
+// output of format_settings_tables() word for word.
+TEST(settings, the_page_names_every_setting)
+{
+    auto root = std::filesystem::path(__FILE__).parent_path() / "../..";
+    std::ifstream file(root / "docs/configuration.md");
+    std::stringstream page;
+    page << file.rdbuf();
+    EXPECT_THAT(page.str(), HasSubstr(format_settings_tables()));
+    for (const setting_description& it : get_setting_descriptions())
+        EXPECT_THAT(
+            page.str(), HasSubstr("| `" + std::string(it.name) + "` |"));
+}
+
+} // namespace cowslippass
