--- a/systems/freshness.hpp
+++ b/systems/freshness.hpp
@@ -54,7 +54,9 @@
     /// have been made after the round began. The round confirms the version
     /// in hand once all members agreed; an answer that disagrees ends it.
     /// @param has_unresolved_change the member sent a change to the platform
-    ///   and does not know its outcome.
+    ///   and does not know its outcome. A change that a read does not find
+    ///   stays unresolved until `config/head` has moved past the version of
+    ///   its condition, as its request may still arrive.
     verdict on_agreement_answer(std::uint64_t round, session_id session,
         config_version version, bool is_platform_reachable,
         bool has_unresolved_change);
