--- a/tests/stand_ins/target_service.hpp
+++ b/tests/stand_ins/target_service.hpp
@@ -85,11 +85,13 @@
 
     asio::io_context& io_;
     target_options options_;
+    std::string boot_ = make_random_hex(8);
     std::int64_t clock_offset_ms_;
     const stand_in_server* server_ = nullptr;
     asio::steady_timer timer_;
     std::map<std::string, task> tasks_;
     std::deque<std::string> ended_; ///< Oldest first.
+    std::map<std::string, std::vector<std::string>> ended_by_owner_;
     std::size_t ended_bytes_ = 0;
     std::size_t running_ = 0;
     std::deque<usage_sample> usage_;
