Add the codec of fleet records and the fleet state

Unknown types and fields are refused, as an entry that does not understand a change must not act on it.

A record about something that does not exist has no effect, so applying a planned record cannot fail.

instance_state_record gains is_for_maintenance: a drain that ends in a reboot is told from one that lasts until operators bring the instance back. Instances of a data centre that is out count as unavailable in their pool.

--- a/systems/fleet_record.hpp
+++ b/systems/fleet_record.hpp
@@ -21,6 +21,8 @@
     team_id id;
     std::uint32_t share = 1; ///< Weight under contention; 0 is not allowed.
     task_count limit{0};     ///< Most tasks running at once, fleet-wide.
+
+    bool operator==(const team_record&) const = default;
 };
 
 /// Grants a key to a team. The secret itself is never stored.
@@ -29,11 +31,15 @@
     key_id id;
     team_id team;
     std::string secret_sha256; ///< 64 lower-case hex digits.
+
+    bool operator==(const key_record&) const = default;
 };
 
 struct key_withdrawn_record
 {
     key_id id;
+
+    bool operator==(const key_withdrawn_record&) const = default;
 };
 
 /// Grants operator rights to whoever presents the secret.
@@ -41,11 +47,15 @@
 {
     key_id id;
     std::string secret_sha256;
+
+    bool operator==(const operator_record&) const = default;
 };
 
 struct operator_withdrawn_record
 {
     key_id id;
+
+    bool operator==(const operator_withdrawn_record&) const = default;
 };
 
 /// Creates a pool or replaces its settings.
@@ -56,6 +66,8 @@
     /// draining, rebooting and out of service together.
     std::uint32_t max_unavailable = 1;
     bool is_spare = false; ///< Lends instances to other pools.
+
+    bool operator==(const pool_record&) const = default;
 };
 
 enum class queue_kind
@@ -76,6 +88,8 @@
     /// For an open queue, the team that its work counts for. For another
     /// queue, the only team that may use it, or nothing if every team may.
     std::optional<team_id> team;
+
+    bool operator==(const queue_record&) const = default;
 };
 
 /// Creates a data centre or takes it out of service or back.
@@ -83,6 +97,8 @@
 {
     data_centre_id id;
     bool is_in_service = true;
+
+    bool operator==(const data_centre_record&) const = default;
 };
 
 enum class instance_state
@@ -105,6 +121,8 @@
     slot_count slots{8};
     byte_count memory{0}; ///< 0 means not declared.
     pool_id pool;         ///< Only used when the instance is new.
+
+    bool operator==(const instance_record&) const = default;
 };
 
 struct instance_state_record
@@ -113,18 +131,28 @@
     instance_state state = instance_state::in_service;
     /// Set when a maintenance pass ended; counts the passes.
     std::optional<std::uint32_t> maintained_pass;
+    /// The instance drains in order to be rebooted, not until operators bring
+    /// it back.
+    bool is_for_maintenance = false;
+
+    bool operator==(const instance_state_record&) const = default;
 };
 
-/// Moves a drained instance to another pool and raises its epoch.
+/// Moves a drained instance to another pool, puts it back in service there and
+/// raises its epoch.
 struct instance_moved_record
 {
     instance_id id;
     pool_id pool;
+
+    bool operator==(const instance_moved_record&) const = default;
 };
 
 struct instance_removed_record
 {
     instance_id id;
+
+    bool operator==(const instance_removed_record&) const = default;
 };
 
 /// An entry daemon started. Its number is assigned by the state: one more
@@ -136,11 +164,15 @@
     std::string peer_address;
     std::string http_address;
     std::string nonce; ///< Random; tells an entry which session is its own.
+
+    bool operator==(const session_started_record&) const = default;
 };
 
 struct session_ended_record
 {
     session_id session;
+
+    bool operator==(const session_ended_record&) const = default;
 };
 
 using fleet_record = std::variant<team_record, key_record, key_withdrawn_record,
@@ -149,10 +181,24 @@
     instance_moved_record, instance_removed_record, session_started_record,
     session_ended_record>;
 
+/// @return the name used in JSON, queries and messages.
+std::string get_name(queue_kind kind);
+std::string get_name(instance_state state);
+
+/// Checks every field by itself: the form of names, addresses and digests, and
+/// the range of numbers. Whether the names exist is for the planner to check.
+/// @throws systems_error (`bad_record`) that names the field.
+void check_record(const fleet_record& record);
+
 /// @return the records as a JSON array of objects, each with a `type`.
+/// @throws systems_error (`bad_record`) when a record fails `check_record`, so
+///   that nothing is written that other entries would refuse to read.
 std::string encode_records(const std::vector<fleet_record>& records);
 
-/// @throws systems_error (`bad_record`) for text that is not such an array.
+/// Unknown types and fields are refused: an entry that does not understand a
+/// change must not act as if it were in force.
+/// @throws systems_error (`bad_record`) for text that is not such an array, and
+///   for a record that fails `check_record`.
 std::vector<fleet_record> decode_records(const std::string& text);
 
 } // namespace cowslippass
--- a/systems/fleet_state.hpp
+++ b/systems/fleet_state.hpp
@@ -3,6 +3,8 @@
 #include "systems/fleet_record.hpp"
 
 #include <map>
+#include <set>
+#include <utility>
 
 namespace cowslippass
 {
@@ -16,6 +18,7 @@
     /// the old pool.
     std::uint64_t epoch = 1;
     std::uint32_t maintained_pass = 0;
+    bool is_for_maintenance = false; ///< Drains in order to be rebooted.
 };
 
 struct session_row
@@ -31,6 +34,8 @@
 {
 public:
     /// Installs the records of one log entry.
+    /// A record about something that does not exist has no effect, so that
+    /// applying never fails halfway.
     /// @param version must be one more than `get_version()`.
     /// @throws systems_error (`version_gap`) for another version, so that no
     ///   change is skipped and no older one is ever installed.
@@ -63,8 +68,12 @@
     /// @return whether the data centre exists and is in service.
     bool is_in_service(const data_centre_id& id) const;
 
+    /// @return whether the instance is in service and so is its data centre.
+    bool is_available(const instance_row& instance) const;
+
     /// @return instances of the pool that are not in service, whatever the
-    ///   reason; compared with the pool's availability budget.
+    ///   reason, also because their data centre is out; compared with the
+    ///   pool's availability budget.
     std::uint32_t count_unavailable(const pool_id& pool) const;
 
     /// @return the whole state as JSON, for `config/snapshot`.
@@ -74,19 +83,24 @@
     static fleet_state decode_snapshot(const std::string& text);
 
 private:
+    /// Overloads install one kind of record each.
+    struct installer;
+
     config_version version_{0};
     std::uint64_t last_session_ = 0;
     std::map<team_id, team_record> teams_;
     std::map<key_id, key_record> keys_;
     std::map<key_id, operator_record> operators_;
-    std::map<std::string, key_id> keys_by_digest_;
-    std::map<std::string, key_id> operators_by_digest_;
+    // Sets of pairs, as the look-up must still find one of two owners of the
+    // same digest or nonce when the other is gone.
+    std::set<std::pair<std::string, key_id>> keys_by_digest_;
+    std::set<std::pair<std::string, key_id>> operators_by_digest_;
     std::map<pool_id, pool_record> pools_;
     std::map<queue_id, queue_record> queues_;
     std::map<data_centre_id, data_centre_record> data_centres_;
     std::map<instance_id, instance_row> instances_;
     std::map<session_id, session_row> sessions_;
-    std::map<std::string, session_id> sessions_by_nonce_;
+    std::set<std::pair<std::string, session_id>> sessions_by_nonce_;
 };
 
 } // namespace cowslippass
--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -6,4 +6,5 @@
 #include "core/core.hpp"
 #include "systems/fleet_record.hpp"
 #include "systems/fleet_state.hpp"
+#include "systems/names.hpp"
 #include "systems/pool_owners.hpp"
