--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -8,5 +8,6 @@
 #include "systems/fleet_log.hpp"
 #include "systems/fleet_record.hpp"
 #include "systems/fleet_state.hpp"
+#include "systems/names.hpp"
 #include "systems/pool_owners.hpp"
 #include "systems/routing.hpp"
