--- a/systems/placement_preemption.cpp
+++ b/systems/placement_preemption.cpp
@@ -10,10 +10,10 @@
 
 /// Urgent work waits for so long before it takes a slot from slow work; most
 /// slots free sooner by themselves.
-constexpr milliseconds PREEMPT_AFTER{20};
+constexpr milliseconds preempt_after{20};
 
 /// Victims of one team that are looked at for one that makes enough room.
-constexpr std::uint32_t MAX_VICTIMS_LOOKED_AT = 16;
+constexpr std::uint32_t max_victims_looked_at = 16;
 
 } // namespace
 
@@ -46,7 +46,7 @@
         const task_order& queue = team.get_queue(queue_kind::urgent);
         if (queue.empty() || team.is_without_grant)
             continue;
-        if (now - std::get<0>(*queue.begin()) >= PREEMPT_AFTER)
+        if (now - std::get<0>(*queue.begin()) >= preempt_after)
             needed += queue.size();
     }
     return static_cast<std::uint32_t>(needed);
@@ -105,7 +105,7 @@
     // The task that started last has the least work to repeat.
     for (auto it = team.victims.rbegin(); it != team.victims.rend(); ++it)
     {
-        if (looked_at++ == MAX_VICTIMS_LOOKED_AT)
+        if (looked_at++ == max_victims_looked_at)
             return nullptr;
         ++candidates;
         task_row& row = *std::get<2>(*it);
--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -13,7 +13,7 @@
 
 /// Tasks of a queue that are tried when the first does not fit, so that one
 /// large task does not hold up the small ones behind it.
-constexpr int LOOK_AHEAD = 8;
+constexpr int look_ahead = 8;
 
 } // namespace
 
@@ -330,9 +330,9 @@
 void placement_system::start_waiting(context& ctx)
 {
     using picker = pick (placement_system::*)();
-    static constexpr picker PICKERS[] = {
+    static constexpr picker pickers[] = {
         &placement_system::pick_by_shares, &placement_system::pick_first_come};
-    picker next = PICKERS[static_cast<std::size_t>(policy_.order)];
+    picker next = pickers[static_cast<std::size_t>(policy_.order)];
     while (targets_.count_free() > 0)
     {
         pick chosen = (this->*next)();
@@ -402,7 +402,7 @@
 void placement_system::start_from(const pick& chosen, context& ctx)
 {
     team_row& team = *chosen.team;
-    int tries = LOOK_AHEAD;
+    int tries = look_ahead;
     for (const time_key& key : team.get_queue(chosen.kind))
     {
         if (tries-- == 0)
--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -9,14 +9,14 @@
 namespace
 {
 
-constexpr std::uint64_t UNLIMITED = std::numeric_limits<std::uint64_t>::max();
+constexpr std::uint64_t unlimited = std::numeric_limits<std::uint64_t>::max();
 
 /// Random draws before the baseline falls back to a scan.
-constexpr int RANDOM_TRIES = 8;
+constexpr int random_tries = 8;
 
 std::uint64_t memory_of(const placement_target& target)
 {
-    return target.memory.get() == 0 ? UNLIMITED : target.memory.get();
+    return target.memory.get() == 0 ? unlimited : target.memory.get();
 }
 
 std::uint32_t permille(std::uint32_t part, std::uint32_t whole)
@@ -35,7 +35,7 @@
 
 placement_targets::placement_targets(const placement_policy& policy)
     : choice_(policy.choice), refusal_pause_(policy.refusal_pause),
-      random_(policy.seed), too_large_{UNLIMITED, UNLIMITED}
+      random_(policy.seed), too_large_{unlimited, unlimited}
 {
 }
 
@@ -84,13 +84,13 @@
 placement_targets::choice placement_targets::choose(const placement_task& task)
 {
     using chooser = choice (placement_targets::*)(const placement_task&);
-    static constexpr chooser CHOOSERS[] = {
+    static constexpr chooser choosers[] = {
         &placement_targets::choose_spread, &placement_targets::choose_random};
     auto kind = static_cast<std::size_t>(task.kind);
     std::uint64_t memory = task.memory.get();
     if (memory != 0 && memory >= too_large_[kind])
         return {};
-    choice found = (this->*CHOOSERS[static_cast<std::size_t>(choice_)])(task);
+    choice found = (this->*choosers[static_cast<std::size_t>(choice_)])(task);
     // Only the size speaks against an idempotent task on an open target.
     if (found.target == nullptr && memory != 0 && task.is_idempotent)
         too_large_[kind] = memory;
@@ -118,7 +118,7 @@
     const placement_task& task)
 {
     choice found;
-    for (int i = 0; i < RANDOM_TRIES && !open_.empty(); ++i)
+    for (int i = 0; i < random_tries && !open_.empty(); ++i)
     {
         ++found.candidates;
         row* row = open_[random_() % open_.size()];
@@ -202,7 +202,7 @@
 
 void placement_targets::begin_tick(monotonic_time now)
 {
-    too_large_[0] = too_large_[1] = UNLIMITED;
+    too_large_[0] = too_large_[1] = unlimited;
     std::erase_if(paused_,
         [&](const auto& pause)
         {
--- a/systems/placement_types.cpp
+++ b/systems/placement_types.cpp
@@ -19,40 +19,40 @@
 
 const char* to_string(placement_action action)
 {
-    static constexpr std::array<const char*, 6> NAMES{
+    static constexpr std::array<const char*, 6> names{
         "start", "throttle", "resume", "checkpoint", "stop", "refuse"};
-    return get_name(NAMES, action);
+    return get_name(names, action);
 }
 
 const char* to_string(placement_rule rule)
 {
-    static constexpr std::array<const char*, 13> NAMES{"urgent_first",
+    static constexpr std::array<const char*, 13> names{"urgent_first",
         "spare_capacity", "share_debt", "first_come", "urgent_waits",
         "checkpoint_done", "checkpoint_overdue", "urgent_served", "cancelled",
         "deadline_passed", "fits_no_target", "team_queue_full",
         "duplicate_task"};
-    return get_name(NAMES, rule);
+    return get_name(names, rule);
 }
 
 const char* to_string(start_refusal reason)
 {
-    static constexpr std::array<const char*, 4> NAMES{
+    static constexpr std::array<const char*, 4> names{
         "deadline_passed", "no_free_slot", "leaving", "unreachable"};
-    return get_name(NAMES, reason);
+    return get_name(names, reason);
 }
 
 const char* to_string(task_outcome outcome)
 {
-    static constexpr std::array<const char*, 5> NAMES{
+    static constexpr std::array<const char*, 5> names{
         "done", "failed", "stopped", "lapsed", "unknown"};
-    return get_name(NAMES, outcome);
+    return get_name(names, outcome);
 }
 
 const char* to_string(target_health_state state)
 {
-    static constexpr std::array<const char*, 3> NAMES{
+    static constexpr std::array<const char*, 3> names{
         "sound", "probation", "set_aside"};
-    return get_name(NAMES, state);
+    return get_name(names, state);
 }
 
 std::string placement_decision::describe() const
--- a/systems/team_shares.cpp
+++ b/systems/team_shares.cpp
@@ -12,17 +12,17 @@
 
 /// Accounts are closed when no work waited for so long. Shorter gaps occur
 /// within one burst.
-constexpr seconds PERIOD_GAP{5.0};
+constexpr seconds period_gap{5.0};
 
 /// A team that is ahead is held back for at most so long. Without the bound,
 /// long tasks that cannot be stopped would shut their team out for as long
 /// as they ran.
-constexpr seconds MAX_LEAD{30.0};
+constexpr seconds max_lead{30.0};
 
 /// A running task counts as if it had run for so long already. Differences
 /// in served time are corrected over about this time; a shorter one makes
 /// the number of running tasks swing.
-constexpr seconds PROJECTION{2.0};
+constexpr seconds projection{2.0};
 
 } // namespace
 
@@ -37,7 +37,7 @@
         last_contended_ = now;
         is_period_open_ = true;
     }
-    else if (is_period_open_ && now - last_contended_ > PERIOD_GAP)
+    else if (is_period_open_ && now - last_contended_ > period_gap)
     {
         ++period_;
         floor_ = 0.0;
@@ -85,7 +85,7 @@
 
 double team_shares::get_rank(account& team) const
 {
-    return get_served(team) + team.running * PROJECTION.count() / team.weight;
+    return get_served(team) + team.running * projection.count() / team.weight;
 }
 
 bool team_shares::is_behind(
@@ -105,7 +105,7 @@
     }
     team.served += team.running * (clock_ - team.seen) / team.weight;
     team.seen = clock_;
-    double highest = floor_ + MAX_LEAD.count() * slots_per_weight_;
+    double highest = floor_ + max_lead.count() * slots_per_weight_;
     team.served = std::min(team.served, highest);
 }
 
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -13,7 +13,7 @@
 
 using namespace std::chrono_literals;
 
-const monotonic_time EPOCH{1h};
+const monotonic_time epoch{1h};
 
 placement_target make_target(const std::string& id, std::uint32_t slots = 8)
 {
@@ -25,7 +25,7 @@
 }
 
 placement_task make_task(const std::string& id, const std::string& team,
-    queue_kind kind = queue_kind::urgent, monotonic_time arrival = EPOCH)
+    queue_kind kind = queue_kind::urgent, monotonic_time arrival = epoch)
 {
     placement_task task;
     task.id = task_id(id);
@@ -55,8 +55,8 @@
     const std::vector<placement_decision>& items)
 {
     std::vector<placement_rule> rules;
-    for (const auto& item : items)
-        rules.push_back(item.rule);
+    std::transform(items.begin(), items.end(), std::back_inserter(rules),
+        [](const auto& item) { return item.rule; });
     return rules;
 }
 
@@ -75,8 +75,8 @@
     placement_system system;
     system.set_target(make_target("a", 1));
     system.add_task(make_task("slow", "x", queue_kind::slow));
-    system.add_task(make_task("urgent", "y", queue_kind::urgent, EPOCH + 1s));
-    auto items = tick(system, EPOCH + 1s);
+    system.add_task(make_task("urgent", "y", queue_kind::urgent, epoch + 1s));
+    auto items = tick(system, epoch + 1s);
     ASSERT_EQ(items.size(), 1u);
     EXPECT_EQ(items[0].task, task_id("urgent"));
     EXPECT_EQ(items[0].rule, placement_rule::urgent_first);
@@ -91,8 +91,8 @@
     for (int i = 0; i < 10; ++i)
         system.add_task(
             make_task("s" + std::to_string(i), "x", queue_kind::slow));
-    EXPECT_EQ(tick(system, EPOCH).size(), 6u); // 7 connections less the sync
-    EXPECT_EQ(tick(system, EPOCH).size(), 1u);
+    EXPECT_EQ(tick(system, epoch).size(), 6u); // 7 connections less the sync
+    EXPECT_EQ(tick(system, epoch).size(), 1u);
     EXPECT_EQ(system.count_free_slots(), 1u);
 }
 
@@ -103,8 +103,8 @@
     placement_system system(make_policy(0.0));
     system.set_target(make_target("a", 1));
     system.add_task(make_task("slow", "x", queue_kind::slow));
-    tick(system, EPOCH);
-    auto now = EPOCH + 1s;
+    tick(system, epoch);
+    auto now = epoch + 1s;
     system.add_task(make_task("urgent", "y", queue_kind::urgent, now));
     using rules = std::vector<placement_rule>;
     EXPECT_EQ(get_rules(tick(system, now)), rules{});
@@ -130,11 +130,11 @@
     placement_system system(make_policy(0.0));
     system.set_target(make_target("a", 1));
     system.add_task(make_task("slow", "x", queue_kind::slow));
-    tick(system, EPOCH);
+    tick(system, epoch);
     system.add_task(make_task("urgent", "y"));
-    tick(system, EPOCH + 20ms);
-    tick(system, EPOCH + 120ms);
-    EXPECT_EQ(get_rules(tick(system, EPOCH + 1120ms)),
+    tick(system, epoch + 20ms);
+    tick(system, epoch + 120ms);
+    EXPECT_EQ(get_rules(tick(system, epoch + 1120ms)),
         std::vector{placement_rule::checkpoint_overdue});
 }
 
@@ -144,12 +144,12 @@
     placement_system system(make_policy(0.0));
     system.set_target(make_target("a", 1));
     system.add_task(make_task("slow", "x", queue_kind::slow));
-    tick(system, EPOCH);
+    tick(system, epoch);
     system.add_task(make_task("urgent", "y"));
-    tick(system, EPOCH + 20ms);
+    tick(system, epoch + 20ms);
     EXPECT_EQ(system.cancel_task(task_id("urgent")),
         placement_system::cancel_outcome::not_run);
-    EXPECT_EQ(get_rules(tick(system, EPOCH + 30ms)),
+    EXPECT_EQ(get_rules(tick(system, epoch + 30ms)),
         std::vector{placement_rule::urgent_served});
 }
 
@@ -161,9 +161,9 @@
     auto slow = make_task("slow", "x", queue_kind::slow);
     slow.is_idempotent = false;
     system.add_task(slow);
-    tick(system, EPOCH);
+    tick(system, epoch);
     system.add_task(make_task("urgent", "y"));
-    EXPECT_TRUE(tick(system, EPOCH + 2s).empty());
+    EXPECT_TRUE(tick(system, epoch + 2s).empty());
 }
 
 // Guards against preemption for a team at its fleet-wide limit, which frees
@@ -173,9 +173,9 @@
     placement_system system(make_policy(0.0));
     system.set_target(make_target("a", 1));
     system.add_task(make_task("slow", "x", queue_kind::slow));
-    tick(system, EPOCH);
+    tick(system, epoch);
     system.add_task(make_task("urgent", "y"));
-    auto out = system.tick(EPOCH + 1s, [](const team_id&) { return false; });
+    auto out = system.tick(epoch + 1s, [](const team_id&) { return false; });
     EXPECT_TRUE(out.items.empty());
     EXPECT_EQ(out.teams_without_grant, std::vector{team_id("y")});
 }
@@ -191,7 +191,7 @@
     for (int i = 0; i < 200; ++i)
         system.add_task(
             make_task("x" + std::to_string(i), "x", queue_kind::slow));
-    auto now = EPOCH;
+    auto now = epoch;
     std::vector<placement_decision> running = tick(system, now);
     auto run_for = [&](int rounds)
     {
@@ -223,11 +223,11 @@
     placement_system system(make_policy(0.0));
     system.set_target(make_target("a", 2));
     system.add_task(make_task("slow", "x", queue_kind::slow));
-    auto now = EPOCH;
+    auto now = epoch;
     int n = 0;
     std::vector<placement_decision> running;
     bool is_started = false;
-    for (; now < EPOCH + 60s && !is_started; now += 1s)
+    for (; now < epoch + 60s && !is_started; now += 1s)
     {
         for (const auto& item : running)
             system.on_task_end(item.task, task_outcome::done, now);
@@ -239,7 +239,7 @@
             is_started |= item.rule == placement_rule::share_debt;
     }
     EXPECT_TRUE(is_started);
-    EXPECT_GT(now, EPOCH + 5s);
+    EXPECT_GT(now, epoch + 5s);
 }
 
 // Guards against work that waits for ever, that runs after its caller left,
@@ -256,12 +256,12 @@
     large.memory = byte_count(101);
     EXPECT_EQ(system.add_task(large)->rule, placement_rule::fits_no_target);
     auto task = make_task("t", "x");
-    task.deadline = EPOCH + 2s;
+    task.deadline = epoch + 2s;
     EXPECT_FALSE(system.add_task(task).has_value());
     EXPECT_EQ(system.add_task(task)->rule, placement_rule::duplicate_task);
     EXPECT_EQ(system.add_task(make_task("u", "x"))->rule,
         placement_rule::team_queue_full);
-    EXPECT_EQ(get_rules(tick(system, EPOCH + 2s)),
+    EXPECT_EQ(get_rules(tick(system, epoch + 2s)),
         std::vector{placement_rule::deadline_passed});
     EXPECT_EQ(system.count_tasks(), 0u);
 }
@@ -279,7 +279,7 @@
     std::map<rack_id, int> count;
     for (int i = 0; i < 8; ++i)
         system.add_task(make_task(std::to_string(i), "x"));
-    for (const auto& item : tick(system, EPOCH))
+    for (const auto& item : tick(system, epoch))
         ++count[item.rack];
     EXPECT_EQ(count[rack_id("large")], 6);
     EXPECT_EQ(count[rack_id("small6")], 1);
@@ -292,16 +292,16 @@
     placement_system system;
     system.set_target(make_target("a", 1));
     system.add_task(make_task("t", "x"));
-    system.tick(EPOCH, always);
-    system.on_start_refused(task_id("t"), start_refusal::no_free_slot, EPOCH);
-    EXPECT_TRUE(tick(system, EPOCH + 100ms).empty());
+    system.tick(epoch, always);
+    system.on_start_refused(task_id("t"), start_refusal::no_free_slot, epoch);
+    EXPECT_TRUE(tick(system, epoch + 100ms).empty());
     auto target = make_target("a", 1);
     target.free_slots = slot_count(0);
     system.set_target(target);
-    EXPECT_TRUE(tick(system, EPOCH + 600ms).empty());
+    EXPECT_TRUE(tick(system, epoch + 600ms).empty());
     target.free_slots = slot_count(1);
     system.set_target(target);
-    EXPECT_EQ(tick(system, EPOCH + 600ms).size(), 1u);
+    EXPECT_EQ(tick(system, epoch + 600ms).size(), 1u);
 }
 
 // Guards against double counting after a change of owner, and against a task
@@ -311,15 +311,15 @@
     placement_system system;
     system.set_target(make_target("a", 1));
     EXPECT_TRUE(
-        system.adopt_running(make_task("t", "x"), instance_id("a"), EPOCH));
+        system.adopt_running(make_task("t", "x"), instance_id("a"), epoch));
     EXPECT_FALSE(
-        system.adopt_running(make_task("t", "x"), instance_id("a"), EPOCH));
+        system.adopt_running(make_task("t", "x"), instance_id("a"), epoch));
     system.add_task(make_task("u", "x"));
-    EXPECT_TRUE(tick(system, EPOCH).empty());
+    EXPECT_TRUE(tick(system, epoch).empty());
     system.remove_target(instance_id("a"));
     EXPECT_EQ(system.count_running(team_id("x")), 1u);
-    system.on_task_end(task_id("t"), task_outcome::lapsed, EPOCH);
-    EXPECT_TRUE(tick(system, EPOCH).empty());
+    system.on_task_end(task_id("t"), task_outcome::lapsed, epoch);
+    EXPECT_TRUE(tick(system, epoch).empty());
 }
 
 // Guards against a cancelled task that starts again after a refused start.
@@ -328,14 +328,14 @@
     placement_system system;
     system.set_target(make_target("a", 1));
     system.add_task(make_task("t", "x"));
-    system.tick(EPOCH, always);
+    system.tick(epoch, always);
     EXPECT_EQ(system.cancel_task(task_id("t")),
         placement_system::cancel_outcome::stopping);
-    auto items = tick(system, EPOCH);
+    auto items = tick(system, epoch);
     ASSERT_EQ(items.size(), 1u);
     EXPECT_EQ(items[0].action, placement_action::stop);
-    system.on_start_refused(task_id("t"), start_refusal::leaving, EPOCH);
-    auto out = system.tick(EPOCH, always);
+    system.on_start_refused(task_id("t"), start_refusal::leaving, epoch);
+    auto out = system.tick(epoch, always);
     EXPECT_EQ(get_rules(out.items), std::vector{placement_rule::cancelled});
     EXPECT_EQ(out.returned_grants, std::vector{team_id("x")});
 }
@@ -353,7 +353,7 @@
     std::map<instance_id, int> on_target;
     int added = 0;
     int ended = 0;
-    auto now = EPOCH;
+    auto now = epoch;
     auto end = [&](const task_id& id)
     {
         --on_target[placed[id].target];
