--- /dev/null
+++ b/main/cowslippassd_main.cpp
@@ -0,0 +1,99 @@
+#include "main/entry_node.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+DEFINE_string(settings, "", "TOML file with the settings of this entry");
+DEFINE_bool(check, false, "check the settings file and exit");
+
+namespace
+{
+
+constexpr const char* usage =
+    "the daemon of an entry instance of cowslippass.\n\n"
+    "  cowslippassd --settings=FILE          run until SIGTERM\n"
+    "  cowslippassd --settings=FILE --check  check the settings and exit\n\n"
+    "It prints 'http IP:port' and 'peer IP:port' once it listens, and logs\n"
+    "JSON lines to standard error or to the file named in the settings.\n"
+    "SIGTERM makes a planned stop: the entry turns unready, hands over and\n"
+    "exits with status 0. A second SIGTERM ends it at once with status 1.\n"
+    "Settings are described in docs/configuration.md.";
+
+int run(const std::string& path)
+{
+    using namespace cowslippass;
+    settings config = load_settings(path);
+    if (FLAGS_check)
+    {
+        std::cout << path << ": the settings are valid\n";
+        return 0;
+    }
+    configure_log(config.log_level, config.log_file);
+    asio::io_context io(1);
+    entry_node node(io, config);
+    int status = 0;
+    bool is_stopping = false;
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    std::function<void()> wait_for_signal = [&]
+    {
+        signals.async_wait(
+            [&](boost::system::error_code ec, int)
+            {
+                if (ec)
+                    return;
+                if (is_stopping)
+                {
+                    status = 1;
+                    io.stop();
+                    return;
+                }
+                is_stopping = true;
+                node.stop([&] { io.stop(); });
+                wait_for_signal();
+            });
+    };
+    wait_for_signal();
+    node.start();
+    std::cout << "http " << config.http_advertise << "\npeer "
+              << config.peer_advertise << std::endl;
+    io.run();
+    // The coroutines refer to the node; they must not outlive it.
+    return status;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    if (FLAGS_settings.empty() || argc > 1)
+    {
+        std::cerr << "cowslippassd: --settings=FILE is required; see --help\n";
+        return 2;
+    }
+    try
+    {
+        int status = run(FLAGS_settings);
+        // Pending coroutines are not unwound: everything durable is in the
+        // platform already.
+        std::cout.flush();
+        std::_Exit(status);
+    }
+    catch (const cowslippass::error& e)
+    {
+        std::cerr << e.what() << '\n';
+        return 2;
+    }
+    catch (const std::exception& e)
+    {
+        std::cerr << "cowslippassd: " << e.what() << '\n';
+        return 2;
+    }
+}
--- a/main/fleet_sync.cpp
+++ b/main/fleet_sync.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace cowslippass
 {
 
@@ -22,13 +24,23 @@
 /// How long the unknown outcome of an append is looked into.
 constexpr milliseconds resolve_time_limit{600'000};
 
-std::string get_heartbeat_key(session_id session)
+/// @return whether one of the caller's own conditions failed, which no retry
+///   can change.
+bool is_superseded(const transaction_result& result,
+    const std::vector<row_condition>& conditions)
 {
-    return "heartbeats/" + std::to_string(session.get());
+    return std::ranges::any_of(conditions,
+        [&](const row_condition& it)
+        { return std::ranges::count(result.failed, it.key) > 0; });
 }
 
 } // namespace
 
+std::string get_heartbeat_key(session_id session)
+{
+    return heartbeat_prefix + std::to_string(session.get());
+}
+
 fleet_sync::fleet_sync(node_context& node) : node_(node) {}
 
 void fleet_sync::apply_entry(
@@ -149,7 +161,7 @@
 }
 
 asio::awaitable<append_result> fleet_sync::append(
-    command_id command, planner plan)
+    command_id command, planner plan, std::vector<row_condition> conditions)
 {
     auto give_up = get_now() + append_time_limit;
     bool may_have_committed = false;
@@ -175,8 +187,12 @@
         // version, or the condition would not cover what was planned on.
         if (base.version != node_.state.get_version())
             continue;
-        transaction_result result =
-            co_await node_.table.commit(make_fleet_append(base, records, command));
+        transaction tx = make_fleet_append(base, records, command);
+        tx.conditions.insert(
+            tx.conditions.end(), conditions.begin(), conditions.end());
+        transaction_result result = co_await node_.table.commit(std::move(tx));
+        if (is_superseded(result, conditions))
+            co_return append_result{};
         if (result.outcome == transaction_outcome::committed)
         {
             append_result out;
--- a/main/fleet_sync.hpp
+++ b/main/fleet_sync.hpp
@@ -9,6 +9,11 @@
 namespace cowslippass
 {
 
+inline constexpr const char* heartbeat_prefix = "heartbeats/";
+
+/// @return the key of the row that a session writes to show that it lives.
+std::string get_heartbeat_key(session_id session);
+
 enum class append_status
 {
     committed,
@@ -52,8 +57,10 @@
     std::string get_entries_since(config_version version) const;
 
     /// Commits one command exactly once, whatever is lost on the way.
+    /// @param conditions further rows that must be unchanged.
     /// @throws what the planner throws.
-    asio::awaitable<append_result> append(command_id command, planner plan);
+    asio::awaitable<append_result> append(command_id command, planner plan,
+        std::vector<row_condition> conditions = {});
 
     /// @return the head as last read or written.
     const fleet_head& get_head() const { return head_; }
--- /dev/null
+++ b/main/janitor.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "main/fleet_sync.hpp"
+#include "main/grant_keeper.hpp"
+#include "main/lease_holder.hpp"
+#include "main/node_context.hpp"
+
+#include <map>
+
+namespace cowslippass
+{
+
+/// Declares dead sessions, removes what they held, and keeps the fleet log
+/// short. Runs in the entry that holds the lease `janitor`.
+class janitor
+{
+public:
+    janitor(node_context& node, fleet_sync& sync, grant_keeper& grants);
+
+    /// Needs the session.
+    void start();
+
+    /// @return when the end of a session was first seen here; its commit was
+    ///   not later.
+    std::optional<monotonic_time> get_ended_observed(session_id session) const;
+
+    const lease_holder& get_lease() const { return lease_; }
+
+    /// Gives the lease back; for a planned stop.
+    asio::awaitable<void> stop();
+
+private:
+    struct heartbeat
+    {
+        row_version version;
+        monotonic_time since;
+    };
+
+    asio::awaitable<void> run_loop();
+    asio::awaitable<void> check_heartbeats();
+    asio::awaitable<void> end_session(session_id session, row_version beat);
+    asio::awaitable<void> release_grants();
+    asio::awaitable<void> write_snapshot();
+    void note_ended_sessions();
+
+    node_context& node_;
+    fleet_sync& sync_;
+    grant_keeper& grants_;
+    lease_holder lease_;
+    std::map<session_id, heartbeat> heartbeats_;
+    std::set<session_id> live_;
+    std::map<session_id, monotonic_time> ended_;
+    config_version snapshot_version_;
+};
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/lease_holder.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "main/node_context.hpp"
+
+#include <string>
+
+namespace cowslippass
+{
+
+/// Tries to hold one lease row `leases/<name>` while this entry runs.
+class lease_holder
+{
+public:
+    lease_holder(node_context& node, std::string name);
+
+    /// Needs the session.
+    void start();
+
+    /// @return whether the lease is held now, by the local clock.
+    bool is_held() const;
+
+    /// @return a condition for every write made under the lease.
+    row_condition get_condition() const;
+
+    asio::awaitable<void> release();
+
+private:
+    asio::awaitable<void> run_loop();
+    asio::awaitable<void> step();
+
+    node_context& node_;
+    std::string name_;
+    row_version held_{0};          ///< Row version of the own holding.
+    monotonic_time held_until_{};
+    row_version seen_{0};
+    monotonic_time seen_since_{};
+    bool is_released_ = false;
+};
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/operator_api.cpp
@@ -0,0 +1,246 @@
+#include "main/operator_api.hpp"
+
+#include "main/caller_api.hpp"
+#include "systems/admission.hpp"
+#include "systems/command_parser.hpp"
+#include "systems/fleet_planner.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr milliseconds in_force_poll_interval{50};
+constexpr std::size_t max_command_id_length = 128;
+/// Outside the language, as it concerns the entry that is asked and must work
+/// while that entry accepts no changes.
+constexpr const char* admit_statement = "admit this entry";
+
+http_response make_json(unsigned status, const json& body)
+{
+    http_response out;
+    out.status = status;
+    out.headers["Content-Type"] = "application/json";
+    out.body = body.dump() + "\n";
+    return out;
+}
+
+http_response make_refusal(
+    unsigned status, const std::string& code, const std::string& message)
+{
+    return make_json(status, {{"code", code}, {"message", message}});
+}
+
+/// A retry through another entry must show the same secret, as only its
+/// digest is stored; without the operator's own secret it cannot be guessed.
+std::string derive_secret(
+    const std::string& operator_secret, const command_id& command)
+{
+    return sha256_hex("granted/" + operator_secret + "/" + command.get())
+        .substr(0, 40);
+}
+
+std::optional<std::string> set_digest(
+    change_command& change, const std::string& secret)
+{
+    if (auto* key = std::get_if<grant_key_command>(&change))
+        key->secret_sha256 = sha256_hex(secret);
+    else if (auto* granted = std::get_if<grant_operator_command>(&change))
+        granted->secret_sha256 = sha256_hex(secret);
+    else
+        return std::nullopt;
+    return secret;
+}
+
+bool is_valid_command_id(const std::string& text)
+{
+    return !text.empty() && text.size() <= max_command_id_length &&
+        text.find_first_of("/ ?&%") == std::string::npos;
+}
+
+} // namespace
+
+operator_api::operator_api(node_context& node, fleet_sync& sync,
+    peer_network& peers, operator_services services)
+    : node_(node), sync_(sync), peers_(peers), services_(std::move(services))
+{
+}
+
+void operator_api::authenticate(const http_request& request) const
+{
+    std::string authorization = request.get_header("Authorization");
+    std::string_view secret = get_bearer(authorization);
+    if (secret.empty())
+        throw admission_error(401, "missing_key",
+            "the header 'Authorization: Bearer <operator key>' is required");
+    if (node_.state.find_operator_by_secret(secret))
+        return;
+    const std::string& bootstrap = node_.config.bootstrap_secret_sha256;
+    // The bootstrap secret creates the first operator and is void afterwards.
+    bool is_bootstrap = !bootstrap.empty() &&
+        node_.state.get_operators().empty() &&
+        is_equal_constant_time(bootstrap, sha256_hex(secret));
+    if (!is_bootstrap)
+        throw admission_error(
+            401, "unknown_key", "the operator key is unknown or withdrawn");
+}
+
+asio::awaitable<http_response> operator_api::handle(http_request request)
+{
+    std::optional<http_response> refused;
+    try
+    {
+        if (request.method != "POST")
+            throw admission_error(
+                405, "method_not_allowed", "statements are posted");
+        authenticate(request);
+        std::string text = request.body;
+        while (!text.empty() && std::isspace((unsigned char)text.back()))
+            text.pop_back();
+        if (text == admit_statement)
+            co_return admit();
+        command parsed = parse_command(text);
+        if (auto* change = std::get_if<change_command>(&parsed))
+            co_return co_await run_change(*change, std::move(request));
+        if (auto* cancel = std::get_if<cancel_command>(&parsed))
+            co_return co_await run_cancel(*cancel);
+        co_return co_await run_query(std::get<query_command>(parsed));
+    }
+    catch (const admission_error& e)
+    {
+        refused = make_refusal(e.get_status(), e.get_code(), e.what());
+    }
+    catch (const command_syntax_error& e)
+    {
+        refused = make_json(400,
+            {{"code", e.get_code()}, {"message", std::string(e.what())},
+                {"column", e.get_column()}, {"expected", e.get_expected()}});
+    }
+    catch (const systems_error& e)
+    {
+        refused = make_refusal(409, e.get_code(), e.what());
+    }
+    co_return *refused;
+}
+
+http_response operator_api::admit() const
+{
+    if (!node_.admission)
+        return make_refusal(
+            503, "not_registered", "this entry has no session yet");
+    node_.admission->admit_by_operator();
+    return make_json(200, {{"admitted", true}});
+}
+
+http_response operator_api::run_dry(const change_command& change) const
+{
+    auto records = plan(node_.state, change);
+    return make_json(200,
+        {{"dry_run", true}, {"records", records.size()},
+            {"would_write", json::parse(encode_records(records))},
+            {"version", node_.state.get_version().get()}});
+}
+
+asio::awaitable<http_response> operator_api::run_change(
+    change_command change, http_request request)
+{
+    std::string id = request.get_header("Command-Id");
+    if (id.empty())
+        id = make_random_hex(16);
+    if (!is_valid_command_id(id))
+        co_return make_refusal(400, "bad_command_id",
+            "'Command-Id' must be 1 to 128 characters without '/?&%'");
+    command_id command(id);
+    std::string authorization = request.get_header("Authorization");
+    auto secret = set_digest(change,
+        derive_secret(std::string(get_bearer(authorization)), command));
+    if (!request.get_header("Dry-Run").empty())
+        co_return run_dry(change);
+    if (!node_.is_admitted())
+        co_return make_refusal(503, "not_admitted",
+            "no older entry has acknowledged this one yet; ask another entry, "
+            "or if none runs any more, send: admit this entry");
+    auto result = co_await sync_.append(command,
+        [change](const fleet_state& state) { return plan(state, change); });
+    auto committed = get_now();
+    if (result.status == append_status::unavailable)
+        co_return make_refusal(503, "platform_unavailable",
+            "the change is not committed, as the platform does not answer");
+    if (result.status == append_status::unknown)
+        co_return make_json(504,
+            {{"code", "unknown"},
+                {"message", "the change may be committed; send it again with "
+                            "the same Command-Id"},
+                {"command_id", id}});
+    bool is_in_force = false;
+    if (!request.get_header("Wait").empty())
+        is_in_force = co_await wait_in_force(result.version, committed);
+    json body{{"committed", result.version.get()}, {"in_force", is_in_force},
+        {"records", result.records}, {"command_id", id}};
+    if (secret)
+        body["secret"] = *secret;
+    write_log(log_level::info, "operator_api", "a change was committed",
+        {{"version", result.version}, {"records", result.records},
+            {"command", id}});
+    co_return make_json(200, body);
+}
+
+bool operator_api::is_reported_by_all(config_version version) const
+{
+    for (const auto& [session, row] : node_.state.get_sessions())
+    {
+        if (session == node_.session)
+            continue;
+        const peer_summary* summary = peers_.find_summary(session);
+        if (!summary || summary->version < version)
+            return false;
+    }
+    return true;
+}
+
+asio::awaitable<bool> operator_api::wait_in_force(
+    config_version version, monotonic_time committed)
+{
+    // After the freshness limit no entry acts without this version.
+    auto certain = committed + node_.config.freshness_limit;
+    while (get_now() < certain && !is_reported_by_all(version))
+        co_await node_.sleep(in_force_poll_interval);
+    co_return true;
+}
+
+asio::awaitable<http_response> operator_api::run_cancel(cancel_command cancel)
+{
+    auto n = co_await services_.cancel(std::move(cancel));
+    if (!n)
+        co_return make_refusal(503, "platform_unavailable",
+            "the platform does not answer; some jobs may be cancelled");
+    co_return make_json(200, {{"cancelled", *n}});
+}
+
+asio::awaitable<http_response> operator_api::run_query(query_command query)
+{
+    auto collected = co_await services_.collect(query.table);
+    json missing = json::array();
+    query_table table;
+    if (collected)
+    {
+        table = std::move(collected->table);
+        for (const auto& it : collected->missing)
+            missing.push_back(it.get());
+    }
+    else
+        table = make_fleet_table(node_.state, query.table);
+    json body = json::parse(to_json(run_query_on(table, query)));
+    body["version"] = node_.state.get_version().get();
+    body["age_ms"] =
+        node_.get_freshness_age().value_or(milliseconds(-1)).count();
+    body["missing"] = missing;
+    co_return make_json(200, body);
+}
+
+} // namespace cowslippass
--- a/main/target_link.cpp
+++ b/main/target_link.cpp
@@ -1,5 +1,7 @@
 #include "main/target_link.hpp"
 
+#include "systems/grant_ledger.hpp"
+
 #include <algorithm>
 
 namespace cowslippass
@@ -51,7 +53,14 @@
 
 asio::awaitable<bool> target_link::sync_once()
 {
-    std::vector<task_id> renew(tasks_.begin(), tasks_.end());
+    std::vector<task_id> renew;
+    // Once this session may have been declared dead, its grants may be given
+    // to others; its tasks must have lapsed by then.
+    auto fresh_as_of = node_.freshness.get_fresh_as_of();
+    if (fresh_as_of &&
+        get_now() < grant_ledger::get_renewal_deadline(*fresh_as_of))
+        renew.assign(tasks_.begin(), tasks_.end());
+    renewed_ = !renew.empty();
     milliseconds wait = renew.empty() ? milliseconds(0) : sync_wait;
     auto answer = co_await client_.sync(
         node_.session, node_.config.task_lease, wait, std::move(renew));
@@ -78,7 +87,8 @@
     while (!is_stopped_)
     {
         bool is_answered = co_await sync_once();
-        if (is_answered && !tasks_.empty())
+        bool is_renewing = is_answered && !tasks_.empty() && renewed_;
+        if (is_renewing)
             continue;
         idle_timer_.expires_after(
             is_answered ? idle_sync_interval : silent_retry_interval);
--- a/main/target_link.hpp
+++ b/main/target_link.hpp
@@ -59,6 +59,7 @@
     std::set<task_id> tasks_;
     asio::steady_timer idle_timer_;
     monotonic_time last_answer_;
+    bool renewed_ = false; ///< The last sync renewed leases.
     bool is_stopped_ = false;
 };
 
