--- a/tests/stand_ins/proxy_service.cpp
+++ b/tests/stand_ins/proxy_service.cpp
@@ -77,6 +77,7 @@
     }
 
     proxy_service& service;
+    std::string source; ///< Address of the client, without the port.
     tcp::socket client;
     tcp::socket server;
     proxy_stream to_server;
@@ -132,6 +133,8 @@
             continue;
         ++accepted_;
         auto link = std::make_shared<proxy_link>(*this, std::move(socket));
+        link->source = link->client.remote_endpoint(ec).address().to_string();
+        ++accepted_by_source_[link->source];
         links_.insert(link);
         asio::co_spawn(
             io_, [this, link] { return serve(link); }, asio::detached);
@@ -166,7 +169,8 @@
 {
     bool is_dropped =
         &stream == &link.to_server ? drops_to_server_ : drops_to_client_;
-    if (is_dropped || link.is_silent)
+    bool is_blocked = blocked_sources_.contains(link.source);
+    if (is_dropped || is_blocked || link.is_silent)
         stream.is_dead = true;
     return stream.is_dead;
 }
@@ -267,6 +271,7 @@
     delay_ = milliseconds(0);
     drops_to_server_ = false;
     drops_to_client_ = false;
+    blocked_sources_.clear();
     truncate_after_.reset();
     open_acceptor();
 }
@@ -278,6 +283,7 @@
     delay_ = milliseconds(control.value("delay_ms", delay_.count()));
     drops_to_server_ = control.value("drop_to_server", drops_to_server_);
     drops_to_client_ = control.value("drop_to_client", drops_to_client_);
+    blocked_sources_ = control.value("block_from", blocked_sources_);
     if (control.contains("truncate_after_bytes"))
     {
         truncate_after_ = control["truncate_after_bytes"].get<std::uint64_t>();
@@ -293,7 +299,8 @@
 
 json proxy_service::get_counters() const
 {
-    return {{"accepted", accepted_}, {"open", links_.size()},
+    return {{"accepted", accepted_},
+        {"accepted_by_source", accepted_by_source_}, {"open", links_.size()},
         {"bytes_to_server", bytes_to_server_},
         {"bytes_to_client", bytes_to_client_}};
 }
--- a/tests/stand_ins/proxy_service.hpp
+++ b/tests/stand_ins/proxy_service.hpp
@@ -4,9 +4,11 @@
 
 #include <nlohmann/json.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 
 namespace cowslippass
 {
@@ -53,9 +55,13 @@
     milliseconds delay_{0};
     bool drops_to_server_ = false;
     bool drops_to_client_ = false;
+    /// Source addresses whose connections are swallowed in both directions;
+    /// they separate groups of processes that share a proxy.
+    std::set<std::string> blocked_sources_;
     std::optional<std::uint64_t> truncate_after_;
 
     std::uint64_t accepted_ = 0;
+    std::map<std::string, std::uint64_t> accepted_by_source_;
     std::uint64_t bytes_to_server_ = 0;
     std::uint64_t bytes_to_client_ = 0;
 };
