Add target health and the retry budget

A failure is evidence against its target in proportion to how rarely other targets fail, so a target that fails everything is set aside after three failures, and a wave of bad tasks accuses no target (test with 50 % bad tasks: no target set aside, more than half of the bad tasks reported).

--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -92,7 +92,8 @@
         return {};
     choice found = (this->*choosers[static_cast<std::size_t>(choice_)])(task);
     // Only the size speaks against an idempotent task on an open target.
-    if (found.target == nullptr && memory != 0 && task.is_idempotent)
+    if (found.target == nullptr && memory != 0 && task.is_idempotent &&
+        task.avoid.empty())
         too_large_[kind] = memory;
     return found;
 }
@@ -229,6 +230,10 @@
     bool is_proved = row.target.health == target_health_state::sound;
     if (!is_proved && !task.is_idempotent)
         return false;
+    bool is_avoided = std::find(task.avoid.begin(), task.avoid.end(),
+                          row.target.id) != task.avoid.end();
+    if (is_avoided && task.avoid.size() < rows_.size())
+        return false;
     return is_memory_fit(row.memory_used, task.memory.get(), row.target);
 }
 
--- a/systems/placement_types.hpp
+++ b/systems/placement_types.hpp
@@ -52,6 +52,9 @@
     monotonic_time arrival;
     /// The task is refused when it has not started by then.
     monotonic_time deadline = monotonic_time::max();
+    /// Targets where earlier attempts failed. They are used again only when
+    /// the pool has no other.
+    std::vector<instance_id> avoid;
 };
 
 /// Why a target did not start a task. Each means "not run".
--- /dev/null
+++ b/systems/target_health.cpp
@@ -0,0 +1,324 @@
+#include "systems/target_health.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+/// A target is set aside when chance explains its failures with a
+/// probability below about 1 in 1,000 (e to the minus 7).
+constexpr double evidence_limit = 7.0;
+
+/// Evidence that one success takes back. Below 1, a target that does its
+/// part would slowly collect evidence in a pool where half of the work fails.
+constexpr double evidence_of_success = 2.0;
+
+/// Added to a failure when the same task succeeds elsewhere.
+constexpr double evidence_of_contrast = 3.0;
+
+/// The lowest failure rate that is assumed of other targets; one failure is
+/// then worth 3.0 and three of them suffice.
+constexpr double lowest_rate = 0.05;
+constexpr double highest_rate = 0.95;
+
+/// Weight of the newest task in a target's failure rate. When everything
+/// begins to fail, the rates have to rise before evidence reaches its limit;
+/// with 0.25 the evidence of an unbroken row of failures stays below 7.
+constexpr double rate_step = 0.25;
+
+/// Sound targets that a task has to fail on before it is a bad task.
+constexpr std::size_t witness_count = 3;
+
+/// A target with more evidence from other tasks is no witness against a task.
+constexpr double witness_evidence = evidence_limit / 2;
+
+/// Failures on so many targets make a bad task whatever the targets' state;
+/// a job has no more attempts either.
+constexpr std::size_t most_attempts = 5;
+
+constexpr std::uint32_t proofs_needed = 3;
+constexpr milliseconds first_pause{10'000};
+constexpr milliseconds longest_pause{600'000};
+
+/// A target returns with half of the limit, so that two failures suffice.
+constexpr double evidence_on_return = 3.5;
+
+/// A target that was silent has to answer for so long before it gets work.
+constexpr milliseconds answer_pause{2000};
+
+/// A target that stays sound for so long starts again with the first pause.
+constexpr milliseconds relapse_time{600'000};
+
+/// Failed tasks that are remembered; about 200 bytes each.
+constexpr std::size_t most_failed_tasks = 10'000;
+
+} // namespace
+
+const char* to_string(health_rule rule)
+{
+    static constexpr std::array<const char*, 6> names{
+        "fails_what_succeeds_elsewhere", "silent", "budget_used_up",
+        "pause_over", "answers_again", "proved_sound"};
+    return names.at(static_cast<std::size_t>(rule));
+}
+
+void target_health::set_target(const instance_id& id)
+{
+    targets_.try_emplace(id);
+}
+
+void target_health::remove_target(const instance_id& id)
+{
+    auto it = targets_.find(id);
+    if (it == targets_.end())
+        return;
+    rate_sum_ -= it->second.failure_rate;
+    targets_.erase(it);
+    suspects_.erase(id);
+    aside_.erase(id);
+}
+
+void target_health::on_task_end(const task_id& task, const instance_id& target,
+    task_outcome outcome, monotonic_time now)
+{
+    auto it = targets_.find(target);
+    if (it == targets_.end())
+        return;
+    if (outcome == task_outcome::done)
+        on_success(task, target, it->second, now);
+    if (outcome == task_outcome::failed)
+        on_failure(task, target, it->second);
+}
+
+void target_health::forget_task(const task_id& task)
+{
+    failures_.erase(task);
+}
+
+void target_health::on_silent(const instance_id& target, monotonic_time)
+{
+    auto it = targets_.find(target);
+    if (it == targets_.end() || it->second.is_silent)
+        return;
+    it->second.is_silent = true;
+    suspects_.insert(target);
+}
+
+void target_health::on_answer(const instance_id& target, monotonic_time now)
+{
+    auto it = targets_.find(target);
+    if (it == targets_.end() || !it->second.is_silent)
+        return;
+    it->second.is_silent = false;
+    it->second.returns = std::max(it->second.returns, now + answer_pause);
+}
+
+health_decisions target_health::tick(
+    monotonic_time now, const budget_strategy& may_set_aside)
+{
+    health_decisions out;
+    out.bad_tasks = std::exchange(bad_tasks_, {});
+    for (const instance_id& id : std::exchange(suspects_, {}))
+        judge_target(id, now, may_set_aside, out);
+    for (const instance_id& id : std::set<instance_id>(aside_))
+    {
+        target_row& row = targets_.at(id);
+        if (row.is_silent || row.returns > now)
+            continue;
+        row.evidence = evidence_on_return;
+        row.proofs = 0;
+        change(id, row, target_health_state::probation,
+            row.is_aside_silent ? health_rule::answers_again
+                                : health_rule::pause_over,
+            out);
+    }
+    return out;
+}
+
+void target_health::judge_target(const instance_id& id, monotonic_time now,
+    const budget_strategy& may_set_aside, health_decisions& out)
+{
+    target_row& row = targets_.at(id);
+    if (row.state == target_health_state::set_aside)
+        return;
+    if (row.is_silent || row.evidence >= evidence_limit)
+    {
+        set_aside(id, row, now, may_set_aside, out);
+        return;
+    }
+    if (row.state != target_health_state::probation ||
+        row.proofs < proofs_needed)
+        return;
+    row.proofs = 0;
+    row.sound_since = now;
+    change(id, row, target_health_state::sound, health_rule::proved_sound, out);
+    row.failures = 0;
+}
+
+target_health_state target_health::get_state(const instance_id& target) const
+{
+    auto it = targets_.find(target);
+    return it == targets_.end() ? target_health_state::sound : it->second.state;
+}
+
+void target_health::on_success(const task_id& task, const instance_id& target,
+    target_row& row, monotonic_time)
+{
+    retries_.on_success();
+    note_rate(row, 0.0);
+    row.has_succeeded = true;
+    row.evidence = std::max(0.0, row.evidence - evidence_of_success);
+    if (row.state == target_health_state::probation &&
+        ++row.proofs >= proofs_needed)
+        suspects_.insert(target);
+    auto it = failures_.find(task);
+    if (it == failures_.end())
+        return;
+    for (const failure& earlier : it->second)
+    {
+        auto accused = targets_.find(earlier.target);
+        if (accused != targets_.end() && earlier.target != target)
+            accuse(accused->first, accused->second, evidence_of_contrast);
+    }
+    failures_.erase(it);
+}
+
+void target_health::on_failure(
+    const task_id& task, const instance_id& target, target_row& row)
+{
+    double elsewhere = get_rate_elsewhere(row);
+    double evidence =
+        -std::log(std::clamp(elsewhere, lowest_rate, highest_rate));
+    note_rate(row, 1.0);
+    ++row.failures;
+    row.proofs = 0;
+    auto [it, is_new] = failures_.try_emplace(task);
+    if (is_new)
+        failure_order_.push_back(task);
+    auto& failures = it->second;
+    bool is_known = std::any_of(failures.begin(), failures.end(),
+        [&](const failure& earlier) { return earlier.target == target; });
+    // A second failure of the same task on the same target proves nothing.
+    if (!is_known)
+    {
+        failures.push_back(
+            {target, evidence, row.state == target_health_state::sound});
+        accuse(target, row, evidence);
+        judge_task(task);
+    }
+    while (failure_order_.size() > most_failed_tasks)
+    {
+        failures_.erase(failure_order_.front());
+        failure_order_.pop_front();
+    }
+}
+
+void target_health::note_rate(target_row& row, double sample)
+{
+    double step = rate_step * (sample - row.failure_rate);
+    row.failure_rate += step;
+    rate_sum_ += step;
+}
+
+double target_health::get_rate_elsewhere(const target_row& row) const
+{
+    // Each target counts once, so that one that fails quickly and therefore
+    // gets most tasks does not hide itself in the average.
+    if (targets_.size() < 2)
+        return highest_rate;
+    return (rate_sum_ - row.failure_rate) / (targets_.size() - 1.0);
+}
+
+void target_health::accuse(
+    const instance_id& id, target_row& row, double evidence)
+{
+    row.evidence += evidence;
+    if (row.evidence >= evidence_limit)
+        suspects_.insert(id);
+}
+
+void target_health::judge_task(const task_id& task)
+{
+    auto it = failures_.find(task);
+    if (!has_enough_witnesses(it->second))
+        return;
+    bad_task report{task, {}};
+    for (const failure& earlier : it->second)
+    {
+        report.targets.push_back(earlier.target);
+        auto target = targets_.find(earlier.target);
+        if (target == targets_.end())
+            continue;
+        target_row& row = target->second;
+        row.evidence = std::max(0.0, row.evidence - earlier.evidence);
+    }
+    bad_tasks_.push_back(std::move(report));
+    failures_.erase(it);
+}
+
+bool target_health::has_enough_witnesses(
+    const std::vector<failure>& failures) const
+{
+    if (failures.size() >= most_attempts)
+        return true;
+    auto is_witness = [&](const failure& failure)
+    {
+        auto it = targets_.find(failure.target);
+        if (it == targets_.end() || !failure.is_target_sound)
+            return false;
+        const target_row& row = it->second;
+        return row.state == target_health_state::sound && row.has_succeeded &&
+               row.evidence - failure.evidence < witness_evidence;
+    };
+    auto count = std::count_if(failures.begin(), failures.end(), is_witness);
+    return static_cast<std::size_t>(count) >= witness_count;
+}
+
+void target_health::set_aside(const instance_id& id, target_row& row,
+    monotonic_time now, const budget_strategy& may_set_aside,
+    health_decisions& out)
+{
+    bool is_on_probation = row.state == target_health_state::probation;
+    if (!may_set_aside(id))
+    {
+        // Probation limits the harm to one idempotent task at a time.
+        row.evidence = evidence_on_return;
+        row.proofs = 0;
+        if (row.is_silent)
+            suspects_.insert(id);
+        if (!is_on_probation)
+            change(id, row, target_health_state::probation,
+                health_rule::budget_used_up, out);
+        return;
+    }
+    bool is_relapse = row.pause.count() > 0 &&
+                      (is_on_probation || now - row.sound_since < relapse_time);
+    row.has_succeeded = false;
+    row.is_aside_silent = row.is_silent;
+    row.pause =
+        is_relapse ? std::min(row.pause * 2, longest_pause) : first_pause;
+    // A silent target returns when it answers.
+    row.returns = row.is_silent ? now : now + row.pause;
+    change(id, row, target_health_state::set_aside,
+        row.is_silent ? health_rule::silent
+                      : health_rule::fails_what_succeeds_elsewhere,
+        out);
+}
+
+void target_health::change(const instance_id& id, target_row& row,
+    target_health_state state, health_rule rule, health_decisions& out)
+{
+    row.state = state;
+    if (state == target_health_state::set_aside)
+        aside_.insert(id);
+    else
+        aside_.erase(id);
+    out.changes.push_back({id, state, rule, row.evidence, row.failures});
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/tests/systems/target_health_test.cpp
@@ -0,0 +1,163 @@
+#include "systems/target_health.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const monotonic_time epoch{1h};
+
+bool always(const instance_id&)
+{
+    return true;
+}
+
+struct health_fixture : ::testing::Test
+{
+    health_fixture()
+    {
+        for (int i = 0; i < 10; ++i)
+            health.set_target(get_target(i));
+    }
+
+    static instance_id get_target(int i)
+    {
+        return instance_id("t" + std::to_string(i));
+    }
+
+    void end(const std::string& task, int target, bool is_done)
+    {
+        health.on_task_end(task_id(task), get_target(target),
+            is_done ? task_outcome::done : task_outcome::failed, now);
+    }
+
+    health_decisions tick() { return health.tick(now, always); }
+
+    monotonic_time now = epoch;
+    target_health health;
+};
+
+} // namespace
+
+// Guards against a target that fails quickly and so attracts all work.
+TEST_F(health_fixture, sets_a_target_aside_that_fails_everything)
+{
+    for (int i = 0; i < 3; ++i)
+    {
+        end("a" + std::to_string(i), 0, false);
+        end("b" + std::to_string(i), 1, true);
+    }
+    auto out = tick();
+    ASSERT_EQ(out.changes.size(), 1u);
+    EXPECT_EQ(out.changes[0].target, get_target(0));
+    EXPECT_EQ(out.changes[0].rule, health_rule::fails_what_succeeds_elsewhere);
+}
+
+// Guards against targets that are set aside for a wave of bad tasks.
+TEST_F(health_fixture, a_wave_of_bad_tasks_accuses_no_target)
+{
+    std::size_t bad = 0;
+    for (int i = 0; i < 400; ++i)
+    {
+        // Half of the work succeeds; the other half fails on every attempt.
+        end("good" + std::to_string(i), i % 10, true);
+        for (int attempt = 0; attempt < 3; ++attempt)
+            end("bad" + std::to_string(i), (i + attempt * 3) % 10, false);
+        auto out = tick();
+        EXPECT_TRUE(out.changes.empty()) << "after task " << i;
+        bad += out.bad_tasks.size();
+    }
+    EXPECT_GT(bad, 200u);
+}
+
+// Guards against a good task that is given up because it met faulty targets.
+TEST_F(health_fixture, failures_on_faulty_targets_do_not_make_a_bad_task)
+{
+    for (int i = 0; i < 10; ++i)
+        end("first", i, true);
+    for (int i = 0; i < 3; ++i)
+        for (int task = 0; task < 5; ++task)
+            end("x" + std::to_string(task) + std::to_string(i), i, false);
+    for (int i = 0; i < 3; ++i)
+        end("good", i, false);
+    EXPECT_TRUE(tick().bad_tasks.empty());
+}
+
+// Guards against a return to full work without a test, and against a target
+// that comes and goes at the same rate for ever.
+TEST_F(health_fixture, returns_on_probation_with_longer_pauses)
+{
+    for (int i = 0; i < 3; ++i)
+        end("a" + std::to_string(i), 0, false);
+    tick();
+    now += 9s;
+    EXPECT_TRUE(tick().changes.empty());
+    now += 1s;
+    ASSERT_EQ(tick().changes.size(), 1u);
+    EXPECT_EQ(health.get_state(get_target(0)), target_health_state::probation);
+    end("b0", 0, false);
+    end("b1", 0, false);
+    tick();
+    now += 19s;
+    EXPECT_TRUE(tick().changes.empty());
+    now += 1s;
+    ASSERT_EQ(tick().changes.size(), 1u);
+    for (int i = 0; i < 3; ++i)
+        end("c" + std::to_string(i), 0, true);
+    auto out = tick();
+    ASSERT_EQ(out.changes.size(), 1u);
+    EXPECT_EQ(out.changes[0].rule, health_rule::proved_sound);
+}
+
+// Guards against a pool that loses more targets than its budget (I1).
+TEST_F(health_fixture, respects_the_budget)
+{
+    auto never = [](const instance_id&) { return false; };
+    health.on_silent(get_target(0), now);
+    auto out = health.tick(now, never);
+    ASSERT_EQ(out.changes.size(), 1u);
+    EXPECT_EQ(out.changes[0].state, target_health_state::probation);
+    EXPECT_TRUE(health.tick(now, never).changes.empty());
+    out = tick();
+    ASSERT_EQ(out.changes.size(), 1u);
+    EXPECT_EQ(out.changes[0].state, target_health_state::set_aside);
+}
+
+// Guards against a silent target that gets work as soon as it answers once.
+TEST_F(health_fixture, a_silent_target_returns_after_it_answers_for_a_while)
+{
+    health.on_silent(get_target(0), now);
+    tick();
+    now += 60s;
+    EXPECT_TRUE(tick().changes.empty());
+    health.on_answer(get_target(0), now);
+    EXPECT_TRUE(tick().changes.empty());
+    now += 2s;
+    auto out = tick();
+    ASSERT_EQ(out.changes.size(), 1u);
+    EXPECT_EQ(out.changes[0].rule, health_rule::answers_again);
+}
+
+// Guards against retries that multiply the load when everything fails.
+RC_GTEST_PROP(retry_budget, retries_stay_a_fraction_of_successes, ())
+{
+    retry_budget budget(0.1, 20.0);
+    auto successes = *rc::gen::inRange(0, 1000);
+    int retries = 0;
+    for (int i = 0; i < successes; ++i)
+    {
+        budget.on_success();
+        retries += budget.try_take(epoch) ? 1 : 0;
+    }
+    for (int i = 0; i < 1000; ++i)
+        retries += budget.try_take(epoch) ? 1 : 0;
+    RC_ASSERT(retries <= 21 + successes / 10);
+}
+
+} // namespace cowslippass
