--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -4,6 +4,8 @@
 /// run over them, without sockets, threads or clocks of their own.
 
 #include "core/core.hpp"
+#include "systems/command.hpp"
+#include "systems/command_parser.hpp"
 #include "systems/fleet_record.hpp"
 #include "systems/fleet_state.hpp"
 #include "systems/names.hpp"
