--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -19,9 +19,8 @@
 bool is_valid_request_id(const std::string& text)
 {
     return !text.empty() && text.size() <= max_request_id_length &&
-        std::ranges::all_of(text,
-            [](unsigned char c)
-            { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; });
+           std::ranges::all_of(text, [](unsigned char c)
+               { return std::isalnum(c) || c == '-' || c == '_' || c == '.'; });
 }
 
 http_response to_response(const work_result& result)
@@ -89,8 +88,8 @@
         if (path.starts_with(queues) && path.ends_with(tail) &&
             path.size() > queues.size() + tail.size())
         {
-            std::string name = path.substr(queues.size(),
-                path.size() - queues.size() - tail.size());
+            std::string name = path.substr(
+                queues.size(), path.size() - queues.size() - tail.size());
             co_return co_await post_request(request, queue_id(name));
         }
         if (path.starts_with(requests))
@@ -141,8 +140,8 @@
     if (request.method != "POST")
         co_return make_error_response(405, "method_not_allowed",
             "requests are posted to a queue", run_answer::no);
-    auto admitted = admit_request(
-        node_.state, queue, request.get_header("Authorization"));
+    auto admitted =
+        admit_request(node_.state, queue, request.get_header("Authorization"));
     peer_forward work = read_request(request, admitted);
     std::string id = work.request.get();
     if (!node_.may_start())
@@ -168,13 +167,13 @@
     const http_request& request, request_id id)
 {
     queue_id queue(request.get_query("queue"));
-    auto admitted = admit_request(
-        node_.state, queue, request.get_header("Authorization"));
+    auto admitted =
+        admit_request(node_.state, queue, request.get_header("Authorization"));
     if (!is_valid_request_id(id.get()))
         co_return make_error_response(
             404, "unknown_request", "no such request", run_answer::no);
-    auto result = co_await services_.find_outcome(
-        admitted.team, admitted.queue.id, id);
+    auto result =
+        co_await services_.find_outcome(admitted.team, admitted.queue.id, id);
     co_return to_response(result);
 }
 
@@ -185,8 +184,8 @@
     bool is_result = rest.ends_with(tail);
     if (is_result)
         rest.resize(rest.size() - tail.size());
-    team_id team = authenticate_team(
-        node_.state, request.get_header("Authorization"));
+    team_id team =
+        authenticate_team(node_.state, request.get_header("Authorization"));
     job_id id(rest);
     if (request.method == "GET" && is_result)
     {
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -14,9 +14,8 @@
 /// Most starts of one idempotent request.
 constexpr std::uint32_t max_idempotent_starts = 4;
 
-std::string fill_address(
-    const std::string& advertised, const tcp::endpoint& listen,
-    unsigned short port)
+std::string fill_address(const std::string& advertised,
+    const tcp::endpoint& listen, unsigned short port)
 {
     if (!advertised.empty())
         return advertised;
@@ -49,8 +48,7 @@
               { return jobs_.accept(std::move(request), std::move(queue)); },
               [this](team_id team, queue_id queue, request_id id)
               { return claims_.find_outcome(team, queue, id); },
-              [this](team_id team, job_id id)
-              { return jobs_.find(team, id); },
+              [this](team_id team, job_id id) { return jobs_.find(team, id); },
               [this](team_id team, job_id id)
               { return jobs_.fetch_result(team, id); },
               [this](team_id team, job_id id)
@@ -61,8 +59,8 @@
     http_server_options options;
     options.endpoint = config.http_listen;
     options.max_body_bytes = config.max_body_bytes;
-    options.make_error = [](unsigned status, const std::string& code,
-                             const std::string& message)
+    options.make_error =
+        [](unsigned status, const std::string& code, const std::string& message)
     {
         return make_error_response(status, code, message,
             status == 500 ? run_answer::unknown : run_answer::no);
@@ -70,10 +68,10 @@
     http_ = std::make_unique<http_server>(io, options,
         [this](http_request request)
         { return handle_http(std::move(request)); });
-    config_.http_advertise =
-        fill_address(config.http_advertise, config.http_listen, get_http_port());
-    config_.peer_advertise =
-        fill_address(config.peer_advertise, config.peer_listen, get_peer_port());
+    config_.http_advertise = fill_address(
+        config.http_advertise, config.http_listen, get_http_port());
+    config_.peer_advertise = fill_address(
+        config.peer_advertise, config.peer_listen, get_peer_port());
     collector_.add_source("tasks", [this] { return list_tasks(runners_); });
     collector_.add_source("targets", [this] { return list_targets(runners_); });
     collector_.add_source(
@@ -115,8 +113,7 @@
     node_.spawn("entry_node", [this] { return leaving_loop(); });
 }
 
-std::shared_ptr<pool_runner> entry_node::find_runner(
-    const pool_id& pool) const
+std::shared_ptr<pool_runner> entry_node::find_runner(const pool_id& pool) const
 {
     auto it = runners_.find(pool);
     return it == runners_.end() ? nullptr : it->second;
@@ -128,8 +125,7 @@
     if (runner)
         return runner;
     runner = std::make_shared<pool_runner>(node_, pool,
-        grant_source{
-            [this](const team_id& team) { return grants_.take(team); },
+        grant_source{[this](const team_id& team) { return grants_.take(team); },
             [this](const team_id& team) { grants_.give_back(team); }});
     runner->set_leaving(leaving_);
     runner->update_targets();
@@ -141,8 +137,8 @@
 {
     for (const auto& [pool, record] : node_.state.get_pools())
     {
-        bool is_owner = peers_.find_owner(pool, config_.data_centre) ==
-            node_.session;
+        bool is_owner =
+            peers_.find_owner(pool, config_.data_centre) == node_.session;
         auto runner = is_owner ? get_runner(pool) : find_runner(pool);
         if (!runner)
             continue;
@@ -157,16 +153,15 @@
     {
         for (const auto& [pool, record] : node_.state.get_pools())
         {
-            bool is_owner = peers_.find_owner(pool, config_.data_centre) ==
-                node_.session;
+            bool is_owner =
+                peers_.find_owner(pool, config_.data_centre) == node_.session;
             auto runner = is_owner ? get_runner(pool) : find_runner(pool);
             if (runner)
                 runner->set_owned(is_owner);
         }
         for (const auto& summary : peers_.get_summaries())
             for (const auto& it : summary.teams)
-                grants_.note_peer_waiting(
-                    summary.session, it.team, it.waiting);
+                grants_.note_peer_waiting(summary.session, it.team, it.waiting);
         co_await node_.sleep(ownership_interval);
     }
 }
@@ -373,8 +368,8 @@
 
 void entry_node::stop(std::function<void()> on_stopped)
 {
-    node_.spawn("entry_node",
-        [this, on_stopped] { return run_stop(on_stopped); });
+    node_.spawn(
+        "entry_node", [this, on_stopped] { return run_stop(on_stopped); });
 }
 
 asio::awaitable<void> entry_node::run_stop(std::function<void()> on_stopped)
--- a/main/fleet_sync.cpp
+++ b/main/fleet_sync.cpp
@@ -29,8 +29,7 @@
 bool is_superseded(const transaction_result& result,
     const std::vector<row_condition>& conditions)
 {
-    return std::ranges::any_of(conditions,
-        [&](const row_condition& it)
+    return std::ranges::any_of(conditions, [&](const row_condition& it)
         { return std::ranges::count(result.failed, it.key) > 0; });
 }
 
@@ -43,8 +42,7 @@
 
 fleet_sync::fleet_sync(node_context& node) : node_(node) {}
 
-void fleet_sync::apply_entry(
-    config_version version, const std::string& records)
+void fleet_sync::apply_entry(config_version version, const std::string& records)
 {
     if (version <= node_.state.get_version())
         return;
@@ -83,7 +81,7 @@
             co_return false;
         config_version next(node_.state.get_version().get() + 1);
         bool has_gap = page->rows.empty() ||
-            page->rows.front().key > get_fleet_log_key(next);
+                       page->rows.front().key > get_fleet_log_key(next);
         if (has_gap)
         {
             // The entries were trimmed behind a snapshot.
--- a/main/grant_keeper.cpp
+++ b/main/grant_keeper.cpp
@@ -65,8 +65,7 @@
         ledger_->on_read_failed(team);
 }
 
-asio::awaitable<transaction_outcome> grant_keeper::send(
-    grant_transfer transfer)
+asio::awaitable<transaction_outcome> grant_keeper::send(grant_transfer transfer)
 {
     std::string key = grant_row::get_key(transfer.team);
     auto result = co_await node_.table.commit(std::move(transfer.request));
@@ -85,7 +84,7 @@
     {
         const fleet_head& head = sync_.get_head();
         bool is_new_head = head.head_row != noted_head_.head_row &&
-            head.version == node_.state.get_version();
+                           head.version == node_.state.get_version();
         if (is_new_head)
         {
             noted_head_ = head;
@@ -104,8 +103,8 @@
             ledger_->set_waiting(team, task_count(n));
         }
         for (const auto& team : ledger_->plan_reads(get_now()))
-            node_.spawn("grant_keeper",
-                [this, team] { return read_row(team); });
+            node_.spawn(
+                "grant_keeper", [this, team] { return read_row(team); });
         for (auto& transfer : ledger_->plan_transfers(get_now()))
             node_.spawn("grant_keeper",
                 [this, transfer]() -> asio::awaitable<void>
@@ -145,8 +144,8 @@
     if (grant_row::decode(found->value).get(dead) == 0)
         co_return true;
     ledger_->on_row(team, *found, node_.state.get_version());
-    auto transfer = ledger_->plan_dead_release(
-        dead, team, ended_observed, get_now());
+    auto transfer =
+        ledger_->plan_dead_release(dead, team, ended_observed, get_now());
     if (!transfer)
         co_return false;
     auto outcome = co_await send(std::move(*transfer));
@@ -161,8 +160,7 @@
         if (!found)
             continue;
         grant_row row = grant_row::decode(found->value);
-        if (row.get(node_.session) == 0 ||
-            ledger_->get_in_use(team).get() > 0)
+        if (row.get(node_.session) == 0 || ledger_->get_in_use(team).get() > 0)
             continue;
         row.set(node_.session, 0);
         transaction tx;
--- a/main/janitor.cpp
+++ b/main/janitor.cpp
@@ -83,8 +83,7 @@
 
 asio::awaitable<void> janitor::check_heartbeats()
 {
-    auto page =
-        co_await node_.table.scan(heartbeat_prefix, "", scan_limit);
+    auto page = co_await node_.table.scan(heartbeat_prefix, "", scan_limit);
     if (!page)
     {
         heartbeats_.clear();
@@ -126,8 +125,7 @@
         co_await end_session(session, version);
 }
 
-asio::awaitable<void> janitor::end_session(
-    session_id session, row_version beat)
+asio::awaitable<void> janitor::end_session(session_id session, row_version beat)
 {
     // The condition on the heartbeat row keeps a janitor that was paused from
     // ending a session that has shown itself since.
@@ -197,8 +195,8 @@
         {{"version", version}});
     if (version.get() <= versions_kept)
         co_return;
-    auto old = co_await node_.table.scan(
-        fleet_log_prefix, "", trimmed_at_once * 4);
+    auto old =
+        co_await node_.table.scan(fleet_log_prefix, "", trimmed_at_once * 4);
     if (!old)
         co_return;
     std::string keep =
--- a/main/lease_holder.cpp
+++ b/main/lease_holder.cpp
@@ -114,8 +114,7 @@
         co_return;
     transaction tx;
     tx.conditions.push_back({name_, held_});
-    tx.writes.push_back(
-        {name_, encode(session_id(0), decode(*found).fencing)});
+    tx.writes.push_back({name_, encode(session_id(0), decode(*found).fencing)});
     held_ = row_version(0);
     co_await node_.table.commit(std::move(tx));
 }
--- a/main/lease_holder.hpp
+++ b/main/lease_holder.hpp
@@ -30,7 +30,7 @@
 
     node_context& node_;
     std::string name_;
-    row_version held_{0};          ///< Row version of the own holding.
+    row_version held_{0}; ///< Row version of the own holding.
     monotonic_time held_until_{};
     row_version seen_{0};
     monotonic_time seen_since_{};
--- a/main/node_context.cpp
+++ b/main/node_context.cpp
@@ -8,8 +8,8 @@
     return std::chrono::steady_clock::now();
 }
 
-node_context::node_context(asio::io_context& context, const settings& options,
-    table_client& platform)
+node_context::node_context(
+    asio::io_context& context, const settings& options, table_client& platform)
     : io(context), config(options), table(platform),
       metrics(get_entry_metrics()), freshness(options.freshness_limit),
       nonce(make_random_hex(16))
@@ -19,7 +19,7 @@
 bool node_context::may_start() const
 {
     return session.get() != 0 && state.get_sessions().contains(session) &&
-        freshness.is_fresh(get_now());
+           freshness.is_fresh(get_now());
 }
 
 std::optional<milliseconds> node_context::get_freshness_age() const
--- a/main/node_context.hpp
+++ b/main/node_context.hpp
@@ -36,8 +36,8 @@
     asio::awaitable<void> sleep(milliseconds time);
 
     /// Runs a coroutine in the background; an exception is logged, not lost.
-    void spawn(const std::string& name,
-        std::function<asio::awaitable<void>()> body);
+    void spawn(
+        const std::string& name, std::function<asio::awaitable<void>()> body);
 
     asio::io_context& io;
     const settings& config;
--- a/main/operator_api.cpp
+++ b/main/operator_api.cpp
@@ -60,7 +60,7 @@
 bool is_valid_command_id(const std::string& text)
 {
     return !text.empty() && text.size() <= max_command_id_length &&
-        text.find_first_of("/ ?&%") == std::string::npos;
+           text.find_first_of("/ ?&%") == std::string::npos;
 }
 
 } // namespace
@@ -83,8 +83,8 @@
     const std::string& bootstrap = node_.config.bootstrap_secret_sha256;
     // The bootstrap secret creates the first operator and is void afterwards.
     bool is_bootstrap = !bootstrap.empty() &&
-        node_.state.get_operators().empty() &&
-        is_equal_constant_time(bootstrap, sha256_hex(secret));
+                        node_.state.get_operators().empty() &&
+                        is_equal_constant_time(bootstrap, sha256_hex(secret));
     if (!is_bootstrap)
         throw admission_error(
             401, "unknown_key", "the operator key is unknown or withdrawn");
@@ -140,10 +140,10 @@
 http_response operator_api::run_dry(const change_command& change) const
 {
     auto records = plan(node_.state, change);
-    return make_json(200,
-        {{"dry_run", true}, {"records", records.size()},
-            {"would_write", json::parse(encode_records(records))},
-            {"version", node_.state.get_version().get()}});
+    return make_json(
+        200, {{"dry_run", true}, {"records", records.size()},
+                 {"would_write", json::parse(encode_records(records))},
+                 {"version", node_.state.get_version().get()}});
 }
 
 asio::awaitable<http_response> operator_api::run_change(
@@ -157,8 +157,8 @@
             "'Command-Id' must be 1 to 128 characters without '/?&%'");
     command_id command(id);
     std::string authorization = request.get_header("Authorization");
-    auto secret = set_digest(change,
-        derive_secret(std::string(get_bearer(authorization)), command));
+    auto secret = set_digest(
+        change, derive_secret(std::string(get_bearer(authorization)), command));
     if (!request.get_header("Dry-Run").empty())
         co_return run_dry(change);
     if (!node_.is_admitted())
--- a/main/peer_network.cpp
+++ b/main/peer_network.cpp
@@ -34,8 +34,7 @@
     write_log(log_level::warn, "peer_link", message, {{"code", code}});
 }
 
-void peer_network::listen(
-    summary_source make_summary, request_handler handle)
+void peer_network::listen(summary_source make_summary, request_handler handle)
 {
     make_summary_ = std::move(make_summary);
     handle_ = std::move(handle);
@@ -75,8 +74,8 @@
     for (const auto& [session, it] : peers_)
         if (node_.admission && !sessions.contains(session))
             node_.admission->on_session_ended(session);
-    std::erase_if(peers_,
-        [&](const auto& it) { return !sessions.contains(it.first); });
+    std::erase_if(
+        peers_, [&](const auto& it) { return !sessions.contains(it.first); });
     for (const auto& [session, row] : sessions)
     {
         if (session == node_.session || peers_.contains(session))
@@ -85,6 +84,7 @@
         added->first_seen = get_now();
         added->client = std::make_unique<peer_client>(
             node_.io, parse_endpoint(row.started.peer_address),
+            node_.config.peer_listen.address(),
             [this](peer_body body) { return handle_request(std::move(body)); },
             [this](const std::string& code, const std::string& message)
             { log_fault(code, message); });
@@ -108,8 +108,8 @@
     for (const auto& [id, row] : node_.state.get_sessions())
         if (row.started.data_centre == theirs)
             remote.push_back(id);
-    std::size_t first = hash_64(std::to_string(node_.session.get()) + "/" +
-                            theirs.get()) %
+    std::size_t first =
+        hash_64(std::to_string(node_.session.get()) + "/" + theirs.get()) %
         remote.size();
     for (std::size_t i = 0;
          i < std::min(partners_per_data_centre, remote.size()); ++i)
@@ -128,8 +128,8 @@
             if (is_exchange_due(session, *it))
                 due.push_back(session);
         for (session_id session : due)
-            node_.spawn("peer_network",
-                [this, session] { return exchange(session); });
+            node_.spawn(
+                "peer_network", [this, session] { return exchange(session); });
         co_await node_.sleep(exchange_interval);
     }
 }
@@ -168,8 +168,8 @@
         co_return;
     is_fetching_ = true;
     bool was_sent = false;
-    peer_body question = peer_query{"entries-since " +
-        std::to_string(node_.state.get_version().get())};
+    peer_body question = peer_query{
+        "entries-since " + std::to_string(node_.state.get_version().get())};
     auto reply =
         co_await call(session, std::move(question), call_timeout, was_sent);
     is_fetching_ = false;
@@ -187,7 +187,7 @@
     it->second->last_heard = get_now();
     auto own = node_.state.get_sessions().find(node_.session);
     bool has_own_session = own != node_.state.get_sessions().end() &&
-        summary.version >= own->second.started_at;
+                           summary.version >= own->second.started_at;
     if (node_.admission)
         node_.admission->on_acknowledgement(
             summary.session, summary.is_admitted, has_own_session);
@@ -228,8 +228,7 @@
         std::vector<session_id> members;
         for (const auto& [session, row] : node_.state.get_sessions())
             members.push_back(session);
-        auto round =
-            node_.freshness.begin_agreement_round(get_now(), members);
+        auto round = node_.freshness.begin_agreement_round(get_now(), members);
         node_.freshness.on_agreement_answer(round, node_.session,
             node_.state.get_version(), node_.table.is_reachable(),
             node_.has_unresolved_change);
@@ -275,10 +274,10 @@
         return false;
     auto row = node_.state.get_sessions().find(session);
     bool is_local = row != node_.state.get_sessions().end() &&
-        row->second.started.data_centre == node_.config.data_centre;
+                    row->second.started.data_centre == node_.config.data_centre;
     auto limit = is_local ? suspect_limit : remote_suspect_limit;
-    auto since = it->second->summary ? it->second->last_heard
-                                     : it->second->first_seen;
+    auto since =
+        it->second->summary ? it->second->last_heard : it->second->first_seen;
     return get_now() - since <= limit;
 }
 
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -31,8 +31,8 @@
 {
     for (const auto& it : refusal_answers)
         if (it.rule == decision.rule)
-            return make_failure(it.status, to_string(decision.rule),
-                it.message, run_answer::no);
+            return make_failure(it.status, to_string(decision.rule), it.message,
+                run_answer::no);
     return make_failure(
         503, to_string(decision.rule), "refused", run_answer::no);
 }
@@ -54,7 +54,7 @@
 task_id pool_runner::make_task_id()
 {
     return task_id(std::to_string(node_.session.get()) + "-" + pool_.get() +
-        "-" + std::to_string(++last_task_));
+                   "-" + std::to_string(++last_task_));
 }
 
 pool_runner::active_ptr pool_runner::find(const task_id& id) const
@@ -86,9 +86,8 @@
     if (active->result)
         co_return *active->result;
     // The caller stops waiting. Work that has not been sent is withdrawn.
-    if (!active->is_on_target &&
-        placement_.cancel_task(active->item.task.id) ==
-            placement_system::cancel_outcome::not_run)
+    if (!active->is_on_target && placement_.cancel_task(active->item.task.id) ==
+                                     placement_system::cancel_outcome::not_run)
     {
         auto refused = make_failure(503, "deadline_passed",
             "no slot became free before the deadline", run_answer::no);
@@ -106,7 +105,8 @@
     auto self = shared_from_this();
     auto active = std::make_shared<active_item>(node_.io, std::move(item));
     auto entry = targets_.find(target);
-    bool is_adopted = entry != targets_.end() &&
+    bool is_adopted =
+        entry != targets_.end() &&
         placement_.adopt_running(active->item.task, target, get_now());
     if (!is_adopted)
         co_return make_failure(503, "not_adopted",
@@ -136,10 +136,8 @@
         active->is_cancelled = true;
         auto outcome = placement_.cancel_task(id);
         if (outcome == placement_system::cancel_outcome::not_run)
-            finish(active,
-                make_failure(
-                    409, "cancelled", "the work was cancelled",
-                    run_answer::no));
+            finish(active, make_failure(409, "cancelled",
+                               "the work was cancelled", run_answer::no));
         kick();
         return true;
     }
@@ -163,16 +161,15 @@
     for (const auto& it : waiting)
         if (placement_.cancel_task(it->item.task.id) ==
             placement_system::cancel_outcome::not_run)
-            finish(it,
-                make_failure(503, "owner_changed",
-                    "another entry owns the pool now", run_answer::no));
+            finish(it, make_failure(503, "owner_changed",
+                           "another entry owns the pool now", run_answer::no));
 }
 
 bool pool_runner::is_usable(const instance_row& row) const
 {
     return row.state == instance_state::in_service &&
-        !leaving_.contains(row.description.id) &&
-        node_.state.is_in_service(row.description.data_centre);
+           !leaving_.contains(row.description.id) &&
+           node_.state.is_in_service(row.description.data_centre);
 }
 
 void pool_runner::update_targets()
@@ -186,7 +183,8 @@
             row.description.data_centre != node_.config.data_centre)
             continue;
         target_entry& entry = targets_[id];
-        bool is_moved = entry.link &&
+        bool is_moved =
+            entry.link &&
             format_endpoint(entry.link->get_client().get_endpoint()) !=
                 row.description.address;
         if (is_moved)
@@ -216,8 +214,8 @@
                 if (auto self = weak.lock())
                     self->handle_task_ended(it, state);
             };
-            entry.link = std::make_shared<target_link>(node_, id,
-                parse_endpoint(row.description.address), callbacks);
+            entry.link = std::make_shared<target_link>(
+                node_, id, parse_endpoint(row.description.address), callbacks);
             entry.link->start();
         }
         entry.description.id = id;
@@ -226,9 +224,8 @@
         entry.description.slots = row.description.slots;
         entry.description.memory = row.description.memory;
         entry.description.epoch = row.epoch;
-        entry.description.state =
-            is_usable(row) ? instance_state::in_service
-                           : instance_state::draining;
+        entry.description.state = is_usable(row) ? instance_state::in_service
+                                                 : instance_state::draining;
         update_description(entry);
     }
     for (auto it = targets_.begin(); it != targets_.end();)
@@ -264,8 +261,8 @@
     if (!entry.description.free_slots)
         return;
     entry.description.health = entry.is_answering
-        ? target_health_state::sound
-        : target_health_state::set_aside;
+                                   ? target_health_state::sound
+                                   : target_health_state::set_aside;
     placement_.set_target(entry.description);
 }
 
@@ -315,9 +312,9 @@
         // The target may go on with the task until its lease lapses.
         release(active, task_outcome::unknown,
             node_.config.start_deadline + node_.config.task_lease);
-        retry_or_finish(active,
-            make_failure(502, "target_silent",
-                "the target stopped answering", run_answer::unknown));
+        retry_or_finish(
+            active, make_failure(502, "target_silent",
+                        "the target stopped answering", run_answer::unknown));
     }
 }
 
@@ -341,8 +338,7 @@
 
 void pool_runner::tick()
 {
-    auto decisions = placement_.tick(get_now(),
-        [this](const team_id& team)
+    auto decisions = placement_.tick(get_now(), [this](const team_id& team)
         { return node_.may_start() && grants_.take(team); });
     for (const auto& team : decisions.returned_grants)
         grants_.give_back(team);
@@ -357,11 +353,9 @@
         {{"request", active->item.request}, {"task", decision.task},
             {"team", decision.team}, {"queue", active->item.queue},
             {"pool", pool_}, {"target", decision.target},
-            {"rack", decision.rack},
-            {"data_centre", node_.config.data_centre},
+            {"rack", decision.rack}, {"data_centre", node_.config.data_centre},
             {"candidates", decision.candidates},
-            {"free_slots", decision.free_slots},
-            {"waiting", decision.waiting},
+            {"free_slots", decision.free_slots}, {"waiting", decision.waiting},
             {"waited_ms", decision.waited.count()},
             {"version", node_.state.get_version()},
             {"age_ms",
@@ -379,7 +373,9 @@
     case placement_action::start:
         active->is_on_target = true;
         active->target = decision.target;
-        node_.metrics.observe(decision.kind == queue_kind::urgent ? "cowslippass_urgent_start_seconds" : "cowslippass_slow_wait_seconds",
+        node_.metrics.observe(decision.kind == queue_kind::urgent
+                                  ? "cowslippass_urgent_start_seconds"
+                                  : "cowslippass_slow_wait_seconds",
             double(decision.waited.count()) / 1000);
         node_.spawn("pool_runner",
             [self = shared_from_this(), active, target = decision.target]
@@ -489,16 +485,14 @@
     if (!active->is_on_target || active->result)
         return;
     active->is_on_target = false;
-    node_.metrics.add("cowslippass_starts_refused_total",
-        {{"reason", to_string(reason)}});
+    node_.metrics.add(
+        "cowslippass_starts_refused_total", {{"reason", to_string(reason)}});
     placement_.on_start_refused(active->item.task.id, reason, get_now());
     // While starts are not allowed the task waits for its deadline.
-    if (!is_owned_ &&
-        placement_.cancel_task(active->item.task.id) ==
-            placement_system::cancel_outcome::not_run)
-        finish(active,
-            make_failure(503, "owner_changed",
-                "another entry owns the pool now", run_answer::no));
+    if (!is_owned_ && placement_.cancel_task(active->item.task.id) ==
+                          placement_system::cancel_outcome::not_run)
+        finish(active, make_failure(503, "owner_changed",
+                           "another entry owns the pool now", run_answer::no));
     kick();
 }
 
@@ -563,8 +557,8 @@
     kick();
 }
 
-void pool_runner::release(const active_ptr& active, task_outcome outcome,
-    milliseconds keep_grant_for)
+void pool_runner::release(
+    const active_ptr& active, task_outcome outcome, milliseconds keep_grant_for)
 {
     active->is_on_target = false;
     const task_id& id = active->item.task.id;
@@ -579,8 +573,8 @@
         return;
     }
     node_.spawn("pool_runner",
-        [self = shared_from_this(), team, keep_grant_for]()
-            -> asio::awaitable<void>
+        [self = shared_from_this(), team,
+            keep_grant_for]() -> asio::awaitable<void>
         {
             co_await self->node_.sleep(keep_grant_for);
             self->grants_.give_back(team);
@@ -591,8 +585,9 @@
     const active_ptr& active, work_result otherwise)
 {
     bool may_retry = active->item.task.is_idempotent &&
-        active->starts < active->item.max_starts && !active->is_cancelled &&
-        is_owned_ && get_now() < active->item.answer_deadline;
+                     active->starts < active->item.max_starts &&
+                     !active->is_cancelled && is_owned_ &&
+                     get_now() < active->item.answer_deadline;
     if (!may_retry)
     {
         finish(active, std::move(otherwise));
@@ -627,8 +622,7 @@
         });
 }
 
-void pool_runner::handle_task_ended(
-    const task_id& id, target_task_state state)
+void pool_runner::handle_task_ended(const task_id& id, target_task_state state)
 {
     active_ptr active = find(id);
     if (!active || active->result || !active->is_on_target)
@@ -638,15 +632,14 @@
     case target_task_state::running:
         return;
     case target_task_state::done:
-        node_.spawn("pool_runner",
-            [self = shared_from_this(), active]
+        node_.spawn("pool_runner", [self = shared_from_this(), active]
             { return self->deliver_result(active); });
         return;
     case target_task_state::failed:
         release(active, task_outcome::failed, milliseconds(0));
-        retry_or_finish(active,
-            make_failure(502, "task_failed", "the work failed on its target",
-                run_answer::yes));
+        retry_or_finish(
+            active, make_failure(502, "task_failed",
+                        "the work failed on its target", run_answer::yes));
         return;
     case target_task_state::stopped:
         release(active, task_outcome::stopped, milliseconds(0));
@@ -660,10 +653,10 @@
             state == target_task_state::lapsed ? task_outcome::lapsed
                                                : task_outcome::unknown,
             milliseconds(0));
-        retry_or_finish(active,
-            make_failure(502, "task_lost",
-                "the target stopped the work or lost its record",
-                run_answer::unknown));
+        retry_or_finish(
+            active, make_failure(502, "task_lost",
+                        "the target stopped the work or lost its record",
+                        run_answer::unknown));
         return;
     }
 }
@@ -699,18 +692,17 @@
         finish(active, std::move(result));
         co_return;
     }
-    retry_or_finish(active,
-        make_failure(502, "result_cut_short",
-            "the work ran but its result did not arrive whole",
-            run_answer::yes));
+    retry_or_finish(
+        active, make_failure(502, "result_cut_short",
+                    "the work ran but its result did not arrive whole",
+                    run_answer::yes));
 }
 
 std::vector<pool_runner::task_view> pool_runner::list_tasks() const
 {
     std::vector<task_view> out;
     for (const auto& [id, it] : active_)
-        out.push_back({id, it->item.task.team, it->item.queue,
-            it->item.request,
+        out.push_back({id, it->item.task.team, it->item.queue, it->item.request,
             it->is_on_target ? it->target : instance_id()});
     return out;
 }
--- a/main/request_router.cpp
+++ b/main/request_router.cpp
@@ -20,8 +20,8 @@
 bool is_passing(const work_result& result)
 {
     return result.run == run_answer::no &&
-        std::ranges::any_of(passing_codes,
-            [&](const char* code) { return result.code == code; });
+           std::ranges::any_of(passing_codes,
+               [&](const char* code) { return result.code == code; });
 }
 
 } // namespace
@@ -184,8 +184,7 @@
     co_return out;
 }
 
-asio::awaitable<work_result> request_router::route_request(
-    peer_forward request)
+asio::awaitable<work_result> request_router::route_request(peer_forward request)
 {
     auto end = get_now() + request.deadline;
     auto last_try = std::min(end, get_now() + max_retry_time);
@@ -194,9 +193,8 @@
     {
         auto queue = node_.state.get_queues().find(request.queue);
         if (queue == node_.state.get_queues().end())
-            co_return make_failure(
-                404, "unknown_queue", "the queue does not exist",
-                run_answer::no);
+            co_return make_failure(404, "unknown_queue",
+                "the queue does not exist", run_answer::no);
         // A copy, as the state may change while the request is under way.
         queue_record record = queue->second;
         request.version = node_.state.get_version();
--- a/main/request_router.hpp
+++ b/main/request_router.hpp
@@ -17,8 +17,8 @@
         std::function<asio::awaitable<work_result>(peer_forward)>;
 
     /// @return the counts of a pool in this entry's data centre.
-    using local_summary = std::function<std::optional<pool_summary>(
-        const pool_id&)>;
+    using local_summary =
+        std::function<std::optional<pool_summary>(const pool_id&)>;
 
     request_router(node_context& node, peer_network& peers,
         local_handler run_local, local_summary summarize);
--- a/main/target_link.cpp
+++ b/main/target_link.cpp
@@ -69,8 +69,7 @@
     if (!answer)
     {
         observer_.on_silence(id_,
-            std::chrono::duration_cast<milliseconds>(
-                get_now() - last_answer_));
+            std::chrono::duration_cast<milliseconds>(get_now() - last_answer_));
         co_return false;
     }
     last_answer_ = get_now();
--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -11,6 +11,7 @@
 #include "systems/fleet_state.hpp"
 #include "systems/freshness.hpp"
 #include "systems/grant_ledger.hpp"
+#include "systems/job_machine.hpp"
 #include "systems/placement_system.hpp"
 #include "systems/pool_owners.hpp"
 #include "systems/routing.hpp"
--- /dev/null
+++ b/tests/integration/requests_test.cpp
@@ -0,0 +1,141 @@
+#include "tests/integration/test_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+#include <future>
+#include <vector>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+cluster_options make_options()
+{
+    cluster_options out;
+    out.data_centres = 2;
+    out.entries_per_data_centre = 2;
+    out.targets_per_pool = 2;
+    return out;
+}
+
+} // namespace
+
+// Guards against answers that are cut, crossed or lost on the way through two
+// entries (I6).
+TEST(requests, every_caller_gets_the_result_of_its_own_payload)
+{
+    test_fleet fleet(make_options());
+    std::vector<std::future<caller_answer>> answers;
+    std::vector<std::string> payloads;
+    for (std::size_t i = 0; i < 24; ++i)
+    {
+        payloads.push_back("payload " + std::to_string(i) +
+                           std::string(i * 100, static_cast<char>('a' + i)));
+        caller_request request;
+        request.payload = payloads.back();
+        request.key = i % 2 == 0 ? "red" : "blue";
+        answers.push_back(std::async(std::launch::async,
+            [&fleet, request, i] { return fleet.post(request, i % 4); }));
+    }
+    for (std::size_t i = 0; i < answers.size(); ++i)
+    {
+        caller_answer answer = answers[i].get();
+        EXPECT_EQ(answer.status, 200u) << answer.body;
+        EXPECT_EQ(answer.body, get_expected_result(payloads[i]));
+    }
+}
+
+// Guards against a second run when a caller repeats a request id (I8).
+TEST(requests, a_repeated_non_idempotent_request_runs_once)
+{
+    test_fleet fleet(make_options());
+    caller_request request;
+    request.queue = "once";
+    request.request_id = "reservation-1";
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        caller_answer answer = fleet.post(request, i);
+        EXPECT_EQ(answer.status, 200u) << answer.body;
+        EXPECT_EQ(answer.body, get_expected_result(request.payload));
+    }
+    EXPECT_EQ(fleet.count_runs("reservation-1"), 1u);
+    request.payload = "another payload";
+    caller_answer other = fleet.post(request);
+    EXPECT_EQ(other.status, 409u) << other.body;
+    EXPECT_EQ(fleet.count_runs("reservation-1"), 1u);
+}
+
+// Guards against slow work that is accepted and then vanishes.
+TEST(requests, a_slow_job_is_accepted_and_ends_with_its_result)
+{
+    test_fleet fleet(make_options());
+    caller_request request;
+    request.queue = "slow";
+    caller_answer accepted = fleet.post(request);
+    ASSERT_EQ(accepted.status, 202u) << accepted.body;
+    std::string job =
+        nlohmann::json::parse(accepted.body).at("job").get<std::string>();
+    caller_answer state;
+    EXPECT_TRUE(wait_until(
+        [&]
+        {
+            state = fleet.ask("GET", "/v1/jobs/" + job, "red", 3);
+            return state.body.find("\"done\"") != std::string::npos;
+        },
+        milliseconds(20'000)))
+        << state.body;
+    caller_answer result =
+        fleet.ask("GET", "/v1/jobs/" + job + "/result", "red", 2);
+    EXPECT_EQ(result.body, get_expected_result(request.payload));
+    // A job belongs to its team.
+    EXPECT_EQ(fleet.ask("GET", "/v1/jobs/" + job, "blue").status, 404u);
+}
+
+// Guards against refusals without a reason and against refusals that claim
+// "not run" for work that ran (I7).
+TEST(requests, bad_input_is_refused_with_a_code_and_has_not_run)
+{
+    cluster_options options = make_options();
+    options.data_centres = 1;
+    options.entry_settings["max_body_bytes"] = "1000";
+    test_fleet fleet(options);
+    caller_request unknown_queue;
+    unknown_queue.queue = "none";
+    EXPECT_EQ(fleet.post(unknown_queue).code, "unknown_queue");
+    caller_request no_key;
+    no_key.key = "";
+    EXPECT_EQ(fleet.post(no_key).code, "missing_key");
+    caller_request no_id;
+    no_id.queue = "once";
+    EXPECT_EQ(fleet.post(no_id).code, "missing_request_id");
+    caller_request bad_id;
+    bad_id.request_id = "a b";
+    EXPECT_EQ(fleet.post(bad_id).code, "bad_request_id");
+    caller_request large;
+    large.payload = std::string(1001, 'x');
+    caller_answer answer = fleet.post(large);
+    EXPECT_EQ(answer.status, 413u);
+    EXPECT_EQ(answer.code, "body_too_large");
+    EXPECT_EQ(answer.run, "no");
+    http_result syntax = fleet.try_run("create tema x", 0);
+    ASSERT_TRUE(syntax.response);
+    EXPECT_EQ(syntax.response->status, 400u);
+    EXPECT_NE(syntax.response->body.find("\"column\""), std::string::npos);
+}
+
+// Guards against a key that goes on working after it was withdrawn (I3).
+TEST(requests, a_withdrawn_key_is_refused_by_every_entry_once_in_force)
+{
+    test_fleet fleet(make_options());
+    auto answer = fleet.run("withdraw key red-key", 0, true);
+    EXPECT_TRUE(answer.at("in_force").get<bool>());
+    for (std::size_t i = 0; i < 4; ++i)
+        EXPECT_EQ(fleet.post(caller_request{}, i).code, "unknown_key");
+    caller_request blue;
+    blue.key = "blue";
+    EXPECT_TRUE(fleet.post(blue).is_ok());
+}
+
+} // namespace cowslippass
