--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -6,6 +6,7 @@
 #include "core/core.hpp"
 #include "systems/command.hpp"
 #include "systems/command_parser.hpp"
+#include "systems/fleet_planner.hpp"
 #include "systems/fleet_record.hpp"
 #include "systems/fleet_state.hpp"
 #include "systems/names.hpp"
