--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -1,5 +1,8 @@
 #include "main/entry_node.hpp"
 
+#include "main/node_tables.hpp"
+#include "systems/fleet_planner.hpp"
+
 #include <algorithm>
 
 namespace cowslippass
@@ -34,9 +37,10 @@
           { return run_local(std::move(request)); },
           [this](const pool_id& pool) { return summarize(pool); }),
       claims_(node_, [this](const pool_id& pool) { return find_runner(pool); }),
-      jobs_(node_, grants_, peers_,
+      janitor_(node_, sync_, grants_),
+      jobs_(node_, grants_, peers_, janitor_,
           [this](const pool_id& pool) { return find_runner(pool); }),
-      janitor_(node_, sync_, grants_), collector_(node_, peers_),
+      collector_(node_, peers_),
       operator_api_(node_, sync_, peers_,
           {[this](std::string name) { return collector_.collect(name); },
               [this](cancel_command cancel)
@@ -72,8 +76,8 @@
         config.http_advertise, config.http_listen, get_http_port());
     config_.peer_advertise = fill_address(
         config.peer_advertise, config.peer_listen, get_peer_port());
-    collector_.add_source("tasks", [this] { return list_tasks(runners_); });
-    collector_.add_source("targets", [this] { return list_targets(runners_); });
+    collector_.add_source("tasks", [this] { return list_tasks(node_, runners_); });
+    collector_.add_source("targets", [this] { return list_targets(node_, runners_); });
     collector_.add_source(
         "grants", [this] { return list_grants(node_, grants_); });
     collector_.add_platform_source(
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -67,8 +67,8 @@
     grant_keeper grants_;
     request_router router_;
     claim_keeper claims_;
-    job_keeper jobs_;
     janitor janitor_;
+    job_keeper jobs_;
     table_collector collector_;
     operator_api operator_api_;
     caller_api caller_api_;
--- a/main/janitor.cpp
+++ b/main/janitor.cpp
@@ -47,13 +47,10 @@
         live_.insert(session);
 }
 
-std::optional<monotonic_time> janitor::get_ended_observed(
-    session_id session) const
+monotonic_time janitor::observe_ended(session_id session)
 {
-    auto it = ended_.find(session);
-    if (it == ended_.end())
-        return std::nullopt;
-    return it->second;
+    // Sessions that ended before this entry started count from now.
+    return ended_.emplace(session, get_now()).first->second;
 }
 
 asio::awaitable<void> janitor::run_loop()
@@ -156,8 +153,7 @@
         {
             if (live_.contains(session))
                 continue;
-            // Sessions that ended before this entry started count from now.
-            auto ended = ended_.emplace(session, now).first->second;
+            auto ended = observe_ended(session);
             if (now < grant_ledger::get_dead_release_time(ended))
                 continue;
             bool is_released =
--- a/main/janitor.hpp
+++ b/main/janitor.hpp
@@ -20,9 +20,9 @@
     /// Needs the session.
     void start();
 
-    /// @return when the end of a session was first seen here; its commit was
-    ///   not later.
-    std::optional<monotonic_time> get_ended_observed(session_id session) const;
+    /// @param session that is not live.
+    /// @return when its end was first seen here; the commit was not later.
+    monotonic_time observe_ended(session_id session);
 
     const lease_holder& get_lease() const { return lease_; }
 
--- /dev/null
+++ b/main/job_keeper.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "main/grant_keeper.hpp"
+#include "main/janitor.hpp"
+#include "main/node_context.hpp"
+#include "main/peer_network.hpp"
+#include "main/pool_runner.hpp"
+#include "systems/command.hpp"
+#include "systems/job_machine.hpp"
+#include "systems/query_table.hpp"
+
+#include <map>
+#include <set>
+
+namespace cowslippass
+{
+
+/// Accepts slow jobs, runs those of the pools that this entry owns, and takes
+/// over those of sessions that have ended.
+class job_keeper
+{
+public:
+    using runner_finder =
+        std::function<std::shared_ptr<pool_runner>(const pool_id&)>;
+
+    job_keeper(node_context& node, grant_keeper& grants, peer_network& peers,
+        janitor& observer, runner_finder find_runner);
+
+    /// Needs the session.
+    void start();
+
+    /// Launches nothing more; for a planned stop.
+    void stop() { is_stopping_ = true; }
+
+    /// Makes a job durable before it is accepted.
+    asio::awaitable<work_result> accept(
+        peer_forward request, queue_record queue);
+
+    asio::awaitable<work_result> find(team_id team, job_id id);
+    asio::awaitable<work_result> fetch_result(team_id team, job_id id);
+    asio::awaitable<work_result> cancel(team_id team, job_id id);
+
+    /// @return how many jobs were cancelled; nothing when the platform did
+    ///   not answer.
+    asio::awaitable<std::optional<std::size_t>> cancel_by_operator(
+        cancel_command cancel);
+
+    /// @return live and recently ended jobs, for queries.
+    asio::awaitable<std::optional<query_table>> list_jobs();
+
+private:
+    struct found_job
+    {
+        job_row job;
+        row_version version;
+        bool is_live = false;
+    };
+    enum class lookup
+    {
+        found,
+        absent,
+        unavailable
+    };
+
+    asio::awaitable<void> scan_loop();
+    asio::awaitable<void> scan_pool(std::shared_ptr<pool_runner> runner);
+    void consider(const std::shared_ptr<pool_runner>& runner,
+        const job_row& job, row_version version);
+    bool is_mine_to_move(const job_row& job) const;
+    std::vector<data_centre_id> list_places(const pool_id& pool) const;
+    std::optional<data_centre_id> choose_place(
+        const pool_id& pool, const job_id& job) const;
+    bool can_ever_fit(const pool_id& pool, byte_count memory) const;
+
+    asio::awaitable<void> launch(std::shared_ptr<pool_runner> runner,
+        job_row job, row_version version);
+    asio::awaitable<void> take_over(std::shared_ptr<pool_runner> runner,
+        job_row job, row_version version);
+    asio::awaitable<void> settle(
+        std::shared_ptr<found_job> held, work_result result);
+    work_item make_item(const job_row& job, std::string payload) const;
+    std::function<asio::awaitable<std::optional<work_result>>(start_place)>
+    make_prepare(std::shared_ptr<found_job> held);
+
+    /// Commits a change; asks again while the outcome is unknown.
+    /// @return whether it is committed; `held` then has the new row.
+    asio::awaitable<bool> commit(
+        std::shared_ptr<found_job> held, job_change change);
+    asio::awaitable<lookup> read_job(job_id id, found_job& out);
+    asio::awaitable<lookup> read_for_team(
+        const team_id& team, const job_id& id, found_job& out);
+    void tell_owners(const job_id& job);
+    void back_off(const job_row& job);
+
+    node_context& node_;
+    grant_keeper& grants_;
+    peer_network& peers_;
+    janitor& observer_;
+    runner_finder find_runner_;
+    decision_log log_{"jobs"};
+    std::set<job_id> active_;
+    std::map<job_id, monotonic_time> not_before_;
+    bool is_stopping_ = false;
+};
+
+} // namespace cowslippass
--- a/main/operator_api.cpp
+++ b/main/operator_api.cpp
@@ -224,23 +224,20 @@
 
 asio::awaitable<http_response> operator_api::run_query(query_command query)
 {
-    auto collected = co_await services_.collect(query.table);
-    json missing = json::array();
-    query_table table;
-    if (collected)
+    query_engine engine(node_.state);
+    query_answer answer;
+    if (!query_engine::is_fleet_table(query.table))
     {
-        table = std::move(collected->table);
-        for (const auto& it : collected->missing)
-            missing.push_back(it.get());
+        answer = co_await services_.collect(query.table);
+        engine.add_table(std::move(answer.table));
     }
-    else
-        table = make_fleet_table(node_.state, query.table);
-    json body = json::parse(to_json(run_query_on(table, query)));
-    body["version"] = node_.state.get_version().get();
-    body["age_ms"] =
-        node_.get_freshness_age().value_or(milliseconds(-1)).count();
-    body["missing"] = missing;
-    co_return make_json(200, body);
+    answer.table = engine.run(query);
+    answer.version = node_.state.get_version();
+    answer.age = node_.get_freshness_age().value_or(milliseconds::max());
+    http_response out;
+    out.headers["Content-Type"] = "application/json";
+    out.body = encode_answer(answer) + "\n";
+    co_return out;
 }
 
 } // namespace cowslippass
--- a/main/operator_api.hpp
+++ b/main/operator_api.hpp
@@ -6,23 +6,16 @@
 #include "platform/http_message.hpp"
 #include "systems/command.hpp"
 #include "systems/query_engine.hpp"
+#include "systems/query_table.hpp"
 
 namespace cowslippass
 {
 
-/// Running state of the fleet, collected for one query.
-struct collected_table
-{
-    query_table table;
-    std::vector<data_centre_id> missing; ///< Did not answer.
-};
-
 struct operator_services
 {
-    /// @return the table, or nothing when it is one of the fleet state.
-    std::function<asio::awaitable<std::optional<collected_table>>(
-        std::string name)>
-        collect;
+    /// Collects a table of running state from every entry; its version and
+    /// age are not set.
+    std::function<asio::awaitable<query_answer>(std::string name)> collect;
     /// @return how many jobs were cancelled, or nothing when the platform did
     ///   not answer.
     std::function<asio::awaitable<std::optional<std::size_t>>(cancel_command)>
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -126,6 +126,41 @@
         "the task did not end before the deadline", run_answer::unknown);
 }
 
+void pool_runner::watch(const instance_id& target, const task_id& task)
+{
+    auto entry = targets_.find(target);
+    if (entry != targets_.end())
+        entry->second.link->add_task(task);
+}
+
+void pool_runner::unwatch(const instance_id& target, const task_id& task)
+{
+    auto entry = targets_.find(target);
+    if (entry != targets_.end() && !active_.contains(task))
+        entry->second.link->remove_task(task);
+}
+
+asio::awaitable<std::optional<target_task_report>> pool_runner::query_task(
+    instance_id target, task_id task)
+{
+    auto entry = targets_.find(target);
+    if (entry == targets_.end())
+        co_return std::nullopt;
+    std::shared_ptr<target_link> link = entry->second.link;
+    co_return co_await link->get_client().get_state(std::move(task));
+}
+
+asio::awaitable<std::optional<std::string>> pool_runner::fetch_result(
+    instance_id target, task_id task, request_id request)
+{
+    auto entry = targets_.find(target);
+    if (entry == targets_.end())
+        co_return std::nullopt;
+    std::shared_ptr<target_link> link = entry->second.link;
+    co_return co_await link->get_client().get_result(
+        std::move(task), std::move(request));
+}
+
 bool pool_runner::cancel(const request_id& request)
 {
     for (const auto& [id, it] : active_)
@@ -276,6 +311,12 @@
     return n;
 }
 
+std::size_t pool_runner::count_urgent() const
+{
+    return std::ranges::count_if(active_, [](const auto& it)
+        { return it.second->item.task.kind == queue_kind::urgent; });
+}
+
 void pool_runner::handle_answer(
     const instance_id& id, const sync_result& answer)
 {
--- a/main/pool_runner.hpp
+++ b/main/pool_runner.hpp
@@ -36,6 +36,19 @@
     /// @param item has the task's id; no further start is made of it.
     asio::awaitable<work_result> adopt(work_item item, instance_id target);
 
+    /// Renews the lease of a task that another session started, until that
+    /// session is known to live or the task is adopted.
+    void watch(const instance_id& target, const task_id& task);
+    void unwatch(const instance_id& target, const task_id& task);
+
+    /// @return the state of a task that may not be this entry's own; nothing
+    ///   when the target is unknown or does not answer.
+    asio::awaitable<std::optional<target_task_report>> query_task(
+        instance_id target, task_id task);
+
+    asio::awaitable<std::optional<std::string>> fetch_result(
+        instance_id target, task_id task, request_id request);
+
     /// Cancels by the caller's request id.
     /// @return whether an item with this id was found.
     bool cancel(const request_id& request);
@@ -43,6 +56,8 @@
     /// Work that waits is sent back with `owner_changed` when ownership ends.
     void set_owned(bool is_owned);
 
+    bool is_owned() const { return is_owned_; }
+
     /// Takes over the instances of the pool from the fleet state.
     void update_targets();
 
@@ -58,6 +73,9 @@
 
     std::uint32_t count_targets() const;
 
+    /// @return urgent items that have not ended.
+    std::size_t count_urgent() const;
+
     /// One running or waiting task, for queries.
     struct task_view
     {
--- a/systems/job_machine.cpp
+++ b/systems/job_machine.cpp
@@ -93,9 +93,9 @@
     return "ended/" + pool.get() + "/" + job.get();
 }
 
-std::string get_job_payload_name(const job_id& job)
+std::string get_job_payload_name(const job_row& job)
 {
-    return "payloads/" + job.get();
+    return "payloads/" + job.id.get() + "/" + job.payload_sha256;
 }
 
 std::string get_job_result_name(const job_id& job)
@@ -108,6 +108,7 @@
     json out{{"id", job.id.get()}, {"team", job.team.get()},
         {"queue", job.queue.get()}, {"pool", job.pool.get()},
         {"request", job.request.get()},
+        {"payload_sha256", job.payload_sha256},
         {"declared_memory", job.declared_memory.get()},
         {"run_ms", job.run_ms}, {"state", get_name(job.state)},
         {"data_centre", job.data_centre.get()},
@@ -129,6 +130,7 @@
         out.queue = queue_id(in.at("queue").get<std::string>());
         out.pool = pool_id(in.at("pool").get<std::string>());
         out.request = request_id(in.at("request").get<std::string>());
+        out.payload_sha256 = in.at("payload_sha256").get<std::string>();
         out.declared_memory =
             byte_count(in.at("declared_memory").get<std::uint64_t>());
         out.run_ms = in.at("run_ms").get<std::string>();
--- a/systems/job_machine.hpp
+++ b/systems/job_machine.hpp
@@ -29,6 +29,7 @@
     queue_id queue;
     pool_id pool;
     request_id request;
+    std::string payload_sha256; ///< Tells a repeat from another request.
     byte_count declared_memory;
     std::string run_ms; ///< Hint for the target; may be empty.
     job_state state = job_state::queued;
@@ -53,7 +54,8 @@
 
 std::string get_job_key(const pool_id& pool, const job_id& job);
 std::string get_ended_job_key(const pool_id& pool, const job_id& job);
-std::string get_job_payload_name(const job_id& job);
+/// @return the object's name; payloads that differ never share one.
+std::string get_job_payload_name(const job_row& job);
 std::string get_job_result_name(const job_id& job);
 
 std::string encode_job(const job_row& job);
--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -7,6 +7,7 @@
 #include "systems/admission.hpp"
 #include "systems/command_parser.hpp"
 #include "systems/fleet_log.hpp"
+#include "systems/fleet_planner.hpp"
 #include "systems/fleet_record.hpp"
 #include "systems/fleet_state.hpp"
 #include "systems/freshness.hpp"
