Add the maintenance planner

Decides drains, reboots, returns and spare exchanges from the fleet state, the holder's observations and the time alone. A spare instance replaces a lost one by exchange: the state has no pool sizes and a move overwrites the declared pool, so a loan could not be derived from it, and an exchange keeps every pool's size.

--- /dev/null
+++ b/systems/maintenance_planner.cpp
@@ -0,0 +1,191 @@
+#include "systems/maintenance_planner.hpp"
+
+#include "systems/maintenance_view.hpp"
+#include "systems/spare_exchange.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+/// Members of one pool that share a rack of the active data centre.
+struct rack_view
+{
+    std::vector<member_view*> startable;
+    bool is_open = false; ///< Maintenance is under way in the rack.
+};
+
+/// One run of the planner over its tables.
+class planning
+{
+public:
+    planning(const maintenance_input& input, const maintenance_options& options)
+        : options_(options), view_(input), exchange_(view_, out_)
+    {
+    }
+
+    std::vector<maintenance_decision> run()
+    {
+        active_ = view_.find_active_data_centre();
+        finish_steps();
+        exchange_.start_drains();
+        start_waves();
+        return std::move(out_);
+    }
+
+private:
+    void finish_steps()
+    {
+        for (member_view& it : view_.get_members())
+        {
+            bool is_ready = it.report == instance_report::ready;
+            if (it.state == instance_state::rebooting && is_ready)
+                restore(it, "pass_done", view_.get_pass());
+            else if (it.state == instance_state::failed && is_ready)
+                restore(it, "recovered", {});
+            else if (it.is_planned_drain() && !it.is_decided)
+                continue_drain(it);
+        }
+    }
+
+    void continue_drain(member_view& it)
+    {
+        bool is_idle = it.report == instance_report::idle;
+        if (is_idle && exchange_.try_replace_lost(it))
+            return;
+        bool is_up = is_idle || it.report == instance_report::busy;
+        if (is_up && view_.get_pool(it).needs_back(it))
+            return restore(it, "budget_exceeded", {});
+        if (is_idle)
+            finish_drain(it);
+    }
+
+    void finish_drain(member_view& it)
+    {
+        // A drain for an exchange may have been overtaken; a reboot outside
+        // the active data centre would open a second one.
+        bool is_in_wave = !active_ || *active_ == it.get_data_centre();
+        if (!it.is_due || !is_in_wave)
+            return restore(it, "drain_not_needed", {});
+        out_.push_back(make_decision(it, maintenance_step::reboot, "pass_due"));
+        view_.set_state(it, instance_state::rebooting);
+    }
+
+    void restore(member_view& it, std::string_view rule,
+        std::optional<std::uint32_t> maintained_pass)
+    {
+        out_.push_back(make_decision(
+            it, maintenance_step::restore, rule, maintained_pass));
+        view_.set_state(it, instance_state::in_service);
+        it.is_due = it.is_due && !maintained_pass;
+    }
+
+    std::uint32_t get_limit(const pool_view& pool) const
+    {
+        std::uint32_t budget = pool.get_budget();
+        if (budget <= options_.failure_reserve)
+            return std::min(budget, 1U);
+        return budget - options_.failure_reserve;
+    }
+
+    bool is_startable(const pool_view& pool, const member_view& it) const
+    {
+        return it.is_due && !it.is_decided &&
+               it.state == instance_state::in_service &&
+               pool.can_take_out(it, get_limit(pool));
+    }
+
+    /// @return the data centre under way, else one out of service with work
+    ///   to do, else that of the latest pool.
+    std::optional<data_centre_id> choose_data_centre()
+    {
+        if (auto active = view_.find_active_data_centre())
+            return active;
+        std::optional<data_centre_id> best;
+        std::tuple<bool, double> best_rank{false, -1.0};
+        for (member_view& it : view_.get_members())
+        {
+            const pool_view& pool = view_.get_pool(it);
+            std::tuple<bool, double> rank{
+                it.is_data_centre_out, pool.get_lateness()};
+            if (rank <= best_rank || !is_startable(pool, it))
+                continue;
+            best = it.get_data_centre();
+            best_rank = rank;
+        }
+        return best;
+    }
+
+    void start_waves()
+    {
+        active_ = choose_data_centre();
+        if (!active_)
+            return;
+        std::vector<pool_view*> pools;
+        for (auto& [id, pool] : view_.get_pools())
+            pools.push_back(&pool);
+        std::ranges::stable_sort(pools, std::greater<>(),
+            [](const pool_view* it) { return it->get_lateness(); });
+        for (pool_view* it : pools)
+            start_wave(*it);
+    }
+
+    void start_wave(pool_view& pool)
+    {
+        std::map<rack_id, rack_view> racks;
+        for (member_view* it : pool.members)
+        {
+            if (it->get_data_centre() != *active_)
+                continue;
+            rack_view& rack = racks[it->row->description.rack];
+            rack.is_open = rack.is_open || it->is_in_maintenance();
+            if (is_startable(pool, *it))
+                rack.startable.push_back(it);
+        }
+        for (bool is_open : {true, false})
+            for (auto& [id, rack] : racks)
+                if (rack.is_open == is_open)
+                    start_rack(pool, rack);
+    }
+
+    void start_rack(pool_view& pool, rack_view& rack)
+    {
+        for (member_view* it : rack.startable)
+        {
+            if (drains_ == options_.max_drains || !is_startable(pool, *it))
+                return;
+            out_.push_back(make_decision(*it, maintenance_step::drain,
+                rack.is_open ? "rack_under_way" : "next_rack"));
+            view_.set_state(*it, instance_state::draining);
+            ++drains_;
+        }
+    }
+
+    const maintenance_options& options_;
+    maintenance_view view_;
+    std::vector<maintenance_decision> out_;
+    spare_exchange exchange_;
+    std::optional<data_centre_id> active_;
+    std::uint32_t drains_ = 0;
+};
+
+} // namespace
+
+maintenance_planner::maintenance_planner(maintenance_options options)
+    : options_(options)
+{
+}
+
+std::vector<maintenance_decision> maintenance_planner::plan(
+    const maintenance_input& input) const
+{
+    if (!input.is_fresh)
+        return {};
+    return planning(input, options_).run();
+}
+
+} // namespace cowslippass
