--- a/tests/integration/stand_ins_test.cpp
+++ b/tests/integration/stand_ins_test.cpp
@@ -41,8 +41,8 @@
 /// A stand-in target with short forms of its requests.
 struct target_process
 {
-    explicit target_process(std::vector<std::string> flags = {})
-        : process("tests/stand_in_target", std::move(flags))
+    explicit target_process(const std::vector<std::string>& flags = {})
+        : process("tests/stand_in_target", flags)
     {
     }
 
@@ -369,7 +369,7 @@
     EXPECT_FALSE(fetch(platform.endpoint, {}, long_timeout).response);
     try
     {
-        child_process("tests/stand_in_proxy", {"--to=nowhere"}, 2);
+        child_process proxy("tests/stand_in_proxy", {"--to=nowhere"}, 2);
         FAIL() << "a proxy without a valid address started";
     }
     catch (const std::runtime_error& e)
