--- a/tests/integration/test_fleet.hpp
+++ b/tests/integration/test_fleet.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace cowslippass
