Add the query engine

Queries run over tables of the fleet state and over tables that the daemon collects; parts of several entries are merged by column name. Unknown tables and fields are errors that list the known ones.

--- /dev/null
+++ b/systems/query_engine.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "systems/command.hpp"
+#include "systems/fleet_state.hpp"
+#include "systems/query_table.hpp"
+
+#include <map>
+
+namespace cowslippass
+{
+
+/// The query names a table or field that does not exist (`unknown_table`,
+/// `unknown_field`); the message lists those that do.
+class query_error : public systems_error
+{
+public:
+    using systems_error::systems_error;
+};
+
+/// Runs one query over the tables of the fleet state and over tables that the
+/// daemon collected: tasks, targets, jobs, grants and maintenance.
+class query_engine
+{
+public:
+    /// @param state must outlive the engine.
+    explicit query_engine(const fleet_state& state) : state_(&state) {}
+
+    /// Adds a table. Rows of a table with a known name are added to it, so
+    /// that the parts of several entries become one table; columns are matched
+    /// by name, and cells of columns that a part lacks are nothing.
+    void add_table(query_table table);
+
+    /// @return whether the fleet state itself answers queries over the table,
+    ///   so that no other entry has to be asked.
+    static bool is_fleet_table(const std::string& name);
+
+    /// Applies the filters, then groups or orders, then the limit.
+    /// @throws query_error
+    query_table run(const query_command& query) const;
+
+private:
+    query_table get_table(const std::string& name) const;
+
+    const fleet_state* state_;
+    std::map<std::string, query_table> tables_;
+};
+
+} // namespace cowslippass
--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -9,5 +9,8 @@
 #include "systems/fleet_planner.hpp"
 #include "systems/fleet_record.hpp"
 #include "systems/fleet_state.hpp"
+#include "systems/fleet_tables.hpp"
 #include "systems/names.hpp"
 #include "systems/pool_owners.hpp"
+#include "systems/query_engine.hpp"
+#include "systems/query_table.hpp"
