--- /dev/null
+++ b/tests/platform/command_client_test.cpp
@@ -0,0 +1,198 @@
+#include "platform/command_client.hpp"
+
+#include "platform/endpoint.hpp"
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+const std::string command_text = "drain instance i1";
+
+/// How a fake entry treats a request.
+struct behaviour
+{
+    unsigned status = 200; ///< 0 closes the connection without an answer.
+    std::string body = "{}";
+};
+
+/// Answers one request after the other as told; the last behaviour stays.
+class fake_entry
+{
+public:
+    fake_entry(asio::io_context& io, std::vector<behaviour> behaviours)
+        : behaviours_(std::move(behaviours)),
+          acceptor_(io, parse_endpoint("127.0.0.1:0"))
+    {
+        asio::co_spawn(io, serve(), asio::detached);
+    }
+
+    tcp::endpoint get_endpoint() const { return acceptor_.local_endpoint(); }
+
+    std::vector<std::string> requests;
+
+private:
+    asio::awaitable<void> serve()
+    {
+        while (true)
+        {
+            tcp::socket socket =
+                co_await acceptor_.async_accept(asio::use_awaitable);
+            std::string buf;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(buf),
+                command_text, asio::use_awaitable);
+            std::size_t i = std::min(requests.size(), behaviours_.size() - 1);
+            requests.push_back(buf);
+            const behaviour& it = behaviours_[i];
+            if (it.status == 0)
+                continue;
+            std::string answer = "HTTP/1.1 " + std::to_string(it.status) +
+                                 " X\r\nConnection: close\r\nContent-Length: " +
+                                 std::to_string(it.body.size()) + "\r\n\r\n" +
+                                 it.body;
+            co_await asio::async_write(
+                socket, asio::buffer(answer), asio::use_awaitable);
+        }
+    }
+
+    std::vector<behaviour> behaviours_;
+    tcp::acceptor acceptor_;
+};
+
+struct outcome_of_run
+{
+    command_reply reply;
+    std::vector<std::vector<std::string>> requests; ///< By entry.
+};
+
+command_request make_change()
+{
+    command_request out;
+    out.text = command_text;
+    out.key = "secret";
+    out.id = command_id("c0ffee");
+    out.is_change = true;
+    return out;
+}
+
+/// @param is_first_dead puts an address before the others that refuses
+///   connections.
+outcome_of_run run(std::vector<std::vector<behaviour>> behaviours,
+    const command_request& command, bool is_first_dead = false)
+{
+    asio::io_context io;
+    std::vector<tcp::endpoint> endpoints;
+    if (is_first_dead)
+    {
+        // Bound but not listening, so that no other process takes the port.
+        static asio::io_context other;
+        static tcp::socket dead(other, parse_endpoint("127.0.0.1:0"));
+        endpoints.push_back(dead.local_endpoint());
+    }
+    std::vector<std::unique_ptr<fake_entry>> entries;
+    for (auto& it : behaviours)
+    {
+        entries.push_back(std::make_unique<fake_entry>(io, std::move(it)));
+        endpoints.push_back(entries.back()->get_endpoint());
+    }
+    outcome_of_run out;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            out.reply = co_await send_command(io, endpoints, command);
+            io.stop();
+        },
+        asio::detached);
+    io.run_for(std::chrono::seconds(60));
+    for (const auto& it : entries)
+        out.requests.push_back(it->requests);
+    return out;
+}
+
+const behaviour lost{0, ""};
+const behaviour committed{200, R"({"committed":7})"};
+const behaviour refused{409, R"({"code":"no_change","message":"m"})"};
+const behaviour not_fresh{503, R"({"code":"not_fresh","message":"m"})"};
+const behaviour broken{500, R"({"code":"internal","message":"m"})"};
+
+} // namespace
+
+TEST(command_client, the_next_entry_is_tried)
+{
+    auto result = run({{not_fresh}, {committed}}, make_change(), true);
+    EXPECT_EQ(result.reply.outcome, command_outcome::done);
+    EXPECT_EQ(result.reply.body, committed.body);
+    EXPECT_EQ(result.requests[0].size(), 1u);
+    EXPECT_EQ(result.requests[1].size(), 1u);
+}
+
+// Guards against a change that is committed twice after a lost reply.
+TEST(command_client, a_lost_change_is_repeated_with_its_id)
+{
+    auto result = run({{lost, committed}}, make_change());
+    EXPECT_EQ(result.reply.outcome, command_outcome::done);
+    ASSERT_EQ(result.requests[0].size(), 2u);
+    EXPECT_EQ(result.requests[0][0], result.requests[0][1]);
+    const std::string& text = result.requests[0][0];
+    for (const char* part : {"POST /v1/command ", "Command-Id: c0ffee\r\n",
+             "Authorization: Bearer secret\r\n", "\r\n\r\ndrain instance i1"})
+        EXPECT_NE(text.find(part), std::string::npos) << part;
+}
+
+// Guards against "refused" being reported for a change that an earlier
+// attempt may have committed.
+TEST(command_client, a_refusal_does_not_settle_an_earlier_attempt)
+{
+    for (const behaviour& it : {refused, not_fresh, broken, lost})
+    {
+        auto result = run({{lost, it}, {it}}, make_change());
+        EXPECT_EQ(result.reply.outcome, command_outcome::unknown);
+        EXPECT_EQ(result.requests[0].size(), 2u);
+    }
+    auto result = run({{lost, refused}, {refused, committed}}, make_change());
+    EXPECT_EQ(result.reply.outcome, command_outcome::done);
+}
+
+// Guards against a refused change that is tried elsewhere until it passes.
+TEST(command_client, a_refusal_is_final)
+{
+    auto result = run({{refused}, {committed}}, make_change());
+    EXPECT_EQ(result.reply.outcome, command_outcome::refused);
+    EXPECT_EQ(result.reply.code, "no_change");
+    EXPECT_TRUE(result.requests[1].empty());
+}
+
+TEST(command_client, nothing_was_changed_if_no_entry_could_serve)
+{
+    auto result = run({{not_fresh}}, make_change(), true);
+    EXPECT_EQ(result.reply.outcome, command_outcome::no_entry);
+    EXPECT_EQ(result.requests[0].size(), 1u);
+    EXPECT_EQ(result.reply.code, "not_fresh");
+}
+
+// Guards against server errors after the commit that look like refusals, and
+// against queries that are said to have an unknown outcome.
+TEST(command_client, server_errors_leave_only_changes_unknown)
+{
+    command_request query = make_change();
+    query.is_change = false;
+    for (const behaviour& it : {broken, lost, behaviour{200, "no JSON"},
+             behaviour{503, R"({"code":"x","run":"unknown"})"}})
+    {
+        EXPECT_EQ(
+            run({{it}}, make_change()).reply.outcome, command_outcome::unknown);
+        auto result = run({{it}, {behaviour{200, "{}"}}}, query);
+        EXPECT_EQ(result.reply.outcome, command_outcome::done);
+        EXPECT_EQ(run({{it}}, query).reply.outcome, command_outcome::no_entry);
+    }
+    behaviour proved{500, R"({"code":"x","run":"no"})"};
+    EXPECT_EQ(run({{proved}}, make_change()).reply.outcome,
+        command_outcome::no_entry);
+}
+
+} // namespace cowslippass
