--- a/tests/platform/command_client_test.cpp
+++ b/tests/platform/command_client_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/command_client.hpp"
 
 #include "platform/endpoint.hpp"
+
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
