--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -76,8 +76,10 @@
         config.http_advertise, config.http_listen, get_http_port());
     config_.peer_advertise = fill_address(
         config.peer_advertise, config.peer_listen, get_peer_port());
-    collector_.add_source("tasks", [this] { return list_tasks(node_, runners_); });
-    collector_.add_source("targets", [this] { return list_targets(node_, runners_); });
+    collector_.add_source(
+        "tasks", [this] { return list_tasks(node_, runners_); });
+    collector_.add_source(
+        "targets", [this] { return list_targets(node_, runners_); });
     collector_.add_source(
         "grants", [this] { return list_grants(node_, grants_); });
     collector_.add_platform_source(
@@ -395,10 +397,10 @@
         session_id session = node_.session;
         try
         {
-            co_await sync_.append(
-                command_id("end-session-" + std::to_string(session.get())),
-                [session](const fleet_state& state)
-                { return plan_session_end(state, session); });
+            fleet_sync::planner planner = [session](const fleet_state& state)
+            { return plan_session_end(state, session); };
+            command_id command("end-session-" + std::to_string(session.get()));
+            co_await sync_.append(std::move(command), std::move(planner));
         }
         catch (const error& e)
         {
--- a/main/fleet_sync.cpp
+++ b/main/fleet_sync.cpp
@@ -1,5 +1,7 @@
 #include "main/fleet_sync.hpp"
 
+#include "systems/fleet_planner.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -238,22 +240,22 @@
 asio::awaitable<void> fleet_sync::join()
 {
     command_id command("session-" + node_.nonce);
+    planner planner = [this](const fleet_state& state)
+    {
+        session_started_record started;
+        started.entry = node_.config.entry;
+        started.data_centre = node_.config.data_centre;
+        started.peer_address = node_.config.peer_advertise;
+        started.http_address = node_.config.http_advertise;
+        started.nonce = node_.nonce;
+        return plan_session_start(state, started);
+    };
     while (true)
     {
         bool is_loaded = co_await load_snapshot();
         append_result result;
         if (is_loaded)
-            result = co_await append(command,
-                [this](const fleet_state&)
-                {
-                    session_started_record started;
-                    started.entry = node_.config.entry;
-                    started.data_centre = node_.config.data_centre;
-                    started.peer_address = node_.config.peer_advertise;
-                    started.http_address = node_.config.http_advertise;
-                    started.nonce = node_.nonce;
-                    return std::vector<fleet_record>{started};
-                });
+            result = co_await append(command, planner);
         auto session = node_.state.find_session_by_nonce(node_.nonce);
         if (result.status == append_status::committed && session)
         {
--- a/main/janitor.cpp
+++ b/main/janitor.cpp
@@ -129,11 +129,10 @@
     std::vector<row_condition> conditions{
         {get_heartbeat_key(session), beat}, lease_.get_condition()};
     command_id command("end-session-" + std::to_string(session.get()));
+    fleet_sync::planner planner = [session](const fleet_state& state)
+    { return plan_session_end(state, session); };
     auto result = co_await sync_.append(
-        command,
-        [session](const fleet_state& state)
-        { return plan_session_end(state, session); },
-        std::move(conditions));
+        command, std::move(planner), std::move(conditions));
     write_log(log_level::warn, "janitor", "a session's heartbeat has stopped",
         {{"session", session},
             {"ended", result.status == append_status::committed}});
--- a/main/job_keeper.cpp
+++ b/main/job_keeper.cpp
@@ -58,8 +58,8 @@
 {
     return {{"job", job.id.get()}, {"state", get_name(job.state)},
         {"queue", job.queue.get()}, {"attempts", job.attempts},
-        {"data_centre", job.data_centre.get()},
-        {"target", job.target.get()}, {"reason", job.reason}};
+        {"data_centre", job.data_centre.get()}, {"target", job.target.get()},
+        {"reason", job.reason}};
 }
 
 } // namespace
@@ -94,8 +94,7 @@
     {
         const auto& place = it.description.data_centre;
         if (it.pool == pool && it.state == instance_state::in_service &&
-            node_.state.is_in_service(place) &&
-            !peers_.get_live(place).empty())
+            node_.state.is_in_service(place) && !peers_.get_live(place).empty())
             out.insert(place);
     }
     return {out.begin(), out.end()};
@@ -124,8 +123,8 @@
             "the declared size is larger than every target of the pool",
             run_answer::no);
     job_row job;
-    std::string origin = request.team.get() + "/" + queue.id.get() + "/" +
-        request.request.get();
+    std::string origin =
+        request.team.get() + "/" + queue.id.get() + "/" + request.request.get();
     job.id = make_job_id(queue.pool, sha256_hex(origin).substr(0, 32));
     job.team = request.team;
     job.queue = queue.id;
@@ -163,11 +162,11 @@
         transaction tx = accept_job(job).request;
         auto result = co_await node_.table.commit(std::move(tx));
         bool is_accepted = result.outcome == transaction_outcome::committed ||
-            result.outcome == transaction_outcome::conflict;
+                           result.outcome == transaction_outcome::conflict;
         if (is_accepted)
             co_return make_json_result(202, accepted);
-        may_be_accepted = may_be_accepted ||
-            result.outcome == transaction_outcome::unknown;
+        may_be_accepted =
+            may_be_accepted || result.outcome == transaction_outcome::unknown;
         if (!may_be_accepted)
             break;
         co_await node_.sleep(commit_retry_interval);
@@ -257,8 +256,8 @@
             {
                 bool was_sent = false;
                 peer_body body = peer_cancel{job};
-                co_await peers_.call(session, std::move(body),
-                    milliseconds(1'500), was_sent);
+                co_await peers_.call(
+                    session, std::move(body), milliseconds(1'500), was_sent);
             });
     }
     auto pool = find_pool_of_job(job);
@@ -355,12 +354,12 @@
         for (const auto& it : page->rows)
         {
             job_row job = decode_job(it.value);
-            out.rows.push_back({make_cell(job.id), make_cell(job.team),
-                make_cell(job.queue), make_cell(job.pool),
-                query_cell(get_name(job.state)),
-                make_cell(std::uint64_t(job.attempts)),
-                make_cell(job.data_centre), make_cell(job.target),
-                make_cell(job.session), query_cell(job.reason)});
+            out.rows.push_back(
+                {make_cell(job.id), make_cell(job.team), make_cell(job.queue),
+                    make_cell(job.pool), query_cell(get_name(job.state)),
+                    make_cell(std::uint64_t(job.attempts)),
+                    make_cell(job.data_centre), make_cell(job.target),
+                    make_cell(job.session), query_cell(job.reason)});
         }
     }
     co_return out;
@@ -393,8 +392,7 @@
     }
 }
 
-asio::awaitable<void> job_keeper::scan_pool(
-    std::shared_ptr<pool_runner> runner)
+asio::awaitable<void> job_keeper::scan_pool(std::shared_ptr<pool_runner> runner)
 {
     std::string prefix = "jobs/" + runner->get_pool().get() + "/";
     std::string after;
@@ -442,10 +440,11 @@
         node_.spawn("job_keeper",
             [this, job, version]() -> asio::awaitable<void>
             {
-                auto held = std::make_shared<found_job>(
-                    found_job{job, version, true});
-                co_await commit(held,
-                    move_job(job, version, node_.config.data_centre));
+                auto held =
+                    std::make_shared<found_job>(found_job{job, version, true});
+                job_change change =
+                    move_job(job, version, node_.config.data_centre);
+                co_await commit(held, std::move(change));
                 log_.write("move_job", "data_centre_out",
                     {{"job", job.id}, {"from", job.data_centre},
                         {"to", node_.config.data_centre}});
@@ -457,14 +456,13 @@
     if (job.state == job_state::queued)
     {
         active_.insert(job.id);
-        node_.spawn("job_keeper",
-            [this, runner, job, version]
+        node_.spawn("job_keeper", [this, runner, job, version]
             { return launch(runner, job, version); });
         return;
     }
     bool is_live = node_.state.get_sessions().contains(job.session);
     bool is_watched = job.session != node_.session && is_live &&
-        !peers_.is_heard(job.session);
+                      !peers_.is_heard(job.session);
     // A suspected session's task is kept alive until its fate is known.
     if (is_watched)
         runner->watch(job.target, job.task);
@@ -473,13 +471,11 @@
     if (is_live && job.session != node_.session)
         return;
     active_.insert(job.id);
-    node_.spawn("job_keeper",
-        [this, runner, job, version]
+    node_.spawn("job_keeper", [this, runner, job, version]
         { return take_over(runner, job, version); });
 }
 
-work_item job_keeper::make_item(
-    const job_row& job, std::string payload) const
+work_item job_keeper::make_item(const job_row& job, std::string payload) const
 {
     work_item out;
     out.task.team = job.team;
@@ -497,15 +493,15 @@
 std::function<asio::awaitable<std::optional<work_result>>(start_place)>
 job_keeper::make_prepare(std::shared_ptr<found_job> held)
 {
-    return [this, held](start_place place)
-               -> asio::awaitable<std::optional<work_result>>
+    return [this, held](
+               start_place place) -> asio::awaitable<std::optional<work_result>>
     {
         job_row before = held->job;
         // A start that a target refused does not count as an attempt.
         if (before.state == job_state::running && before.attempts > 0)
             --before.attempts;
-        job_change change = start_job(before, held->version, node_.session,
-            place.target, place.task);
+        job_change change = start_job(
+            before, held->version, node_.session, place.target, place.task);
         bool is_committed = co_await commit(held, std::move(change));
         if (is_committed)
             co_return std::nullopt;
@@ -543,7 +539,7 @@
                 continue;
             }
             bool is_own = looked == lookup::found &&
-                encode_job(now.job) == encode_job(change.after);
+                          encode_job(now.job) == encode_job(change.after);
             if (is_own)
                 *held = now;
             co_return is_own;
@@ -559,8 +555,8 @@
         get_now() + attempt_back_off * (1 << std::min(job.attempts, 6u));
 }
 
-asio::awaitable<void> job_keeper::launch(std::shared_ptr<pool_runner> runner,
-    job_row job, row_version version)
+asio::awaitable<void> job_keeper::launch(
+    std::shared_ptr<pool_runner> runner, job_row job, row_version version)
 {
     auto held = std::make_shared<found_job>(found_job{job, version, true});
     auto payload = co_await node_.table.get_object(get_job_payload_name(job));
@@ -590,33 +586,38 @@
             if (!is_stored)
                 co_await node_.sleep(commit_retry_interval);
         }
-        if (is_stored)
-            co_await commit(held, finish_job(job, held->version));
+        if (!is_stored)
+            co_return;
+        job_change done = finish_job(job, held->version);
+        co_await commit(held, std::move(done));
         co_return;
     }
     if (result.code == "cancelled" || result.code == "job_not_claimed")
         co_return;
     if (result.code == oversized_code)
     {
-        co_await commit(held, park_job(job, held->version, result.message));
+        job_change parked = park_job(job, held->version, result.message);
+        co_await commit(held, std::move(parked));
         co_return;
     }
     if (job.state != job_state::running)
         co_return;
     if (result.run == run_answer::no)
     {
-        co_await commit(held, unstart_job(job, held->version));
+        job_change undone = unstart_job(job, held->version);
+        co_await commit(held, std::move(undone));
         co_return;
     }
     bool counts = result.code != "preempted";
     auto queue = node_.state.get_queues().find(job.queue);
-    bool is_repeatable = queue != node_.state.get_queues().end() &&
-        queue->second.is_idempotent;
+    bool is_repeatable =
+        queue != node_.state.get_queues().end() && queue->second.is_idempotent;
     // Work that must not run twice is never started again.
-    job_change change = is_repeatable
-        ? fail_job(job, held->version, result.message, counts)
-        : park_job(job, held->version,
-              "may have run, and must not run twice: " + result.message);
+    job_change change =
+        is_repeatable
+            ? fail_job(job, held->version, result.message, counts)
+            : park_job(job, held->version,
+                  "may have run, and must not run twice: " + result.message);
     co_await commit(held, std::move(change));
     log_.write(job.state == job_state::parked ? "park" : "queue_again",
         result.code,
@@ -650,27 +651,25 @@
             runner->watch(job.target, job.task);
         auto ended = observer_.observe_ended(job.session);
         // An own task that nothing here follows any more is left to lapse.
-        bool is_granted = !is_own &&
-            co_await grants_.adopt(job.session, job.team, ended);
-        bool is_taken = is_granted &&
-            co_await commit(held, adopt_job(job, version, node_.session));
+        bool is_granted =
+            !is_own && co_await grants_.adopt(job.session, job.team, ended);
+        job_change adopted = adopt_job(job, version, node_.session);
+        bool is_taken = is_granted && co_await commit(held, std::move(adopted));
         if (is_taken)
         {
             log_.write("adopt", "session_ended",
-                {{"job", job.id}, {"task", job.task},
-                    {"target", job.target}, {"from", job.session}});
+                {{"job", job.id}, {"task", job.task}, {"target", job.target},
+                    {"from", job.session}});
             work_item item = make_item(job, {});
             item.task.id = job.task;
-            auto result =
-                co_await runner->adopt(std::move(item), job.target);
+            auto result = co_await runner->adopt(std::move(item), job.target);
             co_await settle(held, std::move(result));
         }
         else if (is_granted)
             grants_.give_back(job.team);
     }
-    else if (report ||
-        get_now() > grant_ledger::get_dead_release_time(
-                        observer_.observe_ended(job.session)))
+    else if (report || get_now() > grant_ledger::get_dead_release_time(
+                                       observer_.observe_ended(job.session)))
     {
         // The task ended without a result, or can no longer run.
         work_result lost = make_failure(502, "task_lost",
--- a/main/job_keeper.hpp
+++ b/main/job_keeper.hpp
@@ -72,10 +72,10 @@
         const pool_id& pool, const job_id& job) const;
     bool can_ever_fit(const pool_id& pool, byte_count memory) const;
 
-    asio::awaitable<void> launch(std::shared_ptr<pool_runner> runner,
-        job_row job, row_version version);
-    asio::awaitable<void> take_over(std::shared_ptr<pool_runner> runner,
-        job_row job, row_version version);
+    asio::awaitable<void> launch(
+        std::shared_ptr<pool_runner> runner, job_row job, row_version version);
+    asio::awaitable<void> take_over(
+        std::shared_ptr<pool_runner> runner, job_row job, row_version version);
     asio::awaitable<void> settle(
         std::shared_ptr<found_job> held, work_result result);
     work_item make_item(const job_row& job, std::string payload) const;
--- a/main/node_tables.cpp
+++ b/main/node_tables.cpp
@@ -53,8 +53,7 @@
         out.rows.push_back({make_cell(id), make_cell(team.limit),
             make_cell(ledger.get_held(id)), make_cell(ledger.get_usable(id)),
             make_cell(ledger.get_in_use(id)), make_cell(node.session),
-            make_cell(node.config.entry),
-            make_cell(node.config.data_centre)});
+            make_cell(node.config.entry), make_cell(node.config.data_centre)});
     return out;
 }
 
--- a/main/operator_api.cpp
+++ b/main/operator_api.cpp
@@ -165,8 +165,9 @@
         co_return make_refusal(503, "not_admitted",
             "no older entry has acknowledged this one yet; ask another entry, "
             "or if none runs any more, send: admit this entry");
-    auto result = co_await sync_.append(command,
-        [change](const fleet_state& state) { return plan(state, change); });
+    fleet_sync::planner planner = [change](const fleet_state& state)
+    { return plan(state, change); };
+    auto result = co_await sync_.append(command, std::move(planner));
     auto committed = get_now();
     if (result.status == append_status::unavailable)
         co_return make_refusal(503, "platform_unavailable",
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -666,7 +666,14 @@
 void pool_runner::handle_task_ended(const task_id& id, target_task_state state)
 {
     active_ptr active = find(id);
-    if (!active || active->result || !active->is_on_target)
+    if (!active)
+    {
+        // A watched task of another session; its row tells what to do.
+        for (const auto& [target, entry] : targets_)
+            entry.link->remove_task(id);
+        return;
+    }
+    if (active->result || !active->is_on_target)
         return;
     switch (state)
     {
--- a/main/table_collector.cpp
+++ b/main/table_collector.cpp
@@ -40,8 +40,8 @@
     return encode_answer(answer);
 }
 
-asio::awaitable<void> table_collector::ask(session_id session,
-    std::string name, std::shared_ptr<collection> into)
+asio::awaitable<void> table_collector::ask(
+    session_id session, std::string name, std::shared_ptr<collection> into)
 {
     auto row = node_.state.get_sessions().find(session);
     data_centre_id place = row->second.started.data_centre;
@@ -54,8 +54,7 @@
     {
         try
         {
-            auto part =
-                decode_answer(std::get<peer_query_reply>(*reply).json);
+            auto part = decode_answer(std::get<peer_query_reply>(*reply).json);
             for (auto& it : part.table.rows)
                 into->answer.table.rows.push_back(std::move(it));
             is_answered = true;
--- a/main/table_collector.hpp
+++ b/main/table_collector.hpp
@@ -41,8 +41,8 @@
         std::set<data_centre_id> missing;
     };
 
-    asio::awaitable<void> ask(session_id session, std::string name,
-        std::shared_ptr<collection> into);
+    asio::awaitable<void> ask(
+        session_id session, std::string name, std::shared_ptr<collection> into);
 
     node_context& node_;
     peer_network& peers_;
