--- a/systems/claim_machine.cpp
+++ b/systems/claim_machine.cpp
@@ -45,6 +45,7 @@
 {
     claim_ = claim_row::decode(row.value);
     version_ = row.version;
+    is_answered_ = true;
     if (claim_.state != claim_state::claimed)
         return finish_as(claim_);
     return watch();
--- a/systems/claim_machine.hpp
+++ b/systems/claim_machine.hpp
@@ -17,7 +17,7 @@
 struct claim_start
 {
     instance_id target;
-    task_id task;
+    task_id task; ///< Used for one attempt only.
     target_time start_before;
 };
 
