--- a/tests/systems/claim_model.hpp
+++ b/tests/systems/claim_model.hpp
@@ -72,7 +72,7 @@
             if (auto violation = find_violation())
                 return violation;
         }
-        return std::nullopt;
+        return run_until_finished();
     }
 
     std::size_t get_answers(claim_answer answer) const
@@ -89,6 +89,8 @@
         std::unique_ptr<claim_machine> machine;
         bool is_alive = true;
         bool was_told_not_run = false;
+        bool has_caller = false;
+        int answers = 0;
     };
 
     struct message
@@ -124,6 +126,7 @@
                            : request_attempt::maybe_repeated;
         it.machine = std::make_unique<claim_machine>(
             team_id("alpha"), request_id("r"), it.digest, it.id, attempt);
+        it.has_caller = true;
         entries_.push_back(std::move(it));
         auto until = target_time(clock_ + step.amount % 2001);
         auto name = "task-" + std::to_string(number);
@@ -146,6 +149,7 @@
     {
         ++answers_[reply.answer];
         auto& it = entries_[from];
+        ++it.answers;
         it.was_told_not_run |= reply.answer == claim_answer::not_run;
         if (reply.answer == claim_answer::done && get_runs() == 0)
             violation_ = "done without a run";
@@ -368,6 +372,36 @@
             take(index, entries_[index].machine->on_patience_end());
     }
 
+    // Nothing is lost any more, and every task ends.
+    std::optional<std::string> run_until_finished()
+    {
+        for (int round = 0; round < 20; ++round)
+        {
+            pass_time({claim_move::pass_time, 0, 500});
+            end_task({claim_move::end_task, 0, 1});
+            // Actions that are added meanwhile wait for the next round.
+            for (auto n = messages_.size(); n-- > 0;)
+            {
+                if (!messages_[n].is_applied)
+                    apply_one(messages_[n], 1);
+                if (!messages_[n].is_answered)
+                    deliver_one(messages_[n]);
+            }
+        }
+        if (auto violation = find_violation())
+            return violation;
+        for (const auto& it : entries_)
+        {
+            if (it.is_alive && !it.machine->is_finished())
+                return "session " + std::to_string(it.id.get()) +
+                       " never finishes";
+            if (it.is_alive && it.answers != (it.has_caller ? 1 : 0))
+                return "session " + std::to_string(it.id.get()) + " gave " +
+                       std::to_string(it.answers) + " answers";
+        }
+        return std::nullopt;
+    }
+
     std::optional<std::string> find_violation() const
     {
         if (violation_)
