--- a/systems/command.hpp
+++ b/systems/command.hpp
@@ -19,6 +19,8 @@
     team_id team;
     std::uint32_t share = 1;
     task_count limit{0};
+
+    bool operator==(const create_team_command&) const = default;
 };
 
 /// Changes the settings that are given and keeps the others.
@@ -27,6 +29,8 @@
     team_id team;
     std::optional<std::uint32_t> share;
     std::optional<task_count> limit;
+
+    bool operator==(const set_team_command&) const = default;
 };
 
 struct create_pool_command
@@ -34,12 +38,16 @@
     pool_id pool;
     std::uint32_t max_unavailable = 1;
     bool is_spare = false;
+
+    bool operator==(const create_pool_command&) const = default;
 };
 
 struct set_pool_command
 {
     pool_id pool;
     std::uint32_t max_unavailable = 1;
+
+    bool operator==(const set_pool_command&) const = default;
 };
 
 struct create_queue_command
@@ -50,11 +58,15 @@
     bool is_idempotent = true;
     bool is_open = false;
     std::optional<team_id> team;
+
+    bool operator==(const create_queue_command&) const = default;
 };
 
 struct create_data_centre_command
 {
     data_centre_id data_centre;
+
+    bool operator==(const create_data_centre_command&) const = default;
 };
 
 /// Takes a data centre out of service or brings it back.
@@ -62,6 +74,8 @@
 {
     data_centre_id data_centre;
     bool is_in_service = true;
+
+    bool operator==(const serve_data_centre_command&) const = default;
 };
 
 struct add_instance_command
@@ -73,11 +87,15 @@
     pool_id pool;
     slot_count slots{8};
     byte_count memory{0};
+
+    bool operator==(const add_instance_command&) const = default;
 };
 
 struct remove_instance_command
 {
     instance_id instance;
+
+    bool operator==(const remove_instance_command&) const = default;
 };
 
 enum class instance_change
@@ -92,12 +110,16 @@
 {
     instance_id instance;
     instance_change change = instance_change::take_out;
+
+    bool operator==(const change_instance_command&) const = default;
 };
 
 struct move_instance_command
 {
     instance_id instance;
     pool_id pool;
+
+    bool operator==(const move_instance_command&) const = default;
 };
 
 /// The parser leaves the digest empty. Whoever runs the command generates the
@@ -107,11 +129,15 @@
     key_id key;
     team_id team;
     std::string secret_sha256;
+
+    bool operator==(const grant_key_command&) const = default;
 };
 
 struct withdraw_key_command
 {
     key_id key;
+
+    bool operator==(const withdraw_key_command&) const = default;
 };
 
 /// The digest is set as in `grant_key_command`.
@@ -119,11 +145,15 @@
 {
     key_id id;
     std::string secret_sha256;
+
+    bool operator==(const grant_operator_command&) const = default;
 };
 
 struct withdraw_operator_command
 {
     key_id id;
+
+    bool operator==(const withdraw_operator_command&) const = default;
 };
 
 /// A change of the fleet state; committed through the fleet log.
@@ -139,12 +169,16 @@
 struct cancel_command
 {
     std::variant<job_id, team_id> what;
+
+    bool operator==(const cancel_command&) const = default;
 };
 
 struct query_filter
 {
     std::string field;
     std::string value; ///< As the field's value is shown in a table.
+
+    bool operator==(const query_filter&) const = default;
 };
 
 struct query_command
@@ -155,6 +189,8 @@
     bool is_descending = false;
     std::optional<std::uint32_t> limit;
     std::string count_by; ///< Empty if not given.
+
+    bool operator==(const query_command&) const = default;
 };
 
 using command = std::variant<change_command, cancel_command, query_command>;
