--- a/systems/placement_policy.hpp
+++ b/systems/placement_policy.hpp
@@ -29,8 +29,9 @@
     /// eighth is one slot of each target.
     double headroom = 0.125;
     bool is_preemptive = true;
-    /// Tasks of a team that may wait, for each kind; about 1 KB each.
-    std::uint32_t max_waiting = 10'000;
+    /// Tasks of a team that may wait, for each kind; about 300 bytes each.
+    /// With 72 teams a pool then holds at most 43 MB.
+    std::uint32_t max_waiting = 1'000;
     /// A victim stays throttled for so long before its checkpoint begins, as
     /// a slot often frees by itself in that time.
     milliseconds checkpoint_after{100};
@@ -43,6 +44,12 @@
     /// No task is placed on a target for so long after it refused a start,
     /// unless it reports in the meantime.
     milliseconds refusal_pause{500};
+    /// Tasks of a queue that are tried when the first does not fit, so that
+    /// one large task does not hold up the small ones behind it.
+    int look_ahead = 8;
+    /// Work that fits no target is refused at once. Without it, such work
+    /// waits for ever (baseline).
+    bool refuses_misfits = true;
     /// Seed of the random target choice.
     std::uint64_t seed = 1;
 };
--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -8,15 +8,6 @@
 namespace cowslippass
 {
 
-namespace
-{
-
-/// Tasks of a queue that are tried when the first does not fit, so that one
-/// large task does not hold up the small ones behind it.
-constexpr int look_ahead = 8;
-
-} // namespace
-
 placement_system::task_order& placement_system::team_row::get_queue(
     queue_kind kind)
 {
@@ -81,7 +72,7 @@
 {
     if (tasks_.contains(task.id))
         return placement_rule::duplicate_task;
-    if (!targets_.can_ever_fit(task.memory))
+    if (policy_.refuses_misfits && !targets_.can_ever_fit(task.memory))
         return placement_rule::fits_no_target;
     if (get_team(task.team).get_queue(task.kind).size() >= policy_.max_waiting)
         return placement_rule::team_queue_full;
@@ -402,7 +393,7 @@
 void placement_system::start_from(const pick& chosen, context& ctx)
 {
     team_row& team = *chosen.team;
-    int tries = look_ahead;
+    int tries = policy_.look_ahead;
     for (const time_key& key : team.get_queue(chosen.kind))
     {
         if (tries-- == 0)
