Start urgent work that waited for 500 ms before that of other teams

Cause: in a burst the deficit order gave the small teams waits near 0 and the large ones waits beyond 2.2 s, although a burst stays within the tolerance of the shares. A task that is larger than the room on every open target is now passed over without a look at the targets.

--- a/bench/driver.cpp
+++ b/bench/driver.cpp
@@ -27,6 +27,7 @@
     for (std::size_t i = 0; i < count; ++i)
         teams_.emplace_back("team" + std::to_string(i));
     owners_of_.resize(plan_.pool_sizes.size() * plan_.data_centres);
+    targets_of_.resize(owners_of_.size());
     meters_.assign(owners_of_.size(), share_meter(count));
     add_targets();
     add_owners();
@@ -81,6 +82,8 @@
             target.rack = rack_id(
                 target.data_centre.get() + "-r" + std::to_string(row.rack));
             target.memory = byte_count(target_memory);
+            targets_of_[pool * plan_.data_centres + centre].push_back(
+                targets_.size());
             targets_.push_back(std::move(row));
         }
 }
@@ -91,11 +94,7 @@
     for (int pool = 0; pool < pools; ++pool)
         for (int centre = 0; centre < plan_.data_centres; ++centre)
         {
-            std::vector<std::size_t> own;
-            for (std::size_t i = 0; i < targets_.size(); ++i)
-                if (targets_[i].pool == pool &&
-                    targets_[i].data_centre == centre)
-                    own.push_back(i);
+            const auto& own = targets_of_[pool * plan_.data_centres + centre];
             if (plan_.divided == division::one_owner)
             {
                 add_owner(pool, centre, own);
@@ -155,9 +154,8 @@
         int pool = static_cast<int>(i) / plan_.data_centres;
         int centre = static_cast<int>(i) % plan_.data_centres;
         double slots = 0.0;
-        for (const target_row& target : targets_)
-            if (target.pool == pool && target.data_centre == centre)
-                slots += target.description.slots.get();
+        for (std::size_t target : targets_of_[i])
+            slots += targets_[target].description.slots.get();
         for (queue_kind kind : {queue_kind::urgent, queue_kind::slow})
         {
             std::uint64_t seed = plan_.seed * 100'000 + sources_.size();
@@ -334,12 +332,9 @@
             busy += running;
         }
     }
-    for (const target_row& target : targets_)
-        if (target.pool == static_cast<int>(index) / plan_.data_centres &&
-            target.data_centre ==
-                static_cast<int>(index) % plan_.data_centres &&
-            !target.is_dead)
-            slots += target.description.slots.get();
+    for (std::size_t i : targets_of_[index])
+        if (!targets_[i].is_dead)
+            slots += targets_[i].description.slots.get();
     meters_[index].add_sample(demands, used, slots, seconds);
     double idle = std::max(0.0, slots - busy) * seconds;
     out_.capacity += slots * seconds;
--- a/bench/driver.hpp
+++ b/bench/driver.hpp
@@ -214,7 +214,8 @@
     std::priority_queue<event, std::vector<event>, std::greater<>> events_;
     std::vector<target_row> targets_;
     std::vector<owner_row> owners_;
-    std::vector<std::vector<std::size_t>> owners_of_; ///< By pool and centre.
+    std::vector<std::vector<std::size_t>> owners_of_;  ///< By pool and centre.
+    std::vector<std::vector<std::size_t>> targets_of_; ///< Likewise.
     std::vector<source_row> sources_;
     std::vector<bool> is_out_; ///< By data centre.
     std::deque<task_row> tasks_;
--- a/systems/placement_policy.hpp
+++ b/systems/placement_policy.hpp
@@ -41,6 +41,10 @@
     /// Slow work may be held back by urgent work for so long at the expense
     /// of its team's share. Bursts last some seconds and fit into it.
     milliseconds share_tolerance{10'000};
+    /// Urgent work that waited for so long goes first whatever its team's
+    /// share, so that a burst of a large team stays within the start bound of
+    /// 2.2 s while the others can bear it.
+    milliseconds urgent_patience{500};
     /// No task is placed on a target for so long after it refused a start,
     /// unless it reports in the meantime.
     milliseconds refusal_pause{500};
--- a/systems/placement_preemption.cpp
+++ b/systems/placement_preemption.cpp
@@ -24,20 +24,35 @@
            !(throttled_.empty() && checkpointing_.empty()))
         resume_one(ctx);
     take_due_steps(ctx);
-    std::vector<std::pair<double, team_row*>> teams;
-    for (auto& [id, team] : teams_)
-        if (!team.get_queue(queue_kind::urgent).empty())
-            teams.emplace_back(shares_.get_rank(team.account), &team);
-    std::sort(teams.begin(), teams.end());
-    for (auto& [rank, team] : teams)
+    if (freeing_count_ >= needed)
+        return;
+    ranked_teams victims =
+        rank_teams([](const team_row& team) { return !team.victims.empty(); });
+    std::reverse(victims.begin(), victims.end());
+    if (victims.empty())
+        return;
+    ranked_teams urgent = rank_teams([](const team_row& team)
+        { return !team.get_queue(queue_kind::urgent).empty(); });
+    for (auto& [rank, team] : urgent)
     {
         std::size_t count = team->get_queue(queue_kind::urgent).size();
         while (freeing_count_ < needed && count-- > 0)
-            if (!preempt_for(*team, ctx))
+            if (!preempt_for(*team, victims, ctx))
                 break;
     }
 }
 
+placement_system::ranked_teams placement_system::rank_teams(
+    bool (*is_included)(const team_row&))
+{
+    ranked_teams ranked;
+    for (auto& [id, team] : teams_)
+        if (is_included(team))
+            ranked.emplace_back(shares_.get_rank(team.account), &team);
+    std::sort(ranked.begin(), ranked.end());
+    return ranked;
+}
+
 std::uint32_t placement_system::count_needed(monotonic_time now) const
 {
     std::size_t needed = 0;
@@ -52,12 +67,13 @@
     return static_cast<std::uint32_t>(needed);
 }
 
-bool placement_system::preempt_for(team_row& urgent, context& ctx)
+bool placement_system::preempt_for(
+    team_row& urgent, const ranked_teams& victims, context& ctx)
 {
     const task_order& queue = urgent.get_queue(queue_kind::urgent);
     const task_row& head = *std::get<2>(*queue.begin());
     std::uint32_t candidates = 0;
-    task_row* victim = choose_victim(urgent, head, candidates);
+    task_row* victim = choose_victim(urgent, head, victims, candidates);
     if (victim == nullptr)
         return false;
     // The grant is taken first: a slot freed for a team at its limit would
@@ -79,22 +95,21 @@
     return true;
 }
 
-placement_system::task_row* placement_system::choose_victim(
-    team_row& urgent, const task_row& head, std::uint32_t& candidates)
+placement_system::task_row* placement_system::choose_victim(team_row& urgent,
+    const task_row& head, const ranked_teams& victims,
+    std::uint32_t& candidates)
 {
-    std::vector<std::pair<double, team_row*>> teams;
-    for (auto& [id, team] : teams_)
+    for (auto& [rank, team] : victims)
     {
         // Work of a team that is far below its share stays where it is.
-        bool is_protected = shares_.is_behind(
-            team.account, urgent.account, policy_.share_tolerance);
-        if (!team.victims.empty() && (&team == &urgent || !is_protected))
-            teams.emplace_back(shares_.get_rank(team.account), &team);
-    }
-    std::sort(teams.rbegin(), teams.rend());
-    for (auto& [rank, team] : teams)
+        bool is_protected =
+            team != &urgent && shares_.is_behind(team->account, urgent.account,
+                                   policy_.share_tolerance);
+        if (is_protected)
+            continue;
         if (task_row* victim = choose_victim_of(*team, head, candidates))
             return victim;
+    }
     return nullptr;
 }
 
--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -320,20 +320,20 @@
 
 void placement_system::start_waiting(context& ctx)
 {
-    using picker = pick (placement_system::*)();
+    using picker = pick (placement_system::*)(monotonic_time);
     static constexpr picker pickers[] = {
         &placement_system::pick_by_shares, &placement_system::pick_first_come};
     picker next = pickers[static_cast<std::size_t>(policy_.order)];
     while (targets_.count_free() > 0)
     {
-        pick chosen = (this->*next)();
+        pick chosen = (this->*next)(ctx.now);
         if (chosen.team == nullptr)
             return;
         start_from(chosen, ctx);
     }
 }
 
-placement_system::pick placement_system::pick_by_shares()
+placement_system::pick placement_system::pick_by_shares(monotonic_time now)
 {
     team_row* urgent = find_neediest(queue_kind::urgent);
     team_row* slow = find_neediest(queue_kind::slow);
@@ -342,13 +342,18 @@
             slow->account, urgent->account, policy_.share_tolerance))
         return {slow, queue_kind::slow, placement_rule::share_debt};
     if (urgent != nullptr)
+    {
+        team_row* late = find_longest_wait(*urgent, now);
+        if (late != nullptr)
+            return {late, queue_kind::urgent, placement_rule::long_wait};
         return {urgent, queue_kind::urgent, placement_rule::urgent_first};
+    }
     if (slow != nullptr && targets_.count_free() > get_headroom())
         return {slow, queue_kind::slow, placement_rule::spare_capacity};
     return {};
 }
 
-placement_system::pick placement_system::pick_first_come()
+placement_system::pick placement_system::pick_first_come(monotonic_time)
 {
     pick best;
     monotonic_time earliest = monotonic_time::max();
@@ -390,6 +395,25 @@
     return best;
 }
 
+placement_system::team_row* placement_system::find_longest_wait(
+    team_row& neediest, monotonic_time now)
+{
+    team_row* best = nullptr;
+    monotonic_time earliest = now - policy_.urgent_patience;
+    for (auto& [id, team] : teams_)
+    {
+        const task_order& queue = team.get_queue(queue_kind::urgent);
+        if (queue.empty() || team.is_without_grant || team.is_blocked[0] ||
+            std::get<0>(*queue.begin()) >= earliest ||
+            shares_.is_behind(
+                neediest.account, team.account, policy_.share_tolerance))
+            continue;
+        earliest = std::get<0>(*queue.begin());
+        best = &team;
+    }
+    return best;
+}
+
 void placement_system::start_from(const pick& chosen, context& ctx)
 {
     team_row& team = *chosen.team;
--- a/systems/placement_system.hpp
+++ b/systems/placement_system.hpp
@@ -163,9 +163,12 @@
     void end_tick(context& ctx);
     bool take_grant(team_row& team, context& ctx);
 
-    pick pick_by_shares();
-    pick pick_first_come();
+    pick pick_by_shares(monotonic_time now);
+    pick pick_first_come(monotonic_time now);
     team_row* find_neediest(queue_kind kind);
+    /// @return the team whose urgent work waits longest beyond patience, of
+    ///   those that are not far ahead of `neediest`; null if there is none.
+    team_row* find_longest_wait(team_row& neediest, monotonic_time now);
     void start_from(const pick& chosen, context& ctx);
     void start(task_row& row, const placement_targets::choice& where,
         placement_rule rule, context& ctx);
@@ -176,9 +179,13 @@
     void take_due_steps(context& ctx);
     void resume_one(context& ctx);
     std::uint32_t count_needed(monotonic_time now) const;
-    bool preempt_for(team_row& urgent, context& ctx);
-    task_row* choose_victim(
-        team_row& urgent, const task_row& head, std::uint32_t& candidates);
+    using ranked_teams = std::vector<std::pair<double, team_row*>>;
+    /// Least served first.
+    ranked_teams rank_teams(bool (*is_included)(const team_row&));
+    bool preempt_for(
+        team_row& urgent, const ranked_teams& victims, context& ctx);
+    task_row* choose_victim(team_row& urgent, const task_row& head,
+        const ranked_teams& victims, std::uint32_t& candidates);
     static task_row* choose_victim_of(
         team_row& team, const task_row& head, std::uint32_t& candidates);
     void add_victim(task_row& row);
--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -35,7 +35,7 @@
 
 placement_targets::placement_targets(const placement_policy& policy)
     : choice_(policy.choice), refusal_pause_(policy.refusal_pause),
-      random_(policy.seed), too_large_{unlimited, unlimited}
+      random_(policy.seed)
 {
 }
 
@@ -86,16 +86,9 @@
     using chooser = choice (placement_targets::*)(const placement_task&);
     static constexpr chooser choosers[] = {
         &placement_targets::choose_spread, &placement_targets::choose_random};
-    auto kind = static_cast<std::size_t>(task.kind);
-    std::uint64_t memory = task.memory.get();
-    if (memory != 0 && memory >= too_large_[kind])
+    if (room_.empty() || task.memory.get() > *room_.rbegin())
         return {};
-    choice found = (this->*choosers[static_cast<std::size_t>(choice_)])(task);
-    // Only the size speaks against an idempotent task on an open target.
-    if (found.target == nullptr && memory != 0 && task.is_idempotent &&
-        task.avoid.empty())
-        too_large_[kind] = memory;
-    return found;
+    return (this->*choosers[static_cast<std::size_t>(choice_)])(task);
 }
 
 placement_targets::choice placement_targets::choose_spread(
@@ -203,7 +196,6 @@
 
 void placement_targets::begin_tick(monotonic_time now)
 {
-    too_large_[0] = too_large_[1] = unlimited;
     std::erase_if(paused_,
         [&](const auto& pause)
         {
@@ -243,6 +235,13 @@
            row.target.health != target_health_state::set_aside;
 }
 
+std::uint64_t placement_targets::get_room(const row& row)
+{
+    std::uint64_t memory = memory_of(row.target);
+    return memory == unlimited ? unlimited
+                               : memory - std::min(memory, row.memory_used);
+}
+
 std::uint32_t placement_targets::count_free_slots(const row& row) const
 {
     std::uint32_t used = row.tasks + row.foreign;
@@ -272,6 +271,7 @@
     if (!row.is_open)
         return;
     row.is_open = false;
+    room_.erase(room_.find(row.room));
     urgent_order_.erase(row.urgent_key);
     slow_order_.erase(row.slow_key);
     open_[row.open_position] = open_.back();
@@ -289,6 +289,8 @@
     // that it is tested on work that can wait for a retry.
     row.urgent_key = {is_probation ? 1 : 0, rack_load, load, row.number};
     row.slow_key = {is_probation ? 0 : 1, 0, load, row.number};
+    row.room = get_room(row);
+    room_.insert(row.room);
     urgent_order_.emplace(row.urgent_key, &row);
     slow_order_.emplace(row.slow_key, &row);
     row.open_position = static_cast<std::uint32_t>(open_.size());
--- a/systems/placement_targets.hpp
+++ b/systems/placement_targets.hpp
@@ -39,6 +39,7 @@
         bool is_paused = false; ///< After a refused start.
         std::uint32_t free = 0; ///< Slots counted as free.
         bool is_open = false;   ///< In the index.
+        std::uint64_t room = 0; ///< Free memory as noted in the index.
         order_key urgent_key;
         order_key slow_key;
         std::uint32_t open_position = 0;
@@ -68,7 +69,7 @@
     void vacate(row& row, const placement_task& task, bool was_starting);
     void on_refused(row& row, start_refusal reason, monotonic_time now);
 
-    /// Ends pauses, and forgets which sizes did not fit.
+    /// Ends pauses that are over.
     void begin_tick(monotonic_time now);
 
     /// @return whether some target has that much memory when empty; true as
@@ -88,6 +89,7 @@
     choice choose_random(const placement_task& task);
     bool is_fit(const row& row, const placement_task& task) const;
     bool is_usable(const row& row) const;
+    static std::uint64_t get_room(const row& row);
     std::uint32_t count_free_slots(const row& row) const;
     void close(row& row);
     void open(row& row);
@@ -108,8 +110,8 @@
     std::vector<row*> open_;
     std::multiset<std::uint64_t> memories_;
     std::vector<std::pair<monotonic_time, instance_id>> paused_;
-    /// Smallest size that fitted nowhere in this tick, by kind.
-    std::uint64_t too_large_[2];
+    /// Free memory of the open targets; shows at once what fits nowhere.
+    std::multiset<std::uint64_t> room_;
     std::uint32_t next_number_ = 0;
     std::uint32_t free_ = 0;
     std::uint32_t usable_ = 0;
--- a/systems/placement_types.hpp
+++ b/systems/placement_types.hpp
@@ -89,6 +89,7 @@
 enum class placement_rule
 {
     urgent_first,       ///< start: urgent work precedes slow work.
+    long_wait,          ///< start: urgent work near its start bound.
     spare_capacity,     ///< start: slow work, more than the headroom is free.
     share_debt,         ///< start: slow work of a team far below its share.
     first_come,         ///< start: baseline order by arrival.
