--- a/systems/placement_policy.hpp
+++ b/systems/placement_policy.hpp
@@ -25,16 +25,19 @@
 {
     work_order order = work_order::urgent_then_shares;
     target_choice choice = target_choice::spread;
-    /// Part of the slots that slow work leaves free for urgent work. One
-    /// eighth is one slot of each target.
+    /// Largest part of the slots that slow work leaves free for urgent work.
+    /// One eighth is one slot of each target.
     double headroom = 0.125;
+    /// The headroom follows the urgent work that runs, up to `headroom`.
+    bool is_headroom_adaptive = true;
     bool is_preemptive = true;
     /// Tasks of a team that may wait, for each kind; about 300 bytes each.
     /// With 72 teams a pool then holds at most 43 MB.
     std::uint32_t max_waiting = 1'000;
-    /// A victim stays throttled for so long before its checkpoint begins, as
-    /// a slot often frees by itself in that time.
-    milliseconds checkpoint_after{100};
+    /// A victim stays throttled for so long before its checkpoint begins. A
+    /// throttled task makes no progress in its slot, so a longer time costs
+    /// more work than the resumed victims save.
+    milliseconds checkpoint_after{0};
     /// A victim is stopped without a checkpoint after so long; together with
     /// `checkpoint_after` and a start this stays below the bound of 2.2 s.
     milliseconds stop_after{1000};
@@ -45,6 +48,13 @@
     /// share, so that a burst of a large team stays within the start bound of
     /// 2.2 s while the others can bear it.
     milliseconds urgent_patience{500};
+    /// A slow task that is too large for the room on every target gets a
+    /// target reserved after so long, as smaller tasks would keep it out for
+    /// ever. One target of a pool is reserved at a time. Urgent tasks get no
+    /// reservation: the slots that it idles in a burst make more of them late
+    /// than it helps.
+    milliseconds reserve_after{30'000};
+    bool reserves = true;
     /// No task is placed on a target for so long after it refused a start,
     /// unless it reports in the meantime.
     milliseconds refusal_pause{500};
--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -231,6 +231,7 @@
         .erase({row.task.arrival, row.sequence, &row});
     deadlines_.erase({row.task.deadline, row.sequence, &row});
     --waiting_count_[static_cast<std::size_t>(row.task.kind)];
+    targets_.release(row.task);
 }
 
 void placement_system::occupy(task_row& row, placement_targets::row& target,
@@ -324,6 +325,7 @@
     static constexpr picker pickers[] = {
         &placement_system::pick_by_shares, &placement_system::pick_first_come};
     picker next = pickers[static_cast<std::size_t>(policy_.order)];
+    start_reserved(ctx);
     while (targets_.count_free() > 0)
     {
         pick chosen = (this->*next)(ctx.now);
@@ -425,7 +427,10 @@
         task_row& row = *std::get<2>(key);
         auto where = targets_.choose(row.task);
         if (where.target == nullptr)
+        {
+            consider_reservation(row, ctx.now);
             continue;
+        }
         if (take_grant(team, ctx))
             start(row, where, chosen.rule, ctx);
         return;
@@ -433,6 +438,26 @@
     team.is_blocked[static_cast<std::size_t>(chosen.kind)] = true;
 }
 
+void placement_system::start_reserved(context& ctx)
+{
+    const placement_task* task = targets_.get_reserved();
+    if (task == nullptr)
+        return;
+    task_row& row = *find_task(task->id);
+    auto where = targets_.choose_reserved(*task);
+    if (where.target != nullptr && take_grant(*row.team, ctx))
+        start(row, where, placement_rule::reservation, ctx);
+}
+
+void placement_system::consider_reservation(
+    const task_row& row, monotonic_time now)
+{
+    bool is_due = policy_.reserves && row.task.kind == queue_kind::slow &&
+                  now - row.task.arrival >= policy_.reserve_after;
+    if (is_due && targets_.is_too_large_now(row.task))
+        targets_.reserve(row.task);
+}
+
 bool placement_system::take_grant(team_row& team, context& ctx)
 {
     if (team.held_grants > 0)
@@ -464,8 +489,12 @@
 
 std::uint32_t placement_system::get_headroom() const
 {
-    return static_cast<std::uint32_t>(
+    auto highest = static_cast<std::uint32_t>(
         std::ceil(targets_.count_usable() * policy_.headroom));
+    // Slots kept free cost every team a part of its share, so few are kept
+    // while little urgent work runs.
+    std::uint32_t wanted = 1 + targets_.count_urgent() / 2;
+    return policy_.is_headroom_adaptive ? std::min(highest, wanted) : highest;
 }
 
 void placement_system::end_tick(context& ctx)
--- a/systems/placement_system.hpp
+++ b/systems/placement_system.hpp
@@ -170,6 +170,8 @@
     ///   those that are not far ahead of `neediest`; null if there is none.
     team_row* find_longest_wait(team_row& neediest, monotonic_time now);
     void start_from(const pick& chosen, context& ctx);
+    void start_reserved(context& ctx);
+    void consider_reservation(const task_row& row, monotonic_time now);
     void start(task_row& row, const placement_targets::choice& where,
         placement_rule rule, context& ctx);
     std::uint32_t get_headroom() const;
--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace cowslippass
 {
@@ -70,6 +71,8 @@
     row* row = find(id);
     if (row == nullptr || row->is_removed)
         return;
+    if (row == reserved_)
+        drop_reservation();
     forget(*row);
     row->is_removed = true;
     erase_if_gone(*row);
@@ -86,7 +89,7 @@
     using chooser = choice (placement_targets::*)(const placement_task&);
     static constexpr chooser choosers[] = {
         &placement_targets::choose_spread, &placement_targets::choose_random};
-    if (room_.empty() || task.memory.get() > *room_.rbegin())
+    if (is_too_large_now(task))
         return {};
     return (this->*choosers[static_cast<std::size_t>(choice_)])(task);
 }
@@ -132,13 +135,76 @@
     return found;
 }
 
+bool placement_targets::is_too_large_now(const placement_task& task) const
+{
+    const auto& room =
+        task.kind == queue_kind::urgent ? urgent_room_ : slow_room_;
+    return room.empty() || task.memory.get() > *room.rbegin();
+}
+
+bool placement_targets::reserve(const placement_task& task)
+{
+    if (reserved_ != nullptr)
+        return false;
+    row* best = nullptr;
+    for (auto& [id, row] : rows_)
+    {
+        bool is_candidate = is_usable(row) &&
+                            row.target.health == target_health_state::sound &&
+                            task.memory.get() <= memory_of(row.target);
+        if (!is_candidate)
+            continue;
+        if (best == nullptr || get_room(row) > get_room(*best))
+            best = &row;
+    }
+    if (best == nullptr)
+        return false;
+    best->reserved_for = &task;
+    reserved_ = best;
+    reindex(*best);
+    return true;
+}
+
+void placement_targets::release(const placement_task& task)
+{
+    if (get_reserved() == &task)
+        drop_reservation();
+}
+
+const placement_task* placement_targets::get_reserved() const
+{
+    return reserved_ == nullptr ? nullptr : reserved_->reserved_for;
+}
+
+placement_targets::choice placement_targets::choose_reserved(
+    const placement_task& task) const
+{
+    bool is_ready =
+        reserved_ != nullptr && reserved_->is_open && is_fit(*reserved_, task);
+    return is_ready ? choice{reserved_, 1} : choice{nullptr, 1};
+}
+
+void placement_targets::drop_reservation()
+{
+    row& row = *std::exchange(reserved_, nullptr);
+    row.reserved_for = nullptr;
+    reindex(row);
+}
+
+bool placement_targets::is_blocked_by_slow(const row& row) const
+{
+    return row.slow_memory + row.reserved_for->memory.get() >
+           memory_of(row.target);
+}
+
 bool placement_targets::would_fit(
     const row& row, const placement_task& task, byte_count victim_memory)
 {
     const placement_target& target = row.target;
     if (row.is_removed || target.state != instance_state::in_service)
         return false;
-    if (target.health != target_health_state::sound)
+    if (target.health != target_health_state::sound ||
+        row.reserved_for != nullptr)
         return false;
     std::uint64_t used =
         row.memory_used - std::min(row.memory_used, victim_memory.get());
@@ -151,6 +217,8 @@
     ++row.tasks;
     row.starting += is_starting ? 1 : 0;
     row.memory_used += task.memory.get();
+    if (task.kind == queue_kind::slow)
+        row.slow_memory += task.memory.get();
     if (task.kind == queue_kind::urgent)
         change_urgent(row, 1);
     reindex(row);
@@ -168,6 +236,8 @@
     --row.tasks;
     row.starting -= was_starting ? 1 : 0;
     row.memory_used -= task.memory.get();
+    if (task.kind == queue_kind::slow)
+        row.slow_memory -= task.memory.get();
     if (task.kind == queue_kind::urgent)
         change_urgent(row, -1);
     reindex(row);
@@ -196,6 +266,14 @@
 
 void placement_targets::begin_tick(monotonic_time now)
 {
+    bool is_useless =
+        reserved_ != nullptr &&
+        (!is_usable(*reserved_) ||
+            reserved_->target.health != target_health_state::sound ||
+            reserved_->reserved_for->memory.get() >
+                memory_of(reserved_->target));
+    if (is_useless)
+        drop_reservation();
     std::erase_if(paused_,
         [&](const auto& pause)
         {
@@ -222,6 +300,11 @@
     bool is_proved = row.target.health == target_health_state::sound;
     if (!is_proved && !task.is_idempotent)
         return false;
+    bool is_for_other =
+        row.reserved_for != nullptr && row.reserved_for != &task;
+    if (is_for_other &&
+        (task.kind == queue_kind::slow || !is_blocked_by_slow(row)))
+        return false;
     bool is_avoided = std::find(task.avoid.begin(), task.avoid.end(),
                           row.target.id) != task.avoid.end();
     if (is_avoided && task.avoid.size() < rows_.size())
@@ -271,9 +354,13 @@
     if (!row.is_open)
         return;
     row.is_open = false;
-    room_.erase(room_.find(row.room));
+    urgent_room_.erase(urgent_room_.find(row.room));
     urgent_order_.erase(row.urgent_key);
-    slow_order_.erase(row.slow_key);
+    if (std::exchange(row.is_open_for_slow, false))
+    {
+        slow_room_.erase(slow_room_.find(row.room));
+        slow_order_.erase(row.slow_key);
+    }
     open_[row.open_position] = open_.back();
     open_[row.open_position]->open_position = row.open_position;
     open_.pop_back();
@@ -290,9 +377,14 @@
     row.urgent_key = {is_probation ? 1 : 0, rack_load, load, row.number};
     row.slow_key = {is_probation ? 0 : 1, 0, load, row.number};
     row.room = get_room(row);
-    room_.insert(row.room);
+    urgent_room_.insert(row.room);
     urgent_order_.emplace(row.urgent_key, &row);
-    slow_order_.emplace(row.slow_key, &row);
+    row.is_open_for_slow = row.reserved_for == nullptr;
+    if (row.is_open_for_slow)
+    {
+        slow_room_.insert(row.room);
+        slow_order_.emplace(row.slow_key, &row);
+    }
     row.open_position = static_cast<std::uint32_t>(open_.size());
     row.is_open = true;
     open_.push_back(&row);
@@ -301,6 +393,7 @@
 void placement_targets::change_urgent(row& row, int by)
 {
     row.urgent += by;
+    urgent_ += by;
     if (row.rack == nullptr)
         return;
     row.rack->urgent += by;
--- a/systems/placement_targets.hpp
+++ b/systems/placement_targets.hpp
@@ -35,10 +35,14 @@
         std::uint32_t urgent = 0;   ///< Of these, urgent.
         std::uint32_t foreign = 0;  ///< Tasks that others placed.
         std::uint64_t memory_used = 0;
+        std::uint64_t slow_memory = 0; ///< Of it, by slow tasks.
+        /// Null if the target is not reserved.
+        const placement_task* reserved_for = nullptr;
         bool is_removed = false;
         bool is_paused = false; ///< After a refused start.
         std::uint32_t free = 0; ///< Slots counted as free.
-        bool is_open = false;   ///< In the index.
+        bool is_open = false;   ///< In the urgent order.
+        bool is_open_for_slow = false;
         std::uint64_t room = 0; ///< Free memory as noted in the index.
         order_key urgent_key;
         order_key slow_key;
@@ -59,6 +63,20 @@
     /// Finds a target with room for the task, by the policy's choice.
     choice choose(const placement_task& task);
 
+    /// @return whether no open target has room for the task.
+    bool is_too_large_now(const placement_task& task) const;
+
+    /// Keeps the target with most free memory for a slow task until it starts
+    /// or `release` is called. Urgent tasks may still use the target while
+    /// other slow tasks block it anyway.
+    /// @return false when there is a reservation or no target qualifies.
+    bool reserve(const placement_task& task);
+    void release(const placement_task& task);
+    /// @return the task that the reservation is for, or null.
+    const placement_task* get_reserved() const;
+    /// @return the reserved target if the task fits there now.
+    choice choose_reserved(const placement_task& task) const;
+
     /// @return whether the task would fit if `victim_memory` and one slot
     ///   were free.
     static bool would_fit(
@@ -79,6 +97,8 @@
     std::uint32_t count_free() const { return free_; }
     /// @return slots of targets that are in service and not set aside.
     std::uint32_t count_usable() const { return usable_; }
+    /// @return urgent tasks on all targets.
+    std::uint32_t count_urgent() const { return urgent_; }
     std::uint32_t count_rows() const
     {
         return static_cast<std::uint32_t>(rows_.size());
@@ -98,6 +118,8 @@
     void join_rack(row& row);
     /// Takes the row out of the index, its rack and the sums.
     void forget(row& row);
+    bool is_blocked_by_slow(const row& row) const;
+    void drop_reservation();
     void erase_if_gone(row& row);
 
     target_choice choice_;
@@ -110,11 +132,15 @@
     std::vector<row*> open_;
     std::multiset<std::uint64_t> memories_;
     std::vector<std::pair<monotonic_time, instance_id>> paused_;
-    /// Free memory of the open targets; shows at once what fits nowhere.
-    std::multiset<std::uint64_t> room_;
+    /// Free memory of the targets in each order; shows at once what fits
+    /// nowhere.
+    std::multiset<std::uint64_t> urgent_room_;
+    std::multiset<std::uint64_t> slow_room_;
+    row* reserved_ = nullptr;
     std::uint32_t next_number_ = 0;
     std::uint32_t free_ = 0;
     std::uint32_t usable_ = 0;
+    std::uint32_t urgent_ = 0;
 };
 
 } // namespace cowslippass
--- a/systems/placement_types.cpp
+++ b/systems/placement_types.cpp
@@ -26,9 +26,9 @@
 
 const char* to_string(placement_rule rule)
 {
-    static constexpr std::array<const char*, 14> names{"urgent_first",
-        "long_wait", "spare_capacity", "share_debt", "first_come",
-        "urgent_waits", "checkpoint_done", "checkpoint_overdue",
+    static constexpr std::array<const char*, 15> names{"urgent_first",
+        "long_wait", "spare_capacity", "share_debt", "reservation",
+        "first_come", "urgent_waits", "checkpoint_done", "checkpoint_overdue",
         "urgent_served", "cancelled", "deadline_passed", "fits_no_target",
         "team_queue_full", "duplicate_task"};
     return get_name(names, rule);
--- a/systems/placement_types.hpp
+++ b/systems/placement_types.hpp
@@ -92,6 +92,7 @@
     long_wait,          ///< start: urgent work near its start bound.
     spare_capacity,     ///< start: slow work, more than the headroom is free.
     share_debt,         ///< start: slow work of a team far below its share.
+    reservation,        ///< start: large task on its reserved target.
     first_come,         ///< start: baseline order by arrival.
     urgent_waits,       ///< throttle, checkpoint: a slot is needed.
     checkpoint_done,    ///< stop: the checkpoint is stored.
