--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -8,15 +8,6 @@
 namespace cowslippass
 {
 
-namespace
-{
-
-/// Tasks of a queue that are tried when the first does not fit, so that one
-/// large task does not hold up the small ones behind it.
-constexpr int look_ahead = 8;
-
-} // namespace
-
 placement_system::task_order& placement_system::team_row::get_queue(
     queue_kind kind)
 {
@@ -81,7 +72,7 @@
 {
     if (tasks_.contains(task.id))
         return placement_rule::duplicate_task;
-    if (!targets_.can_ever_fit(task.memory))
+    if (policy_.refuses_misfits && !targets_.can_ever_fit(task.memory))
         return placement_rule::fits_no_target;
     if (get_team(task.team).get_queue(task.kind).size() >= policy_.max_waiting)
         return placement_rule::team_queue_full;
@@ -240,6 +231,7 @@
         .erase({row.task.arrival, row.sequence, &row});
     deadlines_.erase({row.task.deadline, row.sequence, &row});
     --waiting_count_[static_cast<std::size_t>(row.task.kind)];
+    targets_.release(row.task);
 }
 
 void placement_system::occupy(task_row& row, placement_targets::row& target,
@@ -329,20 +321,21 @@
 
 void placement_system::start_waiting(context& ctx)
 {
-    using picker = pick (placement_system::*)();
+    using picker = pick (placement_system::*)(monotonic_time);
     static constexpr picker pickers[] = {
         &placement_system::pick_by_shares, &placement_system::pick_first_come};
     picker next = pickers[static_cast<std::size_t>(policy_.order)];
+    start_reserved(ctx);
     while (targets_.count_free() > 0)
     {
-        pick chosen = (this->*next)();
+        pick chosen = (this->*next)(ctx.now);
         if (chosen.team == nullptr)
             return;
         start_from(chosen, ctx);
     }
 }
 
-placement_system::pick placement_system::pick_by_shares()
+placement_system::pick placement_system::pick_by_shares(monotonic_time now)
 {
     team_row* urgent = find_neediest(queue_kind::urgent);
     team_row* slow = find_neediest(queue_kind::slow);
@@ -351,13 +344,18 @@
             slow->account, urgent->account, policy_.share_tolerance))
         return {slow, queue_kind::slow, placement_rule::share_debt};
     if (urgent != nullptr)
+    {
+        team_row* late = find_longest_wait(*urgent, now);
+        if (late != nullptr)
+            return {late, queue_kind::urgent, placement_rule::long_wait};
         return {urgent, queue_kind::urgent, placement_rule::urgent_first};
+    }
     if (slow != nullptr && targets_.count_free() > get_headroom())
         return {slow, queue_kind::slow, placement_rule::spare_capacity};
     return {};
 }
 
-placement_system::pick placement_system::pick_first_come()
+placement_system::pick placement_system::pick_first_come(monotonic_time)
 {
     pick best;
     monotonic_time earliest = monotonic_time::max();
@@ -399,10 +397,29 @@
     return best;
 }
 
+placement_system::team_row* placement_system::find_longest_wait(
+    team_row& neediest, monotonic_time now)
+{
+    team_row* best = nullptr;
+    monotonic_time earliest = now - policy_.urgent_patience;
+    for (auto& [id, team] : teams_)
+    {
+        const task_order& queue = team.get_queue(queue_kind::urgent);
+        if (queue.empty() || team.is_without_grant || team.is_blocked[0] ||
+            std::get<0>(*queue.begin()) >= earliest ||
+            shares_.is_behind(
+                neediest.account, team.account, policy_.share_tolerance))
+            continue;
+        earliest = std::get<0>(*queue.begin());
+        best = &team;
+    }
+    return best;
+}
+
 void placement_system::start_from(const pick& chosen, context& ctx)
 {
     team_row& team = *chosen.team;
-    int tries = look_ahead;
+    int tries = policy_.look_ahead;
     for (const time_key& key : team.get_queue(chosen.kind))
     {
         if (tries-- == 0)
@@ -410,7 +427,10 @@
         task_row& row = *std::get<2>(key);
         auto where = targets_.choose(row.task);
         if (where.target == nullptr)
+        {
+            consider_reservation(row, ctx.now);
             continue;
+        }
         if (take_grant(team, ctx))
             start(row, where, chosen.rule, ctx);
         return;
@@ -418,6 +438,26 @@
     team.is_blocked[static_cast<std::size_t>(chosen.kind)] = true;
 }
 
+void placement_system::start_reserved(context& ctx)
+{
+    const placement_task* task = targets_.get_reserved();
+    if (task == nullptr)
+        return;
+    task_row& row = *find_task(task->id);
+    auto where = targets_.choose_reserved(*task);
+    if (where.target != nullptr && take_grant(*row.team, ctx))
+        start(row, where, placement_rule::reservation, ctx);
+}
+
+void placement_system::consider_reservation(
+    const task_row& row, monotonic_time now)
+{
+    bool is_due = policy_.reserves && row.task.kind == queue_kind::slow &&
+                  now - row.task.arrival >= policy_.reserve_after;
+    if (is_due && targets_.is_too_large_now(row.task))
+        targets_.reserve(row.task);
+}
+
 bool placement_system::take_grant(team_row& team, context& ctx)
 {
     if (team.held_grants > 0)
@@ -449,8 +489,12 @@
 
 std::uint32_t placement_system::get_headroom() const
 {
-    return static_cast<std::uint32_t>(
+    auto highest = static_cast<std::uint32_t>(
         std::ceil(targets_.count_usable() * policy_.headroom));
+    // Slots kept free cost every team a part of its share, so few are kept
+    // while little urgent work runs.
+    std::uint32_t wanted = 1 + targets_.count_urgent() / 2;
+    return policy_.is_headroom_adaptive ? std::min(highest, wanted) : highest;
 }
 
 void placement_system::end_tick(context& ctx)
