--- a/tests/systems/maintenance_planner_test.cpp
+++ b/tests/systems/maintenance_planner_test.cpp
@@ -111,17 +111,23 @@
     return fleet;
 }
 
+/// `inRange` alone stays near its lower end in the first cases of a property.
+int pick_between(int low, int beyond)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(low, beyond));
+}
+
 fleet_model make_random_fleet()
 {
     fleet_model fleet;
-    auto pools = *rc::gen::inRange(1, 4);
+    auto pools = pick_between(1, 4);
     for (int i = 0; i < pools; ++i)
-        fleet.add_pool("p" + std::to_string(i), *rc::gen::inRange(1, 4), false);
-    fleet.add_pool("spare", *rc::gen::inRange(1, 3), true);
-    auto instances = *rc::gen::inRange(4, 24);
+        fleet.add_pool("p" + std::to_string(i), pick_between(1, 4), false);
+    fleet.add_pool("spare", pick_between(1, 3), true);
+    auto instances = pick_between(4, 24);
     for (int i = 0; i < instances; ++i)
     {
-        int pool = *rc::gen::inRange(0, pools + 1);
+        int pool = pick_between(0, pools + 1);
         fleet.add_instance("i" + std::to_string(i),
             pool == pools ? "spare" : "p" + std::to_string(pool),
             "dc" + std::to_string(i % 2), "r" + std::to_string(i / 4));
@@ -132,8 +138,8 @@
 template <class Rows>
 auto pick(const Rows& rows)
 {
-    auto n = *rc::gen::inRange<std::size_t>(0, rows.size());
-    return std::next(rows.begin(), static_cast<long>(n));
+    return std::next(
+        rows.begin(), pick_between(0, static_cast<int>(rows.size())));
 }
 
 /// Mostly a report that makes the planner go on.
@@ -153,7 +159,7 @@
     const auto [id, row] = *pick(fleet.state.get_instances());
     bool is_drained =
         row.state == instance_state::out || row.state == instance_state::failed;
-    switch (*rc::gen::inRange(0, 9))
+    switch (pick_between(0, 9))
     {
     case 0:
     case 1:
@@ -179,7 +185,7 @@
         break;
     }
     case 6:
-        fleet.now += std::chrono::weeks(*rc::gen::inRange(0, 3));
+        fleet.now += std::chrono::weeks(pick_between(0, 3));
         break;
     default:
         for (const auto& [other, it] : fleet.state.get_instances())
@@ -233,7 +239,7 @@
     maintenance_planner, budgets_hold_and_every_instance_is_maintained, ())
 {
     fleet_model fleet = make_random_fleet();
-    auto steps = *rc::gen::inRange(0, 60);
+    auto steps = pick_between(0, 60);
     for (int i = 0; i < steps; ++i)
     {
         inject_fault(fleet);
