Keep one active data centre in a plan; do not take up a released lease

Planner, case 11,626 of 20,000: after reboots in one data centre the tie between two was decided again and drains started in the other. Lease keeper, case 37,524 of 50,000: a holder that had sent a release took the released version for its own again and believed to hold the lease next to its successor; its writes would have failed. The lease test no longer hands a reply that was given up to a later transaction.

--- a/systems/lease_keeper.cpp
+++ b/systems/lease_keeper.cpp
@@ -61,8 +61,10 @@
         attempt_.reset();
         return;
     }
-    // A transaction whose reply was lost took effect, as the row changed.
-    if (attempt_ && it.version != attempt_->base)
+    // A transaction whose reply was lost took effect, as the row changed. A
+    // version that was given back is not taken up again, as the release may
+    // still arrive.
+    if (attempt_ && it.version != attempt_->base && it.version != released_)
         set_held(it.version, *attempt_);
     attempt_.reset();
 }
@@ -102,6 +104,7 @@
     if (held_version_.get() == 0)
         return std::nullopt;
     transaction tx = make_transaction(held_version_, {session_id(0), fencing_});
+    released_ = held_version_;
     held_version_ = row_version(0);
     attempt_.reset();
     read_.reset();
--- a/systems/lease_keeper.hpp
+++ b/systems/lease_keeper.hpp
@@ -90,6 +90,7 @@
     std::optional<monotonic_time> seen_since_;
     std::optional<attempt> attempt_; ///< Sent; the outcome is not known.
     row_version held_version_{0};    ///< 0 when the lease is not held.
+    row_version released_{0};        ///< Version that the last release is for.
     fencing_number fencing_{0};
     monotonic_time held_until_{};
 };
--- a/systems/maintenance_planner.cpp
+++ b/systems/maintenance_planner.cpp
@@ -30,7 +30,7 @@
 
     std::vector<maintenance_decision> run()
     {
-        active_ = view_.find_active_data_centre();
+        active_ = view_.find_active_data_centre({});
         finish_steps();
         exchange_.start_drains();
         start_waves();
@@ -103,7 +103,7 @@
     ///   to do, else that of the latest pool.
     std::optional<data_centre_id> choose_data_centre()
     {
-        if (auto active = view_.find_active_data_centre())
+        if (auto active = view_.find_active_data_centre(active_))
             return active;
         std::optional<data_centre_id> best;
         std::tuple<bool, double> best_rank{false, -1.0};
--- a/systems/maintenance_view.hpp
+++ b/systems/maintenance_view.hpp
@@ -93,9 +93,11 @@
     /// Exchanges the pools of a drained and of a lost member.
     void exchange(member_view& drained, member_view& lost);
 
+    /// @param former kept as long as maintenance is under way there.
     /// @return the data centre with the most maintenance under way, or
     ///   nothing.
-    std::optional<data_centre_id> find_active_data_centre() const;
+    std::optional<data_centre_id> find_active_data_centre(
+        const std::optional<data_centre_id>& former) const;
 
 private:
     void add_member(const instance_id& id, const instance_row& row,
--- a/tests/systems/lease_keeper_test.cpp
+++ b/tests/systems/lease_keeper_test.cpp
@@ -53,7 +53,9 @@
 
     session_id session;
     lease_keeper keeper;
-    bool is_waiting = false; ///< For the reply to a transaction of `plan`.
+    /// Number of the message with a transaction of `plan` whose reply is
+    /// awaited. A reply after the time-out is dropped.
+    std::optional<std::uint64_t> awaited;
     std::optional<row> read; ///< An answer that has not arrived.
     monotonic_time read_sent{};
 };
@@ -70,6 +72,7 @@
     std::size_t sender;
     transaction tx;
     message_kind kind;
+    std::uint64_t number = 0;
 };
 
 /// Processes, the table, and transactions on their way, in any order.
@@ -106,12 +109,12 @@
     void plan(std::size_t i)
     {
         process& it = processes[i];
-        if (it.is_waiting)
+        if (it.awaited)
             return;
         if (auto tx = it.keeper.plan(now))
         {
-            messages.push_back({i, *tx, message_kind::keep});
-            it.is_waiting = true;
+            it.awaited = ++last_number_;
+            messages.push_back({i, *tx, message_kind::keep, *it.awaited});
         }
     }
 
@@ -140,13 +143,13 @@
         auto version = table.commit(it.tx);
         if (it.kind == message_kind::work)
             note_work(it, version);
-        if (it.kind != message_kind::keep)
+        if (processes[it.sender].awaited != it.number)
             return;
         auto outcome = version ? transaction_outcome::committed
                                : transaction_outcome::conflict;
         if (is_reply_lost)
             outcome = transaction_outcome::unknown;
-        processes[it.sender].is_waiting = false;
+        processes[it.sender].awaited.reset();
         processes[it.sender].keeper.on_result(
             outcome, version.value_or(row_version(0)));
     }
@@ -154,9 +157,9 @@
     /// The sender gives up on a transaction that may still arrive.
     void time_out(std::size_t i)
     {
-        if (!processes[i].is_waiting)
+        if (!processes[i].awaited)
             return;
-        processes[i].is_waiting = false;
+        processes[i].awaited.reset();
         processes[i].keeper.on_result(
             transaction_outcome::unknown, row_version(0));
     }
@@ -181,14 +184,15 @@
             return;
         auto fencing = std::stoull(*it.tx.writes[0].value);
         session_id session = processes[it.sender].session;
-        RC_ASSERT(fencing >= last_fencing);
+        RC_ASSERT(fencing >= last_fencing_);
         RC_ASSERT(
-            holders.try_emplace(fencing, session).first->second == session);
-        last_fencing = fencing;
+            holders_.try_emplace(fencing, session).first->second == session);
+        last_fencing_ = fencing;
     }
 
-    std::uint64_t last_fencing = 0;
-    std::map<std::uint64_t, session_id> holders;
+    std::uint64_t last_number_ = 0;
+    std::uint64_t last_fencing_ = 0;
+    std::map<std::uint64_t, session_id> holders_;
 };
 
 /// `inRange` alone stays near its lower end in the first cases of a property.
@@ -203,7 +207,7 @@
 {
     model.read(i);
     model.plan(i);
-    if (!model.messages.empty() && model.processes[i].is_waiting)
+    if (!model.messages.empty() && model.processes[i].awaited)
         model.deliver(model.messages.size() - 1, false);
 }
 
