--- /dev/null
+++ b/bench/maintenance/maintenance_main.cpp
@@ -0,0 +1,111 @@
+#include "bench/maintenance/by_name_strategy.hpp"
+#include "bench/maintenance/fleet_simulation.hpp"
+#include "systems/maintenance_planner.hpp"
+
+#include <cstdio>
+#include <gflags/gflags.h>
+#include <limits>
+
+DEFINE_int32(days, 7, "simulated days");
+DEFINE_int32(runs, 3, "seeds per fleet; the table has means");
+DEFINE_string(fleet, "", "only the fleets whose name contains this");
+
+namespace cowslippass
+{
+
+namespace
+{
+
+struct candidate
+{
+    const char* name;
+    const maintenance_strategy* strategy;
+    bool has_fixed_buffers;
+};
+
+void add(simulation_result& sum, const simulation_result& it)
+{
+    bool is_done = sum.rollout_hours >= 0 && it.rollout_hours >= 0;
+    sum.rollout_hours = is_done ? sum.rollout_hours + it.rollout_hours : -1;
+    sum.maintained_share += it.maintained_share;
+    sum.moves += it.moves;
+    sum.drains += it.drains;
+    sum.cancelled += it.cancelled;
+    sum.idle_instances += it.idle_instances;
+    sum.idle_during_rollout += it.idle_during_rollout;
+    sum.violating_steps += it.violating_steps;
+    sum.pool_hours_over += it.pool_hours_over;
+    sum.decisions += it.decisions;
+    sum.plans += it.plans;
+    sum.plan_seconds += it.plan_seconds;
+}
+
+void print_row(const fleet_layout& layout, const candidate& candidate,
+    const simulation_result& sum)
+{
+    double n = FLAGS_runs;
+    char rollout[32];
+    if (sum.rollout_hours >= 0)
+        std::snprintf(rollout, sizeof rollout, "%.1f", sum.rollout_hours / n);
+    else
+        std::snprintf(rollout, sizeof rollout, "%.0f%% done",
+            100 * sum.maintained_share / n);
+    std::printf(
+        "| %s | %s | %s | %.1f | %.0f | %.1f | %.1f | %llu | %.2f | %.0f | "
+        "%.2f |\n",
+        layout.name.c_str(), candidate.name, rollout,
+        static_cast<double>(sum.moves) / n, static_cast<double>(sum.drains) / n,
+        static_cast<double>(sum.cancelled) / n, sum.idle_instances / n,
+        static_cast<unsigned long long>(sum.violating_steps),
+        sum.pool_hours_over / n,
+        static_cast<double>(sum.decisions) / sum.plan_seconds,
+        1'000 * sum.plan_seconds / static_cast<double>(sum.plans));
+    std::fflush(stdout);
+}
+
+void measure(const fleet_layout& layout, const candidate& candidate)
+{
+    fleet_layout used = layout;
+    used.has_fixed_buffers = candidate.has_fixed_buffers;
+    simulation_result sum;
+    sum.rollout_hours = 0;
+    for (int i = 0; i < FLAGS_runs; ++i)
+    {
+        fleet_simulation simulation(used, *candidate.strategy,
+            std::chrono::days(FLAGS_days), 1'000 + static_cast<unsigned>(i));
+        add(sum, simulation.run());
+    }
+    print_row(layout, candidate, sum);
+}
+
+void measure_all()
+{
+    maintenance_planner planner;
+    by_name_strategy one_at_a_time(1);
+    by_name_strategy fixed_buffer(std::numeric_limits<std::uint32_t>::max());
+    std::vector<candidate> candidates{
+        {"one at a time by name", &one_at_a_time, false},
+        {"fixed buffer in each pool", &fixed_buffer, true},
+        {"planner", &planner, false}};
+    std::printf("| fleet | strategy | roll-out (h) | moves | drains | "
+                "cancelled | idle instances | violating steps | pool-hours "
+                "over budget | decisions/s | ms per plan |\n"
+                "|---|---|---|---|---|---|---|---|---|---|---|\n");
+    for (const fleet_layout& layout : get_layouts())
+        for (const candidate& it : candidates)
+            if (layout.name.find(FLAGS_fleet) != std::string::npos)
+                measure(layout, it);
+}
+
+} // namespace
+
+} // namespace cowslippass
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(
+        "measures maintenance strategies in simulated time");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    cowslippass::measure_all();
+    return 0;
+}
