--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -130,6 +130,7 @@
     std::uint64_t deadline = read_number(request, "Deadline-Ms");
     if (deadline > 0)
         out.deadline = std::min(out.deadline, milliseconds(deadline));
+    out.is_first_attempt = request.get_header("Request-Attempt") == "first";
     out.payload = request.body;
     return out;
 }
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -36,8 +36,7 @@
           [this](peer_forward request)
           { return run_local(std::move(request)); },
           [this](const pool_id& pool) { return summarize(pool); }),
-      claims_(node_, [this](const pool_id& pool) { return find_runner(pool); }),
-      janitor_(node_, sync_, grants_),
+      claims_(node_), janitor_(node_, sync_, grants_),
       jobs_(node_, grants_, peers_, janitor_,
           [this](const pool_id& pool) { return find_runner(pool); }),
       collector_(node_, peers_),
@@ -279,6 +278,7 @@
     out.queue = request.queue;
     out.payload = request.payload;
     out.run_ms = request.run_ms;
+    out.is_first_attempt = request.is_first_attempt;
     out.max_starts = queue.is_idempotent ? max_idempotent_starts : 1;
     return out;
 }
--- a/main/job_keeper.cpp
+++ b/main/job_keeper.cpp
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <chrono>
+#include <charconv>
 
 namespace cowslippass
 {
@@ -22,17 +22,9 @@
 /// target by whoever takes over.
 constexpr milliseconds commit_time_limit{300'000};
 constexpr milliseconds accept_time_limit{4'000};
-constexpr milliseconds attempt_back_off{1'000};
 /// Refusals of the placement that say nothing about the job.
 constexpr const char* oversized_code = "fits_no_target";
 
-std::int64_t get_unix_ms()
-{
-    return std::chrono::duration_cast<milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 work_result make_json_result(unsigned status, const json& body)
 {
     work_result out;
@@ -56,8 +48,8 @@
 
 json describe(const job_row& job)
 {
-    return {{"job", job.id.get()}, {"state", get_name(job.state)},
-        {"queue", job.queue.get()}, {"attempts", job.attempts},
+    return {{"job", job.order.id.get()}, {"state", get_name(job.state)},
+        {"queue", job.order.queue.get()}, {"attempts", job.attempts},
         {"data_centre", job.data_centre.get()}, {"target", job.target.get()},
         {"reason", job.reason}};
 }
@@ -122,36 +114,36 @@
         co_return make_failure(422, oversized_code,
             "the declared size is larger than every target of the pool",
             run_answer::no);
-    job_row job;
     std::string origin =
         request.team.get() + "/" + queue.id.get() + "/" + request.request.get();
-    job.id = make_job_id(queue.pool, sha256_hex(origin).substr(0, 32));
-    job.team = request.team;
-    job.queue = queue.id;
-    job.pool = queue.pool;
-    job.request = request.request;
-    job.payload_sha256 = sha256_hex(request.payload);
-    job.declared_memory = request.declared_memory;
-    job.run_ms = request.run_ms;
-    job.accepted_unix_ms = get_unix_ms();
-    job.data_centre =
-        choose_place(job.pool, job.id).value_or(node_.config.data_centre);
-    json accepted{{"job", job.id.get()}};
+    job_order order;
+    order.id = make_job_id(queue.pool, sha256_hex(origin).substr(0, 32));
+    order.team = request.team;
+    order.queue = queue.id;
+    order.pool = queue.pool;
+    order.digest = sha256_hex(request.payload);
+    // Payloads that differ never share an object.
+    order.payload = "payloads/" + order.id.get() + "/" + order.digest;
+    order.memory = request.declared_memory;
+    if (!request.run_ms.empty())
+        order.run_time = milliseconds(std::stoll(request.run_ms));
+    data_centre_id place =
+        choose_place(order.pool, order.id).value_or(node_.config.data_centre);
+    json accepted{{"job", order.id.get()}};
     found_job known;
-    lookup looked = co_await read_job(job.id, known);
+    lookup looked = co_await read_job(order.id, known);
     if (looked == lookup::unavailable)
         co_return make_failure(503, "platform_unavailable",
             "the job cannot be stored", run_answer::no);
     if (looked == lookup::found)
     {
-        if (known.job.payload_sha256 != job.payload_sha256)
+        if (known.job.value.order.digest != order.digest)
             co_return make_failure(409, "request_id_reused",
                 "the request id belongs to another payload", run_answer::no);
         co_return make_json_result(202, accepted);
     }
-    std::string object = get_job_payload_name(job);
-    bool is_stored =
-        co_await node_.table.put_object(object, std::move(request.payload));
+    bool is_stored = co_await node_.table.put_object(
+        order.payload, std::move(request.payload));
     if (!is_stored)
         co_return make_failure(503, "platform_unavailable",
             "the job cannot be stored", run_answer::no);
@@ -159,7 +151,7 @@
     bool may_be_accepted = false;
     while (get_now() < give_up)
     {
-        transaction tx = accept_job(job).request;
+        transaction tx = job_machine::accept(order, place).request;
         auto result = co_await node_.table.commit(std::move(tx));
         bool is_accepted = result.outcome == transaction_outcome::committed ||
                            result.outcome == transaction_outcome::conflict;
@@ -173,7 +165,7 @@
     }
     if (may_be_accepted)
         co_return make_failure(503, "outcome_unknown",
-            "the job may be accepted as " + job.id.get() +
+            "the job may be accepted as " + order.id.get() +
                 "; send it again with the same Request-Id",
             run_answer::unknown);
     co_return make_failure(503, "platform_unavailable",
@@ -188,20 +180,23 @@
         co_return lookup::absent;
     // A job moves from the live to the ended rows, never back: looking in
     // this order cannot miss it.
-    auto live = co_await node_.table.read(get_job_key(*pool, id));
+    job_row keys;
+    keys.order.id = id;
+    keys.order.pool = *pool;
+    auto live = co_await node_.table.read(keys.get_live_key());
     if (!live)
         co_return lookup::unavailable;
     if (live->version.get() != 0)
     {
-        out = {decode_job(live->value), live->version, true};
+        out = {{job_row::decode(live->value), live->version}, true};
         co_return lookup::found;
     }
-    auto ended = co_await node_.table.read(get_ended_job_key(*pool, id));
+    auto ended = co_await node_.table.read(keys.get_ended_key());
     if (!ended)
         co_return lookup::unavailable;
     if (ended->version.get() == 0)
         co_return lookup::absent;
-    out = {decode_job(ended->value), ended->version, false};
+    out = {{job_row::decode(ended->value), ended->version}, false};
     co_return lookup::found;
 }
 
@@ -210,7 +205,7 @@
 {
     lookup looked = co_await read_job(id, out);
     // Another team's job is answered as if it did not exist.
-    if (looked == lookup::found && out.job.team != team)
+    if (looked == lookup::found && out.job.value.order.team != team)
         co_return lookup::absent;
     co_return looked;
 }
@@ -223,7 +218,7 @@
         co_return make_unavailable();
     if (looked == lookup::absent)
         co_return make_unknown_job();
-    co_return make_json_result(200, describe(it.job));
+    co_return make_json_result(200, describe(it.job.value));
 }
 
 asio::awaitable<work_result> job_keeper::fetch_result(team_id team, job_id id)
@@ -234,10 +229,10 @@
         co_return make_unavailable();
     if (looked == lookup::absent)
         co_return make_unknown_job();
-    if (it.job.state != job_state::done)
+    if (it.job.value.state != job_state::done)
         co_return make_failure(409, "no_result",
-            "the job is " + get_name(it.job.state), run_answer::unknown);
-    auto bytes = co_await node_.table.get_object(get_job_result_name(id));
+            "the job is " + get_name(it.job.value.state), run_answer::unknown);
+    auto bytes = co_await node_.table.get_object(it.job.value.result);
     if (!bytes)
         co_return make_unavailable();
     work_result out;
@@ -278,10 +273,12 @@
         if (looked == lookup::absent)
             co_return make_unknown_job();
         if (!it.is_live)
-            co_return make_json_result(200, describe(it.job));
-        job_change change = cancel_job(it.job, it.version);
-        job_row after = change.after;
-        auto result = co_await node_.table.commit(std::move(change.request));
+            co_return make_json_result(200, describe(it.job.value));
+        auto change = job_machine::cancel(it.job);
+        if (!change)
+            continue;
+        job_row after = change->next;
+        auto result = co_await node_.table.commit(std::move(change->request));
         if (result.outcome == transaction_outcome::committed)
         {
             tell_owners(id);
@@ -306,7 +303,7 @@
         if (looked == lookup::unavailable)
             co_return std::nullopt;
         if (looked == lookup::found && it.is_live)
-            wanted.emplace_back(it.job.team, *id);
+            wanted.emplace_back(it.job.value.order.team, *id);
     }
     else
     {
@@ -320,9 +317,9 @@
                 co_return std::nullopt;
             for (const auto& it : page->rows)
             {
-                job_row job = decode_job(it.value);
-                if (job.team == team)
-                    wanted.emplace_back(team, job.id);
+                job_row job = job_row::decode(it.value);
+                if (job.order.team == team)
+                    wanted.emplace_back(team, job.order.id);
                 after = it.key;
             }
             if (!page->has_more)
@@ -353,13 +350,13 @@
             co_return std::nullopt;
         for (const auto& it : page->rows)
         {
-            job_row job = decode_job(it.value);
-            out.rows.push_back(
-                {make_cell(job.id), make_cell(job.team), make_cell(job.queue),
-                    make_cell(job.pool), query_cell(get_name(job.state)),
-                    make_cell(std::uint64_t(job.attempts)),
-                    make_cell(job.data_centre), make_cell(job.target),
-                    make_cell(job.session), query_cell(job.reason)});
+            job_row job = job_row::decode(it.value);
+            out.rows.push_back({make_cell(job.order.id),
+                make_cell(job.order.team), make_cell(job.order.queue),
+                make_cell(job.order.pool), query_cell(get_name(job.state)),
+                make_cell(std::uint64_t(job.attempts)),
+                make_cell(job.data_centre), make_cell(job.target),
+                make_cell(job.session), query_cell(job.reason)});
         }
     }
     co_return out;
@@ -403,7 +400,8 @@
             co_return;
         for (const auto& it : page->rows)
         {
-            consider(runner, decode_job(it.value), it.version);
+            live_job job{job_row::decode(it.value), it.version};
+            consider(runner, job);
             after = it.key;
         }
         if (!page->has_more)
@@ -413,95 +411,110 @@
 
 bool job_keeper::is_mine_to_move(const job_row& job) const
 {
-    auto places = list_places(job.pool);
+    auto places = list_places(job.order.pool);
     if (std::ranges::count(places, job.data_centre) > 0)
         return false;
     auto it = std::ranges::max_element(places, {},
         [&](const data_centre_id& place)
-        { return hash_64(job.id.get() + "/" + place.get()); });
+        { return hash_64(job.order.id.get() + "/" + place.get()); });
     return it != places.end() && *it == node_.config.data_centre;
 }
 
-void job_keeper::consider(const std::shared_ptr<pool_runner>& runner,
-    const job_row& job, row_version version)
+bool job_keeper::is_held_back(const live_job& job)
 {
-    if (active_.contains(job.id))
-        return;
-    auto wait = not_before_.find(job.id);
-    if (wait != not_before_.end() && get_now() < wait->second)
+    if (job.value.delay == milliseconds(0))
+        return false;
+    auto& seen = first_seen_[job.value.order.id];
+    if (seen.first != job.version)
+        seen = {job.version, get_now()};
+    if (get_now() < seen.second + job.value.delay)
+        return true;
+    first_seen_.erase(job.value.order.id);
+    return false;
+}
+
+void job_keeper::consider(
+    const std::shared_ptr<pool_runner>& runner, const live_job& job)
+{
+    const job_row& row = job.value;
+    if (active_.contains(row.order.id))
         return;
-    if (wait != not_before_.end())
-        not_before_.erase(wait);
-    bool is_here = job.data_centre == node_.config.data_centre;
-    if (job.state == job_state::queued && !is_here)
+    bool is_here = row.data_centre == node_.config.data_centre;
+    bool is_queued = row.state == job_state::queued;
+    if (is_queued && !is_here)
     {
-        if (!is_mine_to_move(job))
-            return;
-        node_.spawn("job_keeper",
-            [this, job, version]() -> asio::awaitable<void>
-            {
-                auto held =
-                    std::make_shared<found_job>(found_job{job, version, true});
-                job_change change =
-                    move_job(job, version, node_.config.data_centre);
-                co_await commit(held, std::move(change));
-                log_.write("move_job", "data_centre_out",
-                    {{"job", job.id}, {"from", job.data_centre},
-                        {"to", node_.config.data_centre}});
-            });
+        if (is_mine_to_move(row))
+            node_.spawn("job_keeper", [this, job] { return move_here(job); });
         return;
     }
-    if (!is_here || !node_.state.is_in_service(node_.config.data_centre))
+    if (!is_here)
         return;
-    if (job.state == job_state::queued)
+    if (is_queued)
     {
-        active_.insert(job.id);
-        node_.spawn("job_keeper", [this, runner, job, version]
-            { return launch(runner, job, version); });
+        bool may_start = node_.state.is_in_service(node_.config.data_centre) &&
+                         !is_held_back(job);
+        if (!may_start)
+            return;
+        active_.insert(row.order.id);
+        node_.spawn(
+            "job_keeper", [this, runner, job] { return launch(runner, job); });
         return;
     }
-    bool is_live = node_.state.get_sessions().contains(job.session);
-    bool is_watched = job.session != node_.session && is_live &&
-                      !peers_.is_heard(job.session);
-    // A suspected session's task is kept alive until its fate is known.
-    if (is_watched)
-        runner->watch(job.target, job.task);
-    else if (is_live && job.session != node_.session)
-        runner->unwatch(job.target, job.task);
-    if (is_live && job.session != node_.session)
+    bool is_own = row.session == node_.session;
+    bool is_live = node_.state.get_sessions().contains(row.session);
+    if (is_live && !is_own)
+    {
+        // A suspected session's task is kept alive until its fate is known.
+        if (peers_.is_heard(row.session))
+            runner->unwatch(row.target, row.task);
+        else
+            runner->watch(row.target, row.task);
         return;
-    active_.insert(job.id);
-    node_.spawn("job_keeper", [this, runner, job, version]
-        { return take_over(runner, job, version); });
+    }
+    active_.insert(row.order.id);
+    node_.spawn(
+        "job_keeper", [this, runner, job] { return take_over(runner, job); });
+}
+
+asio::awaitable<void> job_keeper::move_here(live_job job)
+{
+    auto held = std::make_shared<live_job>(job);
+    auto change = job_machine::move(job, node_.config.data_centre);
+    bool is_moved = co_await commit(held, std::move(change));
+    if (is_moved)
+        log_.write("move_job", "data_centre_out",
+            {{"job", job.value.order.id}, {"from", job.value.data_centre},
+                {"to", node_.config.data_centre}});
 }
 
 work_item job_keeper::make_item(const job_row& job, std::string payload) const
 {
     work_item out;
-    out.task.team = job.team;
+    out.task.team = job.order.team;
     out.task.kind = queue_kind::slow;
-    out.task.memory = job.declared_memory;
+    out.task.memory = job.order.memory;
     out.task.arrival = get_now();
     // The job id is unique, which a caller's request id is not.
-    out.request = request_id(job.id.get());
-    out.queue = job.queue;
+    out.request = request_id(job.order.id.get());
+    out.queue = job.order.queue;
     out.payload = std::move(payload);
-    out.run_ms = job.run_ms;
+    if (job.order.run_time > milliseconds(0))
+        out.run_ms = std::to_string(job.order.run_time.count());
     return out;
 }
 
 std::function<asio::awaitable<std::optional<work_result>>(start_place)>
-job_keeper::make_prepare(std::shared_ptr<found_job> held)
+job_keeper::make_prepare(held_job held)
 {
     return [this, held](
                start_place place) -> asio::awaitable<std::optional<work_result>>
     {
-        job_row before = held->job;
+        live_job before = *held;
         // A start that a target refused does not count as an attempt.
-        if (before.state == job_state::running && before.attempts > 0)
-            --before.attempts;
-        job_change change = start_job(
-            before, held->version, node_.session, place.target, place.task);
+        if (before.value.state == job_state::running)
+            before.value = job_machine::withdraw_attempt(before)->next;
+        auto change = job_machine::start(before, node_.session, place.target,
+            place.task, place.start_before.time);
         bool is_committed = co_await commit(held, std::move(change));
         if (is_committed)
             co_return std::nullopt;
@@ -511,17 +524,19 @@
 }
 
 asio::awaitable<bool> job_keeper::commit(
-    std::shared_ptr<found_job> held, job_change change)
+    held_job held, std::optional<job_change> change)
 {
+    if (!change)
+        co_return false;
     auto give_up = get_now() + commit_time_limit;
-    std::string key = get_job_key(change.after.pool, change.after.id);
+    std::string key = change->next.get_live_key();
     while (get_now() < give_up)
     {
-        transaction tx = change.request;
+        transaction tx = change->request;
         auto result = co_await node_.table.commit(std::move(tx));
         if (result.outcome == transaction_outcome::committed)
         {
-            held->job = change.after;
+            held->value = change->next;
             auto it = result.versions.find(key);
             if (it != result.versions.end())
                 held->version = it->second;
@@ -532,152 +547,151 @@
             // Either another writer won, or an earlier try of this change
             // took effect although its reply was lost.
             found_job now;
-            lookup looked = co_await read_job(change.after.id, now);
-            if (looked == lookup::unavailable)
+            lookup looked = co_await read_job(change->next.order.id, now);
+            if (looked != lookup::unavailable)
             {
-                co_await node_.sleep(commit_retry_interval);
-                continue;
+                bool is_own = looked == lookup::found &&
+                              now.job.value.encode() == change->next.encode();
+                if (is_own)
+                    *held = now.job;
+                co_return is_own;
             }
-            bool is_own = looked == lookup::found &&
-                          encode_job(now.job) == encode_job(change.after);
-            if (is_own)
-                *held = now;
-            co_return is_own;
         }
         co_await node_.sleep(commit_retry_interval);
     }
     co_return false;
 }
 
-void job_keeper::back_off(const job_row& job)
-{
-    not_before_[job.id] =
-        get_now() + attempt_back_off * (1 << std::min(job.attempts, 6u));
-}
-
 asio::awaitable<void> job_keeper::launch(
-    std::shared_ptr<pool_runner> runner, job_row job, row_version version)
+    std::shared_ptr<pool_runner> runner, live_job job)
 {
-    auto held = std::make_shared<found_job>(found_job{job, version, true});
-    auto payload = co_await node_.table.get_object(get_job_payload_name(job));
+    auto held = std::make_shared<live_job>(job);
+    auto payload = co_await node_.table.get_object(job.value.order.payload);
     if (payload)
     {
-        work_item item = make_item(job, std::move(*payload));
+        work_item item = make_item(job.value, std::move(*payload));
         item.prepare_start = make_prepare(held);
         auto result = co_await runner->run(std::move(item));
         co_await settle(held, std::move(result));
     }
-    active_.erase(job.id);
+    active_.erase(job.value.order.id);
 }
 
-asio::awaitable<void> job_keeper::settle(
-    std::shared_ptr<found_job> held, work_result result)
+asio::awaitable<void> job_keeper::record_result(
+    held_job held, std::string bytes)
 {
-    const job_row& job = held->job;
-    if (result.is_success())
+    std::string name = held->value.get_result_name();
+    auto give_up = get_now() + commit_time_limit;
+    bool is_stored = false;
+    while (!is_stored && get_now() < give_up)
     {
-        bool is_stored = false;
-        auto give_up = get_now() + commit_time_limit;
-        while (!is_stored && get_now() < give_up)
-        {
-            std::string bytes = result.payload;
-            is_stored = co_await node_.table.put_object(
-                get_job_result_name(job.id), std::move(bytes));
-            if (!is_stored)
-                co_await node_.sleep(commit_retry_interval);
-        }
+        std::string copy = bytes;
+        is_stored = co_await node_.table.put_object(name, std::move(copy));
         if (!is_stored)
-            co_return;
-        job_change done = finish_job(job, held->version);
-        co_await commit(held, std::move(done));
-        co_return;
+            co_await node_.sleep(commit_retry_interval);
     }
-    if (result.code == "cancelled" || result.code == "job_not_claimed")
+    if (!is_stored)
         co_return;
+    auto done = job_machine::finish(*held, name);
+    co_await commit(held, std::move(done));
+}
+
+std::optional<job_change> job_keeper::choose_end(
+    const live_job& job, const work_result& result) const
+{
     if (result.code == oversized_code)
+        return job_machine::park(job, result.message);
+    if (result.run == run_answer::no || result.code == "preempted")
+        return job_machine::withdraw_attempt(job);
+    auto queue = node_.state.get_queues().find(job.value.order.queue);
+    bool is_repeatable =
+        queue != node_.state.get_queues().end() && queue->second.is_idempotent;
+    if (is_repeatable)
+        return job_machine::fail_attempt(job, result.message);
+    return job_machine::park(
+        job, "may have run, and must not run twice: " + result.message);
+}
+
+asio::awaitable<void> job_keeper::settle(held_job held, work_result result)
+{
+    if (result.is_success())
     {
-        job_change parked = park_job(job, held->version, result.message);
-        co_await commit(held, std::move(parked));
+        co_await record_result(held, std::move(result.payload));
         co_return;
     }
-    if (job.state != job_state::running)
-        co_return;
-    if (result.run == run_answer::no)
-    {
-        job_change undone = unstart_job(job, held->version);
-        co_await commit(held, std::move(undone));
+    // The row was changed by somebody else, who decides what comes next.
+    if (result.code == "cancelled" || result.code == "job_not_claimed")
         co_return;
-    }
-    bool counts = result.code != "preempted";
-    auto queue = node_.state.get_queues().find(job.queue);
-    bool is_repeatable =
-        queue != node_.state.get_queues().end() && queue->second.is_idempotent;
-    // Work that must not run twice is never started again.
-    job_change change =
-        is_repeatable
-            ? fail_job(job, held->version, result.message, counts)
-            : park_job(job, held->version,
-                  "may have run, and must not run twice: " + result.message);
-    co_await commit(held, std::move(change));
-    log_.write(job.state == job_state::parked ? "park" : "queue_again",
-        result.code,
-        {{"job", job.id}, {"team", job.team}, {"attempts", job.attempts},
-            {"reason", result.message}});
-    if (counts)
-        back_off(job);
+    auto change = choose_end(*held, result);
+    bool is_committed = co_await commit(held, std::move(change));
+    log_.write(get_name(held->value.state), result.code,
+        {{"job", held->value.order.id}, {"team", held->value.order.team},
+            {"attempts", held->value.attempts}, {"reason", result.message},
+            {"recorded", is_committed}});
+}
+
+asio::awaitable<bool> job_keeper::adopt(
+    std::shared_ptr<pool_runner> runner, held_job held)
+{
+    const job_row before = held->value;
+    runner->watch(before.target, before.task);
+    auto ended = observer_.observe_ended(before.session);
+    bool is_granted =
+        co_await grants_.adopt(before.session, before.order.team, ended);
+    if (!is_granted)
+        co_return false;
+    auto change = job_machine::adopt(*held, node_.session);
+    bool is_taken = co_await commit(held, std::move(change));
+    if (!is_taken)
+        grants_.give_back(before.order.team);
+    else
+        log_.write("adopt", "session_ended",
+            {{"job", before.order.id}, {"task", before.task},
+                {"target", before.target}, {"from", before.session}});
+    co_return is_taken;
 }
 
 asio::awaitable<void> job_keeper::take_over(
-    std::shared_ptr<pool_runner> runner, job_row job, row_version version)
-{
-    auto held = std::make_shared<found_job>(found_job{job, version, true});
-    bool is_own = job.session == node_.session;
-    auto report = co_await runner->query_task(job.target, job.task);
-    if (report && report->state == target_task_state::done)
+    std::shared_ptr<pool_runner> runner, live_job job)
+{
+    auto held = std::make_shared<live_job>(job);
+    const job_row row = job.value;
+    bool is_own = row.session == node_.session;
+    request_id request(row.order.id.get());
+    auto report = co_await runner->query_task(row.target, row.task);
+    bool is_running = report && report->state == target_task_state::running;
+    bool is_done = report && report->state == target_task_state::done;
+    // Without an answer the task may run until its lease has surely lapsed.
+    bool is_gone = (report && !is_running && !is_done) ||
+                   get_now() > grant_ledger::get_dead_release_time(
+                                   observer_.observe_ended(row.session));
+    if (is_done)
     {
-        auto bytes = co_await runner->fetch_result(
-            job.target, job.task, request_id(job.id.get()));
+        auto bytes =
+            co_await runner->fetch_result(row.target, row.task, request);
         if (bytes)
-        {
-            work_result result;
-            result.status = 200;
-            result.payload = std::move(*bytes);
-            co_await settle(held, std::move(result));
-        }
+            co_await record_result(held, std::move(*bytes));
     }
-    else if (report && report->state == target_task_state::running)
+    // An own task that nothing here follows any more is left to lapse.
+    else if (is_running && !is_own)
     {
-        if (!is_own)
-            runner->watch(job.target, job.task);
-        auto ended = observer_.observe_ended(job.session);
-        // An own task that nothing here follows any more is left to lapse.
-        bool is_granted =
-            !is_own && co_await grants_.adopt(job.session, job.team, ended);
-        job_change adopted = adopt_job(job, version, node_.session);
-        bool is_taken = is_granted && co_await commit(held, std::move(adopted));
-        if (is_taken)
+        bool is_adopted = co_await adopt(runner, held);
+        if (is_adopted)
         {
-            log_.write("adopt", "session_ended",
-                {{"job", job.id}, {"task", job.task}, {"target", job.target},
-                    {"from", job.session}});
-            work_item item = make_item(job, {});
-            item.task.id = job.task;
-            auto result = co_await runner->adopt(std::move(item), job.target);
+            work_item item = make_item(row, {});
+            item.task.id = row.task;
+            auto result = co_await runner->adopt(std::move(item), row.target);
             co_await settle(held, std::move(result));
         }
-        else if (is_granted)
-            grants_.give_back(job.team);
     }
-    else if (report || get_now() > grant_ledger::get_dead_release_time(
-                                       observer_.observe_ended(job.session)))
+    else if (is_gone)
     {
-        // The task ended without a result, or can no longer run.
         work_result lost = make_failure(502, "task_lost",
             "the session that ran it ended, and its task with it",
             run_answer::unknown);
         co_await settle(held, std::move(lost));
     }
-    active_.erase(job.id);
+    active_.erase(row.order.id);
 }
 
 } // namespace cowslippass
--- a/main/job_keeper.hpp
+++ b/main/job_keeper.hpp
@@ -51,10 +51,10 @@
 private:
     struct found_job
     {
-        job_row job;
-        row_version version;
+        live_job job;
         bool is_live = false;
     };
+    using held_job = std::shared_ptr<live_job>;
     enum class lookup
     {
         found,
@@ -64,8 +64,9 @@
 
     asio::awaitable<void> scan_loop();
     asio::awaitable<void> scan_pool(std::shared_ptr<pool_runner> runner);
-    void consider(const std::shared_ptr<pool_runner>& runner,
-        const job_row& job, row_version version);
+    void consider(
+        const std::shared_ptr<pool_runner>& runner, const live_job& job);
+    bool is_held_back(const live_job& job);
     bool is_mine_to_move(const job_row& job) const;
     std::vector<data_centre_id> list_places(const pool_id& pool) const;
     std::optional<data_centre_id> choose_place(
@@ -73,24 +74,28 @@
     bool can_ever_fit(const pool_id& pool, byte_count memory) const;
 
     asio::awaitable<void> launch(
-        std::shared_ptr<pool_runner> runner, job_row job, row_version version);
+        std::shared_ptr<pool_runner> runner, live_job job);
+    asio::awaitable<void> move_here(live_job job);
     asio::awaitable<void> take_over(
-        std::shared_ptr<pool_runner> runner, job_row job, row_version version);
-    asio::awaitable<void> settle(
-        std::shared_ptr<found_job> held, work_result result);
+        std::shared_ptr<pool_runner> runner, live_job job);
+    asio::awaitable<bool> adopt(
+        std::shared_ptr<pool_runner> runner, held_job held);
+    asio::awaitable<void> settle(held_job held, work_result result);
+    asio::awaitable<void> record_result(held_job held, std::string bytes);
+    std::optional<job_change> choose_end(
+        const live_job& job, const work_result& result) const;
     work_item make_item(const job_row& job, std::string payload) const;
     std::function<asio::awaitable<std::optional<work_result>>(start_place)>
-    make_prepare(std::shared_ptr<found_job> held);
+    make_prepare(held_job held);
 
     /// Commits a change; asks again while the outcome is unknown.
     /// @return whether it is committed; `held` then has the new row.
     asio::awaitable<bool> commit(
-        std::shared_ptr<found_job> held, job_change change);
+        held_job held, std::optional<job_change> change);
     asio::awaitable<lookup> read_job(job_id id, found_job& out);
     asio::awaitable<lookup> read_for_team(
         const team_id& team, const job_id& id, found_job& out);
     void tell_owners(const job_id& job);
-    void back_off(const job_row& job);
 
     node_context& node_;
     grant_keeper& grants_;
@@ -99,7 +104,9 @@
     runner_finder find_runner_;
     decision_log log_{"jobs"};
     std::set<job_id> active_;
-    std::map<job_id, monotonic_time> not_before_;
+    /// When a queued row was first seen in its present version; its delay
+    /// counts from then.
+    std::map<job_id, std::pair<row_version, monotonic_time>> first_seen_;
     bool is_stopping_ = false;
 };
 
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -443,7 +443,13 @@
         co_return;
     }
     std::shared_ptr<target_link> link = entry->second.link;
-    start_place place{active->item.task.id, target};
+    auto deadline = co_await link->make_start_deadline();
+    if (!deadline)
+    {
+        note_not_started(active, start_refusal::unreachable);
+        co_return;
+    }
+    start_place place{active->item.task.id, target, *deadline};
     if (active->item.prepare_start)
     {
         auto refused = co_await active->item.prepare_start(place);
@@ -453,12 +459,13 @@
             finish(active, *refused);
             co_return;
         }
-    }
-    auto deadline = co_await link->make_start_deadline();
-    if (!deadline)
-    {
-        note_not_started(active, start_refusal::unreachable);
-        co_return;
+        // Making the start durable took time; the configuration may have
+        // changed, or its freshness may have run out.
+        if (!node_.may_start())
+        {
+            note_not_started(active, start_refusal::unreachable);
+            co_return;
+        }
     }
     auto row = node_.state.get_instances().find(target);
     if (row == node_.state.get_instances().end() || row->second.pool != pool_ ||
--- a/main/work_item.hpp
+++ b/main/work_item.hpp
@@ -45,6 +45,7 @@
 {
     task_id task;
     instance_id target;
+    target_clock_reading start_before; ///< Deadline, with its boot id.
 };
 
 /// A piece of work for one pool in one data centre.
@@ -57,6 +58,8 @@
     std::string run_ms; ///< Hint for the target; may be empty.
     /// Most starts of this item; 1 unless it is idempotent.
     std::uint32_t max_starts = 1;
+    /// The caller says that it has not sent this request before.
+    bool is_first_attempt = false;
     /// When the caller stops waiting; the task may go on.
     monotonic_time answer_deadline = monotonic_time::max();
     /// Makes a start durable before it is sent. A result means that the start
--- a/systems/admission.cpp
+++ b/systems/admission.cpp
@@ -30,8 +30,8 @@
 {
     auto it = state.get_queues().find(queue);
     if (it == state.get_queues().end())
-        throw admission_error(404, "unknown_queue",
-            "there is no queue '" + queue.get() + "'");
+        throw admission_error(
+            404, "unknown_queue", "there is no queue '" + queue.get() + "'");
     const queue_record& record = it->second;
     if (record.is_open && authorization.empty())
         return {record.team.value_or(team_id()), record};
--- a/systems/admission.hpp
+++ b/systems/admission.hpp
@@ -10,8 +10,8 @@
 {
 public:
     /// @param status the HTTP status that fits the code.
-    admission_error(unsigned status, std::string code,
-        const std::string& message)
+    admission_error(
+        unsigned status, std::string code, const std::string& message)
         : systems_error(std::move(code), message), status_(status)
     {
     }
--- a/systems/claim_row.cpp
+++ b/systems/claim_row.cpp
@@ -30,7 +30,7 @@
         {"state", state_names[static_cast<std::size_t>(state)]},
         {"digest", digest}, {"session", session.get()},
         {"target", target.get()}, {"task", task.get()},
-        {"start_before", start_before.get()}};
+        {"start_before", start_before.get()}, {"boot", boot}};
     if (!result.empty())
         value["result"] = result;
     if (!failure.empty())
@@ -49,6 +49,7 @@
         it.session = session_id(value.at("session").get<std::uint64_t>());
         it.target = instance_id(value.at("target").get<std::string>());
         it.task = task_id(value.at("task").get<std::string>());
+        it.boot = value.at("boot").get<std::string>();
         it.start_before =
             target_time(value.at("start_before").get<std::int64_t>());
         it.result = value.value("result", "");
--- a/systems/claim_row.hpp
+++ b/systems/claim_row.hpp
@@ -25,6 +25,9 @@
     /// Deadline of the start on the target's clock. It is part of the row, so
     /// that another entry can prove that the start comes too late.
     target_time start_before;
+    /// Boot id of the target that the deadline belongs to. After a restart of
+    /// the target its answers prove nothing about this start.
+    std::string boot;
     std::string result;  ///< Object name, for `done`.
     std::string failure; ///< Final task state, for `done` without a result.
 
--- a/systems/job_machine.cpp
+++ b/systems/job_machine.cpp
@@ -37,10 +37,12 @@
 
 } // namespace
 
-job_change job_machine::accept(const job_order& order)
+job_change job_machine::accept(
+    const job_order& order, const data_centre_id& data_centre)
 {
     job_row next;
     next.order = order;
+    next.data_centre = data_centre;
     auto live = next.get_live_key();
     auto ended = next.get_ended_key();
     // A repeat of the acceptance must not revive a job that ended.
@@ -49,6 +51,16 @@
         next};
 }
 
+std::optional<job_change> job_machine::move(
+    const live_job& job, const data_centre_id& data_centre)
+{
+    if (job.value.state != job_state::queued)
+        return std::nullopt;
+    auto next = job.value;
+    next.data_centre = data_centre;
+    return keep_live(job, next);
+}
+
 std::optional<job_change> job_machine::start(const live_job& job,
     session_id session, const instance_id& target, const task_id& task,
     target_time start_before)
--- a/systems/job_machine.hpp
+++ b/systems/job_machine.hpp
@@ -38,7 +38,13 @@
 
     /// The payload must be stored before; the caller gets its 202 answer
     /// after the commit.
-    static job_change accept(const job_order& order);
+    /// @param data_centre that is to run the job.
+    static job_change accept(const job_order& order,
+        const data_centre_id& data_centre = data_centre_id());
+
+    /// Hands a queued job to another data centre.
+    static std::optional<job_change> move(
+        const live_job& job, const data_centre_id& data_centre);
 
     /// Records an attempt before its start is sent. A job whose delay has not
     /// passed is the caller's to hold back.
@@ -56,6 +62,7 @@
         const live_job& job, const std::string& reason);
 
     /// The attempt is proved not to have run; it does not count.
+    /// Also for an attempt that the system itself stopped.
     static std::optional<job_change> withdraw_attempt(const live_job& job);
 
     static std::optional<job_change> park(
--- a/systems/job_row.cpp
+++ b/systems/job_row.cpp
@@ -47,6 +47,31 @@
 
 } // namespace
 
+std::string get_name(job_state state)
+{
+    return state_names[static_cast<std::size_t>(state)];
+}
+
+job_id make_job_id(const pool_id& pool, const std::string& suffix)
+{
+    return job_id(pool.get() + '~' + suffix);
+}
+
+std::optional<pool_id> find_pool_of_job(const job_id& job)
+{
+    auto mark = job.get().rfind('~');
+    bool is_malformed = mark == std::string::npos || mark == 0 ||
+                        job.get().find('/') != std::string::npos;
+    if (is_malformed)
+        return std::nullopt;
+    return pool_id(job.get().substr(0, mark));
+}
+
+std::string job_row::get_result_name() const
+{
+    return "results/" + order.id.get();
+}
+
 bool job_row::is_final() const
 {
     return state != job_state::queued && state != job_state::running;
@@ -56,10 +81,11 @@
 {
     return nlohmann::json{{"order", encode_order(order)},
         {"state", state_names[static_cast<std::size_t>(state)]},
-        {"attempts", attempts}, {"delay_ms", delay.count()},
-        {"session", session.get()}, {"target", target.get()},
-        {"task", task.get()}, {"start_before", start_before.get()},
-        {"result", result}, {"reason", reason}}
+        {"data_centre", data_centre.get()}, {"attempts", attempts},
+        {"delay_ms", delay.count()}, {"session", session.get()},
+        {"target", target.get()}, {"task", task.get()},
+        {"start_before", start_before.get()}, {"result", result},
+        {"reason", reason}}
         .dump();
 }
 
@@ -71,6 +97,8 @@
         job_row it;
         it.order = decode_order(value.at("order"));
         it.state = parse_state(value.at("state").get<std::string>());
+        it.data_centre =
+            data_centre_id(value.at("data_centre").get<std::string>());
         it.attempts = value.at("attempts").get<std::uint32_t>();
         it.delay = milliseconds(value.at("delay_ms").get<std::int64_t>());
         it.session = session_id(value.at("session").get<std::uint64_t>());
--- a/systems/job_row.hpp
+++ b/systems/job_row.hpp
@@ -3,6 +3,7 @@
 #include "core/core.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace cowslippass
@@ -17,6 +18,15 @@
     cancelled
 };
 
+/// @return the state's name in rows and answers.
+std::string get_name(job_state state);
+
+/// @return an id from which the pool can be told.
+job_id make_job_id(const pool_id& pool, const std::string& suffix);
+
+/// @return the pool of a job id, or nothing when it is malformed.
+std::optional<pool_id> find_pool_of_job(const job_id& job);
+
 /// What the caller asked for; never changes.
 struct job_order
 {
@@ -36,6 +46,8 @@
 {
     job_order order;
     job_state state = job_state::queued;
+    /// That runs it or is to run it.
+    data_centre_id data_centre;
     std::uint32_t attempts = 0; ///< Starts that may have run.
     /// Least wait before the next start, from when an entry first saw the
     /// row in this state; entries share no clock.
@@ -50,6 +62,9 @@
 
     bool is_final() const;
 
+    /// @return the name of the object that holds the result.
+    std::string get_result_name() const;
+
     std::string encode() const;
     /// @throws systems_error (`bad_job_row`).
     static job_row decode(const std::string& text);
--- a/tests/systems/admission_test.cpp
+++ b/tests/systems/admission_test.cpp
@@ -21,20 +21,20 @@
     open.id = queue_id("open");
     open.is_open = true;
     open.team = team_id("blue");
-    out.apply(config_version(1), {team_record{team_id("red"), 1, task_count(1)},
-                                     team_record{team_id("blue"), 1, task_count(1)},
-                                     pool_record{pool_id("p")}, key, other,
-                                     closed, open});
+    out.apply(config_version(1),
+        {team_record{team_id("red"), 1, task_count(1)},
+            team_record{team_id("blue"), 1, task_count(1)},
+            pool_record{pool_id("p")}, key, other, closed, open});
     return out;
 }
 
-std::string get_code(const fleet_state& state, const char* queue,
-    std::string_view authorization)
+std::string get_code(
+    const fleet_state& state, const char* queue, std::string_view authorization)
 {
     try
     {
         return "team " +
-            admit_request(state, queue_id(queue), authorization).team.get();
+               admit_request(state, queue_id(queue), authorization).team.get();
     }
     catch (const admission_error& e)
     {
