--- a/tests/systems/grant_ledger_test.cpp
+++ b/tests/systems/grant_ledger_test.cpp
@@ -92,4 +92,43 @@
         {.needs_freshness = false}, above_limit, most_runs));
 }
 
+// Guards against a start above a lowered limit: with shares in proportion to
+// the limit, this session could run 3 tasks while another one runs 5.
+TEST(grant_ledger, lowered_limit_leaves_out_what_others_hold)
+{
+    team_id team("alpha");
+    grant_ledger it(session_id(1));
+    it.on_limit(team, task_count(10), config_version(1));
+    row value{"grants/alpha", R"({"holders":{"1":5,"2":5}})", row_version(3)};
+    it.on_row(team, value, config_version(1));
+    EXPECT_EQ(it.get_usable(team), task_count(5));
+    it.on_limit(team, task_count(6), config_version(2));
+    EXPECT_EQ(it.get_usable(team), task_count(0));
+    it.on_row(team, value, config_version(2));
+    EXPECT_EQ(it.get_usable(team), task_count(1));
+}
+
+// Guards against a session that keeps the whole limit while a peer waits, and
+// against one that is held back although the peer has its even share.
+TEST(grant_policy, cap_leaves_waiting_peers_an_even_share)
+{
+    EXPECT_EQ(choose_grant_cap(10, 0, {{0, 20}}), 5);
+    EXPECT_EQ(choose_grant_cap(10, 0, {{0, 2}}), 8);
+    EXPECT_EQ(choose_grant_cap(10, 6, {{6, 20}}), 5);
+    EXPECT_EQ(choose_grant_cap(10, 5, {{5, 20}}), 5);
+    EXPECT_EQ(choose_grant_cap(1, 0, {{0, 20}}), 1);
+}
+
+// Guards against rows that are read as empty although they are malformed.
+TEST(grant_row, keeps_its_value_and_refuses_others)
+{
+    grant_row it;
+    it.set(session_id(3), 4);
+    EXPECT_EQ(it.encode(), R"({"holders":{"3":4}})");
+    EXPECT_EQ(grant_row::decode(it.encode()).get(session_id(3)), 4);
+    EXPECT_EQ(grant_row::decode("").get_sum(), 0);
+    EXPECT_THROW(grant_row::decode("{}"), systems_error);
+    EXPECT_THROW(grant_row::decode(R"({"holders":{"x":1}})"), systems_error);
+}
+
 } // namespace cowslippass
--- a/tests/systems/grant_model.hpp
+++ b/tests/systems/grant_model.hpp
@@ -23,8 +23,8 @@
         for (const auto& step : steps)
         {
             apply(step);
-            if (violation_)
-                return violation_;
+            if (violation)
+                return violation;
         }
         return checks_quiet ? run_until_quiet() : std::nullopt;
     }
@@ -55,60 +55,60 @@
         if (!can_act(it))
             return;
         auto from = it.id.get() - 1;
-        for (const auto& team : it.ledger->plan_reads(now_))
+        for (const auto& team : it.ledger->plan_reads(now))
         {
             if (it.is_cut)
                 it.ledger->on_read_failed(team);
             else
-                reads_.push_back({from, config_version(it.version)});
+                reads.push_back({from, config_version(it.version)});
         }
     }
 
     void sample_read(const grant_step& step)
     {
-        if (reads_.empty())
+        if (reads.empty())
             return;
-        auto& one = reads_[static_cast<std::size_t>(step.b) % reads_.size()];
+        auto& one = reads[static_cast<std::size_t>(step.b) % reads.size()];
         if (!one.value)
-            one.value = table_;
+            one.value = table;
     }
 
     void deliver_read(const grant_step& step)
     {
-        if (reads_.empty())
+        if (reads.empty())
             return;
-        auto index = static_cast<std::size_t>(step.b) % reads_.size();
-        auto one = reads_[index];
-        auto& it = sessions_[one.from];
+        auto index = static_cast<std::size_t>(step.b) % reads.size();
+        auto one = reads[index];
+        auto& it = all_sessions[one.from];
         if (!one.value || it.is_paused)
             return;
-        reads_.erase(reads_.begin() + static_cast<std::ptrdiff_t>(index));
+        reads.erase(reads.begin() + static_cast<std::ptrdiff_t>(index));
         if (!it.is_alive)
             return;
-        if (!rules_.reads_again_after_limit)
+        if (!rules.reads_again_after_limit)
             one.read_at = config_version(1000000);
-        it.ledger->on_row(team_, *one.value, one.read_at);
+        it.ledger->on_row(team, *one.value, one.read_at);
         note_adoptions(it);
     }
 
     void exchange_rows(const grant_step& step)
     {
         send_reads(step);
-        for (int n = 0; n < static_cast<int>(reads_.size()); ++n)
+        for (int n = 0; n < static_cast<int>(reads.size()); ++n)
             sample_read({{}, 0, n, 0});
-        for (int n = static_cast<int>(reads_.size()); n-- > 0;)
+        for (int n = static_cast<int>(reads.size()); n-- > 0;)
             deliver_read({{}, 0, n, 0});
     }
 
     void send(session& it, grant_transfer transfer)
     {
         request one{it.id.get() - 1, std::move(transfer)};
-        if (!rules_.conditions_growth_on_head)
+        if (!rules.conditions_growth_on_head)
         {
             std::erase_if(one.transfer.request.conditions,
                 [](const auto& c) { return c.key == "config/head"; });
         }
-        requests_.push_back(std::move(one));
+        requests.push_back(std::move(one));
     }
 
     void send_transfers(const grant_step& step)
@@ -116,7 +116,7 @@
         auto& it = get(step.a);
         if (!can_act(it))
             return;
-        for (auto& transfer : it.ledger->plan_transfers(now_))
+        for (auto& transfer : it.ledger->plan_transfers(now))
         {
             if (it.is_cut)
                 it.ledger->on_result(
@@ -129,8 +129,8 @@
     bool holds(const row_condition& condition) const
     {
         if (condition.key == "config/head")
-            return condition.version.get() == log_.size();
-        return condition.version == table_.version;
+            return condition.version.get() == log.size();
+        return condition.version == table.version;
     }
 
     void land_one(request& one)
@@ -145,28 +145,28 @@
                              : transaction_outcome::conflict;
         if (!is_met)
             return;
-        table_.value = *request.writes.front().value;
-        table_.version = row_version(table_.version.get() + 1);
-        one.written = table_.version;
+        table.value = *request.writes.front().value;
+        table.version = row_version(table.version.get() + 1);
+        one.written = table.version;
     }
 
     void land(const grant_step& step)
     {
-        if (!requests_.empty())
+        if (!requests.empty())
             land_one(
-                requests_[static_cast<std::size_t>(step.b) % requests_.size()]);
+                requests[static_cast<std::size_t>(step.b) % requests.size()]);
     }
 
     void answer(request& one, transaction_outcome outcome)
     {
-        auto& it = sessions_[one.from];
+        auto& it = all_sessions[one.from];
         if (one.is_answered || !can_act(it))
             return;
         one.is_answered = true;
         std::optional<row_version> written;
         if (outcome == transaction_outcome::committed)
             written = one.written;
-        if (!rules_.counts_unknown_as_not_grown &&
+        if (!rules.counts_unknown_as_not_grown &&
             outcome == transaction_outcome::unknown)
         {
             outcome = transaction_outcome::committed;
@@ -179,10 +179,10 @@
 
     void deliver(const grant_step& step)
     {
-        if (requests_.empty())
+        if (requests.empty())
             return;
         auto& one =
-            requests_[static_cast<std::size_t>(step.b) % requests_.size()];
+            requests[static_cast<std::size_t>(step.b) % requests.size()];
         if (one.outcome)
             answer(one, *one.outcome);
     }
@@ -190,16 +190,15 @@
     // The request may still land later.
     void lose_reply(const grant_step& step)
     {
-        if (!requests_.empty())
-            answer(
-                requests_[static_cast<std::size_t>(step.b) % requests_.size()],
+        if (!requests.empty())
+            answer(requests[static_cast<std::size_t>(step.b) % requests.size()],
                 transaction_outcome::unknown);
     }
 
     void land_and_deliver(const grant_step& step)
     {
         send_transfers(step);
-        for (auto& one : requests_)
+        for (auto& one : requests)
         {
             if (one.from != get(step.a).id.get() - 1)
                 continue;
@@ -222,8 +221,8 @@
     {
         for (int second = 0; second < step.amount; ++second)
         {
-            now_ += milliseconds(1000);
-            for (int n = 0; n < static_cast<int>(sessions_.size()); ++n)
+            now += milliseconds(1000);
+            for (int n = 0; n < static_cast<int>(all_sessions.size()); ++n)
             {
                 catch_up({{}, n, 0, 0});
                 renew({{}, n, 0, 0});
@@ -247,7 +246,7 @@
 
     bool is_ended(const session& it) const
     {
-        return std::any_of(log_.begin(), log_.end(),
+        return std::any_of(log.begin(), log.end(),
             [&](const auto& one) { return one.ended == it.id.get(); });
     }
 
@@ -256,8 +255,8 @@
         auto& it = get(step.a);
         if (can_reach(it) || is_ended(it))
             return;
-        auto limit = log_.back().limit;
-        log_.push_back({now_, limit, it.id.get()});
+        auto limit = log.back().limit;
+        log.push_back({now, limit, it.id.get()});
     }
 
     void release(const grant_step& step)
@@ -268,10 +267,10 @@
         if (!can_reach(it) || ended == it.ended_observed.end())
             return;
         auto observed = ended->second;
-        if (!rules_.waits_for_release)
+        if (!rules.waits_for_release)
             observed -= milliseconds(20000);
         auto transfer =
-            it.ledger->plan_dead_release(dead.id, team_, observed, now_);
+            it.ledger->plan_dead_release(dead.id, team, observed, now);
         if (transfer)
             send(it, std::move(*transfer));
     }
@@ -284,14 +283,14 @@
         if (!can_reach(it) || ended == it.ended_observed.end())
             return;
         auto observed = ended->second;
-        if (!rules_.waits_for_adoption)
+        if (!rules.waits_for_adoption)
             observed -= milliseconds(20000);
         for (auto n : get_tasks(dead))
         {
-            if (!tasks_[n].is_running || tasks_[n].owners.contains(it.id))
+            if (!all_tasks[n].is_running || all_tasks[n].owners.contains(it.id))
                 continue;
             auto transfer = it.ledger->plan_adoption(
-                dead.id, team_, task_count(1), observed, now_);
+                dead.id, team, task_count(1), observed, now);
             if (!transfer)
                 return;
             it.adoptions[transfer->id] = n;
@@ -303,27 +302,27 @@
     // Everything works again, all work ends, and nobody wants more.
     std::optional<std::string> run_until_quiet()
     {
-        for (auto& it : sessions_)
+        for (auto& it : all_sessions)
         {
             it.is_paused = false;
             it.is_cut = false;
             if (!it.is_alive)
                 end_session({{}, static_cast<int>(it.id.get()) - 1, 0, 0});
         }
-        for (auto& it : tasks_)
+        for (auto& it : all_tasks)
             it.is_running = false;
         add_session();
         settle(0, 600);
-        if (violation_)
-            return violation_;
-        auto left = grant_row::decode(table_.value).get_sum();
+        if (violation)
+            return violation;
+        auto left = grant_row::decode(table.value).get_sum();
         if (left > 0)
         {
-            std::string text = "grants lost: " + table_.value;
-            for (const auto& it : sessions_)
+            std::string text = "grants lost: " + table.value;
+            for (const auto& it : all_sessions)
                 text += " [" + std::to_string(it.id.get()) +
                         (it.is_alive ? " alive" : " dead") + " in use " +
-                        std::to_string(it.ledger->get_in_use(team_).get()) +
+                        std::to_string(it.ledger->get_in_use(team).get()) +
                         " tasks " + std::to_string(get_tasks(it).size()) + "]";
             return text;
         }
@@ -332,10 +331,10 @@
 
     void settle(int wanted, int rounds)
     {
-        for (int round = 0; round < rounds && !violation_; ++round)
+        for (int round = 0; round < rounds && !violation; ++round)
         {
-            now_ += milliseconds(100);
-            for (int n = 0; n < static_cast<int>(sessions_.size()); ++n)
+            now += milliseconds(100);
+            for (int n = 0; n < static_cast<int>(all_sessions.size()); ++n)
                 settle_session(n, wanted);
         }
     }
@@ -349,7 +348,7 @@
         for (std::size_t left = get_tasks(it).size(); left > 0; --left)
             end({{}, n, 0, 0});
         want({{}, n, wanted, 0});
-        for (int peer = 0; peer < static_cast<int>(sessions_.size()); ++peer)
+        for (int peer = 0; peer < static_cast<int>(all_sessions.size()); ++peer)
         {
             release({{}, n, peer, 0});
             gossip({{}, n, peer, 0});
--- a/tests/systems/grant_world.hpp
+++ b/tests/systems/grant_world.hpp
@@ -67,7 +67,7 @@
 class grant_world
 {
 protected:
-    explicit grant_world(grant_rules rules) : rules_(rules)
+    explicit grant_world(grant_rules chosen) : rules(chosen)
     {
         change_limit({{}, 0, 0, 5});
         for (int i = 0; i < 2; ++i)
@@ -124,7 +124,8 @@
 
     session& get(int index)
     {
-        return sessions_[static_cast<std::size_t>(index) % sessions_.size()];
+        return all_sessions[static_cast<std::size_t>(index) %
+                            all_sessions.size()];
     }
 
     static bool can_act(const session& it)
@@ -139,74 +140,74 @@
 
     void start_session(const grant_step&)
     {
-        if (sessions_.size() < 4)
+        if (all_sessions.size() < 4)
             add_session();
     }
 
     void add_session()
     {
-        session it{session_id(sessions_.size() + 1), nullptr};
+        session it{session_id(all_sessions.size() + 1), nullptr};
         it.ledger = std::make_unique<grant_ledger>(it.id);
-        sessions_.push_back(std::move(it));
-        catch_up({{}, static_cast<int>(sessions_.size()) - 1, 0, 0});
+        all_sessions.push_back(std::move(it));
+        catch_up({{}, static_cast<int>(all_sessions.size()) - 1, 0, 0});
     }
 
     void pass_time(const grant_step& step)
     {
-        now_ += milliseconds(step.amount * 100);
+        now += milliseconds(step.amount * 100);
     }
 
     bool is_fresh(const session& it) const
     {
-        return now_ < it.fresh_as_of + freshness_limit;
+        return now < it.fresh_as_of + freshness_limit;
     }
 
     std::size_t count_running() const
     {
-        return static_cast<std::size_t>(std::count_if(tasks_.begin(),
-            tasks_.end(), [](const task& it) { return it.is_running; }));
+        return static_cast<std::size_t>(std::count_if(all_tasks.begin(),
+            all_tasks.end(), [](const task& it) { return it.is_running; }));
     }
 
     // Entries learn of a lowered limit within the freshness limit.
     std::uint32_t get_highest_limit() const
     {
-        std::uint32_t highest = log_.back().limit;
-        for (std::size_t n = log_.size() - 1; n-- > 0;)
+        std::uint32_t highest = log.back().limit;
+        for (std::size_t n = log.size() - 1; n-- > 0;)
         {
-            if (now_ >= log_[n + 1].committed + freshness_limit)
+            if (now >= log[n + 1].committed + freshness_limit)
                 break;
-            highest = std::max(highest, log_[n].limit);
+            highest = std::max(highest, log[n].limit);
         }
         return highest;
     }
 
     void start(const grant_step& step)
     {
-        for (int n = 0; n <= step.b && !violation_; ++n)
+        for (int n = 0; n <= step.b && !violation; ++n)
             start_one(get(step.a));
     }
 
     void start_one(session& it)
     {
         bool may_start =
-            can_act(it) && (is_fresh(it) || !rules_.needs_freshness);
-        if (!may_start || !it.ledger->try_take(team_))
+            can_act(it) && (is_fresh(it) || !rules.needs_freshness);
+        if (!may_start || !it.ledger->try_take(team))
             return;
         // The target starts it up to the start deadline later.
-        tasks_.push_back({{it.id}, now_ + start_deadline + task_lease});
+        all_tasks.push_back({{it.id}, now + start_deadline + task_lease});
         if (count_running() > get_highest_limit())
-            violation_ = "session " + std::to_string(it.id.get()) +
-                         " starts task " + std::to_string(count_running()) +
-                         " above the limit " +
-                         std::to_string(get_highest_limit());
+            violation = "session " + std::to_string(it.id.get()) +
+                        " starts task " + std::to_string(count_running()) +
+                        " above the limit " +
+                        std::to_string(get_highest_limit());
     }
 
     std::vector<std::size_t> get_tasks(const session& it) const
     {
         std::vector<std::size_t> result;
-        for (std::size_t n = 0; n < tasks_.size(); ++n)
+        for (std::size_t n = 0; n < all_tasks.size(); ++n)
         {
-            if (tasks_[n].owners.contains(it.id))
+            if (all_tasks[n].owners.contains(it.id))
                 result.push_back(n);
         }
         return result;
@@ -219,17 +220,17 @@
         if (!can_act(it) || tasks.empty())
             return;
         auto& one =
-            tasks_[tasks[static_cast<std::size_t>(step.b) % tasks.size()]];
+            all_tasks[tasks[static_cast<std::size_t>(step.b) % tasks.size()]];
         one.is_running = false;
         one.owners.erase(it.id);
-        it.ledger->give_back(team_);
+        it.ledger->give_back(team);
     }
 
     void drop_lapsed()
     {
-        for (auto& it : tasks_)
+        for (auto& it : all_tasks)
         {
-            if (it.is_running && it.lease_until <= now_)
+            if (it.is_running && it.lease_until <= now)
                 it.is_running = false;
         }
     }
@@ -238,12 +239,12 @@
     {
         auto& it = get(step.a);
         auto deadline = grant_ledger::get_renewal_deadline(it.fresh_as_of);
-        if (!can_act(it) || (now_ >= deadline && rules_.stops_renewing))
+        if (!can_act(it) || (now >= deadline && rules.stops_renewing))
             return;
         for (auto n : get_tasks(it))
         {
-            if (tasks_[n].is_running)
-                tasks_[n].lease_until = now_ + task_lease;
+            if (all_tasks[n].is_running)
+                all_tasks[n].lease_until = now + task_lease;
         }
     }
 
@@ -255,19 +256,19 @@
         auto ended = it.fresh_before_end.find(other.id.get());
         auto fresh =
             ended == it.fresh_before_end.end() ? it.fresh_as_of : ended->second;
-        if (!can_act(it) || now_ >= grant_ledger::get_renewal_deadline(fresh))
+        if (!can_act(it) || now >= grant_ledger::get_renewal_deadline(fresh))
             return;
         for (auto n : get_tasks(other))
         {
-            if (tasks_[n].is_running)
-                tasks_[n].lease_until = now_ + task_lease;
+            if (all_tasks[n].is_running)
+                all_tasks[n].lease_until = now + task_lease;
         }
     }
 
     void change_limit(const grant_step& step)
     {
         auto limit = static_cast<std::uint32_t>(1 + step.amount % 6);
-        log_.push_back({now_, limit, std::nullopt});
+        log.push_back({now, limit, std::nullopt});
     }
 
     void catch_up(const grant_step& step)
@@ -276,22 +277,22 @@
         if (!can_reach(it))
             return;
         auto before = it.fresh_as_of;
-        for (auto n = it.version; n < log_.size(); ++n)
+        for (auto n = it.version; n < log.size(); ++n)
         {
-            if (!log_[n].ended)
+            if (!log[n].ended)
                 continue;
-            it.ended_observed[*log_[n].ended] = now_;
-            it.fresh_before_end[*log_[n].ended] = before;
-            if (*log_[n].ended == it.id.get())
+            it.ended_observed[*log[n].ended] = now;
+            it.fresh_before_end[*log[n].ended] = before;
+            if (*log[n].ended == it.id.get())
                 it.is_alive = false;
         }
-        bool is_changed = it.version < log_.size();
-        it.version = log_.size();
-        it.fresh_as_of = now_;
+        bool is_changed = it.version < log.size();
+        it.version = log.size();
+        it.fresh_as_of = now;
         // As after a snapshot: limits in between are not seen.
         config_version version(it.version);
         if (is_changed)
-            it.ledger->on_limit(team_, task_count(log_.back().limit), version);
+            it.ledger->on_limit(team, task_count(log.back().limit), version);
         it.ledger->on_head(version, row_version(it.version));
     }
 
@@ -299,8 +300,8 @@
     {
         auto& it = get(step.a);
         it.ledger->set_waiting(
-            team_, task_count(static_cast<std::uint32_t>(step.b)));
-        waiting_[it.id.get()] = static_cast<std::uint32_t>(step.b);
+            team, task_count(static_cast<std::uint32_t>(step.b)));
+        waiting[it.id.get()] = static_cast<std::uint32_t>(step.b);
     }
 
     void gossip(const grant_step& step)
@@ -309,7 +310,7 @@
         auto& peer = get(step.b);
         if (can_act(it) && it.id != peer.id)
             it.ledger->on_peer_waiting(
-                peer.id, team_, task_count(waiting_[peer.id.get()]), now_);
+                peer.id, team, task_count(waiting[peer.id.get()]), now);
     }
 
     void note_adoptions(session& it)
@@ -318,25 +319,25 @@
         {
             if (!outcome.is_adopted)
                 continue;
-            auto& one = tasks_[it.adoptions[outcome.id]];
+            auto& one = all_tasks[it.adoptions[outcome.id]];
             if (one.is_running)
                 one.owners.insert(it.id);
             else
-                it.ledger->give_back(team_);
+                it.ledger->give_back(team);
         }
     }
 
-    grant_rules rules_;
-    team_id team_{"alpha"};
-    monotonic_time now_{milliseconds(100000)};
-    std::vector<limit_change> log_;
-    row table_{"grants/alpha", "", row_version(0)};
-    std::vector<session> sessions_;
-    std::vector<task> tasks_;
-    std::vector<request> requests_;
-    std::vector<read> reads_;
-    std::map<std::uint64_t, std::uint32_t> waiting_;
-    std::optional<std::string> violation_;
+    grant_rules rules;
+    team_id team{"alpha"};
+    monotonic_time now{milliseconds(100000)};
+    std::vector<limit_change> log;
+    row table{"grants/alpha", "", row_version(0)};
+    std::vector<session> all_sessions;
+    std::vector<task> all_tasks;
+    std::vector<request> requests;
+    std::vector<read> reads;
+    std::map<std::uint64_t, std::uint32_t> waiting;
+    std::optional<std::string> violation;
 };
 
 } // namespace cowslippass
