--- a/bench/maintenance/maintenance_main.cpp
+++ b/bench/maintenance/maintenance_main.cpp
@@ -10,6 +10,8 @@
 DEFINE_int32(runs, 3, "seeds per fleet; the table has means");
 DEFINE_string(fleet, "", "only the fleets whose name contains this");
 
+DEFINE_uint32(failure_reserve, 0, "of the planner; see maintenance_options");
+
 namespace cowslippass
 {
 
@@ -93,13 +95,18 @@
 
 void measure_all()
 {
-    maintenance_planner planner;
+    maintenance_options options;
+    options.failure_reserve = FLAGS_failure_reserve;
+    maintenance_planner planner(options);
+    options.scope = maintenance_scope::pool;
+    maintenance_planner by_pool(options);
     by_name_strategy one_at_a_time(1);
     by_name_strategy fixed_buffer(std::numeric_limits<std::uint32_t>::max());
     std::vector<candidate> candidates{
         {"one at a time by name", &one_at_a_time, false},
         {"fixed buffer in each pool", &fixed_buffer, true},
-        {"planner", &planner, false}};
+        {"planner", &planner, false},
+        {"planner, one data centre per pool", &by_pool, false}};
     std::printf("| fleet | strategy | 99%% maintained (h) | all maintained (h) "
                 "| moves | drains | "
                 "cancelled | idle instances | violating steps | pool-hours "
--- a/systems/maintenance_planner.cpp
+++ b/systems/maintenance_planner.cpp
@@ -30,7 +30,7 @@
 
     std::vector<maintenance_decision> run()
     {
-        active_ = view_.find_active_data_centre({});
+        note_active();
         finish_steps();
         exchange_.start_drains();
         start_waves();
@@ -38,6 +38,31 @@
     }
 
 private:
+    bool is_per_pool() const
+    {
+        return options_.scope == maintenance_scope::pool;
+    }
+
+    active_data_centre& get_active(pool_view& pool)
+    {
+        return is_per_pool() ? active_by_pool_[&pool] : active_;
+    }
+
+    /// Finds the data centres with maintenance under way.
+    void note_active()
+    {
+        maintenance_counts all;
+        std::map<pool_view*, maintenance_counts> by_pool;
+        for (const member_view& it : view_.get_members())
+            if (it.is_in_maintenance())
+                (is_per_pool() ? by_pool[it.pool] : all).add(it);
+        active_ = all.find_most(active_);
+        for (auto& [id, pool] : view_.get_pools())
+            if (is_per_pool())
+                active_by_pool_[&pool] =
+                    by_pool[&pool].find_most(active_by_pool_[&pool]);
+    }
+
     void finish_steps()
     {
         for (member_view& it : view_.get_members())
@@ -68,7 +93,8 @@
     {
         // A drain for an exchange may have been overtaken; a reboot outside
         // the active data centre would open a second one.
-        bool is_in_wave = !active_ || *active_ == it.get_data_centre();
+        const auto& active = get_active(*it.pool);
+        bool is_in_wave = !active || *active == it.get_data_centre();
         if (!it.is_due || !is_in_wave)
             return restore(it, "drain_not_needed", {});
         out_.push_back(make_decision(it, maintenance_step::reboot, "pass_due"));
@@ -105,53 +131,76 @@
                pool.can_take_out(it, get_limit(pool));
     }
 
-    /// @return the data centre under way, else one out of service with work
-    ///   to do, else that of the latest pool.
-    std::optional<data_centre_id> choose_data_centre()
+    /// Chooses a data centre out of service with work to do, else that of the
+    /// latest pool.
+    class data_centre_choice
     {
-        if (auto active = view_.find_active_data_centre(active_))
-            return active;
-        std::optional<data_centre_id> best;
-        std::tuple<bool, double> best_rank{false, -1.0};
-        for (const auto& [id, pool] : view_.get_pools())
+    public:
+        explicit data_centre_choice(const planning& plan) : plan_(plan) {}
+
+        void add(const pool_view& pool)
         {
-            if (!may_start(pool))
-                continue;
+            if (!plan_.may_start(pool))
+                return;
+            double lateness = pool.get_lateness();
             for (const member_view* it : pool.members)
             {
-                std::tuple<bool, double> rank{
-                    it->is_data_centre_out, pool.get_lateness()};
-                if (rank <= best_rank || !is_startable(pool, *it))
+                std::tuple<bool, double> rank{it->is_data_centre_out, lateness};
+                if (rank <= best_rank_ || !plan_.is_startable(pool, *it))
                     continue;
-                best = it->get_data_centre();
-                best_rank = rank;
+                best_ = it->get_data_centre();
+                best_rank_ = rank;
             }
         }
-        return best;
-    }
+
+        const active_data_centre& get() const { return best_; }
+
+    private:
+        const planning& plan_;
+        active_data_centre best_;
+        std::tuple<bool, double> best_rank_{false, -1.0};
+    };
 
     void start_waves()
     {
-        active_ = choose_data_centre();
-        if (!active_)
-            return;
+        note_active();
+        data_centre_choice fleet_choice(*this);
         std::vector<pool_view*> pools;
         for (auto& [id, pool] : view_.get_pools())
+        {
             pools.push_back(&pool);
+            fleet_choice.add(pool);
+        }
+        if (!active_)
+            active_ = fleet_choice.get();
         std::ranges::stable_sort(pools, std::greater<>(),
             [](const pool_view* it) { return it->get_lateness(); });
         for (pool_view* it : pools)
             start_wave(*it);
     }
 
+    void choose_for_pool(pool_view& pool)
+    {
+        active_data_centre& active = get_active(pool);
+        if (active)
+            return;
+        data_centre_choice choice(*this);
+        choice.add(pool);
+        active = choice.get();
+    }
+
     void start_wave(pool_view& pool)
     {
         if (!may_start(pool))
             return;
+        choose_for_pool(pool);
+        const active_data_centre& active = get_active(pool);
+        if (!active)
+            return;
         std::map<rack_id, rack_view> racks;
         for (member_view* it : pool.members)
         {
-            if (it->get_data_centre() != *active_)
+            if (it->get_data_centre() != *active)
                 continue;
             rack_view& rack = racks[it->row->description.rack];
             rack.is_open = rack.is_open || it->is_in_maintenance();
@@ -181,7 +230,8 @@
     maintenance_view view_;
     std::vector<maintenance_decision> out_;
     spare_exchange exchange_;
-    std::optional<data_centre_id> active_;
+    active_data_centre active_; ///< Of the fleet.
+    std::map<pool_view*, active_data_centre> active_by_pool_;
     std::uint32_t drains_ = 0;
 };
 
--- a/systems/maintenance_planner.hpp
+++ b/systems/maintenance_planner.hpp
@@ -5,8 +5,16 @@
 namespace cowslippass
 {
 
+/// What stays within one data centre at a time.
+enum class maintenance_scope
+{
+    fleet, ///< All maintenance.
+    pool   ///< The maintenance of each pool.
+};
+
 struct maintenance_options
 {
+    maintenance_scope scope = maintenance_scope::fleet;
     /// Part of each budget that is left for failures during a roll-out. One
     /// instance of a pool may be drained in any case.
     std::uint32_t failure_reserve = 0;
@@ -19,8 +27,9 @@
 ///
 /// * No step makes a pool exceed its budget. When failures do, draining
 ///   instances return to service, and spare instances replace lost ones.
-/// * Maintenance goes on in one data centre at a time, first in one that
-///   operators took out of service. A pool stays within one rack until every
+/// * Maintenance goes on in one data centre at a time (of the fleet or of each
+///   pool, see `maintenance_scope`), first in one that operators took out of
+///   service. A pool stays within one rack until every
 ///   due instance there was started, and then opens the next rack with what
 ///   the budget leaves.
 /// * The later a pool is, the earlier its turn.
--- a/systems/maintenance_view.cpp
+++ b/systems/maintenance_view.cpp
@@ -142,18 +142,20 @@
     std::erase(pool.members, &lost);
 }
 
-std::optional<data_centre_id> maintenance_view::find_active_data_centre(
-    const std::optional<data_centre_id>& former) const
-{
-    std::map<data_centre_id, std::uint32_t> counts;
-    for (const member_view& it : members_)
-        if (it.is_in_maintenance())
-            ++counts[it.get_data_centre()];
-    if (former && counts.contains(*former))
+void maintenance_counts::add(const member_view& member)
+{
+    if (member.is_in_maintenance())
+        ++counts_[member.get_data_centre()];
+}
+
+active_data_centre maintenance_counts::find_most(
+    const active_data_centre& former) const
+{
+    if (former && counts_.contains(*former))
         return former;
     auto most = std::ranges::max_element(
-        counts, {}, [](const auto& it) { return it.second; });
-    if (most == counts.end())
+        counts_, {}, [](const auto& it) { return it.second; });
+    if (most == counts_.end())
         return std::nullopt;
     return most->first;
 }
--- a/systems/maintenance_view.hpp
+++ b/systems/maintenance_view.hpp
@@ -95,12 +95,6 @@
     /// Exchanges the pools of a drained and of a lost member.
     void exchange(member_view& drained, member_view& lost);
 
-    /// @param former kept as long as maintenance is under way there.
-    /// @return the data centre with the most maintenance under way, or
-    ///   nothing.
-    std::optional<data_centre_id> find_active_data_centre(
-        const std::optional<data_centre_id>& former) const;
-
 private:
     void add_member(const instance_id& id, const instance_row& row,
         instance_report report, bool is_data_centre_out);
@@ -112,6 +106,23 @@
     pool_view no_pool_; ///< For members of a pool that does not exist.
 };
 
+using active_data_centre = std::optional<data_centre_id>;
+
+/// Counts maintenance under way by data centre.
+class maintenance_counts
+{
+public:
+    void add(const member_view& member);
+
+    /// @param former kept as long as maintenance is under way there.
+    /// @return the data centre with the most maintenance under way, or
+    ///   nothing.
+    active_data_centre find_most(const active_data_centre& former) const;
+
+private:
+    std::map<data_centre_id, std::uint32_t> counts_;
+};
+
 /// @return a decision that changes the state of one instance.
 maintenance_decision make_decision(const member_view& member,
     maintenance_step step, std::string_view rule,
