--- a/systems/maintenance_view.hpp
+++ b/systems/maintenance_view.hpp
@@ -7,11 +7,14 @@
 namespace cowslippass
 {
 
+struct pool_view;
+
 /// An instance as the planner sees it; follows the decisions of one plan.
 struct member_view
 {
     const instance_id* id = nullptr;
     const instance_row* row = nullptr;
+    pool_view* pool = nullptr; ///< Never null in a view.
     instance_report report = instance_report::unknown;
     instance_state state = instance_state::in_service;
     bool is_due = false;
@@ -83,7 +86,6 @@
 
     std::vector<member_view>& get_members() { return members_; }
     std::map<pool_id, pool_view>& get_pools() { return pools_; }
-    pool_view& get_pool(const member_view& member);
     std::uint32_t get_pass() const { return pass_; }
 
     /// Changes the state of a member and the counts of its pool.
@@ -93,15 +95,10 @@
     /// Exchanges the pools of a drained and of a lost member.
     void exchange(member_view& drained, member_view& lost);
 
-    /// @param former kept as long as maintenance is under way there.
-    /// @return the data centre with the most maintenance under way, or
-    ///   nothing.
-    std::optional<data_centre_id> find_active_data_centre(
-        const std::optional<data_centre_id>& former) const;
-
 private:
     void add_member(const instance_id& id, const instance_row& row,
-        const maintenance_input& input);
+        instance_report report, bool is_data_centre_out);
+    pool_view& find_pool(const pool_id& id);
 
     std::uint32_t pass_;
     std::vector<member_view> members_;
@@ -109,6 +106,23 @@
     pool_view no_pool_; ///< For members of a pool that does not exist.
 };
 
+using active_data_centre = std::optional<data_centre_id>;
+
+/// Counts maintenance under way by data centre.
+class maintenance_counts
+{
+public:
+    void add(const member_view& member);
+
+    /// @param former kept as long as maintenance is under way there.
+    /// @return the data centre with the most maintenance under way, or
+    ///   nothing.
+    active_data_centre find_most(const active_data_centre& former) const;
+
+private:
+    std::map<data_centre_id, std::uint32_t> counts_;
+};
+
 /// @return a decision that changes the state of one instance.
 maintenance_decision make_decision(const member_view& member,
     maintenance_step step, std::string_view rule,
