Measure how far a team is behind by what it asks for

Small teams that got all they asked for always looked far behind, so their slow work went before urgent work of the large teams. Now each team is owed its part of a division up to its demand.

--- a/systems/placement_preemption.cpp
+++ b/systems/placement_preemption.cpp
@@ -102,9 +102,7 @@
     for (auto& [rank, team] : victims)
     {
         // Work of a team that is far below its share stays where it is.
-        bool is_protected =
-            team != &urgent && shares_.is_behind(team->account, urgent.account,
-                                   policy_.share_tolerance);
+        bool is_protected = team != &urgent && is_owed(*team, urgent);
         if (is_protected)
             continue;
         if (task_row* victim = choose_victim_of(*team, head, candidates))
--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -266,19 +266,14 @@
 {
     shares_.advance(ctx.now, is_contended_);
     targets_.begin_tick(ctx.now);
-    double weight = 0.0;
     double least = std::numeric_limits<double>::max();
     for (auto& [id, team] : teams_)
     {
         team.is_blocked[0] = team.is_blocked[1] = false;
         team.is_without_grant = false;
-        if (team.is_waiting() || team.account.running > 0)
-            weight += team.account.weight;
         if (team.is_waiting() && !team.is_joining)
             least = std::min(least, shares_.get_served(team.account));
     }
-    if (weight > 0.0)
-        shares_.set_slots_per_weight(targets_.count_usable() / weight);
     if (least < std::numeric_limits<double>::max())
         shares_.raise_floor(least);
     for (auto& [id, team] : teams_)
@@ -339,9 +334,7 @@
 {
     team_row* urgent = find_neediest(queue_kind::urgent);
     team_row* slow = find_neediest(queue_kind::slow);
-    if (urgent != nullptr && slow != nullptr &&
-        shares_.is_behind(
-            slow->account, urgent->account, policy_.share_tolerance))
+    if (urgent != nullptr && slow != nullptr && is_owed(*slow, *urgent))
         return {slow, queue_kind::slow, placement_rule::share_debt};
     if (urgent != nullptr)
     {
@@ -406,9 +399,7 @@
     {
         const task_order& queue = team.get_queue(queue_kind::urgent);
         if (queue.empty() || team.is_without_grant || team.is_blocked[0] ||
-            std::get<0>(*queue.begin()) >= earliest ||
-            shares_.is_behind(
-                neediest.account, team.account, policy_.share_tolerance))
+            std::get<0>(*queue.begin()) >= earliest || is_owed(neediest, team))
             continue;
         earliest = std::get<0>(*queue.begin());
         best = &team;
@@ -416,6 +407,15 @@
     return best;
 }
 
+bool placement_system::is_owed(
+    const team_row& team, const team_row& other) const
+{
+    double behind_s = team_shares::get_behind_s(team.account);
+    return milliseconds(policy_.share_tolerance) <
+               std::chrono::duration<double>(behind_s) &&
+           team_shares::get_behind_s(other.account) < behind_s;
+}
+
 void placement_system::start_from(const pick& chosen, context& ctx)
 {
     team_row& team = *chosen.team;
@@ -500,8 +500,11 @@
 void placement_system::end_tick(context& ctx)
 {
     is_contended_ = false;
+    accounts_.clear();
     for (auto& [id, team] : teams_)
     {
+        team.account.waiting = team.waiting[0].size() + team.waiting[1].size();
+        accounts_.push_back(&team.account);
         bool is_waiting = !team.waiting[0].empty() || !team.waiting[1].empty();
         if (is_waiting && !team.is_without_grant)
             is_contended_ = true;
@@ -513,6 +516,8 @@
             ctx.out.returned_grants.push_back(id);
         }
     }
+    // At the end, as the slots of tasks that just ended are in use again.
+    shares_.update_level(accounts_, targets_.count_usable(), ctx.now);
 }
 
 placement_decision placement_system::make_decision(const task_row& row,
--- a/systems/placement_system.hpp
+++ b/systems/placement_system.hpp
@@ -169,6 +169,9 @@
     /// @return the team whose urgent work waits longest beyond patience, of
     ///   those that are not far ahead of `neediest`; null if there is none.
     team_row* find_longest_wait(team_row& neediest, monotonic_time now);
+    /// @return whether the team is behind its share by more than the
+    ///   tolerance, and by more than the other team.
+    bool is_owed(const team_row& team, const team_row& other) const;
     void start_from(const pick& chosen, context& ctx);
     void start_reserved(context& ctx);
     void consider_reservation(const task_row& row, monotonic_time now);
@@ -205,6 +208,7 @@
     team_shares shares_;
     std::map<team_id, team_row> teams_;
     std::unordered_map<task_id, task_row> tasks_;
+    std::vector<team_shares::account*> accounts_; ///< For one tick.
     task_order deadlines_; ///< Waiting tasks that have one.
     task_order throttled_;
     task_order checkpointing_;
--- a/systems/team_shares.cpp
+++ b/systems/team_shares.cpp
@@ -1,6 +1,7 @@
 #include "systems/team_shares.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cowslippass
 {
@@ -24,6 +25,37 @@
 /// the number of running tasks swing.
 constexpr seconds projection{2.0};
 
+constexpr milliseconds level_interval{100};
+
+/// An owner that did not tick for longer knows nothing about that time.
+constexpr seconds longest_level_gap{0.5};
+
+/// @return slots for a weight of 1 when every team gets what it asks for up
+///   to its part of what the others leave.
+double find_level(const std::vector<team_shares::account*>& teams, double slots)
+{
+    std::vector<std::pair<double, double>> demands;
+    double weight = 0.0;
+    for (const auto* team : teams)
+    {
+        double demand = static_cast<double>(team->running + team->waiting);
+        if (demand <= 0.0)
+            continue;
+        demands.emplace_back(demand / team->weight, team->weight);
+        weight += team->weight;
+    }
+    std::sort(demands.begin(), demands.end());
+    for (auto [demand, own] : demands)
+    {
+        if (demand > slots / weight)
+            return slots / weight;
+        slots -= demand * own;
+        weight -= own;
+    }
+    // Everybody gets all; the last demand is as good a level as any.
+    return demands.empty() ? 1.0 : std::max(1.0, demands.back().first);
+}
+
 } // namespace
 
 void team_shares::advance(monotonic_time now, bool is_contended)
@@ -88,11 +120,30 @@
     return get_served(team) + team.running * projection.count() / team.weight;
 }
 
-bool team_shares::is_behind(
-    account& behind, account& ahead, milliseconds time) const
+void team_shares::update_level(
+    const std::vector<account*>& teams, double slots, monotonic_time now)
+{
+    if (now - last_level_ < level_interval)
+        return;
+    double passed_s =
+        std::min(seconds(now - last_level_).count(), longest_level_gap.count());
+    last_level_ = now;
+    slots_per_weight_ = find_level(teams, slots);
+    for (account* team : teams)
+    {
+        double demand = static_cast<double>(team->running + team->waiting);
+        team->fair_slots = std::min(demand, slots_per_weight_ * team->weight);
+        double missing = team->fair_slots - team->running;
+        team->behind = std::max(0.0, team->behind + missing * passed_s);
+        // Nothing is owed to a team whose work all runs.
+        if (team->waiting == 0)
+            team->behind = 0.0;
+    }
+}
+
+double team_shares::get_behind_s(const account& team)
 {
-    double bound = seconds(time).count() * slots_per_weight_;
-    return get_served(behind) + bound < get_served(ahead);
+    return team.fair_slots > 0.0 ? team.behind / team.fair_slots : 0.0;
 }
 
 void team_shares::settle(account& team) const
--- a/systems/team_shares.hpp
+++ b/systems/team_shares.hpp
@@ -3,6 +3,7 @@
 #include "core/core.hpp"
 
 #include <cstdint>
+#include <vector>
 
 namespace cowslippass
 {
@@ -20,6 +21,9 @@
         double seen = 0.0;   ///< Contention clock when last settled.
         std::uint64_t period = 0;
         std::uint32_t running = 0;
+        std::size_t waiting = 0; ///< Given to `update_level`.
+        double fair_slots = 0.0; ///< At most what the team asks for.
+        double behind = 0.0;     ///< Slot seconds below `fair_slots`.
     };
 
     /// Advances the contention clock to `now`.
@@ -33,8 +37,10 @@
     /// @param served level of the least served team that waits.
     void raise_floor(double served);
 
-    /// @param slots fair part of the pool for a weight of 1.
-    void set_slots_per_weight(double slots) { slots_per_weight_ = slots; }
+    /// Divides `slots` among the teams by weight, each up to its demand, and
+    /// notes how far each is behind.
+    void update_level(
+        const std::vector<account*>& teams, double slots, monotonic_time now);
 
     /// A team that began to wait joins at the floor if it was below.
     void join(account& team);
@@ -47,9 +53,8 @@
     ///   not all go to one team.
     double get_rank(account& team) const;
 
-    /// @return whether `behind` got less than `ahead` by more than its fair
-    ///   part of `time`.
-    bool is_behind(account& behind, account& ahead, milliseconds time) const;
+    /// @return seconds of its fair slots that the team is behind.
+    static double get_behind_s(const account& team);
 
 private:
     void settle(account& team) const;
@@ -57,6 +62,7 @@
     double clock_ = 0.0; ///< Seconds under contention.
     double floor_ = 0.0;
     double slots_per_weight_ = 1.0;
+    monotonic_time last_level_{};
     std::uint64_t period_ = 0;
     monotonic_time last_now_{};
     monotonic_time last_contended_{};
