--- a/bench/driver.hpp
+++ b/bench/driver.hpp
@@ -54,6 +54,7 @@
     int data_centres = 3;
     /// Targets of each pool, dealt to the data centres in turn.
     std::vector<int> pool_sizes{8, 9, 10, 11, 12};
+    int first_pool = 0; ///< Number of the first pool, which sets its turn.
     int rack_size = 4;
     int entries = 9;
     double network_ms = 0.2; ///< One way, entry to target.
@@ -116,6 +117,7 @@
         int data_centre = 0;
         int rack = 0;
         std::uint32_t busy = 0;
+        std::uint32_t urgent = 0; ///< Of the busy slots.
         bool is_dead = false;
         bool fails_all = false;
         std::vector<std::size_t> owners;
@@ -204,6 +206,9 @@
     void lose_tasks_on(std::size_t target, double known_after_s);
     void lose_owner(owner_row& owner);
     void cancel_wave();
+    void take_slot(task_row& task);
+    void free_slot(task_row& task);
+    void measure_racks(std::size_t index);
     void measure_owner(std::size_t index, double seconds);
     void finish_figures();
 
--- a/bench/driver_tasks.cpp
+++ b/bench/driver_tasks.cpp
@@ -73,14 +73,29 @@
         schedule(back_s, event_kind::start_refused, index, task.generation);
         return;
     }
-    ++target.busy;
     ++task.attempts;
-    task.has_slot = true;
+    take_slot(task);
     proceed(task, index);
     // The confirmation and the end are separate: an end can be known first.
     schedule(back_s, event_kind::start_confirmed, index);
 }
 
+void driver::take_slot(task_row& task)
+{
+    target_row& target = targets_[task.target];
+    ++target.busy;
+    target.urgent += task.task.kind == queue_kind::urgent ? 1 : 0;
+    task.has_slot = true;
+}
+
+void driver::free_slot(task_row& task)
+{
+    target_row& target = targets_[task.target];
+    --target.busy;
+    target.urgent -= task.task.kind == queue_kind::urgent ? 1 : 0;
+    task.has_slot = false;
+}
+
 void driver::on_start_confirmed(std::size_t index)
 {
     task_row& task = tasks_[index];
@@ -148,8 +163,7 @@
             task.generation);
         return;
     }
-    --targets_[task.target].busy;
-    task.has_slot = false;
+    free_slot(task);
     (task.is_cancelled ? out_.wasted_work : out_.preempted_work) +=
         task.progress_s;
     task.progress_s = 0.0;
@@ -162,8 +176,7 @@
 {
     task_row& task = tasks_[index];
     halt(task);
-    --targets_[task.target].busy;
-    task.has_slot = false;
+    free_slot(task);
     if (task.outcome == task_outcome::failed)
     {
         out_.wasted_work += task.progress_s;
@@ -311,11 +324,10 @@
         ++task.generation;
         out_.wasted_work += task.progress_s;
         task.progress_s = 0.0;
-        task.has_slot = false;
+        free_slot(task);
         task.outcome = task_outcome::lapsed;
         schedule(known_after_s, event_kind::end_known, i, task.generation);
     }
-    targets_[target].busy = 0;
     out_.urgent_hit += urgent;
 }
 
@@ -329,7 +341,8 @@
             continue;
         halt(task);
         ++task.generation;
-        task.has_slot = false;
+        if (task.has_slot)
+            free_slot(task);
         out_.wasted_work += task.progress_s;
         task.progress_s = 0.0;
         // The caller of urgent work was connected to this data centre.
--- a/bench/figures.cpp
+++ b/bench/figures.cpp
@@ -26,8 +26,10 @@
     for (amount member :
         {&figures::capacity, &figures::urgent_work, &figures::slow_work,
             &figures::wasted_work, &figures::preempted_work,
-            &figures::idle_urgent_waits, &figures::idle_slow_waits})
+            &figures::idle_urgent_waits, &figures::idle_slow_waits,
+            &figures::rack_part_sum, &figures::rack_part_samples})
         this->*member += other.*member;
+    rack_part_worst = std::max(rack_part_worst, other.rack_part_worst);
     shortfall_s = std::max(shortfall_s, other.shortfall_s);
     shortfall_length_s = std::max(shortfall_length_s, other.shortfall_length_s);
 }
--- a/bench/figures.hpp
+++ b/bench/figures.hpp
@@ -28,7 +28,12 @@
     double preempted_work = 0.0;
     double idle_urgent_waits = 0.0; ///< Free slots while urgent work waited.
     double idle_slow_waits = 0.0;   ///< Free slots while only slow work waited.
-    double shortfall_s = 0.0;       ///< Largest, in seconds of a fair share.
+    /// Largest part of a pool's running urgent tasks in one rack, summed over
+    /// samples with at least 4 such tasks.
+    double rack_part_sum = 0.0;
+    double rack_part_samples = 0.0;
+    double rack_part_worst = 0.0;
+    double shortfall_s = 0.0; ///< Largest, in seconds of a fair share.
     double shortfall_length_s = 0.0;
 
     /// Adds another run: sums, and the largest of the worst values.
--- a/bench/measure_main.cpp
+++ b/bench/measure_main.cpp
@@ -16,6 +16,7 @@
     if (!is_quick)
         write_strategies(std::cout, make_design_size(), 1);
     write_faults(std::cout);
+    write_racks(std::cout);
     write_divisions(std::cout);
     return 0;
 }
--- a/systems/placement_preemption.cpp
+++ b/systems/placement_preemption.cpp
@@ -49,7 +49,9 @@
     for (auto& [id, team] : teams_)
         if (is_included(team))
             ranked.emplace_back(shares_.get_rank(team.account), &team);
-    std::sort(ranked.begin(), ranked.end());
+    // Equal ranks stay in the order of ids, so that runs can be repeated.
+    std::stable_sort(ranked.begin(), ranked.end(),
+        [](const auto& a, const auto& b) { return a.first < b.first; });
     return ranked;
 }
 
--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -1,7 +1,6 @@
 #include "systems/placement_system.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 #include <utility>
 
@@ -330,134 +329,6 @@
     }
 }
 
-placement_system::pick placement_system::pick_by_shares(monotonic_time now)
-{
-    team_row* urgent = find_neediest(queue_kind::urgent);
-    team_row* slow = find_neediest(queue_kind::slow);
-    if (urgent != nullptr && slow != nullptr && is_owed(*slow, *urgent))
-        return {slow, queue_kind::slow, placement_rule::share_debt};
-    if (urgent != nullptr)
-    {
-        team_row* late = find_longest_wait(*urgent, now);
-        if (late != nullptr)
-            return {late, queue_kind::urgent, placement_rule::long_wait};
-        return {urgent, queue_kind::urgent, placement_rule::urgent_first};
-    }
-    if (slow != nullptr && targets_.count_free() > get_headroom())
-        return {slow, queue_kind::slow, placement_rule::spare_capacity};
-    return {};
-}
-
-placement_system::pick placement_system::pick_first_come(monotonic_time)
-{
-    pick best;
-    monotonic_time earliest = monotonic_time::max();
-    for (auto& [id, team] : teams_)
-    {
-        for (queue_kind kind : {queue_kind::urgent, queue_kind::slow})
-        {
-            const task_order& queue = team.get_queue(kind);
-            if (queue.empty() || team.is_without_grant ||
-                team.is_blocked[static_cast<std::size_t>(kind)])
-                continue;
-            if (kind == queue_kind::slow &&
-                targets_.count_free() <= get_headroom())
-                continue;
-            if (std::get<0>(*queue.begin()) >= earliest)
-                continue;
-            earliest = std::get<0>(*queue.begin());
-            best = {&team, kind, placement_rule::first_come};
-        }
-    }
-    return best;
-}
-
-placement_system::team_row* placement_system::find_neediest(queue_kind kind)
-{
-    team_row* best = nullptr;
-    double best_rank = 0.0;
-    for (auto& [id, team] : teams_)
-    {
-        if (team.get_queue(kind).empty() || team.is_without_grant ||
-            team.is_blocked[static_cast<std::size_t>(kind)])
-            continue;
-        double rank = shares_.get_rank(team.account);
-        if (best != nullptr && rank >= best_rank)
-            continue;
-        best = &team;
-        best_rank = rank;
-    }
-    return best;
-}
-
-placement_system::team_row* placement_system::find_longest_wait(
-    team_row& neediest, monotonic_time now)
-{
-    team_row* best = nullptr;
-    monotonic_time earliest = now - policy_.urgent_patience;
-    for (auto& [id, team] : teams_)
-    {
-        const task_order& queue = team.get_queue(queue_kind::urgent);
-        if (queue.empty() || team.is_without_grant || team.is_blocked[0] ||
-            std::get<0>(*queue.begin()) >= earliest || is_owed(neediest, team))
-            continue;
-        earliest = std::get<0>(*queue.begin());
-        best = &team;
-    }
-    return best;
-}
-
-bool placement_system::is_owed(
-    const team_row& team, const team_row& other) const
-{
-    double behind_s = team_shares::get_behind_s(team.account);
-    return milliseconds(policy_.share_tolerance) <
-               std::chrono::duration<double>(behind_s) &&
-           team_shares::get_behind_s(other.account) < behind_s;
-}
-
-void placement_system::start_from(const pick& chosen, context& ctx)
-{
-    team_row& team = *chosen.team;
-    int tries = policy_.look_ahead;
-    for (const time_key& key : team.get_queue(chosen.kind))
-    {
-        if (tries-- == 0)
-            break;
-        task_row& row = *std::get<2>(key);
-        auto where = targets_.choose(row.task);
-        if (where.target == nullptr)
-        {
-            consider_reservation(row, ctx.now);
-            continue;
-        }
-        if (take_grant(team, ctx))
-            start(row, where, chosen.rule, ctx);
-        return;
-    }
-    team.is_blocked[static_cast<std::size_t>(chosen.kind)] = true;
-}
-
-void placement_system::start_reserved(context& ctx)
-{
-    const placement_task* task = targets_.get_reserved();
-    if (task == nullptr)
-        return;
-    task_row& row = *find_task(task->id);
-    auto where = targets_.choose_reserved(*task);
-    if (where.target != nullptr && take_grant(*row.team, ctx))
-        start(row, where, placement_rule::reservation, ctx);
-}
-
-void placement_system::consider_reservation(
-    const task_row& row, monotonic_time now)
-{
-    bool is_due = policy_.reserves && row.task.kind == queue_kind::slow &&
-                  now - row.task.arrival >= policy_.reserve_after;
-    if (is_due && targets_.is_too_large_now(row.task))
-        targets_.reserve(row.task);
-}
-
 bool placement_system::take_grant(team_row& team, context& ctx)
 {
     if (team.held_grants > 0)
@@ -487,16 +358,6 @@
     occupy(row, *where.target, task_state::starting, ctx.now);
 }
 
-std::uint32_t placement_system::get_headroom() const
-{
-    auto highest = static_cast<std::uint32_t>(
-        std::ceil(targets_.count_usable() * policy_.headroom));
-    // Slots kept free cost every team a part of its share, so few are kept
-    // while little urgent work runs.
-    std::uint32_t wanted = 1 + targets_.count_urgent() / 2;
-    return policy_.is_headroom_adaptive ? std::min(highest, wanted) : highest;
-}
-
 void placement_system::end_tick(context& ctx)
 {
     is_contended_ = false;
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -216,6 +216,24 @@
     EXPECT_LE(started_y, 22);
 }
 
+// Guards against a burst of a large team that waits beyond the start bound
+// while the tasks of others start at once.
+TEST(placement_system, urgent_work_that_waited_long_precedes_other_teams)
+{
+    placement_system system(make_policy(0.0));
+    system.set_target(make_target("a", 1));
+    for (int i = 0; i < 5; ++i)
+        system.add_task(make_task("x" + std::to_string(i), "x"));
+    tick(system, epoch);
+    auto now = epoch + 600ms;
+    system.add_task(make_task("y", "y", queue_kind::urgent, now));
+    system.on_task_end(task_id("x0"), task_outcome::done, now);
+    auto items = tick(system, now);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].rule, placement_rule::long_wait);
+    EXPECT_EQ(items[0].team, team_id("x"));
+}
+
 // Guards against slow work that starves behind urgent work of teams that are
 // far above their share.
 TEST(placement_system, slow_work_far_below_its_share_precedes_urgent_work)
