Hold one grant for each slot that is freed, and trust silent targets sooner

Cause: a held grant was counted again for every victim, so slots were freed for tasks that no team could start; the new test saw it with the earlier code. Grants for overdue urgent work are now taken before victims are chosen and are returned when no slot is being freed.

--- a/systems/placement_preemption.cpp
+++ b/systems/placement_preemption.cpp
@@ -19,6 +19,7 @@
 
 void placement_system::preempt(context& ctx)
 {
+    hold_grants(ctx);
     std::uint32_t needed = count_needed(ctx.now);
     while (freeing_count_ > needed &&
            !(throttled_.empty() && checkpointing_.empty()))
@@ -35,7 +36,7 @@
         { return !team.get_queue(queue_kind::urgent).empty(); });
     for (auto& [rank, team] : urgent)
     {
-        std::size_t count = team->get_queue(queue_kind::urgent).size();
+        std::uint32_t count = team->held_grants;
         while (freeing_count_ < needed && count-- > 0)
             if (!preempt_for(*team, victims, ctx))
                 break;
@@ -55,17 +56,36 @@
     return ranked;
 }
 
-std::uint32_t placement_system::count_needed(monotonic_time now) const
+bool placement_system::is_urgent_overdue(
+    const team_row& team, monotonic_time now)
 {
-    std::size_t needed = 0;
+    const task_order& queue = team.get_queue(queue_kind::urgent);
+    return !queue.empty() && now - std::get<0>(*queue.begin()) >= preempt_after;
+}
+
+void placement_system::hold_grants(context& ctx)
+{
+    std::size_t most = freeing_count_;
     for (const auto& [id, team] : teams_)
+        most += team.victims.size();
+    for (auto& [id, team] : teams_)
     {
-        const task_order& queue = team.get_queue(queue_kind::urgent);
-        if (queue.empty() || team.is_without_grant)
+        if (!is_urgent_overdue(team, ctx.now) || team.is_without_grant)
             continue;
-        if (now - std::get<0>(*queue.begin()) >= preempt_after)
-            needed += queue.size();
+        std::size_t wanted =
+            std::min(most, team.get_queue(queue_kind::urgent).size());
+        while (team.held_grants < wanted && take_new_grant(team, ctx))
+            ++team.held_grants;
     }
+}
+
+std::uint32_t placement_system::count_needed(monotonic_time now) const
+{
+    std::size_t needed = 0;
+    for (const auto& [id, team] : teams_)
+        if (is_urgent_overdue(team, now))
+            needed += std::min<std::size_t>(
+                team.held_grants, team.get_queue(queue_kind::urgent).size());
     return static_cast<std::uint32_t>(needed);
 }
 
@@ -78,15 +98,6 @@
     task_row* victim = choose_victim(urgent, head, victims, candidates);
     if (victim == nullptr)
         return false;
-    // The grant is taken first: a slot freed for a team at its limit would
-    // be of no use to it.
-    if (urgent.held_grants < queue.size())
-    {
-        if (!take_grant(urgent, ctx))
-            return false;
-        ++urgent.held_grants;
-        ++held_grants_;
-    }
     emit(*victim, placement_action::throttle, placement_rule::urgent_waits,
         candidates, ctx);
     victim->team->victims.erase({victim->started, victim->sequence, victim});
--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -118,7 +118,6 @@
     targets_.on_refused(*row->target, reason, now);
     vacate(*row, now);
     ++row->team->held_grants;
-    ++held_grants_;
     enqueue(*row);
     if (row->is_cancelled)
         cancelled_.push_back(id);
@@ -334,9 +333,13 @@
     if (team.held_grants > 0)
     {
         --team.held_grants;
-        --held_grants_;
         return true;
     }
+    return take_new_grant(team, ctx);
+}
+
+bool placement_system::take_new_grant(team_row& team, context& ctx)
+{
     if (ctx.take_grant(team.id))
         return true;
     team.is_without_grant = true;
@@ -369,11 +372,12 @@
         bool is_waiting = !team.waiting[0].empty() || !team.waiting[1].empty();
         if (is_waiting && !team.is_without_grant)
             is_contended_ = true;
-        std::size_t wanted = team.get_queue(queue_kind::urgent).size();
+        // Grants are held only while slots are being freed.
+        std::size_t wanted =
+            freeing_count_ > 0 ? team.get_queue(queue_kind::urgent).size() : 0;
         while (team.held_grants > wanted)
         {
             --team.held_grants;
-            --held_grants_;
             ctx.out.returned_grants.push_back(id);
         }
     }
--- a/systems/placement_system.hpp
+++ b/systems/placement_system.hpp
@@ -161,7 +161,9 @@
     void refuse_overdue(context& ctx);
     void start_waiting(context& ctx);
     void end_tick(context& ctx);
+    /// Uses a held grant if there is one.
     bool take_grant(team_row& team, context& ctx);
+    bool take_new_grant(team_row& team, context& ctx);
 
     pick pick_by_shares(monotonic_time now);
     pick pick_first_come(monotonic_time now);
@@ -183,6 +185,10 @@
     void preempt(context& ctx);
     void take_due_steps(context& ctx);
     void resume_one(context& ctx);
+    static bool is_urgent_overdue(const team_row& team, monotonic_time now);
+    /// Takes grants for urgent work before slots are freed for it: a slot is
+    /// of no use to a team that is at its limit.
+    void hold_grants(context& ctx);
     std::uint32_t count_needed(monotonic_time now) const;
     using ranked_teams = std::vector<std::pair<double, team_row*>>;
     /// Least served first.
@@ -214,7 +220,6 @@
     task_order checkpointing_;
     std::vector<task_id> cancelled_;
     std::uint32_t waiting_count_[2] = {0, 0};
-    std::uint32_t held_grants_ = 0;   ///< Of all teams.
     std::uint32_t freeing_count_ = 0; ///< Victims, stopping ones included.
     std::uint64_t last_sequence_ = 0;
     bool is_contended_ = false;
--- a/systems/target_health.cpp
+++ b/systems/target_health.cpp
@@ -41,7 +41,10 @@
 /// a job has no more attempts either.
 constexpr std::size_t most_attempts = 5;
 
-constexpr std::uint32_t proofs_needed = 3;
+/// Successes on probation after failures, and after silence, which says
+/// nothing against the work of the target.
+constexpr std::uint32_t proofs_after_failures = 3;
+constexpr std::uint32_t proofs_after_silence = 1;
 constexpr milliseconds first_pause{10'000};
 constexpr milliseconds longest_pause{600'000};
 
@@ -151,8 +154,7 @@
         set_aside(id, row, now, may_set_aside, out);
         return;
     }
-    if (row.state != target_health_state::probation ||
-        row.proofs < proofs_needed)
+    if (!is_proved(row))
         return;
     row.proofs = 0;
     row.sound_since = now;
@@ -173,8 +175,8 @@
     note_rate(row, 0.0);
     row.has_succeeded = true;
     row.evidence = std::max(0.0, row.evidence - evidence_of_success);
-    if (row.state == target_health_state::probation &&
-        ++row.proofs >= proofs_needed)
+    ++row.proofs;
+    if (is_proved(row))
         suspects_.insert(target);
     auto it = failures_.find(task);
     if (it == failures_.end())
@@ -218,6 +220,13 @@
     }
 }
 
+bool target_health::is_proved(const target_row& row)
+{
+    std::uint32_t needed =
+        row.is_aside_silent ? proofs_after_silence : proofs_after_failures;
+    return row.state == target_health_state::probation && row.proofs >= needed;
+}
+
 void target_health::note_rate(target_row& row, double sample)
 {
     double step = rate_step * (sample - row.failure_rate);
@@ -284,6 +293,7 @@
     health_decisions& out)
 {
     bool is_on_probation = row.state == target_health_state::probation;
+    row.is_aside_silent = row.is_silent;
     if (!may_set_aside(id))
     {
         // Probation limits the harm to one idempotent task at a time.
@@ -299,7 +309,6 @@
     bool is_relapse = row.pause.count() > 0 &&
                       (is_on_probation || now - row.sound_since < relapse_time);
     row.has_succeeded = false;
-    row.is_aside_silent = row.is_silent;
     row.pause =
         is_relapse ? std::min(row.pause * 2, longest_pause) : first_pause;
     // A silent target returns when it answers.
--- a/systems/target_health.hpp
+++ b/systems/target_health.hpp
@@ -113,6 +113,7 @@
         target_row& row, monotonic_time now);
     void on_failure(
         const task_id& task, const instance_id& target, target_row& row);
+    static bool is_proved(const target_row& row);
     void note_rate(target_row& row, double sample);
     double get_rate_elsewhere(const target_row& row) const;
     void accuse(const instance_id& id, target_row& row, double evidence);
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -180,6 +180,33 @@
     EXPECT_EQ(out.teams_without_grant, std::vector{team_id("y")});
 }
 
+// Guards against slots that are freed, tick after tick, for more tasks than
+// the teams with waiting work may run.
+TEST(placement_system, frees_no_more_slots_than_there_are_grants)
+{
+    placement_system system(make_policy(0.0));
+    system.set_target(make_target("a", 5));
+    for (int i = 0; i < 5; ++i)
+        system.add_task(
+            make_task("s" + std::to_string(i), "s", queue_kind::slow));
+    tick(system, epoch);
+    for (int i = 0; i < 4; ++i)
+    {
+        system.add_task(make_task("x" + std::to_string(i), "x"));
+        system.add_task(make_task("y" + std::to_string(i), "y"));
+    }
+    int grants = 1;
+    int throttled = 0;
+    for (int i = 0; i < 10; ++i)
+        for (const auto& item :
+            system
+                .tick(epoch + 50ms, [&](const team_id& team)
+                    { return team == team_id("y") && grants-- > 0; })
+                .items)
+            throttled += item.action == placement_action::throttle ? 1 : 0;
+    EXPECT_EQ(throttled, 1);
+}
+
 // Guards against an idle team that collects credit and then takes the whole
 // pool, and against a busy team that pays for slots nobody wanted.
 TEST(placement_system, team_that_returns_gets_its_share_and_no_more)
