--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -180,6 +180,33 @@
     EXPECT_EQ(out.teams_without_grant, std::vector{team_id("y")});
 }
 
+// Guards against slots that are freed, tick after tick, for more tasks than
+// the teams with waiting work may run.
+TEST(placement_system, frees_no_more_slots_than_there_are_grants)
+{
+    placement_system system(make_policy(0.0));
+    system.set_target(make_target("a", 5));
+    for (int i = 0; i < 5; ++i)
+        system.add_task(
+            make_task("s" + std::to_string(i), "s", queue_kind::slow));
+    tick(system, epoch);
+    for (int i = 0; i < 4; ++i)
+    {
+        system.add_task(make_task("x" + std::to_string(i), "x"));
+        system.add_task(make_task("y" + std::to_string(i), "y"));
+    }
+    int grants = 1;
+    int throttled = 0;
+    for (int i = 0; i < 10; ++i)
+        for (const auto& item :
+            system
+                .tick(epoch + 50ms, [&](const team_id& team)
+                    { return team == team_id("y") && grants-- > 0; })
+                .items)
+            throttled += item.action == placement_action::throttle ? 1 : 0;
+    EXPECT_EQ(throttled, 1);
+}
+
 // Guards against an idle team that collects credit and then takes the whole
 // pool, and against a busy team that pays for slots nobody wanted.
 TEST(placement_system, team_that_returns_gets_its_share_and_no_more)
@@ -216,6 +243,24 @@
     EXPECT_LE(started_y, 22);
 }
 
+// Guards against a burst of a large team that waits beyond the start bound
+// while the tasks of others start at once.
+TEST(placement_system, urgent_work_that_waited_long_precedes_other_teams)
+{
+    placement_system system(make_policy(0.0));
+    system.set_target(make_target("a", 1));
+    for (int i = 0; i < 5; ++i)
+        system.add_task(make_task("x" + std::to_string(i), "x"));
+    tick(system, epoch);
+    auto now = epoch + 600ms;
+    system.add_task(make_task("y", "y", queue_kind::urgent, now));
+    system.on_task_end(task_id("x0"), task_outcome::done, now);
+    auto items = tick(system, now);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].rule, placement_rule::long_wait);
+    EXPECT_EQ(items[0].team, team_id("x"));
+}
+
 // Guards against slow work that starves behind urgent work of teams that are
 // far above their share.
 TEST(placement_system, slow_work_far_below_its_share_precedes_urgent_work)
