Bound the slots of slow work that cannot be stopped

Cause: work that is not idempotent is never preempted, so it piles up in the pool and a burst finds fewer slots.

--- a/systems/placement_order.cpp
+++ b/systems/placement_order.cpp
@@ -7,54 +7,77 @@
 
 placement_system::pick placement_system::pick_by_shares(monotonic_time now)
 {
-    team_row* urgent = find_neediest(queue_kind::urgent);
-    team_row* slow = find_neediest(queue_kind::slow);
-    if (urgent != nullptr && slow != nullptr && is_owed(*slow, *urgent))
-        return {slow, queue_kind::slow, placement_rule::share_debt};
+    team_row* urgent = find_neediest(lane::urgent);
+    pick slow = pick_slow();
+    if (urgent != nullptr && slow.team != nullptr &&
+        is_owed(*slow.team, *urgent))
+        return {slow.team, slow.from, placement_rule::share_debt};
     if (urgent != nullptr)
     {
         team_row* late = find_longest_wait(*urgent, now);
         if (late != nullptr)
-            return {late, queue_kind::urgent, placement_rule::long_wait};
-        return {urgent, queue_kind::urgent, placement_rule::urgent_first};
+            return {late, lane::urgent, placement_rule::long_wait};
+        return {urgent, lane::urgent, placement_rule::urgent_first};
     }
-    if (slow != nullptr && targets_.count_free() > get_headroom())
-        return {slow, queue_kind::slow, placement_rule::spare_capacity};
+    if (slow.team != nullptr && targets_.count_free() > get_headroom())
+        return slow;
     return {};
 }
 
+placement_system::pick placement_system::pick_slow()
+{
+    team_row* slow = find_neediest(lane::slow);
+    team_row* fixed = find_neediest(lane::fixed);
+    pick from_slow{slow, lane::slow, placement_rule::spare_capacity};
+    pick from_fixed{fixed, lane::fixed, placement_rule::spare_capacity};
+    if (slow == nullptr || fixed == nullptr)
+        return fixed == nullptr ? from_slow : from_fixed;
+    auto cap = static_cast<std::uint32_t>(
+        std::ceil(targets_.count_usable() * policy_.fixed_part));
+    if (fixed_running_ >= cap && !is_owed(*fixed, *slow))
+        return from_slow;
+    if (slow != fixed)
+        return shares_.get_rank(fixed->account) <
+                       shares_.get_rank(slow->account)
+                   ? from_fixed
+                   : from_slow;
+    return *fixed->get_queue(lane::fixed).begin() <
+                   *slow->get_queue(lane::slow).begin()
+               ? from_fixed
+               : from_slow;
+}
+
 placement_system::pick placement_system::pick_first_come(monotonic_time)
 {
     pick best;
     monotonic_time earliest = monotonic_time::max();
     for (auto& [id, team] : teams_)
     {
-        for (queue_kind kind : {queue_kind::urgent, queue_kind::slow})
+        for (lane from : {lane::urgent, lane::slow, lane::fixed})
         {
-            const task_order& queue = team.get_queue(kind);
+            const task_order& queue = team.get_queue(from);
             if (queue.empty() || team.is_without_grant ||
-                team.is_blocked[static_cast<std::size_t>(kind)])
+                team.is_blocked[static_cast<std::size_t>(from)])
                 continue;
-            if (kind == queue_kind::slow &&
-                targets_.count_free() <= get_headroom())
+            if (from != lane::urgent && targets_.count_free() <= get_headroom())
                 continue;
             if (std::get<0>(*queue.begin()) >= earliest)
                 continue;
             earliest = std::get<0>(*queue.begin());
-            best = {&team, kind, placement_rule::first_come};
+            best = {&team, from, placement_rule::first_come};
         }
     }
     return best;
 }
 
-placement_system::team_row* placement_system::find_neediest(queue_kind kind)
+placement_system::team_row* placement_system::find_neediest(lane from)
 {
     team_row* best = nullptr;
     double best_rank = 0.0;
     for (auto& [id, team] : teams_)
     {
-        if (team.get_queue(kind).empty() || team.is_without_grant ||
-            team.is_blocked[static_cast<std::size_t>(kind)])
+        if (team.get_queue(from).empty() || team.is_without_grant ||
+            team.is_blocked[static_cast<std::size_t>(from)])
             continue;
         double rank = shares_.get_rank(team.account);
         if (best != nullptr && rank >= best_rank)
@@ -72,7 +95,7 @@
     monotonic_time earliest = now - policy_.urgent_patience;
     for (auto& [id, team] : teams_)
     {
-        const task_order& queue = team.get_queue(queue_kind::urgent);
+        const task_order& queue = team.get_queue(lane::urgent);
         if (queue.empty() || team.is_without_grant || team.is_blocked[0] ||
             std::get<0>(*queue.begin()) >= earliest || is_owed(neediest, team))
             continue;
@@ -95,7 +118,7 @@
 {
     team_row& team = *chosen.team;
     int tries = policy_.look_ahead;
-    for (const time_key& key : team.get_queue(chosen.kind))
+    for (const time_key& key : team.get_queue(chosen.from))
     {
         if (tries-- == 0)
             break;
@@ -110,7 +133,7 @@
             start(row, where, chosen.rule, ctx);
         return;
     }
-    team.is_blocked[static_cast<std::size_t>(chosen.kind)] = true;
+    team.is_blocked[static_cast<std::size_t>(chosen.from)] = true;
 }
 
 void placement_system::start_reserved(context& ctx)
--- a/systems/placement_policy.hpp
+++ b/systems/placement_policy.hpp
@@ -31,6 +31,10 @@
     /// The headroom follows the urgent work that runs, up to `headroom`.
     bool is_headroom_adaptive = true;
     bool is_preemptive = true;
+    /// Part of the slots that slow work which cannot be stopped may hold while
+    /// other slow work waits and no team is owed. It outlives preemptions and
+    /// would otherwise pile up and leave less for bursts of urgent work.
+    double fixed_part = 0.0625;
     /// Tasks of a team that may wait, for each kind; about 300 bytes each.
     /// With 72 teams a pool then holds at most 43 MB.
     std::uint32_t max_waiting = 1'000;
--- a/systems/placement_preemption.cpp
+++ b/systems/placement_preemption.cpp
@@ -33,7 +33,7 @@
     if (victims.empty())
         return;
     ranked_teams urgent = rank_teams([](const team_row& team)
-        { return !team.get_queue(queue_kind::urgent).empty(); });
+        { return !team.get_queue(lane::urgent).empty(); });
     for (auto& [rank, team] : urgent)
     {
         std::uint32_t count = team->held_grants;
@@ -59,7 +59,7 @@
 bool placement_system::is_urgent_overdue(
     const team_row& team, monotonic_time now)
 {
-    const task_order& queue = team.get_queue(queue_kind::urgent);
+    const task_order& queue = team.get_queue(lane::urgent);
     return !queue.empty() && now - std::get<0>(*queue.begin()) >= preempt_after;
 }
 
@@ -73,7 +73,7 @@
         if (!is_urgent_overdue(team, ctx.now) || team.is_without_grant)
             continue;
         std::size_t wanted =
-            std::min(most, team.get_queue(queue_kind::urgent).size());
+            std::min(most, team.get_queue(lane::urgent).size());
         while (team.held_grants < wanted && take_new_grant(team, ctx))
             ++team.held_grants;
     }
@@ -85,14 +85,14 @@
     for (const auto& [id, team] : teams_)
         if (is_urgent_overdue(team, now))
             needed += std::min<std::size_t>(
-                team.held_grants, team.get_queue(queue_kind::urgent).size());
+                team.held_grants, team.get_queue(lane::urgent).size());
     return static_cast<std::uint32_t>(needed);
 }
 
 bool placement_system::preempt_for(
     team_row& urgent, const ranked_teams& victims, context& ctx)
 {
-    const task_order& queue = urgent.get_queue(queue_kind::urgent);
+    const task_order& queue = urgent.get_queue(lane::urgent);
     const task_row& head = *std::get<2>(*queue.begin());
     std::uint32_t candidates = 0;
     task_row* victim = choose_victim(urgent, head, victims, candidates);
@@ -176,8 +176,7 @@
 void placement_system::add_victim(task_row& row)
 {
     // A task that is not idempotent could not run again after a stop.
-    if (row.task.kind == queue_kind::slow && row.task.is_idempotent &&
-        !row.is_cancelled)
+    if (get_lane(row.task) == lane::slow && !row.is_cancelled)
         row.team->victims.emplace(row.started, row.sequence, &row);
 }
 
--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -7,21 +7,27 @@
 namespace cowslippass
 {
 
-placement_system::task_order& placement_system::team_row::get_queue(
-    queue_kind kind)
+placement_system::task_order& placement_system::team_row::get_queue(lane from)
 {
-    return waiting[static_cast<std::size_t>(kind)];
+    return waiting[static_cast<std::size_t>(from)];
 }
 
 const placement_system::task_order& placement_system::team_row::get_queue(
-    queue_kind kind) const
+    lane from) const
 {
-    return waiting[static_cast<std::size_t>(kind)];
+    return waiting[static_cast<std::size_t>(from)];
 }
 
-bool placement_system::team_row::is_waiting() const
+std::size_t placement_system::team_row::count_waiting() const
 {
-    return !waiting[0].empty() || !waiting[1].empty();
+    return waiting[0].size() + waiting[1].size() + waiting[2].size();
+}
+
+placement_system::lane placement_system::get_lane(const placement_task& task)
+{
+    if (task.kind == queue_kind::urgent)
+        return lane::urgent;
+    return task.is_idempotent ? lane::slow : lane::fixed;
 }
 
 placement_system::placement_system(placement_policy policy)
@@ -73,7 +79,8 @@
         return placement_rule::duplicate_task;
     if (policy_.refuses_misfits && !targets_.can_ever_fit(task.memory))
         return placement_rule::fits_no_target;
-    if (get_team(task.team).get_queue(task.kind).size() >= policy_.max_waiting)
+    if (get_team(task.team).get_queue(get_lane(task)).size() >=
+        policy_.max_waiting)
         return placement_rule::team_queue_full;
     return std::nullopt;
 }
@@ -187,8 +194,7 @@
     auto it = teams_.find(team);
     if (it == teams_.end())
         return 0;
-    const auto& queues = it->second.waiting;
-    return static_cast<std::uint32_t>(queues[0].size() + queues[1].size());
+    return static_cast<std::uint32_t>(it->second.count_waiting());
 }
 
 std::uint32_t placement_system::count_running(const team_id& team) const
@@ -214,10 +220,11 @@
 void placement_system::enqueue(task_row& row)
 {
     team_row& team = *row.team;
-    if (!team.is_waiting())
+    if (team.count_waiting() == 0)
         team.is_joining = true;
     row.state = task_state::waiting;
-    team.get_queue(row.task.kind).emplace(row.task.arrival, row.sequence, &row);
+    team.get_queue(get_lane(row.task))
+        .emplace(row.task.arrival, row.sequence, &row);
     if (row.task.deadline != monotonic_time::max())
         deadlines_.emplace(row.task.deadline, row.sequence, &row);
     ++waiting_count_[static_cast<std::size_t>(row.task.kind)];
@@ -225,7 +232,7 @@
 
 void placement_system::dequeue(task_row& row)
 {
-    row.team->get_queue(row.task.kind)
+    row.team->get_queue(get_lane(row.task))
         .erase({row.task.arrival, row.sequence, &row});
     deadlines_.erase({row.task.deadline, row.sequence, &row});
     --waiting_count_[static_cast<std::size_t>(row.task.kind)];
@@ -241,6 +248,7 @@
     row.started = now;
     targets_.occupy(target, row.task, state == task_state::starting);
     shares_.on_start(row.team->account);
+    fixed_running_ += get_lane(row.task) == lane::fixed ? 1 : 0;
 }
 
 void placement_system::vacate(task_row& row, monotonic_time now)
@@ -250,6 +258,7 @@
     row.team->victims.erase({row.started, row.sequence, &row});
     targets_.vacate(*row.target, row.task, row.state == task_state::starting);
     shares_.on_end(row.team->account);
+    fixed_running_ -= get_lane(row.task) == lane::fixed ? 1 : 0;
     row.target = nullptr;
 }
 
@@ -267,9 +276,9 @@
     double least = std::numeric_limits<double>::max();
     for (auto& [id, team] : teams_)
     {
-        team.is_blocked[0] = team.is_blocked[1] = false;
+        team.is_blocked = {};
         team.is_without_grant = false;
-        if (team.is_waiting() && !team.is_joining)
+        if (team.count_waiting() > 0 && !team.is_joining)
             least = std::min(least, shares_.get_served(team.account));
     }
     if (least < std::numeric_limits<double>::max())
@@ -367,14 +376,14 @@
     accounts_.clear();
     for (auto& [id, team] : teams_)
     {
-        team.account.waiting = team.waiting[0].size() + team.waiting[1].size();
+        team.account.waiting = team.count_waiting();
         accounts_.push_back(&team.account);
-        bool is_waiting = !team.waiting[0].empty() || !team.waiting[1].empty();
+        bool is_waiting = team.count_waiting() > 0;
         if (is_waiting && !team.is_without_grant)
             is_contended_ = true;
         // Grants are held only while slots are being freed.
         std::size_t wanted =
-            freeing_count_ > 0 ? team.get_queue(queue_kind::urgent).size() : 0;
+            freeing_count_ > 0 ? team.get_queue(lane::urgent).size() : 0;
         while (team.held_grants > wanted)
         {
             --team.held_grants;
--- a/systems/placement_system.hpp
+++ b/systems/placement_system.hpp
@@ -102,6 +102,12 @@
         checkpointing,
         stopping
     };
+    enum class lane
+    {
+        urgent,
+        slow, ///< Idempotent, so that it can be stopped and run again.
+        fixed ///< Slow and not idempotent; keeps its slot to its end.
+    };
     struct team_row;
     struct task_row
     {
@@ -122,21 +128,21 @@
     {
         team_id id;
         team_shares::account account;
-        task_order waiting[2]; ///< By kind, in order of arrival.
+        task_order waiting[3]; ///< By lane, in order of arrival.
         task_order victims;    ///< Running slow tasks that may be stopped.
         std::uint32_t held_grants = 0;
-        bool is_blocked[2] = {false, false}; ///< In this tick, by kind.
-        bool is_without_grant = false;       ///< In this tick.
+        std::array<bool, 3> is_blocked{}; ///< In this tick, by lane.
+        bool is_without_grant = false;    ///< In this tick.
         bool is_joining = false; ///< Began to wait since the last tick.
 
-        bool is_waiting() const;
-        task_order& get_queue(queue_kind kind);
-        const task_order& get_queue(queue_kind kind) const;
+        std::size_t count_waiting() const;
+        task_order& get_queue(lane from);
+        const task_order& get_queue(lane from) const;
     };
     struct pick
     {
         team_row* team = nullptr;
-        queue_kind kind = queue_kind::urgent;
+        lane from = lane::urgent;
         placement_rule rule = placement_rule::urgent_first;
     };
     struct context
@@ -165,9 +171,11 @@
     bool take_grant(team_row& team, context& ctx);
     bool take_new_grant(team_row& team, context& ctx);
 
+    static lane get_lane(const placement_task& task);
+    pick pick_slow();
     pick pick_by_shares(monotonic_time now);
     pick pick_first_come(monotonic_time now);
-    team_row* find_neediest(queue_kind kind);
+    team_row* find_neediest(lane from);
     /// @return the team whose urgent work waits longest beyond patience, of
     ///   those that are not far ahead of `neediest`; null if there is none.
     team_row* find_longest_wait(team_row& neediest, monotonic_time now);
@@ -220,6 +228,7 @@
     task_order checkpointing_;
     std::vector<task_id> cancelled_;
     std::uint32_t waiting_count_[2] = {0, 0};
+    std::uint32_t fixed_running_ = 0; ///< Tasks of that lane on targets.
     std::uint32_t freeing_count_ = 0; ///< Victims, stopping ones included.
     std::uint64_t last_sequence_ = 0;
     bool is_contended_ = false;
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -287,6 +287,32 @@
     EXPECT_GT(now, epoch + 5s);
 }
 
+// Guards against slow work that cannot be stopped and piles up in the pool,
+// and against slots left free for other work that is not there.
+TEST(placement_system, bounds_slow_work_that_cannot_be_stopped)
+{
+    placement_system system(make_policy(0.0));
+    auto target = make_target("a", 32);
+    target.connections = 100;
+    system.set_target(target);
+    auto add = [&](const std::string& id, bool is_idempotent)
+    {
+        auto task = make_task(id, "x", queue_kind::slow);
+        task.is_idempotent = is_idempotent;
+        system.add_task(task);
+    };
+    for (int i = 0; i < 20; ++i)
+        add("fixed" + std::to_string(i), false);
+    for (int i = 0; i < 20; ++i)
+        add("slow" + std::to_string(i), true);
+    auto items = tick(system, epoch);
+    auto count = std::count_if(items.begin(), items.end(),
+        [](const auto& item) { return item.task.get().starts_with("fixed"); });
+    EXPECT_EQ(count, 12); // 2 by the bound, 10 when no other work waits
+    EXPECT_EQ(items.size(), 32u);
+    EXPECT_TRUE(items[2].task.get().starts_with("slow"));
+}
+
 // Guards against work that waits for ever, that runs after its caller left,
 // or that fills the memory.
 TEST(placement_system, refuses_with_the_reason)
