Renew only the urgent order of a rack's other targets

Cause: each urgent start and end took every open target of the rack out of all four indexes, and ticks without urgent work walked the teams for it.

--- a/systems/placement_order.cpp
+++ b/systems/placement_order.cpp
@@ -72,6 +72,9 @@
 
 placement_system::team_row* placement_system::find_neediest(lane from)
 {
+    auto kind = from == lane::urgent ? queue_kind::urgent : queue_kind::slow;
+    if (count_waiting(kind) == 0)
+        return nullptr;
     team_row* best = nullptr;
     double best_rank = 0.0;
     for (auto& [id, team] : teams_)
--- a/systems/placement_preemption.cpp
+++ b/systems/placement_preemption.cpp
@@ -19,6 +19,8 @@
 
 void placement_system::preempt(context& ctx)
 {
+    if (count_waiting(queue_kind::urgent) == 0 && freeing_count_ == 0)
+        return;
     hold_grants(ctx);
     std::uint32_t needed = count_needed(ctx.now);
     while (freeing_count_ > needed &&
--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -366,15 +366,33 @@
     open_.pop_back();
 }
 
+placement_targets::order_key placement_targets::make_urgent_key(const row& row)
+{
+    // A target on probation gets urgent work last, and slow work first, so
+    // that it is tested on work that can wait for a retry.
+    bool is_probation = row.target.health == target_health_state::probation;
+    std::uint32_t slots = row.target.slots.get();
+    return {is_probation ? 1 : 0, permille(row.rack->urgent, row.rack->slots),
+        permille(slots - row.free, slots), row.number};
+}
+
+void placement_targets::renew_urgent_key(row& row)
+{
+    order_key key = make_urgent_key(row);
+    if (key == row.urgent_key)
+        return;
+    auto node = urgent_order_.extract(row.urgent_key);
+    row.urgent_key = key;
+    node.key() = key;
+    urgent_order_.insert(std::move(node));
+}
+
 void placement_targets::open(row& row)
 {
     bool is_probation = row.target.health == target_health_state::probation;
     std::uint32_t slots = row.target.slots.get();
     std::uint32_t load = permille(slots - row.free, slots);
-    std::uint32_t rack_load = permille(row.rack->urgent, row.rack->slots);
-    // A target on probation gets urgent work last, and slow work first, so
-    // that it is tested on work that can wait for a retry.
-    row.urgent_key = {is_probation ? 1 : 0, rack_load, load, row.number};
+    row.urgent_key = make_urgent_key(row);
     row.slow_key = {is_probation ? 0 : 1, 0, load, row.number};
     row.room = get_room(row);
     urgent_room_.insert(row.room);
@@ -399,7 +417,7 @@
     row.rack->urgent += by;
     for (auto* member : row.rack->rows)
         if (member != &row && member->is_open)
-            reindex(*member);
+            renew_urgent_key(*member);
 }
 
 void placement_targets::join_rack(row& row)
--- a/systems/placement_targets.hpp
+++ b/systems/placement_targets.hpp
@@ -113,6 +113,8 @@
     std::uint32_t count_free_slots(const row& row) const;
     void close(row& row);
     void open(row& row);
+    static order_key make_urgent_key(const row& row);
+    void renew_urgent_key(row& row);
     void reindex(row& row);
     void change_urgent(row& row, int by);
     void join_rack(row& row);
