Leave a quarter of large budgets for failures during a roll-out

Pools were over budget whenever a failure met a full wave. One instance is now left for each four of a budget; budgets below 4 are used as a whole.

--- a/bench/maintenance/maintenance_main.cpp
+++ b/bench/maintenance/maintenance_main.cpp
@@ -10,7 +10,7 @@
 DEFINE_int32(runs, 3, "seeds per fleet; the table has means");
 DEFINE_string(fleet, "", "only the fleets whose name contains this");
 
-DEFINE_uint32(failure_reserve, 0, "of the planner; see maintenance_options");
+DEFINE_uint32(reserve_one_in, 4, "of the planner; see maintenance_options");
 
 namespace cowslippass
 {
@@ -96,7 +96,7 @@
 void measure_all()
 {
     maintenance_options options;
-    options.failure_reserve = FLAGS_failure_reserve;
+    options.reserve_one_in = FLAGS_reserve_one_in;
     maintenance_planner planner(options);
     options.scope = maintenance_scope::pool;
     maintenance_planner by_pool(options);
--- a/systems/maintenance_planner.cpp
+++ b/systems/maintenance_planner.cpp
@@ -113,9 +113,11 @@
     std::uint32_t get_limit(const pool_view& pool) const
     {
         std::uint32_t budget = pool.get_budget();
-        if (budget <= options_.failure_reserve)
-            return std::min(budget, 1U);
-        return budget - options_.failure_reserve;
+        std::uint32_t one_in = options_.reserve_one_in;
+        // An instance must be left to maintain, even with one_in = 1.
+        return one_in == 0 || budget == 0
+                   ? budget
+                   : std::max(1U, budget - budget / one_in);
     }
 
     /// Spares the search through the members of most pools.
--- a/systems/maintenance_planner.hpp
+++ b/systems/maintenance_planner.hpp
@@ -15,9 +15,9 @@
 struct maintenance_options
 {
     maintenance_scope scope = maintenance_scope::fleet;
-    /// Part of each budget that is left for failures during a roll-out. One
-    /// instance of a pool may be drained in any case.
-    std::uint32_t failure_reserve = 0;
+    /// One instance for each so many of a budget is left for failures during
+    /// a roll-out; 0 leaves none. Smaller budgets are used as a whole.
+    std::uint32_t reserve_one_in = 4;
     /// Most drains started by one plan, which bounds the size of an append.
     std::uint32_t max_drains = 64;
 };
--- a/tests/systems/maintenance_planner_test.cpp
+++ b/tests/systems/maintenance_planner_test.cpp
@@ -316,6 +316,25 @@
         fleet.state.get_instances().at(instance_id("p0")).maintained_pass, 0u);
 }
 
+// Guards against a large pool that every failure during a roll-out takes over
+// its budget, and against a small one whose whole budget is held back.
+TEST(maintenance_planner, a_part_of_large_budgets_is_left_for_failures)
+{
+    auto count_drains = [](std::uint32_t budget)
+    {
+        fleet_model fleet;
+        fleet.add_pool("previews", budget, false);
+        for (int i = 0; i < 10; ++i)
+            fleet.add_instance("p" + std::to_string(i), "previews", "dc0",
+                "r" + std::to_string(i / 4));
+        return fleet.plan().size();
+    };
+    EXPECT_EQ(count_drains(1), 1u);
+    EXPECT_EQ(count_drains(3), 3u);
+    EXPECT_EQ(count_drains(4), 3u);
+    EXPECT_EQ(count_drains(8), 6u);
+}
+
 // Guards against an operator's drain being taken for one of the planner.
 TEST(maintenance_planner, drains_of_operators_are_left_alone)
 {
