--- a/systems/maintenance_planner.cpp
+++ b/systems/maintenance_planner.cpp
@@ -95,9 +95,11 @@
         // the active data centre would open a second one.
         const auto& active = get_active(*it.pool);
         bool is_in_wave = !active || *active == it.get_data_centre();
-        if (!it.is_due || !is_in_wave)
+        bool is_requested = !it.is_due && it.is_reboot_wanted();
+        if (!is_requested && (!it.is_due || !is_in_wave))
             return restore(it, "drain_not_needed", {});
-        out_.push_back(make_decision(it, maintenance_step::reboot, "pass_due"));
+        out_.push_back(make_decision(it, maintenance_step::reboot,
+            is_requested ? "operator_request" : "pass_due"));
         view_.set_state(it, instance_state::rebooting);
     }
 
--- a/systems/maintenance_view.cpp
+++ b/systems/maintenance_view.cpp
@@ -51,6 +51,11 @@
         now.time_since_epoch() / maintenance_period);
 }
 
+bool member_view::is_reboot_wanted() const
+{
+    return is_due || !pool->is_spare();
+}
+
 std::uint32_t pool_view::get_excess() const
 {
     return unavailable > get_budget() ? unavailable - get_budget() : 0;
--- a/systems/maintenance_view.hpp
+++ b/systems/maintenance_view.hpp
@@ -32,12 +32,16 @@
         return state == instance_state::draining && row->is_for_maintenance;
     }
 
-    /// @return whether a pass is under way. A planned drain of an instance
-    ///   that is not due serves an exchange.
+    /// @return whether the drain leads to a reboot. One of a spare instance
+    ///   that is not due serves an exchange; elsewhere an operator asked for
+    ///   maintenance.
+    bool is_reboot_wanted() const;
+
+    /// @return whether a pass is under way.
     bool is_in_maintenance() const
     {
         return state == instance_state::rebooting ||
-               (is_planned_drain() && is_due);
+               (is_planned_drain() && is_reboot_wanted());
     }
 };
 
--- a/tests/systems/maintenance_planner_test.cpp
+++ b/tests/systems/maintenance_planner_test.cpp
@@ -345,6 +345,20 @@
     EXPECT_EQ(fleet.get_state("p7"), instance_state::draining);
 }
 
+// Guards against undoing the maintenance of an instance that is not due, which
+// an operator asked for.
+TEST(maintenance_planner, maintenance_that_operators_ask_for_is_done)
+{
+    fleet_model fleet = make_small_fleet(1);
+    fleet.append({instance_state_record{instance_id("p7"),
+        instance_state::draining, get_maintenance_pass(fleet.now), true}});
+    fleet.reports[instance_id("p7")] = instance_report::idle;
+    auto decisions = fleet.run_plan();
+    ASSERT_FALSE(decisions.empty());
+    EXPECT_EQ(decisions[0].rule, "operator_request");
+    EXPECT_EQ(fleet.get_state("p7"), instance_state::rebooting);
+}
+
 // Guards against a pool that stays above its budget while spares are idle, and
 // against pools that shrink or grow by loans.
 TEST(maintenance_planner, a_spare_instance_replaces_a_lost_one)
