--- a/systems/maintenance_planner.cpp
+++ b/systems/maintenance_planner.cpp
@@ -95,9 +95,11 @@
         // the active data centre would open a second one.
         const auto& active = get_active(*it.pool);
         bool is_in_wave = !active || *active == it.get_data_centre();
-        if (!it.is_due || !is_in_wave)
+        bool is_requested = !it.is_due && it.is_reboot_wanted();
+        if (!is_requested && (!it.is_due || !is_in_wave))
             return restore(it, "drain_not_needed", {});
-        out_.push_back(make_decision(it, maintenance_step::reboot, "pass_due"));
+        out_.push_back(make_decision(it, maintenance_step::reboot,
+            is_requested ? "operator_request" : "pass_due"));
         view_.set_state(it, instance_state::rebooting);
     }
 
@@ -113,9 +115,11 @@
     std::uint32_t get_limit(const pool_view& pool) const
     {
         std::uint32_t budget = pool.get_budget();
-        if (budget <= options_.failure_reserve)
-            return std::min(budget, 1U);
-        return budget - options_.failure_reserve;
+        std::uint32_t one_in = options_.reserve_one_in;
+        // An instance must be left to maintain, even with one_in = 1.
+        return one_in == 0 || budget == 0
+                   ? budget
+                   : std::max(1U, budget - budget / one_in);
     }
 
     /// Spares the search through the members of most pools.
