Carry out the maintenance plan and target health in the daemon; use the lease keeper

Change: maintenance_keeper observes instances that are not in service and appends the planner's steps; pool_runner asks target_health and its retry budget; an added instance counts as maintained in the present pass.

--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -39,7 +39,7 @@
       claims_(node_), janitor_(node_, sync_, grants_),
       jobs_(node_, grants_, peers_, janitor_,
           [this](const pool_id& pool) { return find_runner(pool); }),
-      collector_(node_, peers_),
+      maintenance_(node_, sync_), collector_(node_, peers_),
       operator_api_(node_, sync_, peers_,
           {[this](std::string name) { return collector_.collect(name); },
               [this](cancel_command cancel)
@@ -81,6 +81,8 @@
         "targets", [this] { return list_targets(node_, runners_); });
     collector_.add_source(
         "grants", [this] { return list_grants(node_, grants_); });
+    collector_.add_source(
+        "maintenance", [this] { return maintenance_.list(); });
     collector_.add_platform_source(
         "jobs", [this] { return jobs_.list_jobs(); });
 }
@@ -112,6 +114,7 @@
     grants_.start();
     janitor_.start();
     jobs_.start();
+    maintenance_.start();
     node_.listeners.push_back([this] { update_runners(); });
     update_runners();
     node_.spawn("entry_node", [this] { return ownership_loop(); });
@@ -393,6 +396,7 @@
     {
         jobs_.stop();
         co_await janitor_.stop();
+        co_await maintenance_.stop();
         co_await grants_.return_all();
         session_id session = node_.session;
         try
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -6,6 +6,7 @@
 #include "main/grant_keeper.hpp"
 #include "main/janitor.hpp"
 #include "main/job_keeper.hpp"
+#include "main/maintenance_keeper.hpp"
 #include "main/node_context.hpp"
 #include "main/operator_api.hpp"
 #include "main/peer_network.hpp"
@@ -69,6 +70,7 @@
     claim_keeper claims_;
     janitor janitor_;
     job_keeper jobs_;
+    maintenance_keeper maintenance_;
     table_collector collector_;
     operator_api operator_api_;
     caller_api caller_api_;
--- a/main/job_keeper.cpp
+++ b/main/job_keeper.cpp
@@ -244,8 +244,9 @@
 
 void job_keeper::tell_owners(const job_id& job)
 {
-    for (const auto& [session, row] : node_.state.get_sessions())
+    for (const auto& it : node_.state.get_sessions())
     {
+        session_id session = it.first;
         node_.spawn("job_keeper",
             [this, session, job]() -> asio::awaitable<void>
             {
--- a/main/lease_holder.hpp
+++ b/main/lease_holder.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "main/node_context.hpp"
+#include "systems/lease_keeper.hpp"
 
+#include <optional>
 #include <string>
 
 namespace cowslippass
@@ -20,6 +22,7 @@
     bool is_held() const;
 
     /// @return a condition for every write made under the lease.
+    /// @throws systems_error (`lease_not_held`).
     row_condition get_condition() const;
 
     asio::awaitable<void> release();
@@ -30,10 +33,7 @@
 
     node_context& node_;
     std::string name_;
-    row_version held_{0}; ///< Row version of the own holding.
-    monotonic_time held_until_{};
-    row_version seen_{0};
-    monotonic_time seen_since_{};
+    std::optional<lease_keeper> keeper_;
     bool is_released_ = false;
 };
 
--- a/main/operator_api.cpp
+++ b/main/operator_api.cpp
@@ -4,9 +4,12 @@
 #include "systems/admission.hpp"
 #include "systems/command_parser.hpp"
 #include "systems/fleet_planner.hpp"
+#include "systems/maintenance_strategy.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+
 namespace cowslippass
 {
 
@@ -57,6 +60,24 @@
     return secret;
 }
 
+/// An instance that is added counts as maintained in the present pass; it
+/// would otherwise be drained as soon as it serves.
+std::vector<fleet_record> plan_change(
+    const fleet_state& state, const change_command& change)
+{
+    auto records = plan(state, change);
+    if (auto* added = std::get_if<add_instance_command>(&change))
+    {
+        instance_state_record maintained;
+        maintained.id = added->instance;
+        maintained.maintained_pass =
+            get_maintenance_pass(std::chrono::floor<std::chrono::seconds>(
+                std::chrono::system_clock::now()));
+        records.push_back(maintained);
+    }
+    return records;
+}
+
 bool is_valid_command_id(const std::string& text)
 {
     return !text.empty() && text.size() <= max_command_id_length &&
@@ -139,7 +160,7 @@
 
 http_response operator_api::run_dry(const change_command& change) const
 {
-    auto records = plan(node_.state, change);
+    auto records = plan_change(node_.state, change);
     return make_json(
         200, {{"dry_run", true}, {"records", records.size()},
                  {"would_write", json::parse(encode_records(records))},
@@ -166,7 +187,7 @@
             "no older entry has acknowledged this one yet; ask another entry, "
             "or if none runs any more, send: admit this entry");
     fleet_sync::planner planner = [change](const fleet_state& state)
-    { return plan(state, change); };
+    { return plan_change(state, change); };
     auto result = co_await sync_.append(command, std::move(planner));
     auto committed = get_now();
     if (result.status == append_status::unavailable)
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -10,6 +10,7 @@
 
 /// Bounds how late a deadline or a preemption step is noticed.
 constexpr milliseconds tick_interval{50};
+constexpr std::size_t max_bad_work = 10'000;
 
 struct refusal_answer
 {
@@ -254,6 +255,7 @@
             entry.link->start();
         }
         entry.description.id = id;
+        health_.set_target(id);
         entry.description.data_centre = row.description.data_centre;
         entry.description.rack = row.description.rack;
         entry.description.slots = row.description.slots;
@@ -268,7 +270,10 @@
         auto row = instances.find(it->first);
         bool is_ours = row != instances.end() && row->second.pool == pool_;
         if (!is_ours)
+        {
             placement_.remove_target(it->first);
+            health_.remove_target(it->first);
+        }
         // Tasks of the old pool are followed to their end.
         if (!is_ours && !it->second.link->has_tasks())
         {
@@ -296,7 +301,7 @@
     if (!entry.description.free_slots)
         return;
     entry.description.health = entry.is_answering
-                                   ? target_health_state::sound
+                                   ? health_.get_state(entry.description.id)
                                    : target_health_state::set_aside;
     placement_.set_target(entry.description);
 }
@@ -324,6 +329,7 @@
     if (it == targets_.end())
         return;
     it->second.is_answering = true;
+    health_.on_answer(id, get_now());
     it->second.description.free_slots = slot_count(answer.free_slots);
     update_description(it->second);
     kick();
@@ -338,6 +344,7 @@
         write_log(log_level::warn, "pool_runner", "a target does not answer",
             {{"target", id}, {"pool", pool_}});
     it->second.is_answering = false;
+    health_.on_silent(id, get_now());
     update_description(it->second);
     // Repeatable work is not left waiting for a silent target.
     if (silence < node_.config.start_deadline)
@@ -377,8 +384,52 @@
     }
 }
 
+task_id pool_runner::get_work_id(const active_item& active)
+{
+    return task_id(active.item.request.get());
+}
+
+bool pool_runner::may_set_aside() const
+{
+    auto pool = node_.state.get_pools().find(pool_);
+    if (pool == node_.state.get_pools().end())
+        return false;
+    std::uint32_t n = node_.state.count_unavailable(pool_);
+    for (const auto& [id, it] : targets_)
+        if (health_.get_state(id) == target_health_state::set_aside &&
+            it.description.state == instance_state::in_service)
+            ++n;
+    return n < pool->second.max_unavailable;
+}
+
+void pool_runner::judge_targets()
+{
+    auto judged = health_.tick(
+        get_now(), [this](const instance_id&) { return may_set_aside(); });
+    for (const auto& it : judged.changes)
+    {
+        log_.write(to_string(it.state), to_string(it.rule),
+            {{"target", it.target}, {"pool", pool_}, {"failures", it.failures},
+                {"evidence", it.evidence}});
+        auto entry = targets_.find(it.target);
+        if (entry != targets_.end())
+            update_description(entry->second);
+    }
+    // Bounded: the ids are only needed while attempts are under way.
+    if (bad_work_.size() > max_bad_work)
+        bad_work_.clear();
+    for (const auto& it : judged.bad_tasks)
+    {
+        log_.write("give_up", "fails_on_sound_targets",
+            {{"request", it.task}, {"pool", pool_},
+                {"targets", it.targets.size()}});
+        bad_work_.insert(it.task);
+    }
+}
+
 void pool_runner::tick()
 {
+    judge_targets();
     auto decisions = placement_.tick(get_now(), [this](const team_id& team)
         { return node_.may_start() && grants_.take(team); });
     for (const auto& team : decisions.returned_grants)
@@ -610,6 +661,8 @@
 {
     active->is_on_target = false;
     const task_id& id = active->item.task.id;
+    health_.on_task_end(
+        get_work_id(*active), active->target, outcome, get_now());
     auto entry = targets_.find(active->target);
     if (entry != targets_.end())
         entry->second.link->remove_task(id);
@@ -635,7 +688,9 @@
     bool may_retry = active->item.task.is_idempotent &&
                      active->starts < active->item.max_starts &&
                      !active->is_cancelled && is_owned_ &&
-                     get_now() < active->item.answer_deadline;
+                     get_now() < active->item.answer_deadline &&
+                     !bad_work_.contains(get_work_id(*active)) &&
+                     health_.get_retries().try_take(get_now());
     if (!may_retry)
     {
         finish(active, std::move(otherwise));
@@ -660,6 +715,7 @@
     if (result.run == run_answer::no && active->may_have_run)
         result.run = run_answer::unknown;
     active->result = std::move(result);
+    health_.forget_task(get_work_id(*active));
     node_.spawn("pool_runner",
         [self = shared_from_this(), active]() -> asio::awaitable<void>
         {
--- a/main/pool_runner.hpp
+++ b/main/pool_runner.hpp
@@ -4,6 +4,7 @@
 #include "main/target_link.hpp"
 #include "main/work_item.hpp"
 #include "systems/placement_system.hpp"
+#include "systems/target_health.hpp"
 
 #include <map>
 #include <memory>
@@ -127,6 +128,8 @@
 
     asio::awaitable<void> tick_loop();
     void tick();
+    void judge_targets();
+    bool may_set_aside() const;
     void kick();
     void carry_out(const placement_decision& decision);
     void log_decision(
@@ -141,6 +144,9 @@
     void handle_task_ended(const task_id& id, target_task_state state);
     asio::awaitable<void> deliver_result(active_ptr active);
 
+    /// @return the id that all attempts of an item share.
+    static task_id get_work_id(const active_item& active);
+
     /// Removes the task from its target's books.
     void release(const active_ptr& active, task_outcome outcome,
         milliseconds keep_grant_for);
@@ -159,6 +165,8 @@
     pool_id pool_;
     grant_source grants_;
     placement_system placement_;
+    target_health health_;
+    std::set<task_id> bad_work_; ///< Fails wherever it runs.
     decision_log log_{"placement"};
     asio::steady_timer timer_;
     std::map<task_id, active_ptr> active_;
--- a/main/table_collector.cpp
+++ b/main/table_collector.cpp
@@ -91,8 +91,9 @@
         co_return out;
     auto into = std::make_shared<collection>();
     into->answer.table = local->second();
-    for (const auto& [session, row] : node_.state.get_sessions())
+    for (const auto& it : node_.state.get_sessions())
     {
+        session_id session = it.first;
         if (session == node_.session)
             continue;
         ++into->open;
--- a/tests/stand_ins/target_service.cpp
+++ b/tests/stand_ins/target_service.cpp
@@ -122,6 +122,8 @@
         co_return co_await sync(request);
     if (request.path == "/v1/tasks" && is_get)
         co_return list_tasks();
+    if (request.path == "/v1/reboot" && is_post)
+        co_return reboot();
     if (request.path == "/v1/usage" && is_get)
         co_return get_usage();
     if (!request.path.starts_with(tasks_path))
@@ -234,6 +236,7 @@
     auto until = now + std::min(wait, max_sync_wait);
     // A task that was started after the poll began ends it as well.
     std::size_t first_new = ended_by_owner_[owner].size();
+    const std::string boot = boot_;
     while (!has_ended_task(ids) && ended_by_owner_[owner].size() == first_new &&
            std::chrono::steady_clock::now() < until)
     {
@@ -413,6 +416,20 @@
         usage_.pop_front();
 }
 
+http_response target_service::reboot()
+{
+    tasks_.clear();
+    ended_.clear();
+    ended_by_owner_.clear();
+    ended_bytes_ = 0;
+    running_ = 0;
+    boot_ = make_random_hex(8);
+    ++reboots_;
+    for (const auto& poller : pollers_)
+        poller->cancel();
+    return make_json(200, {{"boot", boot_}});
+}
+
 http_response target_service::get_usage() const
 {
     auto as_of = std::chrono::steady_clock::now() - options_.usage_lag;
@@ -443,9 +460,9 @@
 http_response target_service::get_runs() const
 {
     json body = {{"runs", runs_}, {"refused", refusals_},
-        {"repeated_starts", repeated_starts_}, {"start_count", start_count_},
-        {"starts", starts_}, {"running_tasks", running_},
-        {"highest_tasks", highest_running_}};
+        {"repeated_starts", repeated_starts_}, {"reboots", reboots_},
+        {"start_count", start_count_}, {"starts", starts_},
+        {"running_tasks", running_}, {"highest_tasks", highest_running_}};
     if (server_)
     {
         body["connections"] = server_->get_connection_count();
--- a/tests/stand_ins/target_service.hpp
+++ b/tests/stand_ins/target_service.hpp
@@ -68,6 +68,7 @@
     http_response get_result(const std::string& id) const;
     http_response change_task(
         const std::string& id, const std::string& operation);
+    http_response reboot();
     http_response get_usage() const;
     http_response set_control(const nlohmann::json& control);
     http_response get_runs() const;
@@ -106,6 +107,7 @@
     std::map<std::string, std::uint64_t> runs_;
     std::map<std::string, std::uint64_t> refusals_;
     std::uint64_t repeated_starts_ = 0;
+    std::uint64_t reboots_ = 0;
     std::size_t highest_running_ = 0;
     std::uint64_t start_count_ = 0;
     nlohmann::json starts_ = nlohmann::json::array();
