--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -134,7 +134,8 @@
         return runner;
     runner = std::make_shared<pool_runner>(node_, pool,
         grant_source{[this](const team_id& team) { return grants_.take(team); },
-            [this](const team_id& team) { grants_.give_back(team); }});
+            [this](const team_id& team) { grants_.give_back(team); },
+            [this] { grants_.kick(); }});
     runner->set_leaving(leaving_);
     runner->update_targets();
     runner->start();
@@ -184,6 +185,10 @@
             leaving_ = std::set<instance_id>(listed->begin(), listed->end());
             for (const auto& [pool, runner] : runners_)
                 runner->set_leaving(leaving_);
+            std::set<entry_id> entries;
+            for (const auto& id : leaving_)
+                entries.emplace(id.get());
+            peers_.set_leaving(std::move(entries));
         }
         co_await node_.sleep(leaving_interval);
     }
--- a/main/grant_keeper.cpp
+++ b/main/grant_keeper.cpp
@@ -13,7 +13,8 @@
 
 grant_keeper::grant_keeper(
     node_context& node, fleet_sync& sync, waiting_source count_waiting)
-    : node_(node), sync_(sync), count_waiting_(std::move(count_waiting))
+    : node_(node), sync_(sync), count_waiting_(std::move(count_waiting)),
+      timer_(node.io)
 {
 }
 
@@ -109,10 +110,18 @@
             node_.spawn("grant_keeper",
                 [this, transfer]() -> asio::awaitable<void>
                 { co_await send(transfer); });
-        co_await node_.sleep(plan_interval);
+        timer_.expires_after(plan_interval);
+        boost::system::error_code ec;
+        co_await timer_.async_wait(
+            asio::redirect_error(asio::use_awaitable, ec));
     }
 }
 
+void grant_keeper::kick()
+{
+    timer_.cancel();
+}
+
 asio::awaitable<bool> grant_keeper::adopt(
     session_id dead, team_id team, monotonic_time ended_observed)
 {
--- a/main/grant_keeper.hpp
+++ b/main/grant_keeper.hpp
@@ -25,6 +25,10 @@
     void start();
 
     bool take(const team_id& team);
+
+    /// Work waits for a grant; plans at once instead of at the next round.
+    void kick();
+
     void give_back(const team_id& team);
 
     /// A peer told how many tasks of a team wait there.
@@ -58,6 +62,7 @@
     std::optional<grant_ledger> ledger_;
     std::map<team_id, std::pair<task_count, config_version>> limits_;
     fleet_head noted_head_;
+    asio::steady_timer timer_;
     std::map<std::uint64_t, bool> adoptions_; ///< Known outcomes by id.
 };
 
--- a/main/peer_network.cpp
+++ b/main/peer_network.cpp
@@ -11,12 +11,7 @@
 constexpr milliseconds exchange_interval{500};
 /// Ticks of `exchange_interval` between summaries to other data centres.
 constexpr std::uint64_t remote_exchange_ticks = 4;
-constexpr std::size_t partners_per_data_centre = 2;
 constexpr milliseconds call_timeout{1'500};
-/// A peer without a summary for this long is suspected.
-constexpr milliseconds suspect_limit{2'000};
-/// Summaries cross data centres four times less often.
-constexpr milliseconds remote_suspect_limit{6'000};
 constexpr milliseconds agreement_interval{1'000};
 
 } // namespace
@@ -57,6 +52,7 @@
         if (session < node_.session)
             older.push_back(session);
     node_.admission.emplace(node_.session, older);
+    members_.emplace(node_.session, node_.config.data_centre);
     node_.listeners.push_back([this] { update_peers(); });
     update_peers();
     node_.spawn("peer_network", [this] { return exchange_loop(); });
@@ -71,6 +67,7 @@
 void peer_network::update_peers()
 {
     const auto& sessions = node_.state.get_sessions();
+    members_->set_sessions(sessions, get_now());
     for (const auto& [session, it] : peers_)
         if (node_.admission && !sessions.contains(session))
             node_.admission->on_session_ended(session);
@@ -81,7 +78,6 @@
         if (session == node_.session || peers_.contains(session))
             continue;
         auto added = std::make_shared<peer>();
-        added->first_seen = get_now();
         added->client = std::make_unique<peer_client>(
             node_.io, parse_endpoint(row.started.peer_address),
             node_.config.peer_listen.address(),
@@ -92,44 +88,22 @@
     }
 }
 
-bool peer_network::is_exchange_due(session_id session, const peer& it) const
-{
-    if (it.is_exchanging)
-        return false;
-    const auto& own = node_.config.data_centre;
-    const auto& theirs =
-        node_.state.get_sessions().at(session).started.data_centre;
-    if (theirs == own)
-        return true;
-    if (tick_ % remote_exchange_ticks != 0)
-        return false;
-    // Each entry has two partners in each other data centre, spread by hash.
-    std::vector<session_id> remote;
-    for (const auto& [id, row] : node_.state.get_sessions())
-        if (row.started.data_centre == theirs)
-            remote.push_back(id);
-    std::size_t first =
-        hash_64(std::to_string(node_.session.get()) + "/" + theirs.get()) %
-        remote.size();
-    for (std::size_t i = 0;
-         i < std::min(partners_per_data_centre, remote.size()); ++i)
-        if (remote[(first + i) % remote.size()] == session)
-            return true;
-    return false;
-}
-
 asio::awaitable<void> peer_network::exchange_loop()
 {
     while (true)
     {
-        ++tick_;
-        std::vector<session_id> due;
-        for (const auto& [session, it] : peers_)
-            if (is_exchange_due(session, *it))
-                due.push_back(session);
+        std::vector<session_id> due = members_->get_neighbours();
+        if (++tick_ % remote_exchange_ticks == 0)
+            for (session_id partner : members_->choose_partners(get_now()))
+                due.push_back(partner);
         for (session_id session : due)
+        {
+            auto it = peers_.find(session);
+            if (it == peers_.end() || it->second->is_exchanging)
+                continue;
             node_.spawn(
                 "peer_network", [this, session] { return exchange(session); });
+        }
         co_await node_.sleep(exchange_interval);
     }
 }
@@ -148,6 +122,8 @@
     auto reply =
         co_await to->client->call(std::move(body), call_timeout, was_sent);
     to->is_exchanging = false;
+    if (!was_sent)
+        members_->note_refused(session, get_now());
     if (!reply || !std::holds_alternative<peer_summary>(*reply))
         co_return;
     const auto& summary = std::get<peer_summary>(*reply);
@@ -184,7 +160,7 @@
     if (it == peers_.end())
         return;
     it->second->summary = summary;
-    it->second->last_heard = get_now();
+    members_->note_heard(summary.session, get_now());
     auto own = node_.state.get_sessions().find(node_.session);
     bool has_own_session = own != node_.state.get_sessions().end() &&
                            summary.version >= own->second.started_at;
@@ -262,48 +238,37 @@
     if (it == peers_.end())
         co_return std::nullopt;
     std::shared_ptr<peer> to = it->second;
-    co_return co_await to->client->call(std::move(body), timeout, was_sent);
+    auto reply = co_await to->client->call(std::move(body), timeout, was_sent);
+    if (!was_sent)
+        members_->note_refused(session, get_now());
+    co_return reply;
 }
 
 bool peer_network::is_heard(session_id session) const
 {
-    if (session == node_.session)
-        return true;
-    auto it = peers_.find(session);
-    if (it == peers_.end())
-        return false;
-    auto row = node_.state.get_sessions().find(session);
-    bool is_local = row != node_.state.get_sessions().end() &&
-                    row->second.started.data_centre == node_.config.data_centre;
-    auto limit = is_local ? suspect_limit : remote_suspect_limit;
-    auto since =
-        it->second->summary ? it->second->last_heard : it->second->first_seen;
-    return get_now() - since <= limit;
+    return members_ && !members_->is_suspect(session, get_now());
+}
+
+void peer_network::set_leaving(std::set<entry_id> entries)
+{
+    if (members_)
+        members_->set_leaving(std::move(entries));
 }
 
 std::vector<session_id> peer_network::get_live(
     const data_centre_id& data_centre) const
 {
-    std::vector<session_id> out;
-    bool is_local = data_centre == node_.config.data_centre;
-    for (const auto& [session, row] : node_.state.get_sessions())
-    {
-        if (row.started.data_centre != data_centre)
-            continue;
-        if (session == node_.session)
+    if (!members_)
+        return {};
+    std::vector<session_id> out = members_->get_live(data_centre, get_now());
+    std::erase_if(out,
+        [&](session_id session)
         {
-            if (!node_.is_leaving)
-                out.push_back(session);
-            continue;
-        }
-        // Most entries of other data centres send no summaries here.
-        if (is_local && !is_heard(session))
-            continue;
-        const peer_summary* summary = find_summary(session);
-        if (summary && summary->is_leaving)
-            continue;
-        out.push_back(session);
-    }
+            if (session == node_.session)
+                return node_.is_leaving;
+            const peer_summary* summary = find_summary(session);
+            return summary && summary->is_leaving;
+        });
     return out;
 }
 
--- a/main/peer_network.hpp
+++ b/main/peer_network.hpp
@@ -2,6 +2,7 @@
 
 #include "main/fleet_sync.hpp"
 #include "main/node_context.hpp"
+#include "systems/membership.hpp"
 
 #include <map>
 #include <memory>
@@ -48,9 +49,12 @@
     /// @return the newest summary of a session, or null.
     const peer_summary* find_summary(session_id session) const;
 
-    /// @return whether a summary came within `membership_limit`.
+    /// @return whether the session is live and not suspected.
     bool is_heard(session_id session) const;
 
+    /// @param entries that the platform's instance list names as leaving.
+    void set_leaving(std::set<entry_id> entries);
+
     /// @return newest summaries of all live sessions, this one excluded.
     std::vector<peer_summary> get_summaries() const;
 
@@ -59,8 +63,6 @@
     {
         std::unique_ptr<peer_client> client;
         std::optional<peer_summary> summary;
-        monotonic_time last_heard{};
-        monotonic_time first_seen{};
         bool is_exchanging = false;
     };
 
@@ -71,7 +73,6 @@
     asio::awaitable<void> fetch_entries(session_id session);
     void accept_summary(const peer_summary& summary);
     void update_peers();
-    bool is_exchange_due(session_id session, const peer& it) const;
     void log_fault(const std::string& code, const std::string& message) const;
 
     node_context& node_;
@@ -80,6 +81,7 @@
     request_handler handle_;
     std::unique_ptr<peer_server> server_;
     std::map<session_id, std::shared_ptr<peer>> peers_;
+    std::optional<membership> members_; ///< Set once there is a session.
     bool is_fetching_ = false;
     std::uint64_t tick_ = 0;
 };
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Bounds how late a deadline or a preemption step is noticed.
-constexpr milliseconds tick_interval{50};
+constexpr milliseconds tick_interval{20};
 constexpr std::size_t max_bad_work = 10'000;
 
 struct refusal_answer
@@ -436,6 +436,8 @@
         grants_.give_back(team);
     for (const auto& it : decisions.items)
         carry_out(it);
+    if (!decisions.teams_without_grant.empty())
+        grants_.want_more();
 }
 
 void pool_runner::log_decision(
--- a/main/pool_runner.hpp
+++ b/main/pool_runner.hpp
@@ -18,6 +18,8 @@
 {
     std::function<bool(const team_id&)> take;
     std::function<void(const team_id&)> give_back;
+    /// Called when work waits for a grant.
+    std::function<void()> want_more;
 };
 
 /// Queues and places the work of one pool in this entry's data centre, and
