--- a/scripts/measure_maintenance.sh
+++ b/scripts/measure_maintenance.sh
@@ -8,11 +8,12 @@
 page=docs/measurements-maintenance.md
 table=$(mktemp)
 trap 'rm -f "$table"' EXIT
+commit=$(git rev-parse --short HEAD)
 "$build/bench/maintenance/maintenance_bench" --days=3 --runs=3 > "$table"
 {
     cat bench/maintenance/page_head.md
-    echo "Made by \`scripts/measure_maintenance.sh\` at commit" \
-        "$(git rev-parse --short HEAD) on $(nproc) cores:"
+    echo "Made by \`scripts/measure_maintenance.sh\` at commit $commit" \
+        "on $(nproc) cores:"
     echo
     cat "$table"
 } > "$page"
