--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -135,13 +135,50 @@
     runner = std::make_shared<pool_runner>(node_, pool,
         grant_source{[this](const team_id& team) { return grants_.take(team); },
             [this](const team_id& team) { grants_.give_back(team); },
-            [this] { grants_.kick(); }});
+            [this] { grants_.kick(); }},
+        [this](const instance_id& instance) { report_failure(instance); });
     runner->set_leaving(leaving_);
     runner->update_targets();
     runner->start();
     return runner;
 }
 
+void entry_node::report_failure(const instance_id& instance)
+{
+    auto row = node_.state.get_instances().find(instance);
+    bool is_news = row != node_.state.get_instances().end() &&
+                   row->second.state == instance_state::in_service &&
+                   node_.may_start() && node_.is_admitted();
+    // One append at a time for each instance.
+    if (!is_news || !reporting_.insert(instance).second)
+        return;
+    node_.spawn(
+        "entry_node", [this, instance] { return append_failure(instance); });
+}
+
+asio::awaitable<void> entry_node::append_failure(instance_id instance)
+{
+    fleet_sync::planner planner = [instance](const fleet_state& state)
+    { return plan_instance_failure(state, instance); };
+    command_id command("failure-" + node_.nonce + "-" + make_random_hex(8));
+    try
+    {
+        auto result =
+            co_await sync_.append(std::move(command), std::move(planner));
+        write_log(log_level::warn, "entry_node",
+            "a target has been silent for long and counts as failed",
+            {{"target", instance},
+                {"committed", result.status == append_status::committed}});
+    }
+    catch (const systems_error& e)
+    {
+        write_log(log_level::info, "entry_node",
+            "a failed target was not recorded",
+            {{"target", instance}, {"code", e.get_code()}});
+    }
+    reporting_.erase(instance);
+}
+
 void entry_node::update_runners()
 {
     for (const auto& [pool, record] : node_.state.get_pools())
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -53,6 +53,8 @@
     asio::awaitable<void> ownership_loop();
     asio::awaitable<void> leaving_loop();
     void update_runners();
+    void report_failure(const instance_id& instance);
+    asio::awaitable<void> append_failure(instance_id instance);
     std::shared_ptr<pool_runner> get_runner(const pool_id& pool);
     std::shared_ptr<pool_runner> find_runner(const pool_id& pool) const;
     peer_summary make_summary() const;
@@ -77,6 +79,7 @@
     std::unique_ptr<http_server> http_;
     std::map<pool_id, std::shared_ptr<pool_runner>> runners_;
     std::set<instance_id> leaving_;
+    std::set<instance_id> reporting_; ///< Failures that are being appended.
 };
 
 } // namespace cowslippass
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -10,6 +10,9 @@
 
 /// Bounds how late a deadline or a preemption step is noticed.
 constexpr milliseconds tick_interval{20};
+/// Longer than a restart of the target's process takes; a failed instance
+/// counts against its pool's availability budget.
+constexpr milliseconds failed_after{30'000};
 constexpr std::size_t max_bad_work = 10'000;
 
 struct refusal_answer
@@ -40,9 +43,10 @@
 
 } // namespace
 
-pool_runner::pool_runner(node_context& node, pool_id pool, grant_source grants)
+pool_runner::pool_runner(node_context& node, pool_id pool, grant_source grants,
+    target_failure_handler on_failure)
     : node_(node), pool_(std::move(pool)), grants_(std::move(grants)),
-      timer_(node.io)
+      on_failure_(std::move(on_failure)), timer_(node.io)
 {
 }
 
@@ -346,6 +350,8 @@
     it->second.is_answering = false;
     health_.on_silent(id, get_now());
     update_description(it->second);
+    if (is_owned_ && silence > failed_after)
+        on_failure_(id);
     // Repeatable work is not left waiting for a silent target.
     if (silence < node_.config.start_deadline)
         return;
--- a/main/pool_runner.hpp
+++ b/main/pool_runner.hpp
@@ -22,12 +22,16 @@
     std::function<void()> want_more;
 };
 
+/// Told about targets that have been silent for long.
+using target_failure_handler = std::function<void(const instance_id&)>;
+
 /// Queues and places the work of one pool in this entry's data centre, and
 /// carries out what the placement system decides.
 class pool_runner : public std::enable_shared_from_this<pool_runner>
 {
 public:
-    pool_runner(node_context& node, pool_id pool, grant_source grants);
+    pool_runner(node_context& node, pool_id pool, grant_source grants,
+        target_failure_handler on_failure);
 
     /// Starts the tick loop.
     void start();
@@ -166,6 +170,7 @@
     node_context& node_;
     pool_id pool_;
     grant_source grants_;
+    target_failure_handler on_failure_;
     placement_system placement_;
     target_health health_;
     std::set<task_id> bad_work_; ///< Fails wherever it runs.
--- a/tests/integration/test_fleet.hpp
+++ b/tests/integration/test_fleet.hpp
@@ -71,6 +71,12 @@
     /// Waits until each entry has seen its targets answer.
     void wait_until_serving();
 
+    /// @return the secret of a team's key.
+    const std::string& get_key(const std::string& team) const
+    {
+        return keys_.at(team);
+    }
+
     /// Platform counters of the stand-in.
     nlohmann::json get_platform_counters();
 
