Test the limits of teams under killed and paused entries (I4)

The stand-in target records the end of each task, so that the highest number of running tasks follows from its history instead of from samples.

--- /dev/null
+++ b/tests/integration/limits_test.cpp
@@ -0,0 +1,110 @@
+#include "tests/integration/fault_load.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+cluster_options make_options()
+{
+    cluster_options out;
+    out.data_centres = 2;
+    out.entries_per_data_centre = 2;
+    out.target_flags = {"--run-ms=150"};
+    out.entry_settings["freshness_limit_ms"] = "2000";
+    out.entry_settings["heartbeat_interval_ms"] = "500";
+    out.entry_settings["session_death_ms"] = "3000";
+    out.entry_settings["task_lease_ms"] = "3000";
+    return out;
+}
+
+caller_request make_request()
+{
+    caller_request out;
+    out.deadline_ms = "2000";
+    out.timeout = milliseconds(5'000);
+    return out;
+}
+
+void lose_replies_for(test_fleet& fleet, milliseconds duration)
+{
+    auto end = std::chrono::steady_clock::now() + duration;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        set_control(
+            fleet.get_cluster().get_platform_endpoint(), {{"lose_replies", 1}});
+        std::this_thread::sleep_for(milliseconds(300));
+    }
+    set_control(
+        fleet.get_cluster().get_platform_endpoint(), {{"lose_replies", 0}});
+}
+
+} // namespace
+
+// Guards against more running tasks than a team's limit (I4) when grants are
+// held by entries that are killed or paused, and when the outcome of a write
+// of grants is unknown.
+TEST(limits, hold_while_entries_are_killed_and_paused_and_replies_are_lost)
+{
+    constexpr std::size_t limit = 5;
+    test_fleet fleet(make_options());
+    auto& entries = fleet.get_cluster().get_entries();
+    fleet.run("set team red limit " + std::to_string(limit), 0, true);
+    std::int64_t since = get_unix_ms();
+    caller_load load(fleet, make_request(), 24, {0, 1, 2, 3});
+    // Without the limit the 24 callers fill the 16 slots.
+    EXPECT_TRUE(wait_until([&]
+        { return find_highest_running(list_starts(fleet, since)) >= limit; },
+        milliseconds(20'000)));
+    auto& paused = entries[find_pool_owner(fleet, "dc-2")];
+    paused.process->kill(SIGSTOP);
+    // Longer than the death of its session.
+    lose_replies_for(fleet, milliseconds(6'000));
+    paused.process->kill(SIGCONT);
+    lose_replies_for(fleet, milliseconds(1'500));
+    entries[find_pool_owner(fleet, "dc-1")].process->kill(SIGKILL);
+    lose_replies_for(fleet, milliseconds(5'000));
+    load.stop();
+    auto starts = list_starts(fleet, since);
+    EXPECT_LE(find_highest_running(starts), limit);
+    EXPECT_GT(load.get_success_count(), 0u);
+    EXPECT_EQ(load.get_wrong_count(), 0u);
+}
+
+// Guards against starts under a limit that is no longer in force (I4).
+TEST(limits, a_lowered_limit_allows_no_start_above_it_once_in_force)
+{
+    constexpr std::size_t lowered = 3;
+    test_fleet fleet(make_options());
+    fleet.run("set team red limit 10", 0, true);
+    std::int64_t since = get_unix_ms();
+    caller_load load(fleet, make_request(), 24, {0, 1, 2, 3});
+    EXPECT_TRUE(wait_until([&]
+        { return find_highest_running(list_starts(fleet, since)) >= 8; },
+        milliseconds(20'000)));
+    auto answer =
+        fleet.run("set team red limit " + std::to_string(lowered), 1, true);
+    EXPECT_TRUE(answer.at("in_force").get<bool>());
+    std::int64_t in_force = get_unix_ms();
+    // Work goes on under the lowered limit.
+    std::size_t before = load.get_success_count();
+    EXPECT_TRUE(
+        wait_until([&] { return load.get_success_count() >= before + 30; },
+            milliseconds(30'000)));
+    load.stop();
+    auto starts = list_starts(fleet, since);
+    auto counts = count_running_at_starts(starts);
+    for (std::size_t i = 0; i < starts.size(); ++i)
+    {
+        EXPECT_LE(counts[i], starts[i].started_ms > in_force ? lowered : 10u)
+            << starts[i].started_ms - in_force << " ms after in force";
+    }
+}
+
+} // namespace cowslippass
--- a/tests/stand_ins/target_service.cpp
+++ b/tests/stand_ins/target_service.cpp
@@ -58,6 +58,13 @@
     return out;
 }
 
+std::int64_t get_unix_time_ms()
+{
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
 } // namespace
 
 target_service::target_service(asio::io_context& io, target_options options)
@@ -201,17 +208,16 @@
     return make_json(201, body);
 }
 
-void target_service::note_start(const task& it)
+void target_service::note_start(task& it)
 {
     ++runs_[it.request_id];
     ++start_count_;
     if (starts_.size() >= max_recorded_starts)
         return;
-    auto unix_ms = std::chrono::duration_cast<milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch())
-                       .count();
-    starts_.push_back({{"task", it.id}, {"request_id", it.request_id},
-        {"kind", it.kind}, {"owner", it.owner}, {"unix_ms", unix_ms}});
+    it.start_index = starts_.size();
+    starts_.push_back(
+        {{"task", it.id}, {"request_id", it.request_id}, {"kind", it.kind},
+            {"owner", it.owner}, {"unix_ms", get_unix_time_ms()}});
 }
 
 asio::awaitable<http_response> target_service::sync(const http_request& request)
@@ -349,6 +355,8 @@
     if (state == "done")
         it.result = make_result(it.payload);
     it.payload = std::string();
+    if (it.start_index)
+        starts_[*it.start_index]["ended_unix_ms"] = get_unix_time_ms();
     --running_;
     ended_.push_back(it.id);
     ended_by_owner_[it.owner].push_back(it.id);
--- a/tests/stand_ins/target_service.hpp
+++ b/tests/stand_ins/target_service.hpp
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,7 @@
         monotonic_time advanced_at; ///< Time that `remaining_ms` refers to.
         monotonic_time lease_end;
         monotonic_time ended_at;
+        std::optional<std::size_t> start_index; ///< Place in `starts_`.
     };
     struct usage_sample
     {
@@ -77,7 +79,7 @@
     void end_task(task& it, const std::string& state);
     void drop_ended(monotonic_time now);
     void note_usage();
-    void note_start(const task& it);
+    void note_start(task& it);
     /// Ends tasks whose run time or lease is over, and sets the timer for the
     /// next such time.
     void update_tasks();
