--- /dev/null
+++ b/tests/integration/planned_stop_test.cpp
@@ -0,0 +1,104 @@
+#include "tests/integration/fault_load.hpp"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+cluster_options make_options()
+{
+    cluster_options out;
+    out.data_centres = 1;
+    out.entries_per_data_centre = 2;
+    out.targets_per_pool = 2;
+    out.entry_settings["balancer_lag_ms"] = "500";
+    return out;
+}
+
+/// Requests that run for two seconds, sent through both entries.
+std::vector<std::future<caller_answer>> send_long_requests(
+    test_fleet& fleet, const std::string& queue)
+{
+    std::vector<std::future<caller_answer>> out;
+    for (std::size_t i = 0; i < 6; ++i)
+    {
+        caller_request request;
+        request.queue = queue;
+        request.request_id = queue + "-" + std::to_string(i);
+        request.run_ms = "2000";
+        out.push_back(std::async(std::launch::async,
+            [&fleet, request, i] { return fleet.post(request, i % 2); }));
+    }
+    return out;
+}
+
+void expect_planned_stop_cuts_nothing(
+    test_fleet& fleet, const std::string& queue, std::size_t stopped)
+{
+    auto& entry = fleet.get_cluster().get_entries()[stopped];
+    auto answers = send_long_requests(fleet, queue);
+    EXPECT_TRUE(wait_until(
+        [&] { return fleet.count_running() == 6; }, milliseconds(20'000)));
+    EXPECT_TRUE(entry.process->stop(milliseconds(30'000)));
+    for (auto& it : answers)
+    {
+        caller_answer answer = it.get();
+        EXPECT_EQ(answer.status, 200u) << answer.body;
+        EXPECT_EQ(answer.body, get_expected_result("payload"));
+    }
+    for (std::size_t i = 0; i < 6; ++i)
+        EXPECT_EQ(fleet.count_runs(queue + "-" + std::to_string(i)), 1u);
+}
+
+} // namespace
+
+// Guards against new work on a target that is about to go (I9).
+TEST(leaving_targets, a_target_listed_as_leaving_gets_no_new_work)
+{
+    constexpr std::int64_t few_seconds_ms = 4'000;
+    test_fleet fleet(make_options());
+    caller_load load(fleet, caller_request{}, 8, {0, 1});
+    fleet.get_cluster().publish_instances({"target-1-pool-1-1"});
+    std::int64_t listed = get_unix_ms();
+    std::this_thread::sleep_for(milliseconds(few_seconds_ms + 3'000));
+    load.stop();
+    std::int64_t last = 0;
+    std::int64_t other = 0;
+    for (const auto& it : list_starts(fleet))
+        (it.target == "target-1-pool-1-1" ? last : other) = it.started_ms;
+    EXPECT_GT(last, 0);
+    EXPECT_LE(last, listed + few_seconds_ms);
+    EXPECT_GT(other, listed + few_seconds_ms);
+}
+
+// Guards against requests that are cut by a planned stop of the entry that
+// owns the pool (I10).
+TEST(planned_stop, of_the_owner_cuts_no_request)
+{
+    test_fleet fleet(make_options());
+    expect_planned_stop_cuts_nothing(
+        fleet, "urgent", find_pool_owner(fleet, "dc-1"));
+}
+
+TEST(planned_stop, of_the_owner_cuts_no_non_idempotent_request)
+{
+    test_fleet fleet(make_options());
+    expect_planned_stop_cuts_nothing(
+        fleet, "once", find_pool_owner(fleet, "dc-1"));
+}
+
+// Guards against requests that are cut by a planned stop of the entry that
+// forwarded them (I10).
+TEST(planned_stop, of_a_forwarding_entry_cuts_no_request)
+{
+    test_fleet fleet(make_options());
+    expect_planned_stop_cuts_nothing(
+        fleet, "urgent", 1 - find_pool_owner(fleet, "dc-1"));
+}
+
+} // namespace cowslippass
