--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -148,7 +148,8 @@
     if (!node_.may_start())
         co_return make_error_response(503, "not_fresh",
             "this entry cannot confirm the configuration in force",
-            run_answer::no);
+            get_unclaimed_answer(
+                admitted.queue.is_idempotent, work.is_first_attempt));
     work_result result;
     bool is_slow = admitted.queue.kind == queue_kind::slow;
     if (is_slow)
--- a/main/request_router.cpp
+++ b/main/request_router.cpp
@@ -204,7 +204,13 @@
             it.result.run = run_answer::unknown;
         may_have_run = may_have_run || it.result.run != run_answer::no;
         if (!it.may_try_again || get_now() + retry_interval >= last_try)
+        {
+            // Passing refusals come before the claim has been looked up.
+            if (is_passing(it.result))
+                it.result.run = get_unclaimed_answer(
+                    record.is_idempotent, request.is_first_attempt);
             co_return it.result;
+        }
         co_await node_.sleep(retry_interval);
         request.deadline =
             std::chrono::duration_cast<milliseconds>(end - get_now());
--- a/main/work_item.cpp
+++ b/main/work_item.cpp
@@ -31,6 +31,12 @@
     return {status, code, message, run, {}};
 }
 
+run_answer get_unclaimed_answer(bool is_idempotent, bool is_first_attempt)
+{
+    return is_idempotent || is_first_attempt ? run_answer::no
+                                             : run_answer::unknown;
+}
+
 work_result to_work_result(const peer_forward_reply& reply)
 {
     return {reply.status, reply.code, reply.message, parse_run(reply.run),
--- a/main/work_item.hpp
+++ b/main/work_item.hpp
@@ -37,6 +37,10 @@
 work_result make_failure(unsigned status, const std::string& code,
     const std::string& message, run_answer run);
 
+/// @return what a refusal may say when no claim has been looked up: an earlier
+///   attempt of a non-idempotent request may have run.
+run_answer get_unclaimed_answer(bool is_idempotent, bool is_first_attempt);
+
 work_result to_work_result(const peer_forward_reply& reply);
 peer_forward_reply to_forward_reply(const work_result& result);
 
