--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -91,6 +91,17 @@
         "");
 }
 
+// Guards against settings under which a dead session's tasks outlive its
+// grants, which would break the limits of teams (I4).
+TEST(settings, times_beyond_those_that_grants_are_released_by_are_refused)
+{
+    for (const char* line : {"freshness_limit_ms = 4001",
+             "start_deadline_ms = 2001", "task_lease_ms = 10001"})
+        EXPECT_THAT(get_faults(std::string(required) + line),
+            HasSubstr(std::string(line).substr(0, 10)))
+            << line;
+}
+
 TEST(settings, text_that_is_not_toml_is_reported_with_its_line)
 {
     EXPECT_THAT(
