--- a/tests/integration/configuration_change_test.cpp
+++ b/tests/integration/configuration_change_test.cpp
@@ -42,6 +42,21 @@
     return out;
 }
 
+/// Waits until the second data centre works for the load. Otherwise it may hold
+/// no grants when it is cut, and would start nothing for that reason.
+void wait_for_work(test_fleet& fleet, const caller_load& load)
+{
+    constexpr std::size_t successes = 60;
+    std::int64_t since = get_unix_ms();
+    ASSERT_TRUE(wait_until(
+        [&]
+        {
+            return load.get_success_count() >= successes &&
+                   fleet.get_last_start("dc-2") > since;
+        },
+        milliseconds(20'000)));
+}
+
 void cut(cluster& all, const partition& faults)
 {
     if (faults.is_cut_from_platform)
@@ -73,6 +88,7 @@
 {
     test_fleet fleet(make_options());
     caller_load load(fleet, make_request("red"), 8, {0, 1, 2, 3});
+    wait_for_work(fleet, load);
     cut(fleet.get_cluster(), GetParam());
     fleet.run("withdraw key red-key", 0);
     std::int64_t committed = get_unix_ms();
@@ -97,7 +113,8 @@
 TEST_P(configuration_change, a_data_centre_taken_out_starts_nothing_until_back)
 {
     test_fleet fleet(make_options());
-    caller_load load(fleet, make_request("blue"), 8, {0, 1, 2, 3});
+    caller_load load(fleet, make_request("red"), 8, {0, 1, 2, 3});
+    wait_for_work(fleet, load);
     cut(fleet.get_cluster(), GetParam());
     fleet.run("take data-centre dc-2 out", 0);
     std::int64_t committed = get_unix_ms();
