Measure the changes of a large state before the instance list is long

Cause: a poll of the list is about 527 KB, and one poll more in the window of changes than in the one it was compared with hid the cost of a change.

Change: the window of changes precedes that of the long list.

--- a/bench/capacity/report.cpp
+++ b/bench/capacity/report.cpp
@@ -61,8 +61,8 @@
         print_window(out, it);
     for (const auto& it : all.instances)
         print_window(out, it);
-    print_window(out, all.listed);
     print_window(out, all.large_changes);
+    print_window(out, all.listed);
     for (const auto& it : all.requests)
         print_window(out, it);
     print_window(out, all.small_changes);
@@ -155,7 +155,7 @@
     print_event(
         out, all.small_changes.name.c_str(), all.small_changes, idle, 0);
     print_event(out, all.large_changes.name.c_str(), all.large_changes,
-        all.listed.rates, 0);
+        all.instances.back().rates, 0);
 }
 
 /// A figure of one entry among n of a data centre: `base` +
@@ -260,7 +260,7 @@
         entry_cost entry = solve(all.entries, get);
         double state = fit(all.instances, get).slope * design_instances;
         double list = (get(listed) - get(unlisted)) * listed_factor;
-        double change = (get(changed) - get(listed)) / changes;
+        double change = (get(changed) - get(unlisted)) / changes;
         design_figure it{name, unit, bound,
             {entry.base, entry.peer * design_peers, entry.pools / n,
                 owned.slope * more_targets, state, list,
