Cut the control traffic of an entry: conditional instance list, smaller summaries

Cause: docs/CAPACITY.md extrapolates 533 KB/s and 3.1% of a core for an entry at the design size: the whole instance list every 2 s (267 KB/s), summaries with all pools and teams from both ends of each pair (239 KB/s), and loops over all teams and pools while nothing happens. The tests of the stand-in target send the boot id that its protocol requires now.

--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -57,7 +57,7 @@
               [this](team_id team, job_id id)
               { return jobs_.cancel(team, id); }})
 {
-    peers_.listen([this] { return make_summary(); },
+    peers_.listen([this](bool is_local) { return make_summary(is_local); },
         [this](peer_body body) { return handle_peer(std::move(body)); });
     http_server_options options;
     options.endpoint = config.http_listen;
@@ -260,7 +260,16 @@
     return out;
 }
 
-peer_summary entry_node::make_summary() const
+std::vector<pool_summary> entry_node::summarize_own_pools() const
+{
+    std::vector<pool_summary> out;
+    for (const auto& [pool, runner] : runners_)
+        if (auto it = summarize(pool))
+            out.push_back(*it);
+    return out;
+}
+
+peer_summary entry_node::make_summary(bool is_local) const
 {
     peer_summary out;
     out.session = node_.session;
@@ -270,7 +279,9 @@
     out.has_unresolved_change = node_.has_unresolved_change;
     out.is_leaving = node_.is_leaving;
     out.is_admitted = node_.is_admitted();
-    out.pools = router_.summarize_pools();
+    // Local peers hear of each pool from its owner; remote ones talk to two
+    // entries only, which speak for their whole data centre.
+    out.pools = is_local ? summarize_own_pools() : router_.summarize_pools();
     auto waiting = count_waiting();
     for (const auto& [id, team] : node_.state.get_teams())
     {
@@ -283,7 +294,9 @@
             it.running = grants_.get_ledger().get_in_use(id).get();
             it.granted = grants_.get_ledger().get_held(id).get();
         }
-        out.teams.push_back(std::move(it));
+        // 72 teams make most of a summary, and most of them are idle.
+        if (it.waiting + it.running + it.granted > 0)
+            out.teams.push_back(std::move(it));
     }
     return out;
 }
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -57,7 +57,8 @@
     asio::awaitable<void> append_failure(instance_id instance);
     std::shared_ptr<pool_runner> get_runner(const pool_id& pool);
     std::shared_ptr<pool_runner> find_runner(const pool_id& pool) const;
-    peer_summary make_summary() const;
+    peer_summary make_summary(bool is_local) const;
+    std::vector<pool_summary> summarize_own_pools() const;
     std::optional<pool_summary> summarize(const pool_id& pool) const;
     std::map<team_id, std::uint32_t> count_waiting() const;
     std::size_t count_active() const;
--- a/main/grant_keeper.cpp
+++ b/main/grant_keeper.cpp
@@ -7,6 +7,8 @@
 {
 
 constexpr milliseconds plan_interval{50};
+/// Without waiting work only limits and idle grants are to be looked after.
+constexpr milliseconds idle_interval{250};
 constexpr int max_outcome_polls = 100;
 
 } // namespace
@@ -110,7 +112,8 @@
             node_.spawn("grant_keeper",
                 [this, transfer]() -> asio::awaitable<void>
                 { co_await send(transfer); });
-        timer_.expires_after(plan_interval);
+        timer_.expires_after(
+            waiting_teams.empty() ? idle_interval : plan_interval);
         boost::system::error_code ec;
         co_await timer_.async_wait(
             asio::redirect_error(asio::use_awaitable, ec));
--- a/main/peer_network.cpp
+++ b/main/peer_network.cpp
@@ -99,7 +99,8 @@
         for (session_id session : due)
         {
             auto it = peers_.find(session);
-            if (it == peers_.end() || it->second->is_exchanging)
+            if (it == peers_.end() || it->second->is_exchanging ||
+                !is_initiator(session))
                 continue;
             node_.spawn(
                 "peer_network", [this, session] { return exchange(session); });
@@ -108,6 +109,21 @@
     }
 }
 
+bool peer_network::is_local(session_id session) const
+{
+    auto row = node_.state.get_sessions().find(session);
+    return row != node_.state.get_sessions().end() &&
+           row->second.started.data_centre == node_.config.data_centre;
+}
+
+bool peer_network::is_initiator(session_id session) const
+{
+    // One of a local pair asks, as the request and the reply tell both what
+    // they need; but only the asker learns of the other's freshness.
+    return !is_local(session) || node_.session < session ||
+           !node_.table.is_reachable() || !node_.is_admitted();
+}
+
 asio::awaitable<void> peer_network::exchange(session_id session)
 {
     auto it = peers_.find(session);
@@ -118,7 +134,7 @@
     to->is_exchanging = true;
     auto asked = get_now();
     bool was_sent = false;
-    peer_body body = make_summary_();
+    peer_body body = make_summary_(is_local(session));
     auto reply =
         co_await to->client->call(std::move(body), call_timeout, was_sent);
     to->is_exchanging = false;
@@ -176,8 +192,9 @@
         co_return peer_body(peer_hello{node_.session});
     if (std::holds_alternative<peer_summary>(body))
     {
-        accept_summary(std::get<peer_summary>(body));
-        co_return peer_body(make_summary_());
+        const auto& summary = std::get<peer_summary>(body);
+        accept_summary(summary);
+        co_return peer_body(make_summary_(is_local(summary.session)));
     }
     if (std::holds_alternative<peer_query>(body))
     {
@@ -216,7 +233,7 @@
                 [this, session, round]() -> asio::awaitable<void>
                 {
                     bool was_sent = false;
-                    peer_body body = make_summary_();
+                    peer_body body = make_summary_(true);
                     auto reply = co_await call(
                         session, std::move(body), call_timeout, was_sent);
                     if (!reply || !std::holds_alternative<peer_summary>(*reply))
--- a/main/peer_network.hpp
+++ b/main/peer_network.hpp
@@ -15,7 +15,8 @@
 class peer_network
 {
 public:
-    using summary_source = std::function<peer_summary()>;
+    /// @param is_local whether the reader is in the own data centre.
+    using summary_source = std::function<peer_summary(bool is_local)>;
     using request_handler =
         std::function<asio::awaitable<std::optional<peer_body>>(peer_body)>;
 
@@ -73,6 +74,8 @@
     asio::awaitable<void> fetch_entries(session_id session);
     void accept_summary(const peer_summary& summary);
     void update_peers();
+    bool is_local(session_id session) const;
+    bool is_initiator(session_id session) const;
     void log_fault(const std::string& code, const std::string& message) const;
 
     node_context& node_;
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -10,6 +10,8 @@
 
 /// Bounds how late a deadline or a preemption step is noticed.
 constexpr milliseconds tick_interval{20};
+/// Without work only targets that are set aside are to be looked after.
+constexpr milliseconds idle_tick_interval{250};
 /// Longer than a restart of the target's process takes; a failed instance
 /// counts against its pool's availability budget.
 constexpr milliseconds failed_after{30'000};
@@ -383,7 +385,8 @@
     while (true)
     {
         tick();
-        timer_.expires_after(tick_interval);
+        timer_.expires_after(
+            active_.empty() ? idle_tick_interval : tick_interval);
         boost::system::error_code ec;
         co_await timer_.async_wait(
             asio::redirect_error(asio::use_awaitable, ec));
--- a/tests/integration/stand_ins_test.cpp
+++ b/tests/integration/stand_ins_test.cpp
@@ -58,11 +58,14 @@
         std::int64_t run_ms, std::int64_t lease_ms = 10'000,
         milliseconds timeout = long_timeout)
     {
+        http_result usage =
+            fetch(endpoint, {"GET", "/v1/usage", {}, {}, ""}, long_timeout);
+        std::string boot = usage.response->get_header("Target-Boot");
         http_request request{"POST", "/v1/tasks/" + id, {}, {}, "payload"};
         request.headers = {{"Owner", "1"}, {"Task-Kind", "urgent"},
             {"Request-Id", "request-" + id},
             {"Start-Before-Ms", std::to_string(start_before)},
-            {"Lease-Ms", std::to_string(lease_ms)},
+            {"Start-Boot", boot}, {"Lease-Ms", std::to_string(lease_ms)},
             {"Run-Ms", std::to_string(run_ms)}};
         http_result result = fetch(endpoint, request, timeout);
         return result.response ? result.response->status : 0;
--- a/tests/stand_ins/platform_service.cpp
+++ b/tests/stand_ins/platform_service.cpp
@@ -200,7 +200,12 @@
     for (const auto& it : lists_)
         if (it.set_at <= shown_at)
             shown = it.instances;
-    return make_json(200, {{"instances", shown}});
+    http_response out = make_json(200, {{"instances", shown}});
+    std::string tag = '"' + std::to_string(hash_64(out.body)) + '"';
+    if (request.get_header("If-None-Match") == tag)
+        return {304, {{"ETag", tag}}, {}};
+    out.headers["ETag"] = tag;
+    return out;
 }
 
 void platform_service::set_instances(const json& instances)
