--- a/bench/capacity/report.cpp
+++ b/bench/capacity/report.cpp
@@ -73,6 +73,7 @@
 line fit(const std::vector<measured_window>& series, Get get, double offset = 0)
 {
     std::vector<std::pair<double, double>> points;
+    points.reserve(series.size());
     for (const auto& it : series)
         points.emplace_back(it.count - offset, get(it.rates));
     return fit_line(points);
--- a/main/job_keeper.hpp
+++ b/main/job_keeper.hpp
@@ -49,6 +49,11 @@
     asio::awaitable<std::optional<query_table>> list_jobs();
 
 private:
+    static constexpr std::size_t rows_per_scan = 500;
+    static constexpr milliseconds commit_retry_interval{500};
+    /// Code of a refusal that no later try can change.
+    static constexpr const char* oversized_code = "fits_no_target";
+
     struct found_job
     {
         live_job job;
--- a/main/pool_runner.hpp
+++ b/main/pool_runner.hpp
@@ -162,6 +162,7 @@
 
     void handle_answer(const instance_id& id, const sync_result& answer);
     void handle_silence(const instance_id& id, milliseconds silence);
+    target_link::observer make_observer();
     void update_description(target_entry& entry);
     bool is_usable(const instance_row& row) const;
     active_ptr find(const task_id& id) const;
