--- /dev/null
+++ b/tests/platform/peer_link_test.cpp
@@ -0,0 +1,155 @@
+#include "platform/peer_link.hpp"
+
+#include "platform/endpoint.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+/// A peer that answers each hello with its own and collects faults.
+class echo_peer
+{
+public:
+    explicit echo_peer(asio::io_context& io)
+        : server_(
+              io, parse_endpoint("127.0.0.1:0"),
+              [](peer_body body) -> asio::awaitable<std::optional<peer_body>>
+              {
+                  if (std::holds_alternative<peer_hello>(body))
+                      co_return peer_body(peer_hello{session_id(7)});
+                  co_return std::nullopt;
+              },
+              [this](const std::string& code, const std::string&)
+              { faults.push_back(code); })
+    {
+    }
+
+    tcp::endpoint get_endpoint() const
+    {
+        return {asio::ip::make_address("127.0.0.1"), server_.get_port()};
+    }
+
+    std::vector<std::string> faults;
+
+private:
+    peer_server server_;
+};
+
+/// @return whether the peer closed the connection after these bytes.
+bool is_cut_off_after(asio::io_context& io, echo_peer& peer, std::string bytes)
+{
+    bool is_closed = false;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            tcp::socket socket(io);
+            co_await socket.async_connect(
+                peer.get_endpoint(), asio::use_awaitable);
+            co_await asio::async_write(
+                socket, asio::buffer(bytes), asio::use_awaitable);
+            char buf = 0;
+            boost::system::error_code ec;
+            co_await asio::async_read(socket, asio::buffer(&buf, 1),
+                asio::redirect_error(asio::use_awaitable, ec));
+            is_closed = bool(ec);
+            io.stop();
+        },
+        asio::detached);
+    io.run_for(std::chrono::seconds(20));
+    return is_closed;
+}
+
+std::string make_frame(const std::string& body)
+{
+    std::string out;
+    for (int i = 0; i < 4; ++i)
+        out.push_back(static_cast<char>(body.size() >> (8 * i)));
+    return out + body;
+}
+
+} // namespace
+
+TEST(peer_link, a_request_gets_its_reply)
+{
+    asio::io_context io;
+    echo_peer peer(io);
+    peer_client client(
+        io, peer.get_endpoint(), {},
+        [](peer_body) -> asio::awaitable<std::optional<peer_body>>
+        { co_return std::nullopt; },
+        [](const std::string&, const std::string&) {});
+    std::optional<peer_body> reply;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            bool was_sent = false;
+            peer_body hello = peer_hello{session_id(1)};
+            reply = co_await client.call(
+                std::move(hello), milliseconds(10'000), was_sent);
+            io.stop();
+        },
+        asio::detached);
+    io.run_for(std::chrono::seconds(20));
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(std::get<peer_hello>(*reply).session, session_id(7));
+}
+
+// Guards against a peer's bytes that make an entry allocate without a bound,
+// read outside a buffer, or go on with a connection that is out of step.
+TEST(peer_link, malformed_frames_cut_the_connection_with_a_fault)
+{
+    for (const std::string& bytes : {std::string("\xff\xff\xff\xff rest"),
+             make_frame("not a buffer"), make_frame("")})
+    {
+        asio::io_context io;
+        echo_peer peer(io);
+        EXPECT_TRUE(is_cut_off_after(io, peer, bytes));
+        ASSERT_EQ(peer.faults.size(), 1u);
+        EXPECT_EQ(peer.faults.front(), "malformed_frame");
+    }
+}
+
+// Guards against a late or crossed reply reaching another request (I6).
+TEST(peer_link, a_reply_that_nobody_waits_for_is_dropped)
+{
+    asio::io_context io;
+    echo_peer peer(io);
+    peer_message stray{99, true, peer_hello{session_id(1)}};
+    std::string bytes = make_frame(encode_peer_message(stray));
+    // The malformed frame after it makes the peer close.
+    EXPECT_TRUE(is_cut_off_after(io, peer, bytes + make_frame("x")));
+    ASSERT_EQ(peer.faults.size(), 2u);
+    EXPECT_EQ(peer.faults.front(), "late_reply");
+}
+
+// Guards against a verified buffer being trusted after bytes of it changed.
+RC_GTEST_PROP(peer_message, changed_bytes_are_read_or_refused, ())
+{
+    peer_summary summary;
+    summary.session = session_id(3);
+    summary.pools.push_back({pool_id("p"), 1, 2, 3});
+    summary.teams.push_back({team_id("t"), 1, 2, 3});
+    std::string buf = encode_peer_message({5, false, summary});
+    auto at = *rc::gen::inRange<std::size_t>(0, buf.size());
+    buf[at] = *rc::gen::arbitrary<char>();
+    try
+    {
+        decode_peer_message(buf);
+    }
+    catch (const platform_error& e)
+    {
+        RC_ASSERT(e.get_code() == "malformed_frame");
+    }
+}
+
+} // namespace cowslippass
