--- a/main/cowslippassd_main.cpp
+++ b/main/cowslippassd_main.cpp
@@ -8,6 +8,7 @@
 
 DEFINE_string(settings, "", "TOML file with the settings of this entry");
 DEFINE_bool(check, false, "check the settings file and exit");
+DECLARE_bool(help);
 
 namespace
 {
@@ -70,7 +71,14 @@
 {
     gflags::SetUsageMessage(usage);
     gflags::SetVersionString("0.1.0");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    if (FLAGS_help)
+    {
+        // Flags of the library itself would hide the few that matter here.
+        gflags::ShowUsageWithFlagsRestrict(argv[0], "cowslippassd_main");
+        return 0;
+    }
+    gflags::HandleCommandLineHelpFlags();
     // A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
     if (FLAGS_settings.empty() || argc > 1)
