Do not wait for a head that is already in hand after a failed growth

A growth of grants lost against a configuration change. When the entry learned of the new head before it read the grants row again, the read marked the head in hand as stale; as no newer head came, the entry took no grants for any team until the next configuration change. Ruled out: silent connections, targets that were set aside, reads that got no reply (the entries were fresh, targets answered, all grants of the team were free).

Change: an open growth keeps the head row that it was planned on; only a read that finds the grants row unchanged while that head is still the one in hand marks it as stale.

--- a/systems/grant_ledger.cpp
+++ b/systems/grant_ledger.cpp
@@ -61,7 +61,9 @@
     auto& entry = get_entry(team);
     entry.is_reading = false;
     entry.is_newly_seen = true;
-    if (entry.conflicted_at == value.version)
+    // A newer head may have come in since; then nothing more would end the
+    // wait for one.
+    if (entry.conflicted_at == value.version && entry.conflicted_head == head_)
         is_head_stale_ = true;
     entry.conflicted_at.reset();
     bool is_older = entry.is_row_known && value.version < entry.version;
@@ -238,7 +240,10 @@
     constexpr unsigned most_doublings = 4;
     entry.needs_read = true;
     if (open.is_growth)
+    {
         entry.conflicted_at = open.condition;
+        entry.conflicted_head = open.head;
+    }
     auto bound = settings_.backoff.count()
                  << std::min(entry.conflicts, most_doublings);
     auto random =
@@ -400,6 +405,7 @@
     open_transfer open;
     open.id = result.id;
     open.condition = entry.version;
+    open.head = head_;
     open.target = written.get(own_);
     open.planned_at = known_version_;
     open.written = std::move(written);
--- a/systems/team_grants.hpp
+++ b/systems/team_grants.hpp
@@ -22,6 +22,7 @@
 {
     std::uint64_t id = 0;
     row_version condition;
+    row_version head;         ///< Head row that a growth was planned on.
     std::uint32_t target = 0; ///< Own number that it writes.
     config_version planned_at;
     grant_row written;
@@ -60,6 +61,7 @@
 
     std::vector<open_transfer> open;
     std::optional<row_version> conflicted_at;
+    row_version conflicted_head; ///< Head row of that growth.
     unsigned conflicts = 0; ///< In a row.
     milliseconds backoff{0};
     bool needs_read = true;
--- a/tests/systems/grant_ledger_test.cpp
+++ b/tests/systems/grant_ledger_test.cpp
@@ -108,6 +108,31 @@
     EXPECT_EQ(it.get_usable(team), task_count(1));
 }
 
+// Guards against growth that stops until the next configuration change: the
+// new head was in hand before the read showed that the row had not changed, so
+// that no later head would have ended the wait.
+TEST(grant_ledger, conflict_with_an_older_head_does_not_stop_growth)
+{
+    team_id team("alpha");
+    monotonic_time now{};
+    grant_ledger it(session_id(1));
+    row value{"grants/alpha", R"({"holders":{}})", row_version(3)};
+    it.on_limit(team, task_count(8), config_version(1));
+    it.on_head(config_version(1), row_version(10));
+    it.set_waiting(team, task_count(1));
+    ASSERT_EQ(it.plan_reads(now).size(), 1U);
+    it.on_row(team, value, config_version(1));
+    auto planned = it.plan_transfers(now);
+    ASSERT_EQ(planned.size(), 1U);
+    it.on_head(config_version(2), row_version(11));
+    it.on_result(planned[0].id, transaction_outcome::conflict);
+    now += std::chrono::seconds(10);
+    ASSERT_EQ(it.plan_reads(now).size(), 1U);
+    it.on_row(team, value, config_version(2));
+    EXPECT_FALSE(it.needs_head());
+    EXPECT_EQ(it.plan_transfers(now).size(), 1U);
+}
+
 // Guards against a session that keeps the whole limit while a peer waits, and
 // against one that is held back although the peer has its even share.
 TEST(grant_policy, cap_leaves_waiting_peers_an_even_share)
