--- a/tests/platform/peer_link_test.cpp
+++ b/tests/platform/peer_link_test.cpp
@@ -43,6 +43,87 @@
     peer_server server_;
 };
 
+/// A peer whose open connections can go silent for good, as after a network
+/// cut: bytes arrive nowhere and nothing is closed.
+class silenced_peer
+{
+public:
+    explicit silenced_peer(asio::io_context& io)
+        : acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        asio::co_spawn(
+            io, [this] { return accept_all(); }, asio::detached);
+    }
+
+    tcp::endpoint get_endpoint() const { return acceptor_.local_endpoint(); }
+
+    void silence_open() { first_answering_ = accepted_; }
+
+private:
+    asio::awaitable<void> accept_all()
+    {
+        while (true)
+        {
+            tcp::socket socket =
+                co_await acceptor_.async_accept(asio::use_awaitable);
+            std::size_t index = accepted_++;
+            peer_handler handler =
+                [this, index](
+                    peer_body) -> asio::awaitable<std::optional<peer_body>>
+            {
+                if (index < first_answering_)
+                    co_return std::nullopt;
+                co_return peer_body(peer_hello{session_id(7)});
+            };
+            std::make_shared<peer_connection>(std::move(socket), handler,
+                [](const std::string&, const std::string&) {})
+                ->start();
+        }
+    }
+
+    tcp::acceptor acceptor_;
+    std::size_t accepted_ = 0;
+    std::size_t first_answering_ = 0;
+};
+
+/// Calls the peer once, silences the open connection, and calls again.
+/// @param pauses time before each of the later calls.
+/// @return whether each of the later calls got a reply.
+std::vector<bool> call_after_silence(const std::vector<milliseconds>& pauses)
+{
+    constexpr milliseconds timeout{1'000};
+    asio::io_context io;
+    silenced_peer peer(io);
+    peer_client client(
+        io, peer.get_endpoint(), {},
+        [](peer_body) -> asio::awaitable<std::optional<peer_body>>
+        { co_return std::nullopt; },
+        [](const std::string&, const std::string&) {});
+    std::vector<bool> out;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            bool was_sent = false;
+            peer_body first = peer_hello{session_id(1)};
+            co_await client.call(std::move(first), timeout, was_sent);
+            peer.silence_open();
+            for (milliseconds pause : pauses)
+            {
+                asio::steady_timer timer(io, pause);
+                co_await timer.async_wait(asio::use_awaitable);
+                peer_body hello = peer_hello{session_id(1)};
+                auto reply =
+                    co_await client.call(std::move(hello), timeout, was_sent);
+                out.push_back(reply.has_value());
+            }
+            io.stop();
+        },
+        asio::detached);
+    io.run_for(std::chrono::seconds(30));
+    return out;
+}
+
 /// @return whether the peer closed the connection after these bytes.
 bool is_cut_off_after(asio::io_context& io, echo_peer& peer, std::string bytes)
 {
@@ -104,6 +185,22 @@
     EXPECT_EQ(std::get<peer_hello>(*reply).session, session_id(7));
 }
 
+// Guards against a silent connection that lives on because each of its calls
+// ends before the silence limit, with no other call open in between.
+TEST(peer_link, short_calls_do_not_keep_a_silent_connection)
+{
+    std::vector<milliseconds> pauses(4, milliseconds(200));
+    EXPECT_TRUE(call_after_silence(pauses).back());
+}
+
+// Guards against a request that is lost, and for a non-idempotent one ends
+// unknown, on a connection that went silent while nobody used it.
+TEST(peer_link, a_call_after_a_long_pause_uses_a_new_connection)
+{
+    auto pause = peer_client::reuse_limit + milliseconds(200);
+    EXPECT_TRUE(call_after_silence({pause}).front());
+}
+
 // Guards against a peer's bytes that make an entry allocate without a bound,
 // read outside a buffer, or go on with a connection that is out of step.
 TEST(peer_link, malformed_frames_cut_the_connection_with_a_fault)
