--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -180,6 +180,46 @@
     check_answers(fleet, load.stop());
 }
 
+// Guards against a second run (I8) and a false "not run" (I7) when targets
+// restart and forget their tasks, starts that are under way included.
+TEST(at_most_once, holds_while_targets_restart)
+{
+    test_fleet fleet(make_options());
+    once_load load(fleet, 12);
+    for (int i = 0; i < 20; ++i)
+    {
+        pause_for(milliseconds(300));
+        const auto& target = fleet.get_cluster().get_targets()[i % 2];
+        fetch_json(target.get_direct_endpoint(), "POST", "/v1/reboot");
+    }
+    check_answers(fleet, load.stop());
+}
+
+// Guards against "not run" for a request whose first attempt is under way when
+// a repeat of it gives up (I7).
+TEST(at_most_once, a_repeat_is_not_told_no_while_the_first_attempt_runs)
+{
+    test_fleet fleet(make_options());
+    caller_request first;
+    first.queue = "once";
+    first.request_id = "under-way";
+    first.run_ms = "4000";
+    first.deadline_ms = "10000";
+    auto answer =
+        std::async(std::launch::async, [&] { return fleet.post(first, 0); });
+    EXPECT_TRUE(wait_until([&] { return fleet.count_runs("under-way") == 1; },
+        milliseconds(10'000)));
+    caller_request repeat = first;
+    repeat.deadline_ms = "500";
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        caller_answer it = fleet.post(repeat, i);
+        EXPECT_NE(it.run, "no") << it.body;
+    }
+    EXPECT_TRUE(answer.get().is_ok());
+    EXPECT_EQ(fleet.count_runs("under-way"), 1u);
+}
+
 // Guards against two runs of one request that arrives through several entries
 // at the same time (I8).
 TEST(at_most_once, holds_for_repeats_at_the_same_time)
--- a/tests/integration/configuration_change_test.cpp
+++ b/tests/integration/configuration_change_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
+
 namespace cowslippass
 {
 
@@ -107,6 +109,27 @@
     }
 }
 
+// Guards against an entry that was paused while a key was withdrawn and starts
+// work with it after it wakes (I3).
+TEST(withdrawn_key, starts_nothing_on_an_entry_that_was_paused)
+{
+    test_fleet fleet(make_options());
+    caller_load load(fleet, make_request("red"), 8, {0, 1, 2, 3});
+    wait_for_work(fleet, load);
+    auto& paused =
+        fleet.get_cluster().get_entries()[find_pool_owner(fleet, "dc-2")];
+    paused.process->kill(SIGSTOP);
+    fleet.run("withdraw key red-key", 0);
+    std::int64_t committed = get_unix_ms();
+    // Requests that came before the pause are still in the entry's hands.
+    std::this_thread::sleep_for(milliseconds(bound_ms + 1'000));
+    paused.process->kill(SIGCONT);
+    std::this_thread::sleep_for(milliseconds(4'000));
+    load.stop();
+    EXPECT_GT(load.get_success_count(), 0u);
+    EXPECT_LE(find_last_start(list_starts(fleet)), committed + bound_ms);
+}
+
 // Guards against starts in a data centre that was taken out of service, also
 // by entries that cannot learn of it, and against one that does not serve
 // again after it was brought back (I5).
--- a/tests/integration/limits_test.cpp
+++ b/tests/integration/limits_test.cpp
@@ -77,6 +77,41 @@
     EXPECT_EQ(load.get_wrong_count(), 0u);
 }
 
+// Guards against grants of dead entries that are lost, or that are used again
+// while tasks that were started with them may still run (I4).
+TEST(limits, grants_of_dead_entries_are_used_again_within_the_limit)
+{
+    constexpr std::size_t limit = 4;
+    test_fleet fleet(make_options());
+    auto& entries = fleet.get_cluster().get_entries();
+    fleet.run("set team red limit " + std::to_string(limit), 0, true);
+    std::int64_t since = get_unix_ms();
+    caller_request request = make_request();
+    request.run_ms = "1500";
+    request.deadline_ms = "4000";
+    auto runs_at_limit = [&](const std::string& data_centre)
+    {
+        std::int64_t now = get_unix_ms();
+        return std::ranges::count_if(list_starts(fleet, since),
+                   [&](const recorded_start& it)
+                   {
+                       return it.data_centre == data_centre &&
+                              it.started_ms <= now && it.ended_ms > now;
+                   }) >= std::ptrdiff_t(limit);
+    };
+    caller_load first(fleet, request, 12, {0, 1});
+    EXPECT_TRUE(wait_until(
+        [&] { return runs_at_limit("dc-1"); }, milliseconds(20'000)));
+    for (std::size_t i : {0, 1})
+        entries[i].process->kill(SIGKILL);
+    caller_load second(fleet, request, 12, {2, 3});
+    EXPECT_TRUE(wait_until(
+        [&] { return runs_at_limit("dc-2"); }, milliseconds(60'000)));
+    first.stop();
+    second.stop();
+    EXPECT_EQ(find_highest_running(list_starts(fleet, since)), limit);
+}
+
 // Guards against starts under a limit that is no longer in force (I4).
 TEST(limits, a_lowered_limit_allows_no_start_above_it_once_in_force)
 {
--- a/tests/integration/operator_race_test.cpp
+++ b/tests/integration/operator_race_test.cpp
@@ -104,7 +104,7 @@
 }
 
 // Guards against an entry that shows or uses an older configuration after a
-// restart (I11).
+// restart, also when it restarts during an outage of the platform (I11).
 TEST(operator_race, a_restarted_entry_never_shows_an_older_version)
 {
     test_fleet fleet(make_options());
@@ -116,7 +116,18 @@
         std::uint64_t committed = get_head(fleet);
         entry.process->kill(SIGKILL);
         entry.process->wait(milliseconds(10'000));
+        bool is_outage = round == 2;
+        auto platform = fleet.get_cluster().get_platform_endpoint();
+        set_control(platform, {{"down", is_outage}});
         fleet.get_cluster().start_entry(entry);
+        if (is_outage)
+        {
+            std::this_thread::sleep_for(milliseconds(3'000));
+            http_result result = fleet.try_run("show teams", 1);
+            EXPECT_TRUE(!result.response || result.response->status != 200);
+            EXPECT_FALSE(fleet.post(caller_request{}, 1).is_ok());
+            set_control(platform, {{"down", false}});
+        }
         std::size_t shown = 0;
         EXPECT_TRUE(wait_until(
             [&]
--- a/tests/integration/planned_stop_test.cpp
+++ b/tests/integration/planned_stop_test.cpp
@@ -10,21 +10,22 @@
 namespace
 {
 
-cluster_options make_options()
+cluster_options make_options(std::size_t entries = 2)
 {
     cluster_options out;
     out.data_centres = 1;
-    out.entries_per_data_centre = 2;
+    out.entries_per_data_centre = entries;
     out.targets_per_pool = 2;
     out.entry_settings["balancer_lag_ms"] = "500";
     return out;
 }
 
-/// Requests that run for two seconds, sent through both entries.
+/// Requests that run for two seconds, sent through all entries.
 std::vector<std::future<caller_answer>> send_long_requests(
     test_fleet& fleet, const std::string& queue)
 {
     std::vector<std::future<caller_answer>> out;
+    std::size_t n = fleet.get_cluster().get_entries().size();
     for (std::size_t i = 0; i < 6; ++i)
     {
         caller_request request;
@@ -32,19 +33,26 @@
         request.request_id = queue + "-" + std::to_string(i);
         request.run_ms = "2000";
         out.push_back(std::async(std::launch::async,
-            [&fleet, request, i] { return fleet.post(request, i % 2); }));
+            [&fleet, request, i, n] { return fleet.post(request, i % n); }));
     }
     return out;
 }
 
-void expect_planned_stop_cuts_nothing(
-    test_fleet& fleet, const std::string& queue, std::size_t stopped)
+void expect_planned_stop_cuts_nothing(test_fleet& fleet,
+    const std::string& queue, const std::vector<std::size_t>& stopped)
 {
-    auto& entry = fleet.get_cluster().get_entries()[stopped];
     auto answers = send_long_requests(fleet, queue);
     EXPECT_TRUE(wait_until(
         [&] { return fleet.count_running() == 6; }, milliseconds(20'000)));
-    EXPECT_TRUE(entry.process->stop(milliseconds(30'000)));
+    std::vector<std::future<bool>> stops;
+    for (std::size_t i : stopped)
+    {
+        auto& entry = fleet.get_cluster().get_entries()[i];
+        stops.push_back(std::async(std::launch::async,
+            [&entry] { return entry.process->stop(milliseconds(30'000)); }));
+    }
+    for (auto& it : stops)
+        EXPECT_TRUE(it.get());
     for (auto& it : answers)
     {
         caller_answer answer = it.get();
@@ -82,14 +90,14 @@
 {
     test_fleet fleet(make_options());
     expect_planned_stop_cuts_nothing(
-        fleet, "urgent", find_pool_owner(fleet, "dc-1"));
+        fleet, "urgent", {find_pool_owner(fleet, "dc-1")});
 }
 
 TEST(planned_stop, of_the_owner_cuts_no_non_idempotent_request)
 {
     test_fleet fleet(make_options());
     expect_planned_stop_cuts_nothing(
-        fleet, "once", find_pool_owner(fleet, "dc-1"));
+        fleet, "once", {find_pool_owner(fleet, "dc-1")});
 }
 
 // Guards against requests that are cut by a planned stop of the entry that
@@ -98,7 +106,20 @@
 {
     test_fleet fleet(make_options());
     expect_planned_stop_cuts_nothing(
-        fleet, "urgent", 1 - find_pool_owner(fleet, "dc-1"));
+        fleet, "urgent", {1 - find_pool_owner(fleet, "dc-1")});
+}
+
+// Guards against requests that are cut when the owner of a pool and the entry
+// that takes the pool over stop at the same time (I10).
+TEST(planned_stop, of_two_entries_at_once_cuts_no_request)
+{
+    for (const char* queue : {"urgent", "once"})
+    {
+        test_fleet fleet(make_options(3));
+        std::size_t owner = find_pool_owner(fleet, "dc-1");
+        expect_planned_stop_cuts_nothing(
+            fleet, queue, {owner, (owner + 1) % 3});
+    }
 }
 
 } // namespace cowslippass
