--- a/tests/integration/limits_test.cpp
+++ b/tests/integration/limits_test.cpp
@@ -82,13 +82,16 @@
 TEST(limits, grants_of_dead_entries_are_used_again_within_the_limit)
 {
     constexpr std::size_t limit = 4;
-    test_fleet fleet(make_options());
+    cluster_options options = make_options();
+    // Leases of dead entries' tasks run on after the end of the session.
+    options.entry_settings["task_lease_ms"] = "10000";
+    test_fleet fleet(options);
     auto& entries = fleet.get_cluster().get_entries();
     fleet.run("set team red limit " + std::to_string(limit), 0, true);
     std::int64_t since = get_unix_ms();
     caller_request request = make_request();
-    request.run_ms = "1500";
-    request.deadline_ms = "4000";
+    request.run_ms = "12000";
+    request.deadline_ms = "14000";
     auto runs_at_limit = [&](const std::string& data_centre)
     {
         std::int64_t now = get_unix_ms();
@@ -99,14 +102,17 @@
                               it.started_ms <= now && it.ended_ms > now;
                    }) >= std::ptrdiff_t(limit);
     };
-    caller_load first(fleet, request, 12, {0, 1});
+    caller_load first(fleet, request, 12, {2, 3});
     EXPECT_TRUE(wait_until(
-        [&] { return runs_at_limit("dc-1"); }, milliseconds(20'000)));
-    for (std::size_t i : {0, 1})
+        [&] { return runs_at_limit("dc-2"); }, milliseconds(20'000)));
+    // The janitor is in the first data centre and ends the sessions at once.
+    for (std::size_t i : {2, 3})
         entries[i].process->kill(SIGKILL);
-    caller_load second(fleet, request, 12, {2, 3});
+    request.run_ms = "1500";
+    request.deadline_ms = "4000";
+    caller_load second(fleet, request, 12, {0, 1});
     EXPECT_TRUE(wait_until(
-        [&] { return runs_at_limit("dc-2"); }, milliseconds(60'000)));
+        [&] { return runs_at_limit("dc-1"); }, milliseconds(60'000)));
     first.stop();
     second.stop();
     EXPECT_EQ(find_highest_running(list_starts(fleet, since)), limit);
