Stop idempotent urgent work whose caller's deadline has passed

Cause: such work held its slot to its end although nobody could read its result any more; in a burst these slots are missing. Non-idempotent work runs on, as its outcome is recorded and can be asked for.

The new test fails without the change: the task of 25 s is still there 10 s after the answer. Not measured in a burst.

--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -97,6 +97,15 @@
         finish(active, refused);
         co_return refused;
     }
+    // Nobody reads the result any more, and other work needs the slot.
+    bool is_useless = active->item.task.is_idempotent &&
+                      active->item.task.kind == queue_kind::urgent;
+    if (is_useless && active->is_on_target)
+    {
+        active->is_cancelled = true;
+        placement_.cancel_task(active->item.task.id);
+        kick();
+    }
     co_return make_failure(504, "answer_deadline",
         "the work was started but did not end before the deadline",
         run_answer::unknown);
--- a/tests/integration/requests_test.cpp
+++ b/tests/integration/requests_test.cpp
@@ -22,6 +22,23 @@
 
 } // namespace
 
+// Guards against slots that are held by urgent work after its caller got the
+// answer that the deadline has passed.
+TEST(requests, urgent_work_past_its_deadline_leaves_its_target)
+{
+    test_fleet fleet(make_options());
+    caller_request request;
+    request.run_ms = "25000";
+    request.deadline_ms = "1500";
+    EXPECT_EQ(fleet.post(request).code, "answer_deadline");
+    EXPECT_TRUE(wait_until(
+        [&] { return fleet.count_running() == 0; }, milliseconds(10'000)));
+    request.queue = "once";
+    request.request_id = "runs-on";
+    EXPECT_EQ(fleet.post(request).code, "answer_deadline");
+    EXPECT_EQ(fleet.count_running(), 1u);
+}
+
 // Guards against answers that are cut, crossed or lost on the way through two
 // entries (I6).
 TEST(requests, every_caller_gets_the_result_of_its_own_payload)
