Answer unknown when a repeat is refused before its claim is looked up

Cause: the new test kills and restarts every entry in turn while the platform is slow. 3 repeats of requests that had run were told "run": "no" by an entry that had not joined the fleet yet (I7). Refusals at admission spoke only of their own attempt; the same held for withdrawn keys, unknown queues and bad headers, and for questions about outcomes and jobs.

Change: such a refusal is "no" only where that is proved: without a request id, for a first attempt, or on a known idempotent urgent queue.

--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -14,6 +14,9 @@
 using json = nlohmann::json;
 
 constexpr std::size_t max_request_id_length = 128;
+constexpr std::string_view queues_prefix = "/v1/queues/";
+constexpr std::string_view requests_prefix = "/v1/requests/";
+constexpr std::string_view jobs_prefix = "/v1/jobs/";
 
 /// Request ids become parts of row keys and URLs.
 bool is_valid_request_id(const std::string& text)
@@ -56,6 +59,23 @@
     return out;
 }
 
+/// @return the queue of a path that requests are posted to.
+std::optional<queue_id> find_posted_queue(const std::string& path)
+{
+    constexpr std::string_view tail = "/requests";
+    bool is_match = path.starts_with(queues_prefix) && path.ends_with(tail) &&
+                    path.size() > queues_prefix.size() + tail.size();
+    if (!is_match)
+        return std::nullopt;
+    return queue_id(path.substr(queues_prefix.size(),
+        path.size() - queues_prefix.size() - tail.size()));
+}
+
+bool is_first_attempt(const http_request& request)
+{
+    return request.get_header("Request-Attempt") == "first";
+}
+
 } // namespace
 
 http_response make_error_response(unsigned status, const std::string& code,
@@ -77,35 +97,51 @@
 asio::awaitable<std::optional<http_response>> caller_api::handle(
     const http_request& request)
 {
-    constexpr std::string_view queues = "/v1/queues/";
-    constexpr std::string_view requests = "/v1/requests/";
-    constexpr std::string_view jobs = "/v1/jobs/";
-    constexpr std::string_view tail = "/requests";
+    const std::string& path = request.path;
+    std::optional<queue_id> queue = find_posted_queue(path);
+    bool is_request = path.starts_with(requests_prefix);
+    bool is_job = path.starts_with(jobs_prefix);
     std::optional<http_response> refused;
+    if (!queue && !is_request && !is_job)
+        co_return refused;
+    // Of the outcome or job that is asked for, a refusal says nothing.
+    run_answer refusal_run =
+        queue ? get_refusal_answer(request, *queue) : run_answer::unknown;
     try
     {
-        const std::string& path = request.path;
-        if (path.starts_with(queues) && path.ends_with(tail) &&
-            path.size() > queues.size() + tail.size())
-        {
-            std::string name = path.substr(
-                queues.size(), path.size() - queues.size() - tail.size());
-            co_return co_await post_request(request, queue_id(name));
-        }
-        if (path.starts_with(requests))
+        if (node_.session.get() == 0)
+            throw admission_error(503, "not_registered",
+                "this entry has not joined the fleet yet");
+        if (queue)
+            co_return co_await post_request(request, *queue);
+        if (is_request)
             co_return co_await get_outcome(
-                request, request_id(path.substr(requests.size())));
-        if (path.starts_with(jobs))
-            co_return co_await handle_job(request, path.substr(jobs.size()));
+                request, request_id(path.substr(requests_prefix.size())));
+        co_return co_await handle_job(request, path.substr(jobs_prefix.size()));
     }
     catch (const admission_error& e)
     {
         refused = make_error_response(
-            e.get_status(), e.get_code(), e.what(), run_answer::no);
+            e.get_status(), e.get_code(), e.what(), refusal_run);
     }
     co_return refused;
 }
 
+run_answer caller_api::get_refusal_answer(
+    const http_request& request, const queue_id& queue) const
+{
+    std::string id = request.get_header("Request-Id");
+    // Without a valid id no attempt was ever admitted.
+    if (id.empty() || !is_valid_request_id(id))
+        return run_answer::no;
+    auto known = node_.state.get_queues().find(queue);
+    // An earlier attempt on a slow queue may have been accepted as a job.
+    bool is_idempotent = known != node_.state.get_queues().end() &&
+                         known->second.is_idempotent &&
+                         known->second.kind == queue_kind::urgent;
+    return get_unclaimed_answer(is_idempotent, is_first_attempt(request));
+}
+
 peer_forward caller_api::read_request(
     const http_request& request, const admission& admitted) const
 {
@@ -116,7 +152,8 @@
     if (id.empty() && !admitted.queue.is_idempotent)
         throw admission_error(400, "missing_request_id",
             "this queue requires the header 'Request-Id'");
-    if (id.empty())
+    bool is_own_id = id.empty();
+    if (is_own_id)
         id = "r-" + make_random_hex(12);
     if (!is_valid_request_id(id))
         throw admission_error(400, "bad_request_id",
@@ -130,7 +167,7 @@
     std::uint64_t deadline = read_number(request, "Deadline-Ms");
     if (deadline > 0)
         out.deadline = std::min(out.deadline, milliseconds(deadline));
-    out.is_first_attempt = request.get_header("Request-Attempt") == "first";
+    out.is_first_attempt = is_own_id || is_first_attempt(request);
     out.payload = request.body;
     return out;
 }
--- a/main/caller_api.hpp
+++ b/main/caller_api.hpp
@@ -43,6 +43,10 @@
         const http_request& request, request_id id);
     asio::awaitable<http_response> handle_job(
         const http_request& request, std::string rest);
+    /// @return whether a request may have run, when it is refused before its
+    ///   claim or job is looked up: a repeat may follow an attempt that ran.
+    run_answer get_refusal_answer(
+        const http_request& request, const queue_id& queue) const;
     peer_forward read_request(
         const http_request& request, const admission& admitted) const;
 
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -410,9 +410,6 @@
         co_return report_readiness();
     if (request.path == "/metrics")
         co_return report_metrics();
-    if (node_.session.get() == 0)
-        co_return make_error_response(503, "not_registered",
-            "this entry has not joined the fleet yet", run_answer::no);
     if (request.path == "/v1/command")
         co_return co_await operator_api_.handle(std::move(request));
     auto answer = co_await caller_api_.handle(request);
--- a/main/request_router.cpp
+++ b/main/request_router.cpp
@@ -194,7 +194,8 @@
         auto queue = node_.state.get_queues().find(request.queue);
         if (queue == node_.state.get_queues().end())
             co_return make_failure(404, "unknown_queue",
-                "the queue does not exist", run_answer::no);
+                "the queue does not exist",
+                get_unclaimed_answer(false, request.is_first_attempt));
         // A copy, as the state may change while the request is under way.
         queue_record record = queue->second;
         request.version = node_.state.get_version();
--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -195,6 +195,27 @@
     check_answers(fleet, load.stop());
 }
 
+// Guards against a second run (I8) and a false "not run" (I7) when every entry
+// is killed and started again in turn while the platform is slow.
+TEST(at_most_once, holds_in_a_wave_of_restarts_with_a_slow_platform)
+{
+    test_fleet fleet(make_options());
+    auto platform = fleet.get_cluster().get_platform_endpoint();
+    set_control(platform, {{"delay_ms", 200}, {"reply_delay_ms", 200}});
+    once_load load(fleet, 12);
+    for (auto& entry : fleet.get_cluster().get_entries())
+    {
+        pause_for(milliseconds(1'500));
+        entry.process->kill(SIGKILL);
+        entry.process->wait(milliseconds(10'000));
+        fleet.get_cluster().start_entry(entry);
+    }
+    pause_for(milliseconds(3'000));
+    set_control(platform, {{"delay_ms", 0}, {"reply_delay_ms", 0}});
+    pause_for(milliseconds(6'000));
+    check_answers(fleet, load.stop());
+}
+
 // Guards against "not run" for a request whose first attempt is under way when
 // a repeat of it gives up (I7).
 TEST(at_most_once, a_repeat_is_not_told_no_while_the_first_attempt_runs)
@@ -218,6 +239,8 @@
     }
     EXPECT_TRUE(answer.get().is_ok());
     EXPECT_EQ(fleet.count_runs("under-way"), 1u);
+    fleet.run("withdraw key red-key", 0, true);
+    EXPECT_EQ(fleet.post(repeat).run, "unknown");
 }
 
 // Guards against two runs of one request that arrives through several entries
--- a/tests/integration/slow_jobs_test.cpp
+++ b/tests/integration/slow_jobs_test.cpp
@@ -121,6 +121,40 @@
     }
 }
 
+// Guards against accepted jobs that vanish or end twice when every entry is
+// killed and started again in turn while the platform is slow.
+TEST(slow_jobs, accepted_jobs_end_once_in_a_wave_of_restarts)
+{
+    test_fleet fleet(make_options());
+    auto& entries = fleet.get_cluster().get_entries();
+    auto platform = fleet.get_cluster().get_platform_endpoint();
+    set_control(platform, {{"delay_ms", 200}, {"reply_delay_ms", 200}});
+    std::map<std::string, std::string> payloads;
+    for (std::size_t i = 0; i < entries.size(); ++i)
+    {
+        for (std::size_t j = 0; j < 4; ++j)
+        {
+            std::string payload =
+                "wave " + std::to_string(i) + " " + std::to_string(j);
+            if (auto job = accept_job(fleet, payload, j, "1500"))
+                payloads[*job] = payload;
+        }
+        entries[i].process->kill(SIGKILL);
+        entries[i].process->wait(milliseconds(10'000));
+        fleet.get_cluster().start_entry(entries[i]);
+    }
+    set_control(platform, {{"delay_ms", 0}, {"reply_delay_ms", 0}});
+    EXPECT_GE(payloads.size(), 4u);
+    for (const auto& [job, payload] : payloads)
+    {
+        EXPECT_TRUE(wait_for_state(fleet, job, "done", 0, milliseconds(90'000)))
+            << get_job(fleet, job, 0).dump();
+        auto result = fleet.ask("GET", "/v1/jobs/" + job + "/result", "red", 0);
+        EXPECT_EQ(result.body, get_expected_result(payload));
+        EXPECT_EQ(count_rows(fleet, job), 1u) << job;
+    }
+}
+
 // Guards against a job that can never succeed and holds a target for ever. The
 // delays between the five attempts sum up to 85 s.
 TEST(slow_jobs, a_job_that_always_fails_is_parked_with_a_reason)
