Write the row of a claim once for a request that succeeds

Cause: a non-idempotent request wrote its row twice, as a claim and as its end. The platform's budget counts rows, not transactions, so that sharing a transaction among claims saves nothing.

Change: the end of a success is the result object alone. It is named after the task, which is used for one attempt only; a claimed row and the object of its task prove the outcome. The stand-in platform counts row writes by the first part of the key.

--- a/main/claim_keeper.cpp
+++ b/main/claim_keeper.cpp
@@ -42,11 +42,6 @@
         run_answer::unknown);
 }
 
-std::string get_object_name(const std::string& claim_key)
-{
-    return "results/" + claim_key;
-}
-
 } // namespace
 
 claim_keeper::claim_keeper(node_context& node) : node_(node) {}
@@ -64,10 +59,19 @@
     if (!row.failure.empty())
         co_return make_failure(
             502, row.failure, "the request ran and failed", run_answer::yes);
-    auto bytes = co_await node_.table.get_object(row.result);
-    if (!bytes)
+    auto stored = co_await find_result(row.result);
+    if (!stored)
         co_return make_failure(503, "result_unavailable",
             "the request ran; its result cannot be read now", run_answer::yes);
+    co_return std::move(*stored);
+}
+
+asio::awaitable<std::optional<work_result>> claim_keeper::find_result(
+    std::string object)
+{
+    auto bytes = co_await node_.table.get_object(std::move(object));
+    if (!bytes)
+        co_return std::nullopt;
     work_result out;
     out.status = 200;
     out.run = run_answer::yes;
@@ -96,6 +100,9 @@
                 "the request id belongs to another payload", run_answer::no);
         if (claim.state == claim_state::done)
             co_return co_await answer_done(claim);
+        auto stored = co_await find_result(claim.get_result_name());
+        if (stored)
+            co_return std::move(*stored);
         if (get_now() + poll_interval >= item.answer_deadline)
             co_return make_in_progress();
         if (!is_followed(held->key, claim))
@@ -117,11 +124,10 @@
     auto early = co_await wait_for_turn(item, held);
     if (early)
         co_return std::move(*early);
-    std::string object = get_object_name(held->key);
     item.prepare_start = [this, held](start_place place)
     { return write_claim_row(held, place); };
-    item.on_end = [this, held, object](const work_result& result)
-    { return record(held, object, result); };
+    item.on_end = [this, held](const work_result& result)
+    { return record(held, result); };
     auto result = co_await runner->run(std::move(item));
     // Work that never entered the queue has no end to be told.
     if (result.run == run_answer::no)
@@ -184,8 +190,16 @@
 }
 
 asio::awaitable<bool> claim_keeper::try_record(
-    held_ptr held, std::string object, work_result result)
+    held_ptr held, work_result result)
 {
+    // The row was written before the start and names the task. With the
+    // result of that task stored nothing else has to be.
+    if (result.is_success())
+    {
+        std::string object = held->row.get_result_name();
+        co_return co_await node_.table.put_object(
+            std::move(object), std::move(result.payload));
+    }
     auto found = co_await node_.table.read(held->key);
     if (!found)
         co_return false;
@@ -200,17 +214,7 @@
         co_return true;
     held->version = found->version;
     claim_row after = now;
-    if (result.is_success())
-    {
-        std::string bytes = std::move(result.payload);
-        bool is_stored =
-            co_await node_.table.put_object(object, std::move(bytes));
-        if (!is_stored)
-            co_return false;
-        after.state = claim_state::done;
-        after.result = object;
-    }
-    else if (result.run == run_answer::yes)
+    if (result.run == run_answer::yes)
     {
         after.state = claim_state::done;
         after.failure = result.code;
@@ -221,8 +225,7 @@
     co_return outcome == write_outcome::written;
 }
 
-asio::awaitable<void> claim_keeper::record(
-    held_ptr held, std::string object, work_result result)
+asio::awaitable<void> claim_keeper::record(held_ptr held, work_result result)
 {
     // What may have run stays claimed; whoever asks later looks again.
     if (!held->is_written || result.run == run_answer::unknown)
@@ -233,12 +236,12 @@
     auto done = std::make_shared<asio::steady_timer>(node_.io);
     done->expires_after(record_wait);
     node_.spawn("claim_keeper",
-        [this, held, object, result, done]() -> asio::awaitable<void>
+        [this, held, result, done]() -> asio::awaitable<void>
         {
             auto give_up = get_now() + record_time_limit;
             while (get_now() < give_up)
             {
-                bool is_recorded = co_await try_record(held, object, result);
+                bool is_recorded = co_await try_record(held, result);
                 if (is_recorded)
                     break;
                 co_await node_.sleep(retry_interval);
@@ -281,7 +284,8 @@
 }
 
 asio::awaitable<claim_actions> claim_keeper::copy_result(claim_machine& machine,
-    const cowslippass::fetch_result& what, request_id id)
+    const cowslippass::fetch_result& what, const claim_row& claim,
+    request_id id)
 {
     auto client = get_client(what.target);
     std::optional<std::string> bytes;
@@ -289,7 +293,7 @@
         bytes = co_await client->get_result(what.task, id);
     if (!bytes)
         co_return machine.on_result_lost();
-    std::string object = "results/tasks/" + what.task.get();
+    std::string object = claim.get_result_name();
     bool is_stored = co_await node_.table.put_object(object, std::move(*bytes));
     if (!is_stored)
         co_return claim_actions{};
@@ -321,7 +325,7 @@
     if (auto* question = std::get_if<ask_target>(&action))
         co_return co_await ask(machine, *question, claim);
     if (auto* what = std::get_if<cowslippass::fetch_result>(&action))
-        co_return co_await copy_result(machine, *what, id);
+        co_return co_await copy_result(machine, *what, claim, id);
     co_return claim_actions{};
 }
 
@@ -368,6 +372,9 @@
         if (claim.state == claim_state::not_run)
             co_return make_failure(
                 409, "not_run", "the request has not run", run_answer::no);
+        auto stored = co_await find_result(claim.get_result_name());
+        if (stored)
+            co_return std::move(*stored);
         if (has_looked || is_followed(key, claim))
             co_return make_in_progress();
         co_await resolve(team, id, *found);
--- a/main/claim_keeper.hpp
+++ b/main/claim_keeper.hpp
@@ -12,8 +12,8 @@
 {
 
 /// Runs non-idempotent requests at most once: claims each in the platform's
-/// table before its start, records its outcome, and finds out what became of
-/// claims whose session has ended.
+/// table before its start, stores its result, records any other outcome in the
+/// row, and finds out what became of claims whose session has ended.
 class claim_keeper
 {
 public:
@@ -42,12 +42,13 @@
     asio::awaitable<std::optional<work_result>> wait_for_turn(
         const work_item& item, held_ptr held);
     asio::awaitable<work_result> answer_done(claim_row row);
+    /// @return the stored result, or nothing when there is none or it cannot
+    ///   be read now.
+    asio::awaitable<std::optional<work_result>> find_result(std::string object);
     asio::awaitable<std::optional<work_result>> write_claim_row(
         held_ptr held, start_place place);
-    asio::awaitable<void> record(
-        held_ptr held, std::string object, work_result result);
-    asio::awaitable<bool> try_record(
-        held_ptr held, std::string object, work_result result);
+    asio::awaitable<void> record(held_ptr held, work_result result);
+    asio::awaitable<bool> try_record(held_ptr held, work_result result);
     enum class write_outcome
     {
         written,
@@ -64,7 +65,8 @@
     asio::awaitable<claim_actions> ask(claim_machine& machine,
         const ask_target& question, const claim_row& claim);
     asio::awaitable<claim_actions> copy_result(claim_machine& machine,
-        const cowslippass::fetch_result& what, request_id id);
+        const cowslippass::fetch_result& what, const claim_row& claim,
+        request_id id);
     std::shared_ptr<target_client> get_client(const instance_id& target);
     bool is_followed(const std::string& key, const claim_row& row) const;
 
--- a/systems/claim_row.cpp
+++ b/systems/claim_row.cpp
@@ -63,6 +63,11 @@
     }
 }
 
+std::string claim_row::get_result_name() const
+{
+    return "results/tasks/" + task.get();
+}
+
 std::string claim_row::get_key(const team_id& team, const request_id& request)
 {
     return "claims/" + team.get() + '/' + request.get();
--- a/systems/claim_row.hpp
+++ b/systems/claim_row.hpp
@@ -9,9 +9,11 @@
 
 enum class claim_state
 {
-    claimed, ///< A start may be sent, was sent, or is running.
-    done,    ///< The request ran; its result or its failure is known.
-    not_run  ///< Proved: the request never ran and never will.
+    /// A start may be sent, was sent, is running, or ended with a result that
+    /// is in the object `get_result_name()`.
+    claimed,
+    done,   ///< The request ran; its result or its failure is known.
+    not_run ///< Proved: the request never ran and never will.
 };
 
 /// Value of a row `claims/<team>/<request id>`.
@@ -31,6 +33,11 @@
     std::string result;  ///< Object name, for `done`.
     std::string failure; ///< Final task state, for `done` without a result.
 
+    /// @return the object that holds the result of the claimed task. A task is
+    ///   used for one attempt only, so that the object proves that it ran, and
+    ///   the row need not be written again after a success.
+    std::string get_result_name() const;
+
     std::string encode() const;
     /// @throws systems_error (`bad_claim_row`).
     static claim_row decode(const std::string& text);
--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -180,6 +180,34 @@
     check_answers(fleet, load.stop());
 }
 
+// Guards against an outcome that is lost with the session that claimed the
+// request: the row stays claimed, and only the stored result tells the end.
+TEST(at_most_once, an_outcome_outlives_its_owner_and_its_target)
+{
+    cluster_options options = make_options();
+    options.data_centres = 1;
+    test_fleet fleet(options);
+    caller_request request;
+    request.queue = "once";
+    request.request_id = "kept";
+    ASSERT_TRUE(fleet.post(request).is_ok());
+    std::size_t owner = find_pool_owner(fleet, "dc-1");
+    fleet.get_cluster().get_entries()[owner].process->kill(SIGKILL);
+    for (const auto& it : fleet.get_cluster().get_targets())
+        set_control(it.get_direct_endpoint(), {{"freeze_ms", 30'000}});
+    std::string path = "/v1/requests/kept?queue=once";
+    caller_answer answer;
+    EXPECT_TRUE(wait_until(
+        [&]
+        {
+            answer = fleet.ask("GET", path, "red", 1 - owner);
+            return answer.is_ok();
+        },
+        milliseconds(20'000)))
+        << answer.body;
+    EXPECT_EQ(answer.body, get_expected_result(request.payload));
+}
+
 // Guards against two runs of one request that arrives through several entries
 // at the same time (I8).
 TEST(at_most_once, holds_for_repeats_at_the_same_time)
--- a/tests/integration/requests_test.cpp
+++ b/tests/integration/requests_test.cpp
@@ -67,6 +67,29 @@
     EXPECT_EQ(fleet.count_runs("reservation-1"), 1u);
 }
 
+// Guards against row writes that a non-idempotent request does not need: the
+// platform's budget counts them, and they bound the requests of the fleet.
+TEST(requests, a_non_idempotent_request_writes_one_row_and_one_object)
+{
+    test_fleet fleet(make_options());
+    auto before = fleet.get_platform_counters();
+    constexpr std::size_t requests = 20;
+    caller_request request;
+    request.queue = "once";
+    for (std::size_t i = 0; i < requests; ++i)
+    {
+        request.request_id = "counted-" + std::to_string(i);
+        EXPECT_TRUE(fleet.post(request, i % 4).is_ok());
+        // A repeat reads the outcome and writes nothing.
+        EXPECT_TRUE(fleet.post(request, (i + 1) % 4).is_ok());
+    }
+    auto after = fleet.get_platform_counters();
+    EXPECT_EQ(after["row_writes_by_kind"].value("claims", 0u), requests);
+    EXPECT_EQ(after["object_writes"].get<std::size_t>() -
+                  before["object_writes"].get<std::size_t>(),
+        requests);
+}
+
 // Guards against slow work that is accepted and then vanishes.
 TEST(requests, a_slow_job_is_accepted_and_ends_with_its_result)
 {
--- a/tests/stand_ins/platform_service.cpp
+++ b/tests/stand_ins/platform_service.cpp
@@ -120,6 +120,7 @@
     json versions = json::object();
     for (auto& [key, value] : changes)
     {
+        ++row_writes_by_kind_[key.substr(0, key.find('/'))];
         versions[key] = value ? ++last_version_ : 0;
         if (value)
             rows_[key] = {*value, last_version_};
@@ -244,7 +245,9 @@
 {
     return make_json(200,
         {{"transactions", transactions_}, {"conflicts", conflicts_},
-            {"row_writes", row_writes_}, {"row_reads", row_reads_},
+            {"row_writes", row_writes_},
+            {"row_writes_by_kind", row_writes_by_kind_}, {"rows", rows_.size()},
+            {"objects", objects_.size()}, {"row_reads", row_reads_},
             {"scans", scans_}, {"object_reads", object_reads_},
             {"object_writes", object_writes_}, {"replies_lost", replies_lost_},
             {"highest_transactions_per_second", transaction_peak_.get()},
--- a/tests/stand_ins/platform_service.hpp
+++ b/tests/stand_ins/platform_service.hpp
@@ -79,6 +79,8 @@
     std::uint64_t transactions_ = 0;
     std::uint64_t conflicts_ = 0;
     std::uint64_t row_writes_ = 0;
+    /// By the first part of the key, such as `claims`.
+    std::map<std::string, std::uint64_t> row_writes_by_kind_;
     std::uint64_t row_reads_ = 0;
     std::uint64_t scans_ = 0;
     std::uint64_t object_reads_ = 0;
