Remove claims, ended jobs and command ids after a lifetime

Cause: rows under claims/, ended/ and config/command/ and the objects of results and payloads were never removed.

Change: rows carry the time of the platform's clock, which entries learn from the header Date of its answers. retention_rule decides which rows have ended and are older than their lifetime (request_lifetime_ms, command_lifetime_ms, 24 h); row_cleaner, run by the holder of the janitor lease, removes them within clean_up_writes_per_second, objects first, then the rows in one transaction on the lease and their versions. Names of objects are never used again. A claim is read again before its write if the last look is 5 s old, and an append does not rely on a command row that it read after its time limit. Request-Time lets a caller be refused instead of running again after the lifetime.

--- a/core/units.hpp
+++ b/core/units.hpp
@@ -15,6 +15,9 @@
 /// Milliseconds of a target's own monotonic clock.
 using target_time = strong_id<struct target_time_tag, std::int64_t>;
 
+/// Unix milliseconds of the platform's clock; 0 when it is not known.
+using platform_time = strong_id<struct platform_time_tag, std::int64_t>;
+
 using slot_count = strong_id<struct slot_count_tag, std::uint32_t>;
 using task_count = strong_id<struct task_count_tag, std::uint32_t>;
 using byte_count = strong_id<struct byte_count_tag, std::uint64_t>;
--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -135,6 +135,30 @@
     return out;
 }
 
+std::optional<http_response> caller_api::check_age(
+    const http_request& request, milliseconds deadline) const
+{
+    constexpr std::uint64_t max_seconds = 100'000'000'000;
+    std::uint64_t first_sent = read_number(request, "Request-Time");
+    if (first_sent == 0)
+        return std::nullopt;
+    if (first_sent > max_seconds)
+        throw admission_error(
+            400, "bad_header", "'Request-Time' must be in Unix seconds");
+    platform_time now = node_.table.get_time();
+    if (now == platform_time())
+        return make_error_response(503, "platform_unavailable",
+            "the age of the request cannot be told", run_answer::unknown);
+    // The id has to be remembered until this attempt has looked for it.
+    auto latest = std::chrono::seconds(first_sent) +
+                  node_.config.request_lifetime - deadline;
+    if (milliseconds(now.get()) <= latest)
+        return std::nullopt;
+    return make_error_response(409, "request_id_expired",
+        "the request was first sent too long ago; its id may be forgotten",
+        run_answer::unknown);
+}
+
 asio::awaitable<http_response> caller_api::post_request(
     const http_request& request, queue_id queue)
 {
@@ -150,6 +174,8 @@
             "this entry cannot confirm the configuration in force",
             get_unclaimed_answer(
                 admitted.queue.is_idempotent, work.is_first_attempt));
+    if (auto late = check_age(request, work.deadline))
+        co_return *late;
     work_result result;
     bool is_slow = admitted.queue.kind == queue_kind::slow;
     if (is_slow)
--- a/main/caller_api.hpp
+++ b/main/caller_api.hpp
@@ -43,6 +43,10 @@
         const http_request& request, request_id id);
     asio::awaitable<http_response> handle_job(
         const http_request& request, std::string rest);
+    /// @return a refusal when the caller says that it first sent the request
+    ///   so long ago that its id may be forgotten.
+    std::optional<http_response> check_age(
+        const http_request& request, milliseconds deadline) const;
     peer_forward read_request(
         const http_request& request, const admission& admitted) const;
 
--- a/main/claim_keeper.hpp
+++ b/main/claim_keeper.hpp
@@ -34,6 +34,7 @@
         std::string key;
         std::string digest;
         row_version version;     ///< Of the row as last read or written.
+        monotonic_time read_at;  ///< Before `version` was asked for.
         claim_row row;           ///< As last written.
         bool is_written = false; ///< A write was sent and may be in effect.
     };
@@ -56,6 +57,9 @@
         lost ///< Somebody else's row is there, or none can be read.
     };
     asio::awaitable<write_outcome> replace_row(held_ptr held, claim_row after);
+    /// Reads the row again when the last look at it is long ago.
+    /// @return `written` when it is unchanged.
+    asio::awaitable<write_outcome> confirm_version(held_ptr held);
 
     /// Decides a claim that nobody follows, as far as its target tells.
     asio::awaitable<void> resolve(team_id team, request_id id, row found);
--- a/main/fleet_sync.cpp
+++ b/main/fleet_sync.cpp
@@ -181,13 +181,17 @@
         }
         if (found->status == append_status::committed)
             co_return *found;
+        // After a long pause the row of the command may have been removed.
+        if (get_now() >= give_up)
+            break;
         std::vector<fleet_record> records = plan(node_.state);
         base = head_;
         // A planner sees the state in hand; the head row must be of that
         // version, or the condition would not cover what was planned on.
         if (base.version != node_.state.get_version())
             continue;
-        transaction tx = make_fleet_append(base, records, command);
+        transaction tx =
+            make_fleet_append(base, records, command, node_.table.get_time());
         tx.conditions.insert(
             tx.conditions.end(), conditions.begin(), conditions.end());
         transaction_result result = co_await node_.table.commit(std::move(tx));
--- a/main/janitor.cpp
+++ b/main/janitor.cpp
@@ -19,7 +19,13 @@
 } // namespace
 
 janitor::janitor(node_context& node, fleet_sync& sync, grant_keeper& grants)
-    : node_(node), sync_(sync), grants_(grants), lease_(node, "janitor")
+    : node_(node), sync_(sync), grants_(grants), lease_(node, "janitor"),
+      cleaner_(
+          node.table,
+          {node.config.request_lifetime, node.config.command_lifetime,
+              node.config.clean_up_writes_per_second},
+          [this] { return get_fence(); },
+          [this](session_id session) { return is_gone(session); })
 {
 }
 
@@ -29,6 +35,7 @@
     note_ended_sessions();
     lease_.start();
     node_.spawn("janitor", [this] { return run_loop(); });
+    node_.spawn("janitor", [this] { return clean_loop(); });
 }
 
 asio::awaitable<void> janitor::stop()
@@ -58,7 +65,7 @@
     while (true)
     {
         co_await node_.sleep(janitor_interval);
-        if (!lease_.is_held() || !node_.is_admitted() || !node_.may_start())
+        if (!is_on_duty())
         {
             // Silence counts only while this entry has watched throughout.
             heartbeats_.clear();
@@ -78,6 +85,45 @@
     }
 }
 
+bool janitor::is_on_duty() const
+{
+    return lease_.is_held() && node_.is_admitted() && node_.may_start();
+}
+
+std::optional<row_condition> janitor::get_fence() const
+{
+    if (!is_on_duty())
+        return std::nullopt;
+    return lease_.get_condition();
+}
+
+bool janitor::is_gone(session_id session)
+{
+    return !live_.contains(session) &&
+           get_now() >
+               grant_ledger::get_dead_release_time(observe_ended(session));
+}
+
+// Apart from the other loop, which a slow clean-up must not delay.
+asio::awaitable<void> janitor::clean_loop()
+{
+    while (true)
+    {
+        co_await node_.sleep(janitor_interval);
+        if (!is_on_duty())
+            continue;
+        try
+        {
+            co_await cleaner_.step();
+        }
+        catch (const error& e)
+        {
+            write_log(log_level::error, "janitor", "a clean-up failed",
+                {{"code", e.get_code()}, {"reason", std::string(e.what())}});
+        }
+    }
+}
+
 asio::awaitable<void> janitor::check_heartbeats()
 {
     auto page = co_await node_.table.scan(heartbeat_prefix, "", scan_limit);
--- a/main/janitor.hpp
+++ b/main/janitor.hpp
@@ -4,14 +4,16 @@
 #include "main/grant_keeper.hpp"
 #include "main/lease_holder.hpp"
 #include "main/node_context.hpp"
+#include "main/row_cleaner.hpp"
 
 #include <map>
 
 namespace cowslippass
 {
 
-/// Declares dead sessions, removes what they held, and keeps the fleet log
-/// short. Runs in the entry that holds the lease `janitor`.
+/// Declares dead sessions, removes what they held, keeps the fleet log short,
+/// and removes rows that have outlived their use. Runs in the entry that holds
+/// the lease `janitor`.
 class janitor
 {
 public:
@@ -37,6 +39,11 @@
     };
 
     asio::awaitable<void> run_loop();
+    asio::awaitable<void> clean_loop();
+    /// @return whether this entry may act as the janitor now.
+    bool is_on_duty() const;
+    std::optional<row_condition> get_fence() const;
+    bool is_gone(session_id session);
     asio::awaitable<void> check_heartbeats();
     asio::awaitable<void> end_session(session_id session, row_version beat);
     asio::awaitable<void> release_grants();
@@ -47,6 +54,7 @@
     fleet_sync& sync_;
     grant_keeper& grants_;
     lease_holder lease_;
+    row_cleaner cleaner_;
     std::map<session_id, heartbeat> heartbeats_;
     std::set<session_id> live_;
     std::map<session_id, monotonic_time> ended_;
--- a/main/job_keeper.cpp
+++ b/main/job_keeper.cpp
@@ -112,14 +112,22 @@
     order.queue = queue.id;
     order.pool = queue.pool;
     order.digest = sha256_hex(request.payload);
-    // Payloads that differ never share an object.
-    order.payload = "payloads/" + order.id.get() + "/" + order.digest;
+    // Payloads that differ never share an object. A job that has the same id
+    // after the first one was forgotten has another period, so that a late
+    // clean-up cannot delete its payload.
+    std::int64_t period =
+        node_.table.get_time().get() / node_.config.request_lifetime.count();
+    order.payload = "payloads/" + order.id.get() + "/" + order.digest + "/" +
+                    std::to_string(period);
     order.memory = request.declared_memory;
     if (!request.run_ms.empty())
         order.run_time = milliseconds(std::stoll(request.run_ms));
     data_centre_id place =
         choose_place(order.pool, order.id).value_or(node_.config.data_centre);
     json accepted{{"job", order.id.get()}};
+    // It counts from the look at the rows: much later, a job of this id may
+    // have been accepted, have ended and have been removed.
+    auto give_up = get_now() + accept_time_limit;
     found_job known;
     lookup looked = co_await read_job(order.id, known);
     if (looked == lookup::unavailable)
@@ -137,7 +145,6 @@
     if (!is_stored)
         co_return make_failure(503, "platform_unavailable",
             "the job cannot be stored", run_answer::no);
-    auto give_up = get_now() + accept_time_limit;
     bool may_be_accepted = false;
     while (get_now() < give_up)
     {
@@ -268,6 +275,7 @@
         auto change = job_machine::cancel(it.job);
         if (!change)
             continue;
+        job_machine::set_end_time(*change, node_.table.get_time());
         job_row after = change->next;
         auto result = co_await node_.table.commit(std::move(change->request));
         if (result.outcome == transaction_outcome::committed)
--- a/main/job_keeper_runs.cpp
+++ b/main/job_keeper_runs.cpp
@@ -186,6 +186,7 @@
     if (!change)
         co_return false;
     auto give_up = get_now() + commit_time_limit;
+    job_machine::set_end_time(*change, node_.table.get_time());
     std::string key = change->next.get_live_key();
     while (get_now() < give_up)
     {
--- a/systems/claim_row.cpp
+++ b/systems/claim_row.cpp
@@ -31,6 +31,8 @@
         {"digest", digest}, {"session", session.get()},
         {"target", target.get()}, {"task", task.get()},
         {"start_before", start_before.get()}, {"boot", boot}};
+    if (claimed_at != platform_time())
+        value["at"] = claimed_at.get();
     if (!result.empty())
         value["result"] = result;
     if (!failure.empty())
@@ -52,6 +54,7 @@
         it.boot = value.at("boot").get<std::string>();
         it.start_before =
             target_time(value.at("start_before").get<std::int64_t>());
+        it.claimed_at = platform_time(value.value("at", std::int64_t{0}));
         it.result = value.value("result", "");
         it.failure = value.value("failure", "");
         return it;
--- a/systems/claim_row.hpp
+++ b/systems/claim_row.hpp
@@ -30,6 +30,7 @@
     /// Boot id of the target that the deadline belongs to. After a restart of
     /// the target its answers prove nothing about this start.
     std::string boot;
+    platform_time claimed_at;
     std::string result;  ///< Object name, for `done`.
     std::string failure; ///< Final task state, for `done` without a result.
 
--- a/systems/fleet_log.cpp
+++ b/systems/fleet_log.cpp
@@ -10,11 +10,21 @@
 namespace
 {
 
+nlohmann::json parse(const std::string& text)
+try
+{
+    return nlohmann::json::parse(text);
+}
+catch (const nlohmann::json::exception& e)
+{
+    throw systems_error("bad_record", e.what());
+}
+
 config_version decode_version(const std::string& text)
 {
+    auto body = parse(text);
     try
     {
-        auto body = nlohmann::json::parse(text);
         return config_version(body.at("version").get<std::uint64_t>());
     }
     catch (const nlohmann::json::exception& e)
@@ -28,6 +38,11 @@
     return nlohmann::json{{"version", version.get()}}.dump();
 }
 
+std::string encode_command(config_version version, platform_time at)
+{
+    return nlohmann::json{{"version", version.get()}, {"at", at.get()}}.dump();
+}
+
 } // namespace
 
 std::string get_fleet_log_key(config_version version)
@@ -40,7 +55,7 @@
 
 std::string get_fleet_command_key(const command_id& command)
 {
-    return "config/command/" + command.get();
+    return fleet_command_prefix + command.get();
 }
 
 fleet_head decode_fleet_head(const row& head)
@@ -55,8 +70,17 @@
     return decode_version(command.value);
 }
 
+platform_time decode_fleet_command_time(const row& command)
+{
+    auto body = parse(command.value);
+    bool has_time = body.is_object() && body.contains("at") &&
+                    body["at"].is_number_integer();
+    return platform_time(has_time ? body["at"].get<std::int64_t>() : 0);
+}
+
 transaction make_fleet_append(const fleet_head& head,
-    const std::vector<fleet_record>& records, const command_id& command)
+    const std::vector<fleet_record>& records, const command_id& command,
+    platform_time now)
 {
     config_version next(head.version.get() + 1);
     std::string command_key = get_fleet_command_key(command);
@@ -65,7 +89,7 @@
         {fleet_head_key, head.head_row}, {command_key, row_version(0)}};
     out.writes = {{fleet_head_key, encode_version(next)},
         {get_fleet_log_key(next), encode_records(records)},
-        {command_key, encode_version(next)}};
+        {command_key, encode_command(next, now)}};
     return out;
 }
 
--- a/systems/fleet_log.hpp
+++ b/systems/fleet_log.hpp
@@ -11,6 +11,7 @@
 /// Row keys and transactions of the fleet log.
 inline constexpr const char* fleet_head_key = "config/head";
 inline constexpr const char* fleet_log_prefix = "config/log/";
+inline constexpr const char* fleet_command_prefix = "config/command/";
 inline constexpr const char* fleet_snapshot_key = "config/snapshot";
 
 /// The newest version, and the row version that an append is conditioned on.
@@ -33,9 +34,14 @@
 /// @throws systems_error (`bad_record`) when the row is malformed.
 config_version decode_fleet_command(const row& command);
 
+/// @return when the command committed; 0 when its row does not tell.
+/// @throws systems_error (`bad_record`) when the row is malformed.
+platform_time decode_fleet_command_time(const row& command);
+
 /// Appends `records` as the version after `head`. It commits only while the
 /// head is unchanged and the command has not been committed before.
 transaction make_fleet_append(const fleet_head& head,
-    const std::vector<fleet_record>& records, const command_id& command);
+    const std::vector<fleet_record>& records, const command_id& command,
+    platform_time now);
 
 } // namespace cowslippass
--- a/systems/job_machine.cpp
+++ b/systems/job_machine.cpp
@@ -149,6 +149,16 @@
     return keep_live(job, next);
 }
 
+void job_machine::set_end_time(job_change& change, platform_time ended_at)
+{
+    if (!change.next.is_final())
+        return;
+    change.next.ended_at = ended_at;
+    for (auto& it : change.request.writes)
+        if (it.key == change.next.get_ended_key())
+            it.value = change.next.encode();
+}
+
 std::vector<transaction> job_machine::cancel_all(
     const std::vector<live_job>& jobs)
 {
--- a/systems/job_machine.hpp
+++ b/systems/job_machine.hpp
@@ -76,6 +76,10 @@
     static std::optional<job_change> adopt(
         const live_job& job, session_id session);
 
+    /// Writes the time of the end into a change to a final state; leaves
+    /// others as they are.
+    static void set_end_time(job_change& change, platform_time ended_at);
+
     /// Cancels many jobs with few transactions.
     /// @return one transaction for each `cancel_batch` jobs. A conflict fails
     ///   all jobs of one transaction; those with a failed key are read again,
--- a/systems/job_row.cpp
+++ b/systems/job_row.cpp
@@ -69,7 +69,7 @@
 
 std::string job_row::get_result_name() const
 {
-    return "results/" + order.id.get();
+    return "results/tasks/" + task.get();
 }
 
 bool job_row::is_final() const
@@ -85,7 +85,7 @@
         {"delay_ms", delay.count()}, {"session", session.get()},
         {"target", target.get()}, {"task", task.get()},
         {"start_before", start_before.get()}, {"result", result},
-        {"reason", reason}}
+        {"reason", reason}, {"ended_at", ended_at.get()}}
         .dump();
 }
 
@@ -108,6 +108,7 @@
             target_time(value.at("start_before").get<std::int64_t>());
         it.result = value.at("result").get<std::string>();
         it.reason = value.at("reason").get<std::string>();
+        it.ended_at = platform_time(value.value("ended_at", std::int64_t{0}));
         return it;
     }
     catch (const nlohmann::json::exception& e)
--- a/systems/job_row.hpp
+++ b/systems/job_row.hpp
@@ -59,10 +59,12 @@
     target_time start_before; ///< On the target's clock.
     std::string result;       ///< Object name, when done.
     std::string reason;       ///< Of the newest failure, or of parking.
+    platform_time ended_at;   ///< Of a final state.
 
     bool is_final() const;
 
-    /// @return the name of the object that holds the result.
+    /// @return the name of the object for the result of the newest attempt;
+    ///   never used by another attempt or job.
     std::string get_result_name() const;
 
     std::string encode() const;
--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -19,6 +19,7 @@
 #include "systems/pool_owners.hpp"
 #include "systems/query_engine.hpp"
 #include "systems/query_table.hpp"
+#include "systems/retention.hpp"
 #include "systems/routing.hpp"
 #include "systems/session_admission.hpp"
 #include "systems/target_health.hpp"
--- a/tests/integration/test_fleet.cpp
+++ b/tests/integration/test_fleet.cpp
@@ -136,6 +136,8 @@
         message.headers["Run-Ms"] = request.run_ms;
     if (!request.deadline_ms.empty())
         message.headers["Deadline-Ms"] = request.deadline_ms;
+    if (!request.first_sent.empty())
+        message.headers["Request-Time"] = request.first_sent;
     message.body = request.payload;
     return to_answer(fetch(cluster_.get_entries().at(entry).get_http_endpoint(),
         std::move(message), request.timeout));
--- a/tests/integration/test_fleet.hpp
+++ b/tests/integration/test_fleet.hpp
@@ -29,6 +29,7 @@
     std::string request_id;
     std::string run_ms;
     std::string deadline_ms;
+    std::string first_sent; ///< Unix seconds.
     milliseconds timeout{35'000};
 };
 
--- a/tests/stand_ins/platform_service.cpp
+++ b/tests/stand_ins/platform_service.cpp
@@ -58,6 +58,7 @@
     if (outage_ == outage::refuse)
         co_return stand_in_response{make_error(503, "the platform is down")};
     stand_in_response out{dispatch(request)};
+    out.response.headers["Date"] = get_date();
     bool is_committed =
         request.path == "/v1/transactions" && out.response.status == 200;
     if (is_committed && lose_replies_ > 0)
@@ -70,6 +71,17 @@
     co_return out;
 }
 
+std::string platform_service::get_date() const
+{
+    auto now = std::chrono::system_clock::now() + clock_ahead_;
+    std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+    std::tm fields{};
+    gmtime_r(&seconds, &fields);
+    char text[64];
+    std::strftime(text, sizeof(text), "%a, %d %b %Y %H:%M:%S GMT", &fields);
+    return text;
+}
+
 http_response platform_service::dispatch(const http_request& request)
 {
     if (request.path == "/v1/transactions" && request.method == "POST")
@@ -231,6 +243,8 @@
     reply_delay_ =
         milliseconds(control.value("reply_delay_ms", reply_delay_.count()));
     list_lag_ = milliseconds(control.value("list_lag_ms", list_lag_.count()));
+    clock_ahead_ =
+        milliseconds(control.value("clock_ahead_ms", clock_ahead_.count()));
     lose_replies_ = control.value("lose_replies", lose_replies_);
     if (control.contains("lost_reply"))
         lost_reply_ = control["lost_reply"] == "silent" ? delivery::none
--- a/tests/stand_ins/platform_service.hpp
+++ b/tests/stand_ins/platform_service.hpp
@@ -52,6 +52,7 @@
     };
 
     asio::awaitable<void> sleep(milliseconds time);
+    std::string get_date() const;
     http_response dispatch(const http_request& request);
     http_response commit(const http_request& request);
     http_response get_row(const http_request& request);
@@ -73,6 +74,7 @@
     milliseconds delay_{0};
     milliseconds reply_delay_{0};
     milliseconds list_lag_{0};
+    milliseconds clock_ahead_{0}; ///< Of the header `Date`.
     std::uint64_t lose_replies_ = 0;
     delivery lost_reply_ = delivery::close;
 
