Find the pages that tests read by the folder of the sources

Cause: __FILE__ is relative to the build folder when the compiler cache is used, while ctest runs tests in build/tests; settings.the_page_names_every_setting and operations_page.* failed under ctest in such a tree.

Change: the two tests get SOURCE_DIR, as the integration tests do.

Seen: both tests fail under ctest without the change and pass with it.

--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -113,7 +113,7 @@
 // output of format_settings_tables() word for word.
 TEST(settings, the_page_names_every_setting)
 {
-    auto root = std::filesystem::path(__FILE__).parent_path() / "../..";
+    auto root = std::filesystem::path(SOURCE_DIR);
     std::ifstream file(root / "docs/configuration.md");
     std::stringstream page;
     page << file.rdbuf();
--- a/tests/systems/operations_page_test.cpp
+++ b/tests/systems/operations_page_test.cpp
@@ -11,11 +11,9 @@
 namespace
 {
 
-/// The page of this source tree, found from this file's own place in it.
 std::string get_page_path()
 {
-    std::string path = __FILE__;
-    return path.substr(0, path.rfind("tests/systems/")) + "docs/operations.md";
+    return std::string(SOURCE_DIR) + "/docs/operations.md";
 }
 
 std::vector<std::string> read_examples()
