Claim on an absent row only within half a lifetime of the look at it

Change: is_absence_valid bounds the time between the look and the claim by the entry's monotonic clock; a claim that comes later is refused with run unknown.

Seen: the rule is tested in retention.an_absent_row_*; no test with processes, as it would have to pause an entry for half a lifetime (5 minutes at least).

--- a/main/claim_keeper.cpp
+++ b/main/claim_keeper.cpp
@@ -15,10 +15,6 @@
 constexpr milliseconds record_time_limit{600'000};
 constexpr milliseconds resolve_time_limit{5'000};
 constexpr int max_read_backs = 3;
-/// A row that was absent may since have been written, have ended and have been
-/// removed. No lifetime is shorter than this and a start deadline, and the
-/// deadline of the start is computed before the row is read again.
-constexpr milliseconds read_validity{5'000};
 
 task_state to_task_state(target_task_state state)
 {
@@ -143,6 +139,13 @@
 asio::awaitable<std::optional<work_result>> claim_keeper::write_claim_row(
     held_ptr held, start_place place)
 {
+    bool may_be_forgotten = held->version == row_version(0) &&
+                            !is_absence_valid(held->read_at, get_now(),
+                                node_.config.request_lifetime);
+    if (may_be_forgotten)
+        co_return make_failure(503, "claim_not_written",
+            "the request waited for too long to be claimed",
+            run_answer::unknown);
     claim_row claim;
     claim.state = claim_state::claimed;
     claim.digest = held->digest;
@@ -152,12 +155,8 @@
     claim.start_before = place.start_before.time;
     claim.boot = place.start_before.boot;
     claim.claimed_at = node_.table.get_time();
-    write_outcome outcome = co_await confirm_version(held);
-    if (outcome == write_outcome::written)
-    {
-        held->is_written = true;
-        outcome = co_await replace_row(held, claim);
-    }
+    held->is_written = true;
+    write_outcome outcome = co_await replace_row(held, claim);
     if (outcome == write_outcome::written)
         co_return std::nullopt;
     // Another entry may have claimed the same request and run it.
@@ -167,21 +166,6 @@
         "the request could not be claimed before its start", run_answer::no);
 }
 
-asio::awaitable<claim_keeper::write_outcome> claim_keeper::confirm_version(
-    held_ptr held)
-{
-    if (get_now() < held->read_at + read_validity)
-        co_return write_outcome::written;
-    auto sent = get_now();
-    auto found = co_await node_.table.read(held->key);
-    if (!found)
-        co_return write_outcome::not_sent;
-    if (found->version != held->version)
-        co_return write_outcome::lost;
-    held->read_at = sent;
-    co_return write_outcome::written;
-}
-
 asio::awaitable<claim_keeper::write_outcome> claim_keeper::replace_row(
     held_ptr held, claim_row after)
 {
--- a/main/claim_keeper.hpp
+++ b/main/claim_keeper.hpp
@@ -57,9 +57,6 @@
         lost ///< Somebody else's row is there, or none can be read.
     };
     asio::awaitable<write_outcome> replace_row(held_ptr held, claim_row after);
-    /// Reads the row again when the last look at it is long ago.
-    /// @return `written` when it is unchanged.
-    asio::awaitable<write_outcome> confirm_version(held_ptr held);
 
     /// Decides a claim that nobody follows, as far as its target tells.
     asio::awaitable<void> resolve(team_id team, request_id id, row found);
--- a/systems/retention.cpp
+++ b/systems/retention.cpp
@@ -18,6 +18,12 @@
 
 } // namespace
 
+bool is_absence_valid(
+    monotonic_time looked_at, monotonic_time now, milliseconds lifetime)
+{
+    return now - looked_at < lifetime / 2;
+}
+
 retention_rule::retention_rule(
     milliseconds lifetime, platform_time now, session_check is_gone)
     : lifetime_(lifetime), now_(now), is_gone_(std::move(is_gone))
--- a/systems/retention.hpp
+++ b/systems/retention.hpp
@@ -24,6 +24,13 @@
     std::string proof;
 };
 
+/// A row that was found absent may since have been written, have ended and
+/// have been removed. That takes a lifetime; half of it leaves more time than
+/// the deadline of a start that is computed before the question is asked.
+/// @return whether the row has not been written and removed since.
+bool is_absence_valid(
+    monotonic_time looked_at, monotonic_time now, milliseconds lifetime);
+
 /// Decides which rows have outlived their use. A row goes only when it has
 /// ended and its time, written by the platform's clock, is longer ago than its
 /// lifetime; a row without a time stays.
--- a/tests/systems/retention_test.cpp
+++ b/tests/systems/retention_test.cpp
@@ -2,6 +2,7 @@
 #include "systems/fleet_log.hpp"
 #include "systems/job_row.hpp"
 #include "systems/retention.hpp"
+#include "systems/timing.hpp"
 
 #include <gtest/gtest.h>
 
@@ -68,6 +69,16 @@
     EXPECT_EQ(judge(claimed, gone_session, old), remove);
 }
 
+// Guards against a second run by an entry that looked before the first one and
+// was paused until its claim had been removed (I8).
+TEST(retention, an_absent_row_is_relied_on_for_less_than_its_lifetime)
+{
+    monotonic_time looked{};
+    milliseconds last_start = lifetime - start_deadline;
+    EXPECT_TRUE(is_absence_valid(looked, looked + milliseconds(1), lifetime));
+    EXPECT_FALSE(is_absence_valid(looked, looked + last_start, lifetime));
+}
+
 // Guards against results and payloads that stay when their rows go.
 TEST(retention, objects_are_named_with_the_row)
 {
