--- a/main/caller_api.hpp
+++ b/main/caller_api.hpp
@@ -47,6 +47,10 @@
     ///   claim or job is looked up: a repeat may follow an attempt that ran.
     run_answer get_refusal_answer(
         const http_request& request, const queue_id& queue) const;
+    /// @return a refusal when the caller says that it first sent the request
+    ///   so long ago that its id may be forgotten.
+    std::optional<http_response> check_age(
+        const http_request& request, milliseconds deadline) const;
     peer_forward read_request(
         const http_request& request, const admission& admitted) const;
 
--- a/tests/stand_ins/platform_service.hpp
+++ b/tests/stand_ins/platform_service.hpp
@@ -52,6 +52,7 @@
     };
 
     asio::awaitable<void> sleep(milliseconds time);
+    std::string get_date() const;
     http_response dispatch(const http_request& request);
     http_response commit(const http_request& request);
     http_response get_row(const http_request& request);
@@ -73,12 +74,15 @@
     milliseconds delay_{0};
     milliseconds reply_delay_{0};
     milliseconds list_lag_{0};
+    milliseconds clock_ahead_{0}; ///< Of the header `Date`.
     std::uint64_t lose_replies_ = 0;
     delivery lost_reply_ = delivery::close;
 
     std::uint64_t transactions_ = 0;
     std::uint64_t conflicts_ = 0;
     std::uint64_t row_writes_ = 0;
+    /// By the first part of the key, such as `claims`.
+    std::map<std::string, std::uint64_t> row_writes_by_kind_;
     std::uint64_t row_reads_ = 0;
     std::uint64_t scans_ = 0;
     std::uint64_t object_reads_ = 0;
