--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -94,6 +94,13 @@
                       << entry.process->get_errors(max_log_bytes) << '\n';
 }
 
+std::string cluster::get_data_centre_name(std::size_t index) const
+{
+    if (index == 0 && !options_.first_data_centre.empty())
+        return options_.first_data_centre;
+    return "dc-" + std::to_string(index + 1);
+}
+
 void cluster::add_targets(std::size_t data_centre_index)
 {
     std::string dc = std::to_string(data_centre_index + 1);
@@ -106,7 +113,7 @@
             cluster_target it;
             it.id = "target-" + dc + "-" + pool + "-" + std::to_string(i + 1);
             it.pool = pool;
-            it.data_centre = "dc-" + dc;
+            it.data_centre = get_data_centre_name(data_centre_index);
             it.rack = "rack-" + dc + "-" + std::to_string(rack + 1);
             it.port = std::make_unique<port_holder>();
             start_target(it);
@@ -126,7 +133,7 @@
         std::string number = std::to_string(i + 1);
         cluster_entry it;
         it.id = "entry-" + dc + "-" + number;
-        it.data_centre = "dc-" + dc;
+        it.data_centre = get_data_centre_name(data_centre_index);
         it.data_centre_index = data_centre_index;
         it.address = "127.1." + dc + "." + number;
         it.http_port = std::make_unique<port_holder>(it.address);
--- a/tests/integration/cluster.hpp
+++ b/tests/integration/cluster.hpp
@@ -13,6 +13,8 @@
 struct cluster_options
 {
     std::size_t data_centres = 1;
+    /// Name of the first data centre instead of `dc-1`; may be empty.
+    std::string first_data_centre;
     std::size_t entries_per_data_centre = 1;
     std::vector<std::string> pools{"pool-1"};
     std::size_t targets_per_pool = 1; ///< In each data centre.
@@ -122,6 +124,7 @@
     void heal();
 
 private:
+    std::string get_data_centre_name(std::size_t index) const;
     void add_targets(std::size_t data_centre_index);
     void add_entries(std::size_t data_centre_index);
     std::string write_settings(const cluster_entry& entry) const;
--- a/tests/systems/operations_page_test.cpp
+++ b/tests/systems/operations_page_test.cpp
@@ -27,7 +27,7 @@
     {
         if (line.starts_with("```"))
         {
-            is_inside = line == "```command";
+            is_inside = line.starts_with("```command");
             if (is_inside)
                 out.emplace_back();
         }
