Feed every declared metric; log one line for equal routing decisions

Seven families were declared and never got a sample: decisions, urgent answers, platform calls and failures, waiting tasks, peer connections and dropped replies; forwards lacked the outcome that its help names.

The router logged a decision for each attempt, every 100 ms for as long as the caller waits: 15 lines for a request with a deadline of 1.5 s to a pool without targets. It logs a decision that differs by rule, owner, data centre or reason of the attempt before, and an 'end' line with the number of attempts: 3 lines for the same request.

--- a/main/caller_api.cpp
+++ b/main/caller_api.cpp
@@ -150,12 +150,17 @@
             "this entry cannot confirm the configuration in force",
             get_unclaimed_answer(
                 admitted.queue.is_idempotent, work.is_first_attempt));
+    auto begin = get_now();
     work_result result;
     bool is_slow = admitted.queue.kind == queue_kind::slow;
     if (is_slow)
         result = co_await services_.accept_job(std::move(work), admitted.queue);
     else
         result = co_await services_.run_urgent(std::move(work));
+    std::chrono::duration<double> time = get_now() - begin;
+    if (!is_slow && result.is_success())
+        node_.metrics.observe(
+            "cowslippass_urgent_answer_seconds", time.count());
     node_.metrics.add("cowslippass_requests_total",
         {{"queue", queue.get()},
             {"outcome", result.is_success() ? "ok" : result.code}});
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -58,6 +58,16 @@
               [this](team_id team, job_id id)
               { return jobs_.cancel(team, id); }})
 {
+    table_.set_observer(
+        [this](const std::string& operation, double seconds, bool is_failed)
+        {
+            metric_labels labels{{"operation", operation}};
+            node_.metrics.observe(
+                "cowslippass_platform_call_seconds", seconds, labels);
+            if (is_failed)
+                node_.metrics.add(
+                    "cowslippass_platform_failures_total", labels);
+        });
     peers_.listen([this](bool is_local) { return make_summary(is_local); },
         [this](peer_body body) { return handle_peer(std::move(body)); });
     http_server_options options;
@@ -395,6 +405,15 @@
         node_.metrics.set("cowslippass_free_slots",
             placement.count_free_slots(), {{"pool", pool.get()}});
     }
+    std::map<queue_id, std::uint32_t> waiting;
+    for (const auto& [pool, runner] : runners_)
+        for (const auto& it : runner->list_tasks())
+            waiting[it.queue] += it.target.get().empty();
+    for (const auto& [id, queue] : node_.state.get_queues())
+        node_.metrics.set(
+            "cowslippass_waiting_tasks", waiting[id], {{"queue", id.get()}});
+    node_.metrics.set("cowslippass_peer_connections",
+        static_cast<double>(peers_.count_connections()));
     if (node_.session.get() != 0)
         for (const auto& [id, team] : node_.state.get_teams())
         {
--- a/main/peer_network.cpp
+++ b/main/peer_network.cpp
@@ -26,6 +26,8 @@
 void peer_network::log_fault(
     const std::string& code, const std::string& message) const
 {
+    if (code == "late_reply")
+        node_.metrics.add("cowslippass_dropped_replies_total");
     write_log(log_level::warn, "peer_link", message, {{"code", code}});
 }
 
@@ -303,6 +305,14 @@
     return &*it->second->summary;
 }
 
+std::size_t peer_network::count_connections() const
+{
+    std::size_t n = server_->count_open();
+    for (const auto& [session, it] : peers_)
+        n += it->client->is_connected();
+    return n;
+}
+
 std::vector<peer_summary> peer_network::get_summaries() const
 {
     std::vector<peer_summary> out;
--- a/main/peer_network.hpp
+++ b/main/peer_network.hpp
@@ -56,6 +56,9 @@
     /// @param entries that the platform's instance list names as leaving.
     void set_leaving(std::set<entry_id> entries);
 
+    /// @return open connections to and from other entries.
+    std::size_t count_connections() const;
+
     /// @return newest summaries of all live sessions, this one excluded.
     std::vector<peer_summary> get_summaries() const;
 
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -214,6 +214,9 @@
 void pool_runner::log_decision(
     const placement_decision& decision, const active_ptr& active) const
 {
+    node_.metrics.add("cowslippass_decisions_total",
+        {{"decision", to_string(decision.action)},
+            {"rule", to_string(decision.rule)}});
     log_.write(to_string(decision.action), to_string(decision.rule),
         {{"request", active->item.request}, {"task", decision.task},
             {"team", decision.team}, {"queue", active->item.queue},
--- a/main/request_router.cpp
+++ b/main/request_router.cpp
@@ -145,25 +145,52 @@
     co_return out;
 }
 
-asio::awaitable<request_router::attempt> request_router::try_once(
-    const peer_forward& request, const queue_record& queue)
+void request_router::log_decision(const peer_forward& request,
+    const queue_record& queue, const route& chosen,
+    std::optional<session_id> owner, request_trace& trace) const
 {
-    auto candidates = list_candidates(queue.pool);
-    route chosen = choose_route(candidates);
-    std::optional<session_id> owner;
-    if (chosen.data_centre)
-        owner = peers_.find_owner(queue.pool, *chosen.data_centre);
+    const char* decision = owner ? "forward" : "refuse";
+    std::string rule = get_name(chosen.rule);
+    node_.metrics.add("cowslippass_decisions_total",
+        {{"decision", decision}, {"rule", rule}});
+    ++trace.attempts;
+    if (!trace.logged.insert({rule, owner, chosen.data_centre, trace.reason})
+             .second)
+        return;
     std::string data_centre =
         chosen.data_centre ? chosen.data_centre->get() : "";
-    log_.write(owner ? "forward" : "refuse", get_name(chosen.rule),
+    log_.write(decision, rule,
         {{"request", request.request}, {"team", request.team},
             {"queue", request.queue}, {"pool", queue.pool},
             {"data_centre", data_centre},
             {"owner", owner.value_or(session_id(0))},
-            {"candidates", chosen.candidates},
-            {"version", node_.state.get_version()},
+            {"candidates", chosen.candidates}, {"attempt", trace.attempts},
+            {"reason", trace.reason}, {"version", node_.state.get_version()},
             {"age_ms",
                 node_.get_freshness_age().value_or(milliseconds(-1)).count()}});
+}
+
+void request_router::log_end(const peer_forward& request,
+    const work_result& result, const request_trace& trace) const
+{
+    // The line of the only attempt says it all.
+    if (trace.attempts < 2)
+        return;
+    log_.write("end", result.is_success() ? "ok" : result.code,
+        {{"request", request.request}, {"team", request.team},
+            {"queue", request.queue}, {"attempts", trace.attempts}});
+}
+
+asio::awaitable<request_router::attempt> request_router::try_once(
+    const peer_forward& request, const queue_record& queue,
+    request_trace& trace)
+{
+    auto candidates = list_candidates(queue.pool);
+    route chosen = choose_route(candidates);
+    std::optional<session_id> owner;
+    if (chosen.data_centre)
+        owner = peers_.find_owner(queue.pool, *chosen.data_centre);
+    log_decision(request, queue, chosen, owner, trace);
     attempt out;
     if (!owner)
     {
@@ -179,8 +206,9 @@
         out.may_try_again = is_passing(out.result);
         co_return out;
     }
-    node_.metrics.add("cowslippass_forwards_total");
     out = co_await forward(request, queue, *owner);
+    node_.metrics.add("cowslippass_forwards_total",
+        {{"outcome", out.result.is_success() ? "ok" : out.result.code}});
     co_return out;
 }
 
@@ -189,16 +217,22 @@
     auto end = get_now() + request.deadline;
     auto last_try = std::min(end, get_now() + max_retry_time);
     bool may_have_run = false;
+    request_trace trace;
     while (true)
     {
         auto queue = node_.state.get_queues().find(request.queue);
         if (queue == node_.state.get_queues().end())
-            co_return make_failure(404, "unknown_queue",
+        {
+            work_result unknown = make_failure(404, "unknown_queue",
                 "the queue does not exist", run_answer::no);
+            log_end(request, unknown, trace);
+            co_return unknown;
+        }
         // A copy, as the state may change while the request is under way.
         queue_record record = queue->second;
         request.version = node_.state.get_version();
-        attempt it = co_await try_once(request, record);
+        attempt it = co_await try_once(request, record, trace);
+        trace.reason = it.result.code;
         // What one attempt proves does not cover those before it.
         if (may_have_run && it.result.run == run_answer::no)
             it.result.run = run_answer::unknown;
@@ -209,6 +243,7 @@
             if (is_passing(it.result))
                 it.result.run = get_unclaimed_answer(
                     record.is_idempotent, request.is_first_attempt);
+            log_end(request, it.result, trace);
             co_return it.result;
         }
         co_await node_.sleep(retry_interval);
--- a/main/request_router.hpp
+++ b/main/request_router.hpp
@@ -4,6 +4,11 @@
 #include "main/peer_network.hpp"
 #include "main/work_item.hpp"
 
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+
 namespace cowslippass
 {
 
@@ -37,8 +42,25 @@
         bool may_try_again = false;
     };
 
-    asio::awaitable<attempt> try_once(
-        const peer_forward& request, const queue_record& queue);
+    /// What the log tells of one request. The caller's wait decides how often
+    /// it is tried, so that a line for each attempt would let it fill the log.
+    struct request_trace
+    {
+        using decision = std::tuple<std::string, std::optional<session_id>,
+            std::optional<data_centre_id>, std::string>;
+
+        std::set<decision> logged;
+        std::string reason; ///< Why the attempt before did not end it.
+        std::size_t attempts = 0;
+    };
+
+    asio::awaitable<attempt> try_once(const peer_forward& request,
+        const queue_record& queue, request_trace& trace);
+    void log_decision(const peer_forward& request, const queue_record& queue,
+        const route& chosen, std::optional<session_id> owner,
+        request_trace& trace) const;
+    void log_end(const peer_forward& request, const work_result& result,
+        const request_trace& trace) const;
     asio::awaitable<attempt> forward(const peer_forward& request,
         const queue_record& queue, session_id owner);
     std::vector<route_candidate> list_candidates(const pool_id& pool) const;
