--- a/tests/integration/operator_client_test.cpp
+++ b/tests/integration/operator_client_test.cpp
@@ -146,8 +146,7 @@
              "--output=xml show teams", "--timeout_ms=0 show teams",
              "--timeout_ms=soon show teams", "--key='a b' show teams",
              "--dry_run cancel job j",
-             "--entry=127.0.0.1:1,127.0.0.1:2 admit "
-             "this entry"})
+             "--entry=127.0.0.1:1,127.0.0.1:2 admit this entry"})
         EXPECT_EQ(run_client(refusing, line).status, 2) << line;
     EXPECT_EQ(run_client("show teams").status, 2);
     EXPECT_EQ(run_client("--entry=host:1 show teams").status, 2);
--- a/tests/integration/test_fleet.hpp
+++ b/tests/integration/test_fleet.hpp
@@ -77,10 +77,7 @@
         return keys_.at(team);
     }
 
-    const std::string& get_operator_secret() const
-    {
-        return operator_secret_;
-    }
+    const std::string& get_operator_secret() const { return operator_secret_; }
 
     /// Platform counters of the stand-in.
     nlohmann::json get_platform_counters();
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -1,7 +1,6 @@
 #include "platform/settings.hpp"
 #include "platform/settings_table.hpp"
 
-#include <filesystem>
 #include <fstream>
 #include <gmock/gmock.h>
 #include <sstream>
@@ -113,8 +112,7 @@
 // output of format_settings_tables() word for word.
 TEST(settings, the_page_names_every_setting)
 {
-    auto root = std::filesystem::path(__FILE__).parent_path() / "../..";
-    std::ifstream file(root / "docs/configuration.md");
+    std::ifstream file(SOURCE_DIR "/docs/configuration.md");
     std::stringstream page;
     page << file.rdbuf();
     EXPECT_THAT(page.str(), HasSubstr(format_settings_tables()));
