--- a/tests/main/row_cleaner_test.cpp
+++ b/tests/main/row_cleaner_test.cpp
@@ -102,27 +102,27 @@
 
     row_cleaner_fixture()
     {
-        table_.put(lease_key, "{}");
+        table.put(lease_key, "{}");
         for (std::size_t i = 0; i < claim_count; ++i)
         {
             claim_row it;
             it.session = session_id(1);
             it.task = task_id("1-pool-" + std::to_string(i));
             it.claimed_at = platform_time(now - 700'000);
-            table_.put("claims/t/" + std::to_string(i), it.encode());
+            table.put("claims/t/" + std::to_string(i), it.encode());
             // Every third claim has not ended.
             if (i % 3 != 0)
-                table_.objects.insert(it.get_result_name());
+                table.objects.insert(it.get_result_name());
         }
     }
 
     row_cleaner make_cleaner()
     {
-        row_version lease = table_.rows[lease_key].version;
+        row_version lease = table.rows[lease_key].version;
         auto fence = [lease] {
             return std::optional(row_condition{lease_key, lease});
         };
-        return {table_, {lifetime, lifetime, 7}, fence,
+        return {table, {lifetime, lifetime, 7}, fence,
             [](session_id) { return false; }};
     }
 
@@ -142,13 +142,13 @@
     {
         for (std::size_t i = 0; i < claim_count; ++i)
             step(cleaner);
-        EXPECT_EQ(table_.rows.size(), 1 + claim_count / 3);
-        EXPECT_TRUE(table_.objects.empty());
+        EXPECT_EQ(table.rows.size(), 1 + claim_count / 3);
+        EXPECT_TRUE(table.objects.empty());
         for (std::size_t i = 0; i < claim_count; i += 3)
-            EXPECT_TRUE(table_.rows.contains("claims/t/" + std::to_string(i)));
+            EXPECT_TRUE(table.rows.contains("claims/t/" + std::to_string(i)));
     }
 
-    fake_table table_;
+    fake_table table;
 };
 
 } // namespace
@@ -160,7 +160,7 @@
     auto cleaner = make_cleaner();
     EXPECT_EQ(step(cleaner), 3u);
     finish(cleaner);
-    EXPECT_EQ(table_.highest_writes, 3u);
+    EXPECT_EQ(table.highest_writes, 3u);
 }
 
 // Guards against rows or objects that stay for ever after a clean-up that was
@@ -169,10 +169,10 @@
 TEST_F(row_cleaner_fixture, an_aborted_step_removes_no_row)
 {
     auto first = make_cleaner();
-    table_.deletes_fail = true;
+    table.deletes_fail = true;
     EXPECT_EQ(step(first), 0u);
-    EXPECT_EQ(table_.rows.size(), 1 + claim_count);
-    table_.deletes_fail = false;
+    EXPECT_EQ(table.rows.size(), 1 + claim_count);
+    table.deletes_fail = false;
     auto second = make_cleaner();
     finish(second);
 }
@@ -180,28 +180,28 @@
 TEST_F(row_cleaner_fixture, a_lost_commit_is_made_up_when_the_session_ends)
 {
     auto first = make_cleaner();
-    table_.commits_fail = true;
+    table.commits_fail = true;
     EXPECT_EQ(step(first), 0u);
-    EXPECT_EQ(table_.rows.size(), 1 + claim_count);
-    table_.commits_fail = false;
-    row_version lease = table_.rows[lease_key].version;
+    EXPECT_EQ(table.rows.size(), 1 + claim_count);
+    table.commits_fail = false;
+    row_version lease = table.rows[lease_key].version;
     auto fence = [lease] {
         return std::optional(row_condition{lease_key, lease});
     };
-    row_cleaner later(table_, {lifetime, lifetime, 200}, fence,
+    row_cleaner later(table, {lifetime, lifetime, 200}, fence,
         [](session_id) { return true; });
     EXPECT_EQ(step(later), claim_count);
-    EXPECT_TRUE(table_.objects.empty());
+    EXPECT_TRUE(table.objects.empty());
 }
 
 // Guards against a janitor that was paused and goes on beside its successor.
 TEST_F(row_cleaner_fixture, a_cleaner_without_the_lease_removes_no_row)
 {
     auto former = make_cleaner();
-    table_.put(lease_key, "{}");
+    table.put(lease_key, "{}");
     auto present = make_cleaner();
     EXPECT_EQ(step(former), 0u);
-    EXPECT_EQ(table_.rows.size(), 1 + claim_count);
+    EXPECT_EQ(table.rows.size(), 1 + claim_count);
     EXPECT_GT(step(present), 0u);
     EXPECT_EQ(step(former), 0u);
 }
