Keep sessions of entries cut off from the platform alone; join anew after an end

Cause: a session is ended after 12 s without a heartbeat in the platform. An entry that was cut off from the platform alone lost its session although it worked on its peers' freshness, and no entry ever joined again after its session had ended.

Change: a heartbeat that cannot be written is relayed by a peer that reaches the platform. An entry whose session was ended drains, and replaces its own process image, which joins with a new session.

Tests: cuts one way only (the proxy drops by source and direction), one entry cut off alone, and sessions that die during the cuts.

--- a/bench/capacity/meter.cpp
+++ b/bench/capacity/meter.cpp
@@ -73,14 +73,11 @@
 {
     cluster& it = fleet.get_cluster();
     cluster_sample out;
-    std::size_t data_centres = 0;
     for (const auto& entry : it.get_entries())
     {
-        data_centres = std::max(data_centres, entry.data_centre_index + 1);
         out.peer_bytes += count_bytes(*entry.peer_proxy);
+        out.platform_bytes += count_bytes(*entry.platform_proxy);
     }
-    for (std::size_t i = 0; i < data_centres; ++i)
-        out.platform_bytes += count_bytes(it.get_platform_proxy(i));
     for (const auto& target : it.get_targets())
         out.target_bytes += count_bytes(*target.proxy);
     out.platform = fleet.get_platform_counters();
--- a/main/cowslippassd_main.cpp
+++ b/main/cowslippassd_main.cpp
@@ -1,9 +1,7 @@
-#include "main/entry_node.hpp"
+#include "main/entry_process.hpp"
 
-#include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
 
-#include <csignal>
 #include <iostream>
 
 DEFINE_string(settings, "", "TOML file with the settings of this entry");
@@ -32,37 +30,7 @@
         std::cout << path << ": the settings are valid\n";
         return 0;
     }
-    configure_log(config.log_level, config.log_file);
-    asio::io_context io(1);
-    entry_node node(io, config);
-    int status = 0;
-    bool is_stopping = false;
-    asio::signal_set signals(io, SIGTERM, SIGINT);
-    std::function<void()> wait_for_signal = [&]
-    {
-        signals.async_wait(
-            [&](boost::system::error_code ec, int)
-            {
-                if (ec)
-                    return;
-                if (is_stopping)
-                {
-                    status = 1;
-                    io.stop();
-                    return;
-                }
-                is_stopping = true;
-                node.stop([&] { io.stop(); });
-                wait_for_signal();
-            });
-    };
-    wait_for_signal();
-    node.start();
-    std::cout << "http " << config.http_advertise << "\npeer "
-              << config.peer_advertise << std::endl;
-    io.run();
-    // The coroutines refer to the node; they must not outlive it.
-    return status;
+    return run_entry_process(std::move(config), fresh_start_policy());
 }
 
 } // namespace
@@ -79,8 +47,6 @@
         return 0;
     }
     gflags::HandleCommandLineHelpFlags();
-    // A peer that closes its connection must not end the process.
-    std::signal(SIGPIPE, SIG_IGN);
     if (FLAGS_settings.empty() || argc > 1)
     {
         std::cerr << "cowslippassd: --settings=FILE is required; see --help\n";
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "systems/fleet_planner.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cowslippass
 {
@@ -27,9 +28,10 @@
 
 } // namespace
 
-entry_node::entry_node(asio::io_context& io, settings& config)
-    : config_(config), table_(io, config.platform), node_(io, config, table_),
-      sync_(node_), peers_(node_, sync_),
+entry_node::entry_node(
+    asio::io_context& io, settings& config, const start_policy& policy)
+    : config_(config), table_(io, config.platform),
+      node_(io, config, table_, policy), sync_(node_), peers_(node_, sync_),
       grants_(node_, sync_, [this] { return count_waiting(); }),
       router_(
           node_, peers_,
@@ -97,11 +99,28 @@
     return peers_.get_port();
 }
 
-void entry_node::start()
+void entry_node::start(std::function<void()> on_session_ended)
 {
+    on_session_ended_ = std::move(on_session_ended);
     node_.spawn("entry_node", [this] { return join(); });
 }
 
+bool entry_node::has_ended_session() const
+{
+    return node_.session.get() != 0 &&
+           !node_.state.get_sessions().contains(node_.session);
+}
+
+void entry_node::watch_session()
+{
+    if (!has_ended_session() || node_.is_leaving || !on_session_ended_)
+        return;
+    write_log(log_level::warn, "entry_node",
+        "the session was ended by others; this entry joins anew",
+        {{"session", node_.session}});
+    std::exchange(on_session_ended_, nullptr)();
+}
+
 asio::awaitable<void> entry_node::join()
 {
     co_await sync_.join();
@@ -109,13 +128,14 @@
         {{"session", node_.session}, {"entry", config_.entry},
             {"data_centre", config_.data_centre},
             {"version", node_.state.get_version()}});
-    sync_.start();
+    sync_.start([this] { return peers_.relay_heartbeat(); });
     peers_.start();
     grants_.start();
     janitor_.start();
     jobs_.start();
     maintenance_.start();
     node_.listeners.push_back([this] { update_runners(); });
+    node_.listeners.push_back([this] { watch_session(); });
     update_runners();
     node_.spawn("entry_node", [this] { return ownership_loop(); });
     node_.spawn("entry_node", [this] { return leaving_loop(); });
@@ -442,12 +462,13 @@
     node_.is_leaving = true;
     // The balancer goes on sending requests until it has seen the unready
     // answer; they are served as usual, through other owners.
-    co_await node_.sleep(config_.balancer_lag);
+    if (!has_ended_session())
+        co_await node_.sleep(config_.balancer_lag);
     auto end = get_now() + config_.urgent_deadline;
     while (count_active() > 0 && get_now() < end)
         co_await node_.sleep(drain_poll_interval);
     http_->stop();
-    if (node_.session.get() != 0)
+    if (node_.session.get() != 0 && !has_ended_session())
     {
         jobs_.stop();
         co_await janitor_.stop();
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -27,12 +27,16 @@
     /// @param config addresses to advertise are filled in from the bound ones
     ///   when they are empty.
     /// @throws platform_error (`cannot_listen`).
-    entry_node(asio::io_context& io, settings& config);
+    entry_node(
+        asio::io_context& io, settings& config, const start_policy& policy);
 
     /// Joins the fleet and serves until `stop` has ended.
-    void start();
+    /// @param on_session_ended is called once when others have ended this
+    ///   entry's session; it starts nothing any more and is to be stopped.
+    void start(std::function<void()> on_session_ended);
 
     /// Planned stop: unready first, then hands over, then ends the session.
+    /// Does not wait for the balancer when the session has ended already.
     /// `on_stopped` is called when nothing is left to do.
     void stop(std::function<void()> on_stopped);
 
@@ -41,6 +45,8 @@
 
 private:
     asio::awaitable<void> join();
+    bool has_ended_session() const;
+    void watch_session();
     asio::awaitable<void> run_stop(std::function<void()> on_stopped);
     asio::awaitable<http_response> handle_http(http_request request);
     http_response report_readiness() const;
@@ -79,6 +85,7 @@
     caller_api caller_api_;
     std::unique_ptr<http_server> http_;
     std::map<pool_id, std::shared_ptr<pool_runner>> runners_;
+    std::function<void()> on_session_ended_;
     std::set<instance_id> leaving_;
     std::set<instance_id> reporting_; ///< Failures that are being appended.
 };
--- a/main/fleet_sync.cpp
+++ b/main/fleet_sync.cpp
@@ -269,10 +269,11 @@
     }
 }
 
-void fleet_sync::start()
+void fleet_sync::start(std::function<asio::awaitable<void>()> relay)
 {
     node_.spawn("head_loop", [this] { return head_loop(); });
-    node_.spawn("heartbeat_loop", [this] { return heartbeat_loop(); });
+    node_.spawn("heartbeat_loop",
+        [this, relay = std::move(relay)] { return heartbeat_loop(relay); });
 }
 
 asio::awaitable<void> fleet_sync::head_loop()
@@ -301,13 +302,24 @@
     }
 }
 
-asio::awaitable<void> fleet_sync::heartbeat_loop()
+asio::awaitable<bool> fleet_sync::write_heartbeat(session_id session)
+{
+    if (!node_.state.get_sessions().contains(session))
+        co_return false;
+    transaction beat;
+    beat.writes.push_back({get_heartbeat_key(session), "{}"});
+    auto result = co_await node_.table.commit(std::move(beat));
+    co_return result.outcome == transaction_outcome::committed;
+}
+
+asio::awaitable<void> fleet_sync::heartbeat_loop(
+    std::function<asio::awaitable<void>()> relay)
 {
     while (true)
     {
-        transaction beat;
-        beat.writes.push_back({get_heartbeat_key(node_.session), "{}"});
-        co_await node_.table.commit(std::move(beat));
+        bool is_written = co_await write_heartbeat(node_.session);
+        if (!is_written)
+            co_await relay();
         co_await node_.sleep(node_.config.heartbeat_interval);
     }
 }
--- a/main/fleet_sync.hpp
+++ b/main/fleet_sync.hpp
@@ -43,7 +43,13 @@
     asio::awaitable<void> join();
 
     /// Starts reading the head and writing the heartbeat row.
-    void start();
+    /// @param relay asks a peer to write the row; used when the platform does
+    ///   not answer.
+    void start(std::function<asio::awaitable<void>()> relay);
+
+    /// Writes the heartbeat row of a live session, the own one or a peer's.
+    /// @return whether it was written.
+    asio::awaitable<bool> write_heartbeat(session_id session);
 
     /// Reads the head and applies what is new.
     /// @return whether the platform confirmed the version in hand.
@@ -73,7 +79,8 @@
         command_id command);
     asio::awaitable<void> resolve_unknown(command_id command, fleet_head base);
     asio::awaitable<void> head_loop();
-    asio::awaitable<void> heartbeat_loop();
+    asio::awaitable<void> heartbeat_loop(
+        std::function<asio::awaitable<void>()> relay);
 
     node_context& node_;
     fleet_head head_;
--- a/main/node_context.cpp
+++ b/main/node_context.cpp
@@ -8,18 +8,34 @@
     return std::chrono::steady_clock::now();
 }
 
-node_context::node_context(
-    asio::io_context& context, const settings& options, table_client& platform)
+node_context::node_context(asio::io_context& context, const settings& options,
+    table_client& platform, const start_policy& policy)
     : io(context), config(options), table(platform),
       metrics(get_entry_metrics()), freshness(options.freshness_limit),
-      nonce(make_random_hex(16))
+      nonce(make_random_hex(16)), policy_(policy)
 {
 }
 
 bool node_context::may_start() const
 {
-    return session.get() != 0 && state.get_sessions().contains(session) &&
-           freshness.is_fresh(get_now());
+    return get_start_deadline().has_value();
+}
+
+std::optional<monotonic_time> node_context::get_start_deadline() const
+{
+    if (session.get() == 0 || !state.get_sessions().contains(session))
+        return std::nullopt;
+    return policy_.get_start_deadline(make_start_view());
+}
+
+bool node_context::may_renew() const
+{
+    return policy_.may_renew(make_start_view());
+}
+
+start_view node_context::make_start_view() const
+{
+    return {freshness, get_now(), table.is_reachable(), hears_data_centres};
 }
 
 std::optional<milliseconds> node_context::get_freshness_age() const
--- a/main/node_context.hpp
+++ b/main/node_context.hpp
@@ -5,6 +5,7 @@
 #include "platform/platform.hpp"
 #include "systems/freshness.hpp"
 #include "systems/session_admission.hpp"
+#include "systems/start_policy.hpp"
 #include "systems/systems.hpp"
 
 #include <functional>
@@ -18,11 +19,18 @@
 struct node_context
 {
     node_context(asio::io_context& context, const settings& options,
-        table_client& platform);
+        table_client& platform, const start_policy& policy);
 
     /// @return whether tasks may be started on the configuration in hand.
     bool may_start() const;
 
+    /// @return the time before which tasks may be started, or nothing when
+    ///   none may.
+    std::optional<monotonic_time> get_start_deadline() const;
+
+    /// @return whether the leases of running tasks may be renewed.
+    bool may_renew() const;
+
     /// @return time since the freshness was confirmed, or nothing.
     std::optional<milliseconds> get_freshness_age() const;
 
@@ -53,6 +61,14 @@
     /// An append of this entry may still commit without its knowledge.
     bool has_unresolved_change = false;
     std::vector<std::function<void()>> listeners;
+    /// Whether an entry of each other data centre is heard; set by
+    /// `peer_network`.
+    std::function<bool()> hears_data_centres = [] { return false; };
+
+private:
+    start_view make_start_view() const;
+
+    const start_policy& policy_;
 };
 
 /// @return the local monotonic time.
--- a/main/peer_network.cpp
+++ b/main/peer_network.cpp
@@ -1,6 +1,7 @@
 #include "main/peer_network.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace cowslippass
 {
@@ -13,6 +14,24 @@
 constexpr std::uint64_t remote_exchange_ticks = 4;
 constexpr milliseconds call_timeout{1'500};
 constexpr milliseconds agreement_interval{1'000};
+constexpr const char* entries_query = "entries-since ";
+constexpr const char* heartbeat_query = "heartbeat ";
+/// Peers that are asked to relay one heartbeat, one after the other.
+constexpr std::size_t max_relays = 2;
+
+/// @return the number after the prefix, or nothing for another text.
+std::optional<std::uint64_t> find_number(
+    const std::string& text, std::string_view prefix)
+{
+    std::uint64_t n = 0;
+    const char* end = text.data() + text.size();
+    if (!text.starts_with(prefix))
+        return std::nullopt;
+    auto [last, ec] = std::from_chars(text.data() + prefix.size(), end, n);
+    if (ec != std::errc() || last != end)
+        return std::nullopt;
+    return n;
+}
 
 } // namespace
 
@@ -54,6 +73,7 @@
     node_.admission.emplace(node_.session, older);
     members_.emplace(node_.session, node_.config.data_centre);
     node_.listeners.push_back([this] { update_peers(); });
+    node_.hears_data_centres = [this] { return hears_data_centres(); };
     update_peers();
     node_.spawn("peer_network", [this] { return exchange_loop(); });
     node_.spawn("peer_network", [this] { return agreement_loop(); });
@@ -161,7 +181,7 @@
     is_fetching_ = true;
     bool was_sent = false;
     peer_body question = peer_query{
-        "entries-since " + std::to_string(node_.state.get_version().get())};
+        entries_query + std::to_string(node_.state.get_version().get())};
     auto reply =
         co_await call(session, std::move(question), call_timeout, was_sent);
     is_fetching_ = false;
@@ -199,17 +219,40 @@
     if (std::holds_alternative<peer_query>(body))
     {
         const std::string& text = std::get<peer_query>(body).text;
-        const std::string prefix = "entries-since ";
-        if (text.starts_with(prefix))
+        if (auto since = find_number(text, entries_query))
+            co_return peer_body(peer_query_reply{
+                sync_.get_entries_since(config_version(*since))});
+        if (auto session = find_number(text, heartbeat_query))
         {
-            config_version since(std::stoull(text.substr(prefix.size())));
+            bool is_written =
+                co_await sync_.write_heartbeat(session_id(*session));
             co_return peer_body(
-                peer_query_reply{sync_.get_entries_since(since)});
+                peer_query_reply{is_written ? "true" : "false"});
         }
     }
     co_return co_await handle_(std::move(body));
 }
 
+asio::awaitable<void> peer_network::relay_heartbeat()
+{
+    std::vector<session_id> relays;
+    for (const auto& [session, it] : peers_)
+        if (it->summary && it->summary->is_platform_reachable &&
+            is_heard(session) && relays.size() < max_relays)
+            relays.push_back(session);
+    for (session_id session : relays)
+    {
+        bool was_sent = false;
+        peer_body question =
+            peer_query{heartbeat_query + std::to_string(node_.session.get())};
+        auto reply =
+            co_await call(session, std::move(question), call_timeout, was_sent);
+        auto* answer = reply ? std::get_if<peer_query_reply>(&*reply) : nullptr;
+        if (answer && answer->json == "true")
+            co_return;
+    }
+}
+
 asio::awaitable<void> peer_network::agreement_loop()
 {
     while (true)
@@ -266,6 +309,12 @@
     return members_ && !members_->is_suspect(session, get_now());
 }
 
+bool peer_network::hears_data_centres() const
+{
+    return std::ranges::all_of(node_.state.get_sessions(), [&](const auto& it)
+        { return !get_live(it.second.started.data_centre).empty(); });
+}
+
 void peer_network::set_leaving(std::set<entry_id> entries)
 {
     if (members_)
--- a/main/peer_network.hpp
+++ b/main/peer_network.hpp
@@ -53,6 +53,14 @@
     /// @return whether the session is live and not suspected.
     bool is_heard(session_id session) const;
 
+    /// Asks peers that reach the platform to write the heartbeat row of this
+    /// session: an entry that is cut off from the platform alone goes on
+    /// working and must not be declared dead.
+    asio::awaitable<void> relay_heartbeat();
+
+    /// @return whether an entry of each other data centre is not suspected.
+    bool hears_data_centres() const;
+
     /// @param entries that the platform's instance list names as leaving.
     void set_leaving(std::set<entry_id> entries);
 
--- a/main/target_link.cpp
+++ b/main/target_link.cpp
@@ -1,7 +1,5 @@
 #include "main/target_link.hpp"
 
-#include "systems/grant_ledger.hpp"
-
 #include <algorithm>
 
 namespace cowslippass
@@ -54,11 +52,7 @@
 asio::awaitable<bool> target_link::sync_once()
 {
     std::vector<task_id> renew;
-    // Once this session may have been declared dead, its grants may be given
-    // to others; its tasks must have lapsed by then.
-    auto fresh_as_of = node_.freshness.get_fresh_as_of();
-    if (fresh_as_of &&
-        get_now() < grant_ledger::get_renewal_deadline(*fresh_as_of))
+    if (node_.may_renew())
         renew.assign(tasks_.begin(), tasks_.end());
     renewed_ = !renew.empty();
     milliseconds wait = renew.empty() ? milliseconds(0) : sync_wait;
@@ -112,11 +106,12 @@
     }
     // The freshness is checked after the reading arrived, so that a pause
     // between the two cannot lead to a start on stale configuration.
-    if (!node_.may_start() || !reading)
+    auto allowed_until = node_.get_start_deadline();
+    if (!allowed_until || !reading)
         co_return std::nullopt;
-    auto fresh_left = std::chrono::duration_cast<milliseconds>(
-        node_.freshness.get_deadline() - reading->received);
-    milliseconds ahead = std::min(node_.config.start_deadline, fresh_left);
+    auto time_left = std::chrono::duration_cast<milliseconds>(
+        *allowed_until - reading->received);
+    milliseconds ahead = std::min(node_.config.start_deadline, time_left);
     reading->time = target_time(reading->time.get() + ahead.count());
     co_return reading;
 }
--- /dev/null
+++ b/systems/start_policy.cpp
@@ -0,0 +1,25 @@
+#include "systems/start_policy.hpp"
+
+#include "systems/grant_ledger.hpp"
+
+namespace cowslippass
+{
+
+std::optional<monotonic_time> fresh_start_policy::get_start_deadline(
+    const start_view& view) const
+{
+    if (!view.configuration.is_fresh(view.now))
+        return std::nullopt;
+    return view.configuration.get_deadline();
+}
+
+bool fresh_start_policy::may_renew(const start_view& view) const
+{
+    // Once this session may have been declared dead, its grants may be given
+    // to others; its tasks must have lapsed by then.
+    auto fresh_as_of = view.configuration.get_fresh_as_of();
+    return fresh_as_of &&
+           view.now < grant_ledger::get_renewal_deadline(*fresh_as_of);
+}
+
+} // namespace cowslippass
--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -21,4 +21,5 @@
 #include "systems/query_table.hpp"
 #include "systems/routing.hpp"
 #include "systems/session_admission.hpp"
+#include "systems/start_policy.hpp"
 #include "systems/target_health.hpp"
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -65,9 +65,6 @@
 {
     for (std::size_t dc = 0; dc < options_.data_centres; ++dc)
     {
-        if (options_.has_platform_proxies)
-            platform_proxies_.push_back(
-                std::make_unique<cluster_proxy>(get_platform_endpoint()));
         add_targets(dc);
         add_entries(dc);
     }
@@ -134,6 +131,9 @@
         if (options_.has_peer_proxies)
             it.peer_proxy =
                 std::make_unique<cluster_proxy>(it.peer_port->get_endpoint());
+        if (options_.has_platform_proxies)
+            it.platform_proxy =
+                std::make_unique<cluster_proxy>(get_platform_endpoint());
         entries_.push_back(std::move(it));
     }
 }
@@ -152,10 +152,8 @@
 {
     auto peer = entry.peer_proxy ? entry.peer_proxy->endpoint
                                  : entry.peer_port->get_endpoint();
-    auto platform =
-        options_.has_platform_proxies
-            ? platform_proxies_.at(entry.data_centre_index)->endpoint
-            : get_platform_endpoint();
+    auto platform = entry.platform_proxy ? entry.platform_proxy->endpoint
+                                         : get_platform_endpoint();
     auto quote = [](const std::string& text) { return '"' + text + '"'; };
     std::map<std::string, std::string> values = options_.entry_settings;
     values["entry"] = quote(entry.id);
@@ -177,8 +175,10 @@
 void cluster::start_entry(cluster_entry& entry)
 {
     entry.process.reset();
-    entry.process = std::make_unique<child_process>("cowslippassd",
-        std::vector<std::string>{"--settings=" + write_settings(entry)}, 2);
+    std::vector<std::string> arguments = options_.daemon_flags;
+    arguments.push_back("--settings=" + write_settings(entry));
+    entry.process =
+        std::make_unique<child_process>(options_.daemon, arguments, 2);
 }
 
 bool cluster::wait_until_ready(const cluster_entry& entry, milliseconds timeout)
@@ -237,12 +237,8 @@
     return find_by_id(targets_, id);
 }
 
-cluster_proxy& cluster::get_platform_proxy(std::size_t data_centre_index)
-{
-    return *platform_proxies_.at(data_centre_index);
-}
-
-void cluster::block_peers_of(std::size_t data_centre_index)
+void cluster::block_peers(
+    const entry_filter& is_cut_off, cut_direction direction)
 {
     for (const auto& to : entries_)
     {
@@ -250,27 +246,62 @@
             throw std::logic_error("the cluster has no peer proxies");
         json sources = json::array();
         for (const auto& from : entries_)
-            if ((from.data_centre_index == data_centre_index) !=
-                (to.data_centre_index == data_centre_index))
+            if (is_cut_off(from) != is_cut_off(to))
                 sources.push_back(from.address);
-        to.peer_proxy->control({{"block_from", sources}});
+        bool drops_requests =
+            is_cut_off(to) ? direction.drops_inbound : direction.drops_outbound;
+        bool drops_replies =
+            is_cut_off(to) ? direction.drops_outbound : direction.drops_inbound;
+        json faults = json::object();
+        if (drops_requests)
+            faults["drop_from"] = sources;
+        if (drops_replies)
+            faults["drop_to"] = sources;
+        to.peer_proxy->control(faults);
     }
 }
 
-void cluster::block_platform_of(std::size_t data_centre_index)
+void cluster::block_platform(
+    const entry_filter& is_cut_off, cut_direction direction)
+{
+    for (const auto& it : entries_)
+        if (is_cut_off(it))
+            it.platform_proxy->control(
+                {{"drop_to_server", direction.drops_outbound},
+                    {"drop_to_client", direction.drops_inbound}});
+}
+
+void cluster::block_peers_of(
+    std::size_t data_centre_index, cut_direction direction)
+{
+    block_peers([=](const cluster_entry& it)
+        { return it.data_centre_index == data_centre_index; },
+        direction);
+}
+
+void cluster::block_platform_of(
+    std::size_t data_centre_index, cut_direction direction)
+{
+    block_platform([=](const cluster_entry& it)
+        { return it.data_centre_index == data_centre_index; },
+        direction);
+}
+
+void cluster::isolate_entry(const std::string& id)
 {
-    get_platform_proxy(data_centre_index)
-        .control({{"drop_to_server", true}, {"drop_to_client", true}});
+    entry_filter is_cut_off = [&](const cluster_entry& it)
+    { return it.id == id; };
+    block_peers(is_cut_off, {});
+    block_platform(is_cut_off, {});
 }
 
 void cluster::heal()
 {
     json faults = {{"restore", true}};
-    for (const auto& it : platform_proxies_)
-        it->control(faults);
     for (const auto& it : entries_)
-        if (it.peer_proxy)
-            it.peer_proxy->control(faults);
+        for (const auto* proxy : {&it.peer_proxy, &it.platform_proxy})
+            if (*proxy)
+                (*proxy)->control(faults);
     for (const auto& it : targets_)
         if (it.proxy)
             it.proxy->control(faults);
--- a/tests/integration/cluster.hpp
+++ b/tests/integration/cluster.hpp
@@ -2,6 +2,7 @@
 
 #include "tests/integration/process_fixture.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -17,7 +18,7 @@
     std::vector<std::string> pools{"pool-1"};
     std::size_t targets_per_pool = 1; ///< In each data centre.
     std::size_t targets_per_rack = 4;
-    /// One proxy to the platform for each data centre.
+    /// One proxy to the platform for each entry.
     bool has_platform_proxies = false;
     /// One proxy in front of the peer port of each entry.
     bool has_peer_proxies = false;
@@ -26,12 +27,22 @@
     std::vector<std::string> target_flags{"--run-ms=50"};
     /// Secret that may create the first operator.
     std::string bootstrap_secret = "bootstrap-secret";
+    /// Program of every entry, relative to the build directory.
+    std::string daemon = "cowslippassd";
+    std::vector<std::string> daemon_flags;
     /// Further settings of every entry, as TOML values by name.
     std::map<std::string, std::string> entry_settings;
     /// Otherwise the test calls `start_entry`.
     bool starts_entries = true;
 };
 
+/// Packets that a cut drops, as seen from the part that is cut off.
+struct cut_direction
+{
+    bool drops_outbound = true;
+    bool drops_inbound = true;
+};
+
 /// A proxy process in front of one address.
 struct cluster_proxy
 {
@@ -70,6 +81,7 @@
     std::unique_ptr<port_holder> http_port;
     std::unique_ptr<port_holder> peer_port;
     std::unique_ptr<cluster_proxy> peer_proxy;
+    std::unique_ptr<cluster_proxy> platform_proxy;
     std::unique_ptr<child_process> process;
 
     const tcp::endpoint& get_http_endpoint() const;
@@ -94,9 +106,6 @@
     cluster_entry& get_entry(const std::string& id);
     cluster_target& get_target(const std::string& id);
 
-    /// @return the data centre's proxy to the platform.
-    cluster_proxy& get_platform_proxy(std::size_t data_centre_index);
-
     /// Starts the daemon, again if it ran before, on the same ports.
     void start_entry(cluster_entry& entry);
 
@@ -110,18 +119,28 @@
     /// except for those given.
     void publish_instances(const std::vector<std::string>& leaving = {});
 
-    /// Swallows everything between the entries of this data centre and those
-    /// of the others. It tells entries apart by source address, so it needs
+    /// Swallows what the entries of this data centre and those of the others
+    /// send each other. It tells entries apart by source address, so it needs
     /// peer links that connect from the address of `peer_listen`.
-    void block_peers_of(std::size_t data_centre_index);
+    void block_peers_of(
+        std::size_t data_centre_index, cut_direction direction = {});
+
+    /// Swallows what this data centre and the platform send each other.
+    void block_platform_of(
+        std::size_t data_centre_index, cut_direction direction = {});
 
-    /// Swallows everything between this data centre and the platform.
-    void block_platform_of(std::size_t data_centre_index);
+    /// Cuts one entry off from the platform and from all other entries. It
+    /// still reaches its callers and the targets.
+    void isolate_entry(const std::string& id);
 
     /// Ends all faults of all proxies.
     void heal();
 
 private:
+    using entry_filter = std::function<bool(const cluster_entry&)>;
+    void block_peers(const entry_filter& is_cut_off, cut_direction direction);
+    void block_platform(
+        const entry_filter& is_cut_off, cut_direction direction);
     void add_targets(std::size_t data_centre_index);
     void add_entries(std::size_t data_centre_index);
     std::string write_settings(const cluster_entry& entry) const;
@@ -130,7 +149,6 @@
     temp_directory directory_;
     port_holder platform_port_;
     child_process platform_;
-    std::vector<std::unique_ptr<cluster_proxy>> platform_proxies_;
     std::vector<cluster_target> targets_;
     std::vector<cluster_entry> entries_;
 };
--- a/tests/integration/configuration_change_test.cpp
+++ b/tests/integration/configuration_change_test.cpp
@@ -19,6 +19,7 @@
     const char* name;
     bool is_cut_from_platform;
     bool is_cut_from_peers;
+    cut_direction direction{};
 };
 
 cluster_options make_options()
@@ -30,6 +31,10 @@
     out.has_peer_proxies = true;
     out.entry_settings["freshness_limit_ms"] =
         std::to_string(freshness_limit_ms);
+    // Shorter than the cuts, so that sessions that are cut off from all others
+    // are declared dead, and the others must not be.
+    out.entry_settings["heartbeat_interval_ms"] = "500";
+    out.entry_settings["session_death_ms"] = "6000";
     return out;
 }
 
@@ -60,9 +65,9 @@
 void cut(cluster& all, const partition& faults)
 {
     if (faults.is_cut_from_platform)
-        all.block_platform_of(1);
+        all.block_platform_of(1, faults.direction);
     if (faults.is_cut_from_peers)
-        all.block_peers_of(1);
+        all.block_peers_of(1, faults.direction);
 }
 
 std::int64_t find_last_start(const std::vector<recorded_start>& starts)
@@ -134,9 +139,41 @@
 INSTANTIATE_TEST_SUITE_P(partitions, configuration_change,
     testing::Values(partition{"none", false, false},
         partition{"platform", true, false}, partition{"peers", false, true},
-        partition{"both", true, true}),
+        partition{"both", true, true},
+        partition{"outbound", true, true, {true, false}},
+        partition{"inbound", true, true, {false, true}}),
     get_partition_name);
 
+// Guards against an entry that goes on alone with stale configuration (I3,
+// I5), and against pools that wait for such an owner to come back.
+TEST(entry_cut, an_entry_cut_off_alone_stops_and_the_rest_serve_its_pools)
+{
+    test_fleet fleet(make_options());
+    caller_load load(fleet, make_request("red"), 8, {0, 1, 2, 3});
+    wait_for_work(fleet, load);
+    auto& entry =
+        fleet.get_cluster().get_entries().at(find_pool_owner(fleet, "dc-2"));
+    std::string session = find_session(entry);
+    fleet.get_cluster().isolate_entry(entry.id);
+    std::int64_t last = get_unix_ms() + bound_ms;
+    std::this_thread::sleep_for(milliseconds(bound_ms + 3'000));
+    std::size_t owned = 0;
+    std::size_t late = 0;
+    std::size_t taken_over = 0;
+    for (const auto& it : list_starts(fleet))
+    {
+        bool is_late = it.started_ms > last;
+        owned += it.owner == session;
+        late += is_late && it.owner == session;
+        taken_over += is_late && it.data_centre == "dc-2";
+    }
+    EXPECT_GT(owned, 0u);
+    EXPECT_EQ(late, 0u);
+    EXPECT_GT(taken_over, 0u);
+    load.stop();
+    EXPECT_EQ(load.get_wrong_count(), 0u);
+}
+
 // Guards against a data centre that stops working although it can learn of
 // changes from the other one.
 TEST(platform_cut, a_data_centre_cut_only_from_the_platform_goes_on)
--- a/tests/integration/fault_load.cpp
+++ b/tests/integration/fault_load.cpp
@@ -20,6 +20,8 @@
         {
             recorded_start found{it.id, it.data_centre,
                 start.at("request_id").get<std::string>(),
+                start.at("kind").get<std::string>(),
+                start.at("owner").get<std::string>(),
                 start.at("unix_ms").get<std::int64_t>(),
                 start.value("ended_unix_ms", never)};
             if (found.started_ms >= since_unix_ms)
@@ -78,6 +80,20 @@
     return owner;
 }
 
+std::string find_session(const cluster_entry& entry)
+{
+    constexpr std::size_t whole_log = std::numeric_limits<std::size_t>::max();
+    std::string log = entry.process->get_errors(whole_log);
+    std::size_t at = log.rfind("joined the fleet");
+    if (at == std::string::npos)
+        throw std::runtime_error(entry.id + " has no session");
+    log = log.substr(at, log.find('\n', at) - at);
+    const std::string field = "\"session\":";
+    std::size_t digits = log.find_first_of("0123456789", log.find(field));
+    return log.substr(
+        digits, log.find_first_not_of("0123456789", digits) - digits);
+}
+
 caller_load::caller_load(test_fleet& fleet, caller_request request,
     std::size_t callers, std::vector<std::size_t> entries)
     : fleet_(fleet), request_(std::move(request)), entries_(std::move(entries))
--- a/tests/integration/fault_load.hpp
+++ b/tests/integration/fault_load.hpp
@@ -16,6 +16,8 @@
     std::string target;
     std::string data_centre;
     std::string request_id;
+    std::string kind;            ///< `urgent` or `slow`.
+    std::string owner;           ///< Session that started it.
     std::int64_t started_ms = 0; ///< Unix time.
     std::int64_t ended_ms = 0;   ///< Unix time; the largest value if running.
 };
@@ -36,6 +38,10 @@
 /// @throws std::runtime_error when there is none within 20 s.
 std::size_t find_pool_owner(test_fleet& fleet, const std::string& data_centre);
 
+/// @return the newest session of an entry, by its log.
+/// @throws std::runtime_error when it has none.
+std::string find_session(const cluster_entry& entry);
+
 /// Callers that post requests one after the other until `stop`.
 class caller_load
 {
--- a/tests/integration/stand_ins_test.cpp
+++ b/tests/integration/stand_ins_test.cpp
@@ -339,14 +339,17 @@
     EXPECT_FALSE(write("request-lost").response);
     proxy.control({{"restore", true}, {"drop_to_client", true}});
     EXPECT_FALSE(write("answer-lost").response);
-    proxy.control({{"restore", true}, {"block_from", {"127.0.0.1"}}});
+    proxy.control({{"restore", true}, {"drop_from", {"127.0.0.1"}}});
     EXPECT_FALSE(write("source-blocked").response);
-    proxy.control({{"restore", true}, {"block_from", {"127.0.0.2"}}});
+    proxy.control({{"restore", true}, {"drop_from", {"127.0.0.2"}}});
     EXPECT_TRUE(write("another-source-blocked").response);
+    proxy.control({{"restore", true}, {"drop_to", {"127.0.0.1"}}});
+    EXPECT_FALSE(write("source-answer-lost").response);
     json found = fetch_json(platform.endpoint, "GET", "/v1/rows?prefix=");
-    ASSERT_EQ(found.at("rows").size(), 2u);
+    ASSERT_EQ(found.at("rows").size(), 3u);
     EXPECT_EQ(found.at("rows").at(0).at("key"), "another-source-blocked");
     EXPECT_EQ(found.at("rows").at(1).at("key"), "answer-lost");
+    EXPECT_EQ(found.at("rows").at(2).at("key"), "source-answer-lost");
 }
 
 TEST(stand_in_proxy, answers_are_delayed_and_truncated)
@@ -391,9 +394,9 @@
     options.has_target_proxies = true;
     options.starts_entries = false;
     cluster fleet(options);
-    json list =
-        fetch_json(fleet.get_platform_proxy(1).endpoint, "GET", "/v1/instances")
-            .at("instances");
+    json list = fetch_json(
+        fleet.get_entries()[1].platform_proxy->endpoint, "GET", "/v1/instances")
+                    .at("instances");
     EXPECT_EQ(list.size(), 6u);
     cluster_target& target = fleet.get_target("target-2-pool-2-1");
     EXPECT_NO_THROW(fetch_json(target.get_endpoint(), "GET", "/v1/tasks"));
@@ -402,13 +405,13 @@
     fleet.start_target(target);
     EXPECT_NO_THROW(fetch_json(target.get_endpoint(), "GET", "/v1/tasks"));
     fleet.block_platform_of(0);
-    EXPECT_FALSE(fetch(fleet.get_platform_proxy(0).endpoint,
+    EXPECT_FALSE(fetch(fleet.get_entries()[0].platform_proxy->endpoint,
         {"GET", "/v1/instances", {}, {}, ""}, short_timeout)
                      .response);
     fleet.block_peers_of(0);
     fleet.heal();
-    EXPECT_NO_THROW(fetch_json(
-        fleet.get_platform_proxy(0).endpoint, "GET", "/v1/instances"));
+    EXPECT_NO_THROW(fetch_json(fleet.get_entries()[0].platform_proxy->endpoint,
+        "GET", "/v1/instances"));
 }
 
 } // namespace cowslippass
--- a/tests/stand_ins/proxy_service.cpp
+++ b/tests/stand_ins/proxy_service.cpp
@@ -167,10 +167,10 @@
 bool proxy_service::is_swallowed(
     const proxy_link& link, proxy_stream& stream) const
 {
-    bool is_dropped =
-        &stream == &link.to_server ? drops_to_server_ : drops_to_client_;
-    bool is_blocked = blocked_sources_.contains(link.source);
-    if (is_dropped || is_blocked || link.is_silent)
+    bool is_to_server = &stream == &link.to_server;
+    bool drops_all = is_to_server ? drops_to_server_ : drops_to_client_;
+    const auto& sources = is_to_server ? dropped_from_ : dropped_to_;
+    if (drops_all || sources.contains(link.source) || link.is_silent)
         stream.is_dead = true;
     return stream.is_dead;
 }
@@ -271,7 +271,8 @@
     delay_ = milliseconds(0);
     drops_to_server_ = false;
     drops_to_client_ = false;
-    blocked_sources_.clear();
+    dropped_from_.clear();
+    dropped_to_.clear();
     truncate_after_.reset();
     open_acceptor();
 }
@@ -283,7 +284,8 @@
     delay_ = milliseconds(control.value("delay_ms", delay_.count()));
     drops_to_server_ = control.value("drop_to_server", drops_to_server_);
     drops_to_client_ = control.value("drop_to_client", drops_to_client_);
-    blocked_sources_ = control.value("block_from", blocked_sources_);
+    dropped_from_ = control.value("drop_from", dropped_from_);
+    dropped_to_ = control.value("drop_to", dropped_to_);
     if (control.contains("truncate_after_bytes"))
     {
         truncate_after_ = control["truncate_after_bytes"].get<std::uint64_t>();
--- a/tests/stand_ins/proxy_service.hpp
+++ b/tests/stand_ins/proxy_service.hpp
@@ -55,9 +55,11 @@
     milliseconds delay_{0};
     bool drops_to_server_ = false;
     bool drops_to_client_ = false;
-    /// Source addresses whose connections are swallowed in both directions;
-    /// they separate groups of processes that share a proxy.
-    std::set<std::string> blocked_sources_;
+    /// Source addresses of connections whose bytes from the source, or to it,
+    /// are swallowed; they separate groups of processes that share a proxy.
+    /// Connections are still accepted.
+    std::set<std::string> dropped_from_;
+    std::set<std::string> dropped_to_;
     std::optional<std::uint64_t> truncate_after_;
 
     std::uint64_t accepted_ = 0;
