Add a bench of the work in a data centre that is cut off

Real processes under the shipped daemon's policy and two plain ones, which live in a daemon of the bench that is not installed. No figures yet.

--- /dev/null
+++ b/scripts/measure_partitions.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Cuts a data centre of real processes off under three policies and rewrites
+# docs/measurements-partitions.md. Fixed seeds; fails when the shipped daemon
+# starts work with a withdrawn key after the bound. Rates are not judged.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${BUILD_DIR:-build}
+page=docs/measurements-partitions.md
+cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
+cmake --build "$build" --target partitions -- -j"${BUILD_JOBS:-4}" > /dev/null
+table=$(mktemp)
+trap 'rm -f "$table"' EXIT
+load=$(cut -d' ' -f1 /proc/loadavg)
+status=0
+"$build/bench/partitions/partitions" > "$table" || status=$?
+{
+    cat bench/partitions/page_head.md
+    echo "Made by \`scripts/measure_partitions.sh\` at commit" \
+        "$(git rev-parse --short HEAD) on $(nproc) cores, load average $load" \
+        "at the start:"
+    echo
+    cat "$table"
+} > "$page"
+exit "$status"
