Count a result that does not arrive whole against its target; retry elsewhere

Cause: the end of a task whose result was cut short counted as unknown, so the target was never set aside and could be given every retry of the work.

Change: it counts as a failure, and a retry avoids the targets that failed before as long as another one is usable. The rule compared with all targets of the pool; a task would have waited for targets that are set aside.

Test: requests are answered whole within their declared deadline while a target goes on truncating.

--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -274,6 +274,9 @@
     active_.erase(active->item.task.id);
     // A new id, as the target may still know the old one.
     active->item.task.id = make_task_id();
+    auto& avoid = active->item.task.avoid;
+    if (std::ranges::find(avoid, active->target) == avoid.end())
+        avoid.push_back(active->target);
     active->target = {};
     active_[active->item.task.id] = active;
     if (auto refusal = placement_.add_task(active->item.task))
--- a/main/pool_runner_tasks.cpp
+++ b/main/pool_runner_tasks.cpp
@@ -270,7 +270,9 @@
     }
     if (active->result || !active->is_on_target)
         co_return;
-    release(active, bytes ? task_outcome::done : task_outcome::unknown,
+    // Counts against the target, which would otherwise be given the work again
+    // and again.
+    release(active, bytes ? task_outcome::done : task_outcome::failed,
         milliseconds(0));
     if (bytes)
     {
--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -305,13 +305,24 @@
     if (is_for_other &&
         (task.kind == queue_kind::slow || !is_blocked_by_slow(row)))
         return false;
-    bool is_avoided = std::find(task.avoid.begin(), task.avoid.end(),
-                          row.target.id) != task.avoid.end();
-    if (is_avoided && task.avoid.size() < rows_.size())
+    if (is_avoided(row, task) && has_other(task))
         return false;
     return is_memory_fit(row.memory_used, task.memory.get(), row.target);
 }
 
+bool placement_targets::is_avoided(const row& row, const placement_task& task)
+{
+    return std::find(task.avoid.begin(), task.avoid.end(), row.target.id) !=
+           task.avoid.end();
+}
+
+bool placement_targets::has_other(const placement_task& task) const
+{
+    return std::any_of(rows_.begin(), rows_.end(),
+        [&](const auto& it)
+        { return is_usable(it.second) && !is_avoided(it.second, task); });
+}
+
 bool placement_targets::is_usable(const row& row) const
 {
     return !row.is_removed && row.target.state == instance_state::in_service &&
--- a/systems/placement_targets.hpp
+++ b/systems/placement_targets.hpp
@@ -109,6 +109,10 @@
     choice choose_random(const placement_task& task);
     bool is_fit(const row& row, const placement_task& task) const;
     bool is_usable(const row& row) const;
+    static bool is_avoided(const row& row, const placement_task& task);
+
+    /// @return whether a usable target is none of those to avoid.
+    bool has_other(const placement_task& task) const;
     static std::uint64_t get_room(const row& row);
     std::uint32_t count_free_slots(const row& row) const;
     void close(row& row);
--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -47,24 +47,17 @@
 
 } // namespace
 
-// Guards against a cut result that reaches a caller as if it were whole (I6).
+// Guards against a cut result that reaches a caller as if it were whole, and
+// against callers that miss their deadline because of it (I6).
 TEST(whole_answers, a_target_that_truncates_results_spoils_no_answer)
 {
-    test_fleet fleet(make_options());
+    cluster_options options = make_options();
+    options.targets_per_pool = 2;
+    test_fleet fleet(options);
     auto& target = fleet.get_cluster().get_target("target-1-pool-1-1");
     set_control(target.get_direct_endpoint(), {{"truncate_results", true}});
-    caller_request request;
-    request.deadline_ms = "4000";
-    for (std::size_t i = 0; i < 12; ++i)
-    {
-        request.payload = "payload " + std::to_string(i);
-        caller_answer answer = fleet.post(request, i % 4);
-        bool is_right =
-            answer.is_ok() ? answer.body == get_expected_result(request.payload)
-                           : answer.run != "no";
-        EXPECT_TRUE(is_right) << answer.status << ' ' << answer.body;
-    }
-    set_control(target.get_direct_endpoint(), {{"truncate_results", false}});
+    // Twice, as the target has been found out by the second time.
+    expect_whole_answers(fleet);
     expect_whole_answers(fleet);
 }
 
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -244,6 +244,27 @@
     EXPECT_EQ(tick(system, epoch + 600ms).size(), 1u);
 }
 
+// Guards against a retry on the target that failed, and against one that waits
+// although no other target can take it.
+TEST(placement_system, uses_a_target_to_avoid_only_when_no_other_is_usable)
+{
+    for (bool is_other_aside : {false, true})
+    {
+        placement_system system;
+        system.set_target(make_target("a"));
+        auto other = make_target("b");
+        if (is_other_aside)
+            other.health = target_health_state::set_aside;
+        system.set_target(other);
+        auto task = make_task("t", "x");
+        task.avoid = {instance_id("a")};
+        system.add_task(task);
+        auto items = tick(system, epoch);
+        ASSERT_EQ(items.size(), 1u);
+        EXPECT_EQ(items[0].target.get(), is_other_aside ? "a" : "b");
+    }
+}
+
 // Guards against double counting after a change of owner, and against a task
 // that outlives its target in the table.
 TEST(placement_system, counts_adopted_tasks_and_tasks_of_removed_targets)
