--- a/main/job_keeper.cpp
+++ b/main/job_keeper.cpp
@@ -71,12 +71,18 @@
 
 std::vector<data_centre_id> job_keeper::list_places(const pool_id& pool) const
 {
+    // Sessions count until they are declared dead, also when they are not
+    // heard: two data centres that are cut off from each other would otherwise
+    // move each other's jobs to and fro.
+    std::set<data_centre_id> staffed;
+    for (const auto& [session, row] : node_.state.get_sessions())
+        staffed.insert(row.started.data_centre);
     std::set<data_centre_id> out;
     for (const auto& [id, it] : node_.state.get_instances())
     {
         const auto& place = it.description.data_centre;
         if (it.pool == pool && it.state == instance_state::in_service &&
-            node_.state.is_in_service(place) && !peers_.get_live(place).empty())
+            node_.state.is_in_service(place) && staffed.contains(place))
             out.insert(place);
     }
     return {out.begin(), out.end()};
--- a/tests/integration/configuration_change_test.cpp
+++ b/tests/integration/configuration_change_test.cpp
@@ -144,6 +144,31 @@
         partition{"inbound", true, true, {false, true}}),
     get_partition_name);
 
+// Guards against slow jobs that are moved to and fro by data centres that
+// cannot reach each other.
+TEST(peer_cut, slow_work_goes_on_in_a_data_centre_cut_only_from_the_other)
+{
+    test_fleet fleet(make_options());
+    fleet.get_cluster().block_peers_of(1);
+    // Until the other data centre is suspected.
+    std::this_thread::sleep_for(milliseconds(10'000));
+    caller_request request = make_request("red");
+    request.queue = "slow";
+    for (std::size_t i = 0; i < 4; ++i)
+    {
+        caller_answer answer = fleet.post(request, 2);
+        ASSERT_EQ(answer.status, 202u) << answer.body;
+        std::string job = nlohmann::json::parse(answer.body).at("job");
+        EXPECT_TRUE(wait_until(
+            [&]
+            {
+                return fleet.ask("GET", "/v1/jobs/" + job, "red", 2)
+                           .body.find("\"done\"") != std::string::npos;
+            },
+            milliseconds(10'000)));
+    }
+}
+
 // Guards against an entry that goes on alone with stale configuration (I3,
 // I5), and against pools that wait for such an owner to come back.
 TEST(entry_cut, an_entry_cut_off_alone_stops_and_the_rest_serve_its_pools)
--- a/tests/platform/peer_link_test.cpp
+++ b/tests/platform/peer_link_test.cpp
@@ -104,6 +104,48 @@
     EXPECT_EQ(std::get<peer_hello>(*reply).session, session_id(7));
 }
 
+// Guards against a silent connection that is kept because each request on it
+// gives up before the silence has lasted long enough.
+TEST(peer_link, short_requests_do_not_keep_a_silent_connection)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, parse_endpoint("127.0.0.1:0"));
+    std::vector<tcp::socket> accepted;
+    std::function<void()> accept_next = [&]
+    {
+        acceptor.async_accept(
+            [&](boost::system::error_code ec, tcp::socket socket)
+            {
+                if (ec)
+                    return;
+                accepted.push_back(std::move(socket));
+                accept_next();
+            });
+    };
+    accept_next();
+    peer_client client(
+        io, acceptor.local_endpoint(), {},
+        [](peer_body) -> asio::awaitable<std::optional<peer_body>>
+        { co_return std::nullopt; },
+        [](const std::string&, const std::string&) {});
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            for (int i = 0; i < 20 && accepted.size() < 2; ++i)
+            {
+                bool was_sent = false;
+                peer_body hello = peer_hello{session_id(1)};
+                co_await client.call(
+                    std::move(hello), milliseconds(500), was_sent);
+            }
+            io.stop();
+        },
+        asio::detached);
+    io.run_for(std::chrono::seconds(30));
+    EXPECT_EQ(accepted.size(), 2u);
+}
+
 // Guards against a peer's bytes that make an entry allocate without a bound,
 // read outside a buffer, or go on with a connection that is out of step.
 TEST(peer_link, malformed_frames_cut_the_connection_with_a_fault)
