--- a/bench/partitions/partitions_main.cpp
+++ b/bench/partitions/partitions_main.cpp
@@ -66,6 +66,7 @@
         std::cerr << cut.name << '\n';
         // The policies run side by side, on clusters of their own.
         std::vector<std::future<partition_result>> runs;
+        runs.reserve(policies.size());
         for (const auto& policy : policies)
             runs.push_back(std::async(std::launch::async, [&cut, &policy, seed]
                 { return run_partition(cut, policy, seed); }));
