--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -39,6 +39,7 @@
 #include "systems/routing.hpp"
 #include "systems/session_admission.hpp"
 #include "systems/spare_exchange.hpp"
+#include "systems/start_policy.hpp"
 #include "systems/target_health.hpp"
 #include "systems/team_grants.hpp"
 #include "systems/team_shares.hpp"
