Cut the control traffic of idle targets, peers and the instance list

Cause: an entry at the design size needed 30.5 KB/s of control traffic against a bound of 15 KB/s, by a formula that took a remote partner for a quarter of a local peer. The window of 4 data centres shows 14.6 KB/s of peer traffic where that formula gave 3.1, so that the real sum was higher.

Change: a target without tasks for 3 s is synced every 4 s instead of every second. A start asks the target before it is sent, as before, but waits 500 ms instead of 1 s; the first silent target of a pool makes the owner sync the others at once. Syncs leave out fields and headers that say nothing. Summaries leave out lists that the peer holds already, by revision. The youngest entry of a data centre reads the instance list and tells the others with its summaries; they read themselves when that knowledge is older than 2.5 s, with the ETag of the reader. The capacity report counts remote partners from their own window and measures re-reads of the list.

Seen: leaving_targets, planned_stop, limits, at_most_once, whole_answers and stand_in tests pass.

--- a/bench/capacity/capacity_main.cpp
+++ b/bench/capacity/capacity_main.cpp
@@ -14,12 +14,15 @@
 
 constexpr milliseconds window_length{8'000};
 /// Time for the connections and leases of a new cluster to settle.
-constexpr milliseconds settling_time{1'000};
+constexpr milliseconds settling_time{5'000};
 constexpr std::size_t design_teams = 72;
 constexpr std::size_t design_pools = 36;
 constexpr std::size_t loaded_entries = 2;
 /// Enough that none waits for another at 120 requests of about 60 ms.
 constexpr std::size_t callers = 24;
+/// Entries of a data centre that see the platform's list change.
+constexpr std::size_t list_entries = 4;
+constexpr std::size_t list_changes = 2;
 constexpr std::size_t changes_per_window = 16;
 constexpr milliseconds change_interval{500};
 
@@ -103,14 +106,16 @@
 }
 
 /// Puts the far instances on the platform's list, which the entries poll.
-void publish_far(test_fleet& fleet, std::size_t n)
+/// @param leaving those that it names as leaving.
+void publish_far(test_fleet& fleet, std::size_t n, std::size_t leaving = 0)
 {
     nlohmann::json instances = nlohmann::json::array();
     for (std::size_t i = 0; i < n; ++i)
         instances.push_back({{"id", "far-" + std::to_string(i)},
             {"kind", "target"}, {"data_centre", "dc-far"},
             {"rack", "rack-far-" + std::to_string(i / 4)},
-            {"address", get_far_address(i)}, {"state", "live"}});
+            {"address", get_far_address(i)},
+            {"state", i < leaving ? "leaving" : "live"}});
     set_control(fleet.get_cluster().get_platform_endpoint(),
         {{"instances", instances}});
 }
@@ -138,6 +143,27 @@
     all.listed = measure(fleet, "(c) " + size + ", listed", double(added));
 }
 
+void measure_list_changes(findings& all)
+{
+    constexpr std::size_t n = 4'300;
+    test_fleet fleet(make_options(list_entries, 1));
+    publish_far(fleet, n);
+    std::string size = std::to_string(list_entries) + " entries, list of " +
+                       std::to_string(n);
+    all.still_list = measure(fleet, "(f) " + size, double(n));
+    auto change = [&]
+    {
+        for (std::size_t i = 0; i < list_changes; ++i)
+        {
+            publish_far(fleet, n, i + 1);
+            std::this_thread::sleep_for(window_length / (list_changes + 1));
+        }
+        return list_changes;
+    };
+    all.changing_list =
+        measure(fleet, "(f) " + size + ", changing", double(n), change);
+}
+
 /// Sends a fixed number of requests at a rate, spread over the entries.
 /// @return those that were answered with a result.
 std::size_t run_requests(
@@ -199,6 +225,7 @@
         cowslippass::measure_entries(all);
         cowslippass::measure_targets(all);
         cowslippass::measure_instances(all);
+        cowslippass::measure_list_changes(all);
         cowslippass::measure_events(all);
         cowslippass::print_report(std::cout, all);
     }
--- a/bench/capacity/report.cpp
+++ b/bench/capacity/report.cpp
@@ -17,9 +17,15 @@
 constexpr double design_entries_per_data_centre = 9;
 constexpr double design_targets = 4'300;
 constexpr double design_instances = design_targets + design_entries;
-/// Eight peers in the own data centre; two partners in each of six others,
-/// asked a quarter as often.
-constexpr double design_peers = 8 + 6 * 2 / 4.0;
+/// In the own data centre.
+constexpr double design_peers = 8;
+/// Two in each of six other data centres.
+constexpr double design_partners = 12;
+/// Two in each of three other data centres.
+constexpr double measured_partners = 6;
+/// Each failure or restart changes the platform's list when the instance goes
+/// and when it comes back.
+constexpr double design_list_changes = 2 * (1'100 + 26) / 86'400.0;
 /// Configuration, restarts, failures and four steps for each maintenance.
 constexpr double design_changes = (20'000 + 1'100 + 26 + 77 * 4) / 86'400.0;
 /// Head, log entry and command row.
@@ -63,6 +69,8 @@
         print_window(out, it);
     print_window(out, all.large_changes);
     print_window(out, all.listed);
+    print_window(out, all.still_list);
+    print_window(out, all.changing_list);
     for (const auto& it : all.requests)
         print_window(out, it);
     print_window(out, all.small_changes);
@@ -187,6 +195,14 @@
     return out;
 }
 
+/// @return what one partner in another data centre costs.
+template <class Get>
+double solve_partner(const findings& all, Get get)
+{
+    return (get(all.data_centres.rates) - solve(all.entries, get).get(1, 2)) /
+           measured_partners;
+}
+
 double get_peer_bytes(const window_rates& it)
 {
     return it.peer_bytes;
@@ -201,16 +217,16 @@
 {
     out << "\n### Cost of an entry among n of a data centre\n\nbase + (n - 1) "
            "x peer + pools / n, solved from the windows of 2, 4 and 8 "
-           "entries. The check is the window of 4 data centres, with 1 + 3 x "
-           "2 / 4 peers and n = 2.\n\n| figure | base | peer | 36 pools and 4 "
-           "targets | check: formula | check: measured "
-           "|\n|---|---|---|---|---|---|\n";
+           "entries. A partner in another data centre costs (window of 4 data "
+           "centres - formula for n = 2) / 6.\n\n| figure | base | peer | 36 "
+           "pools and 4 targets | formula for n = 2 | 4 data centres | remote "
+           "partner |\n|---|---|---|---|---|---|---|\n";
     auto row = [&](const char* name, double (*get)(const window_rates&))
     {
         entry_cost it = solve(all.entries, get);
-        out << print("| %s | %.4g | %.4g | %.4g | %.4g | %.4g |\n", name,
-            it.base, it.peer, it.pools, it.get(2.5, 2),
-            get(all.data_centres.rates));
+        out << print("| %s | %.4g | %.4g | %.4g | %.4g | %.4g | %.4g |\n",
+            name, it.base, it.peer, it.pools, it.get(1, 2),
+            get(all.data_centres.rates), solve_partner(all, get));
     };
     row("core %", get_cpu);
     row("RSS MB", get_rss);
@@ -224,10 +240,13 @@
     const char* name;
     const char* unit;
     double bound;
-    /// Base, peers, pools, owned targets, fleet state, list, changes.
-    double parts[7];
+    /// Base, local peers, remote partners, pools, owned targets, fleet state,
+    /// list, changes.
+    double parts[8];
 };
 
+constexpr std::size_t list_part = 6;
+
 void print_figure(std::ostream& out, const design_figure& it)
 {
     double sum = 0;
@@ -236,7 +255,7 @@
     out << print("| %s, %s |", it.name, it.unit);
     for (double part : it.parts)
         out << print(" %.3f |", part);
-    double list = it.parts[5];
+    double list = it.parts[list_part];
     out << print(" **%.2f** | %.2f | %g | %s |\n", sum, sum - list, it.bound,
         sum <= it.bound          ? "yes"
         : sum - list <= it.bound ? "without the list"
@@ -254,6 +273,8 @@
     double listed_factor = design_instances / all.listed.count;
     double changes = all.large_changes.events / changed.seconds;
     double n = design_entries_per_data_centre;
+    double list_changes =
+        all.changing_list.events / all.changing_list.rates.seconds;
     auto make = [&](const char* name, const char* unit, double bound,
                     double scale, double (*get)(const window_rates&),
                     const line& owned, bool counts_changes)
@@ -261,9 +282,16 @@
         entry_cost entry = solve(all.entries, get);
         double state = fit(all.instances, get).slope * design_instances;
         double list = (get(listed) - get(unlisted)) * listed_factor;
+        // Of the whole data centre for each change, spread over its entries.
+        double read = (get(all.changing_list.rates) -
+                          get(all.still_list.rates)) *
+                      double(all.still_list.rates.entries) / list_changes;
+        if (counts_changes)
+            list += read * design_list_changes / n;
         double change = (get(changed) - get(unlisted)) / changes;
         design_figure it{name, unit, bound,
-            {entry.base, entry.peer * design_peers, entry.pools / n,
+            {entry.base, entry.peer * design_peers,
+                solve_partner(all, get) * design_partners, entry.pools / n,
                 owned.slope * more_targets, state, list,
                 counts_changes ? change * design_changes : 0}};
         for (double& part : it.parts)
@@ -271,17 +299,22 @@
         return it;
     };
     out << print("\n### One entry at the design size (extrapolated)\n\n%.0f "
-                 "entries, %.0f targets, %.2f owned targets and %.0f peer "
-                 "equivalents (8 + 6 x 2 / 4) for each entry, %.3f changes a "
-                 "second, without requests. Formula: base + 11 x peer + pools "
-                 "/ 9 + (4,300 / 63 - 4 / 9) x slope of (b) + 4,363 x slope of "
-                 "(c) + (listed - unlisted) x 4,363 / 4,300 + %.3f x change of "
-                 "the large state.\n\n",
-        design_entries, design_targets, targets, design_peers, design_changes,
-        design_changes);
-    out << "| figure | base | peers | pools | owned targets | fleet state | "
-           "instance list | changes | sum | without the list | bound | met "
-           "|\n|---|---|---|---|---|---|---|---|---|---|---|---|\n";
+                 "entries, %.0f targets, %.2f owned targets, %.0f local peers "
+                 "and %.0f remote partners for each entry, %.3f changes of the "
+                 "fleet and %.4f changes of the instance list a second, "
+                 "without requests. Formula: base + 8 x peer + 12 x remote "
+                 "partner + pools / 9 + (4,300 / 63 - 4 / 9) x slope of (b) + "
+                 "4,363 x slope of (c) + list + %.3f x change of the large "
+                 "state. The list is (listed - unlisted) x 4,363 / 4,300 + "
+                 "%.4f x (changing - still list of (f)) of all entries for "
+                 "each change / 9.\n\n",
+        design_entries, design_targets, targets, design_peers, design_partners,
+        design_changes, design_list_changes, design_changes,
+        design_list_changes);
+    out << "| figure | base | local peers | remote partners | pools | owned "
+           "targets | fleet state | instance list | changes | sum | without "
+           "the list | bound | met "
+           "|\n|---|---|---|---|---|---|---|---|---|---|---|---|---|\n";
     print_figure(out,
         make("processor", "% of a core", 1.4, 1, get_cpu, target.cpu, true));
     print_figure(
@@ -292,7 +325,7 @@
         make("peers", "KB/s", 15, 0.001, get_peer_bytes, target.peer, true);
     // The fleet's own targets are in (b) only; state and list have none.
     design_figure owned{"targets", "KB/s", 15, {}};
-    owned.parts[3] = target.target.slope * targets * 0.001;
+    owned.parts[4] = target.target.slope * targets * 0.001;
     design_figure bytes{"all bytes", "KB/s", 15, {}};
     for (std::size_t i = 0; i < std::size(bytes.parts); ++i)
         bytes.parts[i] = platform.parts[i] + peers.parts[i] + owned.parts[i];
--- a/bench/capacity/report.hpp
+++ b/bench/capacity/report.hpp
@@ -27,6 +27,8 @@
     std::vector<measured_window> instances; ///< Count: instances in the state.
     measured_window listed;        ///< All of them in the platform's list.
     measured_window large_changes; ///< Changes of the largest state.
+    measured_window still_list;    ///< The same list, seen by several entries.
+    measured_window changing_list; ///< Events: changes of that list.
     std::vector<measured_window> requests; ///< First: without load.
     std::size_t owner = 0;         ///< Entry that owns the requests' pool.
     measured_window small_changes; ///< Compared with requests without load.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -12,7 +12,6 @@
 {
 
 constexpr milliseconds ownership_interval{200};
-constexpr milliseconds leaving_interval{2'000};
 constexpr milliseconds drain_poll_interval{50};
 /// Most starts of one idempotent request.
 constexpr std::uint32_t max_idempotent_starts = 4;
@@ -55,7 +54,9 @@
               [this](team_id team, job_id id)
               { return jobs_.fetch_result(team, id); },
               [this](team_id team, job_id id)
-              { return jobs_.cancel(team, id); }})
+              { return jobs_.cancel(team, id); }}),
+      leaving_(node_, peers_,
+          [this](const std::set<instance_id>& it) { apply_leaving(it); })
 {
     peers_.listen([this](bool is_local) { return make_summary(is_local); },
         [this](peer_body body) { return handle_peer(std::move(body)); });
@@ -118,7 +119,7 @@
     node_.listeners.push_back([this] { update_runners(); });
     update_runners();
     node_.spawn("entry_node", [this] { return ownership_loop(); });
-    node_.spawn("entry_node", [this] { return leaving_loop(); });
+    leaving_.start();
 }
 
 std::shared_ptr<pool_runner> entry_node::find_runner(const pool_id& pool) const
@@ -137,7 +138,7 @@
             [this](const team_id& team) { grants_.give_back(team); },
             [this] { grants_.kick(); }},
         [this](const instance_id& instance) { report_failure(instance); });
-    runner->set_leaving(leaving_);
+    runner->set_leaving(leaving_.get_leaving());
     runner->update_targets();
     runner->start();
     return runner;
@@ -212,23 +213,14 @@
     }
 }
 
-asio::awaitable<void> entry_node::leaving_loop()
+void entry_node::apply_leaving(const std::set<instance_id>& leaving)
 {
-    while (true)
-    {
-        auto listed = co_await table_.list_leaving();
-        if (listed)
-        {
-            leaving_ = std::set<instance_id>(listed->begin(), listed->end());
-            for (const auto& [pool, runner] : runners_)
-                runner->set_leaving(leaving_);
-            std::set<entry_id> entries;
-            for (const auto& id : leaving_)
-                entries.emplace(id.get());
-            peers_.set_leaving(std::move(entries));
-        }
-        co_await node_.sleep(leaving_interval);
-    }
+    for (const auto& [pool, runner] : runners_)
+        runner->set_leaving(leaving);
+    std::set<entry_id> entries;
+    for (const auto& id : leaving)
+        entries.emplace(id.get());
+    peers_.set_leaving(std::move(entries));
 }
 
 std::optional<pool_summary> entry_node::summarize(const pool_id& pool) const
@@ -298,6 +290,8 @@
         if (it.waiting + it.running + it.granted > 0)
             out.teams.push_back(std::move(it));
     }
+    if (is_local)
+        leaving_.describe(out);
     return out;
 }
 
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -6,6 +6,7 @@
 #include "main/grant_keeper.hpp"
 #include "main/janitor.hpp"
 #include "main/job_keeper.hpp"
+#include "main/leaving_watch.hpp"
 #include "main/maintenance_keeper.hpp"
 #include "main/node_context.hpp"
 #include "main/operator_api.hpp"
@@ -51,7 +52,7 @@
     work_item make_item(
         const peer_forward& request, const queue_record& queue) const;
     asio::awaitable<void> ownership_loop();
-    asio::awaitable<void> leaving_loop();
+    void apply_leaving(const std::set<instance_id>& leaving);
     void update_runners();
     void report_failure(const instance_id& instance);
     asio::awaitable<void> append_failure(instance_id instance);
@@ -79,7 +80,7 @@
     caller_api caller_api_;
     std::unique_ptr<http_server> http_;
     std::map<pool_id, std::shared_ptr<pool_runner>> runners_;
-    std::set<instance_id> leaving_;
+    leaving_watch leaving_;
     std::set<instance_id> reporting_; ///< Failures that are being appended.
 };
 
--- a/main/peer_network.cpp
+++ b/main/peer_network.cpp
@@ -73,6 +73,8 @@
             node_.admission->on_session_ended(session);
     std::erase_if(
         peers_, [&](const auto& it) { return !sessions.contains(it.first); });
+    summaries_.erase_if(
+        [&](session_id session) { return !sessions.contains(session); });
     for (const auto& [session, row] : sessions)
     {
         if (session == node_.session || peers_.contains(session))
@@ -134,7 +136,7 @@
     to->is_exchanging = true;
     auto asked = get_now();
     bool was_sent = false;
-    peer_body body = make_summary_(is_local(session));
+    peer_body body = make_summary_for(session);
     auto reply =
         co_await to->client->call(std::move(body), call_timeout, was_sent);
     to->is_exchanging = false;
@@ -146,6 +148,9 @@
     if (summary.session != session)
         co_return;
     accept_summary(summary);
+    const peer_summary* held = summaries_.find(session);
+    if (held != nullptr && held->list_age)
+        to->list_as_of = asked - *held->list_age;
     if (summary.freshness_age)
         node_.freshness.note_peer(
             asked, *summary.freshness_age, summary.version);
@@ -175,7 +180,7 @@
     auto it = peers_.find(summary.session);
     if (it == peers_.end())
         return;
-    it->second->summary = summary;
+    summaries_.accept(summary);
     members_->note_heard(summary.session, get_now());
     auto own = node_.state.get_sessions().find(node_.session);
     bool has_own_session = own != node_.state.get_sessions().end() &&
@@ -194,7 +199,7 @@
     {
         const auto& summary = std::get<peer_summary>(body);
         accept_summary(summary);
-        co_return peer_body(make_summary_(is_local(summary.session)));
+        co_return peer_body(make_summary_for(summary.session));
     }
     if (std::holds_alternative<peer_query>(body))
     {
@@ -233,7 +238,7 @@
                 [this, session, round]() -> asio::awaitable<void>
                 {
                     bool was_sent = false;
-                    peer_body body = make_summary_(true);
+                    peer_body body = make_summary_for(session);
                     auto reply = co_await call(
                         session, std::move(body), call_timeout, was_sent);
                     if (!reply || !std::holds_alternative<peer_summary>(*reply))
@@ -295,21 +300,38 @@
     return choose_pool_owner(pool, get_live(data_centre));
 }
 
-const peer_summary* peer_network::find_summary(session_id session) const
+peer_summary peer_network::make_summary_for(session_id reader)
 {
-    auto it = peers_.find(session);
-    if (it == peers_.end() || !it->second->summary)
-        return nullptr;
-    return &*it->second->summary;
+    bool is_near = is_local(reader);
+    peer_summary out = make_summary_(is_near);
+    summaries_.prepare(reader, is_near, out);
+    return out;
 }
 
-std::vector<peer_summary> peer_network::get_summaries() const
+std::optional<listed_leaving> peer_network::find_newest_list() const
 {
-    std::vector<peer_summary> out;
+    std::optional<listed_leaving> out;
     for (const auto& [session, it] : peers_)
-        if (it->summary)
-            out.push_back(*it->summary);
+    {
+        const peer_summary* summary = summaries_.find(session);
+        bool is_usable = it->list_as_of && summary != nullptr &&
+                         summary->list_age && is_local(session);
+        if (!is_usable || (out && it->list_as_of <= out->as_of))
+            continue;
+        out = listed_leaving{
+            *it->list_as_of, summary->list_tag, summary->leaving};
+    }
     return out;
 }
 
+const peer_summary* peer_network::find_summary(session_id session) const
+{
+    return summaries_.find(session);
+}
+
+std::vector<peer_summary> peer_network::get_summaries() const
+{
+    return summaries_.list();
+}
+
 } // namespace cowslippass
--- a/main/peer_network.hpp
+++ b/main/peer_network.hpp
@@ -2,6 +2,7 @@
 
 #include "main/fleet_sync.hpp"
 #include "main/node_context.hpp"
+#include "main/summary_exchange.hpp"
 #include "systems/membership.hpp"
 
 #include <map>
@@ -10,6 +11,14 @@
 namespace cowslippass
 {
 
+/// What is known of the platform's instance list.
+struct listed_leaving
+{
+    monotonic_time as_of; ///< The list held at this time or later.
+    std::string tag;      ///< ETag of the list.
+    std::vector<instance_id> leaving;
+};
+
 /// Links to the other live sessions: summaries, freshness through peers, the
 /// outage agreement, and calls for the other parts.
 class peer_network
@@ -56,6 +65,9 @@
     /// @param entries that the platform's instance list names as leaving.
     void set_leaving(std::set<entry_id> entries);
 
+    /// @return the newest knowledge of the instance list among local peers.
+    std::optional<listed_leaving> find_newest_list() const;
+
     /// @return newest summaries of all live sessions, this one excluded.
     std::vector<peer_summary> get_summaries() const;
 
@@ -63,7 +75,8 @@
     struct peer
     {
         std::unique_ptr<peer_client> client;
-        std::optional<peer_summary> summary;
+        /// Of the instance list in the peer's newest summary.
+        std::optional<monotonic_time> list_as_of;
         bool is_exchanging = false;
     };
 
@@ -72,6 +85,8 @@
     asio::awaitable<void> exchange(session_id session);
     asio::awaitable<void> agreement_loop();
     asio::awaitable<void> fetch_entries(session_id session);
+    /// @return the own summary as this peer needs it.
+    peer_summary make_summary_for(session_id reader);
     void accept_summary(const peer_summary& summary);
     void update_peers();
     bool is_local(session_id session) const;
@@ -84,6 +99,7 @@
     request_handler handle_;
     std::unique_ptr<peer_server> server_;
     std::map<session_id, std::shared_ptr<peer>> peers_;
+    summary_exchange summaries_;
     std::optional<membership> members_; ///< Set once there is a session.
     bool is_fetching_ = false;
     std::uint64_t tick_ = 0;
--- a/main/pool_runner_targets.cpp
+++ b/main/pool_runner_targets.cpp
@@ -1,5 +1,7 @@
 #include "main/pool_runner.hpp"
 
+#include <utility>
+
 // The targets of a pool: their descriptions, health and silence.
 
 namespace cowslippass
@@ -185,10 +187,16 @@
     auto it = targets_.find(id);
     if (it == targets_.end())
         return;
-    if (it->second.is_answering)
+    if (std::exchange(it->second.is_answering, false))
+    {
         write_log(log_level::warn, "pool_runner", "a target does not answer",
             {{"target", id}, {"pool", pool_}});
-    it->second.is_answering = false;
+        // Targets of a rack or behind a switch fail together; idle ones would
+        // be noticed one by one, each by a task that waits for it.
+        for (const auto& [other, entry] : targets_)
+            if (entry.is_answering)
+                entry.link->sync_soon();
+    }
     health_.on_silent(id, get_now());
     update_description(it->second);
     if (is_owned_ && silence > failed_after)
--- a/main/target_link.hpp
+++ b/main/target_link.hpp
@@ -37,6 +37,9 @@
     void add_task(const task_id& id);
     void remove_task(const task_id& id);
 
+    /// Ends the pause before the next sync.
+    void sync_soon();
+
     bool has_tasks() const { return !tasks_.empty(); }
 
     const instance_id& get_id() const { return id_; }
@@ -51,6 +54,10 @@
 private:
     asio::awaitable<void> sync_loop();
     asio::awaitable<bool> sync_once();
+    /// @return time since the target's last answer of any kind.
+    milliseconds get_silence() const;
+    /// @return time until the next sync.
+    milliseconds get_pause(bool is_answered) const;
 
     node_context& node_;
     instance_id id_;
@@ -58,7 +65,8 @@
     observer observer_;
     std::set<task_id> tasks_;
     asio::steady_timer idle_timer_;
-    monotonic_time last_answer_;
+    monotonic_time last_answer_;  ///< To a sync.
+    monotonic_time active_until_; ///< Counts as idle afterwards.
     bool renewed_ = false; ///< The last sync renewed leases.
     bool is_stopped_ = false;
 };
--- a/tests/integration/planned_stop_test.cpp
+++ b/tests/integration/planned_stop_test.cpp
@@ -76,6 +76,35 @@
     EXPECT_GT(other, listed + few_seconds_ms);
 }
 
+// Guards against entries that wait for news of the instance list from an entry
+// that has died (I9). One of the two entries reads it for both.
+TEST(leaving_targets, are_known_after_the_death_of_either_entry)
+{
+    constexpr std::int64_t few_seconds_ms = 4'000;
+    for (std::size_t survivor : {0, 1})
+    {
+        test_fleet fleet(make_options());
+        // The survivor has to learn of the list from the other one first.
+        fleet.get_cluster().publish_instances();
+        std::this_thread::sleep_for(milliseconds(3'000));
+        fleet.get_cluster().get_entries()[1 - survivor].process->kill(SIGKILL);
+        caller_load load(fleet, caller_request{}, 4, {survivor});
+        fleet.get_cluster().publish_instances({"target-1-pool-1-1"});
+        std::int64_t listed = get_unix_ms();
+        std::this_thread::sleep_for(milliseconds(few_seconds_ms + 4'000));
+        load.stop();
+        std::int64_t other = 0;
+        for (const auto& it : list_starts(fleet))
+        {
+            if (it.target != "target-1-pool-1-1")
+                other = it.started_ms;
+            else
+                EXPECT_LE(it.started_ms, listed + few_seconds_ms);
+        }
+        EXPECT_GT(other, listed + few_seconds_ms);
+    }
+}
+
 // Guards against requests that are cut by a planned stop of the entry that
 // owns the pool (I10).
 TEST(planned_stop, of_the_owner_cuts_no_request)
--- a/tests/integration/whole_answers_test.cpp
+++ b/tests/integration/whole_answers_test.cpp
@@ -89,4 +89,28 @@
     expect_whole_answers(fleet);
 }
 
+// Guards against work that is lost or held up by a target that went silent
+// while it was idle and seldom asked: nothing was sent to it, so that also
+// non-idempotent work runs elsewhere.
+TEST(whole_answers, work_for_a_target_that_froze_while_idle_runs_elsewhere)
+{
+    cluster_options options;
+    options.targets_per_pool = 2;
+    test_fleet fleet(options);
+    fleet.wait_until_serving();
+    std::this_thread::sleep_for(milliseconds(5'000));
+    auto& frozen = fleet.get_cluster().get_targets().front();
+    set_control(frozen.get_direct_endpoint(), {{"freeze_ms", 60'000}});
+    for (const char* queue : {"once", "urgent"})
+        for (std::size_t i = 0; i < 4; ++i)
+        {
+            caller_request request;
+            request.queue = queue;
+            request.request_id = queue + std::to_string(i);
+            caller_answer answer = fleet.post(request);
+            EXPECT_EQ(answer.status, 200u) << answer.body;
+            EXPECT_EQ(fleet.count_runs(request.request_id), 1u);
+        }
+}
+
 } // namespace cowslippass
--- a/tests/stand_ins/target_service.cpp
+++ b/tests/stand_ins/target_service.cpp
@@ -225,10 +225,12 @@
 asio::awaitable<http_response> target_service::sync(const http_request& request)
 {
     json body = json::parse(request.body);
-    auto owner = body.at("owner").get<std::string>();
-    milliseconds lease(body.at("lease_ms").get<std::int64_t>());
+    auto owner = body.value("owner", std::string());
     milliseconds wait(body.value("wait_ms", std::int64_t{0}));
     auto ids = body.value("renew", std::vector<std::string>());
+    milliseconds lease(0);
+    if (!ids.empty())
+        lease = milliseconds(body.at("lease_ms").get<std::int64_t>());
     auto now = std::chrono::steady_clock::now();
     for (const auto& id : ids)
     {
@@ -267,9 +269,13 @@
         states.push_back({{"id", id},
             {"state", it == tasks_.end() ? "unknown" : it->second.state}});
     }
-    co_return make_json(
-        200, {{"slots", options_.slots},
-                 {"free_slots", options_.slots - running_}, {"tasks", states}});
+    json answer{
+        {"slots", options_.slots}, {"free_slots", options_.slots - running_}};
+    if (!states.empty())
+        answer["tasks"] = std::move(states);
+    // Without a content type: the answer to an idle sync is the most frequent
+    // message of a fleet.
+    co_return http_response{200, {}, answer.dump()};
 }
 
 bool target_service::has_ended_task(const std::vector<std::string>& ids) const
