--- a/bench/tables.cpp
+++ b/bench/tables.cpp
@@ -168,10 +168,11 @@
 void write_introduction(std::ostream& out)
 {
     out << "# Measurements\n\n"
-           "`scripts/measure.sh` rewrites this page from fixed seeds. Time is "
-           "simulated; no\nfigure depends on the speed of the machine. Work "
-           "and idle slots are in percent\nof the slot time of the targets "
-           "that were up.\n\n"
+           "`scripts/measure_placement.sh` rewrites this page from fixed "
+           "seeds. "
+           "Time is\nsimulated; no figure depends on the speed of the machine. "
+           "Work and idle slots\nare in percent of the slot time of the "
+           "targets that were up.\n\n"
            "Load of each (data centre, pool): urgent work fills 30 % of the "
            "slots on average\n(mean run 0.5 s), in bursts of 4 s at five "
            "times the mean, 150 % of the pool, one\nqueue after the other, "
--- a/scripts/measure_placement.sh
+++ b/scripts/measure_placement.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs every measurement from fixed seeds and rewrites docs/measurements.md.
+# Measures placement and shares from fixed seeds and rewrites
+# docs/measurements.md. With `quick` it leaves out the design size.
 # The benchmarks at its end depend on the machine; nothing is judged by them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
