Bound the bytes of waiting work of an entry, fairly between teams

Cause: only the tasks of each team, lane and pool were bounded, so that 72 teams could hold 216,000 waiting tasks and any size of payloads in one pool.

Refused slow jobs stay queued rows and are tried again after 10 s. The metrics cowslippass_waiting_bytes and cowslippass_waiting_refusals_total tell. The comment in placement_policy counted two lanes instead of three. The capacity windows of entries begin after the grants of the setup have been returned, as their return changes summaries.

--- a/bench/capacity/capacity_main.cpp
+++ b/bench/capacity/capacity_main.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds window_length{8'000};
 /// Time for the connections and leases of a new cluster to settle.
 constexpr milliseconds settling_time{5'000};
+/// Before the first window the grants of the requests that the cluster was
+/// set up with are returned, which takes about 10 s and changes summaries.
+constexpr milliseconds return_time{10'000};
 constexpr std::size_t design_teams = 72;
 constexpr std::size_t design_pools = 36;
 constexpr std::size_t loaded_entries = 2;
@@ -67,6 +70,7 @@
     {
         test_fleet fleet(make_options(n, 4));
         add_teams_and_pools(fleet);
+        std::this_thread::sleep_for(return_time);
         all.entries.push_back(
             measure(fleet, "(a) " + std::to_string(n) + " entries", double(n)));
     }
@@ -74,6 +78,7 @@
     options.data_centres = 4;
     test_fleet fleet(options);
     add_teams_and_pools(fleet);
+    std::this_thread::sleep_for(return_time);
     all.data_centres =
         measure(fleet, "(a) 4 data centres of 2 entries and 1 target", 8);
 }
@@ -148,8 +153,8 @@
     constexpr std::size_t n = 4'300;
     test_fleet fleet(make_options(list_entries, 1));
     publish_far(fleet, n);
-    std::string size = std::to_string(list_entries) + " entries, list of " +
-                       std::to_string(n);
+    std::string size =
+        std::to_string(list_entries) + " entries, list of " + std::to_string(n);
     all.still_list = measure(fleet, "(f) " + size, double(n));
     auto change = [&]
     {
--- a/bench/capacity/report.cpp
+++ b/bench/capacity/report.cpp
@@ -33,7 +33,7 @@
 
 __attribute__((format(printf, 1, 2))) std::string print(const char* format, ...)
 {
-    char buf[512];
+    char buf[1024];
     va_list arguments;
     va_start(arguments, format);
     std::vsnprintf(buf, sizeof(buf), format, arguments);
@@ -224,8 +224,8 @@
     auto row = [&](const char* name, double (*get)(const window_rates&))
     {
         entry_cost it = solve(all.entries, get);
-        out << print("| %s | %.4g | %.4g | %.4g | %.4g | %.4g | %.4g |\n",
-            name, it.base, it.peer, it.pools, it.get(1, 2),
+        out << print("| %s | %.4g | %.4g | %.4g | %.4g | %.4g | %.4g |\n", name,
+            it.base, it.peer, it.pools, it.get(1, 2),
             get(all.data_centres.rates), solve_partner(all, get));
     };
     row("core %", get_cpu);
@@ -283,9 +283,9 @@
         double state = fit(all.instances, get).slope * design_instances;
         double list = (get(listed) - get(unlisted)) * listed_factor;
         // Of the whole data centre for each change, spread over its entries.
-        double read = (get(all.changing_list.rates) -
-                          get(all.still_list.rates)) *
-                      double(all.still_list.rates.entries) / list_changes;
+        double read =
+            (get(all.changing_list.rates) - get(all.still_list.rates)) *
+            double(all.still_list.rates.entries) / list_changes;
         if (counts_changes)
             list += read * design_list_changes / n;
         double change = (get(changed) - get(unlisted)) / changes;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -58,6 +58,12 @@
       leaving_(node_, peers_,
           [this](const std::set<instance_id>& it) { apply_leaving(it); })
 {
+    node_.refuse_waiting = [this](const task_id& id)
+    {
+        for (const auto& [pool, runner] : runners_)
+            if (runner->refuse_waiting(id))
+                return;
+    };
     peers_.listen([this](bool is_local) { return make_summary(is_local); },
         [this](peer_body body) { return handle_peer(std::move(body)); });
     http_server_options options;
@@ -316,7 +322,7 @@
 }
 
 work_item entry_node::make_item(
-    const peer_forward& request, const queue_record& queue) const
+    peer_forward request, const queue_record& queue) const
 {
     work_item out;
     out.task.team = request.team;
@@ -328,7 +334,8 @@
     out.answer_deadline = out.task.deadline;
     out.request = request.request;
     out.queue = request.queue;
-    out.payload = request.payload;
+    // Moved, as each copy of the payload stays while the work waits.
+    out.payload = std::move(request.payload);
     out.run_ms = request.run_ms;
     out.is_first_attempt = request.is_first_attempt;
     out.max_starts = queue.is_idempotent ? max_idempotent_starts : 1;
@@ -352,7 +359,7 @@
     if (!node_.state.is_in_service(config_.data_centre))
         co_return make_failure(503, "no_target",
             "the data centre is out of service", run_answer::no);
-    work_item item = make_item(request, queue);
+    work_item item = make_item(std::move(request), queue);
     if (queue.is_idempotent)
         co_return co_await runner->run(std::move(item));
     co_return co_await claims_.run(runner, std::move(item));
@@ -371,6 +378,8 @@
 {
     node_.metrics.set("cowslippass_config_version",
         static_cast<double>(node_.state.get_version().get()));
+    node_.metrics.set("cowslippass_waiting_bytes",
+        static_cast<double>(node_.waiting.get_bytes().get()));
     auto age = node_.get_freshness_age();
     if (age)
         node_.metrics.set("cowslippass_freshness_age_seconds",
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -49,8 +49,7 @@
     asio::awaitable<std::optional<peer_body>> handle_peer(peer_body body);
 
     asio::awaitable<work_result> run_local(peer_forward request);
-    work_item make_item(
-        const peer_forward& request, const queue_record& queue) const;
+    work_item make_item(peer_forward request, const queue_record& queue) const;
     asio::awaitable<void> ownership_loop();
     void apply_leaving(const std::set<instance_id>& leaving);
     void update_runners();
--- a/main/job_keeper_runs.cpp
+++ b/main/job_keeper_runs.cpp
@@ -13,6 +13,9 @@
 constexpr milliseconds scan_interval{1'000};
 /// Jobs of one pool that wait or run here at once; the others stay rows.
 constexpr std::size_t max_active_jobs = 1'000;
+/// Time until a job is tried again that found no room in the entry; each try
+/// reads its payload.
+constexpr milliseconds full_pause{10'000};
 /// A result that cannot be recorded for this long is left to be found on the
 /// target by whoever takes over.
 constexpr milliseconds commit_time_limit{300'000};
@@ -229,7 +232,10 @@
         work_item item = make_item(job.value, std::move(*payload));
         item.prepare_start = make_prepare(held);
         auto result = co_await runner->run(std::move(item));
+        bool is_full = result.code == waiting_full_code;
         co_await settle(held, std::move(result));
+        if (is_full)
+            co_await node_.sleep(full_pause);
     }
     active_.erase(job.value.order.id);
 }
@@ -279,6 +285,10 @@
     // The row was changed by somebody else, who decides what comes next.
     if (result.code == "cancelled" || result.code == "job_not_claimed")
         co_return;
+    // Nothing has changed for a job that only waited.
+    if (result.code == waiting_full_code &&
+        held->value.state == job_state::queued)
+        co_return;
     auto change = choose_end(*held, result);
     bool is_committed = co_await commit(held, std::move(change));
     log_.write(get_name(held->value.state), result.code,
--- a/main/node_context.cpp
+++ b/main/node_context.cpp
@@ -12,7 +12,7 @@
     asio::io_context& context, const settings& options, table_client& platform)
     : io(context), config(options), table(platform),
       metrics(get_entry_metrics()), freshness(options.freshness_limit),
-      nonce(make_random_hex(16))
+      nonce(make_random_hex(16)), waiting(byte_count(options.max_waiting_bytes))
 {
 }
 
--- a/main/node_context.hpp
+++ b/main/node_context.hpp
@@ -6,6 +6,7 @@
 #include "systems/freshness.hpp"
 #include "systems/session_admission.hpp"
 #include "systems/systems.hpp"
+#include "systems/waiting_budget.hpp"
 
 #include <functional>
 #include <string>
@@ -53,6 +54,9 @@
     /// An append of this entry may still commit without its knowledge.
     bool has_unresolved_change = false;
     std::vector<std::function<void()>> listeners;
+    waiting_budget waiting; ///< Over all pools of this entry.
+    /// Sends back a waiting task that gives way to others, in whatever pool.
+    std::function<void(const task_id&)> refuse_waiting;
 };
 
 /// @return the local monotonic time.
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -80,6 +80,11 @@
         log_decision(*refusal, active);
         finish(active, to_refusal(*refusal));
     }
+    else if (!take_room(active))
+    {
+        placement_.cancel_task(active->item.task.id);
+        finish_without_room(active);
+    }
     kick();
     active->done.expires_at(active->item.answer_deadline);
     boost::system::error_code ec;
@@ -236,6 +241,7 @@
     switch (decision.action)
     {
     case placement_action::start:
+        node_.waiting.remove(active->item.task.id);
         active->is_on_target = true;
         active->target = decision.target;
         node_.metrics.observe(decision.kind == queue_kind::urgent
@@ -278,9 +284,57 @@
     active_[active->item.task.id] = active;
     if (auto refusal = placement_.add_task(active->item.task))
         finish(active, to_refusal(*refusal));
+    else
+        note_waiting(active);
     kick();
 }
 
+void pool_runner::note_waiting(const active_ptr& active)
+{
+    const placement_task& task = active->item.task;
+    node_.waiting.add_again(task.id, task.team,
+        byte_count(active->item.payload.size()), task.kind == queue_kind::slow);
+}
+
+bool pool_runner::take_room(const active_ptr& active)
+{
+    const placement_task& task = active->item.task;
+    auto victims = node_.waiting.add(task.id, task.team,
+        byte_count(active->item.payload.size()), task.kind == queue_kind::slow);
+    if (!victims)
+        return false;
+    for (const auto& it : *victims)
+        node_.refuse_waiting(it);
+    return true;
+}
+
+bool pool_runner::refuse_waiting(const task_id& id)
+{
+    active_ptr active = find(id);
+    bool is_waiting = active && !active->is_on_target && !active->result;
+    if (!is_waiting ||
+        placement_.cancel_task(id) != placement_system::cancel_outcome::not_run)
+        return false;
+    finish_without_room(active);
+    return true;
+}
+
+void pool_runner::finish_without_room(const active_ptr& active)
+{
+    const team_id& team = active->item.task.team;
+    node_.metrics.add(
+        "cowslippass_waiting_refusals_total", {{"team", team.get()}});
+    log_.write("refuse", waiting_full_code,
+        {{"request", active->item.request}, {"task", active->item.task.id},
+            {"team", team}, {"queue", active->item.queue}, {"pool", pool_},
+            {"team_bytes", node_.waiting.get_bytes(team).get()},
+            {"bytes", node_.waiting.get_bytes().get()}});
+    finish(active, make_failure(429, waiting_full_code,
+                       "too much work waits in the entry, and the team has "
+                       "more than its part of it",
+                       run_answer::no));
+}
+
 void pool_runner::finish(const active_ptr& active, work_result result)
 {
     if (active->result)
@@ -288,6 +342,7 @@
     // A refused retry says nothing about the starts before it.
     if (result.run == run_answer::no && active->may_have_run)
         result.run = run_answer::unknown;
+    node_.waiting.remove(active->item.task.id);
     active->result = std::move(result);
     health_.forget_task(get_work_id(*active));
     node_.spawn("pool_runner",
--- a/main/pool_runner.hpp
+++ b/main/pool_runner.hpp
@@ -60,6 +60,10 @@
     /// @return whether an item with this id was found.
     bool cancel(const request_id& request);
 
+    /// Sends back a waiting task, as too much waits in the entry.
+    /// @return whether the task waits here.
+    bool refuse_waiting(const task_id& id);
+
     /// Work that waits is sent back with `owner_changed` when ownership ends.
     void set_owned(bool is_owned);
 
@@ -159,6 +163,12 @@
     /// Queues an idempotent item again, or ends it with `otherwise`.
     void retry_or_finish(const active_ptr& active, work_result otherwise);
     void finish(const active_ptr& active, work_result result);
+    /// @return whether the entry has room for the new item; others may have
+    ///   been sent back for it.
+    bool take_room(const active_ptr& active);
+    void finish_without_room(const active_ptr& active);
+    /// Counts an accepted item that waits again.
+    void note_waiting(const active_ptr& active);
 
     void handle_answer(const instance_id& id, const sync_result& answer);
     void handle_silence(const instance_id& id, milliseconds silence);
--- a/main/pool_runner_tasks.cpp
+++ b/main/pool_runner_tasks.cpp
@@ -109,6 +109,7 @@
     node_.metrics.add(
         "cowslippass_starts_refused_total", {{"reason", to_string(reason)}});
     placement_.on_start_refused(active->item.task.id, reason, get_now());
+    note_waiting(active);
     // While starts are not allowed the task waits for its deadline.
     if (!is_owned_ && placement_.cancel_task(active->item.task.id) ==
                           placement_system::cancel_outcome::not_run)
--- a/main/target_link.hpp
+++ b/main/target_link.hpp
@@ -67,7 +67,7 @@
     asio::steady_timer idle_timer_;
     monotonic_time last_answer_;  ///< To a sync.
     monotonic_time active_until_; ///< Counts as idle afterwards.
-    bool renewed_ = false; ///< The last sync renewed leases.
+    bool renewed_ = false;        ///< The last sync renewed leases.
     bool is_stopped_ = false;
 };
 
--- a/main/work_item.hpp
+++ b/main/work_item.hpp
@@ -21,6 +21,9 @@
 
 std::string get_name(run_answer run);
 
+/// Code of work that is sent back as too much waits in the entry.
+constexpr const char* waiting_full_code = "waiting_full";
+
 /// How a piece of work ended.
 struct work_result
 {
--- a/systems/placement_policy.hpp
+++ b/systems/placement_policy.hpp
@@ -35,8 +35,9 @@
     /// other slow work waits and no team is owed. It outlives preemptions and
     /// would otherwise pile up and leave less for bursts of urgent work.
     double fixed_part = 0.0625;
-    /// Tasks of a team that may wait, for each kind; about 300 bytes each.
-    /// With 72 teams a pool then holds at most 43 MB.
+    /// Tasks of a team that may wait in this pool, for each of the three
+    /// lanes. The memory of all waiting work is bounded by `waiting_budget`:
+    /// 72 teams at this bound would hold 216,000 tasks of about 300 bytes.
     std::uint32_t max_waiting = 1'000;
     /// A victim stays throttled for so long before its checkpoint begins. A
     /// throttled task makes no progress in its slot, so a longer time costs
--- a/systems/team_grants.hpp
+++ b/systems/team_grants.hpp
@@ -62,7 +62,7 @@
     std::vector<open_transfer> open;
     std::optional<row_version> conflicted_at;
     row_version conflicted_head; ///< Head row of that growth.
-    unsigned conflicts = 0; ///< In a row.
+    unsigned conflicts = 0;      ///< In a row.
     milliseconds backoff{0};
     bool needs_read = true;
     bool is_reading = false;
--- a/tests/integration/limits_test.cpp
+++ b/tests/integration/limits_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <future>
 
 namespace cowslippass
 {
@@ -107,4 +108,64 @@
     }
 }
 
+// Guards against waiting work that fills an entry's memory, against a team that
+// keeps others out with it, and against a refusal that is not the truth.
+TEST(limits, waiting_work_beyond_the_bound_is_refused_fairly)
+{
+    cluster_options options;
+    options.entry_settings["max_waiting_bytes"] = "65536";
+    test_fleet fleet(options);
+    fleet.wait_until_serving();
+    std::vector<std::future<caller_answer>> answers;
+    auto send = [&](const std::string& id, caller_request request)
+    {
+        request.request_id = id;
+        answers.push_back(std::async(std::launch::async,
+            [&fleet, request] { return fleet.post(request); }));
+    };
+    caller_request filler;
+    filler.run_ms = "8000";
+    for (int i = 0; i < 8; ++i)
+        send("filler-" + std::to_string(i), filler);
+    ASSERT_TRUE(wait_until(
+        [&] { return fleet.count_running() == 8; }, milliseconds(20'000)));
+    caller_request large;
+    large.queue = "once";
+    large.payload = std::string(20'000, 'x');
+    auto count_refused = [&]
+    {
+        std::string text = fleet.ask("GET", "/metrics").body;
+        std::string name = "cowslippass_waiting_refusals_total{team=\"red\"} ";
+        auto at = text.find(name);
+        return at == std::string::npos
+                   ? 0
+                   : std::stoi(text.substr(at + name.size()));
+    };
+    // Three of them fit.
+    for (int i = 0; i < 6; ++i)
+        send("red-" + std::to_string(i), large);
+    ASSERT_TRUE(
+        wait_until([&] { return count_refused() == 3; }, milliseconds(20'000)));
+    // One more of the same team gives way to it.
+    large.key = "blue";
+    send("blue", large);
+    std::size_t refused = 0;
+    for (auto& it : answers)
+    {
+        caller_answer answer = it.get();
+        if (answer.is_ok())
+            continue;
+        ++refused;
+        EXPECT_EQ(answer.status, 429u);
+        EXPECT_EQ(answer.code, "waiting_full");
+        EXPECT_EQ(answer.run, "no");
+    }
+    EXPECT_EQ(refused, 4u);
+    EXPECT_EQ(fleet.count_runs("blue"), 1u);
+    std::uint64_t runs = 0;
+    for (int i = 0; i < 6; ++i)
+        runs += fleet.count_runs("red-" + std::to_string(i));
+    EXPECT_EQ(runs, 2u);
+}
+
 } // namespace cowslippass
--- a/tests/main/summary_exchange_test.cpp
+++ b/tests/main/summary_exchange_test.cpp
@@ -66,8 +66,8 @@
     {
         side& from = sides[step & 1];
         from.waiting = (step >> 1) % 4;
-        exchange(from, sides[1 - (step & 1)], (step & 8) != 0,
-            (step & 48) == 48);
+        exchange(
+            from, sides[1 - (step & 1)], (step & 8) != 0, (step & 48) == 48);
     }
     for (int i = 0; i < 2; ++i)
         exchange(sides[0], sides[1], false, false);
