--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -13,7 +13,6 @@
 {
 
 constexpr milliseconds ownership_interval{200};
-constexpr milliseconds leaving_interval{2'000};
 constexpr milliseconds drain_poll_interval{50};
 /// Most starts of one idempotent request.
 constexpr std::uint32_t max_idempotent_starts = 4;
@@ -58,7 +57,9 @@
               [this](team_id team, job_id id)
               { return jobs_.fetch_result(team, id); },
               [this](team_id team, job_id id)
-              { return jobs_.cancel(team, id); }})
+              { return jobs_.cancel(team, id); }}),
+      leaving_(node_, peers_,
+          [this](const std::set<instance_id>& it) { apply_leaving(it); })
 {
     table_.set_observer(
         [this](const std::string& operation, double seconds, bool is_failed)
@@ -70,6 +71,12 @@
                 node_.metrics.add(
                     "cowslippass_platform_failures_total", labels);
         });
+    node_.refuse_waiting = [this](const task_id& id)
+    {
+        for (const auto& [pool, runner] : runners_)
+            if (runner->refuse_waiting(id))
+                return;
+    };
     peers_.listen([this](bool is_local) { return make_summary(is_local); },
         [this](peer_body body) { return handle_peer(std::move(body)); });
     http_server_options options;
@@ -156,7 +163,7 @@
     node_.listeners.push_back([this] { watch_session(); });
     update_runners();
     node_.spawn("entry_node", [this] { return ownership_loop(); });
-    node_.spawn("entry_node", [this] { return leaving_loop(); });
+    leaving_.start();
 }
 
 std::shared_ptr<pool_runner> entry_node::find_runner(const pool_id& pool) const
@@ -175,7 +182,7 @@
             [this](const team_id& team) { grants_.give_back(team); },
             [this] { grants_.kick(); }},
         [this](const instance_id& instance) { report_failure(instance); });
-    runner->set_leaving(leaving_);
+    runner->set_leaving(leaving_.get_leaving());
     runner->update_targets();
     runner->start();
     return runner;
@@ -250,23 +257,14 @@
     }
 }
 
-asio::awaitable<void> entry_node::leaving_loop()
+void entry_node::apply_leaving(const std::set<instance_id>& leaving)
 {
-    while (true)
-    {
-        auto listed = co_await table_.list_leaving();
-        if (listed)
-        {
-            leaving_ = std::set<instance_id>(listed->begin(), listed->end());
-            for (const auto& [pool, runner] : runners_)
-                runner->set_leaving(leaving_);
-            std::set<entry_id> entries;
-            for (const auto& id : leaving_)
-                entries.emplace(id.get());
-            peers_.set_leaving(std::move(entries));
-        }
-        co_await node_.sleep(leaving_interval);
-    }
+    for (const auto& [pool, runner] : runners_)
+        runner->set_leaving(leaving);
+    std::set<entry_id> entries;
+    for (const auto& id : leaving)
+        entries.emplace(id.get());
+    peers_.set_leaving(std::move(entries));
 }
 
 std::optional<pool_summary> entry_node::summarize(const pool_id& pool) const
@@ -336,6 +334,8 @@
         if (it.waiting + it.running + it.granted > 0)
             out.teams.push_back(std::move(it));
     }
+    if (is_local)
+        leaving_.describe(out);
     return out;
 }
 
@@ -360,7 +360,7 @@
 }
 
 work_item entry_node::make_item(
-    const peer_forward& request, const queue_record& queue) const
+    peer_forward request, const queue_record& queue) const
 {
     work_item out;
     out.task.team = request.team;
@@ -372,7 +372,8 @@
     out.answer_deadline = out.task.deadline;
     out.request = request.request;
     out.queue = request.queue;
-    out.payload = request.payload;
+    // Moved, as each copy of the payload stays while the work waits.
+    out.payload = std::move(request.payload);
     out.run_ms = request.run_ms;
     out.is_first_attempt = request.is_first_attempt;
     out.max_starts = queue.is_idempotent ? max_idempotent_starts : 1;
@@ -396,7 +397,7 @@
     if (!node_.state.is_in_service(config_.data_centre))
         co_return make_failure(503, "no_target",
             "the data centre is out of service", run_answer::no);
-    work_item item = make_item(request, queue);
+    work_item item = make_item(std::move(request), queue);
     if (queue.is_idempotent)
         co_return co_await runner->run(std::move(item));
     co_return co_await claims_.run(runner, std::move(item));
@@ -415,6 +416,8 @@
 {
     node_.metrics.set("cowslippass_config_version",
         static_cast<double>(node_.state.get_version().get()));
+    node_.metrics.set("cowslippass_waiting_bytes",
+        static_cast<double>(node_.waiting.get_bytes().get()));
     auto age = node_.get_freshness_age();
     if (age)
         node_.metrics.set("cowslippass_freshness_age_seconds",
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -6,6 +6,7 @@
 #include "main/grant_keeper.hpp"
 #include "main/janitor.hpp"
 #include "main/job_keeper.hpp"
+#include "main/leaving_watch.hpp"
 #include "main/maintenance_keeper.hpp"
 #include "main/node_context.hpp"
 #include "main/operator_api.hpp"
@@ -54,10 +55,9 @@
     asio::awaitable<std::optional<peer_body>> handle_peer(peer_body body);
 
     asio::awaitable<work_result> run_local(peer_forward request);
-    work_item make_item(
-        const peer_forward& request, const queue_record& queue) const;
+    work_item make_item(peer_forward request, const queue_record& queue) const;
     asio::awaitable<void> ownership_loop();
-    asio::awaitable<void> leaving_loop();
+    void apply_leaving(const std::set<instance_id>& leaving);
     void update_runners();
     void report_failure(const instance_id& instance);
     asio::awaitable<void> append_failure(instance_id instance);
@@ -86,7 +86,7 @@
     std::unique_ptr<http_server> http_;
     std::map<pool_id, std::shared_ptr<pool_runner>> runners_;
     std::function<void()> on_session_ended_;
-    std::set<instance_id> leaving_;
+    leaving_watch leaving_;
     std::set<instance_id> reporting_; ///< Failures that are being appended.
 };
 
--- a/main/node_context.hpp
+++ b/main/node_context.hpp
@@ -7,6 +7,7 @@
 #include "systems/session_admission.hpp"
 #include "systems/start_policy.hpp"
 #include "systems/systems.hpp"
+#include "systems/waiting_budget.hpp"
 
 #include <functional>
 #include <string>
@@ -64,6 +65,9 @@
     /// Whether an entry of each other data centre is heard; set by
     /// `peer_network`.
     std::function<bool()> hears_data_centres = [] { return false; };
+    waiting_budget waiting; ///< Over all pools of this entry.
+    /// Sends back a waiting task that gives way to others, in whatever pool.
+    std::function<void(const task_id&)> refuse_waiting;
 
 private:
     start_view make_start_view() const;
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,17 +1,24 @@
 #!/usr/bin/env bash
-# Runs every measurement from fixed seeds and rewrites docs/measurements.md.
-# The benchmarks at its end depend on the machine; nothing is judged by them.
+# Runs every measurement in turn, or only those named as arguments. Each part
+# is a script of its own, scripts/measure_NAME.sh, and rewrites its page.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-build=${BUILD_DIR:-build}
-cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
-cmake --build "$build" --target measure bench -- -j"${BUILD_JOBS:-4}" > /dev/null
-"$build/bench/measure" "$@" > "$build/measurements.md"
-{
-    printf '\n## Speed and memory\n\n`build/bench/bench`, on the machine that '
-    printf 'wrote this page. The numbers after a\nname are targets and waiting '
-    printf 'tasks.\n\n```\n'
-    "$build/bench/bench" --benchmark_format=console 2> /dev/null
-    printf '```\n'
-} >> "$build/measurements.md"
-mv "$build/measurements.md" docs/measurements.md
+known=()
+for script in scripts/measure_*.sh; do
+    name=${script#scripts/measure_}
+    known+=("${name%.sh}")
+done
+if (($# == 0)); then
+    set -- "${known[@]}"
+fi
+# All names are checked first: a part may run for an hour.
+for name in "$@"; do
+    if [[ " ${known[*]} " != *" $name "* ]]; then
+        echo "measure.sh: no part '$name'; there are: ${known[*]}" >&2
+        exit 2
+    fi
+done
+for name in "$@"; do
+    echo "measure.sh: $name"
+    "scripts/measure_$name.sh"
+done
--- a/systems/systems.hpp
+++ b/systems/systems.hpp
@@ -45,3 +45,4 @@
 #include "systems/team_shares.hpp"
 #include "systems/timing.hpp"
 #include "systems/token_bucket.hpp"
+#include "systems/waiting_budget.hpp"
