Let urgent work use a reserved target when no other has room

Change: urgent work uses a reserved target after all others, and its slow tasks may be preempted. After 30 s of a reservation the former rule returns, so that a steady urgent load cannot keep the large task out.

The new test fails without the change.

--- a/systems/placement_policy.hpp
+++ b/systems/placement_policy.hpp
@@ -59,6 +59,10 @@
     /// than it helps.
     milliseconds reserve_after{30'000};
     bool reserves = true;
+    /// Urgent tasks may use a reserved target for so long, which is a few
+    /// bursts and the pauses between them. Without an end, a steady urgent
+    /// load could keep a large task out for ever.
+    milliseconds reservation_yields{30'000};
     /// No task is placed on a target for so long after it refused a start,
     /// unless it reports in the meantime.
     milliseconds refusal_pause{500};
--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -36,7 +36,7 @@
 
 placement_targets::placement_targets(const placement_policy& policy)
     : choice_(policy.choice), refusal_pause_(policy.refusal_pause),
-      random_(policy.seed)
+      reservation_yields_(policy.reservation_yields), random_(policy.seed)
 {
 }
 
@@ -161,6 +161,7 @@
         return false;
     best->reserved_for = &task;
     reserved_ = best;
+    reserved_at_ = now_;
     reindex(*best);
     return true;
 }
@@ -203,8 +204,7 @@
     const placement_target& target = row.target;
     if (row.is_removed || target.state != instance_state::in_service)
         return false;
-    if (target.health != target_health_state::sound ||
-        row.reserved_for != nullptr)
+    if (target.health != target_health_state::sound)
         return false;
     std::uint64_t used =
         row.memory_used - std::min(row.memory_used, victim_memory.get());
@@ -266,6 +266,7 @@
 
 void placement_targets::begin_tick(monotonic_time now)
 {
+    now_ = now;
     bool is_useless =
         reserved_ != nullptr &&
         (!is_usable(*reserved_) ||
@@ -302,8 +303,10 @@
         return false;
     bool is_for_other =
         row.reserved_for != nullptr && row.reserved_for != &task;
-    if (is_for_other &&
-        (task.kind == queue_kind::slow || !is_blocked_by_slow(row)))
+    if (is_for_other && task.kind == queue_kind::slow)
+        return false;
+    if (is_for_other && now_ - reserved_at_ >= reservation_yields_ &&
+        !is_blocked_by_slow(row))
         return false;
     bool is_avoided = std::find(task.avoid.begin(), task.avoid.end(),
                           row.target.id) != task.avoid.end();
@@ -371,8 +374,10 @@
     // A target on probation gets urgent work last, and slow work first, so
     // that it is tested on work that can wait for a retry.
     bool is_probation = row.target.health == target_health_state::probation;
+    std::uint32_t reserved_class = row.reserved_for != nullptr ? 1 : 0;
     std::uint32_t slots = row.target.slots.get();
-    return {is_probation ? 1 : 0, permille(row.rack->urgent, row.rack->slots),
+    return {is_probation ? 2 : reserved_class,
+        permille(row.rack->urgent, row.rack->slots),
         permille(slots - row.free, slots), row.number};
 }
 
--- a/systems/placement_targets.hpp
+++ b/systems/placement_targets.hpp
@@ -22,7 +22,8 @@
         std::uint32_t urgent = 0;
         std::vector<row*> rows;
     };
-    /// Probation, rack load, target load, number of the row.
+    /// Class, rack load, target load, number of the row. For urgent work a
+    /// sound target precedes a reserved one and that one on probation.
     using order_key =
         std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, std::uint32_t>;
     struct row
@@ -67,8 +68,9 @@
     bool is_too_large_now(const placement_task& task) const;
 
     /// Keeps the target with most free memory for a slow task until it starts
-    /// or `release` is called. Urgent tasks may still use the target while
-    /// other slow tasks block it anyway.
+    /// or `release` is called. Urgent tasks use the target only when no other
+    /// has room, as a burst must not wait for a large slow task. After
+    /// `reservation_yields` they use it only while slow tasks block it.
     /// @return false when there is a reservation or no target qualifies.
     bool reserve(const placement_task& task);
     void release(const placement_task& task);
@@ -109,6 +111,7 @@
     choice choose_random(const placement_task& task);
     bool is_fit(const row& row, const placement_task& task) const;
     bool is_usable(const row& row) const;
+    bool is_blocked_by_slow(const row& row) const;
     static std::uint64_t get_room(const row& row);
     std::uint32_t count_free_slots(const row& row) const;
     void close(row& row);
@@ -120,12 +123,12 @@
     void join_rack(row& row);
     /// Takes the row out of the index, its rack and the sums.
     void forget(row& row);
-    bool is_blocked_by_slow(const row& row) const;
     void drop_reservation();
     void erase_if_gone(row& row);
 
     target_choice choice_;
     milliseconds refusal_pause_;
+    milliseconds reservation_yields_;
     std::mt19937_64 random_;
     std::map<instance_id, row> rows_;
     std::map<rack_id, rack_row> racks_;
@@ -139,6 +142,8 @@
     std::multiset<std::uint64_t> urgent_room_;
     std::multiset<std::uint64_t> slow_room_;
     row* reserved_ = nullptr;
+    monotonic_time now_{}; ///< Of the last tick.
+    monotonic_time reserved_at_{};
     std::uint32_t next_number_ = 0;
     std::uint32_t free_ = 0;
     std::uint32_t usable_ = 0;
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -225,6 +225,50 @@
     EXPECT_TRUE(is_started);
 }
 
+// Guards against urgent work that waits in a burst beside the free slots of a
+// reserved target, and against a steady urgent load that keeps the large task
+// out for ever.
+TEST(placement_system, a_reservation_yields_to_urgent_work_for_a_while)
+{
+    placement_system system(make_policy(0.0));
+    auto target = make_target("a", 4);
+    target.memory = byte_count(100);
+    system.set_target(target);
+    auto large = make_task("large", "x", queue_kind::slow);
+    large.memory = byte_count(100);
+    auto add_urgent = [&](int n, monotonic_time now)
+    {
+        auto task = make_task(std::to_string(n), "y", queue_kind::urgent, now);
+        task.memory = byte_count(10);
+        system.add_task(task);
+    };
+    add_urgent(0, epoch);
+    system.add_task(large);
+    tick(system, epoch);
+    auto now = epoch + 60s;
+    EXPECT_TRUE(tick(system, now).empty()); // Reserves the target.
+    int last = 0;
+    bool is_started = false;
+    for (int i = 1; i < 100 && !is_started; ++i)
+    {
+        now += 1s;
+        add_urgent(i, now);
+        auto items = tick(system, now);
+        // Each urgent task runs until after the next one came.
+        if (system.count_running(team_id("y")) > 1)
+            system.on_task_end(
+                task_id(std::to_string(last++)), task_outcome::done, now);
+        else if (items.empty() && system.count_running(team_id("y")) == 1)
+            system.on_task_end(
+                task_id(std::to_string(last)), task_outcome::done, now);
+        EXPECT_TRUE(i > 5 || items.size() == 1) << i;
+        is_started = std::any_of(items.begin(), items.end(),
+            [](const auto& item)
+            { return item.rule == placement_rule::reservation; });
+    }
+    EXPECT_TRUE(is_started);
+}
+
 // Guards against starts on a target that just refused one, and on one that
 // another owner still uses.
 TEST(placement_system, avoids_targets_that_refuse_or_are_used_by_others)
