Give fixed work of a team far behind its share a slot beyond the bound

The bound on such work (1/16 of the slots) was reached, and the exception for teams behind their share looked only at the team with the lowest rank, which was another one. The next causes are large tasks that wait 30 s for a reservation and then for the drain of a target.

Change: the team most behind by 20 s gets a slot beyond the bound. A large slow task gets its reservation after 20 s instead of 30 s. The bound is rounded down, to one slot at least, instead of up.

The new test fails without the change. The shortfall of a team whose only work needs a whole target remains: the wait for the reservation and the drain.

--- a/systems/placement_order.cpp
+++ b/systems/placement_order.cpp
@@ -1,5 +1,6 @@
 #include "systems/placement_system.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace cowslippass
@@ -32,8 +33,10 @@
     pick from_fixed{fixed, lane::fixed, placement_rule::spare_capacity};
     if (slow == nullptr || fixed == nullptr)
         return fixed == nullptr ? from_slow : from_fixed;
-    auto cap = static_cast<std::uint32_t>(
-        std::ceil(targets_.count_usable() * policy_.fixed_part));
+    if (team_row* owed = find_owed_fixed())
+        return {owed, lane::fixed, placement_rule::spare_capacity};
+    auto cap = std::max(1U, static_cast<std::uint32_t>(targets_.count_usable() *
+                                                       policy_.fixed_part));
     if (fixed_running_ >= cap && !is_owed(*fixed, *slow))
         return from_slow;
     if (slow != fixed)
@@ -79,8 +82,7 @@
     double best_rank = 0.0;
     for (auto& [id, team] : teams_)
     {
-        if (team.get_queue(from).empty() || team.is_without_grant ||
-            team.is_blocked[static_cast<std::size_t>(from)])
+        if (!may_start_from(team, from))
             continue;
         double rank = shares_.get_rank(team.account);
         if (best != nullptr && rank >= best_rank)
@@ -91,6 +93,44 @@
     return best;
 }
 
+bool placement_system::may_start_from(const team_row& team, lane from) const
+{
+    return !team.get_queue(from).empty() && !team.is_without_grant &&
+           !team.is_blocked[static_cast<std::size_t>(from)];
+}
+
+placement_system::team_row* placement_system::find_most_behind(lane from)
+{
+    team_row* best = nullptr;
+    double most_s = 0.0;
+    for (auto& [id, team] : teams_)
+    {
+        double behind_s = team_shares::get_behind_s(team.account);
+        if (behind_s <= most_s || !may_start_from(team, from))
+            continue;
+        best = &team;
+        most_s = behind_s;
+    }
+    return best;
+}
+
+placement_system::team_row* placement_system::find_owed_fixed()
+{
+    // The rank follows the time that was served and not what is missing; a
+    // team that just came has a low rank and is behind by nothing.
+    team_row* fixed = find_most_behind(lane::fixed);
+    if (fixed == nullptr)
+        return nullptr;
+    std::chrono::duration<double> behind(
+        team_shares::get_behind_s(fixed->account));
+    if (behind <= policy_.fixed_tolerance)
+        return nullptr;
+    team_row* slow = find_most_behind(lane::slow);
+    bool is_first = slow == nullptr ||
+                    team_shares::get_behind_s(slow->account) <= behind.count();
+    return is_first ? fixed : nullptr;
+}
+
 placement_system::team_row* placement_system::find_longest_wait(
     team_row& neediest, monotonic_time now)
 {
--- a/systems/placement_policy.hpp
+++ b/systems/placement_policy.hpp
@@ -33,8 +33,12 @@
     bool is_preemptive = true;
     /// Part of the slots that slow work which cannot be stopped may hold while
     /// other slow work waits and no team is owed. It outlives preemptions and
-    /// would otherwise pile up and leave less for bursts of urgent work.
+    /// would otherwise pile up and leave less for bursts of urgent work. At
+    /// least one slot is theirs.
     double fixed_part = 0.0625;
+    /// Such work starts beyond `fixed_part` when its team is behind its share
+    /// by so long; a team that has no other work would wait without bound.
+    milliseconds fixed_tolerance{20'000};
     /// Tasks of a team that may wait, for each kind; about 300 bytes each.
     /// With 72 teams a pool then holds at most 43 MB.
     std::uint32_t max_waiting = 1'000;
@@ -57,7 +61,7 @@
     /// ever. One target of a pool is reserved at a time. Urgent tasks get no
     /// reservation: the slots that it idles in a burst make more of them late
     /// than it helps.
-    milliseconds reserve_after{30'000};
+    milliseconds reserve_after{20'000};
     bool reserves = true;
     /// Urgent tasks may use a reserved target for so long, which is a few
     /// bursts and the pauses between them. Without an end, a steady urgent
--- a/systems/placement_system.hpp
+++ b/systems/placement_system.hpp
@@ -176,6 +176,13 @@
     pick pick_by_shares(monotonic_time now);
     pick pick_first_come(monotonic_time now);
     team_row* find_neediest(lane from);
+    /// @return the team with waiting work of the lane that is most behind its
+    ///   share; null if none is behind.
+    team_row* find_most_behind(lane from);
+    /// @return the team whose waiting work that cannot be stopped goes beyond
+    ///   `fixed_part`; null if there is none.
+    team_row* find_owed_fixed();
+    bool may_start_from(const team_row& team, lane from) const;
     /// @return the team whose urgent work waits longest beyond patience, of
     ///   those that are not far ahead of `neediest`; null if there is none.
     team_row* find_longest_wait(team_row& neediest, monotonic_time now);
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -143,6 +143,40 @@
     EXPECT_TRUE(items[2].task.get().starts_with("slow"));
 }
 
+// Guards against a team without a share for as long as others wait, because
+// all its work cannot be stopped and the pool has enough of that kind.
+TEST(placement_system, a_team_far_behind_exceeds_the_bound_on_fixed_work)
+{
+    placement_system system(make_policy(0.0));
+    auto target = make_target("a", 16);
+    target.connections = 100;
+    system.set_target(target);
+    auto add = [&](const std::string& id, const std::string& team,
+                   bool is_idempotent, monotonic_time now)
+    {
+        auto task = make_task(id, team, queue_kind::slow, now);
+        task.is_idempotent = is_idempotent;
+        system.add_task(task);
+    };
+    for (int i = 0; i < 30; ++i)
+        add("a" + std::to_string(i), "a", true, epoch);
+    for (int i = 0; i < 5; ++i)
+        add("b" + std::to_string(i), "b", false, epoch);
+    auto now = epoch;
+    auto items = tick(system, now);
+    EXPECT_EQ(system.count_running(team_id("b")), 1u);
+    for (; now < epoch + 30s; now += 100ms)
+        tick(system, now);
+    // Its rank is lower than that of the team behind.
+    add("c", "c", false, now);
+    auto ended = std::find_if(items.begin(), items.end(),
+        [](const auto& item) { return item.team == team_id("a"); });
+    system.on_task_end(ended->task, task_outcome::done, now);
+    items = tick(system, now);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].team, team_id("b"));
+}
+
 // Guards against work that waits for ever, that runs after its caller left,
 // or that fills the memory.
 TEST(placement_system, refuses_with_the_reason)
