Let a retry avoid the targets that failed the task

Cause: pool_runner queued a retry without the targets of earlier attempts, and placement chose the emptiest target, which is the one that just failed it. The new integration test answers 502 without the change.

Change: the target of each attempt that is retried goes into the task's `avoid`. An avoided target is used when no other usable target has the memory; before, any other row counted, also one that drains or is set aside, and the task would have waited for its deadline. The new placement test fails without that.

--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -272,6 +272,9 @@
     }
     node_.metrics.add("cowslippass_retries_total", {{"pool", pool_.get()}});
     active_.erase(active->item.task.id);
+    std::vector<instance_id>& avoid = active->item.task.avoid;
+    if (std::ranges::find(avoid, active->target) == avoid.end())
+        avoid.push_back(active->target);
     // A new id, as the target may still know the old one.
     active->item.task.id = make_task_id();
     active->target = {};
--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -25,6 +25,12 @@
     return whole == 0 ? 1000 : part * 1000 / whole;
 }
 
+bool is_avoided(const placement_targets::row& row, const placement_task& task)
+{
+    return std::find(task.avoid.begin(), task.avoid.end(), row.target.id) !=
+           task.avoid.end();
+}
+
 bool is_memory_fit(
     std::uint64_t used, std::uint64_t wanted, const placement_target& target)
 {
@@ -308,13 +314,21 @@
     if (is_for_other && now_ - reserved_at_ >= reservation_yields_ &&
         !is_blocked_by_slow(row))
         return false;
-    bool is_avoided = std::find(task.avoid.begin(), task.avoid.end(),
-                          row.target.id) != task.avoid.end();
-    if (is_avoided && task.avoid.size() < rows_.size())
+    if (is_avoided(row, task) && has_other_target(task))
         return false;
     return is_memory_fit(row.memory_used, task.memory.get(), row.target);
 }
 
+bool placement_targets::has_other_target(const placement_task& task) const
+{
+    return std::any_of(rows_.begin(), rows_.end(),
+        [&](const auto& it)
+        {
+            return is_usable(it.second) && !is_avoided(it.second, task) &&
+                   task.memory.get() <= memory_of(it.second.target);
+        });
+}
+
 bool placement_targets::is_usable(const row& row) const
 {
     return !row.is_removed && row.target.state == instance_state::in_service &&
--- a/systems/placement_targets.hpp
+++ b/systems/placement_targets.hpp
@@ -111,6 +111,8 @@
     choice choose_random(const placement_task& task);
     bool is_fit(const row& row, const placement_task& task) const;
     bool is_usable(const row& row) const;
+    /// @return whether a target that the task does not avoid could serve it.
+    bool has_other_target(const placement_task& task) const;
     bool is_blocked_by_slow(const row& row) const;
     static std::uint64_t get_room(const row& row);
     std::uint32_t count_free_slots(const row& row) const;
--- a/tests/integration/requests_test.cpp
+++ b/tests/integration/requests_test.cpp
@@ -67,6 +67,29 @@
     EXPECT_EQ(fleet.count_runs("reservation-1"), 1u);
 }
 
+// Guards against retries that go to the target that failed the task, which is
+// the emptiest one, although another is free.
+TEST(requests, a_retry_goes_to_another_target)
+{
+    // The first start goes to either target; one of the two rounds hits the
+    // failing one.
+    for (std::size_t failing : {0, 1})
+    {
+        cluster_options options = make_options();
+        options.data_centres = 1;
+        options.entries_per_data_centre = 1;
+        test_fleet fleet(options);
+        fleet.wait_until_serving();
+        auto& target = fleet.get_cluster().get_targets()[failing];
+        set_control(target.get_direct_endpoint(), {{"fail_all", true}});
+        caller_request request;
+        request.request_id = "retried";
+        caller_answer answer = fleet.post(request);
+        EXPECT_EQ(answer.status, 200u) << answer.body;
+        EXPECT_LE(fleet.count_runs("retried"), 2u);
+    }
+}
+
 // Guards against slow work that is accepted and then vanishes.
 TEST(requests, a_slow_job_is_accepted_and_ends_with_its_result)
 {
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -303,6 +303,29 @@
     EXPECT_TRUE(is_started);
 }
 
+// Guards against a retry that waits for its deadline, because the only other
+// target is out of service.
+TEST(placement_system, avoids_a_target_only_while_another_can_serve)
+{
+    placement_system system;
+    auto other = make_target("b");
+    system.set_target(make_target("a"));
+    system.set_target(other);
+    auto retry = make_task("t", "x");
+    retry.avoid = {instance_id("a")};
+    system.add_task(retry);
+    auto items = tick(system, epoch);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].target, other.id);
+    other.state = instance_state::draining;
+    system.set_target(other);
+    retry.id = task_id("u");
+    system.add_task(retry);
+    items = tick(system, epoch);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].target, instance_id("a"));
+}
+
 // Guards against starts on a target that just refused one, and on one that
 // another owner still uses.
 TEST(placement_system, avoids_targets_that_refuse_or_are_used_by_others)
