Keep a maintenance pass from falling or counting ahead

Cause: `plan_instance_return` set the maintained pass to the former one plus 1, while the planner writes the number of the present pass. A new instance would get pass 1 and be maintained again at once; one maintained on request in its pass would be skipped in the next. The function is called by tests only, so that no running fleet is affected. The planner itself could lower a pass: a holder whose clock is behind a pass boundary restored a rebooting instance with the earlier number, and it was maintained a second time.

Change: `plan_instance_return` takes the present pass, and neither place lowers the pass of an instance. The planner's test fails without the change.

--- a/systems/fleet_planner.cpp
+++ b/systems/fleet_planner.cpp
@@ -360,12 +360,12 @@
 }
 
 std::vector<fleet_record> plan_instance_return(
-    const fleet_state& state, const instance_id& instance)
+    const fleet_state& state, const instance_id& instance, std::uint32_t pass)
 {
     const instance_row& row = get_instance(state, instance);
     instance_state_record next{instance, instance_state::in_service, {}, false};
     if (row.state == instance_state::rebooting)
-        next.maintained_pass = row.maintained_pass + 1;
+        next.maintained_pass = std::max(row.maintained_pass, pass);
     else if (row.state != instance_state::failed)
         fail_state(row, "only operators bring it back");
     return {next};
--- a/systems/fleet_planner.hpp
+++ b/systems/fleet_planner.hpp
@@ -49,7 +49,9 @@
 
 /// Puts an instance back in service that answers again after a reboot, which
 /// ends its maintenance pass, or after a failure.
+/// @param pass the present one, see `get_maintenance_pass`; not taken when the
+///   instance was maintained in a later one, as clocks of holders differ.
 std::vector<fleet_record> plan_instance_return(
-    const fleet_state& state, const instance_id& instance);
+    const fleet_state& state, const instance_id& instance, std::uint32_t pass);
 
 } // namespace cowslippass
--- a/systems/maintenance_planner.cpp
+++ b/systems/maintenance_planner.cpp
@@ -69,7 +69,8 @@
         {
             bool is_ready = it.report == instance_report::ready;
             if (it.state == instance_state::rebooting && is_ready)
-                restore(it, "pass_done", view_.get_pass());
+                restore(it, "pass_done",
+                    std::max(it.row->maintained_pass, view_.get_pass()));
             else if (it.state == instance_state::failed && is_ready)
                 restore(it, "recovered", {});
             else if (it.is_planned_drain() && !it.is_decided)
--- a/systems/placement_order.cpp
+++ b/systems/placement_order.cpp
@@ -35,8 +35,8 @@
         return fixed == nullptr ? from_slow : from_fixed;
     if (team_row* owed = find_owed_fixed())
         return {owed, lane::fixed, placement_rule::spare_capacity};
-    auto cap = std::max(1U, static_cast<std::uint32_t>(targets_.count_usable() *
-                                                       policy_.fixed_part));
+    auto cap = std::max(1U, static_cast<std::uint32_t>(
+                                targets_.count_usable() * policy_.fixed_part));
     if (fixed_running_ >= cap && !is_owed(*fixed, *slow))
         return from_slow;
     if (slow != fixed)
--- a/tests/systems/fleet_planner_test.cpp
+++ b/tests/systems/fleet_planner_test.cpp
@@ -85,7 +85,7 @@
     if (step.starts_with("reboot "))
         return plan_reboot(state, instance);
     if (step.starts_with("return "))
-        return plan_instance_return(state, instance);
+        return plan_instance_return(state, instance, 1);
     return plan_text(state, step);
 }
 
@@ -218,13 +218,18 @@
     EXPECT_THROW(plan_reboot(state, i1), planning_error);
     run(state, "maintain instance i1");
     EXPECT_EQ(get_refusal(state, "maintain instance i1"), "no_change");
-    EXPECT_THROW(plan_instance_return(state, i1), planning_error);
+    EXPECT_THROW(plan_instance_return(state, i1, 7), planning_error);
     apply_next(state, plan_reboot(state, i1));
     EXPECT_EQ(get_refusal(state, "bring instance i1 back"), "wrong_state");
-    apply_next(state, plan_instance_return(state, i1));
-    EXPECT_EQ(state.get_instances().at(i1).maintained_pass, 1u);
+    apply_next(state, plan_instance_return(state, i1, 7));
+    EXPECT_EQ(state.get_instances().at(i1).maintained_pass, 7u);
     EXPECT_FALSE(state.get_instances().at(i1).is_for_maintenance);
-    EXPECT_THROW(plan_instance_return(state, i1), planning_error);
+    EXPECT_THROW(plan_instance_return(state, i1, 7), planning_error);
+    // The clock of another holder may be behind.
+    run(state, "maintain instance i1");
+    apply_next(state, plan_reboot(state, i1));
+    apply_next(state, plan_instance_return(state, i1, 6));
+    EXPECT_EQ(state.get_instances().at(i1).maintained_pass, 7u);
 }
 
 TEST(fleet_planner, bad_names_and_values_are_refused)
--- a/tests/systems/maintenance_planner_test.cpp
+++ b/tests/systems/maintenance_planner_test.cpp
@@ -316,6 +316,22 @@
         fleet.state.get_instances().at(instance_id("p0")).maintained_pass, 0u);
 }
 
+// Guards against an instance that is maintained twice, because a holder whose
+// clock is behind lowered its pass.
+TEST(maintenance_planner, a_clock_that_is_behind_does_not_lower_a_pass)
+{
+    fleet_model fleet = make_small_fleet(1);
+    instance_id p0("p0");
+    std::uint32_t pass = get_maintenance_pass(fleet.now);
+    fleet.append(
+        {instance_state_record{p0, instance_state::rebooting, pass, true}});
+    fleet.reports[p0] = instance_report::ready;
+    fleet.now -= maintenance_period;
+    fleet.run_plan();
+    EXPECT_EQ(fleet.get_state("p0"), instance_state::in_service);
+    EXPECT_EQ(fleet.state.get_instances().at(p0).maintained_pass, pass);
+}
+
 // Guards against a large pool that every failure during a roll-out takes over
 // its budget, and against a small one whose whole budget is held back.
 TEST(maintenance_planner, a_part_of_large_budgets_is_left_for_failures)
