--- a/main/peer_network.cpp
+++ b/main/peer_network.cpp
@@ -244,9 +244,12 @@
 {
     std::vector<session_id> relays;
     for (const auto& [session, it] : peers_)
-        if (it->summary && it->summary->is_platform_reachable &&
-            is_heard(session) && relays.size() < max_relays)
+    {
+        const peer_summary* summary = find_summary(session);
+        if (summary && summary->is_platform_reachable && is_heard(session) &&
+            relays.size() < max_relays)
             relays.push_back(session);
+    }
     for (session_id session : relays)
     {
         bool was_sent = false;
--- a/systems/placement_policy.hpp
+++ b/systems/placement_policy.hpp
@@ -33,8 +33,12 @@
     bool is_preemptive = true;
     /// Part of the slots that slow work which cannot be stopped may hold while
     /// other slow work waits and no team is owed. It outlives preemptions and
-    /// would otherwise pile up and leave less for bursts of urgent work.
+    /// would otherwise pile up and leave less for bursts of urgent work. At
+    /// least one slot is theirs.
     double fixed_part = 0.0625;
+    /// Such work starts beyond `fixed_part` when its team is behind its share
+    /// by so long; a team that has no other work would wait without bound.
+    milliseconds fixed_tolerance{20'000};
     /// Tasks of a team that may wait in this pool, for each of the three
     /// lanes. The memory of all waiting work is bounded by `waiting_budget`:
     /// 72 teams at this bound would hold 216,000 tasks of about 300 bytes.
@@ -58,8 +62,12 @@
     /// ever. One target of a pool is reserved at a time. Urgent tasks get no
     /// reservation: the slots that it idles in a burst make more of them late
     /// than it helps.
-    milliseconds reserve_after{30'000};
+    milliseconds reserve_after{20'000};
     bool reserves = true;
+    /// Urgent tasks may use a reserved target for so long, which is a few
+    /// bursts and the pauses between them. Without an end, a steady urgent
+    /// load could keep a large task out for ever.
+    milliseconds reservation_yields{30'000};
     /// No task is placed on a target for so long after it refused a start,
     /// unless it reports in the meantime.
     milliseconds refusal_pause{500};
--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -25,6 +25,12 @@
     return whole == 0 ? 1000 : part * 1000 / whole;
 }
 
+bool is_avoided(const placement_targets::row& row, const placement_task& task)
+{
+    return std::find(task.avoid.begin(), task.avoid.end(), row.target.id) !=
+           task.avoid.end();
+}
+
 bool is_memory_fit(
     std::uint64_t used, std::uint64_t wanted, const placement_target& target)
 {
@@ -36,7 +42,7 @@
 
 placement_targets::placement_targets(const placement_policy& policy)
     : choice_(policy.choice), refusal_pause_(policy.refusal_pause),
-      random_(policy.seed)
+      reservation_yields_(policy.reservation_yields), random_(policy.seed)
 {
 }
 
@@ -161,6 +167,7 @@
         return false;
     best->reserved_for = &task;
     reserved_ = best;
+    reserved_at_ = now_;
     reindex(*best);
     return true;
 }
@@ -203,8 +210,7 @@
     const placement_target& target = row.target;
     if (row.is_removed || target.state != instance_state::in_service)
         return false;
-    if (target.health != target_health_state::sound ||
-        row.reserved_for != nullptr)
+    if (target.health != target_health_state::sound)
         return false;
     std::uint64_t used =
         row.memory_used - std::min(row.memory_used, victim_memory.get());
@@ -266,6 +272,7 @@
 
 void placement_targets::begin_tick(monotonic_time now)
 {
+    now_ = now;
     bool is_useless =
         reserved_ != nullptr &&
         (!is_usable(*reserved_) ||
@@ -302,25 +309,24 @@
         return false;
     bool is_for_other =
         row.reserved_for != nullptr && row.reserved_for != &task;
-    if (is_for_other &&
-        (task.kind == queue_kind::slow || !is_blocked_by_slow(row)))
+    if (is_for_other && task.kind == queue_kind::slow)
+        return false;
+    if (is_for_other && now_ - reserved_at_ >= reservation_yields_ &&
+        !is_blocked_by_slow(row))
         return false;
-    if (is_avoided(row, task) && has_other(task))
+    if (is_avoided(row, task) && has_other_target(task))
         return false;
     return is_memory_fit(row.memory_used, task.memory.get(), row.target);
 }
 
-bool placement_targets::is_avoided(const row& row, const placement_task& task)
-{
-    return std::find(task.avoid.begin(), task.avoid.end(), row.target.id) !=
-           task.avoid.end();
-}
-
-bool placement_targets::has_other(const placement_task& task) const
+bool placement_targets::has_other_target(const placement_task& task) const
 {
     return std::any_of(rows_.begin(), rows_.end(),
         [&](const auto& it)
-        { return is_usable(it.second) && !is_avoided(it.second, task); });
+        {
+            return is_usable(it.second) && !is_avoided(it.second, task) &&
+                   task.memory.get() <= memory_of(it.second.target);
+        });
 }
 
 bool placement_targets::is_usable(const row& row) const
@@ -382,8 +388,10 @@
     // A target on probation gets urgent work last, and slow work first, so
     // that it is tested on work that can wait for a retry.
     bool is_probation = row.target.health == target_health_state::probation;
+    std::uint32_t reserved_class = row.reserved_for != nullptr ? 1 : 0;
     std::uint32_t slots = row.target.slots.get();
-    return {is_probation ? 1 : 0, permille(row.rack->urgent, row.rack->slots),
+    return {is_probation ? 2 : reserved_class,
+        permille(row.rack->urgent, row.rack->slots),
         permille(slots - row.free, slots), row.number};
 }
 
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -143,6 +143,40 @@
     EXPECT_TRUE(items[2].task.get().starts_with("slow"));
 }
 
+// Guards against a team without a share for as long as others wait, because
+// all its work cannot be stopped and the pool has enough of that kind.
+TEST(placement_system, a_team_far_behind_exceeds_the_bound_on_fixed_work)
+{
+    placement_system system(make_policy(0.0));
+    auto target = make_target("a", 16);
+    target.connections = 100;
+    system.set_target(target);
+    auto add = [&](const std::string& id, const std::string& team,
+                   bool is_idempotent, monotonic_time now)
+    {
+        auto task = make_task(id, team, queue_kind::slow, now);
+        task.is_idempotent = is_idempotent;
+        system.add_task(task);
+    };
+    for (int i = 0; i < 30; ++i)
+        add("a" + std::to_string(i), "a", true, epoch);
+    for (int i = 0; i < 5; ++i)
+        add("b" + std::to_string(i), "b", false, epoch);
+    auto now = epoch;
+    auto items = tick(system, now);
+    EXPECT_EQ(system.count_running(team_id("b")), 1u);
+    for (; now < epoch + 30s; now += 100ms)
+        tick(system, now);
+    // Its rank is lower than that of the team behind.
+    add("c", "c", false, now);
+    auto ended = std::find_if(items.begin(), items.end(),
+        [](const auto& item) { return item.team == team_id("a"); });
+    system.on_task_end(ended->task, task_outcome::done, now);
+    items = tick(system, now);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].team, team_id("b"));
+}
+
 // Guards against work that waits for ever, that runs after its caller left,
 // or that fills the memory.
 TEST(placement_system, refuses_with_the_reason)
@@ -225,6 +259,73 @@
     EXPECT_TRUE(is_started);
 }
 
+// Guards against urgent work that waits in a burst beside the free slots of a
+// reserved target, and against a steady urgent load that keeps the large task
+// out for ever.
+TEST(placement_system, a_reservation_yields_to_urgent_work_for_a_while)
+{
+    placement_system system(make_policy(0.0));
+    auto target = make_target("a", 4);
+    target.memory = byte_count(100);
+    system.set_target(target);
+    auto large = make_task("large", "x", queue_kind::slow);
+    large.memory = byte_count(100);
+    auto add_urgent = [&](int n, monotonic_time now)
+    {
+        auto task = make_task(std::to_string(n), "y", queue_kind::urgent, now);
+        task.memory = byte_count(10);
+        system.add_task(task);
+    };
+    add_urgent(0, epoch);
+    system.add_task(large);
+    tick(system, epoch);
+    auto now = epoch + 60s;
+    EXPECT_TRUE(tick(system, now).empty()); // Reserves the target.
+    int last = 0;
+    bool is_started = false;
+    for (int i = 1; i < 100 && !is_started; ++i)
+    {
+        now += 1s;
+        add_urgent(i, now);
+        auto items = tick(system, now);
+        // Each urgent task runs until after the next one came.
+        if (system.count_running(team_id("y")) > 1)
+            system.on_task_end(
+                task_id(std::to_string(last++)), task_outcome::done, now);
+        else if (items.empty() && system.count_running(team_id("y")) == 1)
+            system.on_task_end(
+                task_id(std::to_string(last)), task_outcome::done, now);
+        EXPECT_TRUE(i > 5 || items.size() == 1) << i;
+        is_started = std::any_of(items.begin(), items.end(),
+            [](const auto& item)
+            { return item.rule == placement_rule::reservation; });
+    }
+    EXPECT_TRUE(is_started);
+}
+
+// Guards against a retry that waits for its deadline, because the only other
+// target is out of service.
+TEST(placement_system, avoids_a_target_only_while_another_can_serve)
+{
+    placement_system system;
+    auto other = make_target("b");
+    system.set_target(make_target("a"));
+    system.set_target(other);
+    auto retry = make_task("t", "x");
+    retry.avoid = {instance_id("a")};
+    system.add_task(retry);
+    auto items = tick(system, epoch);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].target, other.id);
+    other.state = instance_state::draining;
+    system.set_target(other);
+    retry.id = task_id("u");
+    system.add_task(retry);
+    items = tick(system, epoch);
+    ASSERT_EQ(items.size(), 1u);
+    EXPECT_EQ(items[0].target, instance_id("a"));
+}
+
 // Guards against starts on a target that just refused one, and on one that
 // another owner still uses.
 TEST(placement_system, avoids_targets_that_refuse_or_are_used_by_others)
