--- a/main/node_context.cpp
+++ b/main/node_context.cpp
@@ -12,8 +12,8 @@
     table_client& platform, const start_policy& policy)
     : io(context), config(options), table(platform),
       metrics(get_entry_metrics()), freshness(options.freshness_limit),
-      nonce(make_random_hex(16)), waiting(byte_count(options.max_waiting_bytes)),
-      policy_(policy)
+      nonce(make_random_hex(16)),
+      waiting(byte_count(options.max_waiting_bytes)), policy_(policy)
 {
 }
 
--- a/main/request_router.cpp
+++ b/main/request_router.cpp
@@ -223,9 +223,9 @@
         auto queue = node_.state.get_queues().find(request.queue);
         if (queue == node_.state.get_queues().end())
         {
-            work_result unknown = make_failure(404, "unknown_queue",
-                "the queue does not exist",
-                get_unclaimed_answer(false, request.is_first_attempt));
+            work_result unknown =
+                make_failure(404, "unknown_queue", "the queue does not exist",
+                    get_unclaimed_answer(false, request.is_first_attempt));
             log_end(request, unknown, trace);
             co_return unknown;
         }
--- a/tests/integration/metrics_page_test.cpp
+++ b/tests/integration/metrics_page_test.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <future>
 #include <sstream>
 #include <thread>
 
@@ -13,6 +14,8 @@
 namespace
 {
 
+constexpr std::size_t max_waiting_bytes = 65'536;
+
 /// @return whether an entry shows a sample of the family.
 bool has_sample(const std::string& text, const std::string& family)
 {
@@ -58,6 +61,24 @@
     set_control(target, {{fault, false}});
 }
 
+/// Sends more bytes than may wait while no target takes work.
+void fill_waiting_bytes(test_fleet& fleet)
+{
+    for (const auto& it : fleet.get_cluster().get_targets())
+        set_control(it.get_direct_endpoint(), {{"leaving", true}});
+    caller_request request;
+    request.deadline_ms = "1000";
+    request.payload = std::string(max_waiting_bytes / 2, 'x');
+    std::vector<std::future<caller_answer>> answers;
+    for (std::size_t i = 0; i < 4; ++i)
+        answers.push_back(std::async(
+            std::launch::async, [&] { return fleet.post(request); }));
+    for (const auto& it : answers)
+        it.wait();
+    for (const auto& it : fleet.get_cluster().get_targets())
+        set_control(it.get_direct_endpoint(), {{"leaving", false}});
+}
+
 /// Answers of an entry that was paused come after its peer gave up.
 void pause_entry(test_fleet& fleet, std::size_t i)
 {
@@ -77,6 +98,8 @@
     cluster_options options;
     options.entries_per_data_centre = 2;
     options.targets_per_pool = 2;
+    options.entry_settings["max_waiting_bytes"] =
+        std::to_string(max_waiting_bytes);
     test_fleet fleet(options);
     auto platform = fleet.get_cluster().get_platform_endpoint();
     caller_request job;
@@ -91,6 +114,7 @@
         // A target that fails work is set aside and gets no more starts.
         send_some_with(fleet, "leaving");
         send_some_with(fleet, "fail_all");
+        fill_waiting_bytes(fleet);
         pause_entry(fleet, i % 2);
         set_control(platform, {{"down", true}});
         std::this_thread::sleep_for(milliseconds(1'200));
