--- a/scripts/measure_placement.sh
+++ b/scripts/measure_placement.sh
@@ -14,5 +14,6 @@
     printf 'tasks.\n\n```\n'
     "$build/bench/bench" --benchmark_format=console 2> /dev/null
     printf '```\n'
+    cat bench/placement_trials.md
 } >> "$build/measurements.md"
 mv "$build/measurements.md" docs/measurements.md
