Answer unknown when a repeat is refused while another attempt may wait

The refusal had only found no claim; nothing kept the earlier attempt from writing one. The fault is older; entries that join anew made it frequent. Ruled out: a claim that was resolved as not run (the rows were claimed by the entry that ran the task) and a second start of one task.

Change: without a claim of its own, a refusal is "no" only for a first attempt. Weighed: writing a claim of "not run" would fence the earlier attempt and keep "no" true, for one row write for each refused repeat in a burst.

The test of the waiting bytes declares its requests as first attempts to get "no" and checks that the same refusal of a possible repeat is unknown; it asked for "no" in a case where that was not proved.

--- a/main/claim_keeper.cpp
+++ b/main/claim_keeper.cpp
@@ -129,10 +129,17 @@
     { return write_claim_row(held, place); };
     item.on_end = [this, held](const work_result& result)
     { return record(held, result); };
+    bool is_first_attempt = item.is_first_attempt;
     auto result = co_await runner->run(std::move(item));
+    if (result.run != run_answer::no)
+        co_return result;
     // Work that never entered the queue has no end to be told.
-    if (result.run == run_answer::no)
-        active_.erase(held->key);
+    active_.erase(held->key);
+    // An earlier attempt may wait at another entry and start yet: only a claim
+    // that this attempt wrote keeps it from that.
+    if (!held->is_claimed && !is_first_attempt &&
+        result.code != "owner_changed")
+        result.run = run_answer::unknown;
     co_return result;
 }
 
@@ -157,7 +164,8 @@
     claim.claimed_at = node_.table.get_time();
     held->is_written = true;
     write_outcome outcome = co_await replace_row(held, claim);
-    if (outcome == write_outcome::written)
+    held->is_claimed = outcome == write_outcome::written;
+    if (held->is_claimed)
         co_return std::nullopt;
     // Another entry may have claimed the same request and run it.
     if (outcome == write_outcome::lost)
--- a/main/claim_keeper.hpp
+++ b/main/claim_keeper.hpp
@@ -37,6 +37,7 @@
         monotonic_time read_at;  ///< Before `version` was asked for.
         claim_row row;           ///< As last written.
         bool is_written = false; ///< A write was sent and may be in effect.
+        bool is_claimed = false; ///< The row was written by this attempt.
     };
     using held_ptr = std::shared_ptr<held_claim>;
 
--- a/tests/integration/limits_test.cpp
+++ b/tests/integration/limits_test.cpp
@@ -172,6 +172,8 @@
         [&] { return fleet.count_running() == 8; }, milliseconds(20'000)));
     caller_request large;
     large.queue = "once";
+    // Of a request that may be a repeat, a refusal cannot prove that none ran.
+    large.is_first_attempt = true;
     large.payload = std::string(20'000, 'x');
     auto count_refused = [&]
     {
@@ -190,6 +192,12 @@
     // One more of the same team gives way to it.
     large.key = "blue";
     send("blue", large);
+    large.key = "red";
+    large.is_first_attempt = false;
+    large.request_id = "maybe-repeated";
+    large.deadline_ms = "500";
+    EXPECT_EQ(fleet.post(large).run, "unknown");
+    EXPECT_EQ(fleet.count_runs(large.request_id), 0u);
     std::size_t refused = 0;
     for (auto& it : answers)
     {
--- a/tests/integration/test_fleet.cpp
+++ b/tests/integration/test_fleet.cpp
@@ -132,6 +132,8 @@
         message.headers["Authorization"] = "Bearer " + keys_.at(request.key);
     if (!request.request_id.empty())
         message.headers["Request-Id"] = request.request_id;
+    if (request.is_first_attempt)
+        message.headers["Request-Attempt"] = "first";
     if (!request.run_ms.empty())
         message.headers["Run-Ms"] = request.run_ms;
     if (!request.deadline_ms.empty())
--- a/tests/integration/test_fleet.hpp
+++ b/tests/integration/test_fleet.hpp
@@ -27,6 +27,7 @@
     std::string payload = "payload";
     std::string key = "red"; ///< Name of a team; its key is sent.
     std::string request_id;
+    bool is_first_attempt = false; ///< Declares that the id was not sent yet.
     std::string run_ms;
     std::string deadline_ms;
     std::string first_sent; ///< Unix seconds.
