Move the input and output library to drivers/

The folder platform/ is to hold only what translates between the users' platform and the product. Settings, logs, metrics, HTTP and the link between entries translate nothing. Files move and includes follow; nothing else changes.

--- a/platform/acceptor.cpp
+++ b/drivers/acceptor.cpp
@@ -1,4 +1,4 @@
-#include "platform/acceptor.hpp"
+#include "drivers/acceptor.hpp"
 
 #include "core/core.hpp"
 
--- a/platform/acceptor.hpp
+++ b/drivers/acceptor.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/asio.hpp"
+#include "drivers/asio.hpp"
 
 #include <optional>
 
--- a/platform/command_client.cpp
+++ b/drivers/command_client.cpp
@@ -1,7 +1,7 @@
-#include "platform/command_client.hpp"
+#include "drivers/command_client.hpp"
 
-#include "platform/endpoint.hpp"
-#include "platform/http_client.hpp"
+#include "drivers/endpoint.hpp"
+#include "drivers/http_client.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/platform/command_client.hpp
+++ b/drivers/command_client.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/core.hpp"
-#include "platform/asio.hpp"
+#include "drivers/asio.hpp"
 
 #include <string>
 #include <vector>
--- a/platform/endpoint.cpp
+++ b/drivers/endpoint.cpp
@@ -1,4 +1,4 @@
-#include "platform/endpoint.hpp"
+#include "drivers/endpoint.hpp"
 
 #include "core/errors.hpp"
 
--- a/platform/endpoint.hpp
+++ b/drivers/endpoint.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/asio.hpp"
+#include "drivers/asio.hpp"
 
 #include <string>
 #include <string_view>
--- a/platform/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -1,6 +1,6 @@
-#include "platform/http_client.hpp"
+#include "drivers/http_client.hpp"
 
-#include "platform/endpoint.hpp"
+#include "drivers/endpoint.hpp"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
--- a/platform/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/units.hpp"
-#include "platform/asio.hpp"
-#include "platform/http_message.hpp"
+#include "drivers/asio.hpp"
+#include "drivers/http_message.hpp"
 
 #include <memory>
 #include <optional>
--- a/platform/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_message.hpp"
+#include "drivers/http_message.hpp"
 
 #include "core/errors.hpp"
 
--- a/platform/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -1,7 +1,7 @@
-#include "platform/http_server.hpp"
+#include "drivers/http_server.hpp"
 
 #include "core/errors.hpp"
-#include "platform/acceptor.hpp"
+#include "drivers/acceptor.hpp"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
--- a/platform/metrics.cpp
+++ b/drivers/metrics.cpp
@@ -1,4 +1,4 @@
-#include "platform/metrics.hpp"
+#include "drivers/metrics.hpp"
 
 #include "core/errors.hpp"
 
--- a/platform/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -1,4 +1,4 @@
-#include "platform/peer_connection.hpp"
+#include "drivers/peer_connection.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
--- a/platform/peer_connection.hpp
+++ b/drivers/peer_connection.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/asio.hpp"
-#include "platform/peer_message.hpp"
+#include "drivers/asio.hpp"
+#include "drivers/peer_message.hpp"
 
 #include <deque>
 #include <functional>
--- a/platform/peer_link.cpp
+++ b/drivers/peer_link.cpp
@@ -1,6 +1,6 @@
-#include "platform/peer_link.hpp"
+#include "drivers/peer_link.hpp"
 
-#include "platform/acceptor.hpp"
+#include "drivers/acceptor.hpp"
 
 #include <boost/beast/core/tcp_stream.hpp>
 
--- a/platform/peer_link.hpp
+++ b/drivers/peer_link.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/peer_connection.hpp"
+#include "drivers/peer_connection.hpp"
 
 namespace cowslippass
 {
--- a/platform/peer_message.cpp
+++ b/drivers/peer_message.cpp
@@ -1,6 +1,6 @@
-#include "platform/peer_message.hpp"
+#include "drivers/peer_message.hpp"
 
-#include "platform/generated/peer_message_generated.h"
+#include "drivers/generated/peer_message_generated.h"
 
 namespace cowslippass
 {
--- a/platform/platform_clock.cpp
+++ b/drivers/platform_clock.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_clock.hpp"
+#include "drivers/platform_clock.hpp"
 
 #include <ctime>
 #include <iomanip>
--- a/platform/settings.cpp
+++ b/drivers/settings.cpp
@@ -1,7 +1,7 @@
-#include "platform/settings.hpp"
+#include "drivers/settings.hpp"
 
-#include "platform/endpoint.hpp"
-#include "platform/settings_table.hpp"
+#include "drivers/endpoint.hpp"
+#include "drivers/settings_table.hpp"
 
 #include <algorithm>
 #include <numeric>
--- a/platform/settings_table.cpp
+++ b/drivers/settings_table.cpp
@@ -1,6 +1,6 @@
-#include "platform/settings_table.hpp"
+#include "drivers/settings_table.hpp"
 
-#include "platform/endpoint.hpp"
+#include "drivers/endpoint.hpp"
 #include "systems/timing.hpp"
 
 #include <algorithm>
--- a/platform/settings_table.hpp
+++ b/drivers/settings_table.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/settings.hpp"
+#include "drivers/settings.hpp"
 
 #include <cstdint>
 #include <span>
--- a/platform/table_client.cpp
+++ b/drivers/table_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/table_client.hpp"
+#include "drivers/table_client.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/platform/table_client.hpp
+++ b/drivers/table_client.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/core.hpp"
-#include "platform/http_client.hpp"
-#include "platform/platform_clock.hpp"
+#include "drivers/http_client.hpp"
+#include "drivers/platform_clock.hpp"
 
 #include <functional>
 #include <map>
--- a/platform/target_client.cpp
+++ b/drivers/target_client.cpp
@@ -1,4 +1,4 @@
-#include "platform/target_client.hpp"
+#include "drivers/target_client.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/platform/target_client.hpp
+++ b/drivers/target_client.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/core.hpp"
-#include "platform/http_client.hpp"
+#include "drivers/http_client.hpp"
 
 #include <optional>
 #include <string>
--- a/main/caller_api.hpp
+++ b/main/caller_api.hpp
@@ -2,7 +2,7 @@
 
 #include "main/node_context.hpp"
 #include "main/work_item.hpp"
-#include "platform/http_message.hpp"
+#include "drivers/http_message.hpp"
 #include "systems/admission.hpp"
 
 namespace cowslippass
--- a/main/cowslippass_main.cpp
+++ b/main/cowslippass_main.cpp
@@ -1,6 +1,6 @@
 #include "core/core.hpp"
-#include "platform/command_client.hpp"
-#include "platform/endpoint.hpp"
+#include "drivers/command_client.hpp"
+#include "drivers/endpoint.hpp"
 #include "systems/command_parser.hpp"
 #include "systems/query_table.hpp"
 
--- a/main/entry_process.hpp
+++ b/main/entry_process.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 #include "systems/start_policy.hpp"
 
 namespace cowslippass
--- a/main/operator_api.hpp
+++ b/main/operator_api.hpp
@@ -3,7 +3,7 @@
 #include "main/fleet_sync.hpp"
 #include "main/node_context.hpp"
 #include "main/peer_network.hpp"
-#include "platform/http_message.hpp"
+#include "drivers/http_message.hpp"
 #include "systems/command.hpp"
 #include "systems/query_engine.hpp"
 #include "systems/query_table.hpp"
--- a/main/row_cleaner.cpp
+++ b/main/row_cleaner.cpp
@@ -1,6 +1,6 @@
 #include "main/row_cleaner.hpp"
 
-#include "platform/log.hpp"
+#include "drivers/log.hpp"
 #include "systems/fleet_log.hpp"
 
 #include <algorithm>
--- a/main/row_cleaner.hpp
+++ b/main/row_cleaner.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/table_client.hpp"
+#include "drivers/table_client.hpp"
 #include "systems/retention.hpp"
 
 #include <functional>
--- a/main/summary_exchange.hpp
+++ b/main/summary_exchange.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/peer_message.hpp"
+#include "drivers/peer_message.hpp"
 
 #include <functional>
 #include <map>
--- a/main/work_item.hpp
+++ b/main/work_item.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/peer_message.hpp"
-#include "platform/target_client.hpp"
+#include "drivers/peer_message.hpp"
+#include "drivers/target_client.hpp"
 #include "systems/placement_types.hpp"
 
 #include <functional>
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -2,4 +2,4 @@
 # Regenerates the committed FlatBuffers code; needs flatbuffers-compiler.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-flatc --cpp --scoped-enums -o platform/generated platform/peer_message.fbs
+flatc --cpp --scoped-enums -o drivers/generated drivers/peer_message.fbs
--- a/tests/platform/command_client_test.cpp
+++ b/tests/drivers/command_client_test.cpp
@@ -1,6 +1,6 @@
-#include "platform/command_client.hpp"
+#include "drivers/command_client.hpp"
 
-#include "platform/endpoint.hpp"
+#include "drivers/endpoint.hpp"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
--- a/tests/platform/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -1,5 +1,5 @@
 #include "core/core.hpp"
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/platform/log_test.cpp
+++ b/tests/drivers/log_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/log.hpp"
+#include "drivers/log.hpp"
 
 #include "core/core.hpp"
 
--- a/tests/platform/peer_link_test.cpp
+++ b/tests/drivers/peer_link_test.cpp
@@ -1,6 +1,6 @@
-#include "platform/peer_link.hpp"
+#include "drivers/peer_link.hpp"
 
-#include "platform/endpoint.hpp"
+#include "drivers/endpoint.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
--- a/tests/platform/settings_test.cpp
+++ b/tests/drivers/settings_test.cpp
@@ -1,5 +1,5 @@
-#include "platform/settings.hpp"
-#include "platform/settings_table.hpp"
+#include "drivers/settings.hpp"
+#include "drivers/settings_table.hpp"
 
 #include <fstream>
 #include <gmock/gmock.h>
--- a/tests/integration/operator_client_test.cpp
+++ b/tests/integration/operator_client_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/integration/process_fixture.hpp
+++ b/tests/integration/process_fixture.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/core.hpp"
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/stand_ins/stand_in_server.hpp
+++ b/tests/stand_ins/stand_in_server.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/core.hpp"
-#include "platform/platform.hpp"
+#include "drivers/drivers.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/beast/core.hpp>
