--- /dev/null
+++ b/core/boot_clock.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+
+#include <time.h>
+
+namespace cowslippass
+{
+
+/// A monotonic clock that also counts the time in which the machine was
+/// suspended. Leases that others grant on their own clocks need it.
+struct boot_clock
+{
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept
+    {
+        timespec value{};
+        clock_gettime(CLOCK_BOOTTIME, &value);
+        return time_point(std::chrono::seconds(value.tv_sec) +
+                          std::chrono::nanoseconds(value.tv_nsec));
+    }
+};
+
+using boot_time = boot_clock::time_point;
+
+} // namespace cowslippass
--- a/drivers/log.cpp
+++ b/drivers/log.cpp
@@ -152,6 +152,9 @@
     if (file.empty())
         return std::make_shared<log4cxx::ConsoleAppender>(
             layout, log4cxx::ConsoleAppender::getSystemErr());
+    if (file == log_to_output)
+        return std::make_shared<log4cxx::ConsoleAppender>(
+            layout, log4cxx::ConsoleAppender::getSystemOut());
     // The appender reports a file that cannot be opened only to its own
     // error handler.
     if (!std::ofstream(file, std::ios::app))
--- a/drivers/log.hpp
+++ b/drivers/log.hpp
@@ -57,11 +57,15 @@
     error
 };
 
+/// Stands for standard output in place of a file.
+inline constexpr const char* log_to_output = "-";
+
 /// Sends all lines at or above `level` to one place, each as one flat JSON
 /// object with `time` (UTC), `level`, `logger`, `message` and the fields. A
 /// later call replaces the former set-up.
 /// @param level `debug`, `info`, `warn` or `error`.
-/// @param file appended to; empty means standard error.
+/// @param file appended to; empty means standard error, `log_to_output`
+///   standard output.
 /// @throws platform_error (`bad_log_level`, `log_file`).
 void configure_log(const std::string& level, const std::string& file);
 
--- a/drivers/peer_message.cpp
+++ b/drivers/peer_message.cpp
@@ -2,6 +2,8 @@
 
 #include "drivers/generated/peer_message_generated.h"
 
+#include <algorithm>
+
 namespace cowslippass
 {
 
@@ -136,6 +138,49 @@
         wire::body::query_reply, wire::Createquery_reply(out, json).Union()};
 }
 
+body_offset write_body(builder& out, const peer_coordinator_call& body)
+{
+    auto job = out.CreateString(body.job.get());
+    auto queue = out.CreateString(body.queue.get());
+    auto team = out.CreateString(body.team.get());
+    auto spec = write_bytes(out, body.spec);
+    return {wire::body::coordinator_call,
+        wire::Createcoordinator_call(out,
+            static_cast<wire::coordinator_operation>(body.operation), job,
+            queue, team, spec)
+            .Union()};
+}
+
+body_offset write_body(builder& out, const peer_coordinator_reply& body)
+{
+    auto boot = out.CreateString(body.boot);
+    auto to_u32 = [](milliseconds it)
+    {
+        std::int64_t n = std::clamp<std::int64_t>(it.count(), 0, UINT32_MAX);
+        return static_cast<std::uint32_t>(n);
+    };
+    return {wire::body::coordinator_reply,
+        wire::Createcoordinator_reply(out,
+            static_cast<wire::coordinator_result>(body.result), body.phase,
+            body.count, to_u32(body.retry_after), to_u32(body.renewed_age),
+            boot)
+            .Union()};
+}
+
+peer_coordinator_call read_call(const wire::coordinator_call& body)
+{
+    return {static_cast<coordinator_operation>(body.operation()),
+        job_id(read_text(body.job())), queue_id(read_text(body.queue())),
+        team_id(read_text(body.team())), read_bytes(body.spec())};
+}
+
+peer_coordinator_reply read_reply(const wire::coordinator_reply& body)
+{
+    return {static_cast<coordinator_result>(body.result()), body.phase(),
+        body.count(), milliseconds(body.retry_after_ms()),
+        milliseconds(body.renewed_age_ms()), read_text(body.boot())};
+}
+
 peer_summary read_summary(const wire::summary& body)
 {
     peer_summary out;
@@ -206,6 +251,10 @@
     case wire::body::query_reply:
         return peer_query_reply{
             read_text(message.body_as_query_reply()->json())};
+    case wire::body::coordinator_call:
+        return read_call(*message.body_as_coordinator_call());
+    case wire::body::coordinator_reply:
+        return read_reply(*message.body_as_coordinator_reply());
     default:
         throw platform_error(
             "malformed_frame", "a peer sent a message of unknown type");
--- a/drivers/peer_message.hpp
+++ b/drivers/peer_message.hpp
@@ -103,8 +103,48 @@
     std::string json;
 };
 
+enum class coordinator_operation
+{
+    probe, ///< Whether the receiver is the coordinator.
+    submit,
+    status,
+    cancel,
+    count ///< Jobs of a queue of which no task has started.
+};
+
+/// A caller's operation on its way to the coordinator.
+struct peer_coordinator_call
+{
+    coordinator_operation operation = coordinator_operation::probe;
+    job_id job;
+    queue_id queue;
+    team_id team;
+    std::string spec; ///< Encoded job, of a submission.
+};
+
+enum class coordinator_result
+{
+    done,
+    unknown_job,
+    refused, ///< Not accepted, and never will be by this call.
+    not_coordinator,
+    invalid
+};
+
+struct peer_coordinator_reply
+{
+    coordinator_result result = coordinator_result::not_coordinator;
+    std::uint8_t phase = 0; ///< `job_phase` of the job.
+    std::uint64_t count = 0;
+    milliseconds retry_after{0};
+    /// Age of the coordinator's last durable transaction.
+    milliseconds renewed_age{0};
+    std::string boot; ///< Boot id of the process that answers.
+};
+
 using peer_body = std::variant<peer_hello, peer_summary, peer_forward,
-    peer_forward_reply, peer_cancel, peer_query, peer_query_reply>;
+    peer_forward_reply, peer_cancel, peer_query, peer_query_reply,
+    peer_coordinator_call, peer_coordinator_reply>;
 
 struct peer_message
 {
--- /dev/null
+++ b/main/entryd/caller_front.cpp
@@ -0,0 +1,259 @@
+#include "main/entryd/caller_front.hpp"
+
+#include "drivers/log.hpp"
+#include "drivers/metrics.hpp"
+#include "platform/submission_codec.hpp"
+
+#include <charconv>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+/// How long a caller waits when it does not say so.
+constexpr milliseconds default_wait{3'000};
+constexpr milliseconds longest_wait{30'000};
+/// Left of the caller's wait for the answer's way back.
+constexpr milliseconds answer_margin{150};
+/// Retry-After in whole seconds while there is no coordinator: a takeover
+/// takes about two seconds.
+constexpr const char* takeover_retry_after = "2";
+/// Taken off the bound on withdrawn keys, for the way to the coordinator.
+constexpr milliseconds key_margin{700};
+/// An entry whose configuration is older than this turns unready.
+constexpr milliseconds ready_age_limit{3'500};
+
+const decision_log decisions_log("front");
+
+http_response make_error(
+    unsigned status, const std::string& code, const std::string& message)
+{
+    http_response out;
+    out.status = status;
+    out.headers["Content-Type"] = "application/json";
+    out.body = encode_caller_error(code, message);
+    return out;
+}
+
+http_response make_json(std::string body)
+{
+    http_response out;
+    out.headers["Content-Type"] = "application/json";
+    out.body = std::move(body);
+    return out;
+}
+
+http_response make_busy(const std::string& code, const std::string& message)
+{
+    http_response out = make_error(503, code, message);
+    out.headers["Retry-After"] = takeover_retry_after;
+    return out;
+}
+
+milliseconds get_wait(const http_request& request)
+{
+    std::string text = request.get_header(wait_limit_header);
+    std::int64_t n = 0;
+    auto [end, status] =
+        std::from_chars(text.data(), text.data() + text.size(), n);
+    if (status != std::errc() || n <= 0)
+        return default_wait;
+    return std::min(milliseconds(n), longest_wait);
+}
+
+std::string get_host(const http_request& request)
+{
+    std::string host = request.get_header("Host");
+    return host.substr(0, host.find(':'));
+}
+
+} // namespace
+
+caller_front::caller_front(const entry_settings& settings,
+    const config_follower& config, coordinator_seat& seat,
+    metrics_registry& metrics)
+    : settings_(settings), config_(config), seat_(seat), metrics_(metrics)
+{
+}
+
+bool caller_front::is_key_check_current() const
+{
+    auto as_of = config_.get_as_of();
+    return as_of && boot_clock::now() - *as_of <
+                        settings_.key_withdrawal - key_margin;
+}
+
+bool caller_front::is_ready() const
+{
+    auto as_of = config_.get_as_of();
+    return !is_leaving_ && config_.get_state().config && as_of &&
+           boot_clock::now() - *as_of < ready_age_limit &&
+           seat_.is_coordinator_known();
+}
+
+caller_front::admission caller_front::admit(const http_request& request) const
+{
+    admission out;
+    const auto& config = config_.get_state().config;
+    if (!config)
+    {
+        out.refusal = make_busy("no_configuration",
+            "no configuration is known here yet; nothing was done");
+        return out;
+    }
+    out.queue = config->find_route(get_host(request), request.path);
+    if (!out.queue)
+    {
+        out.refusal = make_error(404, "no_such_queue", "no queue is there");
+        return out;
+    }
+    std::string key = request.get_header("Authorization");
+    bool has_key = key.starts_with(key_scheme);
+    if (!has_key && out.queue->is_open_to_all)
+        return out;
+    const team_config* team =
+        has_key ? config->find_key(key.substr(key_scheme.size())) : nullptr;
+    if (team && is_key_check_current())
+    {
+        out.team = team->team;
+        return out;
+    }
+    if (out.queue->is_open_to_all)
+        return out;
+    if (team)
+        out.refusal = make_busy("stale_configuration",
+            "the key cannot be checked now; nothing was done");
+    else
+        out.refusal = make_error(401, "unknown_key", "the key is not known");
+    return out;
+}
+
+asio::awaitable<http_response> caller_front::submit(
+    http_request request, peer_coordinator_call call, boot_time deadline)
+{
+    std::optional<http_response> refusal;
+    try
+    {
+        call.spec = encode_job_spec(decode_submission(request.body));
+    }
+    catch (const platform_error& e)
+    {
+        refusal = make_error(400, e.get_code(), e.what());
+    }
+    if (refusal)
+        co_return *refusal;
+    call.operation = coordinator_operation::submit;
+    seat_reply answer = co_await seat_.call(call, deadline);
+    if (!answer.reply)
+    {
+        if (!answer.may_be_done)
+            co_return make_busy("no_coordinator",
+                "no coordinator can be reached; the job was not accepted");
+        // Neither accepted nor refused: the caller has to ask again.
+        co_return make_error(
+            504, "no_answer", "it is not known whether the job was accepted");
+    }
+    switch (answer.reply->result)
+    {
+    case coordinator_result::done:
+        co_return make_json("{}");
+    case coordinator_result::refused:
+    {
+        http_response out = make_error(
+            429, "refused", "the job was not accepted and will not run");
+        auto seconds = (answer.reply->retry_after.count() + 999) / 1'000;
+        out.headers["Retry-After"] = std::to_string(seconds);
+        co_return out;
+    }
+    default:
+        co_return make_error(400, "bad_request", "the job cannot be read");
+    }
+}
+
+asio::awaitable<http_response> caller_front::cancel(
+    peer_coordinator_call call, boot_time deadline)
+{
+    call.operation = coordinator_operation::cancel;
+    seat_reply answer = co_await seat_.call(call, deadline);
+    if (!answer.reply)
+        co_return make_error(504, "no_answer", "no coordinator answered");
+    if (answer.reply->result == coordinator_result::unknown_job)
+        co_return make_error(410, "unknown_job", "there is no such job");
+    co_return make_json("{}");
+}
+
+asio::awaitable<http_response> caller_front::get_state(
+    peer_coordinator_call call, boot_time deadline)
+{
+    call.operation = coordinator_operation::status;
+    seat_reply answer = co_await seat_.call(call, deadline);
+    if (!answer.reply)
+        co_return make_busy("no_coordinator", "no coordinator answered");
+    if (answer.reply->result == coordinator_result::unknown_job)
+        co_return make_error(410, "unknown_job", "there is no such job");
+    co_return make_json(
+        encode_state(static_cast<job_phase>(answer.reply->phase)));
+}
+
+asio::awaitable<http_response> caller_front::get_waiting_count(
+    peer_coordinator_call call, boot_time deadline)
+{
+    call.operation = coordinator_operation::count;
+    seat_reply answer = co_await seat_.call(call, deadline);
+    if (!answer.reply)
+        co_return make_busy("no_coordinator", "no coordinator answered");
+    co_return make_json(encode_waiting_count(answer.reply->count));
+}
+
+asio::awaitable<http_response> caller_front::dispatch(http_request request)
+{
+    boot_time deadline =
+        boot_clock::now() + std::max(get_wait(request) - answer_margin,
+                                milliseconds(50));
+    admission allowed = admit(request);
+    if (allowed.refusal)
+        co_return *allowed.refusal;
+    peer_coordinator_call call;
+    call.queue = allowed.queue->queue;
+    call.team = allowed.team;
+    std::string rest = request.path.substr(allowed.queue->prefix.size());
+    if (rest.empty() && request.method == "GET")
+        co_return co_await get_waiting_count(call, deadline);
+    auto job = parse_job_id(rest);
+    if (!job)
+        co_return make_error(404, "no_such_job", "no job can have this name");
+    call.job = *job;
+    if (request.method == "POST")
+        co_return co_await submit(std::move(request), call, deadline);
+    if (request.method == "GET")
+        co_return co_await get_state(call, deadline);
+    if (request.method == "DELETE")
+        co_return co_await cancel(call, deadline);
+    co_return make_error(405, "bad_method", "use POST, GET or DELETE");
+}
+
+asio::awaitable<http_response> caller_front::handle(http_request request)
+{
+    boot_time from = boot_clock::now();
+    std::string method = request.method;
+    std::string path = request.path;
+    http_response out = co_await dispatch(std::move(request));
+    if (is_leaving_)
+        out.headers["Connection"] = "close";
+    auto took = boot_clock::now() - from;
+    metrics_.add("cowslippass_calls_total",
+        {{"method", method}, {"status", std::to_string(out.status)}});
+    metrics_.observe("cowslippass_call_seconds",
+        std::chrono::duration<double>(took).count());
+    if (out.status != 200 && out.status != 404 && out.status != 410)
+        decisions_log.write("refuse", std::to_string(out.status),
+            {{"method", method}, {"path", path},
+                {"took_ms",
+                    std::chrono::duration_cast<milliseconds>(took).count()},
+                {"answer", out.body}});
+    co_return out;
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/entryd/config_follower.cpp
@@ -0,0 +1,116 @@
+#include "main/entryd/config_follower.hpp"
+
+#include "drivers/log.hpp"
+
+namespace cowslippass
+{
+
+namespace
+{
+
+/// Longest wait of one feed call. A connection that went silent delays a
+/// change by this and the timeout, and the age of the state is never more.
+constexpr milliseconds feed_wait{1'000};
+constexpr milliseconds feed_timeout{700};
+constexpr milliseconds read_timeout{2'000};
+constexpr milliseconds pause_after_failure{100};
+
+} // namespace
+
+config_follower::config_follower(
+    asio::io_context& io, store_client& store, change_handler on_change)
+    : io_(io), store_(store), on_change_(std::move(on_change))
+{
+}
+
+void config_follower::apply(const std::vector<stored_row>& rows)
+{
+    bool is_changed = false;
+    for (const stored_row& it : rows)
+    {
+        try
+        {
+            is_changed |= apply_publication(it, state_);
+        }
+        catch (const platform_error& e)
+        {
+            write_log(log_level::error, "configuration",
+                "a published row cannot be read",
+                {{"key", it.key}, {"version", it.version}, {"why", e.what()}});
+        }
+    }
+    if (!is_changed)
+        return;
+    write_log(log_level::info, "configuration", "changed",
+        {{"config_version",
+             state_.config ? state_.config->version.get() : std::uint64_t{0}},
+            {"evacuated", state_.evacuated.size()},
+            {"waves", state_.waves.size()}});
+    on_change_();
+}
+
+asio::awaitable<bool> config_follower::read_whole()
+{
+    boot_time sent = boot_clock::now();
+    row_range range{published_table::operators, "", "", ""};
+    store_rows rows = co_await store_.read_all_rows(range, read_timeout);
+    if (rows.failure != store_failure::none)
+        co_return false;
+    // Rows that were removed while nobody followed are not in the answer.
+    state_.evacuated.clear();
+    state_.waves.clear();
+    newest_ = rows.newest;
+    as_of_ = sent;
+    needs_whole_ = false;
+    apply(rows.rows);
+    on_change_();
+    co_return true;
+}
+
+asio::awaitable<bool> config_follower::follow_once()
+{
+    boot_time sent = boot_clock::now();
+    store_rows rows = co_await store_.follow(
+        published_table::operators, newest_, feed_wait, feed_timeout);
+    if (rows.failure == store_failure::history_gone)
+    {
+        write_log(log_level::warn, "configuration",
+            "the store has dropped the feed's history",
+            {{"version", newest_}});
+        needs_whole_ = true;
+        co_return true;
+    }
+    if (rows.failure != store_failure::none)
+        co_return false;
+    newest_ = std::max(newest_, rows.newest);
+    as_of_ = sent;
+    apply(rows.rows);
+    co_return true;
+}
+
+asio::awaitable<void> config_follower::run()
+{
+    bool was_reached = true;
+    for (;;)
+    {
+        bool is_reached = false;
+        if (needs_whole_)
+            is_reached = co_await read_whole();
+        else
+            is_reached = co_await follow_once();
+        if (is_reached != was_reached)
+            write_log(is_reached ? log_level::info : log_level::warn,
+                "configuration",
+                is_reached ? "store reached again" : "store lost");
+        was_reached = is_reached;
+        if (is_reached)
+            continue;
+        asio::steady_timer pause(io_);
+        pause.expires_after(pause_after_failure);
+        boost::system::error_code ec;
+        co_await pause.async_wait(
+            asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/entryd/coordinator_runner.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "drivers/peer_message.hpp"
+#include "main/entryd/entry_settings.hpp"
+#include "platform/publication.hpp"
+#include "platform/runner_client.hpp"
+#include "systems/coordination/ledger.hpp"
+#include "systems/scheduling/coordinator.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace cowslippass
+{
+
+class metrics_registry;
+
+/// Runs the coordinator's decisions: writes the ledger, sends orders and
+/// passes the answers back. One object for each term that this process holds.
+class coordinator_runner
+    : public std::enable_shared_from_this<coordinator_runner>
+{
+public:
+    coordinator_runner(asio::io_context& io, const entry_settings& settings,
+        store_client& store, metrics_registry& metrics, ledger_head head,
+        row_version version, boot_time renewed);
+
+    /// Reads the ledger and starts to work.
+    /// @return whether the ledger could be read.
+    asio::awaitable<bool> recover();
+
+    /// Starts the loops; they end with the term.
+    void start(const published_state& state);
+
+    void set_publication(const published_state& state);
+
+    /// Ends the term in order, so that a successor need not wait.
+    void release();
+
+    /// @return whether the term is over.
+    bool is_over() const { return is_over_; }
+
+    milliseconds get_renewed_age() const;
+    fencing_number get_term() const { return head_.term; }
+    const coordinator& get_decisions() const { return decisions_; }
+
+    asio::awaitable<peer_coordinator_reply> handle(peer_coordinator_call call);
+
+private:
+    struct target_link;
+    using link_ptr = std::shared_ptr<target_link>;
+
+    bool has_authority() const;
+    void end_term(const char* why);
+    void wake();
+
+    asio::awaitable<void> write_loop();
+    asio::awaitable<void> target_feed_loop();
+    asio::awaitable<void> look_loop(link_ptr link);
+    asio::awaitable<void> send_start(start_decision decision);
+    asio::awaitable<void> send_stop(stop_decision decision);
+    asio::awaitable<void> commit_batch(bool& is_done);
+    asio::awaitable<peer_coordinator_reply> submit(peer_coordinator_call call);
+    asio::awaitable<peer_coordinator_reply> cancel(peer_coordinator_call call);
+    /// @return whether everything put so far became durable.
+    asio::awaitable<bool> wait_until_durable();
+    asio::awaitable<bool> read_targets();
+    asio::awaitable<void> sleep(milliseconds time);
+
+    void decide();
+    void put_changed_rows();
+    void send_stops();
+    void apply_target_rows(const std::vector<stored_row>& rows);
+    void open_links();
+    void process_look(target_link& link, const target_look& look,
+        boot_time sent_at, boot_time received_at);
+    target_time get_lease_end(const target_link& link) const;
+    link_ptr find_link(const target_id& target) const;
+
+    asio::io_context& io_;
+    const entry_settings& settings_;
+    store_client& store_;
+    metrics_registry& metrics_;
+    ledger_head head_;
+    ledger ledger_;
+    coordinator decisions_;
+    boot_time renewed_; ///< Before the last durable transaction was sent.
+    boot_time last_batch_{};
+    asio::steady_timer wake_timer_;
+    std::map<target_id, link_ptr> links_;
+    std::set<task_name> stops_in_flight_;
+    std::set<job_id> durable_ended_; ///< Jobs whose end the ledger holds.
+    row_version targets_newest_;
+    bool is_over_ = false;
+    bool is_releasing_ = false;
+};
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/entryd/coordinator_seat.cpp
@@ -0,0 +1,305 @@
+#include "main/entryd/coordinator_seat.hpp"
+
+#include "drivers/endpoint.hpp"
+#include "drivers/log.hpp"
+#include "drivers/metrics.hpp"
+
+#include <random>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+constexpr milliseconds probe_interval{300};
+constexpr milliseconds probe_timeout{500};
+/// Between reads of the head row while the coordinator is missed.
+constexpr milliseconds suspect_interval{150};
+constexpr milliseconds read_timeout{1'000};
+constexpr milliseconds take_over_timeout{1'000};
+/// Candidates that see the same silence do not all write at once.
+constexpr int max_jitter_ms = 60;
+constexpr milliseconds call_timeout{900};
+constexpr milliseconds pause_between_calls{50};
+/// An answer older than this says nothing of the coordinator now.
+constexpr milliseconds answer_age_limit{2'500};
+constexpr int recovery_attempts = 5;
+
+milliseconds get_time_left(boot_time deadline)
+{
+    return std::chrono::duration_cast<milliseconds>(
+        deadline - boot_clock::now());
+}
+
+milliseconds draw_jitter()
+{
+    static std::mt19937 generator{std::random_device{}()};
+    return milliseconds(
+        std::uniform_int_distribution<int>(0, max_jitter_ms)(generator));
+}
+
+asio::awaitable<void> wait_on(asio::steady_timer& timer, milliseconds time)
+{
+    timer.expires_after(time);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+} // namespace
+
+coordinator_seat::coordinator_seat(asio::io_context& io,
+    const entry_settings& settings, store_client& store,
+    metrics_registry& metrics, const config_follower& config)
+    : io_(io), settings_(settings), store_(store), metrics_(metrics),
+      config_(config), boot_(make_random_hex(8)),
+      address_(format_endpoint(settings.peer_listen)),
+      candidacy_(boot_, address_), timer_(io)
+{
+}
+
+bool coordinator_seat::is_coordinator_known() const
+{
+    if (is_holder())
+        return true;
+    return last_answer_ &&
+           boot_clock::now() - *last_answer_ < answer_age_limit;
+}
+
+void coordinator_seat::suspect()
+{
+    candidacy_.note_probe_failure();
+    timer_.cancel();
+}
+
+void coordinator_seat::note_publication()
+{
+    if (is_holder())
+        runner_->set_publication(config_.get_state());
+}
+
+void coordinator_seat::leave()
+{
+    is_leaving_ = true;
+    if (is_holder())
+        runner_->release();
+}
+
+asio::awaitable<std::optional<peer_coordinator_reply>>
+coordinator_seat::ask_peer(
+    peer_coordinator_call call, milliseconds timeout, bool& was_sent)
+{
+    auto peer = peer_;
+    if (!peer)
+        co_return std::nullopt;
+    bool was_sent_now = false;
+    peer_body body = std::move(call);
+    auto answer =
+        co_await peer->call(std::move(body), timeout, was_sent_now);
+    was_sent = was_sent || was_sent_now;
+    if (!answer)
+        co_return std::nullopt;
+    auto* reply = std::get_if<peer_coordinator_reply>(&*answer);
+    if (!reply)
+        co_return std::nullopt;
+    co_return *reply;
+}
+
+asio::awaitable<void> coordinator_seat::probe()
+{
+    const auto& head = candidacy_.get_head();
+    if (!head || !peer_)
+        co_return;
+    std::string holder = head->holder;
+    peer_coordinator_call question;
+    bool was_sent = false;
+    auto reply = co_await ask_peer(question, probe_timeout, was_sent);
+    if (reply && reply->result == coordinator_result::done &&
+        reply->boot == holder)
+    {
+        last_answer_ = boot_clock::now();
+        candidacy_.note_probe(reply->renewed_age, *last_answer_);
+        co_return;
+    }
+    candidacy_.note_probe_failure();
+}
+
+asio::awaitable<void> coordinator_seat::read_head()
+{
+    boot_time sent = boot_clock::now();
+    row_range range{ledger_table::control, ledger_table::part,
+        ledger_table::head_key, ""};
+    store_rows rows = co_await store_.read_rows(range, read_timeout);
+    if (rows.failure != store_failure::none)
+        co_return;
+    std::optional<ledger_head> head;
+    row_version version;
+    for (const stored_row& it : rows.rows)
+        if (it.key == ledger_table::head_key)
+        {
+            try
+            {
+                head = decode_ledger_head(it.value);
+            }
+            catch (const systems_error& e)
+            {
+                write_log(log_level::error, "candidate",
+                    "the head row cannot be read", {{"why", e.what()}});
+                co_return;
+            }
+            version = it.version;
+        }
+    auto before = candidacy_.get_head();
+    candidacy_.note_head(head, version, sent, boot_clock::now());
+    if (!head || head->address == address_)
+    {
+        peer_.reset();
+        co_return;
+    }
+    bool is_same = before && before->holder == head->holder;
+    if (peer_ && is_same)
+        co_return;
+    write_log(log_level::info, "candidate", "coordinator known",
+        {{"term", head->term}, {"entry", head->entry},
+            {"address", head->address}, {"version", version}});
+    auto handler = [](peer_body) -> asio::awaitable<std::optional<peer_body>>
+    { co_return std::nullopt; };
+    auto on_fault = [](const std::string& code, const std::string& message)
+    {
+        write_log(log_level::debug, "peer_link", message, {{"code", code}});
+    };
+    peer_ = std::make_shared<peer_client>(io_, parse_endpoint(head->address),
+        settings_.peer_listen.address(), handler, on_fault);
+}
+
+asio::awaitable<void> coordinator_seat::take_over()
+{
+    const auto& old = candidacy_.get_head();
+    ledger_head head;
+    head.term = fencing_number(old ? old->term.get() + 1 : 1);
+    head.holder = boot_;
+    head.entry = settings_.entry.get();
+    head.address = address_;
+    write_log(log_level::info, "candidate", "taking over",
+        {{"term", head.term}, {"version", candidacy_.get_version()},
+            {"former", old ? old->entry : std::string()},
+            {"released", old && old->is_released}});
+    ledger_batch batch{candidacy_.get_version(), head, {}};
+    boot_time sent = boot_clock::now();
+    batch_answer answer = co_await store_.commit(batch, take_over_timeout);
+    // A copy that was delayed may have applied; nobody else writes our name.
+    bool is_ours = answer.outcome == batch_answer::kind::committed ||
+                   (answer.head && *answer.head == head);
+    if (!is_ours)
+    {
+        write_log(log_level::info, "candidate", "not taken over",
+            {{"term", head.term},
+                {"outcome", static_cast<int>(answer.outcome)}});
+        co_return;
+    }
+    auto runner = std::make_shared<coordinator_runner>(
+        io_, settings_, store_, metrics_, head, answer.version, sent);
+    is_recovering_ = true;
+    recovering_since_ = sent;
+    bool is_recovered = false;
+    for (int i = 0; i < recovery_attempts && !is_recovered; ++i)
+        is_recovered = co_await runner->recover();
+    is_recovering_ = false;
+    if (!is_recovered || is_leaving_)
+    {
+        write_log(log_level::error, "candidate", "ledger cannot be read",
+            {{"term", head.term}});
+        co_return;
+    }
+    metrics_.add("cowslippass_takeovers_total");
+    runner_ = runner;
+    runner_->start(config_.get_state());
+}
+
+asio::awaitable<void> coordinator_seat::run()
+{
+    for (;;)
+    {
+        if (is_holder())
+        {
+            co_await wait_on(timer_, probe_interval);
+            continue;
+        }
+        if (peer_)
+            co_await probe();
+        if (!candidacy_.needs_read())
+        {
+            co_await wait_on(timer_, probe_interval);
+            continue;
+        }
+        co_await read_head();
+        // Without a configuration nothing could be decided.
+        bool may_lead = !is_leaving_ && config_.get_state().config;
+        if (may_lead && candidacy_.may_take_over(boot_clock::now()))
+        {
+            co_await wait_on(timer_, draw_jitter());
+            co_await take_over();
+            if (is_holder())
+                continue;
+        }
+        asio::steady_timer pause(io_);
+        co_await wait_on(pause, suspect_interval);
+    }
+}
+
+asio::awaitable<seat_reply> coordinator_seat::call(
+    peer_coordinator_call call, boot_time deadline)
+{
+    seat_reply out;
+    for (;;)
+    {
+        if (is_holder())
+        {
+            auto runner = runner_;
+            out.may_be_done = true;
+            peer_coordinator_reply reply = co_await runner->handle(call);
+            if (reply.result != coordinator_result::not_coordinator)
+            {
+                out.reply = reply;
+                co_return out;
+            }
+        }
+        else
+        {
+            milliseconds timeout =
+                std::min(call_timeout, get_time_left(deadline));
+            auto reply =
+                co_await ask_peer(call, timeout, out.may_be_done);
+            if (reply && reply->result != coordinator_result::not_coordinator)
+            {
+                last_answer_ = boot_clock::now();
+                out.reply = reply;
+                co_return out;
+            }
+            suspect();
+        }
+        if (get_time_left(deadline) <= pause_between_calls)
+            co_return out;
+        asio::steady_timer pause(io_);
+        co_await wait_on(pause, pause_between_calls);
+    }
+}
+
+asio::awaitable<peer_coordinator_reply> coordinator_seat::handle_peer(
+    peer_coordinator_call call)
+{
+    peer_coordinator_reply reply;
+    auto runner = runner_;
+    if (is_holder())
+        reply = co_await runner->handle(std::move(call));
+    else if (is_recovering_ && call.operation == coordinator_operation::probe)
+    {
+        reply.result = coordinator_result::done;
+        reply.renewed_age = std::chrono::duration_cast<milliseconds>(
+            boot_clock::now() - recovering_since_);
+    }
+    reply.boot = boot_;
+    co_return reply;
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/entryd/entry_settings.cpp
@@ -0,0 +1,184 @@
+#include "main/entryd/entry_settings.hpp"
+
+#include "drivers/endpoint.hpp"
+
+#include <array>
+#include <toml++/toml.h>
+#include <variant>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+using member = std::variant<entry_id entry_settings::*,
+    data_centre_id entry_settings::*, tcp::endpoint entry_settings::*,
+    std::string entry_settings::*, milliseconds entry_settings::*>;
+
+struct description
+{
+    std::string_view name; ///< Durations end in `_ms` or `_s`.
+    member value;
+    bool is_required;
+    std::string_view allowed; ///< Completes "must be ...".
+};
+
+constexpr std::string_view text_rule = "a text that is not empty";
+constexpr std::string_view address_rule = "IP:port";
+constexpr std::string_view time_rule = "a number above 0 and up to 3600000";
+
+const auto& get_descriptions()
+{
+    using s = entry_settings;
+    static const std::array all{
+        description{"entry", &s::entry, true, text_rule},
+        description{"data_centre", &s::data_centre, true, text_rule},
+        description{"front_listen", &s::front_listen, true, address_rule},
+        description{
+            "readiness_listen", &s::readiness_listen, true, address_rule},
+        description{"peer_listen", &s::peer_listen, true, address_rule},
+        description{"metrics_listen", &s::metrics_listen, true, address_rule},
+        description{"store", &s::store, true, address_rule},
+        description{"machines", &s::machines, false, address_rule},
+        description{"log_level", &s::log_level, false,
+            "debug, info, warn or error"},
+        description{
+            "key_withdrawal_ms", &s::key_withdrawal, false, time_rule},
+        description{"lease_limit_ms", &s::lease_limit, false, time_rule},
+        description{"stop_grace_s", &s::stop_grace, false, time_rule},
+        description{"status_time_s", &s::status_time, false, time_rule},
+        description{"move_time_s", &s::move_time, false, time_rule},
+        description{
+            "maintenance_time_s", &s::maintenance_time, false, time_rule},
+        description{"notice_time_ms", &s::notice_time, false, time_rule},
+    };
+    return all;
+}
+
+class reader
+{
+public:
+    reader(std::string path, const toml::table& table)
+        : path_(std::move(path)), table_(table)
+    {
+    }
+
+    entry_settings read()
+    {
+        for (const auto& [key, node] : table_)
+            if (std::ranges::none_of(get_descriptions(),
+                    [&](const description& it) { return it.name == key.str(); }))
+                add_fault(key.str(), node, "is not a setting");
+        for (const description& it : get_descriptions())
+            read_member(it);
+        if (!faults_.empty())
+            throw platform_error("bad_settings", faults_);
+        return out_;
+    }
+
+private:
+    void read_member(const description& it)
+    {
+        const toml::node* node = table_.get(it.name);
+        if (!node)
+        {
+            if (it.is_required)
+                add_fault(it.name, table_,
+                    "is required; it must be " + std::string(it.allowed));
+            return;
+        }
+        bool is_read = std::visit([&](auto at)
+            { return read_value(it, *node, out_.*at); },
+            it.value);
+        if (!is_read)
+            add_fault(
+                it.name, *node, "must be " + std::string(it.allowed));
+    }
+
+    template <class Tag>
+    bool read_value(const description&, const toml::node& node,
+        strong_id<Tag, std::string>& value)
+    {
+        auto text = node.value_exact<std::string>();
+        if (!text || text->empty())
+            return false;
+        value = strong_id<Tag, std::string>(*text);
+        return true;
+    }
+
+    bool read_value(
+        const description&, const toml::node& node, std::string& value)
+    {
+        static constexpr std::array levels{"debug", "info", "warn", "error"};
+        auto text = node.value_exact<std::string>();
+        if (!text || std::ranges::find(levels, *text) == levels.end())
+            return false;
+        value = *text;
+        return true;
+    }
+
+    bool read_value(
+        const description&, const toml::node& node, tcp::endpoint& value)
+    {
+        auto text = node.value_exact<std::string>();
+        if (!text)
+            return false;
+        try
+        {
+            value = parse_endpoint(*text);
+            return true;
+        }
+        catch (const platform_error&)
+        {
+            // Reported with its line by the caller.
+            return false;
+        }
+    }
+
+    bool read_value(
+        const description& it, const toml::node& node, milliseconds& value)
+    {
+        // The deployment states some bounds in seconds, with fractions.
+        double unit = it.name.ends_with("_ms") ? 1.0 : 1'000.0;
+        auto number = node.value<double>();
+        if (!number || *number <= 0 || *number > 3'600'000)
+            return false;
+        value = milliseconds(static_cast<std::int64_t>(*number * unit));
+        return true;
+    }
+
+    void add_fault(std::string_view name, const toml::node& node,
+        const std::string& message)
+    {
+        if (!faults_.empty())
+            faults_ += '\n';
+        faults_ += path_ + ':' + std::to_string(node.source().begin.line) +
+                   ": '" + std::string(name) + "' " + message;
+    }
+
+    std::string path_;
+    const toml::table& table_;
+    entry_settings out_;
+    std::string faults_;
+};
+
+} // namespace
+
+entry_settings load_entry_settings(const std::string& path)
+{
+    toml::table table;
+    try
+    {
+        table = toml::parse_file(path);
+    }
+    catch (const toml::parse_error& e)
+    {
+        throw platform_error("bad_settings",
+            path + ':' + std::to_string(e.source().begin.line) + ": " +
+                std::string(e.description()));
+    }
+    return reader(path, table).read();
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/entryd/entryd_process.cpp
@@ -0,0 +1,226 @@
+#include "main/entryd/entryd_process.hpp"
+
+#include "drivers/log.hpp"
+#include "drivers/metrics.hpp"
+#include "main/entryd/caller_front.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+/// Calls of callers and operators carry one job of at most this size.
+constexpr std::size_t max_body_bytes = 1024 * 1024;
+/// Callers keep idle connections for longer than the balancer's checks take.
+constexpr milliseconds idle_timeout{15'000};
+/// The balancer sends nobody new after two missed checks, one a second.
+constexpr milliseconds balancer_lag{2'500};
+constexpr milliseconds stop_check_interval{50};
+/// Left of the grace period for the end of the process itself.
+constexpr milliseconds stop_margin{700};
+
+std::vector<metric_description> get_entryd_metrics()
+{
+    using enum metric_kind;
+    return {
+        {"cowslippass_calls_total", counter,
+            "Calls of callers, by method and status."},
+        {"cowslippass_call_seconds", distribution,
+            "Seconds from a caller's whole call to its answer."},
+        {"cowslippass_ledger_commit_seconds", distribution,
+            "Seconds of the ledger's transactions."},
+        {"cowslippass_ledger_retries_total", counter,
+            "Transactions that were sent again."},
+        {"cowslippass_starts_total", counter,
+            "Orders to start a task, by outcome."},
+        {"cowslippass_looks_total", counter,
+            "Looks at targets, by outcome."},
+        {"cowslippass_takeovers_total", counter,
+            "Terms as coordinator that began in this process."},
+    };
+}
+
+/// All parts of one entry.
+class entryd
+{
+public:
+    entryd(asio::io_context& io, std::string path, entry_settings settings)
+        : io_(io), path_(std::move(path)), settings_(std::move(settings)),
+          metrics_(get_entryd_metrics()), store_(io, settings_.store),
+          config_(io, store_, [this] { seat_.note_publication(); }),
+          seat_(io, settings_, store_, metrics_, config_),
+          front_(settings_, config_, seat_, metrics_),
+          peers_(
+              io, settings_.peer_listen,
+              [this](peer_body body) { return answer_peer(std::move(body)); },
+              [](const std::string& code, const std::string& message)
+              {
+                  write_log(log_level::debug, "peer_link", message,
+                      {{"code", code}});
+              }),
+          callers_(io, make_options(settings_.front_listen),
+              [this](http_request it) { return front_.handle(std::move(it)); }),
+          readiness_(io, make_options(settings_.readiness_listen),
+              [this](http_request) { return answer_readiness(); }),
+          metrics_server_(io, make_options(settings_.metrics_listen),
+              [this](http_request) { return answer_metrics(); }),
+          signals_(io, SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    void start()
+    {
+        write_log(log_level::info, "process", "start",
+            {{"entry", settings_.entry},
+                {"data_centre", settings_.data_centre}});
+        asio::co_spawn(
+            io_, [this] { return config_.run(); }, asio::detached);
+        asio::co_spawn(io_, [this] { return seat_.run(); }, asio::detached);
+        asio::co_spawn(
+            io_, [this] { return wait_for_signals(); }, asio::detached);
+    }
+
+private:
+    static http_server_options make_options(const tcp::endpoint& endpoint)
+    {
+        http_server_options out;
+        out.endpoint = endpoint;
+        out.max_body_bytes = max_body_bytes;
+        out.idle_timeout = idle_timeout;
+        return out;
+    }
+
+    asio::awaitable<std::optional<peer_body>> answer_peer(peer_body body)
+    {
+        auto* call = std::get_if<peer_coordinator_call>(&body);
+        if (!call)
+            co_return std::nullopt;
+        peer_body reply = co_await seat_.handle_peer(std::move(*call));
+        co_return reply;
+    }
+
+    asio::awaitable<http_response> answer_readiness()
+    {
+        http_response out;
+        out.status = front_.is_ready() ? 200 : 503;
+        co_return out;
+    }
+
+    asio::awaitable<http_response> answer_metrics()
+    {
+        http_response out;
+        out.headers["Content-Type"] = "text/plain; version=0.0.4";
+        out.body = metrics_.format();
+        co_return out;
+    }
+
+    asio::awaitable<void> wait_for_signals()
+    {
+        for (;;)
+        {
+            boost::system::error_code ec;
+            int number = co_await signals_.async_wait(
+                asio::redirect_error(asio::use_awaitable, ec));
+            if (ec)
+                co_return;
+            if (number == SIGHUP)
+            {
+                reload();
+                continue;
+            }
+            if (is_stopping_)
+            {
+                io_.stop();
+                co_return;
+            }
+            is_stopping_ = true;
+            asio::co_spawn(io_, [this] { return stop(); }, asio::detached);
+        }
+    }
+
+    /// Addresses stay; a change of theirs needs a restart.
+    void reload()
+    {
+        try
+        {
+            entry_settings fresh = load_entry_settings(path_);
+            settings_.key_withdrawal = fresh.key_withdrawal;
+            settings_.lease_limit = fresh.lease_limit;
+            settings_.stop_grace = fresh.stop_grace;
+            settings_.status_time = fresh.status_time;
+            settings_.move_time = fresh.move_time;
+            settings_.maintenance_time = fresh.maintenance_time;
+            settings_.notice_time = fresh.notice_time;
+            settings_.log_level = fresh.log_level;
+            configure_log(settings_.log_level, log_to_output);
+            write_log(log_level::info, "process", "reloaded");
+        }
+        catch (const error& e)
+        {
+            write_log(log_level::error, "process",
+                "settings not reloaded; the old ones stay",
+                {{"why", e.what()}});
+        }
+    }
+
+    asio::awaitable<void> stop()
+    {
+        boot_time end =
+            boot_clock::now() + settings_.stop_grace - stop_margin;
+        boot_time quiet = boot_clock::now() + balancer_lag;
+        write_log(log_level::info, "process", "stop");
+        front_.leave();
+        seat_.leave();
+        asio::steady_timer timer(io_);
+        while (boot_clock::now() < end)
+        {
+            timer.expires_after(stop_check_interval);
+            boost::system::error_code ec;
+            co_await timer.async_wait(
+                asio::redirect_error(asio::use_awaitable, ec));
+            if (boot_clock::now() >= quiet &&
+                callers_.get_active_count() == 0 && !seat_.is_holder())
+                break;
+        }
+        write_log(log_level::info, "process", "stopped",
+            {{"open_calls", callers_.get_active_count()},
+                {"is_coordinator", seat_.is_holder()}});
+        io_.stop();
+    }
+
+    asio::io_context& io_;
+    std::string path_;
+    entry_settings settings_;
+    metrics_registry metrics_;
+    store_client store_;
+    config_follower config_;
+    coordinator_seat seat_;
+    caller_front front_;
+    peer_server peers_;
+    http_server callers_;
+    http_server readiness_;
+    http_server metrics_server_;
+    asio::signal_set signals_;
+    bool is_stopping_ = false;
+};
+
+} // namespace
+
+int run_entryd(const std::string& path, entry_settings settings)
+{
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    configure_log(settings.log_level, log_to_output);
+    asio::io_context io(1);
+    entryd node(io, path, std::move(settings));
+    node.start();
+    io.run();
+    return 0;
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/coordination/candidacy.cpp
@@ -0,0 +1,44 @@
+#include "systems/coordination/candidacy.hpp"
+
+namespace cowslippass
+{
+
+candidacy::candidacy(std::string boot, std::string address)
+    : boot_(std::move(boot)), address_(std::move(address))
+{
+}
+
+void candidacy::note_head(const std::optional<ledger_head>& head,
+    row_version version, boot_time sent_at, boot_time now)
+{
+    if (!is_read_ || version != version_)
+        first_seen_ = now;
+    is_read_ = true;
+    head_ = head;
+    version_ = version;
+    last_read_ = sent_at;
+}
+
+void candidacy::note_probe(milliseconds renewed_age, boot_time)
+{
+    is_suspect_ = renewed_age > renewal_limit;
+}
+
+void candidacy::note_probe_failure()
+{
+    is_suspect_ = true;
+}
+
+bool candidacy::may_take_over(boot_time now) const
+{
+    if (!is_read_ || !is_suspect_ || now - last_read_ > read_age_limit)
+        return false;
+    if (!head_ || head_->is_released)
+        return true;
+    // Another boot listens at its address now, or its term ended here.
+    if (head_->address == address_ || head_->holder == boot_)
+        return true;
+    return last_read_ - first_seen_ >= silence_limit;
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/coordination/candidacy.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "systems/coordination/ledger_head.hpp"
+
+#include <optional>
+
+namespace cowslippass
+{
+
+/// Decides when this process may take the coordinator's place.
+class candidacy
+{
+public:
+    /// A coordinator that reaches the store renews the head row far more
+    /// often.
+    static constexpr milliseconds silence_limit{1'200};
+    /// What was read longer ago says nothing of now.
+    static constexpr milliseconds read_age_limit{500};
+    /// A coordinator whose last transaction is older cannot reach the store.
+    static constexpr milliseconds renewal_limit{2'500};
+
+    /// @param boot names this process; @param address is that for its peers.
+    candidacy(std::string boot, std::string address);
+
+    /// The head row was read; nothing when it is absent.
+    void note_head(const std::optional<ledger_head>& head, row_version version,
+        boot_time sent_at, boot_time now);
+
+    /// The coordinator answered a probe.
+    void note_probe(milliseconds renewed_age, boot_time now);
+
+    /// The coordinator did not answer, or the answer came from another boot.
+    void note_probe_failure();
+
+    const std::optional<ledger_head>& get_head() const { return head_; }
+    row_version get_version() const { return version_; }
+
+    /// @return whether the head row has to be read to know more.
+    bool needs_read() const { return is_suspect_; }
+
+    /// @return whether the place is free: never taken, given back, held by an
+    ///   earlier boot at this address, or by a process that is silent.
+    bool may_take_over(boot_time now) const;
+
+private:
+    std::string boot_;
+    std::string address_;
+    bool is_read_ = false;
+    std::optional<ledger_head> head_;
+    row_version version_;
+    boot_time first_seen_{}; ///< When this version was first seen.
+    boot_time last_read_{};
+    bool is_suspect_ = true;
+};
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/scheduling/coordinator.hpp
@@ -0,0 +1,203 @@
+#pragma once
+
+#include "systems/configuration/fleet_config.hpp"
+#include "systems/scheduling/target_table.hpp"
+#include "systems/workload/job_record.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace cowslippass
+{
+
+/// Bounds and times of the coordinator's decisions.
+struct coordinator_options
+{
+    /// How long a target that failed a call gets no work.
+    milliseconds set_aside{1'000};
+    /// How long callers can ask for an ended job.
+    milliseconds keep_ended{150'000};
+};
+
+/// A run that a target may execute.
+struct active_run
+{
+    target_id target;
+    run_number number;
+    resources need;    ///< Counted against the target's capacity.
+    resources charged; ///< Counted against the team's limit.
+    team_id team;
+    boot_time assigned_at{};
+    /// Since when the target is known to have it, or to have dropped it.
+    std::optional<boot_time> settled_at;
+    bool is_sent = false;
+    /// An order without an answer may still reach the target.
+    bool may_arrive_late = false;
+    bool must_stop = false;
+    int percent = 0;  ///< As last reported.
+    double figure = 0;
+};
+
+/// A start to send once the ledger holds it.
+struct start_decision
+{
+    task_name task;
+    run_number run;
+    target_id target;
+};
+
+struct stop_decision
+{
+    task_name task;
+    run_number run;
+    target_id target;
+};
+
+enum class submit_outcome
+{
+    added,
+    known ///< Submitted before; it stays one job.
+};
+
+/// Decides for all jobs and targets: what starts where, what stops, what has
+/// ended. Has no effects outside; the caller writes the rows of changed jobs,
+/// sends the orders and passes the answers back in.
+class coordinator
+{
+public:
+    explicit coordinator(coordinator_options options);
+
+    // Jobs.
+
+    /// Restores a job at a takeover. Its runs count as running until their
+    /// targets say otherwise.
+    void load_job(const job_id& id, job_record record,
+        const std::string& progress, boot_time now);
+
+    submit_outcome submit(const job_id& id, job_record record, boot_time now);
+
+    /// @return whether the job is known; it is stopped with the next orders.
+    bool cancel(const job_id& id, boot_time now);
+
+    /// @return nothing for an unknown job.
+    const job* find_job(const job_id& id) const;
+
+    /// @return jobs of the queue of which no task has started.
+    std::uint64_t count_queued(const queue_id& queue) const;
+
+    std::size_t count_jobs() const { return jobs_.size(); }
+
+    // Configuration and targets.
+
+    void set_publication(const published_state& state);
+    const published_state& get_publication() const { return publication_; }
+    void note_target_change(const target_change& change, boot_time now);
+
+    /// Marks an instance's target as about to leave its pool, or not.
+    void set_cordon(const target_id& target, bool is_cordoned);
+
+    const target_table& get_targets() const { return targets_; }
+    const std::map<task_name, active_run>& get_runs() const { return runs_; }
+
+    // Decisions.
+
+    /// Assigns waiting tasks to targets.
+    /// @param wall_time for schedules.
+    std::vector<start_decision> plan(boot_time now, platform_time wall_time);
+
+    /// Runs that are to be stopped and have not confirmed it.
+    std::vector<stop_decision> list_stops() const;
+
+    /// Asks for a run to be stopped; its task starts again elsewhere.
+    void stop_run(const task_name& task);
+
+    /// @return the order for a start, unless it is not to be sent any more.
+    std::optional<start_order> make_start_order(const start_decision& it);
+
+    /// Takes back an assignment whose order was never sent.
+    void withdraw_unsent(const task_name& task, run_number run);
+
+    // Answers.
+
+    void note_start_reply(const start_decision& it, order_outcome outcome,
+        boot_time now);
+    void note_stop_reply(
+        const stop_decision& it, order_outcome outcome, boot_time now);
+
+    /// @param sent_at when the look was sent: what was settled later is not
+    ///   judged by it.
+    void note_look(const target_id& target, const target_look& look,
+        boot_time sent_at, boot_time now);
+    void note_look_failure(const target_id& target, boot_time now);
+
+    /// A lease was granted at the target; nothing of it is left after `end`.
+    void note_lease(const target_id& target, boot_time end);
+
+    /// Gives up the runs of targets that are silent and whose leases have all
+    /// run out, and forgets targets that are gone.
+    void expire(boot_time now);
+
+    // Rows to write.
+
+    /// @return jobs whose progress changed since the last call.
+    std::vector<job_id> take_changed();
+
+    /// @return ended jobs that callers can no longer ask for, now removed.
+    std::vector<job_id> take_forgotten(boot_time now);
+
+private:
+    struct job_entry
+    {
+        job value;
+        platform_time accepted;
+        std::uint64_t order = 0; ///< Of acceptance.
+        std::vector<task_key> waiting;
+        bool needs_scan = true;
+        std::optional<boot_time> ended_at;
+    };
+
+    job_entry* find_entry(const job_id& id);
+    void note_change(job_entry& entry, boot_time now);
+    void stop_runs_of(const job& it);
+    void add_run(const task_name& task, const job& owner, const target_id& target,
+        run_number number, boot_time now);
+    /// Frees what a run took.
+    void remove_run(const task_name& task);
+    /// Takes note of the end of an active run.
+    void end_run(const task_name& task, run_end end, const std::string& saved,
+        boot_time now);
+    void note_running(target_entry& target, const running_report& it,
+        boot_time now);
+    void note_end(target_entry& target, const end_report& it, boot_time now);
+    void drop_missing_runs(target_entry& target, const target_look& look,
+        boot_time sent_at, boot_time now);
+    void start_new_life(target_entry& target, boot_time now);
+
+    std::vector<job_entry*> list_waiting_jobs(platform_time wall_time);
+    void plan_job(job_entry& entry, boot_time now,
+        std::vector<start_decision>& out);
+    bool place_gang(job_entry& entry, std::size_t& at, const queue_config& queue,
+        boot_time now, std::vector<start_decision>& out);
+    target_entry* choose_target(const job& owner, const task_key& key,
+        const pool_id& pool, const rack_id& rack, boot_time now);
+    bool fits_limit(const team_id& team, const resources& need) const;
+    const queue_config* find_queue(const queue_id& queue) const;
+    std::uint32_t get_max_attempts(const queue_id& queue) const;
+
+    coordinator_options options_;
+    published_state publication_;
+    /// Also queues that were removed: their jobs go on.
+    std::map<queue_id, queue_config> queues_;
+    std::map<job_id, job_entry> jobs_;
+    std::set<job_id> unfinished_;
+    std::map<task_name, active_run> runs_;
+    std::map<team_id, resources> team_used_;
+    target_table targets_;
+    std::set<job_id> changed_;
+    std::uint64_t last_order_ = 0;
+};
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/workload/job.cpp
@@ -0,0 +1,268 @@
+#include "systems/workload/job.hpp"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr std::array phase_names{
+    "queued", "running", "completed", "failed", "cancelled"};
+constexpr std::array end_names{
+    "done", "failed", "stopped", "lapsed", "broken", "alone"};
+
+job_phase parse_phase(const std::string& text)
+{
+    auto it = std::ranges::find(phase_names, text);
+    if (it == phase_names.end())
+        throw systems_error("bad_job", "unknown state '" + text + "'");
+    return static_cast<job_phase>(it - phase_names.begin());
+}
+
+} // namespace
+
+const char* to_string(job_phase state)
+{
+    return phase_names.at(static_cast<std::size_t>(state));
+}
+
+const char* to_string(run_end end)
+{
+    return end_names.at(static_cast<std::size_t>(end));
+}
+
+job::job(job_id id, queue_id queue, team_id team, job_spec spec)
+    : id_(std::move(id)), queue_(std::move(queue)), team_(std::move(team)),
+      spec_(std::move(spec))
+{
+    for (const step_spec& it : spec_.steps)
+        task_count_ += it.task_count;
+    task_count_ *= spec_.get_occurrence_count();
+}
+
+bool job::is_ended() const
+{
+    return phase_ != job_phase::queued && phase_ != job_phase::running;
+}
+
+const step_spec& job::get_step(const task_key& key) const
+{
+    return spec_.steps.at(key.step);
+}
+
+const task_progress* job::find_task(const task_key& key) const
+{
+    auto step = steps_.find({key.occurrence, key.step});
+    if (step == steps_.end())
+        return nullptr;
+    auto it = step->second.tasks.find(key.index);
+    return it == step->second.tasks.end() ? nullptr : &it->second;
+}
+
+bool job::is_done(const task_key& key) const
+{
+    auto step = steps_.find({key.occurrence, key.step});
+    return step != steps_.end() && step->second.done.contains(key.index);
+}
+
+bool job::is_step_done(std::uint32_t occurrence, std::uint32_t step) const
+{
+    auto it = steps_.find({occurrence, step});
+    return it != steps_.end() &&
+           it->second.done.size() == spec_.steps.at(step).task_count;
+}
+
+platform_time job::get_due_time(std::uint32_t occurrence) const
+{
+    if (spec_.repeat_count == 0)
+        return platform_time(0);
+    return platform_time(
+        spec_.first_start.get() + occurrence * spec_.interval.count());
+}
+
+bool job::is_step_open(
+    std::uint32_t occurrence, std::uint32_t step, platform_time now) const
+{
+    if (spec_.repeat_count > 0 && get_due_time(occurrence) > now)
+        return false;
+    return std::ranges::all_of(spec_.steps.at(step).after,
+        [&](std::uint32_t before) { return is_step_done(occurrence, before); });
+}
+
+std::vector<task_key> job::list_waiting(platform_time now) const
+{
+    std::vector<task_key> out;
+    if (is_ended())
+        return out;
+    for (std::uint32_t k = 0; k < spec_.get_occurrence_count(); ++k)
+    {
+        if (spec_.repeat_count > 0 && get_due_time(k) > now)
+            break;
+        for (std::uint32_t s = 0; s < spec_.steps.size(); ++s)
+        {
+            if (is_step_done(k, s) || !is_step_open(k, s, now))
+                continue;
+            auto step = steps_.find({k, s});
+            for (std::uint32_t i = 0; i < spec_.steps[s].task_count; ++i)
+            {
+                task_key key{k, s, i};
+                if (step != steps_.end() && step->second.done.contains(i))
+                    continue;
+                const task_progress* task = find_task(key);
+                if (!task || !task->run)
+                    out.push_back(key);
+            }
+        }
+    }
+    return out;
+}
+
+std::vector<task_key> job::list_running() const
+{
+    std::vector<task_key> out;
+    for (const auto& [at, step] : steps_)
+        for (const auto& [index, task] : step.tasks)
+            if (task.run)
+                out.push_back({at.first, at.second, index});
+    return out;
+}
+
+run_number job::assign(const task_key& key, target_id target,
+    std::optional<run_number> number)
+{
+    task_progress& task = steps_[{key.occurrence, key.step}].tasks[key.index];
+    run_number next =
+        number ? *number : run_number(task.last_number.get() + 1);
+    task.last_number = next;
+    task.run = task_run{next, std::move(target)};
+    if (phase_ == job_phase::queued)
+        phase_ = job_phase::running;
+    return next;
+}
+
+void job::mark_done(const task_key& key)
+{
+    if (steps_[{key.occurrence, key.step}].done.insert(key.index).second)
+        ++done_count_;
+    if (done_count_ == task_count_ && !is_ended())
+        phase_ = job_phase::completed;
+}
+
+void job::note_failure(task_progress& task, std::uint32_t max_attempts)
+{
+    ++task.failures;
+    if (task.failures >= max_attempts && !is_ended())
+        phase_ = job_phase::failed;
+}
+
+bool job::note_end(const task_key& key, run_number number, run_end end,
+    const std::string& saved, std::uint32_t max_attempts)
+{
+    auto step = steps_.find({key.occurrence, key.step});
+    if (step == steps_.end())
+        return false;
+    auto it = step->second.tasks.find(key.index);
+    if (it == step->second.tasks.end() || !it->second.run ||
+        it->second.run->number != number)
+        return false;
+    task_progress& task = it->second;
+    task.run.reset();
+    const step_spec& spec = get_step(key);
+    if (!saved.empty())
+        task.saved = saved;
+    if (end == run_end::done && !spec.is_long_running)
+    {
+        task.saved.clear();
+        if (!spec.is_gang)
+        {
+            mark_done(key);
+            return true;
+        }
+        // One end stands for all members, which end together.
+        for (std::uint32_t i = 0; i < spec.task_count; ++i)
+        {
+            task_key member{key.occurrence, key.step, i};
+            auto other = step->second.tasks.find(i);
+            if (other != step->second.tasks.end() && other->second.run &&
+                other->second.run->number == number)
+                other->second.run.reset();
+            mark_done(member);
+        }
+        return true;
+    }
+    if (end == run_end::failed && !spec.is_long_running)
+        note_failure(task, max_attempts);
+    return true;
+}
+
+bool job::cancel()
+{
+    if (is_ended())
+        return false;
+    phase_ = job_phase::cancelled;
+    return true;
+}
+
+std::string job::encode_progress() const
+{
+    json steps = json::array();
+    for (const auto& [at, step] : steps_)
+    {
+        json tasks = json::array();
+        for (const auto& [index, task] : step.tasks)
+        {
+            // The run number of a task that is done is of no further use.
+            if (step.done.contains(index) && !task.run)
+                continue;
+            tasks.push_back(json::array(
+                {index, task.last_number.get(), task.failures, task.saved,
+                    task.run ? task.run->target.get() : std::string()}));
+        }
+        steps.push_back(
+            json::array({at.first, at.second, step.done, std::move(tasks)}));
+    }
+    json out{{"state", to_string(phase_)}, {"steps", std::move(steps)}};
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void job::decode_progress(const std::string& text)
+{
+    try
+    {
+        json in = json::parse(text);
+        phase_ = parse_phase(in.at("state").get<std::string>());
+        steps_.clear();
+        done_count_ = 0;
+        for (const json& it : in.at("steps"))
+        {
+            step_key at{it.at(0).get<std::uint32_t>(),
+                it.at(1).get<std::uint32_t>()};
+            step_progress& step = steps_[at];
+            it.at(2).get_to(step.done);
+            done_count_ += step.done.size();
+            for (const json& row : it.at(3))
+            {
+                task_progress& task =
+                    step.tasks[row.at(0).get<std::uint32_t>()];
+                task.last_number = run_number(row.at(1).get<std::uint64_t>());
+                row.at(2).get_to(task.failures);
+                row.at(3).get_to(task.saved);
+                auto target = row.at(4).get<std::string>();
+                if (!target.empty())
+                    task.run = task_run{task.last_number, target_id(target)};
+            }
+        }
+    }
+    catch (const json::exception& e)
+    {
+        throw systems_error("bad_job", e.what());
+    }
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/workload/job_spec.cpp
@@ -0,0 +1,166 @@
+#include "systems/workload/job_spec.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+/// Keeps a job's tables within what one ledger row can describe.
+constexpr std::uint32_t max_tasks = 10'000;
+
+// Steps are rows of fixed columns, as their names would be most of the bytes.
+json encode_step(const step_spec& it)
+{
+    return json::array({it.task_count, it.need.processor, it.need.memory,
+        it.need.accelerators, it.estimate.count(), it.after, it.saves_progress,
+        it.is_gang, it.prefers_one_rack, it.required_label, it.data_rack.get(),
+        it.max_per_target, it.allows_copies, it.is_long_running, it.image,
+        it.tail_target.count(), it.is_filler, it.max_unavailable});
+}
+
+step_spec decode_step(const json& row)
+{
+    step_spec out;
+    std::size_t i = 0;
+    auto read = [&](auto& member) { row.at(i++).get_to(member); };
+    auto read_time = [&](milliseconds& member)
+    { member = milliseconds(row.at(i++).get<std::int64_t>()); };
+    read(out.task_count);
+    read(out.need.processor);
+    read(out.need.memory);
+    read(out.need.accelerators);
+    read_time(out.estimate);
+    read(out.after);
+    read(out.saves_progress);
+    read(out.is_gang);
+    read(out.prefers_one_rack);
+    read(out.required_label);
+    out.data_rack = rack_id(row.at(i++).get<std::string>());
+    read(out.max_per_target);
+    read(out.allows_copies);
+    read(out.is_long_running);
+    read(out.image);
+    read_time(out.tail_target);
+    read(out.is_filler);
+    read(out.max_unavailable);
+    return out;
+}
+
+} // namespace
+
+resources& resources::operator+=(const resources& other)
+{
+    processor += other.processor;
+    memory += other.memory;
+    accelerators += other.accelerators;
+    return *this;
+}
+
+resources& resources::operator-=(const resources& other)
+{
+    processor -= other.processor;
+    memory -= other.memory;
+    accelerators -= other.accelerators;
+    return *this;
+}
+
+bool resources::holds(const resources& need) const
+{
+    return processor >= need.processor && memory >= need.memory &&
+           accelerators >= need.accelerators;
+}
+
+resources operator+(resources a, const resources& b)
+{
+    return a += b;
+}
+
+resources operator-(resources a, const resources& b)
+{
+    return a -= b;
+}
+
+resources operator*(resources a, std::int64_t n)
+{
+    return {a.processor * n, a.memory * n, a.accelerators * n};
+}
+
+resources step_spec::get_counted_need() const
+{
+    resources out = need;
+    if (is_filler)
+        out.processor = 0;
+    return out;
+}
+
+std::uint32_t job_spec::get_occurrence_count() const
+{
+    return repeat_count == 0 ? 1 : repeat_count;
+}
+
+std::string encode_job_spec(const job_spec& spec)
+{
+    json steps = json::array();
+    for (const step_spec& it : spec.steps)
+        steps.push_back(encode_step(it));
+    json out{{"payload", spec.payload}, {"steps", std::move(steps)}};
+    if (spec.repeat_count > 0)
+        out["schedule"] = {
+            spec.repeat_count, spec.first_start.get(), spec.interval.count()};
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+job_spec decode_job_spec(const std::string& text)
+{
+    try
+    {
+        json in = json::parse(text);
+        job_spec out;
+        in.at("payload").get_to(out.payload);
+        for (const json& it : in.at("steps"))
+            out.steps.push_back(decode_step(it));
+        if (auto it = in.find("schedule"); it != in.end())
+        {
+            it->at(0).get_to(out.repeat_count);
+            out.first_start = platform_time(it->at(1).get<std::int64_t>());
+            out.interval = milliseconds(it->at(2).get<std::int64_t>());
+        }
+        return out;
+    }
+    catch (const json::exception& e)
+    {
+        throw systems_error("bad_job", e.what());
+    }
+}
+
+void check_job_spec(const job_spec& spec)
+{
+    auto fail = [](const std::string& message)
+    { throw systems_error("bad_job", message); };
+    if (spec.steps.empty())
+        fail("the job has no steps");
+    std::uint64_t tasks = 0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i)
+    {
+        const step_spec& it = spec.steps[i];
+        std::string name = "step " + std::to_string(i);
+        if (it.task_count == 0)
+            fail(name + " has no tasks");
+        if (it.need.processor < 0 || it.need.memory < 0 ||
+            it.need.accelerators < 0)
+            fail(name + " has a negative size");
+        for (std::uint32_t before : it.after)
+            if (before >= i)
+                fail(name + " waits for a step that is not before it");
+        tasks += it.task_count;
+    }
+    if (tasks * spec.get_occurrence_count() > max_tasks)
+        fail("the job has more than " + std::to_string(max_tasks) + " tasks");
+}
+
+} // namespace cowslippass
