--- a/main/entryd/caller_front.cpp
+++ b/main/entryd/caller_front.cpp
@@ -88,7 +88,7 @@
 bool caller_front::is_ready() const
 {
     auto as_of = config_.get_as_of();
-    return !is_leaving_ && config_.get_state().config && as_of &&
+    return !last_answer_ && config_.get_state().config && as_of &&
            boot_clock::now() - *as_of < ready_age_limit &&
            seat_.is_coordinator_known();
 }
@@ -212,6 +212,8 @@
     boot_time deadline =
         boot_clock::now() + std::max(get_wait(request) - answer_margin,
                                 milliseconds(50));
+    if (last_answer_)
+        deadline = std::min(deadline, *last_answer_);
     admission allowed = admit(request);
     if (allowed.refusal)
         co_return *allowed.refusal;
@@ -240,7 +242,7 @@
     std::string method = request.method;
     std::string path = request.path;
     http_response out = co_await dispatch(std::move(request));
-    if (is_leaving_)
+    if (last_answer_)
         out.headers["Connection"] = "close";
     auto took = boot_clock::now() - from;
     metrics_.add("cowslippass_calls_total",
--- a/main/entryd/caller_front.hpp
+++ b/main/entryd/caller_front.hpp
@@ -20,7 +20,8 @@
     bool is_ready() const;
 
     /// Turns unready; answers ask callers to connect elsewhere.
-    void leave() { is_leaving_ = true; }
+    /// @param last_answer by when every call is answered.
+    void leave(boot_time last_answer) { last_answer_ = last_answer; }
 
 private:
     /// What the configuration in hand allows.
@@ -47,7 +48,7 @@
     const config_follower& config_;
     coordinator_seat& seat_;
     metrics_registry& metrics_;
-    bool is_leaving_ = false;
+    std::optional<boot_time> last_answer_; ///< Set when the entry leaves.
 };
 
 } // namespace cowslippass
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -164,11 +164,8 @@
         }
     }
     // The predecessor may have granted leases until its authority ended.
-    auto lease = milliseconds(static_cast<std::int64_t>(
-        static_cast<double>(settings_.lease_limit.count()) *
-        (1 + clock_slack)));
     for (const auto& [id, target] : decisions_.get_targets())
-        decisions_.note_lease(id, now + authority + lease);
+        decisions_.note_lease(id, now + authority + get_longest_lease());
     write_log(log_level::info, "coordinator", "recovered",
         {{"term", head_.term}, {"jobs", decisions_.count_jobs()},
             {"runs", decisions_.get_runs().size()},
@@ -467,8 +464,17 @@
     }
 }
 
-target_time coordinator_runner::get_lease_end(const target_link& link) const
+milliseconds coordinator_runner::get_longest_lease() const
 {
+    return milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(settings_.lease_limit.count()) *
+        (1 + clock_slack)));
+}
+
+target_time coordinator_runner::grant_lease(const target_link& link)
+{
+    decisions_.note_lease(
+        link.target, boot_clock::now() + get_longest_lease());
     auto passed = to_milliseconds(boot_clock::now() - link.clock_at);
     auto lease = static_cast<std::int64_t>(
         static_cast<double>(settings_.lease_limit.count()) * lease_share);
@@ -519,15 +525,10 @@
         bool has_unseen = target.last_end > link->seen_up_to;
         look_order order;
         order.seen_up_to = link->seen_up_to;
-        if (is_busy && target.is_known && link->clock && has_authority())
-        {
-            order.lease_end = get_lease_end(*link);
-            decisions_.note_lease(link->target,
-                boot_clock::now() + milliseconds(static_cast<std::int64_t>(
-                                        settings_.lease_limit.count() *
-                                        (1 + clock_slack))));
-        }
-        if (is_busy && target.is_known && !has_unseen)
+        if (decisions_.wants_lease(link->target) && link->clock &&
+            has_authority())
+            order.lease_end = grant_lease(*link);
+        if (is_busy && target.is_known && target.failures == 0 && !has_unseen)
             order.wait = look_wait;
         boot_time sent_at = boot_clock::now();
         look_reply reply = co_await link->client.look(order, look_timeout);
@@ -582,6 +583,7 @@
 asio::awaitable<void> coordinator_runner::send_start(start_decision decision)
 {
     auto self = shared_from_this();
+    std::optional<target_time> lease_end;
     while (!is_over_)
     {
         link_ptr link = find_link(decision.target);
@@ -597,11 +599,10 @@
             wake();
             co_return;
         }
-        order->lease_end = get_lease_end(*link);
-        decisions_.note_lease(decision.target,
-            boot_clock::now() +
-                milliseconds(static_cast<std::int64_t>(
-                    settings_.lease_limit.count() * (1 + clock_slack))));
+        // A repeat keeps the first lease: a silent target must run out of it.
+        if (!lease_end)
+            lease_end = grant_lease(*link);
+        order->lease_end = *lease_end;
         // Ends of this run have to be seen; an idle target is not asked.
         link->timer.cancel();
         order_reply reply =
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -74,7 +74,9 @@
     void open_links();
     void process_look(target_link& link, const target_look& look,
         boot_time sent_at, boot_time received_at);
-    target_time get_lease_end(const target_link& link) const;
+    milliseconds get_longest_lease() const;
+    /// @return the end of a new lease on the target's clock.
+    target_time grant_lease(const target_link& link);
     link_ptr find_link(const target_id& target) const;
 
     asio::io_context& io_;
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -21,6 +21,8 @@
 /// The balancer sends nobody new after two missed checks, one a second.
 constexpr milliseconds balancer_lag{2'500};
 constexpr milliseconds stop_check_interval{50};
+/// Between the last answer to a caller and the end of the process.
+constexpr milliseconds last_answer_margin{300};
 /// Left of the grace period for the end of the process itself.
 constexpr milliseconds stop_margin{700};
 
@@ -174,7 +176,7 @@
             boot_clock::now() + settings_.stop_grace - stop_margin;
         boot_time quiet = boot_clock::now() + balancer_lag;
         write_log(log_level::info, "process", "stop");
-        front_.leave();
+        front_.leave(end - last_answer_margin);
         seat_.leave();
         asio::steady_timer timer(io_);
         while (boot_clock::now() < end)
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -576,6 +576,13 @@
     it->second.set_aside_until = now + options_.set_aside;
 }
 
+bool coordinator::wants_lease(const target_id& id) const
+{
+    auto it = targets_.find(id);
+    return it != targets_.end() && it->second.is_known &&
+           it->second.failures == 0 && !it->second.runs.empty();
+}
+
 void coordinator::note_lease(const target_id& id, boot_time end)
 {
     auto it = targets_.find(id);
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -133,6 +133,11 @@
         boot_time sent_at, boot_time now);
     void note_look_failure(const target_id& target, boot_time now);
 
+    /// @return whether the leases at the target are to be extended. Those of
+    ///   a silent target are left to run out, so that its tasks can start
+    ///   elsewhere at a known time.
+    bool wants_lease(const target_id& target) const;
+
     /// A lease was granted at the target; nothing of it is left after `end`.
     void note_lease(const target_id& target, boot_time end);
 
