Let pools follow the demand and maintain the instances of a wave

The pool planner moves instances between pools, switches idle ones off and maintains those of a wave when they are idle; long-running tasks are moved within their budgets.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -13,6 +13,9 @@
 /// How long orders may extend leases after the last durable transaction was
 /// sent. A successor counts on it for targets that it cannot reach.
 constexpr milliseconds authority{4'000};
+/// Orders to instances need a transaction this young. A candidate waits
+/// longer, so that two coordinators never take turns on one instance.
+constexpr milliseconds machine_authority{1'000};
 /// The head row is rewritten at least so often.
 constexpr milliseconds renewal_interval{400};
 /// Batches are not sent more often, so that rows share transactions.
@@ -140,6 +143,11 @@
     store_rows states = co_await store_.read_all_rows(progress, read_timeout);
     if (states.failure != store_failure::none)
         co_return false;
+    row_range waves{ledger_table::waves, ledger_table::part, "", ""};
+    store_rows begun = co_await store_.read_all_rows(waves, read_timeout);
+    if (begun.failure != store_failure::none)
+        co_return false;
+    wave_rows_ = std::move(begun.rows);
     if (!co_await read_targets())
         co_return false;
     std::map<std::string, std::string> by_id;
@@ -182,6 +190,25 @@
         io_, [self] { return self->write_loop(); }, asio::detached);
     asio::co_spawn(
         io_, [self] { return self->target_feed_loop(); }, asio::detached);
+    if (settings_.machines.port() != 0)
+        start_pools();
+}
+
+void coordinator_runner::start_pools()
+{
+    auto self = shared_from_this();
+    pool_keeper::term term{head_.term, decisions_, ledger_,
+        [self]
+        {
+            return !self->is_over_ && !self->is_releasing_ &&
+                   self->get_renewed_age() < machine_authority;
+        },
+        [self] { return self->is_over_; }, [self] { self->wake(); }};
+    auto keeper = std::make_shared<pool_keeper>(
+        io_, settings_, store_, metrics_, std::move(term));
+    keeper->load(wave_rows_);
+    asio::co_spawn(
+        io_, [keeper] { return keeper->run(); }, asio::detached);
 }
 
 void coordinator_runner::set_publication(const published_state& state)
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -2,6 +2,7 @@
 
 #include "drivers/peer_message.hpp"
 #include "main/entryd/entry_settings.hpp"
+#include "main/entryd/pool_keeper.hpp"
 #include "platform/publication.hpp"
 #include "platform/runner_client.hpp"
 #include "systems/coordination/ledger.hpp"
@@ -77,6 +78,7 @@
     milliseconds get_longest_lease() const;
     /// @return the end of a new lease on the target's clock.
     target_time grant_lease(const target_link& link);
+    void start_pools();
     link_ptr find_link(const target_id& target) const;
 
     asio::io_context& io_;
@@ -90,6 +92,7 @@
     boot_time last_batch_{};
     asio::steady_timer wake_timer_;
     std::map<target_id, link_ptr> links_;
+    std::vector<stored_row> wave_rows_; ///< As read at the takeover.
     std::set<task_name> stops_in_flight_;
     std::set<job_id> durable_ended_; ///< Jobs whose end the ledger holds.
     row_version targets_newest_;
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -40,6 +40,8 @@
             "Transactions that were sent again."},
         {"cowslippass_starts_total", counter,
             "Orders to start a task, by outcome."},
+        {"cowslippass_instance_orders_total", counter,
+            "Orders to instances, by order and outcome."},
         {"cowslippass_looks_total", counter,
             "Looks at targets, by outcome."},
         {"cowslippass_takeovers_total", counter,
--- /dev/null
+++ b/main/entryd/pool_keeper.cpp
@@ -0,0 +1,173 @@
+#include "main/entryd/pool_keeper.hpp"
+
+#include "drivers/log.hpp"
+#include "drivers/metrics.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr milliseconds tick_interval{100};
+/// The list is read at this interval; it shows which target an instance has.
+constexpr milliseconds list_interval{400};
+constexpr milliseconds list_timeout{1'000};
+constexpr milliseconds order_timeout{1'500};
+constexpr milliseconds status_timeout{1'000};
+
+const decision_log decisions_log("pools");
+
+pool_planner_options make_options(const entry_settings& settings)
+{
+    pool_planner_options out;
+    out.move_time = settings.move_time;
+    out.maintenance_time = settings.maintenance_time;
+    return out;
+}
+
+} // namespace
+
+pool_keeper::pool_keeper(asio::io_context& io, const entry_settings& settings,
+    store_client& store, metrics_registry& metrics, term owner)
+    : io_(io), store_(store), metrics_(metrics), owner_(std::move(owner)),
+      client_(io, settings.machines, settings.entry.get()),
+      planner_(make_options(settings))
+{
+}
+
+void pool_keeper::load(const std::vector<stored_row>& rows)
+{
+    for (const stored_row& it : rows)
+    {
+        json in = json::parse(it.value, nullptr, false);
+        if (!in.is_array())
+        {
+            write_log(log_level::error, "pools", "a wave's row is unreadable",
+                {{"key", it.key}});
+            continue;
+        }
+        std::set<instance_id> begun;
+        for (const json& id : in)
+            begun.emplace(id.get<std::string>());
+        std::uint64_t wave = std::stoull(it.key);
+        saved_[wave] = begun.size();
+        planner_.load_wave(wave, std::move(begun));
+    }
+}
+
+asio::awaitable<void> pool_keeper::list_instances()
+{
+    auto self = shared_from_this();
+    is_listing_ = true;
+    boot_time sent = boot_clock::now();
+    auto list = co_await client_.list(list_timeout);
+    is_listing_ = false;
+    if (list)
+        planner_.set_instances(std::move(*list), sent);
+}
+
+asio::awaitable<void> pool_keeper::send(instance_order order)
+{
+    auto self = shared_from_this();
+    machine_outcome outcome = machine_outcome::no_answer;
+    if (order.is_maintenance())
+        outcome = co_await client_.maintain(
+            order.instance, order.wave, owner_.number, order_timeout);
+    else
+        outcome = co_await client_.move(
+            order.instance, order.pool, owner_.number, order_timeout);
+    if (owner_.is_over())
+        co_return;
+    metrics_.add("cowslippass_instance_orders_total",
+        {{"order", order.is_maintenance() ? "maintain" : "move"},
+            {"outcome", to_string(outcome)}});
+    decisions_log.write(order.is_maintenance() ? "maintain" : "move",
+        to_string(outcome),
+        {{"instance", order.instance}, {"pool", order.pool},
+            {"wave", order.wave}, {"term", owner_.number}});
+    planner_.note_reply(
+        order, outcome, owner_.decisions, boot_clock::now());
+    update_waves();
+    owner_.wake();
+}
+
+asio::awaitable<void> pool_keeper::tell_status(
+    std::uint64_t wave, bool is_completed)
+{
+    auto self = shared_from_this();
+    bool is_told = co_await store_.put_row(published_table::status,
+        get_wave_status_key(wave), encode_wave_status(is_completed),
+        status_timeout);
+    if (!is_told)
+        told_.erase(wave);
+}
+
+void pool_keeper::update_waves()
+{
+    for (const auto& [number, wave] :
+        owner_.decisions.get_publication().waves)
+    {
+        const auto& begun = planner_.get_begun(number);
+        if (begun.size() != saved_[number])
+        {
+            json row = json::array();
+            for (const instance_id& it : begun)
+                row.push_back(it.get());
+            saved_[number] = begun.size();
+            owner_.book.put(
+                ledger_table::waves, std::to_string(number), row.dump());
+        }
+        bool is_completed = planner_.is_wave_completed(wave);
+        auto told = told_.find(number);
+        if (told != told_.end() && told->second == is_completed)
+            continue;
+        told_[number] = is_completed;
+        auto self = shared_from_this();
+        asio::co_spawn(
+            io_, [self, number = number, is_completed]
+            { return self->tell_status(number, is_completed); },
+            asio::detached);
+    }
+}
+
+void pool_keeper::decide()
+{
+    boot_time now = boot_clock::now();
+    auto self = shared_from_this();
+    if (now >= next_list_ && !is_listing_)
+    {
+        next_list_ = now + list_interval;
+        asio::co_spawn(
+            io_, [self] { return self->list_instances(); }, asio::detached);
+    }
+    if (!owner_.may_order())
+        return;
+    pool_decisions out = planner_.plan(owner_.decisions, now);
+    update_waves();
+    for (const instance_order& it : out.orders)
+        asio::co_spawn(
+            io_, [self, it] { return self->send(it); }, asio::detached);
+    if (!out.stops.empty())
+        owner_.wake();
+}
+
+asio::awaitable<void> pool_keeper::run()
+{
+    auto self = shared_from_this();
+    asio::steady_timer timer(io_);
+    while (!owner_.is_over())
+    {
+        decide();
+        timer.expires_after(tick_interval);
+        boost::system::error_code ec;
+        co_await timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/entryd/pool_keeper.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "main/entryd/entry_settings.hpp"
+#include "platform/machine_client.hpp"
+#include "platform/publication.hpp"
+#include "systems/coordination/ledger.hpp"
+#include "systems/pools/pool_planner.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace cowslippass
+{
+
+class metrics_registry;
+
+/// Carries out the pool planner's decisions for one term of the coordinator.
+class pool_keeper : public std::enable_shared_from_this<pool_keeper>
+{
+public:
+    /// What the keeper needs of the coordinator that it works for.
+    struct term
+    {
+        fencing_number number;
+        coordinator& decisions;
+        ledger& book;
+        /// Whether orders to instances may be given now.
+        std::function<bool()> may_order;
+        std::function<bool()> is_over;
+        /// New decisions are to be looked at.
+        std::function<void()> wake;
+    };
+
+    pool_keeper(asio::io_context& io, const entry_settings& settings,
+        store_client& store, metrics_registry& metrics, term owner);
+
+    /// @param rows of the ledger's waves.
+    void load(const std::vector<stored_row>& rows);
+
+    asio::awaitable<void> run();
+
+private:
+    asio::awaitable<void> list_instances();
+    asio::awaitable<void> send(instance_order order);
+    asio::awaitable<void> tell_status(std::uint64_t wave, bool is_completed);
+    void decide();
+    void update_waves();
+
+    asio::io_context& io_;
+    store_client& store_;
+    metrics_registry& metrics_;
+    term owner_;
+    machine_client client_;
+    pool_planner planner_;
+    std::map<std::uint64_t, std::size_t> saved_; ///< Begun, as in the ledger.
+    /// What operators were told, or are being told.
+    std::map<std::uint64_t, bool> told_;
+    boot_time next_list_{};
+    bool is_listing_ = false;
+};
+
+} // namespace cowslippass
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -19,6 +19,7 @@
 inline constexpr const char* control = "control";
 inline constexpr const char* jobs = "jobs";
 inline constexpr const char* progress = "progress";
+inline constexpr const char* waves = "waves";
 inline constexpr const char* part = "ledger";
 inline constexpr const char* head_key = "head";
 } // namespace ledger_table
--- /dev/null
+++ b/systems/pools/pool_planner.hpp
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "systems/configuration/fleet_config.hpp"
+#include "systems/pools/instance_report.hpp"
+#include "systems/scheduling/coordinator.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace cowslippass
+{
+
+struct pool_planner_options
+{
+    milliseconds move_time{1'500};
+    milliseconds maintenance_time{2'000};
+    /// An instance that is idle for so long is switched off. A move costs
+    /// about as much as one second of an instance in a pool.
+    milliseconds park_after{1'000};
+    /// Share of the processors that tasks can fill before sizes do not fit.
+    double fill_share = 0.85;
+    /// Idle instances that a pool keeps for the start of a burst.
+    std::uint32_t reserve = 1;
+    /// Orders whose effect has not shown yet.
+    std::size_t max_open_orders = 40;
+};
+
+/// What one order asks of an instance.
+struct instance_order
+{
+    instance_id instance;
+    pool_id pool;           ///< To move to; empty for maintenance.
+    std::uint64_t wave = 0; ///< Of the maintenance.
+
+    bool is_maintenance() const { return pool.get().empty(); }
+};
+
+struct pool_decisions
+{
+    std::vector<instance_order> orders;
+    std::vector<task_name> stops; ///< Long-running tasks to run elsewhere.
+};
+
+/// What a pool has and needs.
+struct pool_balance
+{
+    double needed_cores = 0;
+    std::uint32_t needed = 0;  ///< Instances.
+    std::uint32_t present = 0; ///< Up or on their way.
+};
+
+/// Answers demand that moves from pool to pool: gives a pool instances while
+/// its queues are busy, switches idle ones off, and maintains instances of a
+/// wave when it costs least. Only instances without work leave a pool.
+class pool_planner
+{
+public:
+    explicit pool_planner(pool_planner_options options);
+
+    /// @param sent_at when the list was asked for.
+    void set_instances(
+        std::vector<instance_report> instances, boot_time sent_at);
+
+    bool has_instances() const { return !instances_.empty(); }
+
+    /// Cordons the targets of instances that are to leave.
+    pool_decisions plan(coordinator& decisions, boot_time now);
+
+    /// Takes note of an answer.
+    void note_reply(const instance_order& order, machine_outcome outcome,
+        coordinator& decisions, boot_time now);
+
+    /// Restores which instances of a wave have begun their maintenance.
+    void load_wave(std::uint64_t wave, std::set<instance_id> begun);
+    const std::set<instance_id>& get_begun(std::uint64_t wave) const;
+
+    /// @return whether every instance of the wave that is still there has
+    ///   begun its maintenance.
+    bool is_wave_completed(const maintenance_wave& wave) const;
+
+    const std::map<pool_id, pool_balance>& get_balances() const
+    {
+        return balances_;
+    }
+
+private:
+    /// An order whose effect does not show in the list yet.
+    struct open_order
+    {
+        instance_order order;
+        target_id target; ///< The life that ends by it.
+        boot_time sent_at{};
+        std::optional<boot_time> accepted_at;
+        /// Sent again after this time.
+        boot_time repeat_at{};
+    };
+
+    void index_targets(const coordinator& decisions, boot_time now);
+    void close_orders(coordinator& decisions, boot_time now);
+    void measure(const coordinator& decisions, boot_time now);
+    void plan_maintenance(
+        coordinator& decisions, boot_time now, pool_decisions& out);
+    void plan_growth(
+        coordinator& decisions, boot_time now, pool_decisions& out);
+    void plan_parking(
+        coordinator& decisions, boot_time now, pool_decisions& out);
+    void repeat_orders(boot_time now, pool_decisions& out);
+    void send(const instance_report& instance, instance_order order,
+        coordinator& decisions, boot_time now, pool_decisions& out);
+    void drain(const instance_report& instance, coordinator& decisions,
+        pool_decisions& out);
+    bool is_free(const instance_report& instance) const;
+    bool is_idle(const instance_report& instance, boot_time now,
+        milliseconds time) const;
+    const instance_report* choose_spare(const pool_id& pool,
+        const coordinator& decisions, boot_time now) const;
+    std::size_t count_in_maintenance(const maintenance_wave& wave) const;
+
+    pool_planner_options options_;
+    std::vector<instance_report> instances_;
+    boot_time listed_at_{};
+    std::optional<pool_id> standby_;
+    std::map<instance_id, open_order> open_;
+    /// Refused lately; not asked again until then.
+    std::map<instance_id, boot_time> hold_off_;
+    std::set<std::pair<instance_id, pool_id>> incompatible_;
+    std::map<target_id, boot_time> idle_since_;
+    std::set<target_id> draining_; ///< Cordoned for maintenance.
+    std::map<pool_id, pool_balance> balances_;
+    std::map<std::uint64_t, std::set<instance_id>> begun_;
+    std::map<std::uint64_t, boot_time> wave_seen_;
+};
+
+} // namespace cowslippass
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -15,7 +15,10 @@
 
 } // namespace
 
-coordinator::coordinator(coordinator_options options) : options_(options) {}
+coordinator::coordinator(coordinator_options options)
+    : options_(options), load_(options.load_memory)
+{
+}
 
 coordinator::job_entry* coordinator::find_entry(const job_id& id)
 {
@@ -55,10 +58,11 @@
 }
 
 submit_outcome coordinator::submit(
-    const job_id& id, job_record record, boot_time)
+    const job_id& id, job_record record, boot_time now)
 {
     if (jobs_.contains(id))
         return submit_outcome::known;
+    note_load(record, now);
     job value(id, record.queue, record.team, std::move(record.spec));
     jobs_.emplace(id, job_entry{std::move(value), record.accepted,
                           ++last_order_, {}, true, std::nullopt});
@@ -66,6 +70,83 @@
     return submit_outcome::added;
 }
 
+void coordinator::note_load(const job_record& record, boot_time now)
+{
+    const queue_config* queue = find_queue(record.queue);
+    // Scheduled occurrences come later, and long-running tasks stay.
+    if (!queue || record.spec.repeat_count > 0)
+        return;
+    double work = 0;
+    for (const step_spec& it : record.spec.steps)
+        if (!it.is_long_running)
+            work += static_cast<double>(it.task_count) *
+                    static_cast<double>(it.get_counted_need().processor) /
+                    1'000.0 * static_cast<double>(it.estimate.count());
+    load_.add(queue->pool, work, now);
+}
+
+pool_demand coordinator::measure_demand(
+    const pool_id& pool, boot_time now) const
+{
+    pool_demand out;
+    for (const auto& [id, it] : targets_)
+        if (it.report.pool == pool && !it.is_evacuated)
+            out.used += it.used;
+    using step_name = std::tuple<job_id, std::uint32_t, std::uint32_t>;
+    std::map<step_name, std::uint32_t> spread;
+    auto note_spread = [&](const job& owner, const task_key& key)
+    {
+        const step_spec& step = owner.get_step(key);
+        if (step.max_per_target == 0)
+            return;
+        std::uint32_t& n = spread[{owner.get_id(), key.occurrence, key.step}];
+        ++n;
+        out.spread = std::max(out.spread,
+            (n + step.max_per_target - 1) / step.max_per_target);
+    };
+    for (const job_id& id : unfinished_)
+    {
+        const job_entry& entry = jobs_.at(id);
+        const queue_config* queue = find_queue(entry.value.get_queue());
+        if (!queue || queue->pool != pool)
+            continue;
+        for (const task_key& key : entry.waiting)
+        {
+            out.waiting += entry.value.get_step(key).get_counted_need();
+            note_spread(entry.value, key);
+        }
+        if (!entry.waiting.empty())
+            for (const task_key& key : entry.value.list_running())
+                note_spread(entry.value, key);
+    }
+    out.offered_cores = load_.get_rate(pool, now);
+    return out;
+}
+
+bool coordinator::may_interrupt(const task_name& task) const
+{
+    const job* owner = find_job(task.job);
+    if (!owner)
+        return true;
+    const step_spec& step = owner->get_step(task.key);
+    if (!step.is_long_running)
+        return false;
+    std::uint32_t away = 0;
+    for (std::uint32_t i = 0; i < step.task_count; ++i)
+    {
+        if (i == task.key.index)
+            continue;
+        auto it = runs_.find(
+            {task.job, {task.key.occurrence, task.key.step, i}});
+        bool is_at_work = it != runs_.end() && it->second.percent >= 100 &&
+                          !it->second.must_stop;
+        if (!is_at_work)
+            ++away;
+    }
+    // A step without a budget still keeps all but one of its tasks at work.
+    return away < std::max(1U, step.max_unavailable);
+}
+
 bool coordinator::cancel(const job_id& id, boot_time now)
 {
     job_entry* entry = find_entry(id);
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "systems/configuration/fleet_config.hpp"
+#include "systems/pools/load_meter.hpp"
 #include "systems/scheduling/target_table.hpp"
 #include "systems/workload/job_record.hpp"
 
@@ -20,6 +21,9 @@
     milliseconds set_aside{1'000};
     /// How long callers can ask for an ended job.
     milliseconds keep_ended{150'000};
+    /// Over which arrivals are averaged: long enough for single jobs not to
+    /// look like a burst, short against a burst of some seconds.
+    milliseconds load_memory{500};
 };
 
 /// A run that a target may execute.
@@ -56,6 +60,16 @@
     target_id target;
 };
 
+/// What the queues of a pool ask of it now.
+struct pool_demand
+{
+    resources used;    ///< By runs on targets that may get work.
+    resources waiting; ///< Of tasks that could start if there were room.
+    double offered_cores = 0; ///< That keep up with what comes in.
+    /// Targets that the tasks of one step need, if they may not share one.
+    std::uint32_t spread = 0;
+};
+
 enum class submit_outcome
 {
     added,
@@ -102,6 +116,12 @@
     const target_table& get_targets() const { return targets_; }
     const std::map<task_name, active_run>& get_runs() const { return runs_; }
 
+    pool_demand measure_demand(const pool_id& pool, boot_time now) const;
+
+    /// @return whether the system may end this run for its own purposes now:
+    ///   so many others of a long-running step may be away as it allows.
+    bool may_interrupt(const task_name& task) const;
+
     // Decisions.
 
     /// Assigns waiting tasks to targets.
@@ -165,6 +185,7 @@
     };
 
     job_entry* find_entry(const job_id& id);
+    void note_load(const job_record& record, boot_time now);
     void note_change(job_entry& entry, boot_time now);
     void stop_runs_of(const job& it);
     void add_run(const task_name& task, const job& owner, const target_id& target,
@@ -202,6 +223,7 @@
     std::map<team_id, resources> team_used_;
     target_table targets_;
     std::set<job_id> changed_;
+    load_meter load_;
     std::uint64_t last_order_ = 0;
 };
 
