Size pools by what comes in and the backlog; log starts and ends

Idle instances of other pools now go first, parking waits 2.5 s, and tasks that wait for scattered room get an instance.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds look_timeout{600};
 /// Longest wait of one look for an end.
 constexpr milliseconds look_wait{1'500};
+/// Pause after a look that listed ends. Looks are priced, and a task that
+/// ends meanwhile is noticed later by up to this time.
+constexpr milliseconds look_gap{100};
 /// Pause between the looks at a target without runs.
 constexpr milliseconds idle_look_interval{4'000};
 constexpr milliseconds pause_after_look_failure{150};
@@ -247,6 +250,39 @@
     }
 }
 
+void coordinator_runner::log_starts(const std::vector<start_decision>& starts)
+{
+    // One line for the tasks of a step that start together.
+    for (auto it = starts.begin(); it != starts.end();)
+    {
+        auto first = it;
+        std::string tasks;
+        for (; it != starts.end() && it->task.job == first->task.job &&
+               it->task.key.step == first->task.key.step &&
+               it->task.key.occurrence == first->task.key.occurrence;
+             ++it)
+            tasks += (tasks.empty() ? "" : " ") +
+                     std::to_string(it->task.key.index) + "/" +
+                     std::to_string(it->run.get()) + "@" + it->target.get();
+        decisions_log.write("assign", "fullest_with_room",
+            {{"job", first->task.job}, {"occurrence", first->task.key.occurrence},
+                {"step", first->task.key.step}, {"tasks", tasks},
+                {"term", head_.term}, {"renewed_age_ms", get_renewed_age().count()}});
+    }
+}
+
+void coordinator_runner::log_ends(const target_link& link,
+    const target_look& look, std::uint64_t before) const
+{
+    for (const end_report& it : look.ended)
+        if (it.number > before)
+            decisions_log.write("end", to_string(it.end),
+                {{"job", it.task.job}, {"occurrence", it.task.key.occurrence},
+                    {"step", it.task.key.step}, {"index", it.task.key.index},
+                    {"run", it.run}, {"target", link.target},
+                    {"number", it.number}});
+}
+
 void coordinator_runner::decide()
 {
     boot_time now = boot_clock::now();
@@ -255,14 +291,10 @@
     if (!is_releasing_ && has_authority())
         starts = decisions_.plan(now, get_wall_time());
     put_changed_rows();
+    log_starts(starts);
     auto self = shared_from_this();
     for (const start_decision& it : starts)
     {
-        if (is_log_enabled(log_level::debug, "decision.coordinator"))
-            decisions_log.write("assign", "fullest_with_room",
-                {{"job", it.task.job}, {"step", it.task.key.step},
-                    {"index", it.task.key.index}, {"run", it.run},
-                    {"target", it.target}});
         ledger_.when_durable(
             [self, it]
             {
@@ -519,6 +551,7 @@
     if (auto it = decisions_.get_targets().find(link.target);
         it != decisions_.get_targets().end())
         before = it->second.last_end;
+    log_ends(link, look, before);
     decisions_.note_look(link.target, look, sent_at, received_at);
     auto it = decisions_.get_targets().find(link.target);
     if (it == decisions_.get_targets().end())
@@ -583,9 +616,12 @@
             bool is_idle = it != decisions_.get_targets().end() &&
                            it->second.runs.empty() &&
                            it->second.last_end <= link->seen_up_to;
-            if (!is_idle)
+            // Ends that come in the meantime share the next look.
+            bool has_ends = !reply.look->ended.empty();
+            if (!is_idle && !has_ends)
                 continue;
-            link->timer.expires_after(idle_look_interval);
+            link->timer.expires_after(
+                is_idle ? idle_look_interval : look_gap);
         }
         else
         {
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -69,6 +69,9 @@
     asio::awaitable<void> sleep(milliseconds time);
 
     void decide();
+    void log_starts(const std::vector<start_decision>& starts);
+    void log_ends(const target_link& link, const target_look& look,
+        std::uint64_t before) const;
     void put_changed_rows();
     void send_stops();
     void apply_target_rows(const std::vector<stored_row>& rows);
--- a/main/entryd/pool_keeper.cpp
+++ b/main/entryd/pool_keeper.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds list_interval{400};
 constexpr milliseconds list_timeout{1'000};
 constexpr milliseconds order_timeout{1'500};
+/// Between the lines that tell what each pool has and needs.
+constexpr milliseconds report_interval{1'000};
 constexpr milliseconds status_timeout{1'000};
 
 const decision_log decisions_log("pools");
@@ -135,6 +137,17 @@
     }
 }
 
+void pool_keeper::report_balances()
+{
+    for (const auto& [pool, it] : planner_.get_balances())
+        decisions_log.write("balance", "demand",
+            {{"pool", pool}, {"present", it.present}, {"needed", it.needed},
+                {"used_cores", it.used_cores},
+                {"waiting_cores", it.waiting_cores},
+                {"offered_cores", it.offered_cores},
+                {"spread", it.spread}});
+}
+
 void pool_keeper::decide()
 {
     boot_time now = boot_clock::now();
@@ -148,6 +161,11 @@
     if (!owner_.may_order())
         return;
     pool_decisions out = planner_.plan(owner_.decisions, now);
+    if (now >= next_report_)
+    {
+        next_report_ = now + report_interval;
+        report_balances();
+    }
     update_waves();
     for (const instance_order& it : out.orders)
         asio::co_spawn(
--- a/main/entryd/pool_keeper.hpp
+++ b/main/entryd/pool_keeper.hpp
@@ -45,6 +45,7 @@
     asio::awaitable<void> tell_status(std::uint64_t wave, bool is_completed);
     void decide();
     void update_waves();
+    void report_balances();
 
     asio::io_context& io_;
     store_client& store_;
@@ -56,6 +57,7 @@
     /// What operators were told, or are being told.
     std::map<std::uint64_t, bool> told_;
     boot_time next_list_{};
+    boot_time next_report_{};
     bool is_listing_ = false;
 };
 
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -132,7 +132,11 @@
         bool is_leaving = target != decisions.get_targets().end() &&
                           target->second.report.is_draining;
         if (is_there && !is_leaving && !evacuated.contains(it.data_centre))
+        {
             ++balances_[pool].present;
+            if (is_moving || it.condition == instance_condition::moving)
+                ++balances_[pool].coming;
+        }
         total += it.capacity;
         ++counted;
     }
@@ -150,13 +154,30 @@
         pool_demand demand = decisions.measure_demand(pool, now);
         pool_balance& balance = balances_[pool];
         resources held = demand.used + demand.waiting;
-        double processor = std::max(static_cast<double>(held.processor),
-            demand.offered_cores * 1'000.0);
-        balance.needed_cores = processor / 1'000.0;
+        // New instances come after the present tasks have ended: what comes
+        // in and the backlog decide, not what runs.
+        double catch_up = demand.waiting_work /
+                          static_cast<double>(options_.catch_up.count());
+        double processor = (demand.offered_cores + catch_up) * 1'000.0;
+        balance.used_cores =
+            static_cast<double>(demand.used.processor) / 1'000.0;
+        balance.waiting_cores =
+            static_cast<double>(demand.waiting.processor) / 1'000.0;
+        balance.offered_cores = demand.offered_cores;
+        balance.spread = demand.spread;
         balance.needed = std::max({demand.spread,
             count_instances(processor, total.processor),
+            count_instances(
+                static_cast<double>(demand.lasting.processor),
+                total.processor),
             count_instances(
                 static_cast<double>(held.memory), total.memory)});
+        bool is_waiting = demand.waiting != resources{};
+        if (!is_waiting || balance.coming > 0)
+            waiting_since_.erase(pool);
+        else if (now - waiting_since_.emplace(pool, now).first->second >=
+                 options_.stuck_after)
+            balance.needed = std::max(balance.needed, balance.present + 1);
     }
 }
 
@@ -271,12 +292,13 @@
             (held != hold_off_.end() && held->second > now))
             continue;
         bool is_off = standby_ && it.pool == *standby_;
-        if (is_off)
-            return &it;
         auto balance = balances_.find(it.pool);
         bool is_surplus = balance != balances_.end() &&
                           balance->second.present > balance->second.needed;
-        if (is_surplus && is_idle(it, now, {}) && !best)
+        // An idle instance of another pool saves the move to standby.
+        if (!is_off && is_surplus && is_idle(it, now, {}))
+            return &it;
+        if (is_off && !best)
             best = &it;
     }
     return best;
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -18,7 +18,12 @@
     milliseconds maintenance_time{2'000};
     /// An instance that is idle for so long is switched off. A move costs
     /// about as much as one second of an instance in a pool.
-    milliseconds park_after{1'000};
+    milliseconds park_after{2'500};
+    /// When tasks have waited for room for so long while no instance was on
+    /// its way, the room is too scattered for them: the pool gets another.
+    milliseconds stuck_after{400};
+    /// Within this time a backlog is to be worked off.
+    milliseconds catch_up{1'500};
     /// Share of the processors that tasks can fill before sizes do not fit.
     double fill_share = 0.85;
     /// Idle instances that a pool keeps for the start of a burst.
@@ -46,9 +51,13 @@
 /// What a pool has and needs.
 struct pool_balance
 {
-    double needed_cores = 0;
+    double used_cores = 0;
+    double waiting_cores = 0;
+    double offered_cores = 0;
+    std::uint32_t spread = 0;  ///< Instances that one step's tasks need.
     std::uint32_t needed = 0;  ///< Instances.
     std::uint32_t present = 0; ///< Up or on their way.
+    std::uint32_t coming = 0;  ///< On their way.
 };
 
 /// Answers demand that moves from pool to pool: gives a pool instances while
@@ -129,6 +138,8 @@
     std::map<target_id, boot_time> idle_since_;
     std::set<target_id> draining_; ///< Cordoned for maintenance.
     std::map<pool_id, pool_balance> balances_;
+    /// Since when tasks wait while no instance is on its way.
+    std::map<pool_id, boot_time> waiting_since_;
     std::map<std::uint64_t, std::set<instance_id>> begun_;
     std::map<std::uint64_t, boot_time> wave_seen_;
 };
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -38,8 +38,8 @@
     job value(id, record.queue, record.team, std::move(record.spec));
     if (!progress.empty())
         value.decode_progress(progress);
-    job_entry entry{std::move(value), record.accepted, ++last_order_, {}, true,
-        std::nullopt};
+    job_entry entry{std::move(value), record.accepted, ++last_order_, {}, false,
+        true, std::nullopt};
     auto& added = jobs_.emplace(id, std::move(entry)).first->second;
     for (const task_key& key : added.value.list_running())
     {
@@ -65,7 +65,7 @@
     note_load(record, now);
     job value(id, record.queue, record.team, std::move(record.spec));
     jobs_.emplace(id, job_entry{std::move(value), record.accepted,
-                          ++last_order_, {}, true, std::nullopt});
+                          ++last_order_, {}, false, true, std::nullopt});
     unfinished_.insert(id);
     return submit_outcome::added;
 }
@@ -90,8 +90,17 @@
 {
     pool_demand out;
     for (const auto& [id, it] : targets_)
-        if (it.report.pool == pool && !it.is_evacuated)
-            out.used += it.used;
+    {
+        if (it.report.pool != pool || it.is_evacuated)
+            continue;
+        out.used += it.used;
+        for (const task_name& run : it.runs)
+        {
+            const job* owner = find_job(run.job);
+            if (owner && owner->get_step(run.key).is_long_running)
+                out.lasting += owner->get_step(run.key).get_counted_need();
+        }
+    }
     using step_name = std::tuple<job_id, std::uint32_t, std::uint32_t>;
     std::map<step_name, std::uint32_t> spread;
     auto note_spread = [&](const job& owner, const task_key& key)
@@ -108,11 +117,19 @@
     {
         const job_entry& entry = jobs_.at(id);
         const queue_config* queue = find_queue(entry.value.get_queue());
-        if (!queue || queue->pool != pool)
+        if (!queue || queue->pool != pool || entry.is_over_limit)
             continue;
         for (const task_key& key : entry.waiting)
         {
-            out.waiting += entry.value.get_step(key).get_counted_need();
+            const step_spec& step = entry.value.get_step(key);
+            resources need = step.get_counted_need();
+            out.waiting += need;
+            if (step.is_long_running)
+                out.lasting += need;
+            else
+                out.waiting_work += static_cast<double>(need.processor) /
+                                    1'000.0 *
+                                    static_cast<double>(step.estimate.count());
             note_spread(entry.value, key);
         }
         if (!entry.waiting.empty())
@@ -383,6 +400,7 @@
     if (!queue)
         return;
     std::vector<task_key> left;
+    entry.is_over_limit = false;
     for (std::size_t i = 0; i < entry.waiting.size(); ++i)
     {
         task_key key = entry.waiting[i];
@@ -398,6 +416,8 @@
         target_entry* target = nullptr;
         if (fits_limit(owner.get_team(), step.need))
             target = choose_target(owner, key, queue->pool, {}, now);
+        else
+            entry.is_over_limit = true;
         if (!target)
         {
             left.push_back(key);
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -23,7 +23,7 @@
     milliseconds keep_ended{150'000};
     /// Over which arrivals are averaged: long enough for single jobs not to
     /// look like a burst, short against a burst of some seconds.
-    milliseconds load_memory{500};
+    milliseconds load_memory{1'000};
 };
 
 /// A run that a target may execute.
@@ -65,6 +65,8 @@
 {
     resources used;    ///< By runs on targets that may get work.
     resources waiting; ///< Of tasks that could start if there were room.
+    resources lasting; ///< By long-running tasks, also waiting ones.
+    double waiting_work = 0; ///< Of waiting tasks, in core-milliseconds.
     double offered_cores = 0; ///< That keep up with what comes in.
     /// Targets that the tasks of one step need, if they may not share one.
     std::uint32_t spread = 0;
@@ -180,6 +182,8 @@
         platform_time accepted;
         std::uint64_t order = 0; ///< Of acceptance.
         std::vector<task_key> waiting;
+        /// At the last look some tasks waited for their team's limit only.
+        bool is_over_limit = false;
         bool needs_scan = true;
         std::optional<boot_time> ended_at;
     };
