--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -140,6 +140,16 @@
     return out;
 }
 
+bool coordinator::is_at_work(const active_run& run) const
+{
+    if (run.percent < 100 || run.must_stop)
+        return false;
+    // What a silent target said last is not what is there now.
+    auto it = targets_.find(run.target);
+    return it != targets_.end() && it->second.is_known &&
+           it->second.is_listed && it->second.failures == 0;
+}
+
 bool coordinator::may_interrupt(const task_name& task) const
 {
     const job* owner = find_job(task.job);
@@ -155,9 +165,7 @@
             continue;
         auto it = runs_.find(
             {task.job, {task.key.occurrence, task.key.step, i}});
-        bool is_at_work = it != runs_.end() && it->second.percent >= 100 &&
-                          !it->second.must_stop;
-        if (!is_at_work)
+        if (it == runs_.end() || !is_at_work(it->second))
             ++away;
     }
     // A step without a budget still keeps all but one of its tasks at work.
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -188,6 +188,8 @@
         std::optional<boot_time> ended_at;
     };
 
+    /// @return whether a long-running task serves its users.
+    bool is_at_work(const active_run& run) const;
     job_entry* find_entry(const job_id& id);
     void note_load(const job_record& record, boot_time now);
     void note_change(job_entry& entry, boot_time now);
