--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -589,19 +589,6 @@
     }
 }
 
-void coordinator::start_new_life(target_entry& target, boot_time now)
-{
-    auto runs = target.runs;
-    for (const task_name& it : runs)
-    {
-        const active_run& run = runs_.at(it);
-        // An unsettled run may have been started in the new life.
-        if (run.settled_at || !run.is_sent)
-            end_run(it, run_end::lapsed, {}, now);
-    }
-    target.last_end = 0;
-}
-
 void coordinator::note_running(
     target_entry& target, const running_report& it, boot_time now)
 {
@@ -665,8 +652,10 @@
             if (active_run& run = runs_.at(it); run.is_sent)
                 run.settled_at = run.settled_at.value_or(boot_time{});
     }
+    // A new life counts its ends anew. Whether it has a run is told by its
+    // lists alone: a start may have reached it before this look.
     if (target.is_known && look.born != target.born)
-        start_new_life(target, now);
+        target.last_end = 0;
     target.is_known = true;
     target.born = look.born;
     for (const end_report& it : look.ended)
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -206,7 +206,6 @@
     void note_end(target_entry& target, const end_report& it, boot_time now);
     void drop_missing_runs(target_entry& target, const target_look& look,
         boot_time sent_at, boot_time now);
-    void start_new_life(target_entry& target, boot_time now);
 
     std::vector<job_entry*> list_waiting_jobs(platform_time wall_time);
     void plan_job(job_entry& entry, boot_time now,
--- /dev/null
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -0,0 +1,260 @@
+#include "tests/systems/scheduling/coordinator_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+const job_id job_1("1");
+const target_id target_1("t1");
+const target_id target_2("t2");
+
+class coordinator_test : public testing::Test, public coordinator_fixture
+{
+};
+
+} // namespace
+
+// Guards against a target that is given more than it has.
+TEST_F(coordinator_test, never_exceeds_a_target)
+{
+    add_target(make_report("t1", 4));
+    add_target(make_report("t2", 3));
+    it.submit(job_1, make_record({make_step(20)}), at(0));
+    EXPECT_EQ(plan().size(), 7U);
+    EXPECT_TRUE(plan(1).empty());
+    for (const auto& [id, target] : it.get_targets())
+        EXPECT_TRUE(target.report.capacity.holds(target.used));
+}
+
+// Guards against a stopped run whose room is given away before it has ended.
+TEST_F(coordinator_test, frees_room_when_the_end_is_listed)
+{
+    add_target(make_report("t1", 1));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    auto starts = plan();
+    ASSERT_EQ(starts.size(), 1U);
+    it.cancel(job_1, at(10));
+    it.submit(job_id("2"), make_record({make_step(1)}), at(10));
+    auto stops = it.list_stops();
+    ASSERT_EQ(stops.size(), 1U);
+    it.note_stop_reply(stops[0], order_outcome::accepted, at(20));
+    EXPECT_TRUE(plan(20).empty());
+    target_look look;
+    look.ended.push_back({1, starts[0].task, starts[0].run, run_end::stopped, ""});
+    it.note_look(target_1, look, at(30), at(31));
+    EXPECT_EQ(plan(32).size(), 1U);
+}
+
+// Guards against a team that takes more than its limit.
+TEST_F(coordinator_test, keeps_a_team_within_its_limit)
+{
+    auto state = make_published_state();
+    state.config->version = config_version(2);
+    state.config->teams[team_a].limit = {3'000, 0, 0};
+    it.set_publication(state);
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(5)}), at(0));
+    EXPECT_EQ(plan().size(), 3U);
+    // Tasks beyond the limit ask for no more instances.
+    EXPECT_EQ(it.measure_demand(pool_a, at(0)).waiting, resources{});
+}
+
+// Guards against a task that runs twice when a target is only silent: its
+// leases have to run out first.
+TEST_F(coordinator_test, waits_for_the_leases_of_a_silent_target)
+{
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    ASSERT_EQ(plan().size(), 1U);
+    it.note_lease(target_1, at(6'000));
+    it.note_look_failure(target_1, at(1'000));
+    add_target(make_report("t2"));
+    it.expire(at(5'999));
+    EXPECT_TRUE(plan(5'999).empty());
+    it.expire(at(6'000));
+    auto starts = plan(6'000);
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].run.get(), 2U);
+    EXPECT_EQ(starts[0].target, target_2);
+}
+
+// Guards against leases of a silent target that are extended with every try,
+// so that its tasks never start elsewhere.
+TEST_F(coordinator_test, lets_leases_of_a_silent_target_run_out)
+{
+    add_target(make_report("t1"));
+    EXPECT_FALSE(it.wants_lease(target_1));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    plan();
+    EXPECT_TRUE(it.wants_lease(target_1));
+    it.note_look_failure(target_1, at(1'000));
+    EXPECT_FALSE(it.wants_lease(target_1));
+    it.note_look(target_1, make_look(target_1), at(1'500), at(1'501));
+    EXPECT_TRUE(it.wants_lease(target_1));
+}
+
+// Guards against a long wait for tasks of a target that has started again.
+TEST_F(coordinator_test, starts_again_at_once_what_a_new_life_lost)
+{
+    target_look first;
+    first.born = platform_time(1);
+    it.note_target_change({target_1, make_report("t1")}, at(0));
+    it.note_look(target_1, first, at(0), at(0));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    ASSERT_EQ(plan().size(), 1U);
+    target_look second;
+    second.born = platform_time(2);
+    it.note_look(target_1, second, at(100), at(101));
+    EXPECT_EQ(plan(102).size(), 1U);
+}
+
+// Guards against a run that is judged lost by a look that was sent before the
+// run was confirmed.
+TEST_F(coordinator_test, ignores_looks_older_than_the_start)
+{
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    plan(100);
+    it.note_look(target_1, {}, at(90), at(110));
+    EXPECT_EQ(it.get_runs().size(), 1U);
+    it.note_look(target_1, {}, at(120), at(130));
+    EXPECT_TRUE(it.get_runs().empty());
+}
+
+// Guards against a second copy when a start without an answer arrives late:
+// only a confirmed stop frees the task.
+TEST_F(coordinator_test, stops_a_run_whose_start_may_arrive_late)
+{
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    auto starts = it.plan(at(0), platform_time(0));
+    ASSERT_EQ(starts.size(), 1U);
+    it.make_start_order(starts[0]);
+    it.note_start_reply(starts[0], order_outcome::no_answer, at(600));
+    it.note_start_reply(starts[0], order_outcome::unavailable, at(700));
+    EXPECT_EQ(it.get_runs().size(), 1U);
+    auto stops = it.list_stops();
+    ASSERT_EQ(stops.size(), 1U);
+    it.note_look(target_1, {}, at(800), at(801));
+    EXPECT_EQ(it.get_runs().size(), 1U);
+    it.note_stop_reply(stops[0], order_outcome::accepted, at(900));
+    it.note_look(target_1, {}, at(1'000), at(1'001));
+    EXPECT_TRUE(it.get_runs().empty());
+    EXPECT_EQ(plan(2'000).size(), 1U);
+}
+
+// Guards against work for targets that leave, are evacuated, unknown or named
+// by another pool.
+TEST_F(coordinator_test, uses_only_eligible_targets)
+{
+    auto draining = make_report("t1");
+    draining.is_draining = true;
+    add_target(draining);
+    it.note_target_change({target_2, make_report("t2")}, at(0));
+    auto elsewhere = make_report("t3");
+    elsewhere.pool = pool_off;
+    add_target(elsewhere);
+    auto evacuated = make_report("t4");
+    evacuated.data_centre = data_centre_id("y");
+    auto state = make_published_state();
+    state.evacuated.insert(data_centre_id("y"));
+    it.set_publication(state);
+    add_target(evacuated);
+    add_target(make_report("t5"));
+    it.set_cordon(target_id("t5"), true);
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    EXPECT_TRUE(plan().empty());
+    it.note_look(target_2, {}, at(1), at(2));
+    EXPECT_EQ(plan(3).size(), 1U);
+}
+
+// Guards against tasks of one step that share a target against their rule.
+TEST_F(coordinator_test, keeps_the_bound_for_each_target)
+{
+    add_target(make_report("t1"));
+    add_target(make_report("t2"));
+    step_spec step = make_step(5);
+    step.max_per_target = 2;
+    it.submit(job_1, make_record({step}), at(0));
+    EXPECT_EQ(plan().size(), 4U);
+    auto demand = it.measure_demand(pool_a, at(0));
+    EXPECT_EQ(demand.spread, 3U);
+}
+
+// Guards against a gang of which only some members start.
+TEST_F(coordinator_test, starts_a_gang_as_a_whole_or_not)
+{
+    add_target(make_report("t1", 3));
+    step_spec step = make_step(4);
+    step.is_gang = true;
+    it.submit(job_1, make_record({step}), at(0));
+    EXPECT_TRUE(plan().empty());
+    EXPECT_TRUE(it.get_runs().empty());
+    add_target(make_report("t2", 3));
+    auto starts = plan(1);
+    ASSERT_EQ(starts.size(), 4U);
+    for (const start_decision& start : starts)
+        EXPECT_EQ(start.run, starts[0].run);
+}
+
+// Guards against maintenance that takes a second task of a step away while
+// another is on a target that no longer answers: its last report is old.
+TEST_F(coordinator_test, counts_tasks_on_silent_targets_as_away)
+{
+    add_target(make_report("t1", 1));
+    add_target(make_report("t2", 1));
+    step_spec step = make_step(2);
+    step.is_long_running = true;
+    step.max_unavailable = 1;
+    it.submit(job_1, make_record({step}), at(0));
+    ASSERT_EQ(plan().size(), 2U);
+    it.note_look(target_1, make_look(target_1), at(10), at(11));
+    it.note_look(target_2, make_look(target_2), at(10), at(11));
+    const task_name first{job_1, {0, 0, 0}};
+    const task_name second{job_1, {0, 0, 1}};
+    EXPECT_TRUE(it.may_interrupt(first));
+    const target_id other = it.get_runs().at(second).target;
+    it.note_look_failure(other, at(1'000));
+    EXPECT_FALSE(it.may_interrupt(first));
+    it.note_look(other, make_look(other), at(1'100), at(1'101));
+    EXPECT_TRUE(it.may_interrupt(first));
+    it.stop_run(second);
+    EXPECT_FALSE(it.may_interrupt(first));
+}
+
+// Guards against a successor that starts what still runs, or forgets it.
+TEST_F(coordinator_test, recovers_runs_from_rows_and_targets)
+{
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(2)}), at(0));
+    ASSERT_EQ(plan().size(), 2U);
+    coordinator_fixture next;
+    next.it.load_job(job_1, make_record({make_step(2)}),
+        it.find_job(job_1)->encode_progress(), at(0));
+    next.it.note_lease(target_1, at(9'000));
+    next.it.note_target_change({target_1, make_report("t1")}, at(0));
+    EXPECT_TRUE(next.plan().empty());
+    // One is still there; the other never arrived and cannot any more.
+    target_look look = make_look(target_1);
+    look.running.resize(1);
+    next.it.note_look(target_1, look, at(10), at(11));
+    auto starts = next.plan(12);
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].run.get(), 2U);
+}
+
+// Guards against jobs that are kept for ever, or not as long as callers ask.
+TEST_F(coordinator_test, forgets_ended_jobs_after_their_time)
+{
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    it.cancel(job_1, at(1'000));
+    EXPECT_TRUE(it.take_forgotten(at(120'000)).empty());
+    EXPECT_EQ(it.take_forgotten(at(160'000)).size(), 1U);
+    EXPECT_EQ(it.find_job(job_1), nullptr);
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/tests/systems/workload/job_test.cpp
@@ -0,0 +1,210 @@
+#include "systems/workload/job_record.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+job_spec make_spec(std::vector<step_spec> steps)
+{
+    job_spec out;
+    out.payload = "p";
+    out.steps = std::move(steps);
+    return out;
+}
+
+step_spec make_step(std::uint32_t tasks, std::vector<std::uint32_t> after = {})
+{
+    step_spec out;
+    out.task_count = tasks;
+    out.need = {500, 256, 0};
+    out.after = std::move(after);
+    return out;
+}
+
+job make_job(std::vector<step_spec> steps)
+{
+    return job(job_id("j"), queue_id("q"), team_id("t"),
+        make_spec(std::move(steps)));
+}
+
+const target_id target_a("a");
+
+} // namespace
+
+// Guards against a step that starts before all tasks it waits for are done.
+TEST(job, opens_a_step_when_all_tasks_before_it_are_done)
+{
+    job it = make_job({make_step(2), make_step(1, {0})});
+    auto first = it.assign({0, 0, 0}, target_a);
+    auto second = it.assign({0, 0, 1}, target_a);
+    EXPECT_TRUE(it.list_waiting(platform_time(0)).empty());
+    it.note_end({0, 0, 0}, first, run_end::done, "", 3);
+    EXPECT_TRUE(it.list_waiting(platform_time(0)).empty());
+    it.note_end({0, 0, 1}, second, run_end::done, "", 3);
+    EXPECT_EQ(it.list_waiting(platform_time(0)),
+        (std::vector<task_key>{{0, 1, 0}}));
+}
+
+// Guards against an end that is listed twice and counts as two failures.
+TEST(job, counts_a_repeated_end_once)
+{
+    job it = make_job({make_step(1)});
+    auto run = it.assign({0, 0, 0}, target_a);
+    EXPECT_TRUE(it.note_end({0, 0, 0}, run, run_end::failed, "", 2));
+    EXPECT_FALSE(it.note_end({0, 0, 0}, run, run_end::failed, "", 2));
+    EXPECT_EQ(it.get_phase(), job_phase::running);
+    run = it.assign({0, 0, 0}, target_a);
+    EXPECT_EQ(run.get(), 2U);
+    it.note_end({0, 0, 0}, run, run_end::failed, "", 2);
+    EXPECT_EQ(it.get_phase(), job_phase::failed);
+}
+
+// Guards against attempts that are used up by ends that nobody failed.
+TEST(job, counts_only_failures_as_attempts)
+{
+    job it = make_job({make_step(1)});
+    for (run_end end : {run_end::stopped, run_end::lapsed, run_end::broken,
+             run_end::alone, run_end::lapsed})
+        it.note_end({0, 0, 0}, it.assign({0, 0, 0}, target_a), end, "", 1);
+    EXPECT_EQ(it.get_phase(), job_phase::running);
+    EXPECT_EQ(it.list_waiting(platform_time(0)).size(), 1U);
+}
+
+// Guards against a long-running task that is taken for done.
+TEST(job, starts_a_long_running_task_again_however_it_ends)
+{
+    step_spec step = make_step(1);
+    step.is_long_running = true;
+    job it = make_job({step});
+    for (run_end end : {run_end::done, run_end::failed, run_end::failed})
+    {
+        it.note_end({0, 0, 0}, it.assign({0, 0, 0}, target_a), end, "", 1);
+        EXPECT_EQ(it.list_waiting(platform_time(0)).size(), 1U);
+    }
+}
+
+// Guards against members of a gang that stay running after its one end.
+TEST(job, ends_a_gang_as_a_whole)
+{
+    step_spec step = make_step(3);
+    step.is_gang = true;
+    job it = make_job({step});
+    for (std::uint32_t i = 0; i < 3; ++i)
+        it.assign({0, 0, i}, target_a, run_number(1));
+    it.note_end({0, 0, 1}, run_number(1), run_end::done, "", 1);
+    EXPECT_EQ(it.get_phase(), job_phase::completed);
+    EXPECT_TRUE(it.list_running().empty());
+}
+
+// Guards against an occurrence that starts before it is due.
+TEST(job, opens_occurrences_at_their_time)
+{
+    job_spec spec = make_spec({make_step(1)});
+    spec.repeat_count = 3;
+    spec.first_start = platform_time(1'000);
+    spec.interval = milliseconds(500);
+    job it(job_id("j"), queue_id("q"), team_id("t"), spec);
+    EXPECT_TRUE(it.list_waiting(platform_time(999)).empty());
+    EXPECT_EQ(it.list_waiting(platform_time(1'000)).size(), 1U);
+    EXPECT_EQ(it.list_waiting(platform_time(1'999)).size(), 2U);
+    EXPECT_EQ(it.list_waiting(platform_time(2'000)).size(), 3U);
+}
+
+// Guards against a successor that starts a job's tasks again, or forgets their
+// progress, as the row lost something.
+RC_GTEST_PROP(job, keeps_its_progress_in_its_row, ())
+{
+    auto choices = *rc::gen::container<std::vector<int>>(
+        40, rc::gen::inRange(0, 1'000));
+    job it = make_job({make_step(3), make_step(2, {0}), make_step(1, {1})});
+    for (int n : choices)
+    {
+        auto waiting = it.list_waiting(platform_time(0));
+        auto running = it.list_running();
+        if (n % 2 == 0 && !waiting.empty())
+            it.assign(waiting[n / 2 % waiting.size()], target_a);
+        else if (!running.empty())
+        {
+            task_key key = running[n / 2 % running.size()];
+            auto end = static_cast<run_end>(n / 7 % 4);
+            it.note_end(key, it.find_task(key)->run->number, end,
+                n % 3 == 0 ? "saved" : "", 5);
+        }
+    }
+    job copy = make_job({make_step(3), make_step(2, {0}), make_step(1, {1})});
+    copy.decode_progress(it.encode_progress());
+    RC_ASSERT(copy.get_phase() == it.get_phase());
+    RC_ASSERT(copy.list_running() == it.list_running());
+    RC_ASSERT(copy.count_done() == it.count_done());
+    RC_ASSERT(copy.list_waiting(platform_time(0)) ==
+              it.list_waiting(platform_time(0)));
+    for (const task_key& key : it.list_waiting(platform_time(0)))
+    {
+        const task_progress* a = it.find_task(key);
+        const task_progress* b = copy.find_task(key);
+        RC_ASSERT((a == nullptr) == (b == nullptr));
+        if (a)
+        {
+            RC_ASSERT(a->last_number == b->last_number);
+            RC_ASSERT(a->failures == b->failures);
+            RC_ASSERT(a->saved == b->saved);
+        }
+    }
+}
+
+// Guards against a field of a step that the row or the way between entries
+// loses.
+TEST(job_spec, keeps_every_field_of_its_text)
+{
+    step_spec step;
+    step.task_count = 7;
+    step.need = {1, 2, 3};
+    step.estimate = milliseconds(4);
+    step.saves_progress = step.is_gang = step.prefers_one_rack = true;
+    step.required_label = "l";
+    step.data_rack = rack_id("r");
+    step.max_per_target = 5;
+    step.allows_copies = step.is_long_running = step.is_filler = true;
+    step.image = "i";
+    step.tail_target = milliseconds(6);
+    step.max_unavailable = 8;
+    job_spec spec = make_spec({make_step(1), step});
+    spec.steps[1].after = {0};
+    spec.repeat_count = 9;
+    spec.first_start = platform_time(10);
+    spec.interval = milliseconds(11);
+    job_record record{queue_id("q"), team_id("t"), platform_time(12), spec};
+    job_record copy = decode_job_record(encode_job_record(record));
+    EXPECT_EQ(encode_job_record(copy), encode_job_record(record));
+    const step_spec& it = copy.spec.steps.at(1);
+    EXPECT_EQ(it.task_count, 7U);
+    EXPECT_EQ(it.need, (resources{1, 2, 3}));
+    EXPECT_EQ(it.after, std::vector<std::uint32_t>{0});
+    EXPECT_EQ(it.max_unavailable, 8U);
+    EXPECT_EQ(it.tail_target, milliseconds(6));
+    EXPECT_TRUE(it.saves_progress && it.is_gang && it.prefers_one_rack &&
+                it.allows_copies && it.is_long_running && it.is_filler);
+    EXPECT_EQ(copy.spec.interval, milliseconds(11));
+    EXPECT_EQ(copy.accepted, platform_time(12));
+}
+
+// Guards against jobs that could never end, or that no table can hold.
+TEST(job_spec, refuses_jobs_without_an_end)
+{
+    EXPECT_THROW(check_job_spec(make_spec({})), systems_error);
+    EXPECT_THROW(check_job_spec(make_spec({make_step(0)})), systems_error);
+    EXPECT_THROW(
+        check_job_spec(make_spec({make_step(1, {0})})), systems_error);
+    EXPECT_THROW(check_job_spec(make_spec({make_step(20'000)})), systems_error);
+    EXPECT_NO_THROW(
+        check_job_spec(make_spec({make_step(1), make_step(1, {0})})));
+    EXPECT_THROW(decode_job_spec("[]"), systems_error);
+    EXPECT_THROW(decode_job_record("{"), systems_error);
+}
+
+} // namespace cowslippass
