--- a/main/caller_api.hpp
+++ b/main/caller_api.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "drivers/http_message.hpp"
 #include "main/node_context.hpp"
 #include "main/work_item.hpp"
-#include "drivers/http_message.hpp"
 #include "systems/admission.hpp"
 
 namespace cowslippass
--- a/main/entryd/caller_front.cpp
+++ b/main/entryd/caller_front.cpp
@@ -81,8 +81,8 @@
 bool caller_front::is_key_check_current() const
 {
     auto as_of = config_.get_as_of();
-    return as_of && boot_clock::now() - *as_of <
-                        settings_.key_withdrawal - key_margin;
+    return as_of &&
+           boot_clock::now() - *as_of < settings_.key_withdrawal - key_margin;
 }
 
 bool caller_front::is_ready() const
@@ -210,8 +210,8 @@
 asio::awaitable<http_response> caller_front::dispatch(http_request request)
 {
     boot_time deadline =
-        boot_clock::now() + std::max(get_wait(request) - answer_margin,
-                                milliseconds(50));
+        boot_clock::now() +
+        std::max(get_wait(request) - answer_margin, milliseconds(50));
     if (last_answer_)
         deadline = std::min(deadline, *last_answer_);
     admission allowed = admit(request);
--- a/main/entryd/config_follower.cpp
+++ b/main/entryd/config_follower.cpp
@@ -75,8 +75,7 @@
     if (rows.failure == store_failure::history_gone)
     {
         write_log(log_level::warn, "configuration",
-            "the store has dropped the feed's history",
-            {{"version", newest_}});
+            "the store has dropped the feed's history", {{"version", newest_}});
         needs_whole_ = true;
         co_return true;
     }
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -51,8 +51,7 @@
 platform_time get_wall_time()
 {
     auto now = std::chrono::system_clock::now().time_since_epoch();
-    return platform_time(
-        std::chrono::duration_cast<milliseconds>(now).count());
+    return platform_time(std::chrono::duration_cast<milliseconds>(now).count());
 }
 
 const decision_log decisions_log("coordinator");
@@ -62,8 +61,8 @@
 /// The connection to one target and what is known of its clock.
 struct coordinator_runner::target_link
 {
-    target_link(asio::io_context& io, const target_report& report,
-        fencing_number fence)
+    target_link(
+        asio::io_context& io, const target_report& report, fencing_number fence)
         : target(report.target), address(report.address),
           client(io, parse_endpoint(report.address), report.target, fence),
           timer(io)
@@ -86,12 +85,12 @@
 coordinator_runner::coordinator_runner(asio::io_context& io,
     const entry_settings& settings, store_client& store,
     metrics_registry& metrics, ledger_head head, row_version version,
-    boot_time renewed)
+    boot_time renewed, bool was_released)
     : io_(io), settings_(settings), store_(store), metrics_(metrics),
       head_(head), ledger_(head, version),
-      decisions_({milliseconds(1'000),
-          settings.status_time + milliseconds(30'000)}),
-      renewed_(renewed), wake_timer_(io)
+      decisions_(
+          {milliseconds(1'000), settings.status_time + milliseconds(30'000)}),
+      was_released_(was_released), renewed_(renewed), wake_timer_(io)
 {
 }
 
@@ -132,6 +131,9 @@
         link->timer.cancel();
     }
     links_.clear();
+    // What has not become durable is for the next coordinator to tell.
+    for (const auto& it : durable_waits_)
+        it->cancel();
     wake();
 }
 
@@ -175,8 +177,9 @@
         }
     }
     // The predecessor may have granted leases until its authority ended.
+    milliseconds left = was_released_ ? milliseconds(0) : authority;
     for (const auto& [id, target] : decisions_.get_targets())
-        decisions_.note_lease(id, now + authority + get_longest_lease());
+        decisions_.note_lease(id, now + left + get_longest_lease());
     write_log(log_level::info, "coordinator", "recovered",
         {{"term", head_.term}, {"jobs", decisions_.count_jobs()},
             {"runs", decisions_.get_runs().size()},
@@ -238,8 +241,7 @@
             continue;
         ledger_.put(ledger_table::progress, id.get(), it->encode_progress());
         if (it->is_ended() && !durable_ended_.contains(id))
-            ledger_.when_durable(
-                [self = shared_from_this(), id]
+            ledger_.when_durable([self = shared_from_this(), id]
                 { self->durable_ended_.insert(id); });
     }
     for (const job_id& id : decisions_.take_forgotten(boot_clock::now()))
@@ -265,9 +267,11 @@
                      std::to_string(it->task.key.index) + "/" +
                      std::to_string(it->run.get()) + "@" + it->target.get();
         decisions_log.write("assign", "fullest_with_room",
-            {{"job", first->task.job}, {"occurrence", first->task.key.occurrence},
+            {{"job", first->task.job},
+                {"occurrence", first->task.key.occurrence},
                 {"step", first->task.key.step}, {"tasks", tasks},
-                {"term", head_.term}, {"renewed_age_ms", get_renewed_age().count()}});
+                {"term", head_.term},
+                {"renewed_age_ms", get_renewed_age().count()}});
     }
 }
 
@@ -369,12 +373,11 @@
     }
 }
 
-asio::awaitable<bool> coordinator_runner::wait_until_durable()
+asio::awaitable<bool> coordinator_runner::wait_until_durable(boot_time deadline)
 {
     auto self = shared_from_this();
     auto timer = std::make_shared<asio::steady_timer>(io_);
-    // Longer than any caller waits; the answer comes by cancellation.
-    timer->expires_after(std::chrono::seconds(10));
+    timer->expires_after(to_milliseconds(deadline - boot_clock::now()));
     auto is_durable = std::make_shared<bool>(false);
     ledger_.when_durable(
         [timer, is_durable]
@@ -382,10 +385,12 @@
             *is_durable = true;
             timer->cancel();
         });
-    if (*is_durable)
-        co_return true;
+    if (*is_durable || is_over_)
+        co_return *is_durable;
+    durable_waits_.insert(timer);
     boost::system::error_code ec;
     co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    durable_waits_.erase(timer);
     co_return *is_durable;
 }
 
@@ -412,9 +417,9 @@
         if (was_listed != change.report.has_value() ||
             was_draining != is_draining)
             write_log(log_level::info, "targets",
-                !change.report   ? "target gone"
-                : is_draining    ? "target drains"
-                                 : "target listed",
+                !change.report ? "target gone"
+                : is_draining  ? "target drains"
+                               : "target listed",
                 {{"target", change.target}, {"version", it.version}});
         decisions_.note_target_change(change, now);
     }
@@ -499,8 +504,8 @@
     auto self = shared_from_this();
     while (!is_over_)
     {
-        store_rows rows = co_await store_.follow(published_table::targets,
-            targets_newest_, feed_wait, feed_timeout);
+        store_rows rows = co_await store_.follow(
+            published_table::targets, targets_newest_, feed_wait, feed_timeout);
         if (is_over_)
             break;
         if (rows.failure == store_failure::history_gone)
@@ -532,8 +537,7 @@
 
 target_time coordinator_runner::grant_lease(const target_link& link)
 {
-    decisions_.note_lease(
-        link.target, boot_clock::now() + get_longest_lease());
+    decisions_.note_lease(link.target, boot_clock::now() + get_longest_lease());
     auto passed = to_milliseconds(boot_clock::now() - link.clock_at);
     auto lease = static_cast<std::int64_t>(
         static_cast<double>(settings_.lease_limit.count()) * lease_share);
@@ -595,8 +599,8 @@
         if (is_over_ || link->is_closed)
             break;
         boot_time now = boot_clock::now();
-        metrics_.add("cowslippass_looks_total",
-            {{"outcome", to_string(reply.outcome)}});
+        metrics_.add(
+            "cowslippass_looks_total", {{"outcome", to_string(reply.outcome)}});
         if (reply.outcome == order_outcome::stale_fence)
         {
             end_term("a target has seen a higher fence number");
@@ -620,8 +624,7 @@
             bool has_ends = !reply.look->ended.empty();
             if (!is_idle && !has_ends)
                 continue;
-            link->timer.expires_after(
-                is_idle ? idle_look_interval : look_gap);
+            link->timer.expires_after(is_idle ? idle_look_interval : look_gap);
         }
         else
         {
@@ -668,8 +671,7 @@
         order->lease_end = *lease_end;
         // Ends of this run have to be seen; an idle target is not asked.
         link->timer.cancel();
-        order_reply reply =
-            co_await link->client.start(*order, order_timeout);
+        order_reply reply = co_await link->client.start(*order, order_timeout);
         if (is_over_)
             co_return;
         metrics_.add("cowslippass_starts_total",
@@ -679,8 +681,7 @@
             end_term("a target has seen a higher fence number");
             co_return;
         }
-        decisions_.note_start_reply(
-            decision, reply.outcome, boot_clock::now());
+        decisions_.note_start_reply(decision, reply.outcome, boot_clock::now());
         if (reply.outcome != order_outcome::accepted)
             write_log(log_level::info, "decision.coordinator",
                 "start not confirmed",
@@ -717,8 +718,7 @@
             decision.task, decision.run, order_timeout);
         if (is_over_)
             co_return;
-        decisions_.note_stop_reply(
-            decision, reply.outcome, boot_clock::now());
+        decisions_.note_stop_reply(decision, reply.outcome, boot_clock::now());
     }
     // The run is gone when the target lists its end; until then the stop is
     // repeated.
@@ -729,7 +729,7 @@
 // Callers.
 
 asio::awaitable<peer_coordinator_reply> coordinator_runner::submit(
-    peer_coordinator_call call)
+    peer_coordinator_call call, boot_time deadline)
 {
     auto self = shared_from_this();
     peer_coordinator_reply reply;
@@ -737,8 +737,8 @@
     std::optional<std::string> fault;
     try
     {
-        record = {call.queue, call.team, get_wall_time(),
-            decode_job_spec(call.spec)};
+        record = {
+            call.queue, call.team, get_wall_time(), decode_job_spec(call.spec)};
     }
     catch (const systems_error& e)
     {
@@ -759,7 +759,7 @@
         ledger_.put(ledger_table::jobs, call.job.get(), std::move(text));
         wake();
     }
-    bool is_durable = co_await wait_until_durable();
+    bool is_durable = co_await wait_until_durable(deadline);
     if (!is_durable || is_over_)
     {
         // Whether the row was written is for the next coordinator to tell.
@@ -775,7 +775,7 @@
 }
 
 asio::awaitable<peer_coordinator_reply> coordinator_runner::cancel(
-    peer_coordinator_call call)
+    peer_coordinator_call call, boot_time deadline)
 {
     auto self = shared_from_this();
     peer_coordinator_reply reply;
@@ -786,7 +786,7 @@
     }
     put_changed_rows();
     wake();
-    bool is_durable = co_await wait_until_durable();
+    bool is_durable = co_await wait_until_durable(deadline);
     decisions_log.write("cancel", "asked_by_caller",
         {{"job", call.job}, {"durable", is_durable}});
     reply.result = is_durable && !is_over_
@@ -796,7 +796,7 @@
 }
 
 asio::awaitable<peer_coordinator_reply> coordinator_runner::handle(
-    peer_coordinator_call call)
+    peer_coordinator_call call, boot_time deadline)
 {
     auto self = shared_from_this();
     peer_coordinator_reply reply;
@@ -805,10 +805,10 @@
         switch (call.operation)
         {
         case coordinator_operation::submit:
-            reply = co_await submit(std::move(call));
+            reply = co_await submit(std::move(call), deadline);
             break;
         case coordinator_operation::cancel:
-            reply = co_await cancel(std::move(call));
+            reply = co_await cancel(std::move(call), deadline);
             break;
         case coordinator_operation::status:
         {
@@ -821,7 +821,7 @@
                 break;
             auto phase = static_cast<std::uint8_t>(it->get_phase());
             if (it->is_ended() && !durable_ended_.contains(call.job) &&
-                !co_await wait_until_durable())
+                !co_await wait_until_durable(deadline))
                 phase = static_cast<std::uint8_t>(job_phase::running);
             reply.phase = phase;
             break;
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -22,9 +22,11 @@
     : public std::enable_shared_from_this<coordinator_runner>
 {
 public:
+    /// @param renewed before the takeover's transaction was sent.
+    /// @param was_released whether the predecessor ended its term in order.
     coordinator_runner(asio::io_context& io, const entry_settings& settings,
         store_client& store, metrics_registry& metrics, ledger_head head,
-        row_version version, boot_time renewed);
+        row_version version, boot_time renewed, bool was_released);
 
     /// Reads the ledger and starts to work.
     /// @return whether the ledger could be read.
@@ -45,7 +47,9 @@
     fencing_number get_term() const { return head_.term; }
     const coordinator& get_decisions() const { return decisions_; }
 
-    asio::awaitable<peer_coordinator_reply> handle(peer_coordinator_call call);
+    /// @param deadline by when an answer is of use.
+    asio::awaitable<peer_coordinator_reply> handle(
+        peer_coordinator_call call, boot_time deadline);
 
 private:
     struct target_link;
@@ -61,10 +65,12 @@
     asio::awaitable<void> send_start(start_decision decision);
     asio::awaitable<void> send_stop(stop_decision decision);
     asio::awaitable<void> commit_batch(bool& is_done);
-    asio::awaitable<peer_coordinator_reply> submit(peer_coordinator_call call);
-    asio::awaitable<peer_coordinator_reply> cancel(peer_coordinator_call call);
+    asio::awaitable<peer_coordinator_reply> submit(
+        peer_coordinator_call call, boot_time deadline);
+    asio::awaitable<peer_coordinator_reply> cancel(
+        peer_coordinator_call call, boot_time deadline);
     /// @return whether everything put so far became durable.
-    asio::awaitable<bool> wait_until_durable();
+    asio::awaitable<bool> wait_until_durable(boot_time deadline);
     asio::awaitable<bool> read_targets();
     asio::awaitable<void> sleep(milliseconds time);
 
@@ -91,6 +97,8 @@
     ledger_head head_;
     ledger ledger_;
     coordinator decisions_;
+    /// The predecessor gives no more orders.
+    bool was_released_;
     boot_time renewed_; ///< Before the last durable transaction was sent.
     boot_time last_batch_{};
     asio::steady_timer wake_timer_;
@@ -99,6 +107,7 @@
     std::set<task_name> stops_in_flight_;
     std::set<job_id> durable_ended_; ///< Jobs whose end the ledger holds.
     row_version targets_newest_;
+    std::set<std::shared_ptr<asio::steady_timer>> durable_waits_;
     bool is_over_ = false;
     bool is_releasing_ = false;
 };
--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_seat.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds pause_between_calls{50};
 /// An answer older than this says nothing of the coordinator now.
 constexpr milliseconds answer_age_limit{2'500};
+/// Bounds a peer's call; the peer itself gives up earlier.
+constexpr milliseconds longest_peer_wait{5'000};
 constexpr int recovery_attempts = 5;
 
 milliseconds get_time_left(boot_time deadline)
@@ -62,8 +64,7 @@
 {
     if (is_holder())
         return true;
-    return last_answer_ &&
-           boot_clock::now() - *last_answer_ < answer_age_limit;
+    return last_answer_ && boot_clock::now() - *last_answer_ < answer_age_limit;
 }
 
 void coordinator_seat::suspect()
@@ -94,8 +95,7 @@
         co_return std::nullopt;
     bool was_sent_now = false;
     peer_body body = std::move(call);
-    auto answer =
-        co_await peer->call(std::move(body), timeout, was_sent_now);
+    auto answer = co_await peer->call(std::move(body), timeout, was_sent_now);
     was_sent = was_sent || was_sent_now;
     if (!answer)
         co_return std::nullopt;
@@ -127,8 +127,8 @@
 asio::awaitable<void> coordinator_seat::read_head()
 {
     boot_time sent = boot_clock::now();
-    row_range range{ledger_table::control, ledger_table::part,
-        ledger_table::head_key, ""};
+    row_range range{
+        ledger_table::control, ledger_table::part, ledger_table::head_key, ""};
     store_rows rows = co_await store_.read_rows(range, read_timeout);
     if (rows.failure != store_failure::none)
         co_return;
@@ -164,8 +164,7 @@
             {"address", head->address}, {"version", version}});
     auto handler = [](peer_body) -> asio::awaitable<std::optional<peer_body>>
     { co_return std::nullopt; };
-    auto on_fault = [](const std::string& code, const std::string& message)
-    {
+    auto on_fault = [](const std::string& code, const std::string& message) {
         write_log(log_level::debug, "peer_link", message, {{"code", code}});
     };
     peer_ = std::make_shared<peer_client>(io_, parse_endpoint(head->address),
@@ -184,6 +183,7 @@
         {{"term", head.term}, {"version", candidacy_.get_version()},
             {"former", old ? old->entry : std::string()},
             {"released", old && old->is_released}});
+    bool was_released = old && old->is_released;
     ledger_batch batch{candidacy_.get_version(), head, {}};
     boot_time sent = boot_clock::now();
     batch_answer answer = co_await store_.commit(batch, take_over_timeout);
@@ -197,8 +197,8 @@
                 {"outcome", static_cast<int>(answer.outcome)}});
         co_return;
     }
-    auto runner = std::make_shared<coordinator_runner>(
-        io_, settings_, store_, metrics_, head, answer.version, sent);
+    auto runner = std::make_shared<coordinator_runner>(io_, settings_, store_,
+        metrics_, head, answer.version, sent, was_released);
     is_recovering_ = true;
     recovering_since_ = sent;
     bool is_recovered = false;
@@ -257,7 +257,8 @@
         {
             auto runner = runner_;
             out.may_be_done = true;
-            peer_coordinator_reply reply = co_await runner->handle(call);
+            peer_coordinator_reply reply =
+                co_await runner->handle(call, deadline);
             if (reply.result != coordinator_result::not_coordinator)
             {
                 out.reply = reply;
@@ -268,8 +269,7 @@
         {
             milliseconds timeout =
                 std::min(call_timeout, get_time_left(deadline));
-            auto reply =
-                co_await ask_peer(call, timeout, out.may_be_done);
+            auto reply = co_await ask_peer(call, timeout, out.may_be_done);
             if (reply && reply->result != coordinator_result::not_coordinator)
             {
                 last_answer_ = boot_clock::now();
@@ -291,7 +291,8 @@
     peer_coordinator_reply reply;
     auto runner = runner_;
     if (is_holder())
-        reply = co_await runner->handle(std::move(call));
+        reply = co_await runner->handle(
+            std::move(call), boot_clock::now() + longest_peer_wait);
     else if (is_recovering_ && call.operation == coordinator_operation::probe)
     {
         reply.result = coordinator_result::done;
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -41,10 +41,9 @@
         description{"metrics_listen", &s::metrics_listen, true, address_rule},
         description{"store", &s::store, true, address_rule},
         description{"machines", &s::machines, false, address_rule},
-        description{"log_level", &s::log_level, false,
-            "debug, info, warn or error"},
         description{
-            "key_withdrawal_ms", &s::key_withdrawal, false, time_rule},
+            "log_level", &s::log_level, false, "debug, info, warn or error"},
+        description{"key_withdrawal_ms", &s::key_withdrawal, false, time_rule},
         description{"lease_limit_ms", &s::lease_limit, false, time_rule},
         description{"stop_grace_s", &s::stop_grace, false, time_rule},
         description{"status_time_s", &s::status_time, false, time_rule},
@@ -68,7 +67,8 @@
     {
         for (const auto& [key, node] : table_)
             if (std::ranges::none_of(get_descriptions(),
-                    [&](const description& it) { return it.name == key.str(); }))
+                    [&](const description& it)
+                    { return it.name == key.str(); }))
                 add_fault(key.str(), node, "is not a setting");
         for (const description& it : get_descriptions())
             read_member(it);
@@ -88,12 +88,10 @@
                     "is required; it must be " + std::string(it.allowed));
             return;
         }
-        bool is_read = std::visit([&](auto at)
-            { return read_value(it, *node, out_.*at); },
-            it.value);
+        bool is_read = std::visit(
+            [&](auto at) { return read_value(it, *node, out_.*at); }, it.value);
         if (!is_read)
-            add_fault(
-                it.name, *node, "must be " + std::string(it.allowed));
+            add_fault(it.name, *node, "must be " + std::string(it.allowed));
     }
 
     template <class Tag>
@@ -174,9 +172,9 @@
     }
     catch (const toml::parse_error& e)
     {
-        throw platform_error("bad_settings",
-            path + ':' + std::to_string(e.source().begin.line) + ": " +
-                std::string(e.description()));
+        throw platform_error(
+            "bad_settings", path + ':' + std::to_string(e.source().begin.line) +
+                                ": " + std::string(e.description()));
     }
     return reader(path, table).read();
 }
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -42,8 +42,7 @@
             "Orders to start a task, by outcome."},
         {"cowslippass_instance_orders_total", counter,
             "Orders to instances, by order and outcome."},
-        {"cowslippass_looks_total", counter,
-            "Looks at targets, by outcome."},
+        {"cowslippass_looks_total", counter, "Looks at targets, by outcome."},
         {"cowslippass_takeovers_total", counter,
             "Terms as coordinator that began in this process."},
     };
@@ -62,10 +61,9 @@
           peers_(
               io, settings_.peer_listen,
               [this](peer_body body) { return answer_peer(std::move(body)); },
-              [](const std::string& code, const std::string& message)
-              {
-                  write_log(log_level::debug, "peer_link", message,
-                      {{"code", code}});
+              [](const std::string& code, const std::string& message) {
+                  write_log(
+                      log_level::debug, "peer_link", message, {{"code", code}});
               }),
           callers_(io, make_options(settings_.front_listen),
               [this](http_request it) { return front_.handle(std::move(it)); }),
@@ -84,7 +82,8 @@
                 {"data_centre", settings_.data_centre}});
         asio::co_spawn(
             io_, [this] { return config_.run(); }, asio::detached);
-        asio::co_spawn(io_, [this] { return seat_.run(); }, asio::detached);
+        asio::co_spawn(
+            io_, [this] { return seat_.run(); }, asio::detached);
         asio::co_spawn(
             io_, [this] { return wait_for_signals(); }, asio::detached);
     }
@@ -143,7 +142,8 @@
                 co_return;
             }
             is_stopping_ = true;
-            asio::co_spawn(io_, [this] { return stop(); }, asio::detached);
+            asio::co_spawn(
+                io_, [this] { return stop(); }, asio::detached);
         }
     }
 
@@ -174,8 +174,7 @@
 
     asio::awaitable<void> stop()
     {
-        boot_time end =
-            boot_clock::now() + settings_.stop_grace - stop_margin;
+        boot_time end = boot_clock::now() + settings_.stop_grace - stop_margin;
         boot_time quiet = boot_clock::now() + balancer_lag;
         write_log(log_level::info, "process", "stop");
         front_.leave(end - last_answer_margin);
--- a/main/entryd/pool_keeper.cpp
+++ b/main/entryd/pool_keeper.cpp
@@ -69,8 +69,22 @@
     boot_time sent = boot_clock::now();
     auto list = co_await client_.list(list_timeout);
     is_listing_ = false;
-    if (list)
-        planner_.set_instances(std::move(*list), sent);
+    if (!list || owner_.is_over())
+        co_return;
+    planner_.set_instances(std::move(*list), sent);
+    boot_time now = boot_clock::now();
+    for (const target_id& it : planner_.find_ended_lives(owner_.decisions, now))
+    {
+        auto target = owner_.decisions.get_targets().find(it);
+        if (!target->second.runs.empty())
+            decisions_log.write("end_runs", "instance_has_another_life",
+                {{"target", it}, {"runs", target->second.runs.size()},
+                    {"list_age_ms",
+                        std::chrono::duration_cast<milliseconds>(now - sent)
+                            .count()}});
+        owner_.decisions.note_life_over(it, sent, now);
+    }
+    owner_.wake();
 }
 
 asio::awaitable<void> pool_keeper::send(instance_order order)
@@ -92,8 +106,7 @@
         to_string(outcome),
         {{"instance", order.instance}, {"pool", order.pool},
             {"wave", order.wave}, {"term", owner_.number}});
-    planner_.note_reply(
-        order, outcome, owner_.decisions, boot_clock::now());
+    planner_.note_reply(order, outcome, owner_.decisions, boot_clock::now());
     update_waves();
     owner_.wake();
 }
@@ -111,8 +124,7 @@
 
 void pool_keeper::update_waves()
 {
-    for (const auto& [number, wave] :
-        owner_.decisions.get_publication().waves)
+    for (const auto& [number, wave] : owner_.decisions.get_publication().waves)
     {
         const auto& begun = planner_.get_begun(number);
         if (begun.size() != saved_[number])
@@ -131,7 +143,8 @@
         told_[number] = is_completed;
         auto self = shared_from_this();
         asio::co_spawn(
-            io_, [self, number = number, is_completed]
+            io_,
+            [self, number = number, is_completed]
             { return self->tell_status(number, is_completed); },
             asio::detached);
     }
@@ -144,8 +157,7 @@
             {{"pool", pool}, {"present", it.present}, {"needed", it.needed},
                 {"used_cores", it.used_cores},
                 {"waiting_cores", it.waiting_cores},
-                {"offered_cores", it.offered_cores},
-                {"spread", it.spread}});
+                {"offered_cores", it.offered_cores}, {"spread", it.spread}});
 }
 
 void pool_keeper::decide()
--- a/main/node_context.hpp
+++ b/main/node_context.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "drivers/drivers.hpp"
 #include "drivers/log.hpp"
 #include "drivers/metrics.hpp"
-#include "drivers/drivers.hpp"
 #include "systems/freshness.hpp"
 #include "systems/session_admission.hpp"
 #include "systems/start_policy.hpp"
--- a/main/operator_api.hpp
+++ b/main/operator_api.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "drivers/http_message.hpp"
 #include "main/fleet_sync.hpp"
 #include "main/node_context.hpp"
 #include "main/peer_network.hpp"
-#include "drivers/http_message.hpp"
 #include "systems/command.hpp"
 #include "systems/query_engine.hpp"
 #include "systems/query_table.hpp"
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -51,7 +51,7 @@
         unknown   ///< No answer; it may have been done or be done later.
     };
     kind outcome = kind::unknown;
-    row_version version; ///< Of the head row, unless unknown.
+    row_version version;             ///< Of the head row, unless unknown.
     std::optional<ledger_head> head; ///< The current one, on conflict.
 };
 
@@ -102,8 +102,8 @@
         std::function<void()> done;
     };
 
-    void add(const char* table, std::string key,
-        std::optional<std::string> value);
+    void add(
+        const char* table, std::string key, std::optional<std::string> value);
     void commit(row_version version);
 
     ledger_head head_;
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -27,6 +27,37 @@
     listed_at_ = sent_at;
 }
 
+std::vector<target_id> pool_planner::find_ended_lives(
+    const coordinator& decisions, boot_time now)
+{
+    std::vector<target_id> out;
+    if (instances_.empty())
+        return out;
+    std::set<target_id> named;
+    for (const instance_report& it : instances_)
+        if (!it.target.get().empty() &&
+            it.condition != instance_condition::down)
+            named.insert(it.target);
+    std::erase_if(missing_since_,
+        [&](const auto& it)
+        {
+            return named.contains(it.first) ||
+                   !decisions.get_targets().contains(it.first);
+        });
+    for (const auto& [id, target] : decisions.get_targets())
+    {
+        if (named.contains(id))
+            continue;
+        boot_time since = missing_since_.emplace(id, now).first->second;
+        if (seen_lives_.contains(id) || now - since >= options_.unnamed_after)
+            out.push_back(id);
+    }
+    std::erase_if(seen_lives_, [&](const target_id& it)
+        { return !decisions.get_targets().contains(it); });
+    seen_lives_.merge(named);
+    return out;
+}
+
 void pool_planner::load_wave(std::uint64_t wave, std::set<instance_id> begun)
 {
     begun_[wave].merge(begun);
@@ -49,8 +80,7 @@
         return std::ranges::any_of(
             instances_, [&](const auto& it) { return it.instance == id; });
     };
-    return std::ranges::all_of(wave.instances,
-        [&](const instance_id& it)
+    return std::ranges::all_of(wave.instances, [&](const instance_id& it)
         { return begun.contains(it) || !is_listed(it); });
 }
 
@@ -71,8 +101,8 @@
            !open_.contains(instance.instance);
 }
 
-bool pool_planner::is_idle(const instance_report& instance, boot_time now,
-    milliseconds time) const
+bool pool_planner::is_idle(
+    const instance_report& instance, boot_time now, milliseconds time) const
 {
     auto it = idle_since_.find(instance.target);
     return it != idle_since_.end() && now - it->second >= time;
@@ -92,14 +122,13 @@
                                  : options_.move_time;
         bool is_gone = found == instances_.end() && is_listed_later;
         // The new life has another target, or none in standby.
-        bool is_done =
-            is_listed_later && found != instances_.end() &&
-            found->condition == instance_condition::up &&
-            (found->target != open.target ||
-                (found->target.get().empty() &&
-                    now - *open.accepted_at >= takes));
-        bool is_overdue = open.accepted_at &&
-                          now - *open.accepted_at > takes + effect_margin;
+        bool is_done = is_listed_later && found != instances_.end() &&
+                       found->condition == instance_condition::up &&
+                       (found->target != open.target ||
+                           (found->target.get().empty() &&
+                               now - *open.accepted_at >= takes));
+        bool is_overdue =
+            open.accepted_at && now - *open.accepted_at > takes + effect_margin;
         if (is_done || is_gone || is_overdue)
         {
             decisions.set_cordon(open.target, false);
@@ -168,10 +197,8 @@
         balance.needed = std::max({demand.spread,
             count_instances(processor, total.processor),
             count_instances(
-                static_cast<double>(demand.lasting.processor),
-                total.processor),
-            count_instances(
-                static_cast<double>(held.memory), total.memory)});
+                static_cast<double>(demand.lasting.processor), total.processor),
+            count_instances(static_cast<double>(held.memory), total.memory)});
         bool is_waiting = demand.waiting != resources{};
         if (!is_waiting || balance.coming > 0)
             waiting_since_.erase(pool);
@@ -235,8 +262,7 @@
     for (const auto& [number, wave] : decisions.get_publication().waves)
     {
         boot_time seen = wave_seen_.emplace(number, now).first->second;
-        bool is_pressing =
-            now - seen >= wave.time_limit * drain_from_share;
+        bool is_pressing = now - seen >= wave.time_limit * drain_from_share;
         std::size_t down = count_in_maintenance(wave);
         const auto& begun = begun_[number];
         std::vector<const instance_report*> due;
@@ -278,8 +304,8 @@
     }
 }
 
-const instance_report* pool_planner::choose_spare(const pool_id& pool,
-    const coordinator& decisions, boot_time now) const
+const instance_report* pool_planner::choose_spare(
+    const pool_id& pool, const coordinator& decisions, boot_time now) const
 {
     const auto& evacuated = decisions.get_publication().evacuated;
     const instance_report* best = nullptr;
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -30,6 +30,8 @@
     std::uint32_t reserve = 1;
     /// Orders whose effect has not shown yet.
     std::size_t max_open_orders = 40;
+    /// A target that no list has named yet may be newer than the list.
+    milliseconds unnamed_after{1'500};
 };
 
 /// What one order asks of an instance.
@@ -74,6 +76,11 @@
 
     bool has_instances() const { return !instances_.empty(); }
 
+    /// @return targets that no instance has any more: each instance names its
+    ///   present life, and an instance that is down has none.
+    std::vector<target_id> find_ended_lives(
+        const coordinator& decisions, boot_time now);
+
     /// Cordons the targets of instances that are to leave.
     pool_decisions plan(coordinator& decisions, boot_time now);
 
@@ -123,12 +130,14 @@
     bool is_free(const instance_report& instance) const;
     bool is_idle(const instance_report& instance, boot_time now,
         milliseconds time) const;
-    const instance_report* choose_spare(const pool_id& pool,
-        const coordinator& decisions, boot_time now) const;
+    const instance_report* choose_spare(
+        const pool_id& pool, const coordinator& decisions, boot_time now) const;
     std::size_t count_in_maintenance(const maintenance_wave& wave) const;
 
     pool_planner_options options_;
     std::vector<instance_report> instances_;
+    std::set<target_id> seen_lives_; ///< That some list has named.
+    std::map<target_id, boot_time> missing_since_;
     boot_time listed_at_{};
     std::optional<pool_id> standby_;
     std::map<instance_id, open_order> open_;
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -110,8 +110,8 @@
             return;
         std::uint32_t& n = spread[{owner.get_id(), key.occurrence, key.step}];
         ++n;
-        out.spread = std::max(out.spread,
-            (n + step.max_per_target - 1) / step.max_per_target);
+        out.spread = std::max(
+            out.spread, (n + step.max_per_target - 1) / step.max_per_target);
     };
     for (const job_id& id : unfinished_)
     {
@@ -163,8 +163,8 @@
     {
         if (i == task.key.index)
             continue;
-        auto it = runs_.find(
-            {task.job, {task.key.occurrence, task.key.step, i}});
+        auto it =
+            runs_.find({task.job, {task.key.occurrence, task.key.step, i}});
         if (it == runs_.end() || !is_at_work(it->second))
             ++away;
     }
@@ -286,8 +286,8 @@
     runs_.erase(it);
 }
 
-void coordinator::end_run(const task_name& task, run_end end,
-    const std::string& saved, boot_time now)
+void coordinator::end_run(
+    const task_name& task, run_end end, const std::string& saved, boot_time now)
 {
     auto it = runs_.find(task);
     if (it == runs_.end())
@@ -353,7 +353,8 @@
     resources used = it == team_used_.end() ? resources{} : it->second;
     auto is_within = [](std::int64_t limit, std::int64_t total)
     { return limit == 0 || total <= limit; };
-    return is_within(config->limit.processor, used.processor + need.processor) &&
+    return is_within(
+               config->limit.processor, used.processor + need.processor) &&
            is_within(config->limit.memory, used.memory + need.memory) &&
            is_within(config->limit.accelerators,
                used.accelerators + need.accelerators);
@@ -369,16 +370,15 @@
         return std::ranges::count_if(it.runs,
             [&](const task_name& run)
             {
-                return run.job == owner.get_id() &&
-                       run.key.step == key.step &&
+                return run.job == owner.get_id() && run.key.step == key.step &&
                        run.key.occurrence == key.occurrence;
             });
     };
     target_entry* best = nullptr;
     auto rank = [&](const target_entry& it)
     {
-        bool is_near = step.data_rack.get().empty() ||
-                       it.has_label(step.data_rack.get());
+        bool is_near =
+            step.data_rack.get().empty() || it.has_label(step.data_rack.get());
         // The fullest target that has room keeps others free for large tasks
         // and for leaving the pool.
         return std::pair(!is_near, it.get_free().processor);
@@ -466,8 +466,7 @@
     std::vector<start_decision> placed;
     for (const task_key& it : members)
     {
-        target_entry* target =
-            choose_target(owner, it, queue.pool, {}, now);
+        target_entry* target = choose_target(owner, it, queue.pool, {}, now);
         if (!target)
             break;
         task_name name{owner.get_id(), it};
@@ -537,8 +536,7 @@
     if (run == runs_.end() || run->second.number != it.run)
         return;
     target_entry& target = targets_[it.target];
-    auto set_aside = [&]
-    { target.set_aside_until = now + options_.set_aside; };
+    auto set_aside = [&] { target.set_aside_until = now + options_.set_aside; };
     switch (outcome)
     {
     case order_outcome::accepted:
@@ -622,8 +620,7 @@
         return;
     auto is_listed = [&](const task_name& task, run_number number)
     {
-        return std::ranges::any_of(look.running,
-            [&](const running_report& it)
+        return std::ranges::any_of(look.running, [&](const running_report& it)
             { return it.task == task && it.run == number; });
     };
     auto runs = target.runs;
@@ -688,6 +685,26 @@
         it->second.quiet_after = std::max(it->second.quiet_after, end);
 }
 
+void coordinator::note_life_over(
+    const target_id& id, boot_time asked_at, boot_time now)
+{
+    auto it = targets_.find(id);
+    if (it == targets_.end())
+        return;
+    target_entry& target = it->second;
+    auto runs = target.runs;
+    for (const task_name& name : runs)
+    {
+        const active_run& run = runs_.at(name);
+        bool is_recovered = run.is_sent && !target.is_known;
+        bool is_settled = run.settled_at && *run.settled_at < asked_at;
+        if (is_settled || is_recovered)
+            end_run(name, run_end::lapsed, {}, now);
+    }
+    // No work until it answers, as it may start again under its name.
+    target.failures = std::max(target.failures, 1U);
+}
+
 void coordinator::expire(boot_time now)
 {
     for (auto it = targets_.begin(); it != targets_.end();)
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -41,7 +41,7 @@
     /// An order without an answer may still reach the target.
     bool may_arrive_late = false;
     bool must_stop = false;
-    int percent = 0;  ///< As last reported.
+    int percent = 0; ///< As last reported.
     double figure = 0;
 };
 
@@ -63,10 +63,10 @@
 /// What the queues of a pool ask of it now.
 struct pool_demand
 {
-    resources used;    ///< By runs on targets that may get work.
-    resources waiting; ///< Of tasks that could start if there were room.
-    resources lasting; ///< By long-running tasks, also waiting ones.
-    double waiting_work = 0; ///< Of waiting tasks, in core-milliseconds.
+    resources used;           ///< By runs on targets that may get work.
+    resources waiting;        ///< Of tasks that could start if there were room.
+    resources lasting;        ///< By long-running tasks, also waiting ones.
+    double waiting_work = 0;  ///< Of waiting tasks, in core-milliseconds.
     double offered_cores = 0; ///< That keep up with what comes in.
     /// Targets that the tasks of one step need, if they may not share one.
     std::uint32_t spread = 0;
@@ -144,8 +144,8 @@
 
     // Answers.
 
-    void note_start_reply(const start_decision& it, order_outcome outcome,
-        boot_time now);
+    void note_start_reply(
+        const start_decision& it, order_outcome outcome, boot_time now);
     void note_stop_reply(
         const stop_decision& it, order_outcome outcome, boot_time now);
 
@@ -163,6 +163,11 @@
     /// A lease was granted at the target; nothing of it is left after `end`.
     void note_lease(const target_id& target, boot_time end);
 
+    /// This life of the target had ended when the platform was asked, so that
+    /// nothing that was confirmed before is left of it.
+    void note_life_over(
+        const target_id& target, boot_time asked_at, boot_time now);
+
     /// Gives up the runs of targets that are silent and whose leases have all
     /// run out, and forgets targets that are gone.
     void expire(boot_time now);
@@ -194,24 +199,25 @@
     void note_load(const job_record& record, boot_time now);
     void note_change(job_entry& entry, boot_time now);
     void stop_runs_of(const job& it);
-    void add_run(const task_name& task, const job& owner, const target_id& target,
-        run_number number, boot_time now);
+    void add_run(const task_name& task, const job& owner,
+        const target_id& target, run_number number, boot_time now);
     /// Frees what a run took.
     void remove_run(const task_name& task);
     /// Takes note of the end of an active run.
     void end_run(const task_name& task, run_end end, const std::string& saved,
         boot_time now);
-    void note_running(target_entry& target, const running_report& it,
-        boot_time now);
+    void note_running(
+        target_entry& target, const running_report& it, boot_time now);
     void note_end(target_entry& target, const end_report& it, boot_time now);
     void drop_missing_runs(target_entry& target, const target_look& look,
         boot_time sent_at, boot_time now);
 
     std::vector<job_entry*> list_waiting_jobs(platform_time wall_time);
-    void plan_job(job_entry& entry, boot_time now,
+    void plan_job(
+        job_entry& entry, boot_time now, std::vector<start_decision>& out);
+    bool place_gang(job_entry& entry, std::size_t& at,
+        const queue_config& queue, boot_time now,
         std::vector<start_decision>& out);
-    bool place_gang(job_entry& entry, std::size_t& at, const queue_config& queue,
-        boot_time now, std::vector<start_decision>& out);
     target_entry* choose_target(const job& owner, const task_key& key,
         const pool_id& pool, const rack_id& rack, boot_time now);
     bool fits_limit(const team_id& team, const resources& need) const;
--- a/systems/scheduling/target_orders.hpp
+++ b/systems/scheduling/target_orders.hpp
@@ -58,7 +58,7 @@
     no_room,
     no_ticket,
     invalid,
-    wrong_life, ///< Another life of the target answers there.
+    wrong_life,  ///< Another life of the target answers there.
     unavailable, ///< Nothing was done.
     not_sent,    ///< No connection; nothing was done.
     no_answer    ///< It may have been done, or be done later.
--- a/systems/workload/job.cpp
+++ b/systems/workload/job.cpp
@@ -133,12 +133,11 @@
     return out;
 }
 
-run_number job::assign(const task_key& key, target_id target,
-    std::optional<run_number> number)
+run_number job::assign(
+    const task_key& key, target_id target, std::optional<run_number> number)
 {
     task_progress& task = steps_[{key.occurrence, key.step}].tasks[key.index];
-    run_number next =
-        number ? *number : run_number(task.last_number.get() + 1);
+    run_number next = number ? *number : run_number(task.last_number.get() + 1);
     task.last_number = next;
     task.run = task_run{next, std::move(target)};
     if (phase_ == job_phase::queued)
@@ -241,8 +240,8 @@
         done_count_ = 0;
         for (const json& it : in.at("steps"))
         {
-            step_key at{it.at(0).get<std::uint32_t>(),
-                it.at(1).get<std::uint32_t>()};
+            step_key at{
+                it.at(0).get<std::uint32_t>(), it.at(1).get<std::uint32_t>()};
             step_progress& step = steps_[at];
             it.at(2).get_to(step.done);
             done_count_ += step.done.size();
--- a/systems/workload/job.hpp
+++ b/systems/workload/job.hpp
@@ -81,8 +81,8 @@
 
     /// @return whether all steps before this one are done and its time has
     ///   come.
-    bool is_step_open(std::uint32_t occurrence, std::uint32_t step,
-        platform_time now) const;
+    bool is_step_open(
+        std::uint32_t occurrence, std::uint32_t step, platform_time now) const;
 
     /// @return when an occurrence is due; 0 for a job without a schedule.
     platform_time get_due_time(std::uint32_t occurrence) const;
--- a/systems/workload/job_spec.hpp
+++ b/systems/workload/job_spec.hpp
@@ -32,7 +32,7 @@
 struct step_spec
 {
     std::uint32_t task_count = 1;
-    resources need; ///< Of each task.
+    resources need;           ///< Of each task.
     milliseconds estimate{0}; ///< Rough duration of a task; may be far off.
     /// Earlier steps all of whose tasks must be done before this one starts.
     std::vector<std::uint32_t> after;
@@ -47,7 +47,7 @@
     bool allows_copies = false;
     /// The tasks run until the job is cancelled.
     bool is_long_running = false;
-    std::string image; ///< Tasks of one image behave alike.
+    std::string image;           ///< Tasks of one image behave alike.
     milliseconds tail_target{0}; ///< Bound on the tasks' response times.
     /// The tasks use what processor others leave; it is not counted.
     bool is_filler = false;
--- a/tests/systems/coordination/candidacy_test.cpp
+++ b/tests/systems/coordination/candidacy_test.cpp
@@ -27,9 +27,8 @@
 protected:
     void read(std::optional<ledger_head> head, int version, int ms)
     {
-        it_.note_head(
-            head, row_version(static_cast<std::uint64_t>(version)), at(ms),
-            at(ms));
+        it_.note_head(head, row_version(static_cast<std::uint64_t>(version)),
+            at(ms), at(ms));
     }
 
     candidacy it_{"me", "10.0.0.1:7000"};
--- a/tests/systems/coordination/ledger_test.cpp
+++ b/tests/systems/coordination/ledger_test.cpp
@@ -50,8 +50,8 @@
     return out;
 }
 
-ledger start_term(store_model& store, std::uint64_t term,
-    const std::string& holder)
+ledger start_term(
+    store_model& store, std::uint64_t term, const std::string& holder)
 {
     ledger_head head = make_head(term, holder);
     batch_answer answer = store.apply({store.head_version, head, {}});
@@ -70,8 +70,8 @@
 // goes on after another took the ledger: answers are lost, copies are delayed.
 RC_GTEST_PROP(ledger, is_durable_when_it_says_so, ())
 {
-    auto choices = *rc::gen::container<std::vector<int>>(
-        80, rc::gen::inRange(0, 10'000));
+    auto choices =
+        *rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 10'000));
     store_model store;
     ledger it = start_term(store, 1, "a");
     std::map<std::string, std::string> wanted;
@@ -90,8 +90,7 @@
             std::string value = std::to_string(n);
             it.put(ledger_table::progress, key, value);
             wanted[key] = value;
-            it.when_durable(
-                [&store, key, n]
+            it.when_durable([&store, key, n]
                 { RC_ASSERT(std::stoi(store.rows[key]) >= n); });
             break;
         }
--- a/tests/systems/scheduling/coordinator_model_test.cpp
+++ b/tests/systems/scheduling/coordinator_model_test.cpp
@@ -41,8 +41,7 @@
     void end(const task_name& task, run_end how)
     {
         auto it = runs.find(task);
-        highest_ended[task] =
-            std::max(highest_ended[task], it->second.number);
+        highest_ended[task] = std::max(highest_ended[task], it->second.number);
         ended.push_back(
             {++last_end, task, run_number(it->second.number), how, ""});
         runs.erase(it);
@@ -60,10 +59,7 @@
             lapsed_end = last_end;
     }
 
-    void crash()
-    {
-        *this = target_model{.born = born + 1};
-    }
+    void crash() { *this = target_model{.born = born + 1}; }
 };
 
 struct late_start
@@ -149,8 +145,8 @@
             save();
             advance(100);
             check();
-            if (std::ranges::all_of(jobs, [&](const auto& it)
-                    {
+            if (std::ranges::all_of(jobs,
+                    [&](const auto& it) {
                         return current->find_job(it.first)->get_phase() ==
                                job_phase::completed;
                     }))
@@ -290,7 +286,8 @@
         }
         std::uint64_t seen_here =
             seen[i].first == target.born ? seen[i].second : 0;
-        std::erase_if(target.ended, [&](const end_report& it)
+        std::erase_if(target.ended,
+            [&](const end_report& it)
             {
                 if (it.number > seen_here)
                     return false;
@@ -342,8 +339,7 @@
             target.highest_ended[it.task] =
                 std::max(target.highest_ended[it.task], it.run.get());
             current->note_stop_reply(it,
-                n % 3 == 1 ? order_outcome::no_answer
-                           : order_outcome::accepted,
+                n % 3 == 1 ? order_outcome::no_answer : order_outcome::accepted,
                 at(now));
         }
     }
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -44,7 +44,8 @@
     it.note_stop_reply(stops[0], order_outcome::accepted, at(20));
     EXPECT_TRUE(plan(20).empty());
     target_look look;
-    look.ended.push_back({1, starts[0].task, starts[0].run, run_end::stopped, ""});
+    look.ended.push_back(
+        {1, starts[0].task, starts[0].run, run_end::stopped, ""});
     it.note_look(target_1, look, at(30), at(31));
     EXPECT_EQ(plan(32).size(), 1U);
 }
--- a/tests/systems/workload/job_test.cpp
+++ b/tests/systems/workload/job_test.cpp
@@ -28,8 +28,8 @@
 
 job make_job(std::vector<step_spec> steps)
 {
-    return job(job_id("j"), queue_id("q"), team_id("t"),
-        make_spec(std::move(steps)));
+    return job(
+        job_id("j"), queue_id("q"), team_id("t"), make_spec(std::move(steps)));
 }
 
 const target_id target_a("a");
@@ -46,8 +46,8 @@
     it.note_end({0, 0, 0}, first, run_end::done, "", 3);
     EXPECT_TRUE(it.list_waiting(platform_time(0)).empty());
     it.note_end({0, 0, 1}, second, run_end::done, "", 3);
-    EXPECT_EQ(it.list_waiting(platform_time(0)),
-        (std::vector<task_key>{{0, 1, 0}}));
+    EXPECT_EQ(
+        it.list_waiting(platform_time(0)), (std::vector<task_key>{{0, 1, 0}}));
 }
 
 // Guards against an end that is listed twice and counts as two failures.
@@ -119,8 +119,8 @@
 // progress, as the row lost something.
 RC_GTEST_PROP(job, keeps_its_progress_in_its_row, ())
 {
-    auto choices = *rc::gen::container<std::vector<int>>(
-        40, rc::gen::inRange(0, 1'000));
+    auto choices =
+        *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 1'000));
     job it = make_job({make_step(3), make_step(2, {0}), make_step(1, {1})});
     for (int n : choices)
     {
@@ -198,8 +198,7 @@
 {
     EXPECT_THROW(check_job_spec(make_spec({})), systems_error);
     EXPECT_THROW(check_job_spec(make_spec({make_step(0)})), systems_error);
-    EXPECT_THROW(
-        check_job_spec(make_spec({make_step(1, {0})})), systems_error);
+    EXPECT_THROW(check_job_spec(make_spec({make_step(1, {0})})), systems_error);
     EXPECT_THROW(check_job_spec(make_spec({make_step(20'000)})), systems_error);
     EXPECT_NO_THROW(
         check_job_spec(make_spec({make_step(1), make_step(1, {0})})));
