Take the rate of instance orders from the settings; strong entries lead first

A grown site waited for instances: 40 open orders allow 26 moves a second for 350 instances, and demand left out what long-running tasks hold.

--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_seat.cpp
@@ -19,7 +19,9 @@
 constexpr milliseconds read_timeout{1'000};
 constexpr milliseconds take_over_timeout{1'000};
 /// Candidates that see the same silence do not all write at once.
-constexpr int max_jitter_ms = 60;
+constexpr int max_jitter_ms = 40;
+/// Delay of an instance without any processor against one with a core.
+constexpr int full_head_start_ms = 250;
 constexpr milliseconds call_timeout{900};
 constexpr milliseconds pause_between_calls{50};
 /// An answer older than this says nothing of the coordinator now.
@@ -34,10 +36,14 @@
         deadline - boot_clock::now());
 }
 
-milliseconds draw_jitter()
+/// @param processor_share of this instance; a stronger one goes first.
+milliseconds draw_delay(double processor_share)
 {
     static std::mt19937 generator{std::random_device{}()};
+    double lack = 1 - std::min(processor_share, 1.0);
+    auto head_start = static_cast<int>(lack * full_head_start_ms);
     return milliseconds(
+        head_start +
         std::uniform_int_distribution<int>(0, max_jitter_ms)(generator));
 }
 
@@ -237,7 +243,7 @@
         bool may_lead = !is_leaving_ && config_.get_state().config;
         if (may_lead && candidacy_.may_take_over(boot_clock::now()))
         {
-            co_await wait_on(timer_, draw_jitter());
+            co_await wait_on(timer_, draw_delay(settings_.processor_share));
             co_await take_over();
             if (is_holder())
                 continue;
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -14,7 +14,8 @@
 
 using member = std::variant<entry_id entry_settings::*,
     data_centre_id entry_settings::*, tcp::endpoint entry_settings::*,
-    std::string entry_settings::*, milliseconds entry_settings::*>;
+    std::string entry_settings::*, milliseconds entry_settings::*,
+    double entry_settings::*>;
 
 struct description
 {
@@ -26,6 +27,7 @@
 
 constexpr std::string_view text_rule = "a text that is not empty";
 constexpr std::string_view address_rule = "IP:port";
+constexpr std::string_view number_rule = "a number above 0 and up to 10000";
 constexpr std::string_view time_rule = "a number above 0 and up to 3600000";
 
 const auto& get_descriptions()
@@ -43,6 +45,10 @@
         description{"machines", &s::machines, false, address_rule},
         description{
             "log_level", &s::log_level, false, "debug, info, warn or error"},
+        description{
+            "processor_share", &s::processor_share, false, number_rule},
+        description{"instance_orders_per_s", &s::instance_orders_per_s, false,
+            number_rule},
         description{"key_withdrawal_ms", &s::key_withdrawal, false, time_rule},
         description{"lease_limit_ms", &s::lease_limit, false, time_rule},
         description{"stop_grace_s", &s::stop_grace, false, time_rule},
@@ -146,6 +152,16 @@
         return true;
     }
 
+    bool read_value(
+        const description&, const toml::node& node, double& value)
+    {
+        auto number = node.value<double>();
+        if (!number || *number <= 0 || *number > 10'000)
+            return false;
+        value = *number;
+        return true;
+    }
+
     void add_fault(std::string_view name, const toml::node& node,
         const std::string& message)
     {
--- a/main/entryd/entry_settings.hpp
+++ b/main/entryd/entry_settings.hpp
@@ -22,6 +22,12 @@
     tcp::endpoint machines; ///< Instances, their moves and maintenance.
     std::string log_level = "info";
 
+    /// Share of a core that this instance has; entries with more of it are
+    /// the first to take the coordinator's place.
+    double processor_share = 0.25;
+    /// Orders to instances that the platform takes in a second.
+    double instance_orders_per_s = 64;
+
     /// A withdrawn key stops working within this time.
     milliseconds key_withdrawal{5'000};
     /// Longest lease that a target grants.
--- a/main/entryd/pool_keeper.cpp
+++ b/main/entryd/pool_keeper.cpp
@@ -29,6 +29,8 @@
     pool_planner_options out;
     out.move_time = settings.move_time;
     out.maintenance_time = settings.maintenance_time;
+    // The rest is left for a successor's first orders.
+    out.orders_per_second = settings.instance_orders_per_s * 0.8;
     return out;
 }
 
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -161,11 +161,7 @@
         bool is_leaving = target != decisions.get_targets().end() &&
                           target->second.report.is_draining;
         if (is_there && !is_leaving && !evacuated.contains(it.data_centre))
-        {
             ++balances_[pool].present;
-            if (is_moving || it.condition == instance_condition::moving)
-                ++balances_[pool].coming;
-        }
         total += it.capacity;
         ++counted;
     }
@@ -187,7 +183,8 @@
         // in and the backlog decide, not what runs.
         double catch_up = demand.waiting_work /
                           static_cast<double>(options_.catch_up.count());
-        double processor = (demand.offered_cores + catch_up) * 1'000.0;
+        double processor = (demand.offered_cores + catch_up) * 1'000.0 +
+                           static_cast<double>(demand.lasting.processor);
         balance.used_cores =
             static_cast<double>(demand.used.processor) / 1'000.0;
         balance.waiting_cores =
@@ -196,15 +193,14 @@
         balance.spread = demand.spread;
         balance.needed = std::max({demand.spread,
             count_instances(processor, total.processor),
-            count_instances(
-                static_cast<double>(demand.lasting.processor), total.processor),
             count_instances(static_cast<double>(held.memory), total.memory)});
-        bool is_waiting = demand.waiting != resources{};
-        if (!is_waiting || balance.coming > 0)
-            waiting_since_.erase(pool);
-        else if (now - waiting_since_.emplace(pool, now).first->second >=
-                 options_.stuck_after)
+        boot_time& next = next_unstick_[pool];
+        if (demand.longest_wait >= options_.stuck_after && now >= next)
+        {
             balance.needed = std::max(balance.needed, balance.present + 1);
+            // The next decision waits for what this instance changes.
+            next = now + options_.move_time + options_.stuck_after;
+        }
     }
 }
 
@@ -230,6 +226,7 @@
 void pool_planner::send(const instance_report& instance, instance_order order,
     coordinator& decisions, boot_time now, pool_decisions& out)
 {
+    --order_tokens_;
     decisions.set_cordon(instance.target, true);
     open_order open;
     open.order = order;
@@ -286,10 +283,10 @@
         std::size_t open_drains = 0;
         for (const instance_report* it : due)
         {
-            if (down + open_drains >= wave.max_at_once ||
-                open_.size() >= options_.max_open_orders)
+            if (down + open_drains >= wave.max_at_once)
                 break;
-            if (it->target.get().empty() || is_idle(*it, now, {}))
+            if (order_tokens_ >= 1 &&
+                (it->target.get().empty() || is_idle(*it, now, {})))
             {
                 draining_.erase(it->target);
                 send(*it, {it->instance, {}, number}, decisions, now, out);
@@ -337,8 +334,7 @@
     {
         if (standby_ && pool == *standby_)
             continue;
-        while (balance.present < balance.needed &&
-               open_.size() < options_.max_open_orders)
+        while (balance.present < balance.needed && order_tokens_ >= 1)
         {
             const instance_report* it = choose_spare(pool, decisions, now);
             if (!it)
@@ -358,8 +354,7 @@
     for (const instance_report& it : instances_)
     {
         if (it.pool == *standby_ || !is_free(it) || it.target.get().empty() ||
-            open_.size() >= options_.max_open_orders ||
-            hold_off_[it.instance] > now ||
+            order_tokens_ < 1 || hold_off_[it.instance] > now ||
             incompatible_.contains({it.instance, *standby_}))
             continue;
         pool_balance& balance = balances_[it.pool];
@@ -371,12 +366,21 @@
     }
 }
 
+void pool_planner::refill_tokens(boot_time now)
+{
+    std::chrono::duration<double> passed = now - tokens_at_;
+    tokens_at_ = now;
+    order_tokens_ = std::min(options_.orders_per_second / 2,
+        order_tokens_ + passed.count() * options_.orders_per_second);
+}
+
 void pool_planner::repeat_orders(boot_time now, pool_decisions& out)
 {
     for (auto& [id, it] : open_)
     {
-        if (it.accepted_at || it.repeat_at > now)
+        if (it.accepted_at || it.repeat_at > now || order_tokens_ < 1)
             continue;
+        --order_tokens_;
         it.repeat_at = now + repeat_interval;
         out.orders.push_back(it.order);
     }
@@ -387,6 +391,7 @@
     pool_decisions out;
     if (instances_.empty())
         return out;
+    refill_tokens(now);
     index_targets(decisions, now);
     close_orders(decisions, now);
     measure(decisions, now);
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -19,17 +19,17 @@
     /// An instance that is idle for so long is switched off. A move costs
     /// about as much as one second of an instance in a pool.
     milliseconds park_after{2'500};
-    /// When tasks have waited for room for so long while no instance was on
-    /// its way, the room is too scattered for them: the pool gets another.
-    milliseconds stuck_after{400};
+    /// When a job's tasks have waited for room for so long, the room is too
+    /// scattered for them: the pool gets another instance.
+    milliseconds stuck_after{600};
     /// Within this time a backlog is to be worked off.
     milliseconds catch_up{1'500};
     /// Share of the processors that tasks can fill before sizes do not fit.
     double fill_share = 0.85;
     /// Idle instances that a pool keeps for the start of a burst.
     std::uint32_t reserve = 1;
-    /// Orders whose effect has not shown yet.
-    std::size_t max_open_orders = 40;
+    /// Orders that the platform takes in a second, from everybody.
+    double orders_per_second = 40;
     /// A target that no list has named yet may be newer than the list.
     milliseconds unnamed_after{1'500};
 };
@@ -59,7 +59,6 @@
     std::uint32_t spread = 0;  ///< Instances that one step's tasks need.
     std::uint32_t needed = 0;  ///< Instances.
     std::uint32_t present = 0; ///< Up or on their way.
-    std::uint32_t coming = 0;  ///< On their way.
 };
 
 /// Answers demand that moves from pool to pool: gives a pool instances while
@@ -122,6 +121,7 @@
         coordinator& decisions, boot_time now, pool_decisions& out);
     void plan_parking(
         coordinator& decisions, boot_time now, pool_decisions& out);
+    void refill_tokens(boot_time now);
     void repeat_orders(boot_time now, pool_decisions& out);
     void send(const instance_report& instance, instance_order order,
         coordinator& decisions, boot_time now, pool_decisions& out);
@@ -147,8 +147,10 @@
     std::map<target_id, boot_time> idle_since_;
     std::set<target_id> draining_; ///< Cordoned for maintenance.
     std::map<pool_id, pool_balance> balances_;
-    /// Since when tasks wait while no instance is on its way.
-    std::map<pool_id, boot_time> waiting_since_;
+    /// When a pool that had scattered room may get another instance.
+    std::map<pool_id, boot_time> next_unstick_;
+    double order_tokens_ = 0;
+    boot_time tokens_at_{};
     std::map<std::uint64_t, std::set<instance_id>> begun_;
     std::map<std::uint64_t, boot_time> wave_seen_;
 };
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -39,7 +39,7 @@
     if (!progress.empty())
         value.decode_progress(progress);
     job_entry entry{std::move(value), record.accepted, ++last_order_, {}, false,
-        true, std::nullopt};
+        true, std::nullopt, std::nullopt};
     auto& added = jobs_.emplace(id, std::move(entry)).first->second;
     for (const task_key& key : added.value.list_running())
     {
@@ -65,7 +65,7 @@
     note_load(record, now);
     job value(id, record.queue, record.team, std::move(record.spec));
     jobs_.emplace(id, job_entry{std::move(value), record.accepted,
-                          ++last_order_, {}, false, true, std::nullopt});
+                          ++last_order_, {}, false, true, std::nullopt, std::nullopt});
     unfinished_.insert(id);
     return submit_outcome::added;
 }
@@ -119,6 +119,10 @@
         const queue_config* queue = find_queue(entry.value.get_queue());
         if (!queue || queue->pool != pool || entry.is_over_limit)
             continue;
+        if (entry.waiting_since)
+            out.longest_wait = std::max(out.longest_wait,
+                std::chrono::duration_cast<milliseconds>(
+                    now - *entry.waiting_since));
         for (const task_key& key : entry.waiting)
         {
             const step_spec& step = entry.value.get_step(key);
@@ -439,6 +443,10 @@
         out.push_back({name, number, id});
     }
     entry.waiting = std::move(left);
+    if (entry.waiting.empty() || entry.is_over_limit)
+        entry.waiting_since.reset();
+    else if (!entry.waiting_since)
+        entry.waiting_since = now;
 }
 
 bool coordinator::place_gang(job_entry& entry, std::size_t& at,
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -68,6 +68,7 @@
     resources lasting;        ///< By long-running tasks, also waiting ones.
     double waiting_work = 0;  ///< Of waiting tasks, in core-milliseconds.
     double offered_cores = 0; ///< That keep up with what comes in.
+    milliseconds longest_wait{0}; ///< Of a job's tasks, for room.
     /// Targets that the tasks of one step need, if they may not share one.
     std::uint32_t spread = 0;
 };
@@ -191,6 +192,8 @@
         bool is_over_limit = false;
         bool needs_scan = true;
         std::optional<boot_time> ended_at;
+        /// Since when tasks have waited for room.
+        std::optional<boot_time> waiting_since;
     };
 
     /// @return whether a long-running task serves its users.
