--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds idle_interval{100};
 constexpr milliseconds read_timeout{2'000};
 constexpr milliseconds first_commit_timeout{500};
-constexpr milliseconds longest_commit_timeout{2'500};
+constexpr milliseconds longest_commit_timeout{1'200};
 constexpr milliseconds pause_after_refusal{60};
 constexpr milliseconds order_timeout{600};
 constexpr milliseconds look_timeout{600};
--- a/systems/coordination/candidacy.cpp
+++ b/systems/coordination/candidacy.cpp
@@ -13,14 +13,17 @@
 {
     if (!is_read_ || version != version_)
         first_seen_ = now;
+    if (!head_ || !head || head->holder != head_->holder)
+        last_renewal_.reset();
     is_read_ = true;
     head_ = head;
     version_ = version;
     last_read_ = sent_at;
 }
 
-void candidacy::note_probe(milliseconds renewed_age, boot_time)
+void candidacy::note_probe(milliseconds renewed_age, boot_time now)
 {
+    last_renewal_ = now - renewed_age;
     is_suspect_ = renewed_age > renewal_limit;
 }
 
@@ -38,6 +41,8 @@
     // Another boot listens at its address now, or its term ended here.
     if (head_->address == address_ || head_->holder == boot_)
         return true;
+    if (last_renewal_ && now - *last_renewal_ >= silence_limit)
+        return true;
     return last_read_ - first_seen_ >= silence_limit;
 }
 
--- a/systems/coordination/candidacy.hpp
+++ b/systems/coordination/candidacy.hpp
@@ -17,7 +17,7 @@
     /// What was read longer ago says nothing of now.
     static constexpr milliseconds read_age_limit{500};
     /// A coordinator whose last transaction is older cannot reach the store.
-    static constexpr milliseconds renewal_limit{2'500};
+    static constexpr milliseconds renewal_limit{1'000};
 
     /// @param boot names this process; @param address is that for its peers.
     candidacy(std::string boot, std::string address);
@@ -39,7 +39,8 @@
     bool needs_read() const { return is_suspect_; }
 
     /// @return whether the place is free: never taken, given back, held by an
-    ///   earlier boot at this address, or by a process that is silent.
+    ///   earlier boot at this address, or by a process that has written
+    ///   nothing for `silence_limit`, by its own word or by the row.
     bool may_take_over(boot_time now) const;
 
 private:
@@ -48,6 +49,8 @@
     bool is_read_ = false;
     std::optional<ledger_head> head_;
     row_version version_;
+    /// As the coordinator told it.
+    std::optional<boot_time> last_renewal_;
     boot_time first_seen_{}; ///< When this version was first seen.
     boot_time last_read_{};
     bool is_suspect_ = true;
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -158,9 +158,11 @@
         bool is_there = it.condition == instance_condition::up ||
                         it.condition == instance_condition::moving;
         auto target = decisions.get_targets().find(it.target);
-        bool is_leaving = target != decisions.get_targets().end() &&
-                          target->second.report.is_draining;
-        if (is_there && !is_leaving && !evacuated.contains(it.data_centre))
+        // Instances that leave or are silent give their pool no room.
+        bool is_lost = target != decisions.get_targets().end() &&
+                       (target->second.report.is_draining ||
+                           target->second.failures > 0);
+        if (is_there && !is_lost && !evacuated.contains(it.data_centre))
             ++balances_[pool].present;
         total += it.capacity;
         ++counted;
