--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_seat.cpp
@@ -42,9 +42,8 @@
     static std::mt19937 generator{std::random_device{}()};
     double lack = 1 - std::min(processor_share, 1.0);
     auto head_start = static_cast<int>(lack * full_head_start_ms);
-    return milliseconds(
-        head_start +
-        std::uniform_int_distribution<int>(0, max_jitter_ms)(generator));
+    return milliseconds(head_start + std::uniform_int_distribution<int>(
+                                         0, max_jitter_ms)(generator));
 }
 
 asio::awaitable<void> wait_on(asio::steady_timer& timer, milliseconds time)
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -12,10 +12,10 @@
 namespace
 {
 
-using member = std::variant<entry_id entry_settings::*,
-    data_centre_id entry_settings::*, tcp::endpoint entry_settings::*,
-    std::string entry_settings::*, milliseconds entry_settings::*,
-    double entry_settings::*>;
+using member =
+    std::variant<entry_id entry_settings::*, data_centre_id entry_settings::*,
+        tcp::endpoint entry_settings::*, std::string entry_settings::*,
+        milliseconds entry_settings::*, double entry_settings::*>;
 
 struct description
 {
@@ -45,8 +45,7 @@
         description{"machines", &s::machines, false, address_rule},
         description{
             "log_level", &s::log_level, false, "debug, info, warn or error"},
-        description{
-            "processor_share", &s::processor_share, false, number_rule},
+        description{"processor_share", &s::processor_share, false, number_rule},
         description{"instance_orders_per_s", &s::instance_orders_per_s, false,
             number_rule},
         description{"key_withdrawal_ms", &s::key_withdrawal, false, time_rule},
@@ -152,8 +151,7 @@
         return true;
     }
 
-    bool read_value(
-        const description&, const toml::node& node, double& value)
+    bool read_value(const description&, const toml::node& node, double& value)
     {
         auto number = node.value<double>();
         if (!number || *number <= 0 || *number > 10'000)
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -159,9 +159,9 @@
                         it.condition == instance_condition::moving;
         auto target = decisions.get_targets().find(it.target);
         // Instances that leave or are silent give their pool no room.
-        bool is_lost = target != decisions.get_targets().end() &&
-                       (target->second.report.is_draining ||
-                           target->second.failures > 0);
+        bool is_lost =
+            target != decisions.get_targets().end() &&
+            (target->second.report.is_draining || target->second.failures > 0);
         if (is_there && !is_lost && !evacuated.contains(it.data_centre))
             ++balances_[pool].present;
         total += it.capacity;
@@ -370,10 +370,14 @@
 
 void pool_planner::refill_tokens(boot_time now)
 {
-    std::chrono::duration<double> passed = now - tokens_at_;
+    double most = options_.orders_per_second / 2;
+    std::chrono::duration<double> passed = now - tokens_at_.value_or(now);
+    order_tokens_ =
+        tokens_at_
+            ? std::min(most,
+                  order_tokens_ + passed.count() * options_.orders_per_second)
+            : most;
     tokens_at_ = now;
-    order_tokens_ = std::min(options_.orders_per_second / 2,
-        order_tokens_ + passed.count() * options_.orders_per_second);
 }
 
 void pool_planner::repeat_orders(boot_time now, pool_decisions& out)
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -150,7 +150,7 @@
     /// When a pool that had scattered room may get another instance.
     std::map<pool_id, boot_time> next_unstick_;
     double order_tokens_ = 0;
-    boot_time tokens_at_{};
+    std::optional<boot_time> tokens_at_;
     std::map<std::uint64_t, std::set<instance_id>> begun_;
     std::map<std::uint64_t, boot_time> wave_seen_;
 };
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -64,8 +64,9 @@
         return submit_outcome::known;
     note_load(record, now);
     job value(id, record.queue, record.team, std::move(record.spec));
-    jobs_.emplace(id, job_entry{std::move(value), record.accepted,
-                          ++last_order_, {}, false, true, std::nullopt, std::nullopt});
+    jobs_.emplace(
+        id, job_entry{std::move(value), record.accepted, ++last_order_, {},
+                false, true, std::nullopt, std::nullopt});
     unfinished_.insert(id);
     return submit_outcome::added;
 }
@@ -120,9 +121,9 @@
         if (!queue || queue->pool != pool || entry.is_over_limit)
             continue;
         if (entry.waiting_since)
-            out.longest_wait = std::max(out.longest_wait,
-                std::chrono::duration_cast<milliseconds>(
-                    now - *entry.waiting_since));
+            out.longest_wait = std::max(
+                out.longest_wait, std::chrono::duration_cast<milliseconds>(
+                                      now - *entry.waiting_since));
         for (const task_key& key : entry.waiting)
         {
             const step_spec& step = entry.value.get_step(key);
--- /dev/null
+++ b/tests/main/entryd/entry_settings_test.cpp
@@ -0,0 +1,79 @@
+#include "main/entryd/entry_settings.hpp"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+class entry_settings_test : public testing::Test
+{
+protected:
+    entry_settings load(const std::string& text)
+    {
+        std::ofstream(path_) << text;
+        return load_entry_settings(path_);
+    }
+
+    std::string get_fault(const std::string& text)
+    {
+        try
+        {
+            load(text);
+        }
+        catch (const platform_error& e)
+        {
+            return e.what();
+        }
+        return {};
+    }
+
+    void TearDown() override { std::filesystem::remove(path_); }
+
+    std::string path_ =
+        testing::TempDir() + "entry_settings_" +
+        testing::UnitTest::GetInstance()->current_test_info()->name() + ".toml";
+    std::string whole_ = "entry = \"e\"\ndata_centre = \"z\"\n"
+                         "front_listen = \"127.0.0.1:1\"\n"
+                         "readiness_listen = \"127.0.0.1:2\"\n"
+                         "peer_listen = \"127.0.0.1:3\"\n"
+                         "metrics_listen = \"127.0.0.1:4\"\n"
+                         "store = \"127.0.0.1:5\"\n";
+};
+
+} // namespace
+
+TEST_F(entry_settings_test, reads_a_whole_file)
+{
+    auto it = load(whole_ + "stop_grace_s = 1.5\nkey_withdrawal_ms = 5000\n");
+    EXPECT_EQ(it.entry, entry_id("e"));
+    EXPECT_EQ(it.store.port(), 5);
+    EXPECT_EQ(it.stop_grace, milliseconds(1'500));
+    EXPECT_EQ(it.key_withdrawal, milliseconds(5'000));
+    EXPECT_EQ(it.machines.port(), 0);
+}
+
+// Guards against faults that are found one restart at a time.
+TEST_F(entry_settings_test, reports_every_fault_with_its_line)
+{
+    std::string fault =
+        get_fault("entry = \"\"\nstore = \"x\"\nodd = 1\nstop_grace_s = 0\n");
+    EXPECT_NE(fault.find(":1: 'entry' must be a text"), std::string::npos);
+    EXPECT_NE(fault.find(":2: 'store' must be IP:port"), std::string::npos);
+    EXPECT_NE(fault.find(":3: 'odd' is not a setting"), std::string::npos);
+    EXPECT_NE(fault.find(":4: 'stop_grace_s' must be"), std::string::npos);
+    EXPECT_NE(fault.find("'peer_listen' is required"), std::string::npos);
+}
+
+TEST_F(entry_settings_test, reports_where_a_file_is_not_toml)
+{
+    EXPECT_NE(get_fault("entry = \n").find(":1: "), std::string::npos);
+    EXPECT_THROW(load_entry_settings("/does/not/exist"), platform_error);
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/tests/platform/publication_test.cpp
@@ -0,0 +1,130 @@
+#include "platform/publication.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+stored_row make_row(const std::string& key, const std::string& value)
+{
+    return {published_table::operators, key, value, row_version(1), false};
+}
+
+constexpr const char* config_text =
+    R"({"version":7,"routes":[{"name":"r1","host":"a.example","prefix":"/x/",
+    "kind":"non_idempotent","timeoutMs":3000,"targetDurationMs":600,
+    "priority":1,"service":"s1","maxAttempts":4,"stretch":1.6,
+    "allowAnonymous":false},{"name":"r2","host":"a.example","prefix":"/x/y/",
+    "priority":0,"service":"s1","maxAttempts":2,"stretch":2,
+    "allowAnonymous":true,"advice":{"decisionMs":1,"periodMs":2,"validMs":3}}],
+    "services":[{"name":"s1","admissionCheck":true,"standby":false},
+    {"name":"off","standby":true}],"limits":{"maxBodyBytes":1000},
+    "tenants":[{"name":"t1","apiKeys":["k1","k2"],"weight":61,
+    "maxCount":{"cpu":5,"memMb":6,"gpus":7}}]})";
+
+} // namespace
+
+// Guards against a published field that reaches the wrong member.
+TEST(publication, reads_a_configuration)
+{
+    published_state state;
+    ASSERT_TRUE(apply_publication(make_row("config", config_text), state));
+    const fleet_config& it = *state.config;
+    EXPECT_EQ(it.version, config_version(7));
+    const queue_config* queue = it.find_route("a.example", "/x/1");
+    ASSERT_TRUE(queue);
+    EXPECT_EQ(queue->queue, queue_id("r1"));
+    EXPECT_EQ(queue->max_attempts, 4U);
+    EXPECT_EQ(queue->priority, 1U);
+    EXPECT_EQ(queue->target_duration, milliseconds(600));
+    EXPECT_FALSE(queue->advice);
+    queue = it.find_route("a.example", "/x/y/1");
+    ASSERT_TRUE(queue);
+    EXPECT_TRUE(queue->is_open_to_all);
+    EXPECT_EQ(queue->advice->time_per_target, milliseconds(2));
+    EXPECT_FALSE(it.find_route("b.example", "/x/1"));
+    EXPECT_FALSE(it.find_route("a.example", "/z"));
+    EXPECT_EQ(it.find_standby_pool(), pool_id("off"));
+    ASSERT_TRUE(it.find_key("k2"));
+    EXPECT_EQ(it.find_key("k2")->limit, (resources{5, 6, 7}));
+    EXPECT_FALSE(it.find_key("k3"));
+    EXPECT_EQ(it.max_body_bytes, 1'000U);
+}
+
+// Guards against a configuration that goes back when rows arrive out of order.
+TEST(publication, never_goes_back)
+{
+    published_state state;
+    ASSERT_TRUE(apply_publication(make_row("config", config_text), state));
+    std::string older = config_text;
+    older.replace(older.find(":7"), 2, ":6");
+    EXPECT_FALSE(apply_publication(make_row("config", older), state));
+    EXPECT_EQ(state.config->version, config_version(7));
+}
+
+TEST(publication, follows_evacuations_and_waves)
+{
+    published_state state;
+    EXPECT_TRUE(apply_publication(make_row("evacuate/z1", "{}"), state));
+    EXPECT_TRUE(state.evacuated.contains(data_centre_id("z1")));
+    stored_row gone = make_row("evacuate/z1", "");
+    gone.is_deleted = true;
+    EXPECT_TRUE(apply_publication(gone, state));
+    EXPECT_TRUE(state.evacuated.empty());
+    EXPECT_TRUE(apply_publication(
+        make_row("wave/3",
+            R"({"wave":3,"machines":["m1"],"deadlineS":20,"maxCount":2})"),
+        state));
+    EXPECT_EQ(state.waves.at(3).time_limit, milliseconds(20'000));
+    EXPECT_EQ(state.waves.at(3).max_at_once, 2U);
+    EXPECT_EQ(get_wave_status_key(3), "wave/3");
+    EXPECT_EQ(encode_wave_status(true), R"({"state":"completed"})");
+}
+
+// Guards against a row that stops an entry, or one that is half applied.
+TEST(publication, refuses_rows_that_it_cannot_read)
+{
+    published_state state;
+    for (const char* text : {"", "[]", "{\"version\":1}", "x"})
+        EXPECT_THROW(
+            apply_publication(make_row("config", text), state), platform_error);
+    EXPECT_FALSE(state.config);
+    EXPECT_THROW(
+        apply_publication(make_row("wave/x", "{}"), state), platform_error);
+    EXPECT_FALSE(apply_publication(make_row("other", "{}"), state));
+}
+
+// Guards against targets of another writer: fields missing or of another type.
+TEST(publication, names_only_targets_that_are_whole)
+{
+    stored_row row{published_table::targets, "i-1",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v",
+        "slots":8,"state":"ready","coldLeftMs":5,"born":9,
+        "capacity":{"cpu":1,"memMb":2,"gpus":3},"labels":["a","r1"],
+        "seq":4})",
+        row_version(1), false};
+    auto it = decode_target_report(row);
+    ASSERT_TRUE(it);
+    EXPECT_EQ(it->target, target_id("i-1"));
+    EXPECT_EQ(it->capacity, (resources{1, 2, 3}));
+    EXPECT_EQ(it->cold_left, milliseconds(5));
+    EXPECT_EQ(it->born, platform_time(9));
+    EXPECT_FALSE(it->is_draining);
+    auto with = [&](const std::string& from, const std::string& to)
+    {
+        stored_row out = row;
+        out.value.replace(out.value.find(from), from.size(), to);
+        return decode_target_report(out);
+    };
+    EXPECT_TRUE(with("\"ready\"", "\"draining\"")->is_draining);
+    EXPECT_FALSE(with("\"ready\"", "\"odd\""));
+    EXPECT_FALSE(with("\"seq\":4", "\"seq\":\"4\""));
+    EXPECT_FALSE(with("\"labels\":[\"a\",\"r1\"]", "\"labels\":7"));
+    EXPECT_FALSE(with("\"zone\":\"z\",", ""));
+    EXPECT_FALSE(with("{\"service\"", "\xff{"));
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/tests/platform/submission_codec_test.cpp
@@ -0,0 +1,65 @@
+#include "platform/submission_codec.hpp"
+
+#include "core/errors.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cowslippass
+{
+
+// Guards against a field of a submission that reaches the wrong member.
+TEST(submission_codec, reads_every_field)
+{
+    job_spec it = decode_submission(
+        R"({"spec":"p","steps":[{"count":4,"cpu":500,"memMb":256,"gpus":1,
+        "estimateMs":900,"dataRack":"r1"},{"after":[0],"checkpoint":true,
+        "gang":true,"sameRack":true,"requiredLabel":"l","maxPerServer":2,
+        "speculative":true,"longRunning":true,"image":"i","targetMs":7,
+        "fills":true,"mayMiss":3}],"repeatCount":5,"startTimeMs":6,
+        "intervalMs":8})");
+    EXPECT_EQ(it.payload, "p");
+    ASSERT_EQ(it.steps.size(), 2U);
+    EXPECT_EQ(it.steps[0].task_count, 4U);
+    EXPECT_EQ(it.steps[0].need, (resources{500, 256, 1}));
+    EXPECT_EQ(it.steps[0].estimate, milliseconds(900));
+    EXPECT_EQ(it.steps[0].data_rack, rack_id("r1"));
+    const step_spec& step = it.steps[1];
+    EXPECT_EQ(step.task_count, 1U);
+    EXPECT_EQ(step.after, std::vector<std::uint32_t>{0});
+    EXPECT_TRUE(step.saves_progress && step.is_gang && step.prefers_one_rack &&
+                step.allows_copies && step.is_long_running && step.is_filler);
+    EXPECT_EQ(step.required_label, "l");
+    EXPECT_EQ(step.max_per_target, 2U);
+    EXPECT_EQ(step.tail_target, milliseconds(7));
+    EXPECT_EQ(step.max_unavailable, 3U);
+    EXPECT_EQ(it.repeat_count, 5U);
+    EXPECT_EQ(it.first_start, platform_time(6));
+    EXPECT_EQ(it.interval, milliseconds(8));
+}
+
+// Guards against bad input that ends a process or becomes a job.
+TEST(submission_codec, refuses_bad_bodies)
+{
+    for (const char* text :
+        {"", "{", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+            R"({"steps":[{"count":"x"}]})", R"({"steps":[{"count":-1}]})",
+            R"({"steps":[{"after":[0]}]})", R"({"steps":[{"cpu":-5}]})"})
+        EXPECT_THROW(decode_submission(text), platform_error) << text;
+}
+
+TEST(submission_codec, takes_only_identifiers_of_jobs)
+{
+    EXPECT_EQ(parse_job_id("5c0e7a21d94b36f8"), job_id("5c0e7a21d94b36f8"));
+    for (const char* text : {"", "5c0e7a21d94b36f", "5c0e7a21d94b36f8a",
+             "5c0e7a21d94b36g8", "5c0e7a21d94b36f/"})
+        EXPECT_FALSE(parse_job_id(text)) << text;
+}
+
+TEST(submission_codec, spells_states_as_callers_do)
+{
+    EXPECT_EQ(encode_state(job_phase::cancelled), R"({"state":"canceled"})");
+    EXPECT_EQ(encode_state(job_phase::completed), R"({"state":"completed"})");
+    EXPECT_EQ(encode_waiting_count(12), R"({"pending":12})");
+}
+
+} // namespace cowslippass
--- a/tests/systems/coordination/candidacy_test.cpp
+++ b/tests/systems/coordination/candidacy_test.cpp
@@ -100,4 +100,17 @@
     EXPECT_TRUE(it_.may_take_over(at(1'410)));
 }
 
+// Guards against a wait for a coordinator that says itself that it has written
+// nothing, and against a takeover on the word of its predecessor.
+TEST_F(candidacy_test, takes_the_word_of_the_coordinator_itself)
+{
+    read(other_, 5, 0);
+    it_.note_probe(milliseconds(1'050), at(10));
+    read(other_, 5, 20);
+    EXPECT_FALSE(it_.may_take_over(at(30)));
+    EXPECT_TRUE(it_.may_take_over(at(200)));
+    read(make_head("third", "10.0.0.3:7000"), 6, 250);
+    EXPECT_FALSE(it_.may_take_over(at(260)));
+}
+
 } // namespace cowslippass
--- /dev/null
+++ b/tests/systems/pools/pool_planner_test.cpp
@@ -0,0 +1,295 @@
+#include "systems/pools/pool_planner.hpp"
+#include "tests/systems/scheduling/coordinator_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+const pool_id pool_b("b");
+const queue_id queue_b("qb");
+
+/// Two pools and a standby pool of instances with 16 cores. Orders take
+/// effect at once; a moved instance has a new target, or none in standby.
+class pool_planner_test : public testing::Test, public coordinator_fixture
+{
+protected:
+    pool_planner_test()
+    {
+        state_ = make_published_state();
+        state_.config->pools[pool_b] = {pool_b, false, false};
+        queue_config queue = state_.config->queues[queue_a];
+        queue.queue = queue_b;
+        queue.pool = pool_b;
+        state_.config->queues[queue_b] = queue;
+        it.set_publication(state_);
+    }
+
+    void add_instance(const std::string& id, const pool_id& pool)
+    {
+        instance_report report;
+        report.instance = instance_id(id);
+        report.pool = pool;
+        report.condition = instance_condition::up;
+        report.data_centre = data_centre_id("z");
+        report.capacity = {16'000, 32'768, 0};
+        instances_.push_back(report);
+        if (pool != pool_off)
+            start_target(instances_.back());
+    }
+
+    void start_target(instance_report& instance)
+    {
+        auto report = make_report("t" + std::to_string(++last_target_));
+        report.pool = instance.pool;
+        instance.target = report.target;
+        add_target(report);
+    }
+
+    pool_decisions tick(std::int64_t ms)
+    {
+        planner_.set_instances(instances_, at(ms));
+        auto out = planner_.plan(it, at(ms));
+        for (const instance_order& order : out.orders)
+        {
+            planner_.note_reply(order, machine_outcome::accepted, it, at(ms));
+            moves_ += order.is_maintenance() ? 0 : 1;
+            for (instance_report& instance : instances_)
+                if (instance.instance == order.instance)
+                    obey(instance, order);
+        }
+        return out;
+    }
+
+    void obey(instance_report& instance, const instance_order& order)
+    {
+        it.note_target_change({instance.target, std::nullopt}, at(0));
+        instance.target = target_id();
+        if (!order.is_maintenance())
+            instance.pool = order.pool;
+        if (instance.pool != pool_off)
+            start_target(instance);
+    }
+
+    std::size_t count(const pool_id& pool) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            instances_, [&](const auto& it) { return it.pool == pool; }));
+    }
+
+    void submit(const std::string& id, const queue_id& queue,
+        std::uint32_t tasks, std::int64_t ms)
+    {
+        auto record = make_record({make_step(tasks)});
+        record.queue = queue;
+        it.submit(job_id(id), record, at(ms));
+    }
+
+    void run_ticks(std::int64_t from, std::int64_t to)
+    {
+        for (std::int64_t ms = from; ms < to; ms += 100)
+        {
+            plan(ms);
+            tick(ms);
+        }
+    }
+
+    published_state state_;
+    pool_planner planner_{pool_planner_options{}};
+    std::vector<instance_report> instances_;
+    int last_target_ = 0;
+    int moves_ = 0;
+};
+
+} // namespace
+
+// Guards against instances that are paid for while nobody needs them.
+TEST_F(pool_planner_test, switches_idle_instances_off_but_for_a_reserve)
+{
+    for (int i = 0; i < 6; ++i)
+        add_instance("m" + std::to_string(i), pool_a);
+    run_ticks(0, 2'000);
+    EXPECT_EQ(count(pool_a), 6U);
+    run_ticks(2'000, 6'000);
+    EXPECT_EQ(count(pool_a), 1U);
+    EXPECT_EQ(count(pool_off), 5U);
+}
+
+// Answers a burst on one queue of several times what its pool holds: instances
+// of standby and idle ones of other pools join it within a few ticks.
+TEST_F(pool_planner_test, gives_a_burst_the_instances_that_it_needs)
+{
+    add_instance("m0", pool_a);
+    for (int i = 1; i < 4; ++i)
+        add_instance("m" + std::to_string(i), pool_b);
+    for (int i = 4; i < 10; ++i)
+        add_instance("m" + std::to_string(i), pool_off);
+    for (int i = 0; i < 8; ++i)
+        submit(std::to_string(i), queue_a, 16, 0);
+    run_ticks(0, 300);
+    EXPECT_GE(count(pool_a), 7U);
+    // An idle instance saves the move to standby that it is about to make.
+    EXPECT_LE(count(pool_b), 1U);
+}
+
+// Guards against instances that go to standby and back between the queues'
+// turns: demand that moves on takes them along.
+TEST_F(pool_planner_test, moves_instances_along_when_demand_moves_on)
+{
+    for (int i = 0; i < 8; ++i)
+        add_instance("m" + std::to_string(i), i < 6 ? pool_a : pool_off);
+    run_ticks(0, 1'000);
+    for (int i = 0; i < 2; ++i)
+        submit(std::to_string(i), queue_b, 16, 1'000);
+    run_ticks(1'000, 1'600);
+    EXPECT_GE(count(pool_b), 3U);
+    EXPECT_EQ(count(pool_off), 2U);
+}
+
+// Guards against work that is thrown away by a move.
+TEST_F(pool_planner_test, leaves_instances_with_work_where_they_are)
+{
+    add_instance("m0", pool_a);
+    add_instance("m1", pool_a);
+    add_instance("m2", pool_a);
+    submit("1", queue_a, 3, 0);
+    plan(0);
+    run_ticks(0, 8'000);
+    ASSERT_EQ(it.get_runs().size(), 3U);
+    for (const auto& [task, run] : it.get_runs())
+        EXPECT_TRUE(std::ranges::any_of(instances_,
+            [&](const auto& at) { return at.target == run.target; }));
+}
+
+// Guards against a wave that takes more instances at once than it may, misses
+// some, or is said to be done too early.
+TEST_F(pool_planner_test, maintains_a_wave_within_its_bound)
+{
+    maintenance_wave wave;
+    wave.number = 1;
+    wave.time_limit = milliseconds(20'000);
+    wave.max_at_once = 2;
+    for (int i = 0; i < 6; ++i)
+    {
+        add_instance("m" + std::to_string(i), pool_a);
+        wave.instances.emplace_back("m" + std::to_string(i));
+    }
+    state_.waves[1] = wave;
+    it.set_publication(state_);
+    pool_planner_options options;
+    options.park_after = milliseconds(3'600'000);
+    planner_ = pool_planner(options);
+    std::size_t begun = 0;
+    for (std::int64_t ms = 0; ms < 20'000 && begun < 6; ms += 100)
+    {
+        planner_.set_instances(instances_, at(ms));
+        auto out = planner_.plan(it, at(ms));
+        std::size_t down = 0;
+        for (const instance_order& order : out.orders)
+            if (order.is_maintenance())
+            {
+                planner_.note_reply(
+                    order, machine_outcome::accepted, it, at(ms));
+                ++begun;
+                ++down;
+            }
+        EXPECT_LE(down, 2U);
+        EXPECT_EQ(planner_.get_begun(1).size(), begun);
+        EXPECT_EQ(planner_.is_wave_completed(wave), begun == 6);
+        // The platform shows the instances as down for two seconds.
+        if (ms % 2'500 == 2'400)
+            for (instance_report& instance : instances_)
+                if (planner_.get_begun(1).contains(instance.instance))
+                {
+                    instance.target = target_id("n" + instance.instance.get());
+                    instance.condition = instance_condition::up;
+                }
+    }
+    EXPECT_EQ(begun, 6U);
+}
+
+// Guards against a successor that maintains an instance twice.
+TEST_F(pool_planner_test, remembers_what_a_predecessor_has_maintained)
+{
+    maintenance_wave wave;
+    wave.number = 1;
+    wave.time_limit = milliseconds(20'000);
+    wave.max_at_once = 5;
+    add_instance("m0", pool_a);
+    add_instance("m1", pool_a);
+    wave.instances = {instance_id("m0"), instance_id("m1")};
+    state_.waves[1] = wave;
+    it.set_publication(state_);
+    planner_.load_wave(1, {instance_id("m0")});
+    auto out = tick(0);
+    ASSERT_EQ(out.orders.size(), 1U);
+    EXPECT_EQ(out.orders[0].instance, instance_id("m1"));
+}
+
+// Guards against maintenance that ends a task of a step when as many others as
+// may be are away already.
+TEST_F(pool_planner_test, drains_long_running_tasks_within_their_budget)
+{
+    maintenance_wave wave;
+    wave.number = 1;
+    wave.time_limit = milliseconds(1'000);
+    wave.max_at_once = 5;
+    for (int i = 0; i < 2; ++i)
+    {
+        add_instance("m" + std::to_string(i), pool_a);
+        wave.instances.emplace_back("m" + std::to_string(i));
+    }
+    step_spec step = make_step(2);
+    step.is_long_running = true;
+    step.max_per_target = 1;
+    step.max_unavailable = 1;
+    it.submit(job_id("1"), make_record({step}), at(0));
+    plan(0);
+    for (const auto& [id, target] : it.get_targets())
+        it.note_look(id, make_look(id), at(10), at(11));
+    state_.waves[1] = wave;
+    it.set_publication(state_);
+    tick(100);
+    auto out = tick(600);
+    EXPECT_EQ(out.stops.size(), 1U);
+    EXPECT_TRUE(out.orders.empty());
+}
+
+// Guards against tasks that wait out the leases of a target whose instance has
+// started another life.
+TEST_F(pool_planner_test, finds_lives_that_have_ended)
+{
+    add_instance("m0", pool_a);
+    add_instance("m1", pool_a);
+    planner_.set_instances(instances_, at(0));
+    EXPECT_TRUE(planner_.find_ended_lives(it, at(0)).empty());
+    target_id crashed = instances_[0].target;
+    instances_[0].condition = instance_condition::down;
+    instances_[0].target = target_id();
+    planner_.set_instances(instances_, at(100));
+    EXPECT_EQ(planner_.find_ended_lives(it, at(100)),
+        std::vector<target_id>{crashed});
+    // A target that no list has named may be newer than the list.
+    add_target(make_report("fresh"));
+    EXPECT_EQ(planner_.find_ended_lives(it, at(200)).size(), 1U);
+    EXPECT_EQ(planner_.find_ended_lives(it, at(1'800)).size(), 2U);
+}
+
+// Guards against bursts that the meter sees too late, or that it never forgets.
+TEST(load_meter, follows_what_comes_in)
+{
+    load_meter meter{milliseconds(1'000)};
+    for (int i = 0; i < 200; ++i)
+        meter.add(pool_a, 1'000, at(i * 10));
+    // One core-second each 10 ms is 100 cores.
+    EXPECT_NEAR(meter.get_rate(pool_a, at(2'000)), 100.0, 15.0);
+    EXPECT_LT(meter.get_rate(pool_a, at(7'000)), 1.0);
+    EXPECT_EQ(meter.get_rate(pool_b, at(0)), 0.0);
+}
+
+} // namespace cowslippass
