Renew the term while the ledger is read; let strong entries lead

The term is now renewed while rows are read, ended jobs are read without their steps, weak entries wait for strong ones and hand over to them, and only a fresh word of the coordinator counts. Ruled out: the links (the strong entry read all rows in 0.3 s).

--- a/drivers/peer_message.cpp
+++ b/drivers/peer_message.cpp
@@ -147,7 +147,7 @@
     return {wire::body::coordinator_call,
         wire::Createcoordinator_call(out,
             static_cast<wire::coordinator_operation>(body.operation), job,
-            queue, team, spec)
+            queue, team, spec, body.processor_share)
             .Union()};
 }
 
@@ -163,7 +163,7 @@
         wire::Createcoordinator_reply(out,
             static_cast<wire::coordinator_result>(body.result), body.phase,
             body.count, to_u32(body.retry_after), to_u32(body.renewed_age),
-            boot)
+            boot, body.top_processor_share)
             .Union()};
 }
 
@@ -171,14 +171,16 @@
 {
     return {static_cast<coordinator_operation>(body.operation()),
         job_id(read_text(body.job())), queue_id(read_text(body.queue())),
-        team_id(read_text(body.team())), read_bytes(body.spec())};
+        team_id(read_text(body.team())), read_bytes(body.spec()),
+        body.processor_share()};
 }
 
 peer_coordinator_reply read_reply(const wire::coordinator_reply& body)
 {
     return {static_cast<coordinator_result>(body.result()), body.phase(),
         body.count(), milliseconds(body.retry_after_ms()),
-        milliseconds(body.renewed_age_ms()), read_text(body.boot())};
+        milliseconds(body.renewed_age_ms()), read_text(body.boot()),
+        body.top_processor_share()};
 }
 
 peer_summary read_summary(const wire::summary& body)
--- a/drivers/peer_message.hpp
+++ b/drivers/peer_message.hpp
@@ -120,6 +120,8 @@
     queue_id queue;
     team_id team;
     std::string spec; ///< Encoded job, of a submission.
+    /// Of the sender's instance, in thousandths of a core.
+    std::uint32_t processor_share = 0;
 };
 
 enum class coordinator_result
@@ -140,6 +142,8 @@
     /// Age of the coordinator's last durable transaction.
     milliseconds renewed_age{0};
     std::string boot; ///< Boot id of the process that answers.
+    /// The largest share of an entry that asked, in thousandths of a core.
+    std::uint32_t top_processor_share = 0;
 };
 
 using peer_body = std::variant<peer_hello, peer_summary, peer_forward,
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds renewal_interval{400};
 /// Batches are not sent more often, so that rows share transactions.
 constexpr milliseconds batch_interval{20};
+/// Rows that are read at a time at a takeover.
+constexpr std::size_t jobs_between_pauses = 20;
 /// Without news, decisions are looked at again after this time.
 constexpr milliseconds idle_interval{100};
 constexpr milliseconds read_timeout{2'000};
@@ -137,6 +139,44 @@
     wake();
 }
 
+asio::awaitable<void> coordinator_runner::load_jobs(
+    std::vector<stored_row> specs, std::vector<stored_row> states)
+{
+    std::map<std::string, std::string> by_id;
+    for (stored_row& it : states)
+        by_id[it.key] = std::move(it.value);
+    boot_time now = boot_clock::now();
+    std::size_t n = 0;
+    for (const stored_row& it : specs)
+    {
+        // The term has to be renewed while a slow processor reads many rows.
+        if (++n % jobs_between_pauses == 0)
+            co_await sleep(milliseconds(1));
+        try
+        {
+            job_id id(it.key);
+            const std::string& progress = by_id[it.key];
+            if (job::is_settled_progress(progress))
+            {
+                job_record known = decode_job_identity(it.value);
+                decisions_.load_ended_job(
+                    id, known.queue, known.team, progress, now);
+            }
+            else
+                decisions_.load_job(
+                    id, decode_job_record(it.value), progress, now);
+            if (decisions_.find_job(id)->is_ended())
+                durable_ended_.insert(id);
+        }
+        catch (const systems_error& e)
+        {
+            write_log(log_level::error, "coordinator",
+                "a job's row cannot be read",
+                {{"job", it.key}, {"version", it.version}, {"why", e.what()}});
+        }
+    }
+}
+
 asio::awaitable<bool> coordinator_runner::recover()
 {
     auto self = shared_from_this();
@@ -155,28 +195,10 @@
     wave_rows_ = std::move(begun.rows);
     if (!co_await read_targets())
         co_return false;
-    std::map<std::string, std::string> by_id;
-    for (stored_row& it : states.rows)
-        by_id[it.key] = std::move(it.value);
+    co_await load_jobs(std::move(specs.rows), std::move(states.rows));
+    if (is_over_)
+        co_return false;
     boot_time now = boot_clock::now();
-    for (const stored_row& it : specs.rows)
-    {
-        try
-        {
-            job_id id(it.key);
-            decisions_.load_job(
-                id, decode_job_record(it.value), by_id[it.key], now);
-            if (decisions_.find_job(id)->is_ended())
-                durable_ended_.insert(id);
-        }
-        catch (const systems_error& e)
-        {
-            write_log(log_level::error, "coordinator",
-                "a job's row cannot be read",
-                {{"job", it.key}, {"version", it.version}, {"why", e.what()}});
-        }
-    }
-    // The predecessor may have granted leases until its authority ended.
     milliseconds left = was_released_ ? milliseconds(0) : authority;
     for (const auto& [id, target] : decisions_.get_targets())
         decisions_.note_lease(id, now + left + get_longest_lease());
@@ -187,13 +209,24 @@
     co_return true;
 }
 
+void coordinator_runner::start_renewing()
+{
+    asio::co_spawn(
+        io_, [self = shared_from_this()] { return self->write_loop(); },
+        asio::detached);
+}
+
+void coordinator_runner::abandon()
+{
+    end_term("the ledger cannot be read");
+}
+
 void coordinator_runner::start(const published_state& state)
 {
     decisions_.set_publication(state);
+    is_recovered_ = true;
     open_links();
     auto self = shared_from_this();
-    asio::co_spawn(
-        io_, [self] { return self->write_loop(); }, asio::detached);
     asio::co_spawn(
         io_, [self] { return self->target_feed_loop(); }, asio::detached);
     if (settings_.machines.port() != 0)
@@ -347,7 +380,8 @@
     auto self = shared_from_this();
     while (!is_over_)
     {
-        decide();
+        if (is_recovered_)
+            decide();
         boot_time now = boot_clock::now();
         bool is_due = now - last_batch_ >= renewal_interval;
         if (ledger_.has_changes() || is_due)
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -28,11 +28,17 @@
         store_client& store, metrics_registry& metrics, ledger_head head,
         row_version version, boot_time renewed, bool was_released);
 
-    /// Reads the ledger and starts to work.
+    /// Reads the ledger, renewing the term meanwhile.
     /// @return whether the ledger could be read.
     asio::awaitable<bool> recover();
 
-    /// Starts the loops; they end with the term.
+    /// Keeps the term from now on, also while the ledger is read.
+    void start_renewing();
+
+    /// Gives the term up without a word in the ledger.
+    void abandon();
+
+    /// Starts the other loops; they end with the term.
     void start(const published_state& state);
 
     void set_publication(const published_state& state);
@@ -44,6 +50,13 @@
     bool is_over() const { return is_over_; }
 
     milliseconds get_renewed_age() const;
+
+    /// An entry of that share has asked.
+    void note_share(std::uint32_t thousandths)
+    {
+        top_share_ = std::max(top_share_, thousandths);
+    }
+    std::uint32_t get_top_share() const { return top_share_; }
     fencing_number get_term() const { return head_.term; }
     const coordinator& get_decisions() const { return decisions_; }
 
@@ -59,6 +72,8 @@
     void end_term(const char* why);
     void wake();
 
+    asio::awaitable<void> load_jobs(
+        std::vector<stored_row> specs, std::vector<stored_row> states);
     asio::awaitable<void> write_loop();
     asio::awaitable<void> target_feed_loop();
     asio::awaitable<void> look_loop(link_ptr link);
@@ -101,6 +116,7 @@
     bool was_released_;
     boot_time renewed_; ///< Before the last durable transaction was sent.
     boot_time last_batch_{};
+    std::uint32_t top_share_ = 0; ///< Of an entry that asked.
     asio::steady_timer wake_timer_;
     std::map<target_id, link_ptr> links_;
     std::vector<stored_row> wave_rows_; ///< As read at the takeover.
@@ -108,6 +124,7 @@
     std::set<job_id> durable_ended_; ///< Jobs whose end the ledger holds.
     row_version targets_newest_;
     std::set<std::shared_ptr<asio::steady_timer>> durable_waits_;
+    bool is_recovered_ = false;
     bool is_over_ = false;
     bool is_releasing_ = false;
 };
--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_seat.cpp
@@ -20,8 +20,14 @@
 constexpr milliseconds take_over_timeout{1'000};
 /// Candidates that see the same silence do not all write at once.
 constexpr int max_jitter_ms = 40;
-/// Delay of an instance without any processor against one with a core.
-constexpr int full_head_start_ms = 250;
+/// Weak entries wait so long for strong ones: more than a strong one takes to
+/// miss the coordinator after the first.
+constexpr milliseconds head_start{600};
+/// An entry with less than this share of the strongest one's processor is weak.
+constexpr double weak_share = 0.8;
+/// A coordinator keeps its place for so long before it gives it to a stronger
+/// entry.
+constexpr milliseconds shortest_term{3'000};
 constexpr milliseconds call_timeout{900};
 constexpr milliseconds pause_between_calls{50};
 /// An answer older than this says nothing of the coordinator now.
@@ -36,14 +42,13 @@
         deadline - boot_clock::now());
 }
 
-/// @param processor_share of this instance; a stronger one goes first.
-milliseconds draw_delay(double processor_share)
+/// @param is_weak whether stronger entries go first.
+milliseconds draw_delay(bool is_weak)
 {
     static std::mt19937 generator{std::random_device{}()};
-    double lack = 1 - std::min(processor_share, 1.0);
-    auto head_start = static_cast<int>(lack * full_head_start_ms);
-    return milliseconds(head_start + std::uniform_int_distribution<int>(
-                                         0, max_jitter_ms)(generator));
+    milliseconds jitter(
+        std::uniform_int_distribution<int>(0, max_jitter_ms)(generator));
+    return is_weak ? head_start + jitter : jitter;
 }
 
 asio::awaitable<void> wait_on(asio::steady_timer& timer, milliseconds time)
@@ -65,6 +70,16 @@
 {
 }
 
+std::uint32_t coordinator_seat::get_own_share() const
+{
+    return static_cast<std::uint32_t>(settings_.processor_share * 1'000);
+}
+
+bool coordinator_seat::is_weak() const
+{
+    return get_own_share() < top_share_ * weak_share;
+}
+
 bool coordinator_seat::is_coordinator_known() const
 {
     if (is_holder())
@@ -117,12 +132,14 @@
         co_return;
     std::string holder = head->holder;
     peer_coordinator_call question;
+    question.processor_share = get_own_share();
     bool was_sent = false;
     auto reply = co_await ask_peer(question, probe_timeout, was_sent);
     if (reply && reply->result == coordinator_result::done &&
         reply->boot == holder)
     {
         last_answer_ = boot_clock::now();
+        top_share_ = reply->top_processor_share;
         candidacy_.note_probe(reply->renewed_age, *last_answer_);
         co_return;
     }
@@ -204,19 +221,22 @@
     }
     auto runner = std::make_shared<coordinator_runner>(io_, settings_, store_,
         metrics_, head, answer.version, sent, was_released);
-    is_recovering_ = true;
-    recovering_since_ = sent;
+    runner->note_share(get_own_share());
+    runner->start_renewing();
+    recovering_ = runner;
     bool is_recovered = false;
     for (int i = 0; i < recovery_attempts && !is_recovered; ++i)
         is_recovered = co_await runner->recover();
-    is_recovering_ = false;
+    recovering_.reset();
     if (!is_recovered || is_leaving_)
     {
+        runner->abandon();
         write_log(log_level::error, "candidate", "ledger cannot be read",
             {{"term", head.term}});
         co_return;
     }
     metrics_.add("cowslippass_takeovers_total");
+    held_since_ = boot_clock::now();
     runner_ = runner;
     runner_->start(config_.get_state());
 }
@@ -227,6 +247,9 @@
     {
         if (is_holder())
         {
+            top_share_ = runner_->get_top_share();
+            if (is_weak() && boot_clock::now() - held_since_ > shortest_term)
+                runner_->release();
             co_await wait_on(timer_, probe_interval);
             continue;
         }
@@ -242,8 +265,14 @@
         bool may_lead = !is_leaving_ && config_.get_state().config;
         if (may_lead && candidacy_.may_take_over(boot_clock::now()))
         {
-            co_await wait_on(timer_, draw_delay(settings_.processor_share));
-            co_await take_over();
+            asio::steady_timer delay(io_);
+            co_await wait_on(delay, draw_delay(is_weak()));
+            // Another may have been faster, or the store is back for all.
+            if (peer_)
+                co_await probe();
+            co_await read_head();
+            if (candidacy_.may_take_over(boot_clock::now()))
+                co_await take_over();
             if (is_holder())
                 continue;
         }
@@ -294,15 +323,20 @@
     peer_coordinator_call call)
 {
     peer_coordinator_reply reply;
+    std::uint32_t share = call.processor_share;
     auto runner = runner_;
     if (is_holder())
         reply = co_await runner->handle(
             std::move(call), boot_clock::now() + longest_peer_wait);
-    else if (is_recovering_ && call.operation == coordinator_operation::probe)
+    else if (recovering_ && call.operation == coordinator_operation::probe)
     {
         reply.result = coordinator_result::done;
-        reply.renewed_age = std::chrono::duration_cast<milliseconds>(
-            boot_clock::now() - recovering_since_);
+        reply.renewed_age = recovering_->get_renewed_age();
+    }
+    if (auto& active = is_holder() ? runner_ : recovering_)
+    {
+        active->note_share(share);
+        reply.top_processor_share = active->get_top_share();
     }
     reply.boot = boot_;
     co_return reply;
--- a/main/entryd/coordinator_seat.hpp
+++ b/main/entryd/coordinator_seat.hpp
@@ -54,6 +54,11 @@
         peer_coordinator_call call, milliseconds timeout, bool& was_sent);
     void suspect();
 
+    /// @return in thousandths of a core.
+    std::uint32_t get_own_share() const;
+    /// @return whether another entry has far more processor.
+    bool is_weak() const;
+
     asio::io_context& io_;
     const entry_settings& settings_;
     store_client& store_;
@@ -63,8 +68,10 @@
     std::string address_;
     candidacy candidacy_;
     std::shared_ptr<coordinator_runner> runner_;
-    bool is_recovering_ = false;
-    boot_time recovering_since_{};
+    /// Holds the place, but has not read the ledger yet.
+    std::shared_ptr<coordinator_runner> recovering_;
+    boot_time held_since_{};
+    std::uint32_t top_share_ = 0; ///< Of all entries, as last told.
     bool is_leaving_ = false;
     std::shared_ptr<peer_client> peer_;
     std::optional<boot_time> last_answer_;
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -70,11 +70,13 @@
 
     entry_settings read()
     {
-        for (const auto& [key, node] : table_)
+        for (const auto& entry : table_)
+        {
+            std::string_view name = entry.first.str();
             if (std::ranges::none_of(get_descriptions(),
-                    [&](const description& it)
-                    { return it.name == key.str(); }))
-                add_fault(key.str(), node, "is not a setting");
+                    [&](const description& it) { return it.name == name; }))
+                add_fault(name, entry.second, "is not a setting");
+        }
         for (const description& it : get_descriptions())
             read_member(it);
         if (!faults_.empty())
--- a/systems/coordination/candidacy.cpp
+++ b/systems/coordination/candidacy.cpp
@@ -14,7 +14,7 @@
     if (!is_read_ || version != version_)
         first_seen_ = now;
     if (!head_ || !head || head->holder != head_->holder)
-        last_renewal_.reset();
+        told_silence_ = milliseconds(0);
     is_read_ = true;
     head_ = head;
     version_ = version;
@@ -23,7 +23,8 @@
 
 void candidacy::note_probe(milliseconds renewed_age, boot_time now)
 {
-    last_renewal_ = now - renewed_age;
+    told_silence_ = renewed_age;
+    told_at_ = now;
     is_suspect_ = renewed_age > renewal_limit;
 }
 
@@ -41,7 +42,8 @@
     // Another boot listens at its address now, or its term ended here.
     if (head_->address == address_ || head_->holder == boot_)
         return true;
-    if (last_renewal_ && now - *last_renewal_ >= silence_limit)
+    // What it said a while ago says nothing of what it has written since.
+    if (told_silence_ >= silence_limit && now - told_at_ <= read_age_limit)
         return true;
     return last_read_ - first_seen_ >= silence_limit;
 }
--- a/systems/coordination/candidacy.hpp
+++ b/systems/coordination/candidacy.hpp
@@ -49,8 +49,9 @@
     bool is_read_ = false;
     std::optional<ledger_head> head_;
     row_version version_;
-    /// As the coordinator told it.
-    std::optional<boot_time> last_renewal_;
+    /// How long it had written nothing, by its own word at `told_at_`.
+    milliseconds told_silence_{0};
+    boot_time told_at_{};
     boot_time first_seen_{}; ///< When this version was first seen.
     boot_time last_read_{};
     bool is_suspect_ = true;
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -57,6 +57,15 @@
     unfinished_.insert(id);
 }
 
+void coordinator::load_ended_job(const job_id& id, const queue_id& queue,
+    const team_id& team, const std::string& progress, boot_time now)
+{
+    job value(id, queue, team, {});
+    value.decode_progress(progress);
+    jobs_.emplace(id, job_entry{std::move(value), {}, ++last_order_, {}, false,
+                          false, now, std::nullopt});
+}
+
 submit_outcome coordinator::submit(
     const job_id& id, job_record record, boot_time now)
 {
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -89,6 +89,10 @@
 
     // Jobs.
 
+    /// Restores an ended job of which nothing runs, without its steps.
+    void load_ended_job(const job_id& id, const queue_id& queue,
+        const team_id& team, const std::string& progress, boot_time now);
+
     /// Restores a job at a takeover. Its runs count as running until their
     /// targets say otherwise.
     void load_job(const job_id& id, job_record record,
--- a/systems/workload/job.cpp
+++ b/systems/workload/job.cpp
@@ -211,8 +211,13 @@
 std::string job::encode_progress() const
 {
     json steps = json::array();
+    // Nothing of an ended job is of use but its state, and a successor reads
+    // many of them.
+    bool is_settled = is_ended() && list_running().empty();
     for (const auto& [at, step] : steps_)
     {
+        if (is_settled)
+            break;
         json tasks = json::array();
         for (const auto& [index, task] : step.tasks)
         {
@@ -230,6 +235,17 @@
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+bool job::is_settled_progress(const std::string& text)
+{
+    json in = json::parse(text, nullptr, false);
+    if (!in.is_object() || !in.contains("state") || !in["state"].is_string())
+        return false;
+    auto phase = in["state"].get<std::string>();
+    return phase != to_string(job_phase::queued) &&
+           phase != to_string(job_phase::running) && in.contains("steps") &&
+           in["steps"].empty();
+}
+
 void job::decode_progress(const std::string& text)
 {
     try
--- a/systems/workload/job.hpp
+++ b/systems/workload/job.hpp
@@ -112,12 +112,16 @@
     std::uint64_t count_done() const { return done_count_; }
     std::uint64_t count_tasks() const { return task_count_; }
 
-    /// @return JSON text of everything but the identity and the spec.
+    /// @return JSON text of everything but the identity and the spec; only
+    ///   the state of an ended job of which nothing runs.
     std::string encode_progress() const;
 
     /// @throws systems_error (`bad_job`).
     void decode_progress(const std::string& text);
 
+    /// @return whether the text is that of an ended job of which nothing runs.
+    static bool is_settled_progress(const std::string& text);
+
 private:
     using step_key = std::pair<std::uint32_t, std::uint32_t>;
 
--- a/systems/workload/job_record.hpp
+++ b/systems/workload/job_record.hpp
@@ -19,4 +19,8 @@
 /// @throws systems_error (`bad_job`).
 job_record decode_job_record(const std::string& text);
 
+/// Reads all but the spec, which costs most of the time.
+/// @throws systems_error (`bad_job`).
+job_record decode_job_identity(const std::string& text);
+
 } // namespace cowslippass
--- a/tests/main/entryd/entry_settings_test.cpp
+++ b/tests/main/entryd/entry_settings_test.cpp
@@ -16,8 +16,8 @@
 protected:
     entry_settings load(const std::string& text)
     {
-        std::ofstream(path_) << text;
-        return load_entry_settings(path_);
+        std::ofstream(path) << text;
+        return load_entry_settings(path);
     }
 
     std::string get_fault(const std::string& text)
@@ -33,24 +33,24 @@
         return {};
     }
 
-    void TearDown() override { std::filesystem::remove(path_); }
+    void TearDown() override { std::filesystem::remove(path); }
 
-    std::string path_ =
+    std::string path =
         testing::TempDir() + "entry_settings_" +
         testing::UnitTest::GetInstance()->current_test_info()->name() + ".toml";
-    std::string whole_ = "entry = \"e\"\ndata_centre = \"z\"\n"
-                         "front_listen = \"127.0.0.1:1\"\n"
-                         "readiness_listen = \"127.0.0.1:2\"\n"
-                         "peer_listen = \"127.0.0.1:3\"\n"
-                         "metrics_listen = \"127.0.0.1:4\"\n"
-                         "store = \"127.0.0.1:5\"\n";
+    std::string whole = "entry = \"e\"\ndata_centre = \"z\"\n"
+                        "front_listen = \"127.0.0.1:1\"\n"
+                        "readiness_listen = \"127.0.0.1:2\"\n"
+                        "peer_listen = \"127.0.0.1:3\"\n"
+                        "metrics_listen = \"127.0.0.1:4\"\n"
+                        "store = \"127.0.0.1:5\"\n";
 };
 
 } // namespace
 
 TEST_F(entry_settings_test, reads_a_whole_file)
 {
-    auto it = load(whole_ + "stop_grace_s = 1.5\nkey_withdrawal_ms = 5000\n");
+    auto it = load(whole + "stop_grace_s = 1.5\nkey_withdrawal_ms = 5000\n");
     EXPECT_EQ(it.entry, entry_id("e"));
     EXPECT_EQ(it.store.port(), 5);
     EXPECT_EQ(it.stop_grace, milliseconds(1'500));
--- a/tests/systems/coordination/candidacy_test.cpp
+++ b/tests/systems/coordination/candidacy_test.cpp
@@ -27,21 +27,21 @@
 protected:
     void read(std::optional<ledger_head> head, int version, int ms)
     {
-        it_.note_head(head, row_version(static_cast<std::uint64_t>(version)),
-            at(ms), at(ms));
+        candidate.note_head(head,
+            row_version(static_cast<std::uint64_t>(version)), at(ms), at(ms));
     }
 
-    candidacy it_{"me", "10.0.0.1:7000"};
-    ledger_head other_ = make_head("other", "10.0.0.2:7000");
+    candidacy candidate{"me", "10.0.0.1:7000"};
+    ledger_head other = make_head("other", "10.0.0.2:7000");
 };
 
 } // namespace
 
 TEST_F(candidacy_test, takes_a_place_that_nobody_has)
 {
-    EXPECT_FALSE(it_.may_take_over(at(0)));
+    EXPECT_FALSE(candidate.may_take_over(at(0)));
     read(std::nullopt, 0, 10);
-    EXPECT_TRUE(it_.may_take_over(at(20)));
+    EXPECT_TRUE(candidate.may_take_over(at(20)));
 }
 
 // Guards against a coordinator that is replaced while it writes.
@@ -49,68 +49,73 @@
 {
     for (int i = 0; i < 20; ++i)
     {
-        read(other_, i + 1, i * 400);
-        EXPECT_FALSE(it_.may_take_over(at(i * 400 + 10)));
+        read(other, i + 1, i * 400);
+        EXPECT_FALSE(candidate.may_take_over(at(i * 400 + 10)));
     }
 }
 
 // Guards against a place that stays empty after its holder died.
 TEST_F(candidacy_test, takes_the_place_after_a_silence)
 {
-    read(other_, 5, 0);
-    read(other_, 5, 1'100);
-    EXPECT_FALSE(it_.may_take_over(at(1'110)));
-    read(other_, 5, 1'250);
-    EXPECT_TRUE(it_.may_take_over(at(1'260)));
+    read(other, 5, 0);
+    read(other, 5, 1'100);
+    EXPECT_FALSE(candidate.may_take_over(at(1'110)));
+    read(other, 5, 1'250);
+    EXPECT_TRUE(candidate.may_take_over(at(1'260)));
 }
 
 // Guards against a decision made on what was read before a pause.
 TEST_F(candidacy_test, needs_a_fresh_look)
 {
-    read(other_, 5, 0);
-    read(other_, 5, 1'300);
-    EXPECT_FALSE(it_.may_take_over(at(2'500)));
+    read(other, 5, 0);
+    read(other, 5, 1'300);
+    EXPECT_FALSE(candidate.may_take_over(at(2'500)));
 }
 
 TEST_F(candidacy_test, takes_a_released_place_at_once)
 {
-    other_.is_released = true;
-    read(other_, 5, 0);
-    EXPECT_TRUE(it_.may_take_over(at(1)));
+    other.is_released = true;
+    read(other, 5, 0);
+    EXPECT_TRUE(candidate.may_take_over(at(1)));
 }
 
 // Guards against a wait for a process that is certainly gone.
 TEST_F(candidacy_test, takes_the_place_of_its_own_earlier_boot)
 {
     read(make_head("earlier", "10.0.0.1:7000"), 5, 0);
-    EXPECT_TRUE(it_.may_take_over(at(1)));
+    EXPECT_TRUE(candidate.may_take_over(at(1)));
 }
 
 // Guards against a takeover by an entry that alone misses the coordinator, and
 // against a coordinator that answers but cannot reach the store.
 TEST_F(candidacy_test, trusts_probes_of_a_coordinator_that_writes)
 {
-    it_.note_probe(milliseconds(300), at(0));
-    EXPECT_FALSE(it_.needs_read());
-    read(other_, 5, 0);
-    read(other_, 5, 1'300);
-    EXPECT_FALSE(it_.may_take_over(at(1'310)));
-    it_.note_probe(milliseconds(4'000), at(1'400));
-    EXPECT_TRUE(it_.needs_read());
-    EXPECT_TRUE(it_.may_take_over(at(1'410)));
+    candidate.note_probe(milliseconds(300), at(0));
+    EXPECT_FALSE(candidate.needs_read());
+    read(other, 5, 0);
+    read(other, 5, 1'300);
+    EXPECT_FALSE(candidate.may_take_over(at(1'310)));
+    candidate.note_probe(milliseconds(4'000), at(1'400));
+    EXPECT_TRUE(candidate.needs_read());
+    EXPECT_TRUE(candidate.may_take_over(at(1'410)));
 }
 
 // Guards against a wait for a coordinator that says itself that it has written
 // nothing, and against a takeover on the word of its predecessor.
 TEST_F(candidacy_test, takes_the_word_of_the_coordinator_itself)
 {
-    read(other_, 5, 0);
-    it_.note_probe(milliseconds(1'050), at(10));
-    read(other_, 5, 20);
-    EXPECT_FALSE(it_.may_take_over(at(30)));
-    EXPECT_TRUE(it_.may_take_over(at(200)));
-    read(make_head("third", "10.0.0.3:7000"), 6, 250);
-    EXPECT_FALSE(it_.may_take_over(at(260)));
+    read(other, 5, 0);
+    candidate.note_probe(milliseconds(1'050), at(10));
+    read(other, 5, 20);
+    EXPECT_FALSE(candidate.may_take_over(at(30)));
+    // It may have written since.
+    candidate.note_probe_failure();
+    read(other, 6, 300);
+    EXPECT_FALSE(candidate.may_take_over(at(310)));
+    candidate.note_probe(milliseconds(1'250), at(400));
+    EXPECT_TRUE(candidate.may_take_over(at(410)));
+    read(make_head("third", "10.0.0.3:7000"), 7, 450);
+    EXPECT_FALSE(candidate.may_take_over(at(460)));
 }
 
 } // namespace cowslippass
--- a/tests/systems/pools/pool_planner_test.cpp
+++ b/tests/systems/pools/pool_planner_test.cpp
@@ -21,13 +21,13 @@
 protected:
     pool_planner_test()
     {
-        state_ = make_published_state();
-        state_.config->pools[pool_b] = {pool_b, false, false};
-        queue_config queue = state_.config->queues[queue_a];
+        state = make_published_state();
+        state.config->pools[pool_b] = {pool_b, false, false};
+        queue_config queue = state.config->queues[queue_a];
         queue.queue = queue_b;
         queue.pool = pool_b;
-        state_.config->queues[queue_b] = queue;
-        it.set_publication(state_);
+        state.config->queues[queue_b] = queue;
+        it.set_publication(state);
     }
 
     void add_instance(const std::string& id, const pool_id& pool)
@@ -38,14 +38,14 @@
         report.condition = instance_condition::up;
         report.data_centre = data_centre_id("z");
         report.capacity = {16'000, 32'768, 0};
-        instances_.push_back(report);
+        instances.push_back(report);
         if (pool != pool_off)
-            start_target(instances_.back());
+            start_target(instances.back());
     }
 
     void start_target(instance_report& instance)
     {
-        auto report = make_report("t" + std::to_string(++last_target_));
+        auto report = make_report("t" + std::to_string(++last_target));
         report.pool = instance.pool;
         instance.target = report.target;
         add_target(report);
@@ -53,13 +53,12 @@
 
     pool_decisions tick(std::int64_t ms)
     {
-        planner_.set_instances(instances_, at(ms));
-        auto out = planner_.plan(it, at(ms));
+        planner.set_instances(instances, at(ms));
+        auto out = planner.plan(it, at(ms));
         for (const instance_order& order : out.orders)
         {
-            planner_.note_reply(order, machine_outcome::accepted, it, at(ms));
-            moves_ += order.is_maintenance() ? 0 : 1;
-            for (instance_report& instance : instances_)
+            planner.note_reply(order, machine_outcome::accepted, it, at(ms));
+            for (instance_report& instance : instances)
                 if (instance.instance == order.instance)
                     obey(instance, order);
         }
@@ -79,7 +78,7 @@
     std::size_t count(const pool_id& pool) const
     {
         return static_cast<std::size_t>(std::ranges::count_if(
-            instances_, [&](const auto& it) { return it.pool == pool; }));
+            instances, [&](const auto& it) { return it.pool == pool; }));
     }
 
     void submit(const std::string& id, const queue_id& queue,
@@ -99,11 +98,10 @@
         }
     }
 
-    published_state state_;
-    pool_planner planner_{pool_planner_options{}};
-    std::vector<instance_report> instances_;
-    int last_target_ = 0;
-    int moves_ = 0;
+    published_state state;
+    pool_planner planner{pool_planner_options{}};
+    std::vector<instance_report> instances;
+    int last_target = 0;
 };
 
 } // namespace
@@ -161,9 +159,9 @@
     plan(0);
     run_ticks(0, 8'000);
     ASSERT_EQ(it.get_runs().size(), 3U);
-    for (const auto& [task, run] : it.get_runs())
-        EXPECT_TRUE(std::ranges::any_of(instances_,
-            [&](const auto& at) { return at.target == run.target; }));
+    for (const auto& entry : it.get_runs())
+        EXPECT_TRUE(std::ranges::any_of(instances,
+            [&](const auto& at) { return at.target == entry.second.target; }));
 }
 
 // Guards against a wave that takes more instances at once than it may, misses
@@ -179,32 +177,32 @@
         add_instance("m" + std::to_string(i), pool_a);
         wave.instances.emplace_back("m" + std::to_string(i));
     }
-    state_.waves[1] = wave;
-    it.set_publication(state_);
+    state.waves[1] = wave;
+    it.set_publication(state);
     pool_planner_options options;
     options.park_after = milliseconds(3'600'000);
-    planner_ = pool_planner(options);
+    planner = pool_planner(options);
     std::size_t begun = 0;
     for (std::int64_t ms = 0; ms < 20'000 && begun < 6; ms += 100)
     {
-        planner_.set_instances(instances_, at(ms));
-        auto out = planner_.plan(it, at(ms));
+        planner.set_instances(instances, at(ms));
+        auto out = planner.plan(it, at(ms));
         std::size_t down = 0;
         for (const instance_order& order : out.orders)
             if (order.is_maintenance())
             {
-                planner_.note_reply(
+                planner.note_reply(
                     order, machine_outcome::accepted, it, at(ms));
                 ++begun;
                 ++down;
             }
         EXPECT_LE(down, 2U);
-        EXPECT_EQ(planner_.get_begun(1).size(), begun);
-        EXPECT_EQ(planner_.is_wave_completed(wave), begun == 6);
+        EXPECT_EQ(planner.get_begun(1).size(), begun);
+        EXPECT_EQ(planner.is_wave_completed(wave), begun == 6);
         // The platform shows the instances as down for two seconds.
         if (ms % 2'500 == 2'400)
-            for (instance_report& instance : instances_)
-                if (planner_.get_begun(1).contains(instance.instance))
+            for (instance_report& instance : instances)
+                if (planner.get_begun(1).contains(instance.instance))
                 {
                     instance.target = target_id("n" + instance.instance.get());
                     instance.condition = instance_condition::up;
@@ -223,9 +221,9 @@
     add_instance("m0", pool_a);
     add_instance("m1", pool_a);
     wave.instances = {instance_id("m0"), instance_id("m1")};
-    state_.waves[1] = wave;
-    it.set_publication(state_);
-    planner_.load_wave(1, {instance_id("m0")});
+    state.waves[1] = wave;
+    it.set_publication(state);
+    planner.load_wave(1, {instance_id("m0")});
     auto out = tick(0);
     ASSERT_EQ(out.orders.size(), 1U);
     EXPECT_EQ(out.orders[0].instance, instance_id("m1"));
@@ -252,8 +250,8 @@
     plan(0);
     for (const auto& [id, target] : it.get_targets())
         it.note_look(id, make_look(id), at(10), at(11));
-    state_.waves[1] = wave;
-    it.set_publication(state_);
+    state.waves[1] = wave;
+    it.set_publication(state);
     tick(100);
     auto out = tick(600);
     EXPECT_EQ(out.stops.size(), 1U);
@@ -266,18 +264,18 @@
 {
     add_instance("m0", pool_a);
     add_instance("m1", pool_a);
-    planner_.set_instances(instances_, at(0));
-    EXPECT_TRUE(planner_.find_ended_lives(it, at(0)).empty());
-    target_id crashed = instances_[0].target;
-    instances_[0].condition = instance_condition::down;
-    instances_[0].target = target_id();
-    planner_.set_instances(instances_, at(100));
-    EXPECT_EQ(planner_.find_ended_lives(it, at(100)),
-        std::vector<target_id>{crashed});
+    planner.set_instances(instances, at(0));
+    EXPECT_TRUE(planner.find_ended_lives(it, at(0)).empty());
+    target_id crashed = instances[0].target;
+    instances[0].condition = instance_condition::down;
+    instances[0].target = target_id();
+    planner.set_instances(instances, at(100));
+    EXPECT_EQ(
+        planner.find_ended_lives(it, at(100)), std::vector<target_id>{crashed});
     // A target that no list has named may be newer than the list.
     add_target(make_report("fresh"));
-    EXPECT_EQ(planner_.find_ended_lives(it, at(200)).size(), 1U);
-    EXPECT_EQ(planner_.find_ended_lives(it, at(1'800)).size(), 2U);
+    EXPECT_EQ(planner.find_ended_lives(it, at(200)).size(), 1U);
+    EXPECT_EQ(planner.find_ended_lives(it, at(1'800)).size(), 2U);
 }
 
 // Guards against bursts that the meter sees too late, or that it never forgets.
--- a/tests/systems/scheduling/coordinator_model_test.cpp
+++ b/tests/systems/scheduling/coordinator_model_test.cpp
@@ -80,7 +80,7 @@
 public:
     world()
     {
-        targets.resize(target_count);
+        targets_.resize(target_count);
         start_coordinator();
     }
 
@@ -108,7 +108,7 @@
             break;
         case 7:
             if (n % 3 == 0)
-                targets[n % target_count].crash();
+                targets_[n % target_count].crash();
             break;
         case 8:
             if (n % 3 == 0)
@@ -118,7 +118,7 @@
             deliver_late();
             break;
         case 10:
-            current->expire(at(now));
+            current_->expire(at(now_));
             save();
             break;
         default:
@@ -133,21 +133,21 @@
     {
         for (int i = 0; i < 400; ++i)
         {
-            late.clear();
+            late_.clear();
             plan(0);
             for (std::size_t t = 0; t < target_count; ++t)
                 look(t, 0);
             for (std::size_t t = 0; t < target_count; ++t)
-                while (!targets[t].runs.empty())
-                    finish_on(t, targets[t].runs.begin()->first);
+                while (!targets_[t].runs.empty())
+                    finish_on(t, targets_[t].runs.begin()->first);
             stop(0);
-            current->expire(at(now));
+            current_->expire(at(now_));
             save();
             advance(100);
             check();
-            if (std::ranges::all_of(jobs,
+            if (std::ranges::all_of(jobs_,
                     [&](const auto& it) {
-                        return current->find_job(it.first)->get_phase() ==
+                        return current_->find_job(it.first)->get_phase() ==
                                job_phase::completed;
                     }))
                 return true;
@@ -163,78 +163,78 @@
 
     void start_coordinator()
     {
-        ++term;
-        unanswered.clear();
+        ++term_;
+        unanswered_.clear();
         // A planned or unplanned end: only what was saved is left.
-        current = std::make_unique<coordinator>(coordinator_options{});
-        current->set_publication(make_published_state());
-        for (const auto& [id, record] : jobs)
-            current->load_job(id, record, rows[id], at(now));
+        current_ = std::make_unique<coordinator>(coordinator_options{});
+        current_->set_publication(make_published_state());
+        for (const auto& [id, record] : jobs_)
+            current_->load_job(id, record, rows_[id], at(now_));
         for (std::size_t i = 0; i < target_count; ++i)
         {
             auto report = make_report(name(i).get(), 2);
-            current->note_target_change({name(i), report}, at(now));
-            current->note_lease(name(i), at(now + authority_ms + lease_ms));
+            current_->note_target_change({name(i), report}, at(now_));
+            current_->note_lease(name(i), at(now_ + authority_ms + lease_ms));
         }
-        seen.clear();
+        seen_.clear();
     }
 
     void save()
     {
-        for (const job_id& id : current->take_changed())
-            rows[id] = current->find_job(id)->encode_progress();
+        for (const job_id& id : current_->take_changed())
+            rows_[id] = current_->find_job(id)->encode_progress();
     }
 
     void submit()
     {
-        if (jobs.size() >= max_jobs)
+        if (jobs_.size() >= max_jobs)
             return;
-        job_id id(std::to_string(jobs.size()));
+        job_id id(std::to_string(jobs_.size()));
         step_spec last = make_step(1);
         last.after = {0};
-        jobs[id] = make_record({make_step(2), last});
-        current->submit(id, jobs[id], at(now));
-        rows[id] = current->find_job(id)->encode_progress();
+        jobs_[id] = make_record({make_step(2), last});
+        current_->submit(id, jobs_[id], at(now_));
+        rows_[id] = current_->find_job(id)->encode_progress();
     }
 
     void plan(std::size_t faults)
     {
-        auto starts = current->plan(at(now), platform_time(now));
+        auto starts = current_->plan(at(now_), platform_time(now_));
         save();
         for (const start_decision& it : starts)
         {
             auto i = static_cast<std::size_t>(it.target.get()[1] - '0');
-            unanswered.push_back(
-                {i, term, targets[i].born, it, now + lease_ms});
-            current->note_lease(it.target, at(now + lease_ms));
+            unanswered_.push_back(
+                {i, term_, targets_[i].born, it, now_ + lease_ms});
+            current_->note_lease(it.target, at(now_ + lease_ms));
         }
         // A start without an answer is sent again, with its first lease.
-        for (late_start& it : std::exchange(unanswered, {}))
+        for (late_start& it : std::exchange(unanswered_, {}))
         {
-            if (!current->make_start_order(it.decision))
+            if (!current_->make_start_order(it.decision))
                 continue;
             std::size_t fault = faults % 5;
             faults /= 5;
             if (fault == 3)
             {
-                late.push_back(it);
-                current->note_start_reply(
-                    it.decision, order_outcome::no_answer, at(now));
-                unanswered.push_back(it);
+                late_.push_back(it);
+                current_->note_start_reply(
+                    it.decision, order_outcome::no_answer, at(now_));
+                unanswered_.push_back(it);
                 continue;
             }
             order_outcome outcome = execute(it);
             if (fault == 4)
                 outcome = order_outcome::no_answer;
-            current->note_start_reply(it.decision, outcome, at(now));
+            current_->note_start_reply(it.decision, outcome, at(now_));
             if (outcome == order_outcome::no_answer)
-                unanswered.push_back(it);
+                unanswered_.push_back(it);
         }
     }
 
     order_outcome execute(const late_start& it)
     {
-        target_model& target = targets[it.target];
+        target_model& target = targets_[it.target];
         // A call never reaches another life of the target.
         if (target.born != it.born)
             return order_outcome::not_sent;
@@ -245,11 +245,11 @@
         std::uint64_t run = it.decision.run.get();
         if (run <= target.highest_ended[task])
             return order_outcome::superseded;
-        if (it.lease_end <= now)
+        if (it.lease_end <= now_)
             return order_outcome::too_late;
         if (target.runs.contains(task))
             return order_outcome::accepted;
-        started_after_end |= noted_done.contains(task);
+        started_after_end_ |= noted_done_.contains(task);
         target.runs[task] = {run, it.lease_end};
         extend(target, it.lease_end);
         return order_outcome::accepted;
@@ -264,40 +264,40 @@
 
     void deliver_late()
     {
-        if (late.empty())
+        if (late_.empty())
             return;
-        execute(late.front());
-        late.erase(late.begin());
+        execute(late_.front());
+        late_.erase(late_.begin());
     }
 
     void look(std::size_t i, std::size_t fault)
     {
-        target_model& target = targets[i];
+        target_model& target = targets_[i];
         if (fault == 1)
         {
-            current->note_look_failure(name(i), at(now));
+            current_->note_look_failure(name(i), at(now_));
             return;
         }
-        target.fence = std::max(target.fence, term);
-        if (current->wants_lease(name(i)))
+        target.fence = std::max(target.fence, term_);
+        if (current_->wants_lease(name(i)))
         {
-            current->note_lease(name(i), at(now + lease_ms));
-            extend(target, now + lease_ms);
+            current_->note_lease(name(i), at(now_ + lease_ms));
+            extend(target, now_ + lease_ms);
         }
         std::uint64_t seen_here =
-            seen[i].first == target.born ? seen[i].second : 0;
+            seen_[i].first == target.born ? seen_[i].second : 0;
         std::erase_if(target.ended,
             [&](const end_report& it)
             {
                 if (it.number > seen_here)
                     return false;
                 if (it.end == run_end::done && it.number > target.lapsed_end)
-                    noted_done.insert(it.task);
+                    noted_done_.insert(it.task);
                 return true;
             });
         if (fault == 2)
         {
-            current->note_look_failure(name(i), at(now));
+            current_->note_look_failure(name(i), at(now_));
             return;
         }
         target_look out;
@@ -305,14 +305,14 @@
         for (const auto& [task, it] : target.runs)
             out.running.push_back({task, run_number(it.number), "", 100, 0});
         out.ended = target.ended;
-        current->note_look(name(i), out, at(now), at(now));
+        current_->note_look(name(i), out, at(now_), at(now_));
         save();
-        seen[i] = {target.born, target.last_end};
+        seen_[i] = {target.born, target.last_end};
     }
 
     void finish(std::size_t n)
     {
-        target_model& target = targets[n % target_count];
+        target_model& target = targets_[n % target_count];
         if (target.runs.empty())
             return;
         auto it = target.runs.begin();
@@ -322,64 +322,64 @@
 
     void finish_on(std::size_t i, task_name task)
     {
-        targets[i].end(task, run_end::done);
+        targets_[i].end(task, run_end::done);
     }
 
     void stop(std::size_t n)
     {
-        for (const stop_decision& it : current->list_stops())
+        for (const stop_decision& it : current_->list_stops())
         {
             auto i = static_cast<std::size_t>(it.target.get()[1] - '0');
-            target_model& target = targets[i];
+            target_model& target = targets_[i];
             if (n % 3 == 2)
                 continue;
-            target.fence = std::max(target.fence, term);
+            target.fence = std::max(target.fence, term_);
             if (target.runs.contains(it.task))
                 target.end(it.task, run_end::stopped);
             target.highest_ended[it.task] =
                 std::max(target.highest_ended[it.task], it.run.get());
-            current->note_stop_reply(it,
+            current_->note_stop_reply(it,
                 n % 3 == 1 ? order_outcome::no_answer : order_outcome::accepted,
-                at(now));
+                at(now_));
         }
     }
 
     void advance(std::int64_t ms)
     {
-        now += ms;
-        for (target_model& it : targets)
-            it.lapse(now);
+        now_ += ms;
+        for (target_model& it : targets_)
+            it.lapse(now_);
     }
 
     void check()
     {
         std::map<task_name, int> copies;
-        for (const target_model& target : targets)
+        for (const target_model& target : targets_)
         {
             RC_ASSERT(target.runs.size() <= 2);
             for (const auto& [task, it] : target.runs)
                 RC_ASSERT(++copies[task] == 1);
         }
-        RC_ASSERT(!started_after_end);
+        RC_ASSERT(!started_after_end_);
     }
 
-    std::int64_t now = 0;
-    std::uint64_t term = 0;
-    std::unique_ptr<coordinator> current;
-    std::vector<target_model> targets;
-    std::map<job_id, job_record> jobs;
-    std::map<job_id, std::string> rows;
-    std::map<std::size_t, std::pair<std::int64_t, std::uint64_t>> seen;
-    std::vector<late_start> late;
-    std::vector<late_start> unanswered;
-    std::set<task_name> noted_done;
-    bool started_after_end = false;
+    std::int64_t now_ = 0;
+    std::uint64_t term_ = 0;
+    std::unique_ptr<coordinator> current_;
+    std::vector<target_model> targets_;
+    std::map<job_id, job_record> jobs_;
+    std::map<job_id, std::string> rows_;
+    std::map<std::size_t, std::pair<std::int64_t, std::uint64_t>> seen_;
+    std::vector<late_start> late_;
+    std::vector<late_start> unanswered_;
+    std::set<task_name> noted_done_;
+    bool started_after_end_ = false;
 };
 
 } // namespace
 
 // Guards against a task that runs twice, starts after its end was taken note
-// of, overfills a target, or never ends: coordinators are replaced, targets
+// of, overfills a target, or never ends: coordinators are replaced, targets_
 // crash, orders and answers are lost or late.
 RC_GTEST_PROP(coordinator_model, runs_every_task_once_whatever_fails, ())
 {
--- a/tests/systems/workload/job_test.cpp
+++ b/tests/systems/workload/job_test.cpp
@@ -140,7 +140,8 @@
     copy.decode_progress(it.encode_progress());
     RC_ASSERT(copy.get_phase() == it.get_phase());
     RC_ASSERT(copy.list_running() == it.list_running());
-    RC_ASSERT(copy.count_done() == it.count_done());
+    if (!it.is_ended())
+        RC_ASSERT(copy.count_done() == it.count_done());
     RC_ASSERT(copy.list_waiting(platform_time(0)) ==
               it.list_waiting(platform_time(0)));
     for (const task_key& key : it.list_waiting(platform_time(0)))
