Watch targets that are listed again; stop abandoned starts; order jobs by deadline

A stand-in of the platform's calls runs in the tests' own process; uses_a_target_that_is_listed_again fails without the fix and passes with it.

In a burst, jobs go by their deadline, begun ones first; those past their deadline and what a team sends beyond its weight come last.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -163,8 +163,8 @@
                     id, known.queue, known.team, progress, now);
             }
             else
-                decisions_.load_job(
-                    id, decode_job_record(it.value), progress, now);
+                decisions_.load_job(id, decode_job_record(it.value), progress,
+                    now, get_wall_time());
             if (decisions_.find_job(id)->is_ended())
                 durable_ended_.insert(id);
         }
@@ -468,7 +468,10 @@
         if (!target.is_listed)
             continue;
         auto it = links_.find(id);
-        if (it != links_.end() && it->second->address == target.report.address)
+        // The link of a target that was given up is closed; the target may
+        // be listed again.
+        if (it != links_.end() && !it->second->is_closed &&
+            it->second->address == target.report.address)
             continue;
         if (it != links_.end())
             it->second->is_closed = true;
@@ -487,7 +490,7 @@
         links_[id] = link;
         auto self = shared_from_this();
         asio::co_spawn(
-            io_, [self, link] { return self->look_loop(link); },
+            io_, [self, link] { return self->watch_target(link); },
             asio::detached);
     }
     for (auto it = links_.begin(); it != links_.end();)
@@ -610,6 +613,13 @@
     wake();
 }
 
+asio::awaitable<void> coordinator_runner::watch_target(link_ptr link)
+{
+    auto self = shared_from_this();
+    co_await look_loop(link);
+    link->is_closed = true;
+}
+
 asio::awaitable<void> coordinator_runner::look_loop(link_ptr link)
 {
     auto self = shared_from_this();
@@ -689,13 +699,13 @@
         link_ptr link = find_link(decision.target);
         if (!link || !link->clock || !has_authority())
         {
-            decisions_.withdraw_unsent(decision.task, decision.run);
+            decisions_.abandon_start(decision, boot_clock::now());
             co_return;
         }
         auto order = decisions_.make_start_order(decision);
         if (!order)
         {
-            decisions_.withdraw_unsent(decision.task, decision.run);
+            decisions_.abandon_start(decision, boot_clock::now());
             wake();
             co_return;
         }
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -76,6 +76,7 @@
         std::vector<stored_row> specs, std::vector<stored_row> states);
     asio::awaitable<void> write_loop();
     asio::awaitable<void> target_feed_loop();
+    asio::awaitable<void> watch_target(link_ptr link);
     asio::awaitable<void> look_loop(link_ptr link);
     asio::awaitable<void> send_start(start_decision decision);
     asio::awaitable<void> send_stop(stop_decision decision);
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -26,28 +26,6 @@
 /// Left of the grace period for the end of the process itself.
 constexpr milliseconds stop_margin{700};
 
-std::vector<metric_description> get_entryd_metrics()
-{
-    using enum metric_kind;
-    return {
-        {"cowslippass_calls_total", counter,
-            "Calls of callers, by method and status."},
-        {"cowslippass_call_seconds", distribution,
-            "Seconds from a caller's whole call to its answer."},
-        {"cowslippass_ledger_commit_seconds", distribution,
-            "Seconds of the ledger's transactions."},
-        {"cowslippass_ledger_retries_total", counter,
-            "Transactions that were sent again."},
-        {"cowslippass_starts_total", counter,
-            "Orders to start a task, by outcome."},
-        {"cowslippass_instance_orders_total", counter,
-            "Orders to instances, by order and outcome."},
-        {"cowslippass_looks_total", counter, "Looks at targets, by outcome."},
-        {"cowslippass_takeovers_total", counter,
-            "Terms as coordinator that began in this process."},
-    };
-}
-
 /// All parts of one entry.
 class entryd
 {
@@ -214,6 +192,28 @@
 
 } // namespace
 
+std::vector<metric_description> get_entryd_metrics()
+{
+    using enum metric_kind;
+    return {
+        {"cowslippass_calls_total", counter,
+            "Calls of callers, by method and status."},
+        {"cowslippass_call_seconds", distribution,
+            "Seconds from a caller's whole call to its answer."},
+        {"cowslippass_ledger_commit_seconds", distribution,
+            "Seconds of the ledger's transactions."},
+        {"cowslippass_ledger_retries_total", counter,
+            "Transactions that were sent again."},
+        {"cowslippass_starts_total", counter,
+            "Orders to start a task, by outcome."},
+        {"cowslippass_instance_orders_total", counter,
+            "Orders to instances, by order and outcome."},
+        {"cowslippass_looks_total", counter, "Looks at targets, by outcome."},
+        {"cowslippass_takeovers_total", counter,
+            "Terms as coordinator that began in this process."},
+    };
+}
+
 int run_entryd(const std::string& path, entry_settings settings)
 {
     // A peer that closes its connection must not end the process.
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -33,13 +33,14 @@
 }
 
 void coordinator::load_job(const job_id& id, job_record record,
-    const std::string& progress, boot_time now)
+    const std::string& progress, boot_time now, platform_time wall_time)
 {
     job value(id, record.queue, record.team, std::move(record.spec));
+    milliseconds age(
+        std::max<std::int64_t>(0, wall_time.get() - record.accepted.get()));
     if (!progress.empty())
         value.decode_progress(progress);
-    job_entry entry{std::move(value), record.accepted, ++last_order_, {}, false,
-        true, std::nullopt, std::nullopt};
+    job_entry entry{std::move(value), now - age, ++last_order_};
     auto& added = jobs_.emplace(id, std::move(entry)).first->second;
     for (const task_key& key : added.value.list_running())
     {
@@ -62,8 +63,10 @@
 {
     job value(id, queue, team, {});
     value.decode_progress(progress);
-    jobs_.emplace(id, job_entry{std::move(value), {}, ++last_order_, {}, false,
-                          false, now, std::nullopt});
+    job_entry entry{std::move(value), now, ++last_order_};
+    entry.needs_scan = false;
+    entry.ended_at = now;
+    jobs_.emplace(id, std::move(entry));
 }
 
 submit_outcome coordinator::submit(
@@ -73,9 +76,13 @@
         return submit_outcome::known;
     note_load(record, now);
     job value(id, record.queue, record.team, std::move(record.spec));
-    jobs_.emplace(
-        id, job_entry{std::move(value), record.accepted, ++last_order_, {},
-                false, true, std::nullopt, std::nullopt});
+    job_entry entry{std::move(value), now, ++last_order_};
+    auto& added = jobs_.emplace(id, std::move(entry)).first->second;
+    const team_config* team = publication_.config
+                                  ? publication_.config->find_team(record.team)
+                                  : nullptr;
+    added.is_beyond_share =
+        team && !shares_.take(record.team, team->weight, now);
     unfinished_.insert(id);
     return submit_outcome::added;
 }
@@ -186,6 +193,26 @@
     return away < std::max(1U, step.max_unavailable);
 }
 
+job_urgency coordinator::get_urgency(
+    const job_entry& entry, boot_time now) const
+{
+    const job& it = entry.value;
+    const queue_config* queue = find_queue(it.get_queue());
+    job_urgency out;
+    out.priority = queue ? queue->priority : 0;
+    out.order = entry.order;
+    out.is_new = it.get_phase() == job_phase::queued;
+    out.is_beyond_share = entry.is_beyond_share;
+    if (queue)
+        out.deadline =
+            entry.accepted_at + get_time_allowed(it.get_spec(), *queue);
+    // Schedules and long-running tasks have no time to keep in this sense.
+    bool is_timed =
+        it.get_spec().repeat_count == 0 && entry.remaining > milliseconds(0);
+    out.is_late = is_timed && now > out.deadline;
+    return out;
+}
+
 bool coordinator::cancel(const job_id& id, boot_time now)
 {
     job_entry* entry = find_entry(id);
@@ -326,24 +353,26 @@
 }
 
 std::vector<coordinator::job_entry*> coordinator::list_waiting_jobs(
-    platform_time wall_time)
+    boot_time now, platform_time wall_time)
 {
-    std::vector<job_entry*> out;
+    std::vector<std::pair<job_urgency, job_entry*>> found;
     for (const job_id& id : unfinished_)
     {
         job_entry& it = jobs_.at(id);
         if (it.needs_scan || it.value.get_spec().repeat_count > 0)
+        {
             it.waiting = it.value.list_waiting(wall_time);
+            it.remaining = estimate_remaining_chain(it.value);
+        }
         it.needs_scan = false;
         if (!it.waiting.empty())
-            out.push_back(&it);
+            found.emplace_back(get_urgency(it, now), &it);
     }
-    auto rank = [&](const job_entry* it)
-    {
-        const queue_config* queue = find_queue(it->value.get_queue());
-        return std::tuple(queue ? queue->priority : 0, it->order);
-    };
-    std::ranges::sort(out, {}, rank);
+    std::ranges::sort(found);
+    std::vector<job_entry*> out;
+    out.reserve(found.size());
+    for (const auto& [urgency, it] : found)
+        out.push_back(it);
     return out;
 }
 
@@ -351,7 +380,7 @@
     boot_time now, platform_time wall_time)
 {
     std::vector<start_decision> out;
-    for (job_entry* it : list_waiting_jobs(wall_time))
+    for (job_entry* it : list_waiting_jobs(now, wall_time))
         plan_job(*it, now, out);
     return out;
 }
@@ -539,12 +568,15 @@
     return order;
 }
 
-void coordinator::withdraw_unsent(const task_name& task, run_number run)
+void coordinator::abandon_start(const start_decision& it, boot_time now)
 {
-    auto it = runs_.find(task);
-    if (it == runs_.end() || it->second.number != run || it->second.is_sent)
+    auto run = runs_.find(it.task);
+    if (run == runs_.end() || run->second.number != it.run)
         return;
-    end_run(task, run_end::stopped, {}, boot_clock::now());
+    if (run->second.is_sent)
+        run->second.must_stop = true;
+    else
+        end_run(it.task, run_end::stopped, {}, now);
 }
 
 void coordinator::note_start_reply(
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -2,6 +2,7 @@
 
 #include "systems/configuration/fleet_config.hpp"
 #include "systems/pools/load_meter.hpp"
+#include "systems/scheduling/job_urgency.hpp"
 #include "systems/scheduling/target_table.hpp"
 #include "systems/workload/job_record.hpp"
 
@@ -95,8 +96,9 @@
 
     /// Restores a job at a takeover. Its runs count as running until their
     /// targets say otherwise.
+    /// @param wall_time to tell how long ago the job was accepted.
     void load_job(const job_id& id, job_record record,
-        const std::string& progress, boot_time now);
+        const std::string& progress, boot_time now, platform_time wall_time);
 
     submit_outcome submit(const job_id& id, job_record record, boot_time now);
 
@@ -144,8 +146,9 @@
     /// @return the order for a start, unless it is not to be sent any more.
     std::optional<start_order> make_start_order(const start_decision& it);
 
-    /// Takes back an assignment whose order was never sent.
-    void withdraw_unsent(const task_name& task, run_number run);
+    /// The start is not sent any more. One that was sent before may still
+    /// arrive, so that the run has to be stopped.
+    void abandon_start(const start_decision& it, boot_time now);
 
     // Answers.
 
@@ -189,7 +192,7 @@
     struct job_entry
     {
         job value;
-        platform_time accepted;
+        boot_time accepted_at{};
         std::uint64_t order = 0; ///< Of acceptance.
         std::vector<task_key> waiting;
         /// At the last look some tasks waited for their team's limit only.
@@ -198,11 +201,14 @@
         std::optional<boot_time> ended_at;
         /// Since when tasks have waited for room.
         std::optional<boot_time> waiting_since;
+        milliseconds remaining{0}; ///< Chain of work, as estimated.
+        bool is_beyond_share = false;
     };
 
     /// @return whether a long-running task serves its users.
     bool is_at_work(const active_run& run) const;
     job_entry* find_entry(const job_id& id);
+    job_urgency get_urgency(const job_entry& entry, boot_time now) const;
     void note_load(const job_record& record, boot_time now);
     void note_change(job_entry& entry, boot_time now);
     void stop_runs_of(const job& it);
@@ -219,7 +225,8 @@
     void drop_missing_runs(target_entry& target, const target_look& look,
         boot_time sent_at, boot_time now);
 
-    std::vector<job_entry*> list_waiting_jobs(platform_time wall_time);
+    std::vector<job_entry*> list_waiting_jobs(
+        boot_time now, platform_time wall_time);
     void plan_job(
         job_entry& entry, boot_time now, std::vector<start_decision>& out);
     bool place_gang(job_entry& entry, std::size_t& at,
@@ -242,6 +249,7 @@
     target_table targets_;
     std::set<job_id> changed_;
     load_meter load_;
+    share_meter shares_;
     std::uint64_t last_order_ = 0;
 };
 
--- /dev/null
+++ b/systems/scheduling/job_urgency.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "systems/configuration/fleet_config.hpp"
+#include "systems/workload/job.hpp"
+
+#include <map>
+
+namespace cowslippass
+{
+
+/// @return the longest chain of estimated work over the steps that are not
+///   done, of the occurrence that has most of it left.
+milliseconds estimate_remaining_chain(const job& it);
+
+/// @return how long after its submission a job is still in time: its chain
+///   stretched as its queue allows, and the queue's own addition.
+milliseconds get_time_allowed(const job_spec& spec, const queue_config& queue);
+
+/// Tells which of a team's jobs are within its share while the fleet is full:
+/// as many a second as its weight.
+class share_meter
+{
+public:
+    /// Counts one submission.
+    /// @return whether it is within the share.
+    bool take(const team_id& team, double weight, boot_time now);
+
+private:
+    struct bucket
+    {
+        double tokens = 0;
+        boot_time at{};
+    };
+
+    std::map<team_id, bucket> buckets_;
+};
+
+/// Answers bursts beyond what a pool holds: when not all jobs can be in time,
+/// room goes to those that still can be, started ones first. Jobs that are
+/// late anyway and those beyond their team's share take what is left.
+/// Sorts ascending.
+struct job_urgency
+{
+    std::uint32_t priority = 0; ///< Of the queue.
+    bool is_late = false;       ///< Its time has passed.
+    bool is_beyond_share = false;
+    bool is_new = true; ///< None of its tasks has started.
+    boot_time deadline{};
+    std::uint64_t order = 0; ///< Of acceptance.
+
+    auto operator<=>(const job_urgency&) const = default;
+};
+
+} // namespace cowslippass
--- a/systems/workload/job.hpp
+++ b/systems/workload/job.hpp
@@ -79,6 +79,9 @@
     /// @return whether the task is done.
     bool is_done(const task_key& key) const;
 
+    /// @return whether all tasks of the step are done.
+    bool is_step_done(std::uint32_t occurrence, std::uint32_t step) const;
+
     /// @return whether all steps before this one are done and its time has
     ///   come.
     bool is_step_open(
@@ -125,7 +128,6 @@
 private:
     using step_key = std::pair<std::uint32_t, std::uint32_t>;
 
-    bool is_step_done(std::uint32_t occurrence, std::uint32_t step) const;
     void mark_done(const task_key& key);
     void note_failure(task_progress& task, std::uint32_t max_attempts);
 
--- /dev/null
+++ b/tests/main/entryd/platform_stand_in.cpp
@@ -0,0 +1,284 @@
+#include "tests/main/entryd/platform_stand_in.hpp"
+
+#include <openssl/evp.h>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+
+constexpr milliseconds poll_interval{5};
+
+std::string to_base64(const std::string& text)
+{
+    std::string out(4 * ((text.size() + 2) / 3) + 1, '\0');
+    int n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+        reinterpret_cast<const unsigned char*>(text.data()),
+        static_cast<int>(text.size()));
+    out.resize(static_cast<std::size_t>(n));
+    return out;
+}
+
+std::string from_base64(const std::string& text)
+{
+    std::string out(text.size(), '\0');
+    int n = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+        reinterpret_cast<const unsigned char*>(text.data()),
+        static_cast<int>(text.size()));
+    for (auto it = text.rbegin(); it != text.rend() && *it == '='; ++it)
+        --n;
+    out.resize(static_cast<std::size_t>(n));
+    return out;
+}
+
+std::int64_t get_clock()
+{
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+http_response make_answer(unsigned status, const json& body)
+{
+    http_response out;
+    out.status = status;
+    out.body = body.dump();
+    return out;
+}
+
+http_server_options make_options()
+{
+    http_server_options out;
+    out.endpoint = parse_endpoint("127.0.0.1:0");
+    return out;
+}
+
+} // namespace
+
+struct platform_stand_in::target
+{
+    std::string id;
+    milliseconds work{0};
+    bool is_cut = false;
+    std::uint64_t fence = 0;
+    std::map<std::string, std::pair<std::uint64_t, std::int64_t>> running;
+    std::vector<json> ended;
+    std::uint64_t last_end = 0;
+    std::unique_ptr<http_server> server;
+
+    void end_finished()
+    {
+        std::int64_t now = get_clock();
+        for (auto it = running.begin(); it != running.end();)
+        {
+            if (it->second.second > now)
+            {
+                ++it;
+                continue;
+            }
+            ended.push_back(json::array(
+                {++last_end, it->first, it->second.first, "done", ""}));
+            it = running.erase(it);
+        }
+    }
+};
+
+platform_stand_in::platform_stand_in(asio::io_context& io)
+    : io_(io),
+      store_(std::make_unique<http_server>(io, make_options(),
+          [this](http_request it) { return answer_store(std::move(it)); }))
+{
+}
+
+platform_stand_in::~platform_stand_in() = default;
+
+tcp::endpoint platform_stand_in::get_store() const
+{
+    return parse_endpoint("127.0.0.1:" + std::to_string(store_->get_port()));
+}
+
+asio::awaitable<void> platform_stand_in::sleep(milliseconds time)
+{
+    asio::steady_timer timer(io_);
+    timer.expires_after(time);
+    boost::system::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+void platform_stand_in::put(
+    const std::string& table, const std::string& key, const std::string& value)
+{
+    rows_[{table, key}] = {to_base64(value), ++version_, false};
+}
+
+std::string platform_stand_in::get_row(
+    const std::string& table, const std::string& key) const
+{
+    auto it = rows_.find({table, key});
+    if (it == rows_.end() || it->second.is_deleted)
+        return {};
+    return from_base64(it->second.value);
+}
+
+void platform_stand_in::publish_config()
+{
+    put("op", "config",
+        R"({"version":1,"routes":[{"name":"q","host":"h","prefix":"/q/",
+        "priority":0,"service":"p","maxAttempts":2,"stretch":2,
+        "targetDurationMs":500,"allowAnonymous":true}],
+        "services":[{"name":"p"}],"tenants":[],"limits":{}})");
+}
+
+void platform_stand_in::add_target(const std::string& id, milliseconds work)
+{
+    auto it = std::make_shared<target>();
+    it->id = id;
+    it->work = work;
+    it->server = std::make_unique<http_server>(io_, make_options(),
+        [this, it](http_request request)
+        { return answer_target(it, std::move(request)); });
+    targets_[id] = it;
+    list_target(id);
+}
+
+void platform_stand_in::list_target(const std::string& id)
+{
+    json report{{"service", "p"},
+        {"address",
+            "127.0.0.1:" + std::to_string(targets_[id]->server->get_port())},
+        {"zone", "z"}, {"state", "ready"},
+        {"capacity", {{"cpu", 4'000}, {"memMb", 4'000}, {"gpus", 0}}},
+        {"labels", {"a", "r1"}}, {"seq", 1}, {"born", 1}};
+    put("servers", id, report.dump());
+}
+
+void platform_stand_in::unlist_target(const std::string& id)
+{
+    rows_[{"servers", id}] = {"", ++version_, true};
+}
+
+void platform_stand_in::set_cut(const std::string& id, bool is_cut)
+{
+    targets_[id]->is_cut = is_cut;
+}
+
+json platform_stand_in::encode_row(const row_key& key, const row& it) const
+{
+    json out{{"table", key.first}, {"part", ""}, {"key", key.second},
+        {"ver", it.version}};
+    if (it.is_deleted)
+        out["deleted"] = true;
+    else
+        out["value"] = it.value;
+    return out;
+}
+
+http_response platform_stand_in::commit(const json& body)
+{
+    json current = json::array();
+    bool is_met = true;
+    for (const json& it : body.at("expected"))
+    {
+        row_key key{it.at("table"), it.at("key")};
+        auto found = rows_.find(key);
+        bool is_there = found != rows_.end() && !found->second.is_deleted;
+        std::uint64_t version = is_there ? found->second.version : 0;
+        is_met &= version == it.at("ver").get<std::uint64_t>();
+        if (is_there)
+            current.push_back(encode_row(key, found->second));
+    }
+    if (!is_met)
+        return make_answer(412, {{"rows", current}, {"ver", version_}});
+    ++version_;
+    for (const json& it : body.at("upserts"))
+        rows_[{it.at("table"), it.at("key")}] = {
+            it.at("value").get<std::string>(), version_, false};
+    for (const json& it : body.at("deletes"))
+        rows_[{it.at("table"), it.at("key")}] = {"", version_, true};
+    return make_answer(200, {{"ver", version_}, {"nowMs", get_clock()}});
+}
+
+http_response platform_stand_in::read(const http_request& request) const
+{
+    json rows = json::array();
+    for (const auto& [key, it] : rows_)
+        if (key.first == request.get_query("table") && !it.is_deleted &&
+            key.second >= request.get_query("from"))
+            rows.push_back(encode_row(key, it));
+    return make_answer(
+        200, {{"rows", rows}, {"hasMore", false}, {"ver", version_}});
+}
+
+asio::awaitable<http_response> platform_stand_in::answer_feed(
+    http_request request)
+{
+    std::uint64_t after = std::stoull(request.get_query("after"));
+    std::int64_t end = get_clock() + std::stoll(request.get_query("waitMs"));
+    json rows = json::array();
+    while (rows.empty() && get_clock() < end)
+    {
+        for (const auto& [key, it] : rows_)
+            if (key.first == request.get_query("table") && it.version > after)
+                rows.push_back(encode_row(key, it));
+        if (rows.empty())
+            co_await sleep(poll_interval);
+    }
+    co_return make_answer(200, {{"rows", rows}, {"ver", version_}});
+}
+
+asio::awaitable<http_response> platform_stand_in::answer_store(
+    http_request request)
+{
+    if (is_refusing_)
+        co_return make_answer(503, json::object());
+    if (request.path == "/-/rows-tx")
+        co_return commit(json::parse(request.body));
+    if (request.path == "/-/rows-get")
+        co_return read(request);
+    if (request.path == "/-/rows-feed")
+        co_return co_await answer_feed(std::move(request));
+    co_return make_answer(404, json::object());
+}
+
+asio::awaitable<http_response> platform_stand_in::answer_target(
+    std::shared_ptr<target> it, http_request request)
+{
+    while (it->is_cut)
+        co_await sleep(poll_interval);
+    json body = json::parse(request.body);
+    auto fence = body.at("fenceToken").get<std::uint64_t>();
+    if (fence < it->fence)
+        co_return make_answer(
+            409, {{"clockMs", get_clock()}, {"reason", "fence"}});
+    it->fence = fence;
+    if (request.path == "/-/run-start")
+    {
+        auto task = body.at("task").get<std::string>();
+        if (!it->running.contains(task))
+        {
+            ++starts_[task];
+            it->running[task] = {body.at("runId").get<std::uint64_t>(),
+                get_clock() + it->work.count()};
+        }
+        co_return make_answer(200, {{"clockMs", get_clock()}});
+    }
+    if (request.path == "/-/run-stop")
+        co_return make_answer(200, {{"clockMs", get_clock()}});
+    auto seen = body.value("seenUpto", std::uint64_t{0});
+    std::erase_if(it->ended,
+        [&](const json& end) { return end[0].get<std::uint64_t>() <= seen; });
+    std::int64_t end = get_clock() + body.value("waitMs", std::int64_t{0});
+    for (it->end_finished(); it->ended.empty() && get_clock() < end;
+         it->end_finished())
+        co_await sleep(poll_interval);
+    json running = json::array();
+    for (const auto& [task, run] : it->running)
+        running.push_back(json::array({task, run.first, "", 50, 0}));
+    co_return make_answer(200, {{"clockMs", get_clock()}, {"born", 1},
+                                   {"running", running}, {"ended", it->ended}});
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/tests/main/entryd/platform_stand_in.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "drivers/drivers.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cowslippass
+{
+
+/// A store and targets that speak the users' protocol, on loopback in the
+/// test's own process. Small: one part, no limits, no delays.
+class platform_stand_in
+{
+public:
+    explicit platform_stand_in(asio::io_context& io);
+    ~platform_stand_in();
+
+    tcp::endpoint get_store() const;
+
+    /// Publishes a configuration with one queue `/q/` of host `h`, open to
+    /// all, on the pool `p`.
+    void publish_config();
+
+    /// Starts a target and lists it.
+    /// @param work how long each task takes.
+    void add_target(const std::string& id, milliseconds work);
+
+    void list_target(const std::string& id);
+    void unlist_target(const std::string& id);
+
+    /// A cut target is asked in vain; it runs on.
+    void set_cut(const std::string& id, bool is_cut);
+
+    /// The store answers nothing but refusals.
+    void set_refusing(bool is_refusing) { is_refusing_ = is_refusing; }
+
+    /// @return how often each task was started anew, by its name.
+    const std::map<std::string, int>& get_starts() const { return starts_; }
+
+    std::string get_row(const std::string& table, const std::string& key) const;
+
+private:
+    using json = nlohmann::json;
+    using row_key = std::pair<std::string, std::string>;
+    struct row
+    {
+        std::string value; ///< Base64, as on the wire.
+        std::uint64_t version = 0;
+        bool is_deleted = false;
+    };
+    struct target;
+
+    asio::awaitable<http_response> answer_store(http_request request);
+    asio::awaitable<http_response> answer_feed(http_request request);
+    asio::awaitable<http_response> answer_target(
+        std::shared_ptr<target> it, http_request request);
+    http_response commit(const json& body);
+    http_response read(const http_request& request) const;
+    json encode_row(const row_key& key, const row& it) const;
+    void put(const std::string& table, const std::string& key,
+        const std::string& value);
+    asio::awaitable<void> sleep(milliseconds time);
+
+    asio::io_context& io_;
+    std::unique_ptr<http_server> store_;
+    std::map<row_key, row> rows_;
+    std::uint64_t version_ = 0;
+    std::map<std::string, std::shared_ptr<target>> targets_;
+    std::map<std::string, int> starts_;
+    bool is_refusing_ = false;
+};
+
+} // namespace cowslippass
--- /dev/null
+++ b/tests/main/entryd/whole_path_test.cpp
@@ -0,0 +1,217 @@
+#include "main/entryd/caller_front.hpp"
+#include "main/entryd/entryd_process.hpp"
+#include "tests/main/entryd/platform_stand_in.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+constexpr const char* one_task =
+    R"({"spec":"s","steps":[{"count":1,"cpu":1000,"memMb":100,
+    "estimateMs":50}]})";
+constexpr const char* two_steps =
+    R"({"spec":"s","steps":[{"count":3,"cpu":1000,"memMb":100,
+    "estimateMs":50},{"count":1,"cpu":1000,"memMb":100,"estimateMs":50,
+    "after":[0]}]})";
+
+/// The front, the follower and the seat of one entry, without the process.
+struct entry
+{
+    entry(asio::io_context& io, platform_stand_in& platform,
+        const std::string& peer_address)
+        : settings(make_settings(platform, peer_address)),
+          metrics(get_entryd_metrics()), store(io, settings.store),
+          config(io, store, [this] { seat.note_publication(); }),
+          seat(io, settings, store, metrics, config),
+          front(settings, config, seat, metrics)
+    {
+        asio::co_spawn(io, config.run(), asio::detached);
+        asio::co_spawn(io, seat.run(), asio::detached);
+    }
+
+    static entry_settings make_settings(
+        platform_stand_in& platform, const std::string& peer_address)
+    {
+        entry_settings out;
+        out.entry = entry_id("e");
+        out.data_centre = data_centre_id("z");
+        out.peer_listen = parse_endpoint(peer_address);
+        out.store = platform.get_store();
+        return out;
+    }
+
+    entry_settings settings;
+    metrics_registry metrics;
+    store_client store;
+    config_follower config;
+    coordinator_seat seat;
+    caller_front front;
+};
+
+class whole_path_test : public testing::Test
+{
+protected:
+    whole_path_test() { platform.publish_config(); }
+
+    /// Runs the test's body as a coroutine, for at most 20 s.
+    void run(std::function<asio::awaitable<void>()> body)
+    {
+        bool is_done = false;
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void>
+            {
+                co_await body();
+                is_done = true;
+                io.stop();
+            },
+            asio::detached);
+        io.run_for(std::chrono::seconds(20));
+        EXPECT_TRUE(is_done);
+    }
+
+    asio::awaitable<http_response> send(
+        std::string method, std::string path, std::string body = {})
+    {
+        http_request request;
+        request.method = std::move(method);
+        request.path = std::move(path);
+        request.headers["Host"] = "h:80";
+        request.body = std::move(body);
+        return node->front.handle(std::move(request));
+    }
+
+    asio::awaitable<void> sleep(milliseconds time)
+    {
+        asio::steady_timer timer(io);
+        timer.expires_after(time);
+        boost::system::error_code ec;
+        co_await timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ec));
+    }
+
+    asio::awaitable<void> wait_until_ready()
+    {
+        while (!node->front.is_ready())
+            co_await sleep(milliseconds(10));
+    }
+
+    /// @return whether the job was shown in this state within five seconds.
+    asio::awaitable<bool> wait_for(std::string job, std::string state)
+    {
+        for (int i = 0; i < 250; ++i)
+        {
+            http_response it = co_await send("GET", "/q/" + job);
+            if (it.body == "{\"state\":\"" + state + "\"}")
+                co_return true;
+            co_await sleep(milliseconds(20));
+        }
+        co_return false;
+    }
+
+    asio::io_context io;
+    platform_stand_in platform{io};
+    std::unique_ptr<entry> node =
+        std::make_unique<entry>(io, platform, "127.0.0.1:1");
+};
+
+const std::string job_1 = "0000000000000001";
+const std::string job_2 = "0000000000000002";
+
+} // namespace
+
+// Guards against a path that breaks between its parts: accept, both steps in
+// order, each task once, the end shown, a repeat that stays one job.
+TEST_F(whole_path_test, runs_a_job_to_its_end)
+{
+    platform.add_target("t1", milliseconds(60));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            http_response it = co_await send("POST", "/q/" + job_1, two_steps);
+            EXPECT_EQ(it.status, 200U);
+            EXPECT_FALSE(platform.get_row("jobs", job_1).empty());
+            it = co_await send("POST", "/q/" + job_1, two_steps);
+            EXPECT_EQ(it.status, 200U);
+            EXPECT_TRUE(co_await wait_for(job_1, "completed"));
+            EXPECT_EQ(platform.get_starts().size(), 4U);
+            for (const auto& [task, n] : platform.get_starts())
+                EXPECT_EQ(n, 1) << task;
+            it = co_await send("GET", "/q/" + job_2);
+            EXPECT_EQ(it.status, 410U);
+            it = co_await send("GET", "/q/");
+            EXPECT_EQ(it.body, "{\"pending\":0}");
+            it = co_await send("GET", "/other/");
+            EXPECT_EQ(it.status, 404U);
+        });
+}
+
+// Guards against a target that is never used again after it was given up: its
+// entry went away during a cut and came back.
+TEST_F(whole_path_test, uses_a_target_that_is_listed_again)
+{
+    platform.add_target("t1", milliseconds(20));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            co_await send("POST", "/q/" + job_1, one_task);
+            EXPECT_TRUE(co_await wait_for(job_1, "completed"));
+            platform.unlist_target("t1");
+            co_await sleep(milliseconds(500));
+            // The link notices at its next look that the target is gone.
+            co_await sleep(milliseconds(4'200));
+            platform.list_target("t1");
+            co_await send("POST", "/q/" + job_2, one_task);
+            EXPECT_TRUE(co_await wait_for(job_2, "completed"));
+        });
+}
+
+// Guards against a job that is lost with its coordinator, and a task that its
+// successor starts again although it runs.
+TEST_F(whole_path_test, goes_on_where_a_lost_coordinator_stopped)
+{
+    platform.add_target("t1", milliseconds(2'500));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            co_await send("POST", "/q/" + job_1, one_task);
+            EXPECT_TRUE(co_await wait_for(job_1, "running"));
+            // Another process on another port: the first is silent for it.
+            auto lost = std::move(node);
+            lost->seat.leave();
+            node = std::make_unique<entry>(io, platform, "127.0.0.1:2");
+            co_await wait_until_ready();
+            EXPECT_TRUE(co_await wait_for(job_1, "completed"));
+            EXPECT_EQ(platform.get_starts().at(job_1 + ".0.0.0"), 1);
+            lost.release();
+        });
+}
+
+// Guards against a submission that is refused as "not accepted" although it
+// may have been stored, and against one that is accepted without the store.
+TEST_F(whole_path_test, neither_accepts_nor_refuses_without_the_store)
+{
+    platform.add_target("t1", milliseconds(20));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            platform.set_refusing(true);
+            http_response it = co_await send("POST", "/q/" + job_1, one_task);
+            EXPECT_EQ(it.status, 504U);
+            platform.set_refusing(false);
+            co_await wait_until_ready();
+            it = co_await send("POST", "/q/" + job_1, one_task);
+            EXPECT_EQ(it.status, 200U);
+            EXPECT_TRUE(co_await wait_for(job_1, "completed"));
+        });
+}
+
+} // namespace cowslippass
--- a/tests/systems/scheduling/coordinator_model_test.cpp
+++ b/tests/systems/scheduling/coordinator_model_test.cpp
@@ -169,7 +169,8 @@
         current_ = std::make_unique<coordinator>(coordinator_options{});
         current_->set_publication(make_published_state());
         for (const auto& [id, record] : jobs_)
-            current_->load_job(id, record, rows_[id], at(now_));
+            current_->load_job(
+                id, record, rows_[id], at(now_), platform_time(now_));
         for (std::size_t i = 0; i < target_count; ++i)
         {
             auto report = make_report(name(i).get(), 2);
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -148,6 +148,22 @@
     EXPECT_EQ(plan(2'000).size(), 1U);
 }
 
+// Guards against a run that nobody starts, stops or gives up any more: the
+// coordinator stopped sending the start while it had lost the store.
+TEST_F(coordinator_test, stops_a_run_whose_start_is_abandoned)
+{
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(2)}), at(0));
+    auto starts = it.plan(at(0), platform_time(0));
+    ASSERT_EQ(starts.size(), 2U);
+    it.abandon_start(starts[0], at(10));
+    EXPECT_EQ(it.get_runs().size(), 1U);
+    it.make_start_order(starts[1]);
+    it.note_start_reply(starts[1], order_outcome::no_answer, at(600));
+    it.abandon_start(starts[1], at(700));
+    EXPECT_EQ(it.list_stops().size(), 1U);
+}
+
 // Guards against work for targets that leave, are evacuated, unknown or named
 // by another pool.
 TEST_F(coordinator_test, uses_only_eligible_targets)
@@ -235,7 +251,7 @@
     ASSERT_EQ(plan().size(), 2U);
     coordinator_fixture next;
     next.it.load_job(job_1, make_record({make_step(2)}),
-        it.find_job(job_1)->encode_progress(), at(0));
+        it.find_job(job_1)->encode_progress(), at(0), platform_time(0));
     next.it.note_lease(target_1, at(9'000));
     next.it.note_target_change({target_1, make_report("t1")}, at(0));
     EXPECT_TRUE(next.plan().empty());
--- /dev/null
+++ b/tests/systems/scheduling/job_urgency_test.cpp
@@ -0,0 +1,127 @@
+#include "tests/systems/scheduling/coordinator_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+class job_urgency_test : public testing::Test, public coordinator_fixture
+{
+protected:
+    job_urgency_test()
+    {
+        auto state = make_published_state();
+        state.config->queues[queue_a].stretch = 1.5;
+        state.config->queues[queue_a].target_duration = milliseconds(500);
+        state.config->teams[team_a].weight = 100;
+        it.set_publication(state);
+    }
+
+    void submit(
+        const std::string& id, std::vector<step_spec> steps, std::int64_t ms)
+    {
+        it.submit(job_id(id), make_record(std::move(steps)), at(ms));
+    }
+};
+
+} // namespace
+
+// Guards against a chain that leaves out steps or counts parallel ones twice.
+TEST(job_chain, is_the_longest_way_through_the_steps)
+{
+    step_spec last = make_step(1);
+    last.after = {0, 1};
+    step_spec longer = make_step(4);
+    longer.estimate = milliseconds(1'500);
+    job it(job_id("j"), queue_a, team_a,
+        make_record({make_step(2), longer, last}).spec);
+    EXPECT_EQ(estimate_remaining_chain(it), milliseconds(2'500));
+    for (std::uint32_t i = 0; i < 4; ++i)
+        it.note_end({0, 1, i}, it.assign({0, 1, i}, target_id("t")),
+            run_end::done, "", 1);
+    EXPECT_EQ(estimate_remaining_chain(it), milliseconds(2'000));
+    queue_config queue;
+    queue.stretch = 2;
+    queue.target_duration = milliseconds(100);
+    EXPECT_EQ(get_time_allowed(it.get_spec(), queue), milliseconds(5'100));
+}
+
+// Answers a burst that the pool cannot hold: served in order of arrival, each
+// job would wait for those before it until all were late.
+TEST_F(job_urgency_test, starts_jobs_that_can_be_in_time_before_late_ones)
+{
+    // A job may take two seconds, of which its work is one.
+    submit("old", {make_step(1)}, 0);
+    submit("new", {make_step(1)}, 1'500);
+    add_target(make_report("t1", 1));
+    auto starts = plan(1'500);
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].task.job, job_id("new"));
+}
+
+TEST_F(job_urgency_test, starts_the_most_pressing_job_in_time_first)
+{
+    submit("second", {make_step(1)}, 100);
+    submit("first", {make_step(1)}, 50);
+    add_target(make_report("t1", 1));
+    auto starts = plan(200);
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].task.job, job_id("first"));
+}
+
+// Guards against jobs that are all begun and none finished in a burst.
+TEST_F(job_urgency_test, finishes_begun_jobs_before_new_ones)
+{
+    step_spec last = make_step(1);
+    last.after = {0};
+    add_target(make_report("t1", 1));
+    submit("begun", {make_step(1), last}, 0);
+    auto first = plan(0);
+    ASSERT_EQ(first.size(), 1U);
+    submit("fresh", {make_step(1)}, 10);
+    target_look look;
+    look.ended.push_back({1, first[0].task, first[0].run, run_end::done, ""});
+    it.note_look(target_id("t1"), look, at(500), at(501));
+    auto starts = plan(502);
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts[0].task.job, job_id("begun"));
+}
+
+// Answers a team that sends many times its usual: its excess waits, others do
+// not wait for it.
+TEST_F(job_urgency_test, puts_what_a_team_sends_beyond_its_share_last)
+{
+    auto state = make_published_state();
+    state.config->version = config_version(2);
+    state.config->queues[queue_a].target_duration = milliseconds(9'000);
+    state.config->teams[team_a].weight = 2;
+    state.config->teams[team_id("small")].team = team_id("small");
+    it.set_publication(state);
+    for (int i = 0; i < 6; ++i)
+        submit("hot" + std::to_string(i), {make_step(1)}, 0);
+    auto record = make_record({make_step(1)});
+    record.team = team_id("small");
+    it.submit(job_id("small"), record, at(100));
+    add_target(make_report("t1", 5));
+    auto starts = plan(200);
+    ASSERT_EQ(starts.size(), 5U);
+    EXPECT_TRUE(std::ranges::any_of(starts, [](const start_decision& start)
+        { return start.task.job == job_id("small"); }));
+}
+
+TEST(share_meter, refills_with_time)
+{
+    share_meter it;
+    for (int i = 0; i < 4; ++i)
+        EXPECT_TRUE(it.take(team_a, 2, at(0)));
+    EXPECT_FALSE(it.take(team_a, 2, at(0)));
+    EXPECT_TRUE(it.take(team_a, 2, at(500)));
+    EXPECT_FALSE(it.take(team_a, 2, at(500)));
+}
+
+} // namespace cowslippass
