Look at the targets once a round of decisions

Ruled out: links and the store's connections (other entries had every version within 0.3 s). A round now indexes the eligible targets and remembers which needs found no room.

--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -380,8 +380,12 @@
     boot_time now, platform_time wall_time)
 {
     std::vector<start_decision> out;
-    for (job_entry* it : list_waiting_jobs(now, wall_time))
-        plan_job(*it, now, out);
+    std::vector<job_entry*> waiting = list_waiting_jobs(now, wall_time);
+    if (waiting.empty())
+        return out;
+    room_index room = index_room(now);
+    for (job_entry* it : waiting)
+        plan_job(*it, room, now, out);
     return out;
 }
 
@@ -403,11 +407,31 @@
                used.accelerators + need.accelerators);
 }
 
+bool coordinator::room_index::is_known_too_large(
+    const pool_id& pool, const resources& need) const
+{
+    auto it = too_large.find(pool);
+    return it != too_large.end() &&
+           std::ranges::any_of(it->second,
+               [&](const resources& failed) { return need.holds(failed); });
+}
+
+coordinator::room_index coordinator::index_room(boot_time now)
+{
+    room_index out;
+    for (auto& [id, it] : targets_)
+        if (it.is_eligible(now))
+            out.eligible[it.report.pool].push_back(&it);
+    return out;
+}
+
 target_entry* coordinator::choose_target(const job& owner, const task_key& key,
-    const pool_id& pool, const rack_id& rack, boot_time now)
+    const pool_id& pool, room_index& room)
 {
     const step_spec& step = owner.get_step(key);
     resources need = step.get_counted_need();
+    if (room.is_known_too_large(pool, need))
+        return nullptr;
     auto count_here = [&](const target_entry& it)
     {
         return std::ranges::count_if(it.runs,
@@ -426,31 +450,33 @@
         // and for leaving the pool.
         return std::pair(!is_near, it.get_free().processor);
     };
-    for (auto& [id, it] : targets_)
+    for (target_entry* it : room.eligible[pool])
     {
-        if (it.report.pool != pool || !it.is_eligible(now) ||
-            !it.get_free().holds(need))
+        if (!it->get_free().holds(need))
             continue;
-        if (!step.required_label.empty() && !it.has_label(step.required_label))
+        if (!step.required_label.empty() && !it->has_label(step.required_label))
             continue;
-        if (!rack.get().empty() && !it.has_label(rack.get()))
+        if (step.max_per_target > 0 && count_here(*it) >= step.max_per_target)
             continue;
-        if (step.max_per_target > 0 && count_here(it) >= step.max_per_target)
-            continue;
-        if (!best || rank(it) < rank(*best))
-            best = &it;
+        if (!best || rank(*it) < rank(*best))
+            best = it;
     }
+    bool is_any_target_good =
+        step.required_label.empty() && step.max_per_target == 0;
+    if (!best && is_any_target_good)
+        room.too_large[pool].push_back(need);
     return best;
 }
 
-void coordinator::plan_job(
-    job_entry& entry, boot_time now, std::vector<start_decision>& out)
+void coordinator::plan_job(job_entry& entry, room_index& room, boot_time now,
+    std::vector<start_decision>& out)
 {
     job& owner = entry.value;
     const queue_config* queue = find_queue(owner.get_queue());
     if (!queue)
         return;
     std::vector<task_key> left;
+    std::optional<task_key> without_room; ///< All of its step are alike.
     entry.is_over_limit = false;
     for (std::size_t i = 0; i < entry.waiting.size(); ++i)
     {
@@ -459,18 +485,25 @@
         if (step.is_gang)
         {
             std::size_t first = i;
-            if (!place_gang(entry, i, *queue, now, out))
+            if (!place_gang(entry, i, room, *queue, now, out))
                 left.insert(left.end(), entry.waiting.begin() + first,
                     entry.waiting.begin() + i + 1);
             continue;
         }
+        if (without_room && without_room->step == key.step &&
+            without_room->occurrence == key.occurrence)
+        {
+            left.push_back(key);
+            continue;
+        }
         target_entry* target = nullptr;
         if (fits_limit(owner.get_team(), step.need))
-            target = choose_target(owner, key, queue->pool, {}, now);
+            target = choose_target(owner, key, queue->pool, room);
         else
             entry.is_over_limit = true;
         if (!target)
         {
+            without_room = key;
             left.push_back(key);
             continue;
         }
@@ -489,7 +522,8 @@
 }
 
 bool coordinator::place_gang(job_entry& entry, std::size_t& at,
-    const queue_config& queue, boot_time now, std::vector<start_decision>& out)
+    room_index& room, const queue_config& queue, boot_time now,
+    std::vector<start_decision>& out)
 {
     job& owner = entry.value;
     task_key first = entry.waiting[at];
@@ -513,7 +547,7 @@
     std::vector<start_decision> placed;
     for (const task_key& it : members)
     {
-        target_entry* target = choose_target(owner, it, queue.pool, {}, now);
+        target_entry* target = choose_target(owner, it, queue.pool, room);
         if (!target)
             break;
         task_name name{owner.get_id(), it};
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -194,13 +194,13 @@
         job value;
         boot_time accepted_at{};
         std::uint64_t order = 0; ///< Of acceptance.
-        std::vector<task_key> waiting;
+        std::vector<task_key> waiting = {};
         /// At the last look some tasks waited for their team's limit only.
         bool is_over_limit = false;
         bool needs_scan = true;
-        std::optional<boot_time> ended_at;
+        std::optional<boot_time> ended_at = {};
         /// Since when tasks have waited for room.
-        std::optional<boot_time> waiting_since;
+        std::optional<boot_time> waiting_since = {};
         milliseconds remaining{0}; ///< Chain of work, as estimated.
         bool is_beyond_share = false;
     };
@@ -227,13 +227,26 @@
 
     std::vector<job_entry*> list_waiting_jobs(
         boot_time now, platform_time wall_time);
-    void plan_job(
-        job_entry& entry, boot_time now, std::vector<start_decision>& out);
-    bool place_gang(job_entry& entry, std::size_t& at,
+    /// What one round of decisions finds out about room. Without it, each of
+    /// the tasks that wait in a burst would look at every target again.
+    struct room_index
+    {
+        std::map<pool_id, std::vector<target_entry*>> eligible;
+        /// Needs that found no room; larger ones find none either.
+        std::map<pool_id, std::vector<resources>> too_large;
+
+        bool is_known_too_large(
+            const pool_id& pool, const resources& need) const;
+    };
+
+    room_index index_room(boot_time now);
+    void plan_job(job_entry& entry, room_index& room, boot_time now,
+        std::vector<start_decision>& out);
+    bool place_gang(job_entry& entry, std::size_t& at, room_index& room,
         const queue_config& queue, boot_time now,
         std::vector<start_decision>& out);
     target_entry* choose_target(const job& owner, const task_key& key,
-        const pool_id& pool, const rack_id& rack, boot_time now);
+        const pool_id& pool, room_index& room);
     bool fits_limit(const team_id& team, const resources& need) const;
     const queue_config* find_queue(const queue_id& queue) const;
     std::uint32_t get_max_attempts(const queue_id& queue) const;
--- a/systems/scheduling/job_urgency.hpp
+++ b/systems/scheduling/job_urgency.hpp
@@ -36,8 +36,8 @@
 };
 
 /// Answers bursts beyond what a pool holds: when not all jobs can be in time,
-/// room goes to those that still can be, started ones first. Jobs that are
-/// late anyway and those beyond their team's share take what is left.
+/// room goes to those whose time has not passed, the most pressing first. Jobs
+/// that are late anyway and those beyond their team's share take what is left.
 /// Sorts ascending.
 struct job_urgency
 {
