--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -762,6 +762,12 @@
             decision.task, decision.run, order_timeout);
         if (is_over_)
             co_return;
+        decisions_log.write("stop", to_string(reply.outcome),
+            {{"job", decision.task.job},
+                {"occurrence", decision.task.key.occurrence},
+                {"step", decision.task.key.step},
+                {"index", decision.task.key.index}, {"run", decision.run},
+                {"target", decision.target}, {"why", reply.message}});
         decisions_.note_stop_reply(decision, reply.outcome, boot_clock::now());
     }
     // The run is gone when the target lists its end; until then the stop is
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -667,7 +667,10 @@
         outcome == order_outcome::superseded)
     {
         run->second.may_arrive_late = false;
-        run->second.settled_at = now;
+        // A stop that is repeated must not make the looks that are on their
+        // way look old.
+        if (!run->second.settled_at)
+            run->second.settled_at = now;
     }
 }
 
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -164,6 +164,25 @@
     EXPECT_EQ(it.list_stops().size(), 1U);
 }
 
+// Guards against a task that never starts again: each repeat of the stop made
+// the look that was on its way too old to tell that the run is gone.
+TEST_F(coordinator_test, judges_a_stopped_run_by_the_first_look_after_the_stop)
+{
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    auto starts = it.plan(at(0), platform_time(0));
+    ASSERT_EQ(starts.size(), 1U);
+    it.make_start_order(starts[0]);
+    it.note_start_reply(starts[0], order_outcome::no_answer, at(600));
+    it.abandon_start(starts[0], at(700));
+    auto stops = it.list_stops();
+    ASSERT_EQ(stops.size(), 1U);
+    it.note_stop_reply(stops[0], order_outcome::accepted, at(1'000));
+    it.note_stop_reply(stops[0], order_outcome::accepted, at(1'300));
+    it.note_look(target_1, {}, at(1'100), at(2'600));
+    EXPECT_TRUE(it.get_runs().empty());
+}
+
 // Guards against work for targets that leave, are evacuated, unknown or named
 // by another pool.
 TEST_F(coordinator_test, uses_only_eligible_targets)
