Split the coordinator and its runner by what their functions do

Files move apart and nothing else changes: decisions on placement, answers of targets, and the rest; the runner's ledger, its targets, its callers.

--- /dev/null
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -0,0 +1,117 @@
+#include "main/entryd/coordinator_runner_parts.hpp"
+
+namespace cowslippass
+{
+
+asio::awaitable<peer_coordinator_reply> coordinator_runner::submit(
+    peer_coordinator_call call, boot_time deadline)
+{
+    auto self = shared_from_this();
+    peer_coordinator_reply reply;
+    job_record record;
+    std::optional<std::string> fault;
+    try
+    {
+        record = {
+            call.queue, call.team, get_wall_time(), decode_job_spec(call.spec)};
+    }
+    catch (const systems_error& e)
+    {
+        fault = e.what();
+    }
+    if (fault)
+    {
+        write_log(log_level::warn, "coordinator", "unreadable submission",
+            {{"job", call.job}, {"why", *fault}});
+        reply.result = coordinator_result::invalid;
+        co_return reply;
+    }
+    std::string text = encode_job_record(record);
+    auto outcome =
+        decisions_.submit(call.job, std::move(record), boot_clock::now());
+    if (outcome == submit_outcome::added)
+    {
+        ledger_.put(ledger_table::jobs, call.job.get(), std::move(text));
+        wake();
+    }
+    bool is_durable = co_await wait_until_durable(deadline);
+    if (!is_durable || is_over_)
+    {
+        // Whether the row was written is for the next coordinator to tell.
+        reply.result = coordinator_result::not_coordinator;
+        co_return reply;
+    }
+    coordinator_log.write("accept",
+        outcome == submit_outcome::added ? "new" : "submitted_before",
+        {{"job", call.job}, {"queue", call.queue}, {"team", call.team},
+            {"term", head_.term}});
+    reply.result = coordinator_result::done;
+    co_return reply;
+}
+
+asio::awaitable<peer_coordinator_reply> coordinator_runner::cancel(
+    peer_coordinator_call call, boot_time deadline)
+{
+    auto self = shared_from_this();
+    peer_coordinator_reply reply;
+    if (!decisions_.cancel(call.job, boot_clock::now()))
+    {
+        reply.result = coordinator_result::unknown_job;
+        co_return reply;
+    }
+    put_changed_rows();
+    wake();
+    bool is_durable = co_await wait_until_durable(deadline);
+    coordinator_log.write("cancel", "asked_by_caller",
+        {{"job", call.job}, {"durable", is_durable}});
+    reply.result = is_durable && !is_over_
+                       ? coordinator_result::done
+                       : coordinator_result::not_coordinator;
+    co_return reply;
+}
+
+asio::awaitable<peer_coordinator_reply> coordinator_runner::handle(
+    peer_coordinator_call call, boot_time deadline)
+{
+    auto self = shared_from_this();
+    peer_coordinator_reply reply;
+    if (!is_over_)
+    {
+        switch (call.operation)
+        {
+        case coordinator_operation::submit:
+            reply = co_await submit(std::move(call), deadline);
+            break;
+        case coordinator_operation::cancel:
+            reply = co_await cancel(std::move(call), deadline);
+            break;
+        case coordinator_operation::status:
+        {
+            const job* it = decisions_.find_job(call.job);
+            reply.result = it && it->get_queue() == call.queue
+                               ? coordinator_result::done
+                               : coordinator_result::unknown_job;
+            // An ended job is shown as such only once that is durable.
+            if (reply.result != coordinator_result::done)
+                break;
+            auto phase = static_cast<std::uint8_t>(it->get_phase());
+            if (it->is_ended() && !durable_ended_.contains(call.job) &&
+                !co_await wait_until_durable(deadline))
+                phase = static_cast<std::uint8_t>(job_phase::running);
+            reply.phase = phase;
+            break;
+        }
+        case coordinator_operation::count:
+            reply.result = coordinator_result::done;
+            reply.count = decisions_.count_queued(call.queue);
+            break;
+        case coordinator_operation::probe:
+            reply.result = coordinator_result::done;
+            break;
+        }
+    }
+    reply.renewed_age = get_renewed_age();
+    co_return reply;
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -0,0 +1,375 @@
+#include "drivers/metrics.hpp"
+#include "main/entryd/coordinator_runner_parts.hpp"
+
+namespace cowslippass
+{
+
+namespace
+{
+
+constexpr milliseconds order_timeout{600};
+constexpr milliseconds look_timeout{600};
+/// Longest wait of one look for an end.
+constexpr milliseconds look_wait{1'500};
+/// Pause after a look that listed ends. Looks are priced, and a task that
+/// ends meanwhile is noticed later by up to this time.
+constexpr milliseconds look_gap{100};
+/// Pause between the looks at a target without runs.
+constexpr milliseconds idle_look_interval{4'000};
+constexpr milliseconds pause_after_look_failure{150};
+constexpr milliseconds feed_wait{1'000};
+constexpr milliseconds feed_timeout{700};
+/// Below the targets' limit, as their clocks may run ahead of the estimate.
+constexpr double lease_share = 0.9;
+/// A target's clock may be slower than ours by this share.
+constexpr double clock_slack = 0.025;
+
+} // namespace
+
+void coordinator_runner::apply_target_rows(const std::vector<stored_row>& rows)
+{
+    boot_time now = boot_clock::now();
+    for (const stored_row& it : rows)
+    {
+        target_change change{target_id(it.key), std::nullopt};
+        if (!it.is_deleted)
+        {
+            change.report = decode_target_report(it);
+            if (!change.report)
+                continue;
+        }
+        const auto& targets = decisions_.get_targets();
+        auto known = targets.find(change.target);
+        bool was_listed = known != targets.end() && known->second.is_listed;
+        bool was_draining =
+            known != targets.end() && known->second.report.is_draining;
+        bool is_draining = change.report && change.report->is_draining;
+        if (was_listed != change.report.has_value() ||
+            was_draining != is_draining)
+            write_log(log_level::info, "targets",
+                !change.report ? "target gone"
+                : is_draining  ? "target drains"
+                               : "target listed",
+                {{"target", change.target}, {"version", it.version}});
+        decisions_.note_target_change(change, now);
+    }
+    open_links();
+    wake();
+}
+
+void coordinator_runner::open_links()
+{
+    for (const auto& [id, target] : decisions_.get_targets())
+    {
+        if (!target.is_listed)
+            continue;
+        auto it = links_.find(id);
+        // The link of a target that was given up is closed; the target may
+        // be listed again.
+        if (it != links_.end() && !it->second->is_closed &&
+            it->second->address == target.report.address)
+            continue;
+        if (it != links_.end())
+            it->second->is_closed = true;
+        link_ptr link;
+        try
+        {
+            link =
+                std::make_shared<target_link>(io_, target.report, head_.term);
+        }
+        catch (const platform_error& e)
+        {
+            write_log(log_level::warn, "targets", "unusable address",
+                {{"target", id}, {"why", e.what()}});
+            continue;
+        }
+        links_[id] = link;
+        auto self = shared_from_this();
+        asio::co_spawn(
+            io_, [self, link] { return self->watch_target(link); },
+            asio::detached);
+    }
+    for (auto it = links_.begin(); it != links_.end();)
+    {
+        if (decisions_.get_targets().contains(it->first))
+        {
+            ++it;
+            continue;
+        }
+        it->second->is_closed = true;
+        it->second->timer.cancel();
+        it = links_.erase(it);
+    }
+}
+
+coordinator_runner::link_ptr coordinator_runner::find_link(
+    const target_id& target) const
+{
+    auto it = links_.find(target);
+    return it == links_.end() ? nullptr : it->second;
+}
+
+asio::awaitable<bool> coordinator_runner::read_targets()
+{
+    row_range range{published_table::targets, "", "", ""};
+    store_rows rows = co_await store_.read_all_rows(range, read_timeout);
+    if (rows.failure != store_failure::none)
+        co_return false;
+    targets_newest_ = rows.newest;
+    std::set<target_id> listed;
+    for (const stored_row& it : rows.rows)
+        listed.insert(target_id(it.key));
+    std::vector<target_id> gone;
+    for (const auto& [id, it] : decisions_.get_targets())
+        if (it.is_listed && !listed.contains(id))
+            gone.push_back(id);
+    for (const target_id& it : gone)
+        decisions_.note_target_change({it, std::nullopt}, boot_clock::now());
+    boot_time now = boot_clock::now();
+    for (const stored_row& it : rows.rows)
+        if (auto report = decode_target_report(it))
+            decisions_.note_target_change({report->target, report}, now);
+    co_return true;
+}
+
+asio::awaitable<void> coordinator_runner::target_feed_loop()
+{
+    auto self = shared_from_this();
+    while (!is_over_)
+    {
+        store_rows rows = co_await store_.follow(
+            published_table::targets, targets_newest_, feed_wait, feed_timeout);
+        if (is_over_)
+            break;
+        if (rows.failure == store_failure::history_gone)
+        {
+            write_log(log_level::warn, "targets",
+                "the store has dropped the feed's history",
+                {{"version", targets_newest_}});
+            if (co_await read_targets())
+                open_links();
+            continue;
+        }
+        if (rows.failure != store_failure::none)
+        {
+            co_await sleep(milliseconds(100));
+            continue;
+        }
+        targets_newest_ = std::max(targets_newest_, rows.newest);
+        if (!rows.rows.empty())
+            apply_target_rows(rows.rows);
+    }
+}
+
+milliseconds coordinator_runner::get_longest_lease() const
+{
+    return milliseconds(static_cast<std::int64_t>(
+        static_cast<double>(settings_.lease_limit.count()) *
+        (1 + clock_slack)));
+}
+
+target_time coordinator_runner::grant_lease(const target_link& link)
+{
+    decisions_.note_lease(link.target, boot_clock::now() + get_longest_lease());
+    auto passed = to_milliseconds(boot_clock::now() - link.clock_at);
+    auto lease = static_cast<std::int64_t>(
+        static_cast<double>(settings_.lease_limit.count()) * lease_share);
+    return target_time(link.clock->get() + passed.count() + lease);
+}
+
+void coordinator_runner::process_look(target_link& link,
+    const target_look& look, boot_time sent_at, boot_time received_at)
+{
+    // The answer was written after the request was sent: the estimate made
+    // from the time of sending is never late.
+    link.clock = look.clock;
+    link.clock_at = received_at;
+    std::uint64_t before = 0;
+    if (auto it = decisions_.get_targets().find(link.target);
+        it != decisions_.get_targets().end())
+        before = it->second.last_end;
+    log_ends(link, look, before);
+    decisions_.note_look(link.target, look, sent_at, received_at);
+    auto it = decisions_.get_targets().find(link.target);
+    if (it == decisions_.get_targets().end())
+        return;
+    std::uint64_t after = it->second.last_end;
+    if (after < before)
+        link.seen_up_to = 0;
+    if (after == before && look.ended.empty())
+        return;
+    put_changed_rows();
+    auto shared = find_link(link.target);
+    ledger_.when_durable(
+        [shared, after]
+        {
+            if (shared)
+                shared->seen_up_to = std::max(shared->seen_up_to, after);
+        });
+    wake();
+}
+
+asio::awaitable<void> coordinator_runner::watch_target(link_ptr link)
+{
+    auto self = shared_from_this();
+    co_await look_loop(link);
+    link->is_closed = true;
+}
+
+asio::awaitable<void> coordinator_runner::look_loop(link_ptr link)
+{
+    auto self = shared_from_this();
+    while (!is_over_ && !link->is_closed)
+    {
+        auto it = decisions_.get_targets().find(link->target);
+        if (it == decisions_.get_targets().end())
+            break;
+        const target_entry& target = it->second;
+        bool is_busy = !target.runs.empty();
+        bool has_unseen = target.last_end > link->seen_up_to;
+        look_order order;
+        order.seen_up_to = link->seen_up_to;
+        if (decisions_.wants_lease(link->target) && link->clock &&
+            has_authority())
+            order.lease_end = grant_lease(*link);
+        if (is_busy && target.is_known && target.failures == 0 && !has_unseen)
+            order.wait = look_wait;
+        boot_time sent_at = boot_clock::now();
+        look_reply reply = co_await link->client.look(order, look_timeout);
+        if (is_over_ || link->is_closed)
+            break;
+        boot_time now = boot_clock::now();
+        metrics_.add(
+            "cowslippass_looks_total", {{"outcome", to_string(reply.outcome)}});
+        if (reply.outcome == order_outcome::stale_fence)
+        {
+            end_term("a target has seen a higher fence number");
+            break;
+        }
+        if (reply.look)
+        {
+            if (!link->was_reached)
+                write_log(log_level::info, "targets", "target reached again",
+                    {{"target", link->target}});
+            link->was_reached = true;
+            process_look(*link, *reply.look, sent_at, now);
+            if (is_over_ || link->is_closed)
+                break;
+            // An idle target is asked again when it gets a run.
+            it = decisions_.get_targets().find(link->target);
+            bool is_idle = it != decisions_.get_targets().end() &&
+                           it->second.runs.empty() &&
+                           it->second.last_end <= link->seen_up_to;
+            // Ends that come in the meantime share the next look.
+            bool has_ends = !reply.look->ended.empty();
+            if (!is_idle && !has_ends)
+                continue;
+            link->timer.expires_after(is_idle ? idle_look_interval : look_gap);
+        }
+        else
+        {
+            if (link->was_reached)
+                write_log(log_level::warn, "targets", "target does not answer",
+                    {{"target", link->target},
+                        {"outcome", to_string(reply.outcome)},
+                        {"why", reply.message}});
+            link->was_reached = false;
+            decisions_.note_look_failure(link->target, now);
+            wake();
+            link->timer.expires_after(pause_after_look_failure);
+        }
+        boost::system::error_code ec;
+        co_await link->timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+// Orders.
+
+asio::awaitable<void> coordinator_runner::send_start(start_decision decision)
+{
+    auto self = shared_from_this();
+    std::optional<target_time> lease_end;
+    while (!is_over_)
+    {
+        link_ptr link = find_link(decision.target);
+        if (!link || !link->clock || !has_authority())
+        {
+            decisions_.abandon_start(decision, boot_clock::now());
+            co_return;
+        }
+        auto order = decisions_.make_start_order(decision);
+        if (!order)
+        {
+            decisions_.abandon_start(decision, boot_clock::now());
+            wake();
+            co_return;
+        }
+        // A repeat keeps the first lease: a silent target must run out of it.
+        if (!lease_end)
+            lease_end = grant_lease(*link);
+        order->lease_end = *lease_end;
+        // Ends of this run have to be seen; an idle target is not asked.
+        link->timer.cancel();
+        order_reply reply = co_await link->client.start(*order, order_timeout);
+        if (is_over_)
+            co_return;
+        metrics_.add("cowslippass_starts_total",
+            {{"outcome", to_string(reply.outcome)}});
+        if (reply.outcome == order_outcome::stale_fence)
+        {
+            end_term("a target has seen a higher fence number");
+            co_return;
+        }
+        decisions_.note_start_reply(decision, reply.outcome, boot_clock::now());
+        if (reply.outcome != order_outcome::accepted)
+            write_log(log_level::info, "decision.coordinator",
+                "start not confirmed",
+                {{"job", decision.task.job}, {"step", decision.task.key.step},
+                    {"index", decision.task.key.index}, {"run", decision.run},
+                    {"target", decision.target},
+                    {"outcome", to_string(reply.outcome)},
+                    {"why", reply.message}});
+        wake();
+        if (reply.outcome != order_outcome::no_answer)
+            co_return;
+    }
+}
+
+void coordinator_runner::send_stops()
+{
+    auto self = shared_from_this();
+    if (!has_authority())
+        return;
+    for (const stop_decision& it : decisions_.list_stops())
+        if (stops_in_flight_.insert(it.task).second)
+            asio::co_spawn(
+                io_, [self, it] { return self->send_stop(it); },
+                asio::detached);
+}
+
+asio::awaitable<void> coordinator_runner::send_stop(stop_decision decision)
+{
+    auto self = shared_from_this();
+    link_ptr link = find_link(decision.target);
+    if (link)
+    {
+        order_reply reply = co_await link->client.stop(
+            decision.task, decision.run, order_timeout);
+        if (is_over_)
+            co_return;
+        coordinator_log.write("stop", to_string(reply.outcome),
+            {{"job", decision.task.job},
+                {"occurrence", decision.task.key.occurrence},
+                {"step", decision.task.key.step},
+                {"index", decision.task.key.index}, {"run", decision.run},
+                {"target", decision.target}, {"why", reply.message}});
+        decisions_.note_stop_reply(decision, reply.outcome, boot_clock::now());
+    }
+    // The run is gone when the target lists its end; until then the stop is
+    // repeated.
+    co_await sleep(milliseconds(300));
+    stops_in_flight_.erase(decision.task);
+}
+
+} // namespace cowslippass
--- /dev/null
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -0,0 +1,227 @@
+#include "systems/scheduling/coordinator.hpp"
+
+#include <algorithm>
+#include <ranges>
+
+namespace cowslippass
+{
+
+std::vector<coordinator::job_entry*> coordinator::list_waiting_jobs(
+    boot_time now, platform_time wall_time)
+{
+    std::vector<std::pair<job_urgency, job_entry*>> found;
+    for (const job_id& id : unfinished_)
+    {
+        job_entry& it = jobs_.at(id);
+        if (it.needs_scan || it.value.get_spec().repeat_count > 0)
+        {
+            it.waiting = it.value.list_waiting(wall_time);
+            it.remaining = estimate_remaining_chain(it.value);
+        }
+        it.needs_scan = false;
+        if (!it.waiting.empty())
+            found.emplace_back(get_urgency(it, now), &it);
+    }
+    std::ranges::sort(found);
+    std::vector<job_entry*> out;
+    out.reserve(found.size());
+    for (const auto& [urgency, it] : found)
+        out.push_back(it);
+    return out;
+}
+
+std::vector<start_decision> coordinator::plan(
+    boot_time now, platform_time wall_time)
+{
+    std::vector<start_decision> out;
+    std::vector<job_entry*> waiting = list_waiting_jobs(now, wall_time);
+    if (waiting.empty())
+        return out;
+    room_index room = index_room(now);
+    for (job_entry* it : waiting)
+        plan_job(*it, room, now, out);
+    return out;
+}
+
+bool coordinator::fits_limit(const team_id& team, const resources& need) const
+{
+    if (!publication_.config)
+        return false;
+    const team_config* config = publication_.config->find_team(team);
+    if (!config)
+        return true;
+    auto it = team_used_.find(team);
+    resources used = it == team_used_.end() ? resources{} : it->second;
+    auto is_within = [](std::int64_t limit, std::int64_t total)
+    { return limit == 0 || total <= limit; };
+    return is_within(
+               config->limit.processor, used.processor + need.processor) &&
+           is_within(config->limit.memory, used.memory + need.memory) &&
+           is_within(config->limit.accelerators,
+               used.accelerators + need.accelerators);
+}
+
+bool coordinator::room_index::is_known_too_large(
+    const pool_id& pool, const resources& need) const
+{
+    auto it = too_large.find(pool);
+    return it != too_large.end() &&
+           std::ranges::any_of(it->second,
+               [&](const resources& failed) { return need.holds(failed); });
+}
+
+coordinator::room_index coordinator::index_room(boot_time now)
+{
+    room_index out;
+    for (auto& [id, it] : targets_)
+        if (it.is_eligible(now))
+            out.eligible[it.report.pool].push_back(&it);
+    return out;
+}
+
+target_entry* coordinator::choose_target(const job& owner, const task_key& key,
+    const pool_id& pool, room_index& room)
+{
+    const step_spec& step = owner.get_step(key);
+    resources need = step.get_counted_need();
+    if (room.is_known_too_large(pool, need))
+        return nullptr;
+    auto count_here = [&](const target_entry& it)
+    {
+        return std::ranges::count_if(it.runs,
+            [&](const task_name& run)
+            {
+                return run.job == owner.get_id() && run.key.step == key.step &&
+                       run.key.occurrence == key.occurrence;
+            });
+    };
+    target_entry* best = nullptr;
+    auto rank = [&](const target_entry& it)
+    {
+        bool is_near =
+            step.data_rack.get().empty() || it.has_label(step.data_rack.get());
+        // The fullest target that has room keeps others free for large tasks
+        // and for leaving the pool.
+        return std::pair(!is_near, it.get_free().processor);
+    };
+    for (target_entry* it : room.eligible[pool])
+    {
+        if (!it->get_free().holds(need))
+            continue;
+        if (!step.required_label.empty() && !it->has_label(step.required_label))
+            continue;
+        if (step.max_per_target > 0 && count_here(*it) >= step.max_per_target)
+            continue;
+        if (!best || rank(*it) < rank(*best))
+            best = it;
+    }
+    bool is_any_target_good =
+        step.required_label.empty() && step.max_per_target == 0;
+    if (!best && is_any_target_good)
+        room.too_large[pool].push_back(need);
+    return best;
+}
+
+void coordinator::plan_job(job_entry& entry, room_index& room, boot_time now,
+    std::vector<start_decision>& out)
+{
+    job& owner = entry.value;
+    const queue_config* queue = find_queue(owner.get_queue());
+    if (!queue)
+        return;
+    std::vector<task_key> left;
+    std::optional<task_key> without_room; ///< All of its step are alike.
+    entry.is_over_limit = false;
+    for (std::size_t i = 0; i < entry.waiting.size(); ++i)
+    {
+        task_key key = entry.waiting[i];
+        const step_spec& step = owner.get_step(key);
+        if (step.is_gang)
+        {
+            std::size_t first = i;
+            if (!place_gang(entry, i, room, *queue, now, out))
+                left.insert(left.end(), entry.waiting.begin() + first,
+                    entry.waiting.begin() + i + 1);
+            continue;
+        }
+        if (without_room && without_room->step == key.step &&
+            without_room->occurrence == key.occurrence)
+        {
+            left.push_back(key);
+            continue;
+        }
+        target_entry* target = nullptr;
+        if (fits_limit(owner.get_team(), step.need))
+            target = choose_target(owner, key, queue->pool, room);
+        else
+            entry.is_over_limit = true;
+        if (!target)
+        {
+            without_room = key;
+            left.push_back(key);
+            continue;
+        }
+        task_name name{owner.get_id(), key};
+        target_id id = target->report.target;
+        run_number number = owner.assign(key, id);
+        add_run(name, owner, id, number, now);
+        changed_.insert(owner.get_id());
+        out.push_back({name, number, id});
+    }
+    entry.waiting = std::move(left);
+    if (entry.waiting.empty() || entry.is_over_limit)
+        entry.waiting_since.reset();
+    else if (!entry.waiting_since)
+        entry.waiting_since = now;
+}
+
+bool coordinator::place_gang(job_entry& entry, std::size_t& at,
+    room_index& room, const queue_config& queue, boot_time now,
+    std::vector<start_decision>& out)
+{
+    job& owner = entry.value;
+    task_key first = entry.waiting[at];
+    const step_spec& step = owner.get_step(first);
+    std::vector<task_key> members;
+    std::size_t i = at;
+    for (; i < entry.waiting.size() && entry.waiting[i].step == first.step &&
+           entry.waiting[i].occurrence == first.occurrence;
+         ++i)
+        members.push_back(entry.waiting[i]);
+    at = i - 1;
+    // A member that still runs must end before the gang starts as a whole.
+    if (members.size() != step.task_count)
+        return false;
+    if (!fits_limit(owner.get_team(), step.need * step.task_count))
+        return false;
+    std::uint64_t number = 0;
+    for (const task_key& it : members)
+        if (const task_progress* task = owner.find_task(it))
+            number = std::max(number, task->last_number.get());
+    std::vector<start_decision> placed;
+    for (const task_key& it : members)
+    {
+        target_entry* target = choose_target(owner, it, queue.pool, room);
+        if (!target)
+            break;
+        task_name name{owner.get_id(), it};
+        target_id id = target->report.target;
+        run_number run = owner.assign(it, id, run_number(number + 1));
+        add_run(name, owner, id, run, now);
+        placed.push_back({name, run, id});
+    }
+    changed_.insert(owner.get_id());
+    if (placed.size() == members.size())
+    {
+        out.insert(out.end(), placed.begin(), placed.end());
+        return true;
+    }
+    for (const start_decision& it : placed)
+    {
+        remove_run(it.task);
+        owner.note_end(it.task.key, it.run, run_end::stopped, {}, 1);
+    }
+    return false;
+}
+
+} // namespace cowslippass
