--- a/main/cowslippass_main.cpp
+++ b/main/cowslippass_main.cpp
@@ -55,7 +55,7 @@
   cowslippass --entry=IP:PORT[,IP:PORT...] [flags] < FILE
 
 The operator's secret is read from COWSLIPPASS_KEY. A statement is one argument
-or several; docs/operations.md describes the language.
+or several; docs/OPERATIONS.md describes the language.
 
 A file has one statement on each line; empty lines and lines that begin with #
 are skipped. All lines are checked before the first is sent, and the first
--- a/main/cowslippassd_main.cpp
+++ b/main/cowslippassd_main.cpp
@@ -30,7 +30,7 @@
     "SIGTERM makes a planned stop: the entry turns unready, hands over and\n"
     "exits with status 0. A second SIGTERM ends it at once with status 1.\n"
     "Settings are described in docs/configuration.md, operating in\n"
-    "docs/operations.md.\n\n"
+    "docs/OPERATIONS.md.\n\n"
     "Exit status:\n"
     "  0  a planned stop is complete, or the settings are valid\n"
     "  1  ended by a second SIGTERM\n"
--- a/systems/command_parser.hpp
+++ b/systems/command_parser.hpp
@@ -23,7 +23,7 @@
     std::string expected_;
 };
 
-/// Parses one statement; docs/operations.md has the grammar.
+/// Parses one statement; docs/OPERATIONS.md has the grammar.
 /// @throws command_syntax_error
 command parse_command(std::string_view text);
 
--- a/tests/integration/metrics_page_test.cpp
+++ b/tests/integration/metrics_page_test.cpp
@@ -130,7 +130,7 @@
 TEST(metrics_page, every_declared_family_is_described)
 {
     std::stringstream page;
-    page << std::ifstream(SOURCE_DIR "/docs/operations.md").rdbuf();
+    page << std::ifstream(SOURCE_DIR "/docs/OPERATIONS.md").rdbuf();
     for (const auto& it : get_entry_metrics())
         EXPECT_NE(page.str().find("`" + it.name + "`"), std::string::npos)
             << it.name;
--- a/tests/integration/operations_page_test.cpp
+++ b/tests/integration/operations_page_test.cpp
@@ -22,7 +22,7 @@
 
 std::vector<page_example> read_examples()
 {
-    std::ifstream in(SOURCE_DIR "/docs/operations.md");
+    std::ifstream in(SOURCE_DIR "/docs/OPERATIONS.md");
     std::vector<page_example> out;
     std::string before;
     bool is_inside = false;
--- a/tests/main/entryd/whole_path_test.cpp
+++ b/tests/main/entryd/whole_path_test.cpp
@@ -1,6 +1,6 @@
 #include "main/entryd/caller_front.hpp"
 #include "main/entryd/entryd_process.hpp"
-#include "tests/main/entryd/platform_stand_in.hpp"
+#include "tests/stand_ins/users_platform.hpp"
 
 #include <gtest/gtest.h>
 
@@ -21,7 +21,7 @@
 /// The front, the follower and the seat of one entry, without the process.
 struct entry
 {
-    entry(asio::io_context& io, platform_stand_in& platform,
+    entry(asio::io_context& io, users_platform& platform,
         const std::string& peer_address)
         : settings(make_settings(platform, peer_address)),
           metrics(get_entryd_metrics()), store(io, settings.store),
@@ -34,7 +34,7 @@
     }
 
     static entry_settings make_settings(
-        platform_stand_in& platform, const std::string& peer_address)
+        users_platform& platform, const std::string& peer_address)
     {
         entry_settings out;
         out.entry = entry_id("e");
@@ -114,7 +114,7 @@
     }
 
     asio::io_context io;
-    platform_stand_in platform{io};
+    users_platform platform{io};
     std::unique_ptr<entry> node =
         std::make_unique<entry>(io, platform, "127.0.0.1:1");
 };
--- a/tests/main/entryd/platform_stand_in.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -1,4 +1,4 @@
-#include "tests/main/entryd/platform_stand_in.hpp"
+#include "tests/stand_ins/users_platform.hpp"
 
 #include <openssl/evp.h>
 
@@ -58,7 +58,7 @@
 
 } // namespace
 
-struct platform_stand_in::target
+struct users_platform::target
 {
     std::string id;
     milliseconds work{0};
@@ -86,21 +86,21 @@
     }
 };
 
-platform_stand_in::platform_stand_in(asio::io_context& io)
+users_platform::users_platform(asio::io_context& io)
     : io_(io),
       store_(std::make_unique<http_server>(io, make_options(),
           [this](http_request it) { return answer_store(std::move(it)); }))
 {
 }
 
-platform_stand_in::~platform_stand_in() = default;
+users_platform::~users_platform() = default;
 
-tcp::endpoint platform_stand_in::get_store() const
+tcp::endpoint users_platform::get_store() const
 {
     return parse_endpoint("127.0.0.1:" + std::to_string(store_->get_port()));
 }
 
-asio::awaitable<void> platform_stand_in::sleep(milliseconds time)
+asio::awaitable<void> users_platform::sleep(milliseconds time)
 {
     asio::steady_timer timer(io_);
     timer.expires_after(time);
@@ -108,13 +108,13 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
 }
 
-void platform_stand_in::put(
+void users_platform::put(
     const std::string& table, const std::string& key, const std::string& value)
 {
     rows_[{table, key}] = {to_base64(value), ++version_, false};
 }
 
-std::string platform_stand_in::get_row(
+std::string users_platform::get_row(
     const std::string& table, const std::string& key) const
 {
     auto it = rows_.find({table, key});
@@ -123,7 +123,7 @@
     return from_base64(it->second.value);
 }
 
-void platform_stand_in::publish_config()
+void users_platform::publish_config()
 {
     put("op", "config",
         R"({"version":1,"routes":[{"name":"q","host":"h","prefix":"/q/",
@@ -132,7 +132,7 @@
         "services":[{"name":"p"}],"tenants":[],"limits":{}})");
 }
 
-void platform_stand_in::add_target(const std::string& id, milliseconds work)
+void users_platform::add_target(const std::string& id, milliseconds work)
 {
     auto it = std::make_shared<target>();
     it->id = id;
@@ -144,7 +144,7 @@
     list_target(id);
 }
 
-void platform_stand_in::list_target(const std::string& id)
+void users_platform::list_target(const std::string& id)
 {
     json report{{"service", "p"},
         {"address",
@@ -155,17 +155,17 @@
     put("servers", id, report.dump());
 }
 
-void platform_stand_in::unlist_target(const std::string& id)
+void users_platform::unlist_target(const std::string& id)
 {
     rows_[{"servers", id}] = {"", ++version_, true};
 }
 
-void platform_stand_in::set_cut(const std::string& id, bool is_cut)
+void users_platform::set_cut(const std::string& id, bool is_cut)
 {
     targets_[id]->is_cut = is_cut;
 }
 
-json platform_stand_in::encode_row(const row_key& key, const row& it) const
+json users_platform::encode_row(const row_key& key, const row& it) const
 {
     json out{{"table", key.first}, {"part", ""}, {"key", key.second},
         {"ver", it.version}};
@@ -176,7 +176,7 @@
     return out;
 }
 
-http_response platform_stand_in::commit(const json& body)
+http_response users_platform::commit(const json& body)
 {
     json current = json::array();
     bool is_met = true;
@@ -201,7 +201,7 @@
     return make_answer(200, {{"ver", version_}, {"nowMs", get_clock()}});
 }
 
-http_response platform_stand_in::read(const http_request& request) const
+http_response users_platform::read(const http_request& request) const
 {
     json rows = json::array();
     for (const auto& [key, it] : rows_)
@@ -212,8 +212,7 @@
         200, {{"rows", rows}, {"hasMore", false}, {"ver", version_}});
 }
 
-asio::awaitable<http_response> platform_stand_in::answer_feed(
-    http_request request)
+asio::awaitable<http_response> users_platform::answer_feed(http_request request)
 {
     std::uint64_t after = std::stoull(request.get_query("after"));
     std::int64_t end = get_clock() + std::stoll(request.get_query("waitMs"));
@@ -229,7 +228,7 @@
     co_return make_answer(200, {{"rows", rows}, {"ver", version_}});
 }
 
-asio::awaitable<http_response> platform_stand_in::answer_store(
+asio::awaitable<http_response> users_platform::answer_store(
     http_request request)
 {
     if (is_refusing_)
@@ -243,7 +242,7 @@
     co_return make_answer(404, json::object());
 }
 
-asio::awaitable<http_response> platform_stand_in::answer_target(
+asio::awaitable<http_response> users_platform::answer_target(
     std::shared_ptr<target> it, http_request request)
 {
     while (it->is_cut)
--- a/tests/main/entryd/platform_stand_in.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -15,11 +15,11 @@
 
 /// A store and targets that speak the users' protocol, on loopback in the
 /// test's own process. Small: one part, no limits, no delays.
-class platform_stand_in
+class users_platform
 {
 public:
-    explicit platform_stand_in(asio::io_context& io);
-    ~platform_stand_in();
+    explicit users_platform(asio::io_context& io);
+    ~users_platform();
 
     tcp::endpoint get_store() const;
 
--- a/tests/systems/operations_page_test.cpp
+++ b/tests/systems/operations_page_test.cpp
@@ -13,7 +13,7 @@
 
 std::vector<std::string> read_examples()
 {
-    std::ifstream in(SOURCE_DIR "/docs/operations.md");
+    std::ifstream in(SOURCE_DIR "/docs/OPERATIONS.md");
     std::vector<std::string> out;
     bool is_inside = false;
     for (std::string line; std::getline(in, line);)
