Bound looks by processor, see bursts earlier, send busy coordinators no copies

Looks took a third of its time. And at the start of each turn (0 to 3 s) jobs waited for instances as the average of one second lagged. Ruled out: the store (commits within their interval), entries that do not know the coordinator (all read its row within 0.2 s).

Change: a call waits for its answer until its deadline, and ends early when another coordinator is known; the pause between looks grows from 100 up to 300 ms with the busy targets for each unit of processor; ends of a batch share a log line; demand of all pools is measured in one pass; the load meter trusts the last 300 ms as far as they exceed what chance explains.

--- a/drivers/peer_link.cpp
+++ b/drivers/peer_link.cpp
@@ -25,6 +25,11 @@
 }
 
 peer_client::~peer_client()
+{
+    close();
+}
+
+void peer_client::close()
 {
     if (connection_)
         connection_->close();
--- a/drivers/peer_link.hpp
+++ b/drivers/peer_link.hpp
@@ -25,6 +25,9 @@
     asio::awaitable<std::optional<peer_body>> call(
         peer_body body, milliseconds timeout, bool& was_sent);
 
+    /// Ends the connection and the calls that wait on it.
+    void close();
+
     const tcp::endpoint& get_endpoint() const { return endpoint_; }
 
     bool is_connected() const { return connection_ && connection_->is_open(); }
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -3,6 +3,8 @@
 #include "drivers/metrics.hpp"
 #include "main/entryd/coordinator_runner_parts.hpp"
 
+#include <algorithm>
+
 namespace cowslippass
 {
 
@@ -25,6 +27,8 @@
 constexpr milliseconds idle_interval{100};
 /// Between the removals of rows that nobody asks for any more.
 constexpr milliseconds erase_interval{1'000};
+/// Ends of tasks that share one line of the log.
+constexpr std::size_t ends_per_line = 50;
 constexpr milliseconds first_commit_timeout{500};
 constexpr milliseconds longest_commit_timeout{1'200};
 constexpr milliseconds pause_after_refusal{60};
@@ -283,28 +287,34 @@
     }
 }
 
-void coordinator_runner::log_ends(const target_link& link,
-    const target_look& look, std::uint64_t before) const
+void coordinator_runner::note_ends(
+    const target_link& link, const target_look& look, std::uint64_t before)
 {
-    // One line for the ends that a look lists: of each the task, its run and
-    // how it ended.
-    std::string ends;
-    std::size_t n = 0;
     for (const end_report& it : look.ended)
     {
         if (it.number <= before)
             continue;
-        ++n;
-        ends += (ends.empty() ? "" : " ") + it.task.job.get() + "." +
-                std::to_string(it.task.key.occurrence) + "." +
-                std::to_string(it.task.key.step) + "." +
-                std::to_string(it.task.key.index) + "/" +
-                std::to_string(it.run.get()) + ":" + to_string(it.end);
+        ++ends_count_;
+        ends_to_log_ += (ends_to_log_.empty() ? "" : " ") + it.task.job.get() +
+                        "." + std::to_string(it.task.key.occurrence) + "." +
+                        std::to_string(it.task.key.step) + "." +
+                        std::to_string(it.task.key.index) + "/" +
+                        std::to_string(it.run.get()) + "@" + link.target.get() +
+                        "#" + std::to_string(it.number) + ":" +
+                        to_string(it.end);
     }
-    if (n > 0)
-        coordinator_log.write("ends", "listed_by_target",
-            {{"target", link.target}, {"after", before}, {"count", n},
-                {"ends", ends}});
+    if (ends_count_ >= ends_per_line)
+        log_ends();
+}
+
+void coordinator_runner::log_ends()
+{
+    if (ends_count_ > 0)
+        coordinator_log.write("ends", "listed_by_targets",
+            {{"count", ends_count_}, {"ends", ends_to_log_},
+                {"term", head_.term}});
+    ends_count_ = 0;
+    ends_to_log_.clear();
 }
 
 void coordinator_runner::decide()
@@ -317,6 +327,10 @@
     put_changed_rows();
     confirm_seen_ends();
     erase_forgotten_rows();
+    log_ends();
+    busy_targets_ =
+        static_cast<std::size_t>(std::ranges::count_if(decisions_.get_targets(),
+            [](const auto& it) { return !it.second.runs.empty(); }));
     log_starts(starts);
     auto self = shared_from_this();
     for (const start_decision& it : starts)
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -92,8 +92,10 @@
 
     void decide();
     void log_starts(const std::vector<start_decision>& starts);
-    void log_ends(const target_link& link, const target_look& look,
-        std::uint64_t before) const;
+    /// Collects the ends that a look lists anew, for one line a batch.
+    void note_ends(
+        const target_link& link, const target_look& look, std::uint64_t before);
+    void log_ends();
     void put_changed_rows();
     /// Removes the rows of jobs that callers can no longer ask for.
     void erase_forgotten_rows();
@@ -107,6 +109,7 @@
     void process_look(const link_ptr& link, const target_look& look,
         boot_time sent_at, boot_time received_at);
     milliseconds get_longest_lease() const;
+    milliseconds get_look_gap() const;
     /// @return the end of a new lease on the target's clock.
     target_time grant_lease(const target_link& link);
     void start_pools();
@@ -136,6 +139,10 @@
     /// Highest ends that were taken note of and whose rows are not put yet.
     std::map<link_ptr, std::uint64_t> seen_ends_;
     boot_time next_erase_{};
+    std::string ends_to_log_;
+    std::size_t ends_count_ = 0;
+    /// Targets with runs, as of the last decisions.
+    std::size_t busy_targets_ = 0;
     std::set<job_id> durable_ended_; ///< Jobs whose end the ledger holds.
     row_version targets_newest_;
     std::set<std::shared_ptr<asio::steady_timer>> durable_waits_;
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -14,6 +14,12 @@
 /// Pause after a look that listed ends. Looks are priced, and a task that
 /// ends meanwhile is noticed later by up to this time.
 constexpr milliseconds look_gap{100};
+/// With many busy targets the pause grows up to this, so that looks leave the
+/// processor time for starts; ends that come meanwhile share a look.
+constexpr milliseconds longest_look_gap{300};
+/// Looks a second for each processor core of the entry. A look costs about as
+/// much as a start, which wants the rest of the time.
+constexpr double looks_per_core = 2'000;
 /// Pause between the looks at a target without runs.
 constexpr milliseconds idle_look_interval{4'000};
 constexpr milliseconds pause_after_look_failure{150};
@@ -178,6 +184,14 @@
         (1 + clock_slack)));
 }
 
+milliseconds coordinator_runner::get_look_gap() const
+{
+    double rate = looks_per_core * settings_.processor_share;
+    milliseconds gap(static_cast<std::int64_t>(
+        static_cast<double>(busy_targets_) * 1'000.0 / rate));
+    return std::clamp(gap, look_gap, longest_look_gap);
+}
+
 target_time coordinator_runner::grant_lease(const target_link& link)
 {
     decisions_.note_lease(link.target, boot_clock::now() + get_longest_lease());
@@ -204,7 +218,7 @@
     if (auto it = decisions_.get_targets().find(link->target);
         it != decisions_.get_targets().end())
         before = it->second.last_end;
-    log_ends(*link, look, before);
+    note_ends(*link, look, before);
     decisions_.note_look(link->target, look, sent_at, received_at);
     auto it = decisions_.get_targets().find(link->target);
     if (it == decisions_.get_targets().end())
@@ -271,7 +285,8 @@
             bool has_ends = !reply.look->ended.empty();
             if (!is_idle && !has_ends)
                 continue;
-            link->timer.expires_after(is_idle ? idle_look_interval : look_gap);
+            link->timer.expires_after(
+                is_idle ? idle_look_interval : get_look_gap());
         }
         else
         {
--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_seat.cpp
@@ -30,7 +30,6 @@
 /// A coordinator keeps its place for so long before it gives it to a stronger
 /// entry.
 constexpr milliseconds shortest_term{3'000};
-constexpr milliseconds call_timeout{900};
 constexpr milliseconds pause_between_calls{50};
 /// An answer older than this says nothing of the coordinator now.
 constexpr milliseconds answer_age_limit{2'500};
@@ -175,14 +174,14 @@
         }
     auto before = candidacy_.get_head();
     candidacy_.note_head(head, version, sent, boot_clock::now());
-    if (!head || head->address == address_)
-    {
-        peer_.reset();
-        co_return;
-    }
-    bool is_same = before && before->holder == head->holder;
+    bool is_same = head && before && before->holder == head->holder;
     if (peer_ && is_same)
         co_return;
+    if (peer_)
+        peer_->close();
+    peer_.reset();
+    if (!head || head->address == address_)
+        co_return;
     write_log(log_level::info, "candidate", "coordinator known",
         {{"term", head->term}, {"entry", head->entry},
             {"address", head->address}, {"version", version}});
@@ -309,9 +308,11 @@
         }
         else
         {
-            milliseconds timeout =
-                std::min(call_timeout, get_time_left(deadline));
-            auto reply = co_await ask_peer(call, timeout, out.may_be_done);
+            // A busy coordinator answers late, and a copy of the call would
+            // make it busier. When another takes its place, the calls that
+            // wait on the old connection end.
+            auto reply = co_await ask_peer(
+                call, get_time_left(deadline), out.may_be_done);
             if (reply && reply->result != coordinator_result::not_coordinator)
             {
                 last_answer_ = boot_clock::now();
--- a/systems/pools/load_meter.hpp
+++ b/systems/pools/load_meter.hpp
@@ -7,13 +7,15 @@
 namespace cowslippass
 {
 
-/// Measures how much work comes in for each pool, as the number of cores that
-/// would keep up with it. Recent work counts most.
+/// Answers bursts that begin within a fraction of a second: measures how much
+/// work comes in for each pool, as the number of cores that would keep up with
+/// it. The last moments count alone as soon as there is more in them than
+/// chance explains.
 class load_meter
 {
 public:
     /// @param memory after this time an arrival counts for 1/e.
-    explicit load_meter(milliseconds memory) : memory_(memory) {}
+    explicit load_meter(milliseconds memory);
 
     /// @param work in core-milliseconds.
     void add(const pool_id& pool, double work, boot_time now);
@@ -22,13 +24,23 @@
     double get_rate(const pool_id& pool, boot_time now) const;
 
 private:
-    struct entry
+    /// Sums in which what is older counts less.
+    struct fading_sum
     {
-        double sum = 0; ///< As of `at`.
+        double memory = 1; ///< In milliseconds.
+        double sum = 0;
+        double squares = 0;
         boot_time at{};
+
+        void fade(boot_time now);
+        void add(double work, boot_time now);
     };
 
-    double decay(const entry& it, boot_time now) const;
+    struct entry
+    {
+        fading_sum slow;
+        fading_sum fast;
+    };
 
     milliseconds memory_;
     std::map<pool_id, entry> entries_;
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -191,9 +191,10 @@
         return each > 0 ? static_cast<std::uint32_t>(std::ceil(need / each))
                         : 0U;
     };
+    auto demands = decisions.measure_demand(now);
     for (const auto& [pool, it] : config->pools)
     {
-        pool_demand demand = decisions.measure_demand(pool, now);
+        const pool_demand& demand = demands[pool];
         pool_balance& balance = balances_[pool];
         resources held = demand.used + demand.waiting;
         // New instances come after the present tasks have ended: what comes
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -102,67 +102,74 @@
     load_.add(queue->pool, work, now);
 }
 
-pool_demand coordinator::measure_demand(
-    const pool_id& pool, boot_time now) const
+std::map<pool_id, pool_demand> coordinator::measure_demand(boot_time now) const
 {
-    pool_demand out;
+    std::map<pool_id, pool_demand> out;
     for (const auto& [id, it] : targets_)
     {
-        if (it.report.pool != pool || it.is_evacuated)
+        if (it.is_evacuated)
             continue;
-        out.used += it.used;
+        pool_demand& demand = out[it.report.pool];
+        demand.used += it.used;
         for (const task_name& run : it.runs)
         {
             const job* owner = find_job(run.job);
             if (owner && owner->get_step(run.key).is_long_running)
-                out.lasting += owner->get_step(run.key).get_counted_need();
+                demand.lasting += owner->get_step(run.key).get_counted_need();
         }
     }
-    using step_name = std::tuple<job_id, std::uint32_t, std::uint32_t>;
-    std::map<step_name, std::uint32_t> spread;
-    auto note_spread = [&](const job& owner, const task_key& key)
+    for (const job_id& id : unfinished_)
+    {
+        const job_entry& entry = jobs_.at(id);
+        const queue_config* queue = find_queue(entry.value.get_queue());
+        if (queue && !entry.is_over_limit)
+            add_waiting(entry, out[queue->pool], now);
+    }
+    if (publication_.config)
+        for (const auto& [pool, it] : publication_.config->pools)
+            out[pool].offered_cores = load_.get_rate(pool, now);
+    return out;
+}
+
+void coordinator::add_waiting(
+    const job_entry& entry, pool_demand& out, boot_time now)
+{
+    if (entry.is_overdue)
+    {
+        for (const task_key& key : entry.waiting)
+            out.overdue_work += get_work(entry.value.get_step(key));
+        return;
+    }
+    if (entry.waiting_since)
+        out.longest_wait =
+            std::max(out.longest_wait, std::chrono::duration_cast<milliseconds>(
+                                           now - *entry.waiting_since));
+    /// How many tasks of a step may not share targets, by occurrence and step.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> apart;
+    auto note_spread = [&](const task_key& key)
     {
-        const step_spec& step = owner.get_step(key);
+        const step_spec& step = entry.value.get_step(key);
         if (step.max_per_target == 0)
             return;
-        std::uint32_t& n = spread[{owner.get_id(), key.occurrence, key.step}];
+        std::uint32_t& n = apart[{key.occurrence, key.step}];
         ++n;
         out.spread = std::max(
             out.spread, (n + step.max_per_target - 1) / step.max_per_target);
     };
-    for (const job_id& id : unfinished_)
+    for (const task_key& key : entry.waiting)
     {
-        const job_entry& entry = jobs_.at(id);
-        const queue_config* queue = find_queue(entry.value.get_queue());
-        if (!queue || queue->pool != pool || entry.is_over_limit)
-            continue;
-        if (entry.is_overdue)
-        {
-            for (const task_key& key : entry.waiting)
-                out.overdue_work += get_work(entry.value.get_step(key));
-            continue;
-        }
-        if (entry.waiting_since)
-            out.longest_wait = std::max(
-                out.longest_wait, std::chrono::duration_cast<milliseconds>(
-                                      now - *entry.waiting_since));
-        for (const task_key& key : entry.waiting)
-        {
-            const step_spec& step = entry.value.get_step(key);
-            resources need = step.get_counted_need();
-            out.waiting += need;
-            if (step.is_long_running)
-                out.lasting += need;
-            else
-                out.waiting_work += get_work(step);
-            note_spread(entry.value, key);
-        }
-        if (!entry.waiting.empty())
-            for (const task_key& key : entry.value.list_running())
-                note_spread(entry.value, key);
+        const step_spec& step = entry.value.get_step(key);
+        resources need = step.get_counted_need();
+        out.waiting += need;
+        if (step.is_long_running)
+            out.lasting += need;
+        else
+            out.waiting_work += get_work(step);
+        note_spread(key);
     }
-    out.offered_cores = load_.get_rate(pool, now);
-    return out;
+    if (!entry.waiting.empty())
+        for (const task_key& key : entry.value.list_running())
+            note_spread(key);
 }
 
 bool coordinator::is_at_work(const active_run& run) const
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -128,7 +128,8 @@
     const target_table& get_targets() const { return targets_; }
     const run_table& get_runs() const { return runs_; }
 
-    pool_demand measure_demand(const pool_id& pool, boot_time now) const;
+    /// @return of every pool with a queue, a target or a configuration.
+    std::map<pool_id, pool_demand> measure_demand(boot_time now) const;
 
     /// @return whether the system may end this run for its own purposes now:
     ///   so many others of a long-running step may be away as it allows.
@@ -209,6 +210,9 @@
         bool is_overdue = false; ///< At the last look.
     };
 
+    /// Adds what a job waits for.
+    static void add_waiting(
+        const job_entry& entry, pool_demand& out, boot_time now);
     /// @return whether a long-running task serves its users.
     bool is_at_work(const active_run& run) const;
     job_entry* find_entry(const job_id& id);
--- a/tests/systems/pools/pool_planner_test.cpp
+++ b/tests/systems/pools/pool_planner_test.cpp
@@ -361,4 +361,16 @@
     EXPECT_EQ(meter.get_rate(pool_b, at(0)), 0.0);
 }
 
+// Answers a burst that begins at once: jobs would wait for the second that an
+// average takes to follow. A single large job is no burst.
+TEST(load_meter, sees_a_burst_before_its_average_does)
+{
+    load_meter meter{milliseconds(1'000)};
+    for (int i = 0; i < 30; ++i)
+        meter.add(pool_a, 1'000, at(5'000 + i * 10));
+    EXPECT_GT(meter.get_rate(pool_a, at(5'300)), 45.0);
+    meter.add(pool_b, 10'000, at(5'000));
+    EXPECT_LT(meter.get_rate(pool_b, at(5'000)), 10.5);
+}
+
 } // namespace cowslippass
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -61,7 +61,7 @@
     it.submit(job_1, make_record({make_step(5)}), at(0));
     EXPECT_EQ(plan().size(), 3U);
     // Tasks beyond the limit ask for no more instances.
-    EXPECT_EQ(it.measure_demand(pool_a, at(0)).waiting, resources{});
+    EXPECT_EQ(it.measure_demand(at(0))[pool_a].waiting, resources{});
 }
 
 // Guards against a task that runs twice when a target is only silent: its
@@ -217,7 +217,7 @@
     step.max_per_target = 2;
     it.submit(job_1, make_record({step}), at(0));
     EXPECT_EQ(plan().size(), 4U);
-    auto demand = it.measure_demand(pool_a, at(0));
+    auto demand = it.measure_demand(at(0))[pool_a];
     EXPECT_EQ(demand.spread, 3U);
 }
 
