Pass over jobs that would end late by estimates that hold

Change: each queue's estimates are judged by the runs that ended; where their logarithm strays by less than 0.3, a job whose remaining chain ends after its deadline comes after those that can be in time.

--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -218,7 +218,10 @@
     // Schedules and long-running tasks have no time to keep in this sense.
     bool is_timed =
         it.get_spec().repeat_count == 0 && entry.remaining > milliseconds(0);
-    out.is_late = is_timed && now > out.deadline;
+    double factor = estimates_.get_factor(it.get_queue()).value_or(0);
+    milliseconds left(static_cast<std::int64_t>(
+        static_cast<double>(entry.remaining.count()) * factor));
+    out.is_late = is_timed && now + left > out.deadline;
     milliseconds allowed = std::chrono::duration_cast<milliseconds>(
         out.deadline - entry.accepted_at);
     out.is_overdue =
@@ -361,11 +364,15 @@
     if (it == runs_.end())
         return;
     run_number number = it->second.number;
+    boot_time assigned_at = it->second.assigned_at;
     remove_run(task);
     job_entry* entry = find_entry(task.job);
     if (!entry)
         return;
     const step_spec& step = entry->value.get_step(task.key);
+    if (end == run_end::done && saved.empty())
+        estimates_.add(entry->value.get_queue(), step.estimate,
+            std::chrono::duration_cast<milliseconds>(now - assigned_at));
     if (step.is_gang && end == run_end::done)
         for (std::uint32_t i = 0; i < step.task_count; ++i)
         {
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -283,6 +283,7 @@
     std::multimap<boot_time, job_id> ended_;
     load_meter load_;
     share_meter shares_;
+    estimate_meter estimates_;
     std::uint64_t last_order_ = 0;
 };
 
--- a/systems/scheduling/job_urgency.cpp
+++ b/systems/scheduling/job_urgency.cpp
@@ -1,6 +1,7 @@
 #include "systems/scheduling/job_urgency.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cowslippass
 {
@@ -11,6 +12,14 @@
 /// A team may send the share of so many seconds at once.
 constexpr double burst_seconds = 2.0;
 
+/// After so many tasks a queue's estimates are judged.
+constexpr std::uint64_t tasks_to_learn = 30;
+/// Weight of the newest task.
+constexpr double newest_weight = 0.02;
+/// Estimates that are off by more than this (in logarithms, about a third) do
+/// not tell which jobs can still be in time.
+constexpr double trusted_deviation = 0.3;
+
 /// @param is_left tells of each step whether it counts.
 template <class Predicate>
 milliseconds estimate_chain(const job_spec& spec, const Predicate& is_left)
@@ -54,6 +63,30 @@
            queue.target_duration;
 }
 
+void estimate_meter::add(
+    const queue_id& queue, milliseconds estimate, milliseconds took)
+{
+    if (estimate <= milliseconds(0) || took <= milliseconds(0))
+        return;
+    double ratio = std::log(static_cast<double>(took.count()) /
+                            static_cast<double>(estimate.count()));
+    entry& it = entries_[queue];
+    ++it.count;
+    double weight =
+        std::max(newest_weight, 1.0 / static_cast<double>(it.count));
+    it.mean += (ratio - it.mean) * weight;
+    it.deviation += (std::abs(ratio - it.mean) - it.deviation) * weight;
+}
+
+std::optional<double> estimate_meter::get_factor(const queue_id& queue) const
+{
+    auto it = entries_.find(queue);
+    if (it == entries_.end() || it->second.count < tasks_to_learn ||
+        it->second.deviation > trusted_deviation)
+        return std::nullopt;
+    return std::exp(it->second.mean + it->second.deviation);
+}
+
 bool share_meter::take(const team_id& team, double weight, boot_time now)
 {
     double most = weight * burst_seconds;
--- a/systems/scheduling/job_urgency.hpp
+++ b/systems/scheduling/job_urgency.hpp
@@ -4,6 +4,7 @@
 #include "systems/workload/job.hpp"
 
 #include <map>
+#include <optional>
 
 namespace cowslippass
 {
@@ -38,8 +39,32 @@
     std::map<team_id, bucket> buckets_;
 };
 
+/// Learns how long tasks of a queue run against their estimates, and how far
+/// the estimates can be trusted.
+class estimate_meter
+{
+public:
+    /// @param took from the decision to the end as it was noticed.
+    void add(const queue_id& queue, milliseconds estimate, milliseconds took);
+
+    /// @return by what to multiply an estimate so that most tasks end within
+    ///   it; nothing while too little is known or the estimates say little.
+    std::optional<double> get_factor(const queue_id& queue) const;
+
+private:
+    /// Of the logarithm of the time taken against the estimate.
+    struct entry
+    {
+        std::uint64_t count = 0;
+        double mean = 0;
+        double deviation = 0; ///< Mean distance from the mean.
+    };
+
+    std::map<queue_id, entry> entries_;
+};
+
 /// Answers bursts beyond what a pool holds: when not all jobs can be in time,
-/// room goes to those whose time has not passed, the most pressing first. Jobs
+/// room goes to those that can be, the most pressing first. Jobs
 /// that are late anyway and those beyond their team's share take what is left,
 /// overdue ones only what nobody else needs.
 /// Sorts ascending.
@@ -48,7 +73,8 @@
     /// So late that its caller has no use of it any more.
     bool is_overdue = false;
     std::uint32_t priority = 0; ///< Of the queue.
-    bool is_late = false;       ///< Its time has passed.
+    /// Its time has passed, or will have when its last step ends.
+    bool is_late = false;
     bool is_beyond_share = false;
     bool is_new = true; ///< None of its tasks has started.
     boot_time deadline{};
--- a/tests/systems/scheduling/job_urgency_test.cpp
+++ b/tests/systems/scheduling/job_urgency_test.cpp
@@ -114,6 +114,43 @@
         { return start.task.job == job_id("small"); }));
 }
 
+// Answers a burst beyond the pool in a queue with good estimates: a job that
+// would end late even if it started now gives way to one that would not.
+TEST_F(job_urgency_test, passes_over_jobs_that_would_end_late)
+{
+    add_target(make_report("t1", 40));
+    submit("teacher", {make_step(32)}, 0);
+    target_look look;
+    std::uint64_t n = 0;
+    for (const start_decision& start : plan(0))
+        look.ended.push_back({++n, start.task, start.run, run_end::done, ""});
+    it.note_look(target_id("t1"), look, at(1'000), at(1'000));
+    // A job may take two seconds, of which its work is one.
+    submit("doomed", {make_step(20)}, 2'000);
+    submit("savable", {make_step(20)}, 2'900);
+    auto starts = plan(3'200);
+    ASSERT_EQ(starts.size(), 32U);
+    for (std::size_t i = 0; i < 20; ++i)
+        EXPECT_EQ(starts[i].task.job, job_id("savable"));
+}
+
+// Guards against an order by estimates that say nothing.
+TEST(estimate_meter, trusts_only_estimates_that_hold)
+{
+    estimate_meter it;
+    const queue_id good("good");
+    const queue_id bad("bad");
+    EXPECT_FALSE(it.get_factor(good));
+    for (int i = 0; i < 100; ++i)
+    {
+        it.add(good, milliseconds(1'000), milliseconds(1'100 + i % 3 * 100));
+        it.add(bad, milliseconds(1'000), milliseconds(300 + i % 2 * 1'700));
+    }
+    EXPECT_GT(it.get_factor(good).value_or(0), 1.2);
+    EXPECT_LT(it.get_factor(good).value_or(9), 1.4);
+    EXPECT_FALSE(it.get_factor(bad));
+}
+
 // Answers a backlog of which most is past its use: it must not hold the room
 // that new jobs and other pools need, and goes on in what is left.
 TEST_F(job_urgency_test, leaves_room_beside_overdue_jobs)
