Share one connection to the coordinator, take all waiting connections

How it was found: accept lines 2 to 6 s after the call; debug lines in a trial copy showed calls that failed within 1,000 ms "not sent" (connect) or within 50 ms (closed), and none that was slow in the coordinator. Change: calls share one attempt to connect; an acceptor takes what waits without another round. Starts are sent 16 at a time and at most 400 are decided together, and full batches follow at once: kept, as they bound the work of one turn. A line a second tells how far the coordinator keeps up.

Tests fail without the change: `calls_at_the_same_time_share_a_connection`, `takes_all_waiting_connections_at_once`.

--- a/drivers/acceptor.cpp
+++ b/drivers/acceptor.cpp
@@ -30,8 +30,13 @@
 asio::awaitable<std::optional<tcp::socket>> accept_next(tcp::acceptor& acceptor)
 {
     boost::system::error_code ec;
-    tcp::socket socket = co_await acceptor.async_accept(
-        asio::redirect_error(asio::use_awaitable, ec));
+    // Connections that wait already are taken at once: a busy process would
+    // take only one each time that it looks for events.
+    acceptor.non_blocking(true, ec);
+    tcp::socket socket = acceptor.accept(ec);
+    if (ec)
+        socket = co_await acceptor.async_accept(
+            asio::redirect_error(asio::use_awaitable, ec));
     if (!ec)
     {
         socket.set_option(tcp::no_delay(true), ec);
--- a/drivers/peer_link.cpp
+++ b/drivers/peer_link.cpp
@@ -31,6 +31,7 @@
 
 void peer_client::close()
 {
+    is_closed_ = true;
     if (connection_)
         connection_->close();
 }
@@ -41,6 +42,28 @@
         connection_->close();
     if (connection_ && connection_->is_open())
         co_return connection_;
+    if (connecting_)
+    {
+        auto done = connecting_;
+        boost::system::error_code ec;
+        co_await done->async_wait(
+            asio::redirect_error(asio::use_awaitable, ec));
+    }
+    else
+    {
+        connecting_ = std::make_shared<asio::steady_timer>(io_);
+        connecting_->expires_at(asio::steady_timer::time_point::max());
+        co_await open_connection();
+        connecting_->cancel();
+        connecting_.reset();
+    }
+    if (!connection_ || !connection_->is_open())
+        co_return nullptr;
+    co_return connection_;
+}
+
+asio::awaitable<void> peer_client::open_connection()
+{
     boost::beast::tcp_stream stream(io_);
     stream.expires_after(connect_timeout);
     boost::system::error_code ec;
@@ -49,18 +72,14 @@
     if (!ec && !source_.is_unspecified())
         stream.socket().bind({source_, 0}, ec);
     if (ec)
-        co_return nullptr;
+        co_return;
     co_await stream.async_connect(
         endpoint_, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec)
-        co_return nullptr;
-    // Another call may have connected in the meantime.
-    if (connection_ && connection_->is_open())
-        co_return connection_;
+    if (ec || is_closed_)
+        co_return;
     connection_ = std::make_shared<peer_connection>(
         stream.release_socket(), handler_, on_fault_);
     connection_->start();
-    co_return connection_;
 }
 
 asio::awaitable<std::optional<peer_body>> peer_client::call(
--- a/drivers/peer_link.hpp
+++ b/drivers/peer_link.hpp
@@ -33,7 +33,9 @@
     bool is_connected() const { return connection_ && connection_->is_open(); }
 
 private:
+    /// Calls that need a connection at the same time share one.
     asio::awaitable<std::shared_ptr<peer_connection>> connect();
+    asio::awaitable<void> open_connection();
 
     asio::io_context& io_;
     tcp::endpoint endpoint_;
@@ -41,6 +43,9 @@
     peer_handler handler_;
     peer_fault_handler on_fault_;
     std::shared_ptr<peer_connection> connection_;
+    /// While one call connects, the others wait for it to be cancelled.
+    std::shared_ptr<asio::steady_timer> connecting_;
+    bool is_closed_ = false;
 };
 
 /// Accepts connections from peers.
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -25,6 +25,12 @@
 constexpr std::size_t jobs_between_pauses = 20;
 /// Without news, decisions are looked at again after this time.
 constexpr milliseconds idle_interval{100};
+/// Starts that are decided together. Sending them takes a slow processor part
+/// of a second.
+constexpr std::size_t starts_per_batch = 400;
+/// With more that are still to be sent, none are decided.
+constexpr std::size_t starts_ahead = 100;
+constexpr milliseconds load_line_interval{1'000};
 /// Between the removals of rows that nobody asks for any more.
 constexpr milliseconds erase_interval{1'000};
 /// Ends of tasks that share one line of the log.
@@ -346,17 +352,37 @@
     ends_to_log_.clear();
 }
 
+void coordinator_runner::log_load()
+{
+    boot_time now = boot_clock::now();
+    if (now < next_load_line_)
+        return;
+    next_load_line_ = now + load_line_interval;
+    coordinator_log.write("load", "each_second",
+        {{"rows_waiting", ledger_.count_waiting()},
+            {"starts_to_send", starts_to_send_.size()},
+            {"busy_targets", busy_targets_},
+            {"runs", decisions_.get_runs().size()}, {"commits", commits_},
+            {"longest_commit_ms", longest_commit_.count()},
+            {"term", head_.term}});
+    commits_ = 0;
+    longest_commit_ = milliseconds(0);
+}
+
 void coordinator_runner::decide()
 {
     boot_time now = boot_clock::now();
     decisions_.expire(now);
     std::vector<start_decision> starts;
-    if (!is_releasing_ && has_authority())
-        starts = decisions_.plan(now, get_wall_time());
+    // What is assigned later is assigned with more knowledge.
+    bool is_keeping_up = starts_to_send_.size() < starts_ahead;
+    if (!is_releasing_ && is_keeping_up && has_authority())
+        starts = decisions_.plan(now, get_wall_time(), starts_per_batch);
     put_changed_rows();
     confirm_seen_ends();
     erase_forgotten_rows();
     log_ends();
+    log_load();
     busy_targets_ =
         static_cast<std::size_t>(std::ranges::count_if(decisions_.get_targets(),
             [](const auto& it) { return !it.second.runs.empty(); }));
@@ -364,13 +390,7 @@
     auto self = shared_from_this();
     for (const start_decision& it : starts)
     {
-        ledger_.when_durable(
-            [self, it]
-            {
-                asio::co_spawn(
-                    self->io_, [self, it] { return self->send_start(it); },
-                    asio::detached);
-            });
+        ledger_.when_durable([self, it] { self->queue_start(it); });
     }
     send_stops();
 }
@@ -393,6 +413,9 @@
         {
             // A batch that an earlier copy has committed may be older.
             renewed_ = std::max(renewed_, sent);
+            ++commits_;
+            longest_commit_ = std::max(
+                longest_commit_, to_milliseconds(boot_clock::now() - sent));
             metrics_.observe("cowslippass_ledger_commit_seconds",
                 std::chrono::duration<double>(boot_clock::now() - sent)
                     .count());
@@ -429,7 +452,7 @@
             break;
         // Changes that came up meanwhile share the next transaction.
         milliseconds since = to_milliseconds(boot_clock::now() - last_batch_);
-        if (since < batch_interval)
+        if (since < batch_interval && !ledger_.has_full_batch())
             co_await sleep(batch_interval - since);
         if (ledger_.has_changes() || is_over_)
             continue;
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -8,6 +8,7 @@
 #include "systems/coordination/ledger.hpp"
 #include "systems/scheduling/coordinator.hpp"
 
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -83,6 +84,10 @@
     asio::awaitable<void> watch_target(link_ptr link);
     asio::awaitable<void> look_loop(link_ptr link);
     asio::awaitable<void> send_start(start_decision decision);
+    /// Sends the starts that are durable, some at a time: what else is ready
+    /// to be handled, calls above all, has its turn between them.
+    asio::awaitable<void> pump_starts();
+    void queue_start(const start_decision& decision);
     asio::awaitable<void> send_stop(stop_decision decision);
     asio::awaitable<void> commit_batch(bool& is_done);
     asio::awaitable<peer_coordinator_reply> submit(
@@ -100,6 +105,8 @@
     void note_ends(
         const target_link& link, const target_look& look, std::uint64_t before);
     void log_ends();
+    /// Tells once a second how far the coordinator keeps up.
+    void log_load();
     void put_changed_rows();
     /// Removes the rows of jobs that callers can no longer ask for.
     void erase_forgotten_rows();
@@ -138,11 +145,16 @@
     asio::steady_timer wake_timer_;
     std::map<target_id, link_ptr> links_;
     std::shared_ptr<pool_keeper> pools_;
-    std::vector<stored_row> wave_rows_; ///< As read at the takeover.
+    std::vector<stored_row> wave_rows_;         ///< As read at the takeover.
+    std::deque<start_decision> starts_to_send_; ///< Durable ones.
+    bool is_pumping_ = false;
     std::set<task_name> stops_in_flight_;
     /// Highest ends that were taken note of and whose rows are not put yet.
     std::map<link_ptr, std::uint64_t> seen_ends_;
     boot_time next_erase_{};
+    boot_time next_load_line_{};
+    std::uint64_t commits_ = 0; ///< Since the last such line.
+    milliseconds longest_commit_{0};
     std::string ends_to_log_;
     std::size_t ends_count_ = 0;
     /// Targets with runs, as of the last decisions.
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -8,6 +8,8 @@
 {
 
 constexpr milliseconds order_timeout{600};
+/// Starts that are sent before other work has its turn.
+constexpr std::size_t starts_per_turn = 16;
 constexpr milliseconds look_timeout{600};
 /// Longest wait of one look for an end.
 constexpr milliseconds look_wait{1'500};
@@ -308,6 +310,37 @@
 
 // Orders.
 
+void coordinator_runner::queue_start(const start_decision& decision)
+{
+    starts_to_send_.push_back(decision);
+    if (is_pumping_)
+        return;
+    is_pumping_ = true;
+    auto self = shared_from_this();
+    asio::co_spawn(
+        io_, [self] { return self->pump_starts(); }, asio::detached);
+}
+
+asio::awaitable<void> coordinator_runner::pump_starts()
+{
+    auto self = shared_from_this();
+    while (!starts_to_send_.empty() && !is_over_)
+    {
+        for (std::size_t i = 0; i < starts_per_turn && !starts_to_send_.empty();
+             ++i)
+        {
+            start_decision it = std::move(starts_to_send_.front());
+            starts_to_send_.pop_front();
+            asio::co_spawn(
+                io_, [self, it] { return self->send_start(it); },
+                asio::detached);
+        }
+        co_await asio::post(io_, asio::use_awaitable);
+    }
+    is_pumping_ = false;
+    wake();
+}
+
 asio::awaitable<void> coordinator_runner::send_start(start_decision decision)
 {
     auto self = shared_from_this();
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -81,6 +81,9 @@
     void release();
 
     bool has_changes() const;
+
+    /// @return whether the changes fill the next batch.
+    bool has_full_batch() const { return waiting_.size() >= max_batch_rows; }
     bool is_in_flight() const { return in_flight_.has_value(); }
     bool is_lost() const { return is_lost_; }
     bool is_released() const { return is_released_; }
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -6,6 +6,7 @@
 #include "systems/scheduling/target_table.hpp"
 #include "systems/workload/job_record.hpp"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -138,7 +139,9 @@
 
     /// Assigns waiting tasks to targets.
     /// @param wall_time for schedules.
-    std::vector<start_decision> plan(boot_time now, platform_time wall_time);
+    /// @param most starts; jobs after the one that reaches it wait.
+    std::vector<start_decision> plan(boot_time now, platform_time wall_time,
+        std::size_t most = std::numeric_limits<std::size_t>::max());
 
     /// Runs that are to be stopped and have not confirmed it.
     std::vector<stop_decision> list_stops() const;
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -43,7 +43,7 @@
 }
 
 std::vector<start_decision> coordinator::plan(
-    boot_time now, platform_time wall_time)
+    boot_time now, platform_time wall_time, std::size_t most)
 {
     std::vector<start_decision> out;
     std::vector<job_entry*> waiting = list_waiting_jobs(now, wall_time);
@@ -51,7 +51,11 @@
         return out;
     room_index room = index_room(now);
     for (job_entry* it : waiting)
+    {
+        if (out.size() >= most)
+            break;
         plan_job(*it, room, now, out);
+    }
     return out;
 }
 
--- a/tests/drivers/peer_link_test.cpp
+++ b/tests/drivers/peer_link_test.cpp
@@ -1,5 +1,6 @@
 #include "drivers/peer_link.hpp"
 
+#include "drivers/acceptor.hpp"
 #include "drivers/endpoint.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -59,6 +60,8 @@
 
     void silence_open() { first_answering_ = accepted_; }
 
+    std::size_t count_accepted() const { return accepted_; }
+
 private:
     asio::awaitable<void> accept_all()
     {
@@ -201,6 +204,60 @@
     EXPECT_TRUE(call_after_silence({pause}).front());
 }
 
+// Guards against a storm of connections when many calls wait for a peer that
+// has just become the coordinator.
+TEST(peer_link, calls_at_the_same_time_share_a_connection)
+{
+    asio::io_context io;
+    silenced_peer peer(io);
+    peer_client client(
+        io, peer.get_endpoint(), asio::ip::make_address("127.0.0.1"),
+        [](peer_body) -> asio::awaitable<std::optional<peer_body>>
+        { co_return std::nullopt; },
+        [](const std::string&, const std::string&) {});
+    int answered = 0;
+    for (int i = 0; i < 20; ++i)
+        asio::co_spawn(
+            io,
+            [&]() -> asio::awaitable<void>
+            {
+                bool was_sent = false;
+                auto reply = co_await client.call(
+                    peer_hello{session_id(1)}, milliseconds(1'000), was_sent);
+                answered += reply ? 1 : 0;
+            },
+            asio::detached);
+    io.run_for(std::chrono::milliseconds(500));
+    EXPECT_EQ(answered, 20);
+    EXPECT_EQ(peer.count_accepted(), 1U);
+}
+
+// Guards against connections that are closed as silent before a busy process
+// has taken them: it must not need a round of its events for each.
+TEST(acceptor, takes_all_waiting_connections_at_once)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io);
+    listen_on(acceptor, parse_endpoint("127.0.0.1:0"));
+    std::vector<tcp::socket> callers;
+    for (int i = 0; i < 10; ++i)
+        callers.emplace_back(io).connect(acceptor.local_endpoint());
+    bool had_others_turn = false;
+    int taken = 0;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            asio::post(io, [&] { had_others_turn = true; });
+            while (taken < 10 && co_await accept_next(acceptor))
+                ++taken;
+            EXPECT_FALSE(had_others_turn);
+        },
+        asio::detached);
+    io.run_for(std::chrono::milliseconds(500));
+    EXPECT_EQ(taken, 10);
+}
+
 // Guards against a peer's bytes that make an entry allocate without a bound,
 // read outside a buffer, or go on with a connection that is out of step.
 TEST(peer_link, malformed_frames_cut_the_connection_with_a_fault)
