Switch idle instances off after 1.2 s

A move costs about as much as one second of an instance, so that 1.2 s is near the point where keeping it costs as much as fetching it again.

--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -19,7 +19,7 @@
     milliseconds maintenance_time{2'000};
     /// An instance that is idle for so long is switched off. A move costs
     /// about as much as one second of an instance in a pool.
-    milliseconds park_after{2'500};
+    milliseconds park_after{1'200};
     /// When a job's tasks have waited for room for so long, the room is too
     /// scattered for them: the pool gets another instance.
     milliseconds stuck_after{600};
