Release no term while a lost predecessor may still extend leases

Found by reading the diff: a successor of a released term does not wait out the four seconds in which its predecessor may extend leases. A coordinator that had itself taken over from a lost one, and was stopped (or handed over to a stronger entry, after three seconds) within that time, vouched for leases that were not its own; on targets that nobody reaches a task could run twice. Change: such a term is released only once those four seconds have passed, its work goes on until then; a stop during recovery releases only a term whose predecessor was released, or that is the first. The test fails without the rule (holder false after 1 s).

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -39,6 +39,14 @@
 constexpr milliseconds longest_commit_timeout{1'200};
 constexpr milliseconds pause_after_refusal{60};
 
+/// A successor of a released term counts on it that no earlier coordinator may
+/// extend leases any more.
+/// @return whether that is so.
+bool is_predecessor_over(bool was_released, boot_time taken_at)
+{
+    return was_released || boot_clock::now() - taken_at >= authority;
+}
+
 } // namespace
 
 coordinator_runner::coordinator_runner(asio::io_context& io,
@@ -249,7 +257,9 @@
 
 void coordinator_runner::release_when_quiet()
 {
-    if (is_releasing_ && !(pools_ && pools_->has_orders_in_flight()))
+    bool has_orders = pools_ && pools_->has_orders_in_flight();
+    if (is_releasing_ && !has_orders &&
+        is_predecessor_over(was_released_, taken_at_))
         ledger_.release();
 }
 
@@ -376,7 +386,10 @@
     std::vector<start_decision> starts;
     // What is assigned later is assigned with more knowledge.
     bool is_keeping_up = starts_to_send_.size() < starts_ahead;
-    if (!is_releasing_ && is_keeping_up && has_authority())
+    // Until the term can be released its work goes on.
+    bool is_leaving =
+        is_releasing_ && is_predecessor_over(was_released_, taken_at_);
+    if (!is_leaving && is_keeping_up && has_authority())
         starts = decisions_.plan(now, get_wall_time(), starts_per_batch);
     put_changed_rows();
     confirm_seen_ends();
--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_seat.cpp
@@ -211,7 +211,7 @@
         {{"term", head.term}, {"version", candidacy_.get_version()},
             {"former", old ? old->entry : std::string()},
             {"released", old && old->is_released}});
-    bool was_released = old && old->is_released;
+    bool was_released = !old || old->is_released;
     ledger_batch batch{candidacy_.get_version(), head, {}};
     boot_time sent = boot_clock::now();
     batch_answer answer = co_await store_.commit(batch, take_over_timeout);
@@ -236,8 +236,11 @@
     recovering_.reset();
     if (is_leaving_)
     {
-        // The stop came meanwhile; a successor need not wait.
-        runner->release();
+        // The stop came meanwhile; a successor need not wait for it.
+        if (was_released)
+            runner->release();
+        else
+            runner->abandon();
         co_return;
     }
     if (!is_recovered)
--- a/tests/main/entryd/whole_path_test.cpp
+++ b/tests/main/entryd/whole_path_test.cpp
@@ -242,4 +242,36 @@
         });
 }
 
+// Guards against a task that runs twice on targets that nobody reaches: the
+// successor of a released term does not wait for leases that an earlier, lost
+// coordinator may still extend.
+TEST_F(whole_path_test, releases_no_term_while_a_lost_one_may_hold_leases)
+{
+    platform.add_target("t1", milliseconds(20));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            ledger_head lost;
+            lost.term = fencing_number(5);
+            lost.holder = "lost";
+            lost.address = "127.0.0.1:9";
+            ledger_batch batch{row_version(0), lost, {}};
+            batch_answer answer =
+                co_await node->store.commit(batch, milliseconds(500));
+            EXPECT_EQ(answer.outcome, batch_answer::kind::committed);
+            while (!node->seat.is_holder())
+                co_await sleep(milliseconds(20));
+            boot_time taken = boot_clock::now();
+            node->seat.leave();
+            co_await sleep(milliseconds(1'000));
+            EXPECT_TRUE(node->seat.is_holder());
+            // Its work goes on until then.
+            co_await send("POST", "/q/" + job_1, one_task);
+            EXPECT_TRUE(co_await wait_for(job_1, "completed"));
+            while (node->seat.is_holder())
+                co_await sleep(milliseconds(20));
+            EXPECT_GE(boot_clock::now() - taken, milliseconds(3'700));
+        });
+}
+
 } // namespace cowslippass
