--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -194,7 +194,7 @@
         co_return false;
     milliseconds left = was_released_ ? milliseconds(0) : authority;
     for (const auto& [id, target] : decisions_.get_targets())
-        decisions_.note_lease(id, taken_at_ + left + get_longest_lease());
+        decisions_.record_lease(id, taken_at_ + left + get_longest_lease());
     write_log(log_level::info, "coordinator", "recovered",
         {{"term", head_.term}, {"jobs", decisions_.count_jobs()},
             {"runs", decisions_.get_runs().size()},
@@ -216,7 +216,7 @@
 
 void coordinator_runner::start(const published_state& state)
 {
-    decisions_.set_publication(state);
+    decisions_.set_published_state(state);
     is_recovered_ = true;
     open_links();
     auto self = shared_from_this();
@@ -243,9 +243,9 @@
         io_, [keeper = pools_] { return keeper->run(); }, asio::detached);
 }
 
-void coordinator_runner::set_publication(const published_state& state)
+void coordinator_runner::set_published_state(const published_state& state)
 {
-    decisions_.set_publication(state);
+    decisions_.set_published_state(state);
     wake();
 }
 
@@ -267,7 +267,7 @@
 
 void coordinator_runner::put_changed_rows()
 {
-    for (const job_id& id : decisions_.take_changed())
+    for (const job_id& id : decisions_.take_changed_jobs())
     {
         const job* it = decisions_.find_job(id);
         if (!it)
@@ -287,7 +287,7 @@
     if (now < next_erase_)
         return;
     next_erase_ = now + erase_interval;
-    for (const job_id& id : decisions_.take_forgotten(now))
+    for (const job_id& id : decisions_.take_expired_jobs(now))
     {
         durable_ended_.erase(id);
         ledger_.erase(ledger_table::progress, id.get());
@@ -300,11 +300,13 @@
         return;
     for (const auto& [link, number] : seen_ends_)
         ledger_.when_durable(
-            [link = link, number = number, born = link->born]
+            [link = link, number = number,
+                incarnation_start = link->incarnation_start]
             {
                 // Another life counts its ends anew.
-                if (link->born == born)
-                    link->seen_up_to = std::max(link->seen_up_to, number);
+                if (link->incarnation_start == incarnation_start)
+                    link->acknowledged_up_to =
+                        std::max(link->acknowledged_up_to, number);
             });
     seen_ends_.clear();
 }
@@ -333,7 +335,7 @@
 }
 
 void coordinator_runner::note_ends(
-    const target_link& link, const target_look& look, std::uint64_t before)
+    const target_link& link, const target_status& look, std::uint64_t before)
 {
     for (const end_report& it : look.ended)
     {
@@ -382,7 +384,7 @@
 void coordinator_runner::decide()
 {
     boot_time now = boot_clock::now();
-    decisions_.expire(now);
+    decisions_.end_runs_without_lease(now);
     std::vector<start_decision> starts;
     // What is assigned later is assigned with more knowledge.
     bool is_keeping_up = starts_to_send_.size() < starts_ahead;
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -42,7 +42,7 @@
     /// Starts the other loops; they end with the term.
     void start(const published_state& state);
 
-    void set_publication(const published_state& state);
+    void set_published_state(const published_state& state);
 
     /// Ends the term in order, so that a successor need not wait.
     void release();
@@ -102,8 +102,8 @@
     void decide();
     void log_starts(const std::vector<start_decision>& starts);
     /// Collects the ends that a look lists anew, for one line a batch.
-    void note_ends(
-        const target_link& link, const target_look& look, std::uint64_t before);
+    void note_ends(const target_link& link, const target_status& look,
+        std::uint64_t before);
     void log_ends();
     /// Tells once a second how far the coordinator keeps up.
     void log_load();
@@ -117,7 +117,7 @@
     void open_links();
     void open_link(const target_id& id, const target_report& report);
     void close_unused_links();
-    void process_look(const link_ptr& link, const target_look& look,
+    void process_look(const link_ptr& link, const target_status& look,
         boot_time sent_at, boot_time received_at);
     milliseconds get_longest_lease() const;
     milliseconds get_look_gap() const;
--- a/main/entryd/coordinator_runner_parts.hpp
+++ b/main/entryd/coordinator_runner_parts.hpp
@@ -38,8 +38,9 @@
     /// The target's clock at `clock_at`, the earliest time it can have had it.
     std::optional<target_time> clock;
     boot_time clock_at{};
-    platform_time born;           ///< Start of the life that answered last.
-    std::uint64_t seen_up_to = 0; ///< Ends of this life that are durable.
+    platform_time incarnation_start; ///< Start of the life that answered last.
+    /// Ends of this life that are durable.
+    std::uint64_t acknowledged_up_to = 0;
     bool was_reached = true;
 };
 
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -59,7 +59,7 @@
                 : is_draining  ? "target drains"
                                : "target listed",
                 {{"target", change.target}, {"version", it.version}});
-        decisions_.note_target_change(change, now);
+        decisions_.handle_target_change(change, now);
         if (change.report)
             open_link(change.target, *change.report);
     }
@@ -142,11 +142,11 @@
         if (it.is_listed && !listed.contains(id))
             gone.push_back(id);
     for (const target_id& it : gone)
-        decisions_.note_target_change({it, std::nullopt}, boot_clock::now());
+        decisions_.handle_target_change({it, std::nullopt}, boot_clock::now());
     boot_time now = boot_clock::now();
     for (const stored_row& it : rows.rows)
         if (auto report = decode_target_report(it))
-            decisions_.note_target_change({report->target, report}, now);
+            decisions_.handle_target_change({report->target, report}, now);
     co_return true;
 }
 
@@ -196,7 +196,8 @@
 
 target_time coordinator_runner::grant_lease(const target_link& link)
 {
-    decisions_.note_lease(link.target, boot_clock::now() + get_longest_lease());
+    decisions_.record_lease(
+        link.target, boot_clock::now() + get_longest_lease());
     auto passed = to_milliseconds(boot_clock::now() - link.clock_at);
     auto lease = static_cast<std::int64_t>(
         static_cast<double>(settings_.lease_limit.count()) * lease_share);
@@ -204,12 +205,12 @@
 }
 
 void coordinator_runner::process_look(const link_ptr& link,
-    const target_look& look, boot_time sent_at, boot_time received_at)
+    const target_status& look, boot_time sent_at, boot_time received_at)
 {
-    if (look.born != link->born)
+    if (look.incarnation_start != link->incarnation_start)
     {
-        link->born = look.born;
-        link->seen_up_to = 0;
+        link->incarnation_start = look.incarnation_start;
+        link->acknowledged_up_to = 0;
         seen_ends_.erase(link);
     }
     // The answer was written after the request was sent: the estimate made
@@ -219,13 +220,13 @@
     std::uint64_t before = 0;
     if (auto it = decisions_.get_targets().find(link->target);
         it != decisions_.get_targets().end())
-        before = it->second.last_end;
+        before = it->second.last_end_number;
     note_ends(*link, look, before);
-    decisions_.note_look(link->target, look, sent_at, received_at);
+    decisions_.handle_status(link->target, look, sent_at, received_at);
     auto it = decisions_.get_targets().find(link->target);
     if (it == decisions_.get_targets().end())
         return;
-    std::uint64_t after = it->second.last_end;
+    std::uint64_t after = it->second.last_end_number;
     if (after == before && look.ended.empty())
         return;
     seen_ends_[link] = after;
@@ -249,42 +250,44 @@
             break;
         const target_entry& target = it->second;
         bool is_busy = !target.runs.empty();
-        bool has_unseen = target.last_end > link->seen_up_to;
-        look_order order;
-        order.seen_up_to = link->seen_up_to;
-        if (decisions_.wants_lease(link->target) && link->clock &&
+        bool has_unseen = target.last_end_number > link->acknowledged_up_to;
+        poll_request order;
+        order.acknowledged_up_to = link->acknowledged_up_to;
+        if (decisions_.should_renew_leases(link->target) && link->clock &&
             has_authority())
             order.lease_end = grant_lease(*link);
-        if (is_busy && target.is_known && target.failures == 0 && !has_unseen)
+        if (is_busy && target.has_reported &&
+            target.consecutive_failures == 0 && !has_unseen)
             order.wait = look_wait;
         boot_time sent_at = boot_clock::now();
-        look_reply reply = co_await link->client.look(order, look_timeout);
+        poll_reply reply = co_await link->client.look(order, look_timeout);
         if (is_over_ || link->is_closed)
             break;
         boot_time now = boot_clock::now();
         metrics_.add(
             "cowslippass_looks_total", {{"outcome", to_string(reply.outcome)}});
-        if (reply.outcome == order_outcome::stale_fence)
+        if (reply.outcome == request_outcome::stale_fence)
         {
             end_term("a target has seen a higher fence number");
             break;
         }
-        if (reply.look)
+        if (reply.status)
         {
             if (!link->was_reached)
                 write_log(log_level::info, "targets", "target reached again",
                     {{"target", link->target}});
             link->was_reached = true;
-            process_look(link, *reply.look, sent_at, now);
+            process_look(link, *reply.status, sent_at, now);
             if (is_over_ || link->is_closed)
                 break;
             // An idle target is asked again when it gets a run.
             it = decisions_.get_targets().find(link->target);
-            bool is_idle = it != decisions_.get_targets().end() &&
-                           it->second.runs.empty() &&
-                           it->second.last_end <= link->seen_up_to;
+            bool is_idle =
+                it != decisions_.get_targets().end() &&
+                it->second.runs.empty() &&
+                it->second.last_end_number <= link->acknowledged_up_to;
             // Ends that come in the meantime share the next look.
-            bool has_ends = !reply.look->ended.empty();
+            bool has_ends = !reply.status->ended.empty();
             if (!is_idle && !has_ends)
                 continue;
             link->timer.expires_after(
@@ -298,7 +301,7 @@
                         {"outcome", to_string(reply.outcome)},
                         {"why", reply.message}});
             link->was_reached = false;
-            decisions_.note_look_failure(link->target, now);
+            decisions_.handle_poll_failure(link->target, now);
             wake();
             link->timer.expires_after(pause_after_look_failure);
         }
@@ -353,7 +356,7 @@
             decisions_.abandon_start(decision, boot_clock::now());
             co_return;
         }
-        auto order = decisions_.make_start_order(decision);
+        auto order = decisions_.make_start_request(decision);
         if (!order)
         {
             decisions_.abandon_start(decision, boot_clock::now());
@@ -366,18 +369,20 @@
         order->lease_end = *lease_end;
         // Ends of this run have to be seen; an idle target is not asked.
         link->timer.cancel();
-        order_reply reply = co_await link->client.start(*order, order_timeout);
+        request_reply reply =
+            co_await link->client.start(*order, order_timeout);
         if (is_over_)
             co_return;
         metrics_.add("cowslippass_starts_total",
             {{"outcome", to_string(reply.outcome)}});
-        if (reply.outcome == order_outcome::stale_fence)
+        if (reply.outcome == request_outcome::stale_fence)
         {
             end_term("a target has seen a higher fence number");
             co_return;
         }
-        decisions_.note_start_reply(decision, reply.outcome, boot_clock::now());
-        if (reply.outcome != order_outcome::accepted)
+        decisions_.handle_start_reply(
+            decision, reply.outcome, boot_clock::now());
+        if (reply.outcome != request_outcome::accepted)
             write_log(log_level::info, "decision.coordinator",
                 "start not confirmed",
                 {{"job", decision.task.job}, {"step", decision.task.key.step},
@@ -386,7 +391,7 @@
                     {"outcome", to_string(reply.outcome)},
                     {"why", reply.message}});
         wake();
-        if (reply.outcome != order_outcome::no_answer)
+        if (reply.outcome != request_outcome::no_answer)
             co_return;
     }
 }
@@ -409,7 +414,7 @@
     link_ptr link = find_link(decision.target);
     if (link)
     {
-        order_reply reply = co_await link->client.stop(
+        request_reply reply = co_await link->client.stop(
             decision.task, decision.run, order_timeout);
         if (is_over_)
             co_return;
@@ -419,7 +424,8 @@
                 {"step", decision.task.key.step},
                 {"index", decision.task.key.index}, {"run", decision.run},
                 {"target", decision.target}, {"why", reply.message}});
-        decisions_.note_stop_reply(decision, reply.outcome, boot_clock::now());
+        decisions_.handle_stop_reply(
+            decision, reply.outcome, boot_clock::now());
     }
     // The run is gone when the target lists its end; until then the stop is
     // repeated.
--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_seat.cpp
@@ -95,7 +95,7 @@
 void coordinator_seat::note_publication()
 {
     if (is_holder())
-        runner_->set_publication(config_.get_state());
+        runner_->set_published_state(config_.get_state());
 }
 
 void coordinator_seat::leave()
--- a/main/entryd/pool_keeper.cpp
+++ b/main/entryd/pool_keeper.cpp
@@ -91,7 +91,7 @@
                     {"list_age_ms",
                         std::chrono::duration_cast<milliseconds>(now - sent)
                             .count()}});
-        owner_.decisions.note_life_over(it, sent, now);
+        owner_.decisions.handle_incarnation_end(it, sent, now);
     }
     owner_.wake();
 }
@@ -157,7 +157,8 @@
 
 void pool_keeper::update_waves()
 {
-    for (const auto& [number, wave] : owner_.decisions.get_publication().waves)
+    for (const auto& [number, wave] :
+        owner_.decisions.get_published_state().waves)
     {
         const auto& begun = planner_.get_begun(number);
         auto seen = planner_.get_first_seen(number);
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -99,7 +99,7 @@
 void pool_planner::index_targets(const coordinator& decisions, boot_time now)
 {
     for (const auto& [id, target] : decisions.get_targets())
-        if (target.is_known && target.runs.empty())
+        if (target.has_reported && target.runs.empty())
             idle_since_.emplace(id, now);
         else
             idle_since_.erase(id);
@@ -157,13 +157,13 @@
 void pool_planner::measure(const coordinator& decisions, boot_time now)
 {
     balances_.clear();
-    const auto& config = decisions.get_publication().config;
+    const auto& config = decisions.get_published_state().config;
     if (!config)
         return;
     standby_ = config->find_standby_pool();
     resources total;
     std::size_t counted = 0;
-    const auto& evacuated = decisions.get_publication().evacuated;
+    const auto& evacuated = decisions.get_published_state().evacuated;
     for (const instance_report& it : instances_)
     {
         auto open = open_.find(it.instance);
@@ -174,9 +174,9 @@
                         it.condition == instance_condition::moving;
         auto target = decisions.get_targets().find(it.target);
         // Instances that leave or are silent give their pool no room.
-        bool is_lost =
-            target != decisions.get_targets().end() &&
-            (target->second.report.is_draining || target->second.failures > 0);
+        bool is_lost = target != decisions.get_targets().end() &&
+                       (target->second.report.is_draining ||
+                           target->second.consecutive_failures > 0);
         if (is_there && !is_lost && !evacuated.contains(it.data_centre))
             ++balances_[pool].present;
         total += it.capacity;
@@ -199,10 +199,11 @@
         resources held = demand.used + demand.waiting;
         // New instances come after the present tasks have ended: what comes
         // in and the backlog decide, not what runs.
-        double catch_up = demand.waiting_work /
+        double catch_up = demand.waiting_core_ms /
                           static_cast<double>(options_.catch_up.count());
-        double processor = (demand.offered_cores + catch_up) * 1'000.0 +
-                           static_cast<double>(demand.lasting.processor);
+        double processor =
+            (demand.offered_cores + catch_up) * 1'000.0 +
+            static_cast<double>(demand.long_running_need.processor);
         balance.used_cores =
             static_cast<double>(demand.used.processor) / 1'000.0;
         balance.waiting_cores =
@@ -212,7 +213,7 @@
         balance.needed = std::max({demand.spread,
             count_instances(processor, total.processor),
             count_instances(static_cast<double>(held.memory), total.memory)});
-        double overdue = demand.overdue_work /
+        double overdue = demand.overdue_core_ms /
                          static_cast<double>(options_.overdue_catch_up.count());
         balance.kept =
             count_instances(processor + overdue * 1'000.0, total.processor);
@@ -278,7 +279,7 @@
 void pool_planner::plan_maintenance(
     coordinator& decisions, boot_time now, pool_decisions& out)
 {
-    for (const auto& [number, wave] : decisions.get_publication().waves)
+    for (const auto& [number, wave] : decisions.get_published_state().waves)
     {
         boot_time seen = wave_seen_.emplace(number, now).first->second;
         bool is_pressing = now - seen >= wave.time_limit * drain_from_share;
@@ -325,7 +326,7 @@
 const instance_report* pool_planner::choose_spare(
     const pool_id& pool, const coordinator& decisions, boot_time now) const
 {
-    const auto& evacuated = decisions.get_publication().evacuated;
+    const auto& evacuated = decisions.get_published_state().evacuated;
     const instance_report* best = nullptr;
     for (const instance_report& it : instances_)
     {
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 coordinator::coordinator(coordinator_options options)
-    : options_(options), load_(options.load_memory)
+    : options_(options), arrival_load_(options.load_averaging_time)
 {
 }
 
@@ -44,7 +44,7 @@
         std::max<std::int64_t>(0, wall_time.get() - record.accepted.get()));
     if (!progress.empty())
         value.decode_progress(progress);
-    job_entry entry{std::move(value), now - age, ++last_order_};
+    job_entry entry{std::move(value), now - age, ++last_acceptance_number_};
     auto& added = jobs_.emplace(id, std::move(entry)).first->second;
     for (const task_key& key : added.value.list_running())
     {
@@ -55,49 +55,51 @@
     }
     if (added.value.is_ended())
     {
-        note_ended(added, now);
+        record_job_end(added, now);
         return;
     }
     unfinished_.insert(id);
 }
 
-void coordinator::load_settled_job(job value, boot_time now)
+void coordinator::load_settled_job(job settled_job, boot_time now)
 {
-    job_id id = value.get_id();
-    job_entry entry{std::move(value), now, ++last_order_};
+    job_id id = settled_job.get_id();
+    job_entry entry{std::move(settled_job), now, ++last_acceptance_number_};
     entry.needs_scan = false;
-    note_ended(jobs_.emplace(id, std::move(entry)).first->second, now);
+    record_job_end(jobs_.emplace(id, std::move(entry)).first->second, now);
 }
 
 submit_outcome coordinator::submit(
     const job_id& id, job_record record, boot_time now)
 {
     if (jobs_.contains(id))
-        return submit_outcome::known;
-    note_load(record, now);
+        return submit_outcome::already_known;
+    record_arrival(record, now);
     job value(id, record.queue, record.team, std::move(record.spec));
-    job_entry entry{std::move(value), now, ++last_order_};
+    job_entry entry{std::move(value), now, ++last_acceptance_number_};
     auto& added = jobs_.emplace(id, std::move(entry)).first->second;
-    const team_config* team = publication_.config
-                                  ? publication_.config->find_team(record.team)
-                                  : nullptr;
-    added.is_beyond_share =
-        team && !shares_.take(record.team, team->weight, now);
+    const team_config* team =
+        published_state_.config
+            ? published_state_.config->find_team(record.team)
+            : nullptr;
+    added.exceeds_share =
+        team && !share_limiter_.take(record.team, team->weight, now);
     unfinished_.insert(id);
     return submit_outcome::added;
 }
 
-void coordinator::note_load(const job_record& record, boot_time now)
+void coordinator::record_arrival(const job_record& record, boot_time now)
 {
     const queue_config* queue = find_queue(record.queue);
-    // Scheduled occurrences come later, and long-running tasks stay.
+    // Scheduled occurrences start later, and long-running tasks do not end, so
+    // that neither belongs to an arrival rate.
     if (!queue || record.spec.repeat_count > 0)
         return;
     double work = 0;
     for (const step_spec& it : record.spec.steps)
         if (!it.is_long_running)
             work += static_cast<double>(it.task_count) * get_work(it);
-    load_.add(queue->pool, work, now);
+    arrival_load_.add(queue->pool, work, now);
 }
 
 std::map<pool_id, pool_demand> coordinator::measure_demand(boot_time now) const
@@ -113,7 +115,8 @@
         {
             const job* owner = find_job(run.job);
             if (owner && owner->get_step(run.key).is_long_running)
-                demand.lasting += owner->get_step(run.key).get_counted_need();
+                demand.long_running_need +=
+                    owner->get_step(run.key).get_counted_need();
         }
     }
     for (const job_id& id : unfinished_)
@@ -123,61 +126,61 @@
         if (queue && !entry.is_over_limit)
             add_waiting(entry, out[queue->pool], now);
     }
-    if (publication_.config)
-        for (const auto& [pool, it] : publication_.config->pools)
-            out[pool].offered_cores = load_.get_rate(pool, now);
+    if (published_state_.config)
+        for (const auto& [pool, it] : published_state_.config->pools)
+            out[pool].offered_cores = arrival_load_.get_rate(pool, now);
     return out;
 }
 
 void coordinator::add_waiting(
-    const job_entry& entry, pool_demand& out, boot_time now)
+    const job_entry& entry, pool_demand& demand, boot_time now)
 {
     if (entry.is_overdue)
     {
         for (const task_key& key : entry.waiting)
-            out.overdue_work += get_work(entry.value.get_step(key));
+            demand.overdue_core_ms += get_work(entry.value.get_step(key));
         return;
     }
     if (entry.waiting_since)
-        out.longest_wait =
-            std::max(out.longest_wait, std::chrono::duration_cast<milliseconds>(
-                                           now - *entry.waiting_since));
-    /// How many tasks of a step may not share targets, by occurrence and step.
-    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> apart;
-    auto note_spread = [&](const task_key& key)
+        demand.longest_wait = std::max(
+            demand.longest_wait, std::chrono::duration_cast<milliseconds>(
+                                     now - *entry.waiting_since));
+    // Number of tasks with a limit per target, by occurrence and step.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> limited;
+    auto add_to_spread = [&](const task_key& key)
     {
         const step_spec& step = entry.value.get_step(key);
         if (step.max_per_target == 0)
             return;
-        std::uint32_t& n = apart[{key.occurrence, key.step}];
+        std::uint32_t& n = limited[{key.occurrence, key.step}];
         ++n;
-        out.spread = std::max(
-            out.spread, (n + step.max_per_target - 1) / step.max_per_target);
+        demand.spread = std::max(
+            demand.spread, (n + step.max_per_target - 1) / step.max_per_target);
     };
     for (const task_key& key : entry.waiting)
     {
         const step_spec& step = entry.value.get_step(key);
         resources need = step.get_counted_need();
-        out.waiting += need;
+        demand.waiting += need;
         if (step.is_long_running)
-            out.lasting += need;
+            demand.long_running_need += need;
         else
-            out.waiting_work += get_work(step);
-        note_spread(key);
+            demand.waiting_core_ms += get_work(step);
+        add_to_spread(key);
     }
     if (!entry.waiting.empty())
         for (const task_key& key : entry.value.list_running())
-            note_spread(key);
+            add_to_spread(key);
 }
 
-bool coordinator::is_at_work(const active_run& run) const
+bool coordinator::is_serving_users(const active_run& run) const
 {
     if (run.percent < 100 || run.must_stop)
         return false;
-    // What a silent target said last is not what is there now.
+    // The last report of a silent target is out of date.
     auto it = targets_.find(run.target);
-    return it != targets_.end() && it->second.is_known &&
-           it->second.is_listed && it->second.failures == 0;
+    return it != targets_.end() && it->second.has_reported &&
+           it->second.is_listed && it->second.consecutive_failures == 0;
 }
 
 bool coordinator::may_interrupt(const task_name& task) const
@@ -188,18 +191,18 @@
     const step_spec& step = owner->get_step(task.key);
     if (!step.is_long_running)
         return false;
-    std::uint32_t away = 0;
+    std::uint32_t unavailable = 0;
     for (std::uint32_t i = 0; i < step.task_count; ++i)
     {
         if (i == task.key.index)
             continue;
         auto it =
             runs_.find({task.job, {task.key.occurrence, task.key.step, i}});
-        if (it == runs_.end() || !is_at_work(it->second))
-            ++away;
+        if (it == runs_.end() || !is_serving_users(it->second))
+            ++unavailable;
     }
-    // A step without a budget still keeps all but one of its tasks at work.
-    return away < std::max(1U, step.max_unavailable);
+    // Without a budget, one task of a step may be unavailable at a time.
+    return unavailable < std::max(1U, step.max_unavailable);
 }
 
 job_urgency coordinator::get_urgency(
@@ -209,19 +212,21 @@
     const queue_config* queue = find_queue(it.get_queue());
     job_urgency out;
     out.priority = queue ? queue->priority : 0;
-    out.order = entry.order;
+    out.acceptance_number = entry.acceptance_number;
     out.is_new = it.get_phase() == job_phase::queued;
-    out.is_beyond_share = entry.is_beyond_share;
+    out.exceeds_share = entry.exceeds_share;
     if (queue)
         out.deadline =
             entry.accepted_at + get_time_allowed(it.get_spec(), *queue);
-    // Schedules and long-running tasks have no time to keep in this sense.
-    bool is_timed =
-        it.get_spec().repeat_count == 0 && entry.remaining > milliseconds(0);
-    double factor = estimates_.get_factor(it.get_queue()).value_or(0);
-    milliseconds left(static_cast<std::int64_t>(
-        static_cast<double>(entry.remaining.count()) * factor));
-    out.is_late = is_timed && now + left > out.deadline;
+    // Jobs with a schedule and jobs of long-running tasks alone have no
+    // deadline.
+    bool is_timed = it.get_spec().repeat_count == 0 &&
+                    entry.remaining_chain > milliseconds(0);
+    double factor =
+        estimate_calibrator_.get_correction_factor(it.get_queue()).value_or(0);
+    milliseconds time_left(static_cast<std::int64_t>(
+        static_cast<double>(entry.remaining_chain.count()) * factor));
+    out.is_late = is_timed && now + time_left > out.deadline;
     milliseconds allowed = std::chrono::duration_cast<milliseconds>(
         out.deadline - entry.accepted_at);
     out.is_overdue =
@@ -235,7 +240,7 @@
     if (!entry)
         return false;
     if (entry->value.cancel())
-        note_change(*entry, now);
+        record_change(*entry, now);
     return true;
 }
 
@@ -250,28 +255,29 @@
         }));
 }
 
-void coordinator::note_change(job_entry& entry, boot_time now)
+void coordinator::record_change(job_entry& entry, boot_time now)
 {
     entry.needs_scan = true;
-    changed_.insert(entry.value.get_id());
+    changed_jobs_.insert(entry.value.get_id());
     if (!entry.value.is_ended() || entry.ended_at)
         return;
     entry.waiting.clear();
     unfinished_.erase(entry.value.get_id());
-    note_ended(entry, now);
+    record_job_end(entry, now);
 }
 
-void coordinator::note_ended(job_entry& entry, boot_time now)
+void coordinator::record_job_end(job_entry& entry, boot_time now)
 {
     entry.ended_at = now;
-    ended_.emplace(now + options_.keep_ended, entry.value.get_id());
+    ended_jobs_by_expiry_.emplace(
+        now + options_.ended_job_retention, entry.value.get_id());
     stop_runs_of(entry.value);
 }
 
-void coordinator::stop_runs_of(const job& it)
+void coordinator::stop_runs_of(const job& owner)
 {
-    for (const task_key& key : it.list_running())
-        if (auto run = runs_.find({it.get_id(), key}); run != runs_.end())
+    for (const task_key& key : owner.list_running())
+        if (auto run = runs_.find({owner.get_id(), key}); run != runs_.end())
             request_stop(run->first, run->second);
 }
 
@@ -281,9 +287,9 @@
     stopping_.insert(task);
 }
 
-void coordinator::set_publication(const published_state& state)
+void coordinator::set_published_state(const published_state& state)
 {
-    publication_ = state;
+    published_state_ = state;
     if (state.config)
         for (const auto& [id, it] : state.config->queues)
             queues_[id] = it;
@@ -303,7 +309,7 @@
     return it ? it->max_attempts : 1;
 }
 
-void coordinator::note_target_change(const target_change& change, boot_time)
+void coordinator::handle_target_change(const target_change& change, boot_time)
 {
     if (!change.report)
     {
@@ -315,7 +321,7 @@
     entry.report = *change.report;
     entry.is_listed = true;
     entry.is_evacuated =
-        publication_.evacuated.contains(entry.report.data_centre);
+        published_state_.evacuated.contains(entry.report.data_centre);
 }
 
 void coordinator::set_cordon(const target_id& target, bool is_cordoned)
@@ -332,14 +338,14 @@
     run.target = target;
     run.number = number;
     run.need = step.get_counted_need();
-    run.charged = step.need;
+    run.team_charge = step.need;
     run.team = owner.get_team();
     run.assigned_at = now;
     target_entry& entry = targets_[target];
     entry.report.target = target;
     entry.used += run.need;
     entry.runs.insert(task);
-    team_used_[run.team] += run.charged;
+    team_usage_[run.team] += run.team_charge;
     runs_.insert_or_assign(task, std::move(run));
 }
 
@@ -351,7 +357,7 @@
     target_entry& entry = targets_[it->second.target];
     entry.used -= it->second.need;
     entry.runs.erase(task);
-    team_used_[it->second.team] -= it->second.charged;
+    team_usage_[it->second.team] -= it->second.team_charge;
     if (it->second.must_stop)
         stopping_.erase(task);
     runs_.erase(it);
@@ -371,7 +377,7 @@
         return;
     const step_spec& step = entry->value.get_step(task.key);
     if (end == run_end::done && saved.empty())
-        estimates_.add(entry->value.get_queue(), step.estimate,
+        estimate_calibrator_.add(entry->value.get_queue(), step.estimate,
             std::chrono::duration_cast<milliseconds>(now - assigned_at));
     if (step.is_gang && end == run_end::done)
         for (std::uint32_t i = 0; i < step.task_count; ++i)
@@ -383,7 +389,7 @@
         }
     if (entry->value.note_end(task.key, number, end, saved,
             get_max_attempts(entry->value.get_queue())))
-        note_change(*entry, now);
+        record_change(*entry, now);
 }
 
 } // namespace cowslippass
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -16,40 +16,43 @@
 namespace cowslippass
 {
 
-/// Bounds and times of the coordinator's decisions.
+/// Time limits of the coordinator's decisions.
 struct coordinator_options
 {
-    /// How long a target that failed a call gets no work.
-    milliseconds set_aside{1'000};
+    /// How long a target gets no work after a request to it failed.
+    milliseconds target_back_off{1'000};
     /// How long callers can ask for an ended job.
-    milliseconds keep_ended{150'000};
-    /// Over which arrivals are averaged: long enough for single jobs not to
+    milliseconds ended_job_retention{150'000};
+    /// Averaging time of the arrival rate: long enough that single jobs do not
     /// look like a burst, short against a burst of some seconds.
-    milliseconds load_memory{1'000};
+    milliseconds load_averaging_time{1'000};
 };
 
-/// A run that a target may execute.
+/// A run that a target may be executing.
 struct active_run
 {
     target_id target;
     run_number number;
-    resources need;    ///< Counted against the target's capacity.
-    resources charged; ///< Counted against the team's limit.
+    resources need;        ///< Counts against the target's capacity.
+    resources team_charge; ///< Counts against the team's limit.
     team_id team;
     boot_time assigned_at{};
-    /// Since when the target is known to have it, or to have dropped it.
-    std::optional<boot_time> settled_at;
-    bool is_sent = false;
-    /// An order without an answer may still reach the target.
+    /// Since when it is certain that the start has reached the target or
+    /// cannot take effect any more: a later status without the run means that
+    /// the run is gone.
+    std::optional<boot_time> confirmed_at;
+    bool is_sent = false; ///< A start request has been sent.
+    /// A start request without an answer may still reach the target.
     bool may_arrive_late = false;
     bool must_stop = false;
     int percent = 0; ///< As last reported.
-    double figure = 0;
+    /// As last reported, see running_report::measured_value.
+    double measured_value = 0;
 };
 
 using run_table = std::unordered_map<task_name, active_run, task_name_hash>;
 
-/// A start to send once the ledger holds it.
+/// A run to start at a target, once the ledger has stored it.
 struct start_decision
 {
     task_name task;
@@ -57,6 +60,7 @@
     target_id target;
 };
 
+/// A run to stop at a target.
 struct stop_decision
 {
     task_name task;
@@ -64,29 +68,40 @@
     target_id target;
 };
 
-/// What the queues of a pool ask of it now.
+/// What the jobs in a pool's queues use and need of the pool now.
 struct pool_demand
 {
-    resources used;           ///< By runs on targets that may get work.
-    resources waiting;        ///< Of tasks that could start if there were room.
-    resources lasting;        ///< By long-running tasks, also waiting ones.
-    double waiting_work = 0;  ///< Of waiting tasks, in core-milliseconds.
-    double overdue_work = 0;  ///< Of those of overdue jobs, not in the others.
-    double offered_cores = 0; ///< That keep up with what comes in.
-    milliseconds longest_wait{0}; ///< Of a job's tasks, for room.
-    /// Targets that the tasks of one step need, if they may not share one.
+    /// Used by all runs at targets that are not evacuated.
+    resources used;
+    /// Needed by tasks that could start if there were capacity.
+    resources waiting;
+    /// Needed by long-running tasks, running or waiting.
+    resources long_running_need;
+    /// Work of waiting tasks in core-milliseconds, without long-running tasks
+    /// and overdue jobs.
+    double waiting_core_ms = 0;
+    /// Work of waiting tasks of overdue jobs in core-milliseconds; not included
+    /// in the other members.
+    double overdue_core_ms = 0;
+    /// Arrival rate: number of cores that keep up with the arriving work.
+    double offered_cores = 0;
+    /// Longest time for which a job's tasks have waited for capacity.
+    milliseconds longest_wait{0};
+    /// Minimum number of targets for the tasks of one step, where the step
+    /// limits its tasks per target; the maximum over all steps.
     std::uint32_t spread = 0;
 };
 
 enum class submit_outcome
 {
     added,
-    known ///< Submitted before; it stays one job.
+    already_known ///< A repeated submission, which adds no second job.
 };
 
-/// Decides for all jobs and targets: what starts where, what stops, what has
-/// ended. Has no effects outside; the caller writes the rows of changed jobs,
-/// sends the orders and passes the answers back in.
+/// Schedules all jobs on all targets: decides which task starts where and which
+/// run stops, and tracks which runs have ended. It has no side effects: the
+/// caller stores the rows of changed jobs, sends the requests to the targets
+/// and passes their answers back in.
 class coordinator
 {
 public:
@@ -94,200 +109,232 @@
 
     // Jobs.
 
-    /// Restores a settled job, without its steps.
-    void load_settled_job(job value, boot_time now);
+    /// Restores a job that has ended and of which nothing runs any more. Such
+    /// a job has no steps.
+    void load_settled_job(job settled_job, boot_time now);
 
     /// Restores a job at a takeover. Its runs count as running until their
-    /// targets say otherwise.
-    /// @param wall_time to tell how long ago the job was accepted.
+    /// targets report otherwise.
+    /// @param wall_time determines how long ago the job was accepted.
     void load_job(const job_id& id, job_record record,
         const std::string& progress, boot_time now, platform_time wall_time);
 
     submit_outcome submit(const job_id& id, job_record record, boot_time now);
 
-    /// @return whether the job is known; it is stopped with the next orders.
+    /// Cancels a job; list_stops() then contains its runs.
+    /// @return whether the job is known.
     bool cancel(const job_id& id, boot_time now);
 
-    /// @return nothing for an unknown job.
+    /// @return null for an unknown job.
     const job* find_job(const job_id& id) const;
 
-    /// @return jobs of the queue of which no task has started.
+    /// @return number of jobs of the queue of which no task has started.
     std::uint64_t count_queued(const queue_id& queue) const;
 
     std::size_t count_jobs() const { return jobs_.size(); }
 
     // Configuration and targets.
 
-    void set_publication(const published_state& state);
-    const published_state& get_publication() const { return publication_; }
-    void note_target_change(const target_change& change, boot_time now);
+    void set_published_state(const published_state& state);
+    const published_state& get_published_state() const
+    {
+        return published_state_;
+    }
+    void handle_target_change(const target_change& change, boot_time now);
 
-    /// Marks an instance's target as about to leave its pool, or not.
+    /// @param is_cordoned whether the target gets no new work, because its
+    ///   instance is about to leave its pool.
     void set_cordon(const target_id& target, bool is_cordoned);
 
     const target_table& get_targets() const { return targets_; }
     const run_table& get_runs() const { return runs_; }
 
-    /// @return of every pool with a queue, a target or a configuration.
+    /// @return the demand of each pool that has an unfinished job, a target or
+    ///   a configuration.
     std::map<pool_id, pool_demand> measure_demand(boot_time now) const;
 
-    /// @return whether the system may end this run for its own purposes now:
-    ///   so many others of a long-running step may be away as it allows.
+    /// @return whether the system may end the task's run now for its own
+    ///   purposes, such as maintenance: if the step is long-running and fewer
+    ///   of its other tasks are unavailable than its budget allows, or if the
+    ///   job is unknown.
     bool may_interrupt(const task_name& task) const;
 
     // Decisions.
 
     /// Assigns waiting tasks to targets.
-    /// @param wall_time for schedules.
-    /// @param most starts; jobs after the one that reaches it wait.
+    /// @param wall_time determines which scheduled occurrences are due.
+    /// @param max_starts once a job reaches this number of starts, all jobs
+    ///   after it wait for the next call.
     std::vector<start_decision> plan(boot_time now, platform_time wall_time,
-        std::size_t most = std::numeric_limits<std::size_t>::max());
+        std::size_t max_starts = std::numeric_limits<std::size_t>::max());
 
-    /// Runs that are to be stopped and have not confirmed it.
+    /// @return runs that must stop, whose end no target has reported yet and
+    ///   that may have been sent to a target.
     std::vector<stop_decision> list_stops() const;
 
-    /// Asks for a run to be stopped; its task starts again elsewhere.
+    /// Marks the task's run to be stopped; the task starts again elsewhere.
     void stop_run(const task_name& task);
 
-    /// @return the order for a start, unless it is not to be sent any more.
-    std::optional<start_order> make_start_order(const start_decision& it);
+    /// @return the request for a start, and nothing if the run must no longer
+    ///   start.
+    std::optional<run_start_request> make_start_request(
+        const start_decision& decision);
 
-    /// The start is not sent any more. One that was sent before may still
-    /// arrive, so that the run has to be stopped.
-    void abandon_start(const start_decision& it, boot_time now);
+    /// The caller will not send the start again. If it was sent before, it may
+    /// still arrive, so that the run has to be stopped.
+    void abandon_start(const start_decision& decision, boot_time now);
 
-    // Answers.
+    // Answers of targets.
 
-    void note_start_reply(
-        const start_decision& it, order_outcome outcome, boot_time now);
-    void note_stop_reply(
-        const stop_decision& it, order_outcome outcome, boot_time now);
+    void handle_start_reply(
+        const start_decision& decision, request_outcome outcome, boot_time now);
+    void handle_stop_reply(
+        const stop_decision& decision, request_outcome outcome, boot_time now);
 
-    /// @param sent_at when the look was sent: what was settled later is not
-    ///   judged by it.
-    void note_look(const target_id& target, const target_look& look,
+    /// @param sent_at when the poll was sent: the status says nothing about
+    ///   runs that were confirmed later.
+    void handle_status(const target_id& target, const target_status& status,
         boot_time sent_at, boot_time now);
-    void note_look_failure(const target_id& target, boot_time now);
+    void handle_poll_failure(const target_id& target, boot_time now);
 
-    /// @return whether the leases at the target are to be extended. Those of
-    ///   a silent target are left to run out, so that its tasks can start
-    ///   elsewhere at a known time.
-    bool wants_lease(const target_id& target) const;
+    /// @return whether the next poll renews the leases at the target. Leases
+    ///   at a silent target are left to end_runs_without_lease, so that its
+    ///   tasks can start elsewhere at a known time.
+    bool should_renew_leases(const target_id& target) const;
 
-    /// A lease was granted at the target; nothing of it is left after `end`.
-    void note_lease(const target_id& target, boot_time end);
+    /// Records that a lease was granted at the target.
+    /// @param end when the lease has certainly expired.
+    void record_lease(const target_id& target, boot_time end);
 
-    /// This life of the target had ended when the platform was asked, so that
-    /// nothing that was confirmed before is left of it.
-    void note_life_over(
+    /// The platform says that the target's incarnation has ended, so that no
+    /// run that was confirmed before is left of it.
+    /// @param asked_at when the platform was asked.
+    void handle_incarnation_end(
         const target_id& target, boot_time asked_at, boot_time now);
 
-    /// Gives up the runs of targets that are silent and whose leases have all
-    /// run out, and forgets targets that are gone.
-    void expire(boot_time now);
+    /// Ends the runs at silent targets whose leases have all expired, and
+    /// removes targets that are no longer listed and have no runs.
+    void end_runs_without_lease(boot_time now);
 
-    // Rows to write.
+    // Rows to store.
 
     /// @return jobs whose progress changed since the last call.
-    std::vector<job_id> take_changed();
+    std::vector<job_id> take_changed_jobs();
 
-    /// @return ended jobs that callers can no longer ask for, now removed.
-    std::vector<job_id> take_forgotten(boot_time now);
+    /// Removes ended jobs whose retention time has passed.
+    /// @return the removed jobs.
+    std::vector<job_id> take_expired_jobs(boot_time now);
 
 private:
     struct job_entry
     {
         job value;
         boot_time accepted_at{};
-        std::uint64_t order = 0; ///< Of acceptance.
+        std::uint64_t acceptance_number = 0; ///< Order of acceptance.
         std::vector<task_key> waiting = {};
-        /// At the last look some tasks waited for their team's limit only.
+        /// In the last planning round, the team's limit held back some tasks.
         bool is_over_limit = false;
-        bool needs_scan = true;
+        bool needs_scan = true; ///< `waiting` has to be computed again.
         std::optional<boot_time> ended_at = {};
-        /// Since when tasks have waited for room.
+        /// Since when tasks have waited for capacity.
         std::optional<boot_time> waiting_since = {};
-        milliseconds remaining{0}; ///< Chain of work, as estimated.
-        bool is_beyond_share = false;
-        bool is_overdue = false; ///< At the last look.
+        milliseconds remaining_chain{0}; ///< Estimated critical path.
+        bool exceeds_share = false;      ///< Beyond its team's share.
+        bool is_overdue = false;         ///< In the last planning round.
     };
 
-    /// Adds what a job waits for.
+    /// Adds the waiting tasks of a job to the demand of its pool.
     static void add_waiting(
-        const job_entry& entry, pool_demand& out, boot_time now);
-    /// @return whether a long-running task serves its users.
-    bool is_at_work(const active_run& run) const;
+        const job_entry& entry, pool_demand& demand, boot_time now);
+    /// @return whether the run of a long-running task serves its users.
+    bool is_serving_users(const active_run& run) const;
     job_entry* find_entry(const job_id& id);
     job_urgency get_urgency(const job_entry& entry, boot_time now) const;
-    void note_load(const job_record& record, boot_time now);
-    void note_change(job_entry& entry, boot_time now);
-    void stop_runs_of(const job& it);
+    /// Adds a new job to the arrival rate of its pool.
+    void record_arrival(const job_record& record, boot_time now);
+    /// Marks a job's row to be stored, and handles the end of the job.
+    void record_change(job_entry& entry, boot_time now);
+    void stop_runs_of(const job& owner);
     void add_run(const task_name& task, const job& owner,
         const target_id& target, run_number number, boot_time now);
     void request_stop(const task_name& task, active_run& run);
-    void note_ended(job_entry& entry, boot_time now);
-    /// Frees what a run took.
+    /// Stops the runs of an ended job and starts its retention time.
+    void record_job_end(job_entry& entry, boot_time now);
+    /// Removes a run and frees the capacity and team limit that it used.
     void remove_run(const task_name& task);
-    /// Takes note of the end of an active run.
+    /// Removes an active run and records its end in its job.
     void end_run(const task_name& task, run_end end, const std::string& saved,
         boot_time now);
-    void note_running(
-        target_entry& target, const running_report& it, boot_time now);
-    void note_end(target_entry& target, const end_report& it, boot_time now);
-    void drop_missing_runs(target_entry& target, const target_look& look,
+    void handle_running_report(
+        target_entry& target, const running_report& report, boot_time now);
+    void handle_end_report(
+        target_entry& target, const end_report& report, boot_time now);
+    /// Ends confirmed runs that the target's status does not list.
+    void end_missing_runs(target_entry& target, const target_status& status,
         boot_time sent_at, boot_time now);
 
+    /// @return jobs with waiting tasks, the most urgent first.
     std::vector<job_entry*> list_waiting_jobs(
         boot_time now, platform_time wall_time);
-    /// What one round of decisions finds out about room. Without it, each of
-    /// the tasks that wait in a burst would look at every target again.
-    struct room_index
+
+    /// Free capacity by pool, as one planning round finds it. Without this
+    /// index, each waiting task of a burst would scan every target again.
+    struct capacity_index
     {
         std::map<pool_id, std::vector<target_entry*>> eligible;
-        /// Needs that found no room; larger ones find none either.
+        /// Needs that fit no target; larger ones fit none either.
         std::map<pool_id, std::vector<resources>> too_large;
+        /// In thousandths of a core.
         struct processors
         {
             std::int64_t used = 0;
             std::int64_t total = 0;
         };
-        std::map<pool_id, processors> fill;
+        /// Over all listed targets, eligible or not.
+        std::map<pool_id, processors> usage;
 
-        /// @return whether jobs that are overdue have to wait.
-        bool is_filled(const pool_id& pool) const;
+        /// @return whether overdue jobs have to wait.
+        bool is_above_overdue_limit(const pool_id& pool) const;
         bool is_known_too_large(
             const pool_id& pool, const resources& need) const;
     };
 
-    room_index index_room(boot_time now);
-    void plan_job(job_entry& entry, room_index& room, boot_time now,
-        std::vector<start_decision>& out);
-    bool place_gang(job_entry& entry, std::size_t& at, room_index& room,
+    capacity_index build_capacity_index(boot_time now);
+    /// Assigns the waiting tasks of one job as far as there is capacity.
+    void plan_job(job_entry& entry, capacity_index& capacity, boot_time now,
+        std::vector<start_decision>& starts);
+    /// Assigns all members of a gang or none.
+    /// @param at index of the first member in the job's waiting tasks; set to
+    ///   the index of the last one.
+    /// @return whether the gang was assigned.
+    bool place_gang(job_entry& entry, std::size_t& at, capacity_index& capacity,
         const queue_config& queue, boot_time now,
-        std::vector<start_decision>& out);
+        std::vector<start_decision>& starts);
+    /// @return null if the task fits no eligible target.
     target_entry* choose_target(const job& owner, const task_key& key,
-        const pool_id& pool, room_index& room);
-    bool fits_limit(const team_id& team, const resources& need) const;
+        const pool_id& pool, capacity_index& capacity);
+    bool fits_team_limit(const team_id& team, const resources& need) const;
     const queue_config* find_queue(const queue_id& queue) const;
     std::uint32_t get_max_attempts(const queue_id& queue) const;
 
     coordinator_options options_;
-    published_state publication_;
-    /// Also queues that were removed: their jobs go on.
+    published_state published_state_;
+    /// Includes queues that were removed from the configuration, because their
+    /// jobs continue.
     std::map<queue_id, queue_config> queues_;
     std::map<job_id, job_entry> jobs_;
     std::set<job_id> unfinished_;
     run_table runs_;
     std::set<task_name> stopping_; ///< Runs that must stop.
-    std::map<team_id, resources> team_used_;
+    std::map<team_id, resources> team_usage_;
     target_table targets_;
-    std::set<job_id> changed_;
-    /// Ended jobs by the time when callers can no longer ask for them.
-    std::multimap<boot_time, job_id> ended_;
-    load_meter load_;
-    share_meter shares_;
-    estimate_meter estimates_;
-    std::uint64_t last_order_ = 0;
+    std::set<job_id> changed_jobs_;
+    /// Ended jobs, by the end of their retention time.
+    std::multimap<boot_time, job_id> ended_jobs_by_expiry_;
+    load_meter arrival_load_;
+    team_share_limiter share_limiter_;
+    estimate_calibrator estimate_calibrator_;
+    std::uint64_t last_acceptance_number_ = 0;
 };
 
 } // namespace cowslippass
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -9,9 +9,10 @@
 namespace
 {
 
-/// Overdue jobs start only below this share of a pool's processors: others
-/// find room at once, and instances that other pools need become idle.
-constexpr double overdue_fill = 0.6;
+/// Overdue jobs start only while the processor utilisation of their pool is
+/// below this value: other jobs then find capacity at once, and instances that
+/// other pools need become idle.
+constexpr double overdue_utilisation_limit = 0.6;
 
 } // namespace
 
@@ -25,7 +26,7 @@
         if (it.needs_scan || it.value.get_spec().repeat_count > 0)
         {
             it.waiting = it.value.list_waiting(wall_time);
-            it.remaining = estimate_remaining_chain(it.value);
+            it.remaining_chain = estimate_remaining_chain(it.value);
         }
         it.needs_scan = false;
         if (it.waiting.empty())
@@ -43,31 +44,32 @@
 }
 
 std::vector<start_decision> coordinator::plan(
-    boot_time now, platform_time wall_time, std::size_t most)
+    boot_time now, platform_time wall_time, std::size_t max_starts)
 {
     std::vector<start_decision> out;
     std::vector<job_entry*> waiting = list_waiting_jobs(now, wall_time);
     if (waiting.empty())
         return out;
-    room_index room = index_room(now);
+    capacity_index capacity = build_capacity_index(now);
     for (job_entry* it : waiting)
     {
-        if (out.size() >= most)
+        if (out.size() >= max_starts)
             break;
-        plan_job(*it, room, now, out);
+        plan_job(*it, capacity, now, out);
     }
     return out;
 }
 
-bool coordinator::fits_limit(const team_id& team, const resources& need) const
+bool coordinator::fits_team_limit(
+    const team_id& team, const resources& need) const
 {
-    if (!publication_.config)
+    if (!published_state_.config)
         return false;
-    const team_config* config = publication_.config->find_team(team);
+    const team_config* config = published_state_.config->find_team(team);
     if (!config)
         return true;
-    auto it = team_used_.find(team);
-    resources used = it == team_used_.end() ? resources{} : it->second;
+    auto it = team_usage_.find(team);
+    resources used = it == team_usage_.end() ? resources{} : it->second;
     auto is_within = [](std::int64_t limit, std::int64_t total)
     { return limit == 0 || total <= limit; };
     return is_within(
@@ -77,7 +79,7 @@
                used.accelerators + need.accelerators);
 }
 
-bool coordinator::room_index::is_known_too_large(
+bool coordinator::capacity_index::is_known_too_large(
     const pool_id& pool, const resources& need) const
 {
     auto it = too_large.find(pool);
@@ -86,36 +88,37 @@
                [&](const resources& failed) { return need.holds(failed); });
 }
 
-bool coordinator::room_index::is_filled(const pool_id& pool) const
+bool coordinator::capacity_index::is_above_overdue_limit(
+    const pool_id& pool) const
 {
-    auto it = fill.find(pool);
-    return it == fill.end() ||
-           static_cast<double>(it->second.used) >=
-               static_cast<double>(it->second.total) * overdue_fill;
+    auto it = usage.find(pool);
+    return it == usage.end() || static_cast<double>(it->second.used) >=
+                                    static_cast<double>(it->second.total) *
+                                        overdue_utilisation_limit;
 }
 
-coordinator::room_index coordinator::index_room(boot_time now)
+coordinator::capacity_index coordinator::build_capacity_index(boot_time now)
 {
-    room_index out;
+    capacity_index out;
     for (auto& [id, it] : targets_)
     {
         if (it.is_eligible(now))
             out.eligible[it.report.pool].push_back(&it);
         if (!it.is_listed)
             continue;
-        room_index::processors& fill = out.fill[it.report.pool];
-        fill.used += it.used.processor;
-        fill.total += it.report.capacity.processor;
+        capacity_index::processors& usage = out.usage[it.report.pool];
+        usage.used += it.used.processor;
+        usage.total += it.report.capacity.processor;
     }
     return out;
 }
 
 target_entry* coordinator::choose_target(const job& owner, const task_key& key,
-    const pool_id& pool, room_index& room)
+    const pool_id& pool, capacity_index& capacity)
 {
     const step_spec& step = owner.get_step(key);
     resources need = step.get_counted_need();
-    if (room.is_known_too_large(pool, need))
+    if (capacity.is_known_too_large(pool, need))
         return nullptr;
     auto count_here = [&](const target_entry& it)
     {
@@ -129,13 +132,13 @@
     target_entry* best = nullptr;
     auto rank = [&](const target_entry& it)
     {
-        bool is_near =
+        bool is_near_data =
             step.data_rack.get().empty() || it.has_label(step.data_rack.get());
-        // The fullest target that has room keeps others free for large tasks
-        // and for leaving the pool.
-        return std::pair(!is_near, it.get_free().processor);
+        // Filling the fullest target that has capacity keeps other targets
+        // free for large tasks and for leaving the pool.
+        return std::pair(!is_near_data, it.get_free().processor);
     };
-    for (target_entry* it : room.eligible[pool])
+    for (target_entry* it : capacity.eligible[pool])
     {
         if (!it->get_free().holds(need))
             continue;
@@ -146,28 +149,30 @@
         if (!best || rank(*it) < rank(*best))
             best = it;
     }
-    bool is_any_target_good =
+    bool is_unconstrained =
         step.required_label.empty() && step.max_per_target == 0;
-    if (!best && is_any_target_good)
-        room.too_large[pool].push_back(need);
+    if (!best && is_unconstrained)
+        capacity.too_large[pool].push_back(need);
     return best;
 }
 
-void coordinator::plan_job(job_entry& entry, room_index& room, boot_time now,
-    std::vector<start_decision>& out)
+void coordinator::plan_job(job_entry& entry, capacity_index& capacity,
+    boot_time now, std::vector<start_decision>& starts)
 {
     job& owner = entry.value;
     const queue_config* queue = find_queue(owner.get_queue());
     if (!queue)
         return;
     std::vector<task_key> left;
-    std::optional<task_key> without_room; ///< All of its step are alike.
+    // The tasks of a step have the same needs: when one fits no target, the
+    // others of its step fit none either.
+    std::optional<task_key> without_capacity;
     entry.is_over_limit = false;
     for (std::size_t i = 0; i < entry.waiting.size(); ++i)
     {
         task_key key = entry.waiting[i];
         const step_spec& step = owner.get_step(key);
-        if (entry.is_overdue && room.is_filled(queue->pool))
+        if (entry.is_overdue && capacity.is_above_overdue_limit(queue->pool))
         {
             left.insert(
                 left.end(), entry.waiting.begin() + i, entry.waiting.end());
@@ -176,25 +181,25 @@
         if (step.is_gang)
         {
             std::size_t first = i;
-            if (!place_gang(entry, i, room, *queue, now, out))
+            if (!place_gang(entry, i, capacity, *queue, now, starts))
                 left.insert(left.end(), entry.waiting.begin() + first,
                     entry.waiting.begin() + i + 1);
             continue;
         }
-        if (without_room && without_room->step == key.step &&
-            without_room->occurrence == key.occurrence)
+        if (without_capacity && without_capacity->step == key.step &&
+            without_capacity->occurrence == key.occurrence)
         {
             left.push_back(key);
             continue;
         }
         target_entry* target = nullptr;
-        if (fits_limit(owner.get_team(), step.need))
-            target = choose_target(owner, key, queue->pool, room);
+        if (fits_team_limit(owner.get_team(), step.need))
+            target = choose_target(owner, key, queue->pool, capacity);
         else
             entry.is_over_limit = true;
         if (!target)
         {
-            without_room = key;
+            without_capacity = key;
             left.push_back(key);
             continue;
         }
@@ -202,9 +207,9 @@
         target_id id = target->report.target;
         run_number number = owner.assign(key, id);
         add_run(name, owner, id, number, now);
-        changed_.insert(owner.get_id());
-        out.push_back({name, number, id});
-        room.fill[queue->pool].used += step.get_counted_need().processor;
+        changed_jobs_.insert(owner.get_id());
+        starts.push_back({name, number, id});
+        capacity.usage[queue->pool].used += step.get_counted_need().processor;
     }
     entry.waiting = std::move(left);
     if (entry.waiting.empty() || entry.is_over_limit || entry.is_overdue)
@@ -214,8 +219,8 @@
 }
 
 bool coordinator::place_gang(job_entry& entry, std::size_t& at,
-    room_index& room, const queue_config& queue, boot_time now,
-    std::vector<start_decision>& out)
+    capacity_index& capacity, const queue_config& queue, boot_time now,
+    std::vector<start_decision>& starts)
 {
     job& owner = entry.value;
     task_key first = entry.waiting[at];
@@ -227,10 +232,11 @@
          ++i)
         members.push_back(entry.waiting[i]);
     at = i - 1;
-    // A member that still runs must end before the gang starts as a whole.
+    // All members start together, so that any member that still runs has to
+    // end first.
     if (members.size() != step.task_count)
         return false;
-    if (!fits_limit(owner.get_team(), step.need * step.task_count))
+    if (!fits_team_limit(owner.get_team(), step.need * step.task_count))
         return false;
     std::uint64_t number = 0;
     for (const task_key& it : members)
@@ -239,7 +245,7 @@
     std::vector<start_decision> placed;
     for (const task_key& it : members)
     {
-        target_entry* target = choose_target(owner, it, queue.pool, room);
+        target_entry* target = choose_target(owner, it, queue.pool, capacity);
         if (!target)
             break;
         task_name name{owner.get_id(), it};
@@ -248,10 +254,10 @@
         add_run(name, owner, id, run, now);
         placed.push_back({name, run, id});
     }
-    changed_.insert(owner.get_id());
+    changed_jobs_.insert(owner.get_id());
     if (placed.size() == members.size())
     {
-        out.insert(out.end(), placed.begin(), placed.end());
+        starts.insert(starts.end(), placed.begin(), placed.end());
         return true;
     }
     for (const start_decision& it : placed)
--- /dev/null
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -0,0 +1,290 @@
+#include "systems/scheduling/coordinator.hpp"
+
+#include <algorithm>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+/// A target reports at most this many ends at once; a status with fewer ends
+/// contains all of them.
+constexpr std::size_t max_ends_per_status = 500;
+
+} // namespace
+
+std::vector<stop_decision> coordinator::list_stops() const
+{
+    std::vector<stop_decision> out;
+    for (const task_name& it : stopping_)
+        if (const active_run& run = runs_.at(it); run.is_sent)
+            out.push_back({it, run.number, run.target});
+    return out;
+}
+
+void coordinator::stop_run(const task_name& task)
+{
+    if (auto it = runs_.find(task); it != runs_.end())
+        request_stop(task, it->second);
+}
+
+std::optional<run_start_request> coordinator::make_start_request(
+    const start_decision& decision)
+{
+    auto run = runs_.find(decision.task);
+    if (run == runs_.end() || run->second.number != decision.run ||
+        run->second.must_stop)
+        return std::nullopt;
+    const job& owner = jobs_.at(decision.task.job).value;
+    run->second.is_sent = true;
+    run_start_request request;
+    request.task = decision.task;
+    request.run = decision.run;
+    request.payload = owner.get_spec().payload;
+    request.saved = owner.find_task(decision.task.key)->saved;
+    return request;
+}
+
+void coordinator::abandon_start(const start_decision& decision, boot_time now)
+{
+    auto run = runs_.find(decision.task);
+    if (run == runs_.end() || run->second.number != decision.run)
+        return;
+    if (run->second.is_sent)
+        request_stop(decision.task, run->second);
+    else
+        end_run(decision.task, run_end::stopped, {}, now);
+}
+
+void coordinator::handle_start_reply(
+    const start_decision& decision, request_outcome outcome, boot_time now)
+{
+    auto run = runs_.find(decision.task);
+    if (run == runs_.end() || run->second.number != decision.run)
+        return;
+    target_entry& target = targets_[decision.target];
+    auto back_off = [&]
+    { target.back_off_until = now + options_.target_back_off; };
+    switch (outcome)
+    {
+    case request_outcome::accepted:
+        if (!run->second.confirmed_at)
+            run->second.confirmed_at = now;
+        return;
+    case request_outcome::superseded:
+        // The next status reports how the run ended.
+        run->second.confirmed_at = now;
+        return;
+    case request_outcome::no_answer:
+        run->second.may_arrive_late = true;
+        back_off();
+        return;
+    case request_outcome::stale_fence:
+        return;
+    case request_outcome::not_sent:
+    case request_outcome::unavailable:
+    case request_outcome::no_capacity:
+        back_off();
+        break;
+    case request_outcome::too_late:
+    case request_outcome::no_ticket:
+    case request_outcome::invalid:
+    case request_outcome::wrong_incarnation:
+        break;
+    }
+    if (run->second.may_arrive_late)
+    {
+        // The earlier request may still start the run; only a confirmed stop
+        // prevents that.
+        request_stop(decision.task, run->second);
+        return;
+    }
+    end_run(decision.task, run_end::stopped, {}, now);
+}
+
+void coordinator::handle_stop_reply(
+    const stop_decision& decision, request_outcome outcome, boot_time now)
+{
+    auto run = runs_.find(decision.task);
+    if (run == runs_.end() || run->second.number != decision.run)
+        return;
+    if (outcome == request_outcome::accepted ||
+        outcome == request_outcome::superseded)
+    {
+        run->second.may_arrive_late = false;
+        // A repeated stop keeps the time of the first one. Otherwise each
+        // repetition would make the status that is on its way too old to tell
+        // that the run is gone.
+        if (!run->second.confirmed_at)
+            run->second.confirmed_at = now;
+    }
+}
+
+void coordinator::handle_running_report(
+    target_entry& target, const running_report& report, boot_time now)
+{
+    auto run = runs_.find(report.task);
+    if (run == runs_.end() || run->second.number != report.run ||
+        run->second.target != target.report.target)
+        return;
+    run->second.percent = report.percent;
+    run->second.measured_value = report.measured_value;
+    if (!run->second.confirmed_at)
+        run->second.confirmed_at = now;
+}
+
+void coordinator::handle_end_report(
+    target_entry& target, const end_report& report, boot_time now)
+{
+    if (report.number <= target.last_end_number)
+        return;
+    target.last_end_number = report.number;
+    auto run = runs_.find(report.task);
+    if (run == runs_.end() || run->second.number != report.run ||
+        run->second.target != target.report.target)
+        return;
+    end_run(report.task, report.end, report.saved, now);
+}
+
+void coordinator::end_missing_runs(target_entry& target,
+    const target_status& status, boot_time sent_at, boot_time now)
+{
+    if (status.ended.size() >= max_ends_per_status)
+        return;
+    auto is_listed = [&](const task_name& task, run_number number)
+    {
+        return std::ranges::any_of(status.running, [&](const running_report& it)
+            { return it.task == task && it.run == number; });
+    };
+    auto runs = target.runs;
+    for (const task_name& it : runs)
+    {
+        const active_run& run = runs_.at(it);
+        bool is_settled = run.confirmed_at && *run.confirmed_at < sent_at;
+        if (is_settled && !is_listed(it, run.number))
+            end_run(it, run_end::lapsed, {}, now);
+    }
+}
+
+void coordinator::handle_status(const target_id& id,
+    const target_status& status, boot_time sent_at, boot_time now)
+{
+    auto found = targets_.find(id);
+    if (found == targets_.end())
+        return;
+    target_entry& target = found->second;
+    target.consecutive_failures = 0;
+    if (!target.has_reported)
+    {
+        // The target has seen the new fencing token and refuses requests of
+        // former coordinators: each run that the ledger names is there, or it
+        // has ended.
+        for (const task_name& it : target.runs)
+            if (active_run& run = runs_.at(it); run.is_sent)
+                run.confirmed_at = run.confirmed_at.value_or(boot_time{});
+    }
+    // A new incarnation numbers its ends from the start. Only its lists tell
+    // whether it has a run: a start may have reached it before this poll.
+    if (target.has_reported &&
+        status.incarnation_start != target.incarnation_start)
+        target.last_end_number = 0;
+    target.has_reported = true;
+    target.incarnation_start = status.incarnation_start;
+    for (const end_report& it : status.ended)
+        handle_end_report(target, it, now);
+    for (const running_report& it : status.running)
+        handle_running_report(target, it, now);
+    end_missing_runs(target, status, sent_at, now);
+}
+
+void coordinator::handle_poll_failure(const target_id& id, boot_time now)
+{
+    auto it = targets_.find(id);
+    if (it == targets_.end())
+        return;
+    ++it->second.consecutive_failures;
+    it->second.back_off_until = now + options_.target_back_off;
+}
+
+bool coordinator::should_renew_leases(const target_id& id) const
+{
+    auto it = targets_.find(id);
+    return it != targets_.end() && it->second.has_reported &&
+           it->second.consecutive_failures == 0 && !it->second.runs.empty();
+}
+
+void coordinator::record_lease(const target_id& id, boot_time end)
+{
+    auto it = targets_.find(id);
+    if (it != targets_.end())
+        it->second.last_lease_end = std::max(it->second.last_lease_end, end);
+}
+
+void coordinator::handle_incarnation_end(
+    const target_id& id, boot_time asked_at, boot_time now)
+{
+    auto it = targets_.find(id);
+    if (it == targets_.end())
+        return;
+    target_entry& target = it->second;
+    auto runs = target.runs;
+    for (const task_name& name : runs)
+    {
+        const active_run& run = runs_.at(name);
+        bool is_recovered = run.is_sent && !target.has_reported;
+        bool is_settled = run.confirmed_at && *run.confirmed_at < asked_at;
+        if (is_settled || is_recovered)
+            end_run(name, run_end::lapsed, {}, now);
+    }
+    // The target gets no work until it answers, because it may start again
+    // under the same name.
+    target.consecutive_failures = std::max(target.consecutive_failures, 1U);
+}
+
+void coordinator::end_runs_without_lease(boot_time now)
+{
+    for (auto it = targets_.begin(); it != targets_.end();)
+    {
+        target_entry& target = it->second;
+        bool is_silent = target.consecutive_failures > 0 || !target.is_listed;
+        if (is_silent && now >= target.last_lease_end)
+        {
+            auto runs = target.runs;
+            for (const task_name& run : runs)
+                end_run(run, run_end::lapsed, {}, now);
+        }
+        if (!target.is_listed && target.runs.empty())
+            it = targets_.erase(it);
+        else
+            ++it;
+    }
+}
+
+std::vector<job_id> coordinator::take_changed_jobs()
+{
+    std::vector<job_id> out(changed_jobs_.begin(), changed_jobs_.end());
+    changed_jobs_.clear();
+    return out;
+}
+
+std::vector<job_id> coordinator::take_expired_jobs(boot_time now)
+{
+    std::vector<job_id> out;
+    auto end = ended_jobs_by_expiry_.lower_bound(now);
+    for (auto it = ended_jobs_by_expiry_.begin(); it != end;)
+    {
+        // Stopping the remaining_chain runs needs the job.
+        if (!jobs_.at(it->second).value.list_running().empty())
+        {
+            ++it;
+            continue;
+        }
+        jobs_.erase(it->second);
+        out.push_back(std::move(it->second));
+        it = ended_jobs_by_expiry_.erase(it);
+    }
+    return out;
+}
+
+} // namespace cowslippass
--- a/systems/scheduling/job_urgency.cpp
+++ b/systems/scheduling/job_urgency.cpp
@@ -9,20 +9,21 @@
 namespace
 {
 
-/// A team may send the share of so many seconds at once.
+/// Size of a team's token bucket: its share over this time, in seconds.
 constexpr double burst_seconds = 2.0;
 
-/// After so many tasks a queue's estimates are judged.
-constexpr std::uint64_t tasks_to_learn = 30;
-/// Weight of the newest task.
-constexpr double newest_weight = 0.02;
-/// Estimates that are off by more than this (in logarithms, about a third) do
-/// not tell which jobs can still be in time.
-constexpr double trusted_deviation = 0.3;
+/// Number of ended tasks before a queue's estimates are evaluated.
+constexpr std::uint64_t min_samples = 30;
+/// Minimum weight of the newest sample in the moving averages.
+constexpr double min_sample_weight = 0.02;
+/// Estimates with a greater mean deviation (of the logarithm of the ratio;
+/// about a third) do not tell which jobs can still end in time.
+constexpr double max_trusted_deviation = 0.3;
 
-/// @param is_left tells of each step whether it counts.
+/// @param is_remaining tells for each step whether its estimate counts.
+/// @return the estimated time on the critical path through the steps.
 template <class Predicate>
-milliseconds estimate_chain(const job_spec& spec, const Predicate& is_left)
+milliseconds estimate_chain(const job_spec& spec, const Predicate& is_remaining)
 {
     std::vector<milliseconds> ends;
     ends.reserve(spec.steps.size());
@@ -33,7 +34,7 @@
         milliseconds start{0};
         for (std::uint32_t before : step.after)
             start = std::max(start, ends[before]);
-        if (!step.is_long_running && is_left(i))
+        if (!step.is_long_running && is_remaining(i))
             start += step.estimate;
         ends.push_back(start);
         out = std::max(out, start);
@@ -63,7 +64,7 @@
            queue.target_duration;
 }
 
-void estimate_meter::add(
+void estimate_calibrator::add(
     const queue_id& queue, milliseconds estimate, milliseconds took)
 {
     if (estimate <= milliseconds(0) || took <= milliseconds(0))
@@ -73,31 +74,32 @@
     entry& it = entries_[queue];
     ++it.count;
     double weight =
-        std::max(newest_weight, 1.0 / static_cast<double>(it.count));
+        std::max(min_sample_weight, 1.0 / static_cast<double>(it.count));
     it.mean += (ratio - it.mean) * weight;
     it.deviation += (std::abs(ratio - it.mean) - it.deviation) * weight;
 }
 
-std::optional<double> estimate_meter::get_factor(const queue_id& queue) const
+std::optional<double> estimate_calibrator::get_correction_factor(
+    const queue_id& queue) const
 {
     auto it = entries_.find(queue);
-    if (it == entries_.end() || it->second.count < tasks_to_learn ||
-        it->second.deviation > trusted_deviation)
+    if (it == entries_.end() || it->second.count < min_samples ||
+        it->second.deviation > max_trusted_deviation)
         return std::nullopt;
     return std::exp(it->second.mean + it->second.deviation);
 }
 
-bool share_meter::take(const team_id& team, double weight, boot_time now)
+bool team_share_limiter::take(const team_id& team, double weight, boot_time now)
 {
     double most = weight * burst_seconds;
     auto [it, is_new] = buckets_.try_emplace(team, bucket{most, now});
-    bucket& mine = it->second;
-    std::chrono::duration<double> passed = now - mine.at;
-    mine.tokens = std::min(most, mine.tokens + passed.count() * weight);
-    mine.at = now;
-    if (mine.tokens < 1)
+    bucket& own = it->second;
+    std::chrono::duration<double> passed = now - own.refilled_at;
+    own.tokens = std::min(most, own.tokens + passed.count() * weight);
+    own.refilled_at = now;
+    if (own.tokens < 1)
         return false;
-    --mine.tokens;
+    --own.tokens;
     return true;
 }
 
--- a/systems/scheduling/job_urgency.hpp
+++ b/systems/scheduling/job_urgency.hpp
@@ -9,76 +9,81 @@
 namespace cowslippass
 {
 
-/// @return the longest chain of estimated work over the steps that are not
-///   done, of the occurrence that has most of it left.
+/// @return the estimated time on the critical path through the steps that are
+///   not done; the maximum over the job's occurrences.
 milliseconds estimate_remaining_chain(const job& it);
 
-/// @return how long after its submission a job is still in time: its chain
-///   stretched as its queue allows, and the queue's own addition.
+/// @return how long after its submission a job still counts as in time: its
+///   critical path times the queue's stretch, plus the queue's target duration.
 milliseconds get_time_allowed(const job_spec& spec, const queue_config& queue);
 
-/// Callers profit from a late job up to this multiple of the time allowed.
+/// Callers still profit from a late job up to this multiple of the time
+/// allowed; after that, the job is overdue.
 constexpr int overdue_factor = 3;
 
-/// Tells which of a team's jobs are within its share while the fleet is full:
-/// as many a second as its weight.
-class share_meter
+/// Token bucket for each team: tells which of a team's jobs are within its
+/// share of the fleet. The share is as many submissions a second as the team's
+/// weight.
+class team_share_limiter
 {
 public:
     /// Counts one submission.
-    /// @return whether it is within the share.
+    /// @param weight submissions a second within the team's share.
+    /// @return whether the submission is within the share.
     bool take(const team_id& team, double weight, boot_time now);
 
 private:
     struct bucket
     {
         double tokens = 0;
-        boot_time at{};
+        boot_time refilled_at{};
     };
 
     std::map<team_id, bucket> buckets_;
 };
 
-/// Learns how long tasks of a queue run against their estimates, and how far
-/// the estimates can be trusted.
-class estimate_meter
+/// Learns for each queue how the run times of its tasks compare with their
+/// estimates, and how accurate the estimates are.
+class estimate_calibrator
 {
 public:
-    /// @param took from the decision to the end as it was noticed.
+    /// @param took time from the scheduling decision until the coordinator
+    ///   learned of the end.
     void add(const queue_id& queue, milliseconds estimate, milliseconds took);
 
-    /// @return by what to multiply an estimate so that most tasks end within
-    ///   it; nothing while too little is known or the estimates say little.
-    std::optional<double> get_factor(const queue_id& queue) const;
+    /// @return the factor to multiply an estimate by, so that most tasks end
+    ///   within the product; nothing while there are too few samples or the
+    ///   estimates are too inaccurate.
+    std::optional<double> get_correction_factor(const queue_id& queue) const;
 
 private:
-    /// Of the logarithm of the time taken against the estimate.
+    /// Statistics of the logarithm of time taken divided by estimate.
     struct entry
     {
         std::uint64_t count = 0;
         double mean = 0;
-        double deviation = 0; ///< Mean distance from the mean.
+        double deviation = 0; ///< Mean absolute distance from the mean.
     };
 
     std::map<queue_id, entry> entries_;
 };
 
-/// Answers bursts beyond what a pool holds: when not all jobs can be in time,
-/// room goes to those that can be, the most pressing first. Jobs
-/// that are late anyway and those beyond their team's share take what is left,
-/// overdue ones only what nobody else needs.
-/// Sorts ascending.
+/// Sort key of waiting jobs; the smallest starts first. When a burst exceeds
+/// the capacity of a pool and not all jobs can end in time, the capacity goes
+/// to those that can, earliest deadline first. Jobs that will be late anyway
+/// and those beyond their team's share get the remaining_chain capacity;
+/// overdue jobs get only what no other job needs.
 struct job_urgency
 {
     /// So late that its caller has no use of it any more.
     bool is_overdue = false;
-    std::uint32_t priority = 0; ///< Of the queue.
-    /// Its time has passed, or will have when its last step ends.
+    std::uint32_t priority = 0; ///< Priority of the queue; 0 goes first.
+    /// The deadline has passed, or will have passed when the last step ends.
     bool is_late = false;
-    bool is_beyond_share = false;
-    bool is_new = true; ///< None of its tasks has started.
+    bool exceeds_share = false; ///< Beyond its team's share of submissions.
+    bool is_new = true;         ///< None of its tasks has started.
     boot_time deadline{};
-    std::uint64_t order = 0; ///< Of acceptance.
+    std::uint64_t acceptance_number = 0; ///< Order of acceptance.
 
     auto operator<=>(const job_urgency&) const = default;
 };
--- a/systems/scheduling/target_orders.cpp
+++ b/systems/scheduling/target_protocol.cpp
@@ -1,4 +1,4 @@
-#include "systems/scheduling/target_orders.hpp"
+#include "systems/scheduling/target_protocol.hpp"
 
 #include "core/hashing.hpp"
 
@@ -8,16 +8,16 @@
 namespace cowslippass
 {
 
-std::size_t task_name_hash::operator()(const task_name& it) const
+std::size_t task_name_hash::operator()(const task_name& task) const
 {
-    std::size_t out = hash_64(it.job.get());
-    boost::hash_combine(out, it.key.occurrence);
-    boost::hash_combine(out, it.key.step);
-    boost::hash_combine(out, it.key.index);
+    std::size_t out = hash_64(task.job.get());
+    boost::hash_combine(out, task.key.occurrence);
+    boost::hash_combine(out, task.key.step);
+    boost::hash_combine(out, task.key.index);
     return out;
 }
 
-const char* to_string(order_outcome outcome)
+const char* to_string(request_outcome outcome)
 {
     static constexpr std::array names{"accepted", "stale_fence", "superseded",
         "too_late", "no_room", "no_ticket", "invalid", "wrong_life",
--- a/systems/scheduling/target_table.hpp
+++ b/systems/scheduling/target_table.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "systems/configuration/target_report.hpp"
-#include "systems/scheduling/target_orders.hpp"
+#include "systems/scheduling/target_protocol.hpp"
 
 #include <map>
 #include <set>
@@ -9,31 +9,33 @@
 namespace cowslippass
 {
 
-/// One life of one target as the coordinator knows it.
+/// What the coordinator knows of one target and its current incarnation.
 struct target_entry
 {
     target_report report;
-    /// Named in the platform's list now.
+    /// The platform's list of targets contains it.
     bool is_listed = false;
-    /// It has answered under the coordinator's fence number, so that what
-    /// runs there is known.
-    bool is_known = false;
-    /// Gets no work until this time, as it did not answer or refused.
-    boot_time set_aside_until{};
-    /// Gets no work, as its instance is about to leave its pool.
+    /// It has answered a poll with the coordinator's fencing token, so that
+    /// the coordinator knows what runs there.
+    bool has_reported = false;
+    /// Gets no work until this time, because it did not answer or refused.
+    boot_time back_off_until{};
+    /// Gets no work, because its instance is about to leave its pool.
     bool is_cordoned = false;
-    /// The targets in a data centre that operators have evacuated.
+    /// Gets no work, because operators have evacuated its data centre.
     bool is_evacuated = false;
 
-    resources used; ///< Of every run that may be there.
+    resources used; ///< Sum over all runs that it may be executing.
     std::set<task_name> runs;
 
-    /// Start of the life that the last answer came from.
-    platform_time born;
-    std::uint64_t last_end = 0; ///< Highest end that was taken note of.
-    /// When all leases that anybody granted here have run out for certain.
-    boot_time quiet_after{};
-    unsigned failures = 0; ///< Calls in a row without an answer.
+    /// Start of the incarnation that answered last.
+    platform_time incarnation_start;
+    /// Highest end number that was processed.
+    std::uint64_t last_end_number = 0;
+    /// From this time on, all leases that any coordinator granted at the
+    /// target have expired.
+    boot_time last_lease_end{};
+    unsigned consecutive_failures = 0; ///< Polls in a row without an answer.
 
     bool is_idle() const { return runs.empty(); }
 
--- a/tests/systems/pools/pool_planner_test.cpp
+++ b/tests/systems/pools/pool_planner_test.cpp
@@ -27,7 +27,7 @@
         queue.queue = queue_b;
         queue.pool = pool_b;
         state.config->queues[queue_b] = queue;
-        it.set_publication(state);
+        it.set_published_state(state);
     }
 
     void add_instance(const std::string& id, const pool_id& pool)
@@ -67,7 +67,7 @@
 
     void obey(instance_report& instance, const instance_order& order)
     {
-        it.note_target_change({instance.target, std::nullopt}, at(0));
+        it.handle_target_change({instance.target, std::nullopt}, at(0));
         instance.target = target_id();
         if (!order.is_maintenance())
             instance.pool = order.pool;
@@ -179,7 +179,7 @@
         wave.instances.emplace_back("m" + std::to_string(i));
     }
     state.waves[1] = wave;
-    it.set_publication(state);
+    it.set_published_state(state);
     pool_planner_options options;
     options.park_after = milliseconds(3'600'000);
     planner = pool_planner(options);
@@ -225,7 +225,7 @@
     for (const auto& instance : instances)
         wave.instances.push_back(instance.instance);
     state.waves[1] = wave;
-    it.set_publication(state);
+    it.set_published_state(state);
     pool_planner_options options;
     options.park_after = milliseconds(3'600'000);
     planner = pool_planner(options);
@@ -258,7 +258,7 @@
     add_instance("m1", pool_a);
     wave.instances = {instance_id("m0"), instance_id("m1")};
     state.waves[1] = wave;
-    it.set_publication(state);
+    it.set_published_state(state);
     planner.load_wave(1, {instance_id("m0")}, at(0));
     auto out = tick(0);
     ASSERT_EQ(out.orders.size(), 1U);
@@ -285,9 +285,9 @@
     it.submit(job_id("1"), make_record({step}), at(0));
     plan(0);
     for (const auto& [id, target] : it.get_targets())
-        it.note_look(id, make_look(id), at(10), at(11));
+        it.handle_status(id, make_status(id), at(10), at(11));
     state.waves[1] = wave;
-    it.set_publication(state);
+    it.set_published_state(state);
     tick(100);
     auto out = tick(600);
     EXPECT_EQ(out.stops.size(), 1U);
@@ -307,7 +307,7 @@
     wave.max_at_once = 5;
     wave.instances = {instance_id("m0")};
     state.waves[1] = wave;
-    it.set_publication(state);
+    it.set_published_state(state);
     tick(7'000);
     EXPECT_FALSE(it.get_targets().at(target_id("t1")).is_cordoned);
     planner = pool_planner(pool_planner_options{});
--- a/tests/systems/scheduling/coordinator_fixture.hpp
+++ b/tests/systems/scheduling/coordinator_fixture.hpp
@@ -64,32 +64,36 @@
     return out;
 }
 
-/// A coordinator with targets that have answered.
+/// A coordinator with one queue, one pool and targets that have answered a
+/// poll.
 struct coordinator_fixture
 {
-    coordinator_fixture() { it.set_publication(make_published_state()); }
+    coordinator_fixture() { it.set_published_state(make_published_state()); }
 
+    /// Adds a listed target that has answered a poll with an empty status.
     void add_target(const target_report& report)
     {
-        it.note_target_change({report.target, report}, at(0));
-        it.note_look(report.target, {}, at(0), at(0));
+        it.handle_target_change({report.target, report}, at(0));
+        it.handle_status(report.target, {}, at(0), at(0));
     }
 
+    /// Plans at a time in milliseconds; the targets accept all starts.
     std::vector<start_decision> plan(std::int64_t ms = 0)
     {
         auto out = it.plan(at(ms), platform_time(ms));
         for (const start_decision& start : out)
         {
-            it.make_start_order(start);
-            it.note_start_reply(start, order_outcome::accepted, at(ms));
+            it.make_start_request(start);
+            it.handle_start_reply(start, request_outcome::accepted, at(ms));
         }
         return out;
     }
 
-    /// The target reports all runs that the coordinator believes it has.
-    target_look make_look(const target_id& target, int percent = 100)
+    /// @return a status that lists all runs that the coordinator has assigned
+    ///   to the target.
+    target_status make_status(const target_id& target, int percent = 100)
     {
-        target_look out;
+        target_status out;
         for (const auto& [task, run] : it.get_runs())
             if (run.target == target)
                 out.running.push_back({task, run.number, "", percent, 0});
--- a/tests/systems/scheduling/coordinator_model_test.cpp
+++ b/tests/systems/scheduling/coordinator_model_test.cpp
@@ -14,11 +14,12 @@
 {
 
 constexpr std::int64_t lease_ms = 5'000;
-constexpr std::int64_t authority_ms = 4'000;
+/// How long a former coordinator may still grant leases after a takeover.
+constexpr std::int64_t former_term_ms = 4'000;
 constexpr std::size_t target_count = 3;
 constexpr std::size_t max_jobs = 4;
 
-/// A target of the users' platform: obeys fences, leases and run numbers.
+/// Model of a target: checks fencing tokens, leases and run numbers.
 struct target_model
 {
     struct run
@@ -28,14 +29,14 @@
     };
 
     std::uint64_t fence = 0;
-    std::int64_t born = 1;
+    std::int64_t incarnation_start = 1;
     std::map<task_name, run> runs;
     std::map<task_name, std::uint64_t> highest_ended;
     std::vector<end_report> ended;
-    std::uint64_t last_end = 0;
-    std::int64_t lease_end = 0; ///< Of everything that runs here.
-    /// Ends up to this one were listed when the lease ran out; taking note of
-    /// them later does not count.
+    std::uint64_t last_end_number = 0;
+    std::int64_t lease_end = 0; ///< Common to all runs at this target.
+    /// Highest end number when the lease last expired. From then on, tasks may
+    /// start elsewhere, so that reports of these ends do not count.
     std::uint64_t lapsed_end = 0;
 
     void end(const task_name& task, run_end how)
@@ -43,11 +44,11 @@
         auto it = runs.find(task);
         highest_ended[task] = std::max(highest_ended[task], it->second.number);
         ended.push_back(
-            {++last_end, task, run_number(it->second.number), how, ""});
+            {++last_end_number, task, run_number(it->second.number), how, ""});
         runs.erase(it);
     }
 
-    void lapse(std::int64_t now)
+    void expire_leases(std::int64_t now)
     {
         std::vector<task_name> out;
         for (const auto& [task, it] : runs)
@@ -56,39 +57,42 @@
         for (const task_name& it : out)
             end(it, run_end::lapsed);
         if (lease_end <= now)
-            lapsed_end = last_end;
+            lapsed_end = last_end_number;
     }
 
     void crash()
     {
         target_model next;
-        next.born = born + 1;
+        next.incarnation_start = incarnation_start + 1;
         *this = next;
     }
 };
 
-struct late_start
+/// A start request that has no answer or is still on its way.
+struct sent_start
 {
     std::size_t target;
     std::uint64_t fence;
-    std::int64_t born;
+    std::int64_t incarnation_start;
     start_decision decision;
     std::int64_t lease_end;
 };
 
-/// Coordinators that come and go, targets that crash, orders and answers that
-/// are lost or late. Checks after every step that no task runs twice, that no
-/// task starts again after its end was taken note of, and that no target has
-/// more than it holds.
-class world
+/// Simulates coordinators that replace each other, targets that crash, and
+/// requests and answers that are lost or late. Checks after every step that no
+/// task runs twice, that no task starts again after the coordinator has
+/// processed its end, and that no target exceeds its capacity.
+class coordinator_simulation
 {
 public:
-    world()
+    coordinator_simulation()
     {
         targets_.resize(target_count);
         start_coordinator();
     }
 
+    /// Takes one random step.
+    /// @param choice selects the kind of step, and its faults.
     void step(int choice)
     {
         std::size_t n = static_cast<std::size_t>(choice) / 12;
@@ -103,7 +107,7 @@
             break;
         case 3:
         case 4:
-            look(n % target_count, n / target_count % 4);
+            poll(n % target_count, n / target_count % 4);
             break;
         case 5:
             finish(n);
@@ -120,10 +124,10 @@
                 start_coordinator();
             break;
         case 9:
-            deliver_late();
+            deliver_delayed_request();
             break;
         case 10:
-            current_->expire(at(now_));
+            current_->end_runs_without_lease(at(now_));
             save();
             break;
         default:
@@ -133,20 +137,21 @@
         check();
     }
 
-    /// Runs without faults until every job is completed.
+    /// Continues without faults until every job is completed.
+    /// @return whether all jobs were completed within the bound on rounds.
     bool drain()
     {
         for (int i = 0; i < 400; ++i)
         {
-            late_.clear();
+            delayed_.clear();
             plan(0);
             for (std::size_t t = 0; t < target_count; ++t)
-                look(t, 0);
+                poll(t, 0);
             for (std::size_t t = 0; t < target_count; ++t)
                 while (!targets_[t].runs.empty())
                     finish_on(t, targets_[t].runs.begin()->first);
             stop(0);
-            current_->expire(at(now_));
+            current_->end_runs_without_lease(at(now_));
             save();
             advance(100);
             check();
@@ -170,9 +175,9 @@
     {
         ++term_;
         unanswered_.clear();
-        // A planned or unplanned end: only what was saved is left.
+        // The former coordinator stopped or crashed: only stored rows are left.
         current_ = std::make_unique<coordinator>(coordinator_options{});
-        current_->set_publication(make_published_state());
+        current_->set_published_state(make_published_state());
         for (const auto& [id, record] : jobs_)
             if (auto settled = job::decode_settled(id, rows_[id]))
                 current_->load_settled_job(std::move(*settled), at(now_));
@@ -182,15 +187,16 @@
         for (std::size_t i = 0; i < target_count; ++i)
         {
             auto report = make_report(name(i).get(), 2);
-            current_->note_target_change({name(i), report}, at(now_));
-            current_->note_lease(name(i), at(now_ + authority_ms + lease_ms));
+            current_->handle_target_change({name(i), report}, at(now_));
+            current_->record_lease(
+                name(i), at(now_ + former_term_ms + lease_ms));
         }
-        seen_.clear();
+        acknowledged_.clear();
     }
 
     void save()
     {
-        for (const job_id& id : current_->take_changed())
+        for (const job_id& id : current_->take_changed_jobs())
             rows_[id] = current_->find_job(id)->encode_progress();
     }
 
@@ -214,54 +220,55 @@
         {
             auto i = static_cast<std::size_t>(it.target.get()[1] - '0');
             unanswered_.push_back(
-                {i, term_, targets_[i].born, it, now_ + lease_ms});
-            current_->note_lease(it.target, at(now_ + lease_ms));
+                {i, term_, targets_[i].incarnation_start, it, now_ + lease_ms});
+            current_->record_lease(it.target, at(now_ + lease_ms));
         }
-        // A start without an answer is sent again, with its first lease.
-        for (late_start& it : std::exchange(unanswered_, {}))
+        // A start request without an answer is sent again, with its first
+        // lease.
+        for (sent_start& it : std::exchange(unanswered_, {}))
         {
-            if (!current_->make_start_order(it.decision))
+            if (!current_->make_start_request(it.decision))
                 continue;
             std::size_t fault = faults % 5;
             faults /= 5;
             if (fault == 3)
             {
-                late_.push_back(it);
-                current_->note_start_reply(
-                    it.decision, order_outcome::no_answer, at(now_));
+                delayed_.push_back(it);
+                current_->handle_start_reply(
+                    it.decision, request_outcome::no_answer, at(now_));
                 unanswered_.push_back(it);
                 continue;
             }
-            order_outcome outcome = execute(it);
+            request_outcome outcome = execute(it);
             if (fault == 4)
-                outcome = order_outcome::no_answer;
-            current_->note_start_reply(it.decision, outcome, at(now_));
-            if (outcome == order_outcome::no_answer)
+                outcome = request_outcome::no_answer;
+            current_->handle_start_reply(it.decision, outcome, at(now_));
+            if (outcome == request_outcome::no_answer)
                 unanswered_.push_back(it);
         }
     }
 
-    order_outcome execute(const late_start& it)
+    request_outcome execute(const sent_start& it)
     {
         target_model& target = targets_[it.target];
-        // A call never reaches another life of the target.
-        if (target.born != it.born)
-            return order_outcome::not_sent;
+        // A request never reaches another incarnation of the target.
+        if (target.incarnation_start != it.incarnation_start)
+            return request_outcome::not_sent;
         if (it.fence < target.fence)
-            return order_outcome::stale_fence;
+            return request_outcome::stale_fence;
         target.fence = it.fence;
         const task_name& task = it.decision.task;
         std::uint64_t run = it.decision.run.get();
         if (run <= target.highest_ended[task])
-            return order_outcome::superseded;
+            return request_outcome::superseded;
         if (it.lease_end <= now_)
-            return order_outcome::too_late;
+            return request_outcome::too_late;
         if (target.runs.contains(task))
-            return order_outcome::accepted;
-        started_after_end_ |= noted_done_.contains(task);
+            return request_outcome::accepted;
+        started_after_end_ |= processed_done_.contains(task);
         target.runs[task] = {run, it.lease_end};
         extend(target, it.lease_end);
-        return order_outcome::accepted;
+        return request_outcome::accepted;
     }
 
     static void extend(target_model& target, std::int64_t lease_end)
@@ -271,52 +278,55 @@
             it.lease_end = target.lease_end;
     }
 
-    void deliver_late()
+    void deliver_delayed_request()
     {
-        if (late_.empty())
+        if (delayed_.empty())
             return;
-        execute(late_.front());
-        late_.erase(late_.begin());
+        execute(delayed_.front());
+        delayed_.erase(delayed_.begin());
     }
 
-    void look(std::size_t i, std::size_t fault)
+    /// @param fault 1 when the poll is lost, 2 when its answer is lost.
+    void poll(std::size_t i, std::size_t fault)
     {
         target_model& target = targets_[i];
         if (fault == 1)
         {
-            current_->note_look_failure(name(i), at(now_));
+            current_->handle_poll_failure(name(i), at(now_));
             return;
         }
         target.fence = std::max(target.fence, term_);
-        if (current_->wants_lease(name(i)))
+        if (current_->should_renew_leases(name(i)))
         {
-            current_->note_lease(name(i), at(now_ + lease_ms));
+            current_->record_lease(name(i), at(now_ + lease_ms));
             extend(target, now_ + lease_ms);
         }
-        std::uint64_t seen_here =
-            seen_[i].first == target.born ? seen_[i].second : 0;
+        std::uint64_t acknowledged_here =
+            acknowledged_[i].first == target.incarnation_start
+                ? acknowledged_[i].second
+                : 0;
         std::erase_if(target.ended,
             [&](const end_report& it)
             {
-                if (it.number > seen_here)
+                if (it.number > acknowledged_here)
                     return false;
                 if (it.end == run_end::done && it.number > target.lapsed_end)
-                    noted_done_.insert(it.task);
+                    processed_done_.insert(it.task);
                 return true;
             });
         if (fault == 2)
         {
-            current_->note_look_failure(name(i), at(now_));
+            current_->handle_poll_failure(name(i), at(now_));
             return;
         }
-        target_look out;
-        out.born = platform_time(target.born);
+        target_status out;
+        out.incarnation_start = platform_time(target.incarnation_start);
         for (const auto& [task, it] : target.runs)
             out.running.push_back({task, run_number(it.number), "", 100, 0});
         out.ended = target.ended;
-        current_->note_look(name(i), out, at(now_), at(now_));
+        current_->handle_status(name(i), out, at(now_), at(now_));
         save();
-        seen_[i] = {target.born, target.last_end};
+        acknowledged_[i] = {target.incarnation_start, target.last_end_number};
     }
 
     void finish(std::size_t n)
@@ -347,8 +357,9 @@
                 target.end(it.task, run_end::stopped);
             target.highest_ended[it.task] =
                 std::max(target.highest_ended[it.task], it.run.get());
-            current_->note_stop_reply(it,
-                n % 3 == 1 ? order_outcome::no_answer : order_outcome::accepted,
+            current_->handle_stop_reply(it,
+                n % 3 == 1 ? request_outcome::no_answer
+                           : request_outcome::accepted,
                 at(now_));
         }
     }
@@ -357,7 +368,7 @@
     {
         now_ += ms;
         for (target_model& it : targets_)
-            it.lapse(now_);
+            it.expire_leases(now_);
     }
 
     void check()
@@ -378,23 +389,23 @@
     std::vector<target_model> targets_;
     std::map<job_id, job_record> jobs_;
     std::map<job_id, std::string> rows_;
-    std::map<std::size_t, std::pair<std::int64_t, std::uint64_t>> seen_;
-    std::vector<late_start> late_;
-    std::vector<late_start> unanswered_;
-    std::set<task_name> noted_done_;
+    std::map<std::size_t, std::pair<std::int64_t, std::uint64_t>> acknowledged_;
+    std::vector<sent_start> delayed_;
+    std::vector<sent_start> unanswered_;
+    std::set<task_name> processed_done_;
     bool started_after_end_ = false;
 };
 
 } // namespace
 
-// Guards against a task that runs twice, starts after its end was taken note
-// of, overfills a target, or never ends: coordinators are replaced, targets_
-// crash, orders and answers are lost or late.
+// Guards against a task that runs twice, starts after its end was processed,
+// exceeds a target's capacity or never ends, while coordinators are replaced,
+// targets crash, and requests and answers are lost or late.
 RC_GTEST_PROP(coordinator_model, runs_every_task_once_whatever_fails, ())
 {
     auto choices = *rc::gen::container<std::vector<int>>(
         150, rc::gen::inRange(0, 100'000));
-    world it;
+    coordinator_simulation it;
     for (int choice : choices)
         it.step(choice);
     RC_ASSERT(it.drain());
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-// Guards against a target that is given more than it has.
+// Guards against a target that gets more work than its capacity.
 TEST_F(coordinator_test, never_exceeds_a_target)
 {
     add_target(make_report("t1", 4));
@@ -30,8 +30,9 @@
         EXPECT_TRUE(target.report.capacity.holds(target.used));
 }
 
-// Guards against a stopped run whose room is given away before it has ended.
-TEST_F(coordinator_test, frees_room_when_the_end_is_listed)
+// Guards against capacity of a stopped run that is assigned to another run
+// before the target reports the end.
+TEST_F(coordinator_test, frees_capacity_when_the_end_is_reported)
 {
     add_target(make_report("t1", 1));
     it.submit(job_1, make_record({make_step(1)}), at(0));
@@ -41,115 +42,116 @@
     it.submit(job_id("2"), make_record({make_step(1)}), at(10));
     auto stops = it.list_stops();
     ASSERT_EQ(stops.size(), 1U);
-    it.note_stop_reply(stops[0], order_outcome::accepted, at(20));
+    it.handle_stop_reply(stops[0], request_outcome::accepted, at(20));
     EXPECT_TRUE(plan(20).empty());
-    target_look look;
-    look.ended.push_back(
+    target_status status;
+    status.ended.push_back(
         {1, starts[0].task, starts[0].run, run_end::stopped, ""});
-    it.note_look(target_1, look, at(30), at(31));
+    it.handle_status(target_1, status, at(30), at(31));
     EXPECT_EQ(plan(32).size(), 1U);
 }
 
-// Guards against a team that takes more than its limit.
+// Guards against a team that uses more resources than its limit.
 TEST_F(coordinator_test, keeps_a_team_within_its_limit)
 {
     auto state = make_published_state();
     state.config->version = config_version(2);
     state.config->teams[team_a].limit = {3'000, 0, 0};
-    it.set_publication(state);
+    it.set_published_state(state);
     add_target(make_report("t1"));
     it.submit(job_1, make_record({make_step(5)}), at(0));
     EXPECT_EQ(plan().size(), 3U);
-    // Tasks beyond the limit ask for no more instances.
+    // Tasks beyond the limit add nothing to the demand for instances.
     EXPECT_EQ(it.measure_demand(at(0))[pool_a].waiting, resources{});
 }
 
-// Guards against a task that runs twice when a target is only silent: its
-// leases have to run out first.
+// Guards against a task that runs twice because a silent target still executes
+// it: the target's leases have to expire first.
 TEST_F(coordinator_test, waits_for_the_leases_of_a_silent_target)
 {
     add_target(make_report("t1"));
     it.submit(job_1, make_record({make_step(1)}), at(0));
     ASSERT_EQ(plan().size(), 1U);
-    it.note_lease(target_1, at(6'000));
-    it.note_look_failure(target_1, at(1'000));
+    it.record_lease(target_1, at(6'000));
+    it.handle_poll_failure(target_1, at(1'000));
     add_target(make_report("t2"));
-    it.expire(at(5'999));
+    it.end_runs_without_lease(at(5'999));
     EXPECT_TRUE(plan(5'999).empty());
-    it.expire(at(6'000));
+    it.end_runs_without_lease(at(6'000));
     auto starts = plan(6'000);
     ASSERT_EQ(starts.size(), 1U);
     EXPECT_EQ(starts[0].run.get(), 2U);
     EXPECT_EQ(starts[0].target, target_2);
 }
 
-// Guards against leases of a silent target that are extended with every try,
+// Guards against leases of a silent target that are renewed with every poll,
 // so that its tasks never start elsewhere.
-TEST_F(coordinator_test, lets_leases_of_a_silent_target_run_out)
+TEST_F(coordinator_test, lets_leases_of_a_silent_target_expire)
 {
     add_target(make_report("t1"));
-    EXPECT_FALSE(it.wants_lease(target_1));
+    EXPECT_FALSE(it.should_renew_leases(target_1));
     it.submit(job_1, make_record({make_step(1)}), at(0));
     plan();
-    EXPECT_TRUE(it.wants_lease(target_1));
-    it.note_look_failure(target_1, at(1'000));
-    EXPECT_FALSE(it.wants_lease(target_1));
-    it.note_look(target_1, make_look(target_1), at(1'500), at(1'501));
-    EXPECT_TRUE(it.wants_lease(target_1));
+    EXPECT_TRUE(it.should_renew_leases(target_1));
+    it.handle_poll_failure(target_1, at(1'000));
+    EXPECT_FALSE(it.should_renew_leases(target_1));
+    it.handle_status(target_1, make_status(target_1), at(1'500), at(1'501));
+    EXPECT_TRUE(it.should_renew_leases(target_1));
 }
 
-// Guards against a long wait for tasks of a target that has started again.
-TEST_F(coordinator_test, starts_again_at_once_what_a_new_life_lost)
+// Guards against tasks that wait for a lease to expire although their target
+// has restarted and lost them.
+TEST_F(coordinator_test, restarts_at_once_tasks_that_a_new_incarnation_lost)
 {
-    target_look first;
-    first.born = platform_time(1);
-    it.note_target_change({target_1, make_report("t1")}, at(0));
-    it.note_look(target_1, first, at(0), at(0));
+    target_status first;
+    first.incarnation_start = platform_time(1);
+    it.handle_target_change({target_1, make_report("t1")}, at(0));
+    it.handle_status(target_1, first, at(0), at(0));
     it.submit(job_1, make_record({make_step(1)}), at(0));
     ASSERT_EQ(plan().size(), 1U);
-    target_look second;
-    second.born = platform_time(2);
-    it.note_look(target_1, second, at(100), at(101));
+    target_status second;
+    second.incarnation_start = platform_time(2);
+    it.handle_status(target_1, second, at(100), at(101));
     EXPECT_EQ(plan(102).size(), 1U);
 }
 
-// Guards against a run that is judged lost by a look that was sent before the
-// run was confirmed.
-TEST_F(coordinator_test, ignores_looks_older_than_the_start)
+// Guards against a run that counts as lost because it is missing in the answer
+// to a poll that was sent before the run was confirmed.
+TEST_F(coordinator_test, ignores_polls_sent_before_the_start)
 {
     add_target(make_report("t1"));
     it.submit(job_1, make_record({make_step(1)}), at(0));
     plan(100);
-    it.note_look(target_1, {}, at(90), at(110));
+    it.handle_status(target_1, {}, at(90), at(110));
     EXPECT_EQ(it.get_runs().size(), 1U);
-    it.note_look(target_1, {}, at(120), at(130));
+    it.handle_status(target_1, {}, at(120), at(130));
     EXPECT_TRUE(it.get_runs().empty());
 }
 
-// Guards against a second copy when a start without an answer arrives late:
-// only a confirmed stop frees the task.
+// Guards against a task that runs twice because a start request without an
+// answer arrives late: only a confirmed stop frees the task.
 TEST_F(coordinator_test, stops_a_run_whose_start_may_arrive_late)
 {
     add_target(make_report("t1"));
     it.submit(job_1, make_record({make_step(1)}), at(0));
     auto starts = it.plan(at(0), platform_time(0));
     ASSERT_EQ(starts.size(), 1U);
-    it.make_start_order(starts[0]);
-    it.note_start_reply(starts[0], order_outcome::no_answer, at(600));
-    it.note_start_reply(starts[0], order_outcome::unavailable, at(700));
+    it.make_start_request(starts[0]);
+    it.handle_start_reply(starts[0], request_outcome::no_answer, at(600));
+    it.handle_start_reply(starts[0], request_outcome::unavailable, at(700));
     EXPECT_EQ(it.get_runs().size(), 1U);
     auto stops = it.list_stops();
     ASSERT_EQ(stops.size(), 1U);
-    it.note_look(target_1, {}, at(800), at(801));
+    it.handle_status(target_1, {}, at(800), at(801));
     EXPECT_EQ(it.get_runs().size(), 1U);
-    it.note_stop_reply(stops[0], order_outcome::accepted, at(900));
-    it.note_look(target_1, {}, at(1'000), at(1'001));
+    it.handle_stop_reply(stops[0], request_outcome::accepted, at(900));
+    it.handle_status(target_1, {}, at(1'000), at(1'001));
     EXPECT_TRUE(it.get_runs().empty());
     EXPECT_EQ(plan(2'000).size(), 1U);
 }
 
-// Guards against a run that nobody starts, stops or gives up any more: the
-// coordinator stopped sending the start while it had lost the store.
+// Guards against a run that is never started, stopped or ended: the coordinator
+// lost the store and gave up sending the start request.
 TEST_F(coordinator_test, stops_a_run_whose_start_is_abandoned)
 {
     add_target(make_report("t1"));
@@ -158,39 +160,40 @@
     ASSERT_EQ(starts.size(), 2U);
     it.abandon_start(starts[0], at(10));
     EXPECT_EQ(it.get_runs().size(), 1U);
-    it.make_start_order(starts[1]);
-    it.note_start_reply(starts[1], order_outcome::no_answer, at(600));
+    it.make_start_request(starts[1]);
+    it.handle_start_reply(starts[1], request_outcome::no_answer, at(600));
     it.abandon_start(starts[1], at(700));
     EXPECT_EQ(it.list_stops().size(), 1U);
 }
 
-// Guards against a task that never starts again: each repeat of the stop made
-// the look that was on its way too old to tell that the run is gone.
-TEST_F(coordinator_test, judges_a_stopped_run_by_the_first_look_after_the_stop)
+// Guards against a task that never starts again: each repeated stop reset the
+// time of confirmation, so that the poll on its way was too old to tell that
+// the run is gone.
+TEST_F(coordinator_test, judges_a_stopped_run_by_the_first_poll_after_the_stop)
 {
     add_target(make_report("t1"));
     it.submit(job_1, make_record({make_step(1)}), at(0));
     auto starts = it.plan(at(0), platform_time(0));
     ASSERT_EQ(starts.size(), 1U);
-    it.make_start_order(starts[0]);
-    it.note_start_reply(starts[0], order_outcome::no_answer, at(600));
+    it.make_start_request(starts[0]);
+    it.handle_start_reply(starts[0], request_outcome::no_answer, at(600));
     it.abandon_start(starts[0], at(700));
     auto stops = it.list_stops();
     ASSERT_EQ(stops.size(), 1U);
-    it.note_stop_reply(stops[0], order_outcome::accepted, at(1'000));
-    it.note_stop_reply(stops[0], order_outcome::accepted, at(1'300));
-    it.note_look(target_1, {}, at(1'100), at(2'600));
+    it.handle_stop_reply(stops[0], request_outcome::accepted, at(1'000));
+    it.handle_stop_reply(stops[0], request_outcome::accepted, at(1'300));
+    it.handle_status(target_1, {}, at(1'100), at(2'600));
     EXPECT_TRUE(it.get_runs().empty());
 }
 
-// Guards against work for targets that leave, are evacuated, unknown or named
-// by another pool.
+// Guards against work for targets that are draining, cordoned, evacuated or in
+// another pool, or that have not answered a poll yet.
 TEST_F(coordinator_test, uses_only_eligible_targets)
 {
     auto draining = make_report("t1");
     draining.is_draining = true;
     add_target(draining);
-    it.note_target_change({target_2, make_report("t2")}, at(0));
+    it.handle_target_change({target_2, make_report("t2")}, at(0));
     auto elsewhere = make_report("t3");
     elsewhere.pool = pool_off;
     add_target(elsewhere);
@@ -198,18 +201,18 @@
     evacuated.data_centre = data_centre_id("y");
     auto state = make_published_state();
     state.evacuated.insert(data_centre_id("y"));
-    it.set_publication(state);
+    it.set_published_state(state);
     add_target(evacuated);
     add_target(make_report("t5"));
     it.set_cordon(target_id("t5"), true);
     it.submit(job_1, make_record({make_step(1)}), at(0));
     EXPECT_TRUE(plan().empty());
-    it.note_look(target_2, {}, at(1), at(2));
+    it.handle_status(target_2, {}, at(1), at(2));
     EXPECT_EQ(plan(3).size(), 1U);
 }
 
-// Guards against tasks of one step that share a target against their rule.
-TEST_F(coordinator_test, keeps_the_bound_for_each_target)
+// Guards against more tasks of one step on a target than the step allows.
+TEST_F(coordinator_test, keeps_the_maximum_for_each_target)
 {
     add_target(make_report("t1"));
     add_target(make_report("t2"));
@@ -221,8 +224,9 @@
     EXPECT_EQ(demand.spread, 3U);
 }
 
-// Guards against a gang of which only some members start.
-TEST_F(coordinator_test, starts_a_gang_as_a_whole_or_not)
+// Guards against a gang of which only some members start, because not all of
+// them fit.
+TEST_F(coordinator_test, starts_all_members_of_a_gang_or_none)
 {
     add_target(make_report("t1", 3));
     step_spec step = make_step(4);
@@ -237,9 +241,9 @@
         EXPECT_EQ(start.run, starts[0].run);
 }
 
-// Guards against maintenance that takes a second task of a step away while
-// another is on a target that no longer answers: its last report is old.
-TEST_F(coordinator_test, counts_tasks_on_silent_targets_as_away)
+// Guards against maintenance that interrupts a second task of a step while
+// another one is on a silent target, whose last report is out of date.
+TEST_F(coordinator_test, counts_tasks_on_silent_targets_as_unavailable)
 {
     add_target(make_report("t1", 1));
     add_target(make_report("t2", 1));
@@ -248,21 +252,22 @@
     step.max_unavailable = 1;
     it.submit(job_1, make_record({step}), at(0));
     ASSERT_EQ(plan().size(), 2U);
-    it.note_look(target_1, make_look(target_1), at(10), at(11));
-    it.note_look(target_2, make_look(target_2), at(10), at(11));
+    it.handle_status(target_1, make_status(target_1), at(10), at(11));
+    it.handle_status(target_2, make_status(target_2), at(10), at(11));
     const task_name first{job_1, {0, 0, 0}};
     const task_name second{job_1, {0, 0, 1}};
     EXPECT_TRUE(it.may_interrupt(first));
     const target_id other = it.get_runs().at(second).target;
-    it.note_look_failure(other, at(1'000));
+    it.handle_poll_failure(other, at(1'000));
     EXPECT_FALSE(it.may_interrupt(first));
-    it.note_look(other, make_look(other), at(1'100), at(1'101));
+    it.handle_status(other, make_status(other), at(1'100), at(1'101));
     EXPECT_TRUE(it.may_interrupt(first));
     it.stop_run(second);
     EXPECT_FALSE(it.may_interrupt(first));
 }
 
-// Guards against a successor that starts what still runs, or forgets it.
+// Guards against a new coordinator that starts tasks a second time while they
+// still run, or that never starts those that were lost.
 TEST_F(coordinator_test, recovers_runs_from_rows_and_targets)
 {
     add_target(make_report("t1"));
@@ -271,25 +276,27 @@
     coordinator_fixture next;
     next.it.load_job(job_1, make_record({make_step(2)}),
         it.find_job(job_1)->encode_progress(), at(0), platform_time(0));
-    next.it.note_lease(target_1, at(9'000));
-    next.it.note_target_change({target_1, make_report("t1")}, at(0));
+    next.it.record_lease(target_1, at(9'000));
+    next.it.handle_target_change({target_1, make_report("t1")}, at(0));
     EXPECT_TRUE(next.plan().empty());
-    // One is still there; the other never arrived and cannot any more.
-    target_look look = make_look(target_1);
-    look.running.resize(1);
-    next.it.note_look(target_1, look, at(10), at(11));
+    // One run is still there; the start of the other never arrived and cannot
+    // arrive any more.
+    target_status status = make_status(target_1);
+    status.running.resize(1);
+    next.it.handle_status(target_1, status, at(10), at(11));
     auto starts = next.plan(12);
     ASSERT_EQ(starts.size(), 1U);
     EXPECT_EQ(starts[0].run.get(), 2U);
 }
 
-// Guards against jobs that are kept for ever, or not as long as callers ask.
-TEST_F(coordinator_test, forgets_ended_jobs_after_their_time)
+// Guards against ended jobs that are kept for ever, or removed while callers
+// may still ask for them.
+TEST_F(coordinator_test, removes_ended_jobs_after_the_retention_time)
 {
     it.submit(job_1, make_record({make_step(1)}), at(0));
     it.cancel(job_1, at(1'000));
-    EXPECT_TRUE(it.take_forgotten(at(120'000)).empty());
-    EXPECT_EQ(it.take_forgotten(at(160'000)).size(), 1U);
+    EXPECT_TRUE(it.take_expired_jobs(at(120'000)).empty());
+    EXPECT_EQ(it.take_expired_jobs(at(160'000)).size(), 1U);
     EXPECT_EQ(it.find_job(job_1), nullptr);
 }
 
--- a/tests/systems/scheduling/job_urgency_test.cpp
+++ b/tests/systems/scheduling/job_urgency_test.cpp
@@ -19,7 +19,7 @@
         state.config->queues[queue_a].stretch = 1.5;
         state.config->queues[queue_a].target_duration = milliseconds(500);
         state.config->teams[team_a].weight = 100;
-        it.set_publication(state);
+        it.set_published_state(state);
     }
 
     void submit(
@@ -31,8 +31,9 @@
 
 } // namespace
 
-// Guards against a chain that leaves out steps or counts parallel ones twice.
-TEST(job_chain, is_the_longest_way_through_the_steps)
+// Guards against a critical path that leaves out steps or adds up parallel
+// ones.
+TEST(job_chain, is_the_longest_path_through_the_steps)
 {
     step_spec last = make_step(1);
     last.after = {0, 1};
@@ -51,11 +52,11 @@
     EXPECT_EQ(get_time_allowed(it.get_spec(), queue), milliseconds(5'100));
 }
 
-// Answers a burst that the pool cannot hold: served in order of arrival, each
-// job would wait for those before it until all were late.
+// Guards against a burst beyond the pool's capacity that makes all jobs late:
+// in order of arrival, each job would wait for those before it.
 TEST_F(job_urgency_test, starts_jobs_that_can_be_in_time_before_late_ones)
 {
-    // A job may take two seconds, of which its work is one.
+    // The time allowed for a job is 2 s; the work takes 1 s of it.
     submit("old", {make_step(1)}, 0);
     submit("new", {make_step(1)}, 1'500);
     add_target(make_report("t1", 1));
@@ -64,7 +65,9 @@
     EXPECT_EQ(starts[0].task.job, job_id("new"));
 }
 
-TEST_F(job_urgency_test, starts_the_most_pressing_job_in_time_first)
+// Guards against a job that misses its deadline because one with a later
+// deadline starts first.
+TEST_F(job_urgency_test, starts_the_job_with_the_earliest_deadline_first)
 {
     submit("second", {make_step(1)}, 100);
     submit("first", {make_step(1)}, 50);
@@ -74,8 +77,9 @@
     EXPECT_EQ(starts[0].task.job, job_id("first"));
 }
 
-// Guards against jobs that are all begun and none finished in a burst.
-TEST_F(job_urgency_test, finishes_begun_jobs_before_new_ones)
+// Guards against a burst in which all jobs are started and none finishes,
+// because first steps of new jobs go before later steps of started ones.
+TEST_F(job_urgency_test, finishes_started_jobs_before_new_ones)
 {
     step_spec last = make_step(1);
     last.after = {0};
@@ -84,24 +88,24 @@
     auto first = plan(0);
     ASSERT_EQ(first.size(), 1U);
     submit("fresh", {make_step(1)}, 10);
-    target_look look;
-    look.ended.push_back({1, first[0].task, first[0].run, run_end::done, ""});
-    it.note_look(target_id("t1"), look, at(500), at(501));
+    target_status status;
+    status.ended.push_back({1, first[0].task, first[0].run, run_end::done, ""});
+    it.handle_status(target_id("t1"), status, at(500), at(501));
     auto starts = plan(502);
     ASSERT_EQ(starts.size(), 1U);
     EXPECT_EQ(starts[0].task.job, job_id("begun"));
 }
 
-// Answers a team that sends many times its usual: its excess waits, others do
-// not wait for it.
-TEST_F(job_urgency_test, puts_what_a_team_sends_beyond_its_share_last)
+// Guards against a team whose burst of submissions delays other teams: the jobs
+// beyond its share have to wait.
+TEST_F(job_urgency_test, ranks_jobs_beyond_their_team_share_last)
 {
     auto state = make_published_state();
     state.config->version = config_version(2);
     state.config->queues[queue_a].target_duration = milliseconds(9'000);
     state.config->teams[team_a].weight = 2;
     state.config->teams[team_id("small")].team = team_id("small");
-    it.set_publication(state);
+    it.set_published_state(state);
     for (int i = 0; i < 6; ++i)
         submit("hot" + std::to_string(i), {make_step(1)}, 0);
     auto record = make_record({make_step(1)});
@@ -114,18 +118,19 @@
         { return start.task.job == job_id("small"); }));
 }
 
-// Answers a burst beyond the pool in a queue with good estimates: a job that
-// would end late even if it started now gives way to one that would not.
-TEST_F(job_urgency_test, passes_over_jobs_that_would_end_late)
+// Guards against capacity that goes to jobs that would end late even if they
+// started now, while others could still end in time: a burst exceeds the pool's
+// capacity in a queue with accurate estimates.
+TEST_F(job_urgency_test, prefers_jobs_that_can_end_in_time)
 {
     add_target(make_report("t1", 40));
     submit("teacher", {make_step(32)}, 0);
-    target_look look;
+    target_status status;
     std::uint64_t n = 0;
     for (const start_decision& start : plan(0))
-        look.ended.push_back({++n, start.task, start.run, run_end::done, ""});
-    it.note_look(target_id("t1"), look, at(1'000), at(1'000));
-    // A job may take two seconds, of which its work is one.
+        status.ended.push_back({++n, start.task, start.run, run_end::done, ""});
+    it.handle_status(target_id("t1"), status, at(1'000), at(1'000));
+    // The time allowed for a job is 2 s; the work takes 1 s of it.
     submit("doomed", {make_step(20)}, 2'000);
     submit("savable", {make_step(20)}, 2'900);
     auto starts = plan(3'200);
@@ -134,40 +139,42 @@
         EXPECT_EQ(starts[i].task.job, job_id("savable"));
 }
 
-// Guards against an order by estimates that say nothing.
-TEST(estimate_meter, trusts_only_estimates_that_hold)
+// Guards against jobs that are ranked by inaccurate estimates.
+TEST(estimate_calibrator, trusts_only_accurate_estimates)
 {
-    estimate_meter it;
+    estimate_calibrator it;
     const queue_id good("good");
     const queue_id bad("bad");
-    EXPECT_FALSE(it.get_factor(good));
+    EXPECT_FALSE(it.get_correction_factor(good));
     for (int i = 0; i < 100; ++i)
     {
         it.add(good, milliseconds(1'000), milliseconds(1'100 + i % 3 * 100));
         it.add(bad, milliseconds(1'000), milliseconds(300 + i % 2 * 1'700));
     }
-    EXPECT_GT(it.get_factor(good).value_or(0), 1.2);
-    EXPECT_LT(it.get_factor(good).value_or(9), 1.4);
-    EXPECT_FALSE(it.get_factor(bad));
+    EXPECT_GT(it.get_correction_factor(good).value_or(0), 1.2);
+    EXPECT_LT(it.get_correction_factor(good).value_or(9), 1.4);
+    EXPECT_FALSE(it.get_correction_factor(bad));
 }
 
-// Answers a backlog of which most is past its use: it must not hold the room
-// that new jobs and other pools need, and goes on in what is left.
-TEST_F(job_urgency_test, leaves_room_beside_overdue_jobs)
+// Guards against a backlog of overdue jobs that takes the capacity that new
+// jobs and other pools need, and against one that makes no progress at all.
+TEST_F(job_urgency_test, leaves_capacity_beside_overdue_jobs)
 {
     for (int i = 0; i < 20; ++i)
         submit("overdue" + std::to_string(i), {make_step(1)}, 0);
     add_target(make_report("t1", 10));
-    // A job may take two seconds; after six it is overdue.
+    // The time allowed for a job is 2 s; after 6 s it is overdue.
     EXPECT_EQ(plan(6'100).size(), 6U);
     EXPECT_TRUE(plan(6'200).empty());
     submit("new", {make_step(4)}, 6'300);
     EXPECT_EQ(plan(6'300).size(), 4U);
 }
 
-TEST(share_meter, refills_with_time)
+// Guards against a team that can never submit within its share again after a
+// burst, or that exceeds its rate.
+TEST(team_share_limiter, refills_with_time)
 {
-    share_meter it;
+    team_share_limiter it;
     for (int i = 0; i < 4; ++i)
         EXPECT_TRUE(it.take(team_a, 2, at(0)));
     EXPECT_FALSE(it.take(team_a, 2, at(0)));
