Rename pool planning and coordinator election to common terms

Several names of the pool planner, the arrival meter, the election and the ledger were figurative or private to the project. The platform's instance also shared its name with an enumeration of the maintenance view in the same namespace. Classes, members, files and test cases now use the terms of the field; log fields, row columns and metric names are unchanged.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -369,7 +369,7 @@
         return;
     next_load_line_ = now + load_line_interval;
     coordinator_log.write("load", "each_second",
-        {{"rows_waiting", ledger_.count_waiting()},
+        {{"rows_waiting", ledger_.count_pending_changes()},
             {"starts_to_send", starts_to_send_.size()},
             {"busy_targets", busy_targets_},
             {"runs", decisions_.get_runs().size()}, {"commits", commits_},
@@ -415,8 +415,8 @@
     {
         ledger_batch batch = ledger_.make_batch();
         boot_time sent = boot_clock::now();
-        batch_answer answer = co_await store_.commit(batch, timeout);
-        ledger_.note_answer(answer);
+        batch_result answer = co_await store_.commit(batch, timeout);
+        ledger_.handle_result(answer);
         if (ledger_.is_lost())
         {
             end_term("another coordinator has taken the ledger");
@@ -436,7 +436,7 @@
             co_return;
         }
         metrics_.add("cowslippass_ledger_retries_total");
-        if (answer.outcome == batch_answer::kind::refused)
+        if (answer.outcome == batch_result::kind::refused)
             co_await sleep(pause_after_refusal);
         else
             timeout = std::min(timeout * 2, longest_commit_timeout);
--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_seat.cpp
@@ -88,7 +88,7 @@
 
 void coordinator_seat::suspect()
 {
-    candidacy_.note_probe_failure();
+    candidacy_.record_probe_failure();
     timer_.cancel();
 }
 
@@ -139,13 +139,13 @@
     {
         last_answer_ = boot_clock::now();
         top_share_ = reply->top_processor_share;
-        candidacy_.note_probe(reply->renewed_age, *last_answer_);
+        candidacy_.record_probe(reply->renewed_age, *last_answer_);
         co_return;
     }
     if (reply && !reply->boot.empty() && reply->boot != holder)
-        candidacy_.note_replaced();
+        candidacy_.record_replacement();
     else
-        candidacy_.note_probe_failure();
+        candidacy_.record_probe_failure();
 }
 
 asio::awaitable<void> coordinator_seat::read_head()
@@ -175,9 +175,10 @@
         }
     auto before = candidacy_.get_head();
     if (head)
-        top_share_ = std::max(top_share_, head->top_share);
-    candidacy_.set_handicap(is_weak() ? handicap_of_weak : milliseconds(0));
-    candidacy_.note_head(head, version, sent, boot_clock::now());
+        top_share_ = std::max(top_share_, head->top_processor_share);
+    candidacy_.set_takeover_delay(
+        is_weak() ? handicap_of_weak : milliseconds(0));
+    candidacy_.record_head(head, version, sent, boot_clock::now());
     bool is_same = head && before && before->holder == head->holder;
     if (peer_ && is_same)
         co_return;
@@ -206,7 +207,7 @@
     head.holder = boot_;
     head.entry = settings_.entry.get();
     head.address = address_;
-    head.top_share = std::max(top_share_, get_own_share());
+    head.top_processor_share = std::max(top_share_, get_own_share());
     write_log(log_level::info, "candidate", "taking over",
         {{"term", head.term}, {"version", candidacy_.get_version()},
             {"former", old ? old->entry : std::string()},
@@ -214,9 +215,9 @@
     bool was_released = !old || old->is_released;
     ledger_batch batch{candidacy_.get_version(), head, {}};
     boot_time sent = boot_clock::now();
-    batch_answer answer = co_await store_.commit(batch, take_over_timeout);
+    batch_result answer = co_await store_.commit(batch, take_over_timeout);
     // A copy that was delayed may have applied; nobody else writes our name.
-    bool is_ours = answer.outcome == batch_answer::kind::committed ||
+    bool is_ours = answer.outcome == batch_result::kind::committed ||
                    (answer.head && *answer.head == head);
     if (!is_ours)
     {
@@ -270,7 +271,7 @@
         }
         if (peer_)
             co_await probe();
-        if (!candidacy_.needs_read())
+        if (!candidacy_.needs_head_read())
         {
             co_await wait_on(timer_, probe_interval);
             continue;
--- a/main/entryd/coordinator_seat.hpp
+++ b/main/entryd/coordinator_seat.hpp
@@ -3,7 +3,7 @@
 #include "drivers/peer_link.hpp"
 #include "main/entryd/config_follower.hpp"
 #include "main/entryd/coordinator_runner.hpp"
-#include "systems/coordination/candidacy.hpp"
+#include "systems/coordination/coordinator_election.hpp"
 
 namespace cowslippass
 {
@@ -66,7 +66,7 @@
     const config_follower& config_;
     std::string boot_;
     std::string address_;
-    candidacy candidacy_;
+    coordinator_election candidacy_;
     std::shared_ptr<coordinator_runner> runner_;
     /// Holds the place, but has not read the ledger yet.
     std::shared_ptr<coordinator_runner> recovering_;
--- a/main/entryd/pool_keeper.cpp
+++ b/main/entryd/pool_keeper.cpp
@@ -67,7 +67,7 @@
         }
         std::uint64_t wave = std::stoull(it.key);
         saved_[wave] = begun.size();
-        planner_.load_wave(wave, std::move(begun), boot_clock::now() - age);
+        planner_.restore_wave(wave, std::move(begun), boot_clock::now() - age);
     }
 }
 
@@ -82,7 +82,8 @@
         co_return;
     planner_.set_instances(std::move(*list), sent);
     boot_time now = boot_clock::now();
-    for (const target_id& it : planner_.find_ended_lives(owner_.decisions, now))
+    for (const target_id& it :
+        planner_.find_ended_incarnations(owner_.decisions, now))
     {
         auto target = owner_.decisions.get_targets().find(it);
         if (!target->second.runs.empty())
@@ -99,7 +100,7 @@
 asio::awaitable<void> pool_keeper::send(instance_order order)
 {
     auto self = shared_from_this();
-    machine_outcome outcome = machine_outcome::no_answer;
+    instance_order_outcome outcome = instance_order_outcome::no_answer;
     if (order.is_maintenance())
         outcome = co_await client_.maintain(
             order.instance, order.wave, owner_.number, order_timeout);
@@ -117,7 +118,8 @@
         to_string(outcome),
         {{"instance", order.instance}, {"pool", order.pool},
             {"wave", order.wave}, {"term", owner_.number}});
-    planner_.note_reply(order, outcome, owner_.decisions, boot_clock::now());
+    planner_.handle_order_reply(
+        order, outcome, owner_.decisions, boot_clock::now());
     update_waves();
     send_waiting();
     owner_.wake();
@@ -134,7 +136,7 @@
         if (!owner_.may_order())
         {
             pending_.erase(order.instance);
-            planner_.note_reply(order, machine_outcome::refused,
+            planner_.handle_order_reply(order, instance_order_outcome::refused,
                 owner_.decisions, boot_clock::now());
             continue;
         }
@@ -159,8 +161,8 @@
 {
     for (const auto& [number, wave] : owner_.decisions.get_publication().waves)
     {
-        const auto& begun = planner_.get_begun(number);
-        auto seen = planner_.get_first_seen(number);
+        const auto& begun = planner_.get_begun_instances(number);
+        auto seen = planner_.get_wave_first_seen(number);
         auto saved = saved_.find(number);
         bool is_saved = saved != saved_.end() && saved->second == begun.size();
         if (seen && !is_saved)
@@ -191,9 +193,10 @@
 
 void pool_keeper::report_balances()
 {
-    for (const auto& [pool, it] : planner_.get_balances())
+    for (const auto& [pool, it] : planner_.get_pool_sizings())
         decisions_log.write("balance", "demand",
-            {{"pool", pool}, {"present", it.present}, {"needed", it.needed},
+            {{"pool", pool}, {"present", it.available_instances},
+                {"needed", it.required_instances},
                 {"used_cores", it.used_cores},
                 {"waiting_cores", it.waiting_cores},
                 {"offered_cores", it.offered_cores}, {"spread", it.spread}});
@@ -222,7 +225,7 @@
         if (pending_.insert(it.instance).second)
             waiting_orders_.push_back(it);
     send_waiting();
-    if (!out.stops.empty())
+    if (!out.tasks_to_stop.empty())
         owner_.wake();
 }
 
--- a/systems/coordination/ledger.cpp
+++ b/systems/coordination/ledger.cpp
@@ -24,33 +24,35 @@
     // A row that still waits keeps its place, so that all that was put before
     // an order is durable once that order is.
     row_key id{table, key};
-    if (auto it = order_.find(id); it != order_.end())
+    if (auto it = pending_numbers_.find(id); it != pending_numbers_.end())
     {
-        waiting_[it->second].value = std::move(value);
+        pending_changes_[it->second].value = std::move(value);
         return;
     }
-    order_[id] = ++last_order_;
-    waiting_[last_order_] = {table, std::move(key), std::move(value)};
+    pending_numbers_[id] = ++last_change_number_;
+    pending_changes_[last_change_number_] = {
+        table, std::move(key), std::move(value)};
 }
 
 void ledger::when_durable(std::function<void()> done)
 {
-    if (durable_order_ >= last_order_ && !in_flight_)
+    if (last_durable_number_ >= last_change_number_ && !in_flight_)
     {
         done();
         return;
     }
-    waiters_.push_back({last_order_, std::move(done)});
+    durability_callbacks_.push_back({last_change_number_, std::move(done)});
 }
 
 void ledger::release()
 {
-    releases_ = true;
+    is_release_requested_ = true;
 }
 
 bool ledger::has_changes() const
 {
-    return !waiting_.empty() || (releases_ && !is_released_);
+    return !pending_changes_.empty() ||
+           (is_release_requested_ && !is_released_);
 }
 
 const ledger_batch& ledger::make_batch()
@@ -60,23 +62,23 @@
     ledger_batch batch{version_, head_, {}};
     ++batch.head.batch;
     std::size_t bytes = 0;
-    in_flight_order_ = durable_order_;
-    while (!waiting_.empty() && batch.changes.size() < max_batch_rows)
+    last_in_flight_number_ = last_durable_number_;
+    while (!pending_changes_.empty() && batch.changes.size() < max_batch_rows)
     {
-        auto it = waiting_.begin();
+        auto it = pending_changes_.begin();
         std::size_t size = it->second.value ? it->second.value->size() : 0;
         if (!batch.changes.empty() && bytes + size > max_batch_bytes)
             break;
         bytes += size;
-        in_flight_order_ = it->first;
-        order_.erase({it->second.table, it->second.key});
+        last_in_flight_number_ = it->first;
+        pending_numbers_.erase({it->second.table, it->second.key});
         batch.changes.push_back(std::move(it->second));
-        waiting_.erase(it);
+        pending_changes_.erase(it);
     }
-    if (waiting_.empty())
+    if (pending_changes_.empty())
     {
-        in_flight_order_ = last_order_;
-        batch.head.is_released = releases_;
+        last_in_flight_number_ = last_change_number_;
+        batch.head.is_released = is_release_requested_;
     }
     in_flight_ = std::move(batch);
     return *in_flight_;
@@ -87,19 +89,21 @@
     version_ = version;
     head_ = in_flight_->head;
     is_released_ = head_.is_released;
-    durable_order_ = in_flight_order_;
+    last_durable_number_ = last_in_flight_number_;
     in_flight_.reset();
-    while (!waiters_.empty() && waiters_.front().change_count <= durable_order_)
+    while (!durability_callbacks_.empty() &&
+           durability_callbacks_.front().required_change_number <=
+               last_durable_number_)
     {
-        auto done = std::move(waiters_.front().done);
-        waiters_.pop_front();
+        auto done = std::move(durability_callbacks_.front().done);
+        durability_callbacks_.pop_front();
         done();
     }
 }
 
-void ledger::note_answer(const batch_answer& answer)
+void ledger::handle_result(const batch_result& answer)
 {
-    using kind = batch_answer::kind;
+    using kind = batch_result::kind;
     if (!in_flight_ || is_lost_)
         return;
     switch (answer.outcome)
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -41,7 +41,7 @@
 };
 
 /// What the store said of a batch.
-struct batch_answer
+struct batch_result
 {
     enum class kind
     {
@@ -83,11 +83,17 @@
     bool has_changes() const;
 
     /// @return whether the changes fill the next batch.
-    bool has_full_batch() const { return waiting_.size() >= max_batch_rows; }
+    bool has_full_batch() const
+    {
+        return pending_changes_.size() >= max_batch_rows;
+    }
     bool is_in_flight() const { return in_flight_.has_value(); }
     bool is_lost() const { return is_lost_; }
     bool is_released() const { return is_released_; }
-    std::size_t count_waiting() const { return waiting_.size(); }
+    std::size_t count_pending_changes() const
+    {
+        return pending_changes_.size();
+    }
 
     /// @return the batch to send: the one without an answer, or a new one
     ///   with the waiting changes, also when there are none.
@@ -95,13 +101,13 @@
 
     /// Runs the callbacks of what became durable. After a conflict with
     /// another holder the ledger is lost.
-    void note_answer(const batch_answer& answer);
+    void handle_result(const batch_result& answer);
 
 private:
     using row_key = std::pair<std::string, std::string>;
-    struct waiter
+    struct durability_callback
     {
-        std::uint64_t change_count; ///< Changes that must be durable.
+        std::uint64_t required_change_number; ///< Changes that must be durable.
         std::function<void()> done;
     };
 
@@ -112,16 +118,16 @@
     ledger_head head_;
     row_version version_;
     /// Rows in the order in which they were first put.
-    std::map<std::uint64_t, ledger_change> waiting_;
-    std::map<row_key, std::uint64_t> order_;
-    std::uint64_t last_order_ = 0;
+    std::map<std::uint64_t, ledger_change> pending_changes_;
+    std::map<row_key, std::uint64_t> pending_numbers_;
+    std::uint64_t last_change_number_ = 0;
     /// All changes up to this order are durable once the batch in flight is.
-    std::uint64_t in_flight_order_ = 0;
-    std::uint64_t durable_order_ = 0;
+    std::uint64_t last_in_flight_number_ = 0;
+    std::uint64_t last_durable_number_ = 0;
     std::optional<ledger_batch> in_flight_;
-    std::deque<waiter> waiters_;
+    std::deque<durability_callback> durability_callbacks_;
     bool is_lost_ = false;
-    bool releases_ = false;
+    bool is_release_requested_ = false;
     bool is_released_ = false;
 };
 
--- a/systems/coordination/ledger_head.cpp
+++ b/systems/coordination/ledger_head.cpp
@@ -11,7 +11,7 @@
 {
     return json{{"term", head.term.get()}, {"holder", head.holder},
         {"entry", head.entry}, {"address", head.address},
-        {"top_share", head.top_share}, {"batch", head.batch},
+        {"top_share", head.top_processor_share}, {"batch", head.batch},
         {"released", head.is_released}}
         .dump();
 }
@@ -26,7 +26,7 @@
         in.at("holder").get_to(out.holder);
         in.at("entry").get_to(out.entry);
         in.at("address").get_to(out.address);
-        in.at("top_share").get_to(out.top_share);
+        in.at("top_share").get_to(out.top_processor_share);
         in.at("batch").get_to(out.batch);
         in.at("released").get_to(out.is_released);
         return out;
--- a/systems/coordination/ledger_head.hpp
+++ b/systems/coordination/ledger_head.hpp
@@ -15,7 +15,7 @@
     std::string entry;   ///< Name of its instance, for people.
     std::string address; ///< IP:port for its peers.
     /// Highest share of a processor that an entry had, in thousandths.
-    std::uint32_t top_share = 0;
+    std::uint32_t top_processor_share = 0;
     std::uint64_t batch = 0; ///< Number of the term's last transaction.
     /// The coordinator has stopped as planned and gives no more orders.
     bool is_released = false;
--- a/systems/pools/load_meter.cpp
+++ b/systems/pools/arrival_rate_meter.cpp
@@ -1,4 +1,4 @@
-#include "systems/pools/load_meter.hpp"
+#include "systems/pools/arrival_rate_meter.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -14,9 +14,9 @@
 
 } // namespace
 
-load_meter::load_meter(milliseconds memory) : memory_(memory) {}
+arrival_rate_meter::arrival_rate_meter(milliseconds memory) : memory_(memory) {}
 
-void load_meter::fading_sum::fade(boot_time now)
+void arrival_rate_meter::decaying_sum::decay(boot_time now)
 {
     double passed = std::chrono::duration<double, std::milli>(now - at).count();
     double left = std::exp(-passed / memory);
@@ -25,14 +25,14 @@
     at = now;
 }
 
-void load_meter::fading_sum::add(double work, boot_time now)
+void arrival_rate_meter::decaying_sum::add(double work, boot_time now)
 {
-    fade(now);
+    decay(now);
     sum += work;
     squares += work * work;
 }
 
-void load_meter::add(const pool_id& pool, double work, boot_time now)
+void arrival_rate_meter::add(const pool_id& pool, double work, boot_time now)
 {
     auto [it, is_new] = entries_.try_emplace(pool);
     if (is_new)
@@ -45,15 +45,15 @@
     it->second.fast.add(work, now);
 }
 
-double load_meter::get_rate(const pool_id& pool, boot_time now) const
+double arrival_rate_meter::get_rate(const pool_id& pool, boot_time now) const
 {
     auto it = entries_.find(pool);
     if (it == entries_.end())
         return 0;
-    fading_sum slow = it->second.slow;
-    fading_sum fast = it->second.fast;
-    slow.fade(now);
-    fast.fade(now);
+    decaying_sum slow = it->second.slow;
+    decaying_sum fast = it->second.fast;
+    slow.decay(now);
+    fast.decay(now);
     // Arrivals at random times spread by the root of their squares.
     double certain = fast.sum - std::sqrt(fast.squares);
     return std::max(slow.sum / slow.memory, certain / fast.memory);
--- a/systems/pools/load_meter.hpp
+++ b/systems/pools/arrival_rate_meter.hpp
@@ -11,11 +11,11 @@
 /// work comes in for each pool, as the number of cores that would keep up with
 /// it. The last moments count alone as soon as there is more in them than
 /// chance explains.
-class load_meter
+class arrival_rate_meter
 {
 public:
     /// @param memory after this time an arrival counts for 1/e.
-    explicit load_meter(milliseconds memory);
+    explicit arrival_rate_meter(milliseconds memory);
 
     /// @param work in core-milliseconds.
     void add(const pool_id& pool, double work, boot_time now);
@@ -25,21 +25,21 @@
 
 private:
     /// Sums in which what is older counts less.
-    struct fading_sum
+    struct decaying_sum
     {
         double memory = 1; ///< In milliseconds.
         double sum = 0;
         double squares = 0;
         boot_time at{};
 
-        void fade(boot_time now);
+        void decay(boot_time now);
         void add(double work, boot_time now);
     };
 
     struct entry
     {
-        fading_sum slow;
-        fading_sum fast;
+        decaying_sum slow;
+        decaying_sum fast;
     };
 
     milliseconds memory_;
--- a/systems/pools/instance_report.cpp
+++ b/systems/pools/platform_instance.cpp
@@ -1,11 +1,11 @@
-#include "systems/pools/instance_report.hpp"
+#include "systems/pools/platform_instance.hpp"
 
 #include <array>
 
 namespace cowslippass
 {
 
-const char* to_string(machine_outcome outcome)
+const char* to_string(instance_order_outcome outcome)
 {
     static constexpr std::array names{"accepted", "stale_fence", "busy",
         "not_in_wave", "invalid", "refused", "no_answer"};
--- a/systems/pools/instance_report.hpp
+++ b/systems/pools/platform_instance.hpp
@@ -17,7 +17,7 @@
 };
 
 /// One instance as the platform lists it.
-struct instance_report
+struct platform_instance
 {
     instance_id instance;
     pool_id pool;
@@ -28,7 +28,7 @@
     target_id target; ///< Its present life; empty when there is none.
 };
 
-enum class machine_outcome
+enum class instance_order_outcome
 {
     accepted,
     stale_fence,
@@ -39,6 +39,6 @@
     no_answer ///< It may have been done, or be done later.
 };
 
-const char* to_string(machine_outcome outcome);
+const char* to_string(instance_order_outcome outcome);
 
 } // namespace cowslippass
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "systems/configuration/fleet_config.hpp"
-#include "systems/pools/load_meter.hpp"
+#include "systems/pools/arrival_rate_meter.hpp"
 #include "systems/scheduling/job_urgency.hpp"
 #include "systems/scheduling/target_table.hpp"
 #include "systems/workload/job_record.hpp"
@@ -284,7 +284,7 @@
     std::set<job_id> changed_;
     /// Ended jobs by the time when callers can no longer ask for them.
     std::multimap<boot_time, job_id> ended_;
-    load_meter load_;
+    arrival_rate_meter load_;
     share_meter shares_;
     estimate_meter estimates_;
     std::uint64_t last_order_ = 0;
--- a/tests/main/entryd/whole_path_test.cpp
+++ b/tests/main/entryd/whole_path_test.cpp
@@ -256,9 +256,9 @@
             lost.holder = "lost";
             lost.address = "127.0.0.1:9";
             ledger_batch batch{row_version(0), lost, {}};
-            batch_answer answer =
+            batch_result answer =
                 co_await node->store.commit(batch, milliseconds(500));
-            EXPECT_EQ(answer.outcome, batch_answer::kind::committed);
+            EXPECT_EQ(answer.outcome, batch_result::kind::committed);
             while (!node->seat.is_holder())
                 co_await sleep(milliseconds(20));
             boot_time taken = boot_clock::now();
--- a/tests/systems/coordination/ledger_test.cpp
+++ b/tests/systems/coordination/ledger_test.cpp
@@ -19,12 +19,12 @@
     row_version head_version;
     std::map<std::string, std::string> rows;
 
-    batch_answer apply(const ledger_batch& batch)
+    batch_result apply(const ledger_batch& batch)
     {
-        batch_answer out;
+        batch_result out;
         if (batch.expected != head_version)
         {
-            out.outcome = batch_answer::kind::conflict;
+            out.outcome = batch_result::kind::conflict;
             out.version = head_version;
             out.head = head;
             return out;
@@ -36,7 +36,7 @@
                 rows[it.key] = *it.value;
             else
                 rows.erase(it.key);
-        out.outcome = batch_answer::kind::committed;
+        out.outcome = batch_result::kind::committed;
         out.version = head_version;
         return out;
     }
@@ -54,11 +54,11 @@
     store_model& store, std::uint64_t term, const std::string& holder)
 {
     ledger_head head = make_head(term, holder);
-    batch_answer answer = store.apply({store.head_version, head, {}});
+    batch_result answer = store.apply({store.head_version, head, {}});
     return ledger(head, answer.version);
 }
 
-batch_answer lost()
+batch_result lost()
 {
     return {};
 }
@@ -68,7 +68,7 @@
 // Guards against rows that are told to be durable and are not, rows that go
 // back to an older value when a delayed copy applies, and a coordinator that
 // goes on after another took the ledger: answers are lost, copies are delayed.
-RC_GTEST_PROP(ledger, is_durable_when_it_says_so, ())
+RC_GTEST_PROP(ledger, runs_callbacks_only_once_changes_are_durable, ())
 {
     auto choices =
         *rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 10'000));
@@ -96,17 +96,17 @@
         }
         case 3:
         case 4:
-            it.note_answer(store.apply(it.make_batch()));
+            it.handle_result(store.apply(it.make_batch()));
             break;
         case 5:
             // Applied, but the answer is lost.
             store.apply(it.make_batch());
-            it.note_answer(lost());
+            it.handle_result(lost());
             break;
         case 6:
             // Neither applied nor answered; it may apply later.
             delayed.push_back(it.make_batch());
-            it.note_answer(lost());
+            it.handle_result(lost());
             break;
         default:
             if (!delayed.empty())
@@ -119,14 +119,14 @@
         RC_ASSERT(!it.is_lost());
     }
     while (it.has_changes() || it.is_in_flight())
-        it.note_answer(store.apply(it.make_batch()));
+        it.handle_result(store.apply(it.make_batch()));
     for (const ledger_batch& batch : delayed)
         store.apply(batch);
     RC_ASSERT(store.rows == wanted);
 }
 
 // Guards against a replaced coordinator that still writes.
-TEST(ledger, is_lost_when_another_holder_took_it)
+TEST(ledger, is_lost_after_a_takeover_by_another_holder)
 {
     store_model store;
     ledger first = start_term(store, 1, "a");
@@ -134,12 +134,12 @@
     first.put(ledger_table::jobs, "j", "v");
     bool is_durable = false;
     first.when_durable([&] { is_durable = true; });
-    first.note_answer(store.apply(first.make_batch()));
+    first.handle_result(store.apply(first.make_batch()));
     EXPECT_TRUE(first.is_lost());
     EXPECT_FALSE(is_durable);
     EXPECT_TRUE(store.rows.empty());
     second.put(ledger_table::jobs, "j", "w");
-    second.note_answer(store.apply(second.make_batch()));
+    second.handle_result(store.apply(second.make_batch()));
     EXPECT_EQ(store.rows["j"], "w");
 }
 
@@ -152,9 +152,9 @@
     for (std::size_t i = 0; i < ledger::max_batch_rows + 5; ++i)
         it.put(ledger_table::jobs, std::to_string(i), "v");
     it.release();
-    it.note_answer(store.apply(it.make_batch()));
+    it.handle_result(store.apply(it.make_batch()));
     EXPECT_FALSE(store.head->is_released);
-    it.note_answer(store.apply(it.make_batch()));
+    it.handle_result(store.apply(it.make_batch()));
     EXPECT_TRUE(store.head->is_released);
     EXPECT_TRUE(it.is_released());
     EXPECT_EQ(store.rows.size(), ledger::max_batch_rows + 5);
@@ -171,7 +171,7 @@
     EXPECT_EQ(it.make_batch().changes.size(), 1U);
 }
 
-TEST(ledger_head, keeps_its_fields_and_refuses_other_rows)
+TEST(ledger_head, round_trips_fields_and_rejects_malformed_rows)
 {
     ledger_head it = make_head(7, "boot");
     it.entry = "e";
--- a/tests/systems/pools/pool_planner_test.cpp
+++ b/tests/systems/pools/pool_planner_test.cpp
@@ -32,7 +32,7 @@
 
     void add_instance(const std::string& id, const pool_id& pool)
     {
-        instance_report report;
+        platform_instance report;
         report.instance = instance_id(id);
         report.pool = pool;
         report.condition = instance_condition::up;
@@ -43,7 +43,7 @@
             start_target(instances.back());
     }
 
-    void start_target(instance_report& instance)
+    void start_target(platform_instance& instance)
     {
         auto report = make_report("t" + std::to_string(++last_target));
         report.pool = instance.pool;
@@ -57,15 +57,16 @@
         auto out = planner.plan(it, at(ms));
         for (const instance_order& order : out.orders)
         {
-            planner.note_reply(order, machine_outcome::accepted, it, at(ms));
-            for (instance_report& instance : instances)
+            planner.handle_order_reply(
+                order, instance_order_outcome::accepted, it, at(ms));
+            for (platform_instance& instance : instances)
                 if (instance.instance == order.instance)
                     obey(instance, order);
         }
         return out;
     }
 
-    void obey(instance_report& instance, const instance_order& order)
+    void obey(platform_instance& instance, const instance_order& order)
     {
         it.note_target_change({instance.target, std::nullopt}, at(0));
         instance.target = target_id();
@@ -100,18 +101,18 @@
 
     published_state state;
     pool_planner planner{pool_planner_options{}};
-    std::vector<instance_report> instances;
+    std::vector<platform_instance> instances;
     int last_target = 0;
 };
 
 } // namespace
 
 // Guards against instances that are paid for while nobody needs them.
-TEST_F(pool_planner_test, switches_idle_instances_off_but_for_a_reserve)
+TEST_F(pool_planner_test, moves_idle_instances_to_standby_except_a_reserve)
 {
     for (int i = 0; i < 6; ++i)
         add_instance("m" + std::to_string(i), pool_a);
-    std::int64_t idle = pool_planner_options{}.park_after.count();
+    std::int64_t idle = pool_planner_options{}.standby_delay.count();
     run_ticks(0, idle);
     EXPECT_EQ(count(pool_a), 6U);
     run_ticks(idle, idle + 500);
@@ -121,7 +122,7 @@
 
 // Answers a burst on one queue of several times what its pool holds: instances
 // of standby and idle ones of other pools join it within a few ticks.
-TEST_F(pool_planner_test, gives_a_burst_the_instances_that_it_needs)
+TEST_F(pool_planner_test, scales_a_pool_up_for_a_burst)
 {
     add_instance("m0", pool_a);
     for (int i = 1; i < 4; ++i)
@@ -138,7 +139,7 @@
 
 // Guards against instances that go to standby and back between the queues'
 // turns: demand that moves on takes them along.
-TEST_F(pool_planner_test, moves_instances_along_when_demand_moves_on)
+TEST_F(pool_planner_test, moves_idle_instances_directly_between_pools)
 {
     for (int i = 0; i < 8; ++i)
         add_instance("m" + std::to_string(i), i < 6 ? pool_a : pool_off);
@@ -151,7 +152,7 @@
 }
 
 // Guards against work that is thrown away by a move.
-TEST_F(pool_planner_test, leaves_instances_with_work_where_they_are)
+TEST_F(pool_planner_test, does_not_move_instances_with_running_tasks)
 {
     add_instance("m0", pool_a);
     add_instance("m1", pool_a);
@@ -167,7 +168,7 @@
 
 // Guards against a wave that takes more instances at once than it may, misses
 // some, or is said to be done too early.
-TEST_F(pool_planner_test, maintains_a_wave_within_its_bound)
+TEST_F(pool_planner_test, limits_concurrent_maintenance_of_a_wave)
 {
     maintenance_wave wave;
     wave.number = 1;
@@ -181,7 +182,7 @@
     state.waves[1] = wave;
     it.set_publication(state);
     pool_planner_options options;
-    options.park_after = milliseconds(3'600'000);
+    options.standby_delay = milliseconds(3'600'000);
     planner = pool_planner(options);
     std::size_t begun = 0;
     for (std::int64_t ms = 0; ms < 20'000 && begun < 6; ms += 100)
@@ -192,18 +193,18 @@
         for (const instance_order& order : out.orders)
             if (order.is_maintenance())
             {
-                planner.note_reply(
-                    order, machine_outcome::accepted, it, at(ms));
+                planner.handle_order_reply(
+                    order, instance_order_outcome::accepted, it, at(ms));
                 ++begun;
                 ++down;
             }
         EXPECT_LE(down, 2U);
-        EXPECT_EQ(planner.get_begun(1).size(), begun);
+        EXPECT_EQ(planner.get_begun_instances(1).size(), begun);
         EXPECT_EQ(planner.is_wave_completed(wave), begun == 6);
         // The platform shows the instances as down for two seconds.
         if (ms % 2'500 == 2'400)
-            for (instance_report& instance : instances)
-                if (planner.get_begun(1).contains(instance.instance))
+            for (platform_instance& instance : instances)
+                if (planner.get_begun_instances(1).contains(instance.instance))
                 {
                     instance.target = target_id("n" + instance.instance.get());
                     instance.condition = instance_condition::up;
@@ -214,7 +215,7 @@
 
 // Guards against one instance too many in maintenance: an order whose answer
 // was lost is sent again, and the instance is busy with the first copy.
-TEST_F(pool_planner_test, counts_an_instance_that_is_busy_with_an_earlier_copy)
+TEST_F(pool_planner_test, counts_an_instance_busy_with_a_duplicate_order)
 {
     for (int i = 0; i < 3; ++i)
         add_instance("m" + std::to_string(i), pool_a);
@@ -227,28 +228,30 @@
     state.waves[1] = wave;
     it.set_publication(state);
     pool_planner_options options;
-    options.park_after = milliseconds(3'600'000);
+    options.standby_delay = milliseconds(3'600'000);
     planner = pool_planner(options);
     planner.set_instances(instances, at(0));
     auto first = planner.plan(it, at(0));
     ASSERT_EQ(first.orders.size(), 1U);
-    planner.note_reply(first.orders[0], machine_outcome::no_answer, it, at(0));
+    planner.handle_order_reply(
+        first.orders[0], instance_order_outcome::no_answer, it, at(0));
     // The list is still the one from before the order.
     auto second = planner.plan(it, at(800));
     ASSERT_EQ(second.orders.size(), 1U);
     EXPECT_EQ(second.orders[0].instance, first.orders[0].instance);
-    planner.note_reply(second.orders[0], machine_outcome::busy, it, at(800));
+    planner.handle_order_reply(
+        second.orders[0], instance_order_outcome::busy, it, at(800));
     EXPECT_TRUE(planner.plan(it, at(900)).orders.empty());
     // The platform says so when the first copy has been carried out.
     auto third = planner.plan(it, at(1'600));
     ASSERT_EQ(third.orders.size(), 1U);
-    planner.note_reply(
-        third.orders[0], machine_outcome::accepted, it, at(1'600));
-    EXPECT_EQ(planner.get_begun(1).size(), 1U);
+    planner.handle_order_reply(
+        third.orders[0], instance_order_outcome::accepted, it, at(1'600));
+    EXPECT_EQ(planner.get_begun_instances(1).size(), 1U);
 }
 
 // Guards against a successor that maintains an instance twice.
-TEST_F(pool_planner_test, remembers_what_a_predecessor_has_maintained)
+TEST_F(pool_planner_test, skips_instances_maintained_by_a_predecessor)
 {
     maintenance_wave wave;
     wave.number = 1;
@@ -259,7 +262,7 @@
     wave.instances = {instance_id("m0"), instance_id("m1")};
     state.waves[1] = wave;
     it.set_publication(state);
-    planner.load_wave(1, {instance_id("m0")}, at(0));
+    planner.restore_wave(1, {instance_id("m0")}, at(0));
     auto out = tick(0);
     ASSERT_EQ(out.orders.size(), 1U);
     EXPECT_EQ(out.orders[0].instance, instance_id("m1"));
@@ -267,7 +270,7 @@
 
 // Guards against maintenance that ends a task of a step when as many others as
 // may be are away already.
-TEST_F(pool_planner_test, drains_long_running_tasks_within_their_budget)
+TEST_F(pool_planner_test, drains_long_running_tasks_within_max_unavailable)
 {
     maintenance_wave wave;
     wave.number = 1;
@@ -290,13 +293,13 @@
     it.set_publication(state);
     tick(100);
     auto out = tick(600);
-    EXPECT_EQ(out.stops.size(), 1U);
+    EXPECT_EQ(out.tasks_to_stop.size(), 1U);
     EXPECT_TRUE(out.orders.empty());
 }
 
 // Guards against a wave that ends too late: a new coordinator must know how
 // much of its time has passed, and drain instances that are at work.
-TEST_F(pool_planner_test, drains_for_a_wave_that_a_predecessor_has_begun)
+TEST_F(pool_planner_test, drains_for_a_wave_begun_by_a_predecessor)
 {
     add_instance("m0", pool_a);
     submit("1", queue_a, 4, 0);
@@ -311,15 +314,15 @@
     tick(7'000);
     EXPECT_FALSE(it.get_targets().at(target_id("t1")).is_cordoned);
     planner = pool_planner(pool_planner_options{});
-    planner.load_wave(1, {}, at(0));
+    planner.restore_wave(1, {}, at(0));
     tick(7'100);
     EXPECT_TRUE(it.get_targets().at(target_id("t1")).is_cordoned);
-    EXPECT_EQ(planner.get_first_seen(1), at(0));
+    EXPECT_EQ(planner.get_wave_first_seen(1), at(0));
 }
 
 // Guards against a backlog that is past its use and yet draws instances from
 // pools whose jobs can be in time.
-TEST_F(pool_planner_test, gives_overdue_jobs_no_more_instances)
+TEST_F(pool_planner_test, does_not_scale_up_for_overdue_jobs)
 {
     for (int i = 0; i < 10; ++i)
         add_instance("m" + std::to_string(i), i < 4 ? pool_a : pool_off);
@@ -328,35 +331,35 @@
     plan(20'000);
     tick(20'000);
     EXPECT_EQ(count(pool_a), 4U);
-    const pool_balance& balance = planner.get_balances().at(pool_a);
-    EXPECT_LT(balance.needed, 4U);
-    EXPECT_GT(balance.kept, 4U);
+    const pool_sizing& sizing = planner.get_pool_sizings().at(pool_a);
+    EXPECT_LT(sizing.required_instances, 4U);
+    EXPECT_GT(sizing.retained_instances, 4U);
 }
 
 // Guards against tasks that wait out the leases of a target whose instance has
 // started another life.
-TEST_F(pool_planner_test, finds_lives_that_have_ended)
+TEST_F(pool_planner_test, finds_ended_incarnations)
 {
     add_instance("m0", pool_a);
     add_instance("m1", pool_a);
     planner.set_instances(instances, at(0));
-    EXPECT_TRUE(planner.find_ended_lives(it, at(0)).empty());
+    EXPECT_TRUE(planner.find_ended_incarnations(it, at(0)).empty());
     target_id crashed = instances[0].target;
     instances[0].condition = instance_condition::down;
     instances[0].target = target_id();
     planner.set_instances(instances, at(100));
-    EXPECT_EQ(
-        planner.find_ended_lives(it, at(100)), std::vector<target_id>{crashed});
+    EXPECT_EQ(planner.find_ended_incarnations(it, at(100)),
+        std::vector<target_id>{crashed});
     // A target that no list has named may be newer than the list.
     add_target(make_report("fresh"));
-    EXPECT_EQ(planner.find_ended_lives(it, at(200)).size(), 1U);
-    EXPECT_EQ(planner.find_ended_lives(it, at(1'800)).size(), 2U);
+    EXPECT_EQ(planner.find_ended_incarnations(it, at(200)).size(), 1U);
+    EXPECT_EQ(planner.find_ended_incarnations(it, at(1'800)).size(), 2U);
 }
 
 // Guards against bursts that the meter sees too late, or that it never forgets.
-TEST(load_meter, follows_what_comes_in)
+TEST(arrival_rate_meter, follows_the_arrival_rate)
 {
-    load_meter meter{milliseconds(1'000)};
+    arrival_rate_meter meter{milliseconds(1'000)};
     for (int i = 0; i < 200; ++i)
         meter.add(pool_a, 1'000, at(i * 10));
     // One core-second each 10 ms is 100 cores.
@@ -367,9 +370,9 @@
 
 // Answers a burst that begins at once: jobs would wait for the second that an
 // average takes to follow. A single large job is no burst.
-TEST(load_meter, sees_a_burst_before_its_average_does)
+TEST(arrival_rate_meter, detects_a_burst_before_the_slow_average)
 {
-    load_meter meter{milliseconds(1'000)};
+    arrival_rate_meter meter{milliseconds(1'000)};
     for (int i = 0; i < 30; ++i)
         meter.add(pool_a, 1'000, at(5'000 + i * 10));
     EXPECT_GT(meter.get_rate(pool_a, at(5'300)), 45.0);
