--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "systems/configuration/fleet_config.hpp"
-#include "systems/pools/load_meter.hpp"
+#include "systems/pools/arrival_rate_meter.hpp"
 #include "systems/scheduling/job_urgency.hpp"
 #include "systems/scheduling/target_table.hpp"
 #include "systems/workload/job_record.hpp"
@@ -331,7 +331,7 @@
     std::set<job_id> changed_jobs_;
     /// Ended jobs, by the end of their retention time.
     std::multimap<boot_time, job_id> ended_jobs_by_expiry_;
-    load_meter arrival_load_;
+    arrival_rate_meter arrival_load_;
     team_share_limiter share_limiter_;
     estimate_calibrator estimate_calibrator_;
     std::uint64_t last_acceptance_number_ = 0;
