Call the longest chain of steps the critical path

The code used chain for what the field calls the critical path, and some comments and local names of the scheduling code were still vague.

Rename the functions, the member and the test suite, and complete the comments of the planner, the reply handling and the model test. Behaviour does not change.

The whole tree builds.

--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -221,12 +221,12 @@
     // Jobs with a schedule and jobs of long-running tasks alone have no
     // deadline.
     bool is_timed = it.get_spec().repeat_count == 0 &&
-                    entry.remaining_chain > milliseconds(0);
+                    entry.remaining_critical_path > milliseconds(0);
     double factor =
         estimate_calibrator_.get_correction_factor(it.get_queue()).value_or(0);
-    milliseconds time_left(static_cast<std::int64_t>(
-        static_cast<double>(entry.remaining_chain.count()) * factor));
-    out.is_late = is_timed && now + time_left > out.deadline;
+    milliseconds estimated_time(static_cast<std::int64_t>(
+        static_cast<double>(entry.remaining_critical_path.count()) * factor));
+    out.is_late = is_timed && now + estimated_time > out.deadline;
     milliseconds allowed = std::chrono::duration_cast<milliseconds>(
         out.deadline - entry.accepted_at);
     out.is_overdue =
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -198,8 +198,8 @@
     void handle_poll_failure(const target_id& target, boot_time now);
 
     /// @return whether the next poll renews the leases at the target. Leases
-    ///   at a silent target are left to end_runs_without_lease, so that its
-    ///   tasks can start elsewhere at a known time.
+    ///   at a silent target are left to expire, so that its tasks can start
+    ///   elsewhere at a known time.
     bool should_renew_leases(const target_id& target) const;
 
     /// Records that a lease was granted at the target.
@@ -238,9 +238,9 @@
         std::optional<boot_time> ended_at = {};
         /// Since when tasks have waited for capacity.
         std::optional<boot_time> waiting_since = {};
-        milliseconds remaining_chain{0}; ///< Estimated critical path.
-        bool exceeds_share = false;      ///< Beyond its team's share.
-        bool is_overdue = false;         ///< In the last planning round.
+        milliseconds remaining_critical_path{0}; ///< Estimated critical path.
+        bool exceeds_share = false;              ///< Beyond its team's share.
+        bool is_overdue = false; ///< In the last planning round.
     };
 
     /// Adds the waiting tasks of a job to the demand of its pool.
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -26,7 +26,8 @@
         if (it.needs_scan || it.value.get_spec().repeat_count > 0)
         {
             it.waiting = it.value.list_waiting(wall_time);
-            it.remaining_chain = estimate_remaining_chain(it.value);
+            it.remaining_critical_path =
+                estimate_remaining_critical_path(it.value);
         }
         it.needs_scan = false;
         if (it.waiting.empty())
@@ -164,9 +165,9 @@
     if (!queue)
         return;
     std::vector<task_key> left;
-    // The tasks of a step have the same needs: when one fits no target, the
-    // others of its step fit none either.
-    std::optional<task_key> without_capacity;
+    // The tasks of a step have the same needs: when one of them cannot start,
+    // neither can the others.
+    std::optional<task_key> blocked;
     entry.is_over_limit = false;
     for (std::size_t i = 0; i < entry.waiting.size(); ++i)
     {
@@ -186,8 +187,8 @@
                     entry.waiting.begin() + i + 1);
             continue;
         }
-        if (without_capacity && without_capacity->step == key.step &&
-            without_capacity->occurrence == key.occurrence)
+        if (blocked && blocked->step == key.step &&
+            blocked->occurrence == key.occurrence)
         {
             left.push_back(key);
             continue;
@@ -199,7 +200,7 @@
             entry.is_over_limit = true;
         if (!target)
         {
-            without_capacity = key;
+            blocked = key;
             left.push_back(key);
             continue;
         }
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -152,7 +152,7 @@
 {
     if (status.ended.size() >= max_ends_per_status)
         return;
-    auto is_listed = [&](const task_name& task, run_number number)
+    auto is_reported = [&](const task_name& task, run_number number)
     {
         return std::ranges::any_of(status.running, [&](const running_report& it)
             { return it.task == task && it.run == number; });
@@ -161,8 +161,8 @@
     for (const task_name& it : runs)
     {
         const active_run& run = runs_.at(it);
-        bool is_settled = run.confirmed_at && *run.confirmed_at < sent_at;
-        if (is_settled && !is_listed(it, run.number))
+        bool is_confirmed = run.confirmed_at && *run.confirmed_at < sent_at;
+        if (is_confirmed && !is_reported(it, run.number))
             end_run(it, run_end::lapsed, {}, now);
     }
 }
@@ -233,8 +233,8 @@
     {
         const active_run& run = runs_.at(name);
         bool is_recovered = run.is_sent && !target.has_reported;
-        bool is_settled = run.confirmed_at && *run.confirmed_at < asked_at;
-        if (is_settled || is_recovered)
+        bool is_confirmed = run.confirmed_at && *run.confirmed_at < asked_at;
+        if (is_confirmed || is_recovered)
             end_run(name, run_end::lapsed, {}, now);
     }
     // The target gets no work until it answers, because it may start again
@@ -274,7 +274,7 @@
     auto end = ended_jobs_by_expiry_.lower_bound(now);
     for (auto it = ended_jobs_by_expiry_.begin(); it != end;)
     {
-        // Stopping the remaining_chain runs needs the job.
+        // The runs of the job still have to be stopped, which needs the job.
         if (!jobs_.at(it->second).value.list_running().empty())
         {
             ++it;
--- a/systems/scheduling/job_urgency.cpp
+++ b/systems/scheduling/job_urgency.cpp
@@ -23,7 +23,8 @@
 /// @param is_remaining tells for each step whether its estimate counts.
 /// @return the estimated time on the critical path through the steps.
 template <class Predicate>
-milliseconds estimate_chain(const job_spec& spec, const Predicate& is_remaining)
+milliseconds estimate_critical_path(
+    const job_spec& spec, const Predicate& is_remaining)
 {
     std::vector<milliseconds> ends;
     ends.reserve(spec.steps.size());
@@ -44,21 +45,21 @@
 
 } // namespace
 
-milliseconds estimate_remaining_chain(const job& it)
+milliseconds estimate_remaining_critical_path(const job& it)
 {
     milliseconds out{0};
     std::uint32_t n = it.get_spec().get_occurrence_count();
     for (std::uint32_t k = 0; k < n; ++k)
-        out =
-            std::max(out, estimate_chain(it.get_spec(), [&](std::uint32_t step)
-                              { return !it.is_step_done(k, step); }));
+        out = std::max(out,
+            estimate_critical_path(it.get_spec(),
+                [&](std::uint32_t step) { return !it.is_step_done(k, step); }));
     return out;
 }
 
 milliseconds get_time_allowed(const job_spec& spec, const queue_config& queue)
 {
     milliseconds chain =
-        estimate_chain(spec, [](std::uint32_t) { return true; });
+        estimate_critical_path(spec, [](std::uint32_t) { return true; });
     return milliseconds(static_cast<std::int64_t>(
                static_cast<double>(chain.count()) * queue.stretch)) +
            queue.target_duration;
@@ -91,11 +92,11 @@
 
 bool team_share_limiter::take(const team_id& team, double weight, boot_time now)
 {
-    double most = weight * burst_seconds;
-    auto [it, is_new] = buckets_.try_emplace(team, bucket{most, now});
+    double max_tokens = weight * burst_seconds;
+    auto [it, is_new] = buckets_.try_emplace(team, bucket{max_tokens, now});
     bucket& own = it->second;
     std::chrono::duration<double> passed = now - own.refilled_at;
-    own.tokens = std::min(most, own.tokens + passed.count() * weight);
+    own.tokens = std::min(max_tokens, own.tokens + passed.count() * weight);
     own.refilled_at = now;
     if (own.tokens < 1)
         return false;
--- a/systems/scheduling/job_urgency.hpp
+++ b/systems/scheduling/job_urgency.hpp
@@ -11,7 +11,7 @@
 
 /// @return the estimated time on the critical path through the steps that are
 ///   not done; the maximum over the job's occurrences.
-milliseconds estimate_remaining_chain(const job& it);
+milliseconds estimate_remaining_critical_path(const job& it);
 
 /// @return how long after its submission a job still counts as in time: its
 ///   critical path times the queue's stretch, plus the queue's target duration.
@@ -22,8 +22,8 @@
 constexpr int overdue_factor = 3;
 
 /// Token bucket for each team: tells which of a team's jobs are within its
-/// share of the fleet. The share is as many submissions a second as the team's
-/// weight.
+/// share while the fleet is full. The share is as many submissions a second as
+/// the team's weight.
 class team_share_limiter
 {
 public:
@@ -71,8 +71,8 @@
 /// Sort key of waiting jobs; the smallest starts first. When a burst exceeds
 /// the capacity of a pool and not all jobs can end in time, the capacity goes
 /// to those that can, earliest deadline first. Jobs that will be late anyway
-/// and those beyond their team's share get the remaining_chain capacity;
-/// overdue jobs get only what no other job needs.
+/// and those beyond their team's share get the remaining capacity; overdue jobs
+/// get only what no other job needs.
 struct job_urgency
 {
     /// So late that its caller has no use of it any more.
--- a/tests/systems/scheduling/coordinator_model_test.cpp
+++ b/tests/systems/scheduling/coordinator_model_test.cpp
@@ -31,6 +31,7 @@
     std::uint64_t fence = 0;
     std::int64_t incarnation_start = 1;
     std::map<task_name, run> runs;
+    /// Highest run number of each task that has ended or was stopped here.
     std::map<task_name, std::uint64_t> highest_ended;
     std::vector<end_report> ended;
     std::uint64_t last_end_number = 0;
@@ -68,7 +69,7 @@
     }
 };
 
-/// A start request that has no answer or is still on its way.
+/// A start request that has no answer yet or may arrive late.
 struct sent_start
 {
     std::size_t target;
@@ -212,6 +213,9 @@
         rows_[id] = current_->find_job(id)->encode_progress();
     }
 
+    /// Plans and sends the start requests.
+    /// @param faults one digit of base 5 for each request: 3 delays the
+    ///   request, 4 loses its answer.
     void plan(std::size_t faults)
     {
         auto starts = current_->plan(at(now_), platform_time(now_));
@@ -344,6 +348,8 @@
         targets_[i].end(task, run_end::done);
     }
 
+    /// Sends all stop requests.
+    /// @param n modulo 3: 1 when the answers are lost, 2 when the requests are.
     void stop(std::size_t n)
     {
         for (const stop_decision& it : current_->list_stops())
@@ -392,6 +398,7 @@
     std::map<std::size_t, std::pair<std::int64_t, std::uint64_t>> acknowledged_;
     std::vector<sent_start> delayed_;
     std::vector<sent_start> unanswered_;
+    /// Tasks whose end the coordinator has processed and acknowledged.
     std::set<task_name> processed_done_;
     bool started_after_end_ = false;
 };
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 // Guards against a target that gets more work than its capacity.
-TEST_F(coordinator_test, never_exceeds_a_target)
+TEST_F(coordinator_test, never_exceeds_the_capacity_of_a_target)
 {
     add_target(make_report("t1", 4));
     add_target(make_report("t2", 3));
--- a/tests/systems/scheduling/job_urgency_test.cpp
+++ b/tests/systems/scheduling/job_urgency_test.cpp
@@ -33,7 +33,7 @@
 
 // Guards against a critical path that leaves out steps or adds up parallel
 // ones.
-TEST(job_chain, is_the_longest_path_through_the_steps)
+TEST(critical_path, is_the_longest_path_through_the_steps)
 {
     step_spec last = make_step(1);
     last.after = {0, 1};
@@ -41,11 +41,11 @@
     longer.estimate = milliseconds(1'500);
     job it(job_id("j"), queue_a, team_a,
         make_record({make_step(2), longer, last}).spec);
-    EXPECT_EQ(estimate_remaining_chain(it), milliseconds(2'500));
+    EXPECT_EQ(estimate_remaining_critical_path(it), milliseconds(2'500));
     for (std::uint32_t i = 0; i < 4; ++i)
         it.note_end({0, 1, i}, it.assign({0, 1, i}, target_id("t")),
             run_end::done, "", 1);
-    EXPECT_EQ(estimate_remaining_chain(it), milliseconds(2'000));
+    EXPECT_EQ(estimate_remaining_critical_path(it), milliseconds(2'000));
     queue_config queue;
     queue.stretch = 2;
     queue.target_duration = milliseconds(100);
