Reword comments of pools and coordination in plain technical terms

The comments, test heads and private names of the pool planner, the arrival rate meter, the coordinator election and the ledger were figurative. They now say what the code does and why; reasons and numbers stay.

--- a/systems/coordination/coordinator_election.cpp
+++ b/systems/coordination/coordinator_election.cpp
@@ -47,7 +47,8 @@
 {
     if (!head_ || head_->is_released || is_holder_replaced_)
         return true;
-    // Another boot listens at its address now, or its term ended here.
+    // This process listens at the holder's address, so the holder has ended, or
+    // this process itself held the role and its term has ended.
     return head_->address == address_ || head_->holder == boot_;
 }
 
@@ -61,7 +62,7 @@
         return false;
     if (is_vacant())
         return true;
-    // What it said a while ago says nothing of what it has written since.
+    // An old report is ignored: the holder may have written since.
     if (reported_silence_ >= reported_silence_limit + takeover_delay_ &&
         now - reported_at_ <= max_read_age)
         return true;
--- a/systems/coordination/ledger.cpp
+++ b/systems/coordination/ledger.cpp
@@ -21,8 +21,8 @@
 void ledger::add(
     const char* table, std::string key, std::optional<std::string> value)
 {
-    // A row that still waits keeps its place, so that all that was put before
-    // an order is durable once that order is.
+    // A row with a pending change keeps that change's number. Batches take the
+    // changes by number, so all changes up to a number become durable in turn.
     row_key id{table, key};
     if (auto it = pending_numbers_.find(id); it != pending_numbers_.end())
     {
@@ -101,15 +101,15 @@
     }
 }
 
-void ledger::handle_result(const batch_result& answer)
+void ledger::handle_result(const batch_result& result)
 {
     using kind = batch_result::kind;
     if (!in_flight_ || is_lost_)
         return;
-    switch (answer.outcome)
+    switch (result.outcome)
     {
     case kind::committed:
-        commit(answer.version);
+        commit(result.version);
         return;
     case kind::refused:
     case kind::unknown:
@@ -117,10 +117,10 @@
     case kind::conflict:
         break;
     }
-    // An earlier copy of this batch has applied when the row is as the batch
-    // wrote it; nobody else writes this holder's name.
-    if (answer.head && *answer.head == in_flight_->head)
-        commit(answer.version);
+    // If the head row is the one of this batch, an earlier copy of the batch
+    // has applied: no other process writes this holder's boot id.
+    if (result.head && *result.head == in_flight_->head)
+        commit(result.version);
     else
         is_lost_ = true;
 }
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -12,8 +12,8 @@
 namespace cowslippass
 {
 
-/// Tables of the ledger; all rows are in one part, so that a transaction can
-/// touch any of them.
+/// Tables of the ledger. All rows are in one part (partition) of the store, so
+/// that a transaction can write any of them.
 namespace ledger_table
 {
 inline constexpr const char* control = "control";
@@ -24,7 +24,7 @@
 inline constexpr const char* head_key = "head";
 } // namespace ledger_table
 
-/// One row to write, or to delete.
+/// A row to write, or to delete if it has no value.
 struct ledger_change
 {
     std::string table;
@@ -32,7 +32,8 @@
     std::optional<std::string> value;
 };
 
-/// One transaction: rewrites the head row if it still has `expected`.
+/// A transaction. It applies only if the head row still has the version
+/// `expected`, and rewrites that row.
 struct ledger_batch
 {
     row_version expected;
@@ -40,24 +41,24 @@
     std::vector<ledger_change> changes;
 };
 
-/// What the store said of a batch.
+/// Result of a batch, as the store reported it.
 struct batch_result
 {
     enum class kind
     {
         committed,
         conflict, ///< The head row has another version.
-        refused,  ///< Nothing was done.
-        unknown   ///< No answer; it may have been done or be done later.
+        refused,  ///< The batch had no effect.
+        unknown   ///< No reply; the batch may have applied, or may do so later.
     };
     kind outcome = kind::unknown;
-    row_version version;             ///< Of the head row, unless unknown.
-    std::optional<ledger_head> head; ///< The current one, on conflict.
+    row_version version; ///< Of the head row; not set for `unknown`.
+    std::optional<ledger_head> head; ///< Current head row, after a conflict.
 };
 
-/// Collects the coordinator's changes, one transaction in flight at a time.
-/// A batch without an answer is sent again as it was: the expected version
-/// lets at most one of the copies apply.
+/// Collects the coordinator's changes and writes them in batches, with one
+/// transaction in flight at a time. A batch without a reply is sent again
+/// unchanged: the expected version lets at most one of the copies apply.
 class ledger
 {
 public:
@@ -65,29 +66,34 @@
     static constexpr std::size_t max_batch_rows = 90;
     static constexpr std::size_t max_batch_bytes = 600'000;
 
-    /// @param head as the takeover wrote it, with the version it got.
+    /// @param head the head row that the takeover wrote.
+    /// @param version the version that the row got.
     ledger(ledger_head head, row_version version);
 
-    /// Writes a row with one of the next batches; a later value of the same
-    /// row replaces a waiting one.
+    /// Writes a row with one of the next batches. A later value of the same row
+    /// replaces one that has not been sent yet.
     void put(const char* table, std::string key, std::string value);
+    /// Deletes a row with one of the next batches.
     void erase(const char* table, std::string key);
 
-    /// Runs `done` once everything that was put so far is durable. It never
-    /// runs when the ledger is lost.
+    /// Calls `done` once all changes so far are durable. It is never called if
+    /// the ledger is lost.
     void when_durable(std::function<void()> done);
 
-    /// Ends the coordinator's term with the next batch.
+    /// Ends the coordinator's term with the batch that writes the last pending
+    /// change.
     void release();
 
+    /// @return whether a change or a release has not been written yet.
     bool has_changes() const;
 
-    /// @return whether the changes fill the next batch.
+    /// @return whether the pending changes fill a batch.
     bool has_full_batch() const
     {
         return pending_changes_.size() >= max_batch_rows;
     }
     bool is_in_flight() const { return in_flight_.has_value(); }
+    /// @return whether another coordinator has taken the ledger over.
     bool is_lost() const { return is_lost_; }
     bool is_released() const { return is_released_; }
     std::size_t count_pending_changes() const
@@ -95,19 +101,20 @@
         return pending_changes_.size();
     }
 
-    /// @return the batch to send: the one without an answer, or a new one
-    ///   with the waiting changes, also when there are none.
+    /// @return the batch to send: the one that is in flight, or a new one with
+    ///   the pending changes, even if there are none.
     const ledger_batch& make_batch();
 
-    /// Runs the callbacks of what became durable. After a conflict with
-    /// another holder the ledger is lost.
-    void handle_result(const batch_result& answer);
+    /// Handles the result of the batch in flight: calls the callbacks of the
+    /// changes that became durable. The ledger is lost after a conflict with
+    /// another holder.
+    void handle_result(const batch_result& result);
 
 private:
     using row_key = std::pair<std::string, std::string>;
     struct durability_callback
     {
-        std::uint64_t required_change_number; ///< Changes that must be durable.
+        std::uint64_t required_change_number; ///< Last change to await.
         std::function<void()> done;
     };
 
@@ -117,11 +124,13 @@
 
     ledger_head head_;
     row_version version_;
-    /// Rows in the order in which they were first put.
+    /// Changes that are in no batch yet, by their number, in the order in which
+    /// their rows were first put.
     std::map<std::uint64_t, ledger_change> pending_changes_;
+    /// Number of the pending change of each row.
     std::map<row_key, std::uint64_t> pending_numbers_;
     std::uint64_t last_change_number_ = 0;
-    /// All changes up to this order are durable once the batch in flight is.
+    /// All changes up to this number are durable once the batch in flight is.
     std::uint64_t last_in_flight_number_ = 0;
     std::uint64_t last_durable_number_ = 0;
     std::optional<ledger_batch> in_flight_;
--- a/systems/pools/platform_instance.hpp
+++ b/systems/pools/platform_instance.hpp
@@ -8,15 +8,16 @@
 namespace cowslippass
 {
 
+/// State of an instance in the platform's list.
 enum class instance_condition
 {
     up,
-    moving,
+    moving, ///< Changes its pool.
     in_maintenance,
     down
 };
 
-/// One instance as the platform lists it.
+/// One entry of the platform's instance list.
 struct platform_instance
 {
     instance_id instance;
@@ -25,20 +26,22 @@
     data_centre_id data_centre;
     std::vector<std::string> labels;
     resources capacity;
-    target_id target; ///< Its present life; empty when there is none.
+    target_id target; ///< Current incarnation; empty if none runs.
 };
 
+/// Outcome of an order to move or to maintain an instance.
 enum class instance_order_outcome
 {
     accepted,
-    stale_fence,
-    busy,
-    not_in_wave,
-    invalid,
-    refused,  ///< Nothing was done.
-    no_answer ///< It may have been done, or be done later.
+    stale_fence, ///< The platform has seen a higher fencing token.
+    busy,        ///< The instance is carrying out another order.
+    not_in_wave, ///< The instance is not part of the maintenance wave.
+    invalid,     ///< Rejected as malformed or impossible.
+    refused,     ///< The order had no effect.
+    no_answer    ///< The order may have taken effect, or may do so later.
 };
 
+/// @return the name in logs and metrics.
 const char* to_string(instance_order_outcome outcome);
 
 } // namespace cowslippass
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -9,11 +9,15 @@
 namespace
 {
 
+/// An order without a reply is sent again after this time.
 constexpr milliseconds resend_interval{700};
+/// An instance that did not accept an order gets none for this time.
 constexpr milliseconds order_backoff{1'000};
-/// From this share of a wave's time on, busy instances are drained for it.
+/// Instances with running tasks are drained for a wave once this fraction of
+/// its time limit has passed.
 constexpr double drain_start_ratio = 0.25;
-/// An order's effect shows in the list within this time after its duration.
+/// The effect of an order shows in the instance list within this time after the
+/// order's duration.
 constexpr milliseconds list_update_margin{3'000};
 
 } // namespace
@@ -141,8 +145,8 @@
         bool is_listed_later =
             open.accepted_at && list_requested_at_ > *open.accepted_at;
         milliseconds takes = get_duration(open.order);
-        bool is_gone = !found && is_listed_later;
-        // The new life has another target, or none in standby.
+        bool is_removed = !found && is_listed_later;
+        // The new incarnation has another target, or none in standby.
         bool is_done = is_listed_later && found &&
                        found->condition == instance_condition::up &&
                        (found->target != open.target ||
@@ -150,7 +154,7 @@
                                now - *open.accepted_at >= takes));
         bool is_overdue = open.accepted_at &&
                           now - *open.accepted_at > takes + list_update_margin;
-        if (is_done || is_gone || is_overdue)
+        if (is_done || is_removed || is_overdue)
         {
             decisions.set_cordon(open.target, false);
             it = open_orders_.erase(it);
@@ -176,14 +180,14 @@
         bool is_moving =
             open != open_orders_.end() && !open->second.order.is_maintenance();
         pool_id pool = is_moving ? open->second.order.pool : it.pool;
-        bool is_there = it.condition == instance_condition::up ||
-                        it.condition == instance_condition::moving;
+        bool is_usable = it.condition == instance_condition::up ||
+                         it.condition == instance_condition::moving;
         auto target = decisions.get_targets().find(it.target);
-        // Instances that leave or are silent give their pool no room.
-        bool is_lost =
+        // Targets that drain or do not answer add no capacity to their pool.
+        bool is_unavailable =
             target != decisions.get_targets().end() &&
             (target->second.report.is_draining || target->second.failures > 0);
-        if (is_there && !is_lost && !evacuated.contains(it.data_centre))
+        if (is_usable && !is_unavailable && !evacuated.contains(it.data_centre))
             ++sizings_[pool].available_instances;
         total += it.capacity;
         ++counted;
@@ -203,8 +207,8 @@
         const pool_demand& demand = demands[pool];
         pool_sizing& sizing = sizings_[pool];
         resources held = demand.used + demand.waiting;
-        // New instances come after the available_instances tasks have ended:
-        // what comes in and the backlog decide, not what runs.
+        // New instances become available after the running tasks have ended:
+        // the arrival rate and the backlog decide, not the current usage.
         double backlog_cores =
             demand.waiting_work /
             static_cast<double>(options_.backlog_clearing_time.count());
@@ -229,7 +233,7 @@
         {
             sizing.required_instances = std::max(
                 sizing.required_instances, sizing.available_instances + 1);
-            // The next decision waits for what this instance changes.
+            // Wait for the effect of this instance before adding another one.
             next = now + options_.move_time + options_.fragmentation_delay;
         }
         sizing.retained_instances =
@@ -301,15 +305,16 @@
                 it && !begun.contains(id) && can_take_order(*it) &&
                 order_backoff_until_[id] <= now)
                 due.push_back(it);
-        // Instances without work first: their maintenance costs nothing.
+        // Maintenance of instances without running tasks costs nothing, so they
+        // come first, and of these the ones without a target.
         auto rank = [&](const platform_instance* it)
         {
-            bool is_off = it->target.get().empty();
+            bool has_target = !it->target.get().empty();
             auto target = decisions.get_targets().find(it->target);
             std::size_t runs = target == decisions.get_targets().end()
                                    ? 0
                                    : target->second.runs.size();
-            return std::pair(!is_off, runs);
+            return std::pair(has_target, runs);
         };
         std::ranges::sort(due, {}, rank);
         std::size_t open_drains = 0;
@@ -347,15 +352,16 @@
             incompatible_moves_.contains({it.instance, pool}) ||
             (held != order_backoff_until_.end() && held->second > now))
             continue;
-        bool is_off = standby_pool_ && it.pool == *standby_pool_;
+        bool is_standby = standby_pool_ && it.pool == *standby_pool_;
         auto sizing = sizings_.find(it.pool);
         bool is_surplus =
             sizing != sizings_.end() && sizing->second.available_instances >
                                             sizing->second.required_instances;
-        // An idle instance of another pool saves the move to standby.
-        if (!is_off && is_surplus && is_idle(it, now, {}))
+        // Taking a surplus idle instance from another pool saves its move to
+        // standby.
+        if (!is_standby && is_surplus && is_idle(it, now, {}))
             return &it;
-        if (is_off && !best)
+        if (is_standby && !best)
             best = &it;
     }
     return best;
@@ -406,6 +412,7 @@
 
 void pool_planner::refill_tokens(boot_time now)
 {
+    // Token bucket that holds the orders of half a second.
     double most = options_.orders_per_second / 2;
     std::chrono::duration<double> passed =
         now - tokens_refilled_at_.value_or(now);
@@ -460,7 +467,7 @@
             begun_instances_[order.wave].insert(order.instance);
         return;
     case instance_order_outcome::no_answer:
-        // It may still take effect: the target stays without work.
+        // The order may still take effect, so the target stays cordoned.
         return;
     case instance_order_outcome::refused:
         return;
@@ -473,8 +480,9 @@
             begun_instances_[order.wave].insert(order.instance);
         break;
     case instance_order_outcome::busy:
-        // Most likely with an earlier copy of this order. Its place in the
-        // wave stays taken; later copies learn that it is done.
+        // The instance is most likely busy with an earlier copy of this order.
+        // It still counts against the wave's limit; a later copy gets the reply
+        // that the order was accepted.
         if (it->second.was_resent &&
             now - it->second.sent_at < get_duration(order) + list_update_margin)
             return;
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -13,99 +13,116 @@
 namespace cowslippass
 {
 
+/// Timings and limits of the pool planner.
 struct pool_planner_options
 {
+    /// Time that an instance takes to move to another pool.
     milliseconds move_time{1'500};
+    /// Time that the maintenance of an instance takes.
     milliseconds maintenance_time{2'000};
-    /// An instance that is idle for so long is switched off. A move costs
-    /// about as much as one second of an instance in a pool.
+    /// An instance that has been idle for this long moves to standby. A move
+    /// costs about as much as an instance that stays in a pool for one second.
     milliseconds standby_delay{1'200};
-    /// When a job's tasks have waited for room for so long, the room is too
-    /// scattered for them: the pool gets another instance.
+    /// When a job's tasks have waited for capacity for this long, the free
+    /// capacity is too fragmented for them: the pool gets another instance.
     milliseconds fragmentation_delay{600};
-    /// Within this time a backlog is to be worked off.
+    /// A pool gets enough instances to clear its backlog within this time.
     milliseconds backlog_clearing_time{1'500};
-    /// The same for jobs that are past their use; for them a pool keeps
-    /// instances but gets none.
+    /// Time to clear the backlog of overdue jobs. For them a pool retains
+    /// instances but gets no additional ones.
     milliseconds overdue_backlog_clearing_time{10'000};
-    /// Share of the processors that tasks can fill before sizes do not fit.
+    /// Fraction of an instance's CPU and memory that tasks can use; the rest is
+    /// lost because task sizes do not fit.
     double packing_efficiency = 0.85;
-    /// Idle instances that a pool keeps for the start of a burst.
+    /// Idle instances that a pool retains as headroom for a burst.
     std::uint32_t idle_reserve = 1;
-    /// Orders that the platform takes in a second, from everybody.
+    /// Rate limit of the platform for the orders of all its clients.
     double orders_per_second = 40;
-    /// A target that no list has named yet may be newer than the list.
+    /// A target that has never been listed counts as ended only after this
+    /// time, because it may be newer than the list.
     milliseconds unlisted_grace_period{1'500};
 };
 
-/// What one order asks of an instance.
+/// Orders the platform to move an instance to a pool or to maintain it.
 struct instance_order
 {
     instance_id instance;
-    pool_id pool;           ///< To move to; empty for maintenance.
-    std::uint64_t wave = 0; ///< Of the maintenance.
+    pool_id pool;           ///< Destination of a move; empty for maintenance.
+    std::uint64_t wave = 0; ///< Maintenance wave; 0 for a move.
 
     bool is_maintenance() const { return pool.get().empty(); }
 };
 
+/// Result of one planning round.
 struct pool_decisions
 {
     std::vector<instance_order> orders;
-    std::vector<task_name>
-        tasks_to_stop; ///< Long-running tasks to run elsewhere.
+    /// Long-running tasks on drained instances; they start again elsewhere.
+    std::vector<task_name> tasks_to_stop;
 };
 
-/// What a pool has and needs.
+/// Demand of a pool, and the number of instances that it has and needs.
 struct pool_sizing
 {
-    double used_cores = 0;
-    double waiting_cores = 0;
-    double offered_cores = 0;
-    std::uint32_t spread = 0; ///< Instances that one step's tasks need.
-    std::uint32_t required_instances = 0; ///< Instances.
-    /// Instances with those that work off overdue jobs; at least
-    /// `required_instances`.
+    double used_cores = 0;    ///< Of running tasks.
+    double waiting_cores = 0; ///< Of tasks that wait for capacity.
+    double offered_cores = 0; ///< Arrival rate of work, in cores.
+    /// Least number of instances for the tasks of one step that may not share
+    /// an instance.
+    std::uint32_t spread = 0;
+    /// The pool scales up to this number.
+    std::uint32_t required_instances = 0;
+    /// The pool does not scale down below this number: the required instances
+    /// and those that clear the backlog of overdue jobs.
     std::uint32_t retained_instances = 0;
-    std::uint32_t available_instances = 0; ///< Up or on their way.
+    std::uint32_t available_instances = 0; ///< Up or moving to the pool.
 };
 
-/// Answers demand that moves from pool to pool: gives a pool instances while
-/// its queues are busy, switches idle ones off, and maintains instances of a
-/// wave when it costs least. Only instances without work leave a pool.
+/// Scales pools and schedules maintenance. Pools with high demand get instances
+/// from standby or from pools with a surplus, idle instances move to standby,
+/// and instances of a maintenance wave are maintained when this costs least.
+/// Only instances without running tasks leave a pool.
 class pool_planner
 {
 public:
     explicit pool_planner(pool_planner_options options);
 
-    /// @param sent_at when the list was asked for.
+    /// Replaces the instance list.
+    /// @param sent_at when the list was requested from the platform.
     void set_instances(
         std::vector<platform_instance> instances, boot_time sent_at);
 
     bool has_instances() const { return !instances_.empty(); }
 
-    /// @return targets that no instance has any more: each instance names its
-    ///   available_instances life, and an instance that is down has none.
+    /// @return targets whose incarnation has ended. Each listed instance names
+    ///   its current incarnation, and an instance that is down has none.
     std::vector<target_id> find_ended_incarnations(
         const coordinator& decisions, boot_time now);
 
-    /// Cordons the targets of instances that are to leave.
+    /// Plans one round. Cordons the targets of the instances that get an order
+    /// or are drained.
     pool_decisions plan(coordinator& decisions, boot_time now);
 
-    /// Takes note of an answer.
+    /// Updates the state of an order after the platform's reply, or after the
+    /// lack of one.
     void handle_order_reply(const instance_order& order,
         instance_order_outcome outcome, coordinator& decisions, boot_time now);
 
-    /// Restores a wave as a predecessor has left it.
-    /// @param seen when a coordinator first knew of it.
+    /// Restores the progress of a wave that an earlier coordinator has saved.
+    /// @param begun instances whose maintenance has begun.
+    /// @param seen when a coordinator first saw the wave.
     void restore_wave(
         std::uint64_t wave, std::set<instance_id> begun, boot_time seen);
 
-    /// @return nothing for a wave that was never planned.
+    /// @return when a coordinator first saw the wave; nothing for a wave that
+    ///   was never planned.
     std::optional<boot_time> get_wave_first_seen(std::uint64_t wave) const;
 
+    /// @return instances of the wave whose maintenance has begun, or cannot be
+    ///   done.
     const std::set<instance_id>& get_begun_instances(std::uint64_t wave) const;
 
-    /// @return whether every instance of the wave that is still there has
+    /// @return whether every instance of the wave that is still listed has
     ///   begun its maintenance.
     bool is_wave_completed(const maintenance_wave& wave) const;
 
@@ -115,21 +132,25 @@
     }
 
 private:
-    /// An order whose effect does not show in the list yet.
+    /// An order whose effect does not show in the instance list yet.
     struct open_order
     {
         instance_order order;
-        target_id target; ///< The life that ends by it.
+        target_id target; ///< The incarnation that the order ends.
         boot_time sent_at{};
         std::optional<boot_time> accepted_at;
-        /// Sent again after this time.
+        /// An order without a reply is sent again from this time on.
         boot_time resend_at{};
-        /// The platform may have carried out a copy whose answer is missing.
+        /// Then the platform may have carried out a copy whose reply was lost.
         bool was_resent = false;
     };
 
+    /// Records since when each target has had no tasks.
     void track_idle_targets(const coordinator& decisions, boot_time now);
+    /// Closes the orders whose effect is listed, or should have been by now,
+    /// and lifts the cordon of their targets.
     void close_orders(coordinator& decisions, boot_time now);
+    /// Computes `sizings_` from the demand and the instance list.
     void measure_pools(const coordinator& decisions, boot_time now);
     void plan_maintenance(
         coordinator& decisions, boot_time now, pool_decisions& out);
@@ -140,38 +161,49 @@
     void refill_tokens(boot_time now);
     void resend_orders(boot_time now, pool_decisions& out);
     milliseconds get_duration(const instance_order& order) const;
+    /// Cordons the instance's target and adds the order to the round.
     void issue_order(const platform_instance& instance, instance_order order,
         coordinator& decisions, boot_time now, pool_decisions& out);
+    /// Cordons the instance's target and tasks_to_stop its tasks that may be
+    /// interrupted.
     void drain(const platform_instance& instance, coordinator& decisions,
         pool_decisions& out);
-    /// @return nothing when the list does not name it.
+    /// @return null if the instance is not listed.
     const platform_instance* find_instance(const instance_id& id) const;
+    /// @return whether the instance is up and has no open order.
     bool can_take_order(const platform_instance& instance) const;
+    /// @param time how long it must have been idle; 0 for idle now.
     bool is_idle(const platform_instance& instance, boot_time now,
         milliseconds time) const;
+    /// @return a surplus idle instance of another pool, else one in standby;
+    ///   null if there is neither.
     const platform_instance* choose_instance_to_move(
         const pool_id& pool, const coordinator& decisions, boot_time now) const;
     std::size_t count_in_maintenance(const maintenance_wave& wave) const;
 
     pool_planner_options options_;
     std::vector<platform_instance> instances_;
-    std::unordered_map<instance_id, std::size_t>
-        instance_index_;                 ///< Into the list.
-    std::set<target_id> listed_targets_; ///< That some list has named.
+    /// Positions in `instances_`.
+    std::unordered_map<instance_id, std::size_t> instance_index_;
+    std::set<target_id> listed_targets_; ///< Targets that were listed before.
+    /// Since when known targets have been missing from the list.
     std::map<target_id, boot_time> unlisted_since_;
     boot_time list_requested_at_{};
     std::optional<pool_id> standby_pool_;
     std::map<instance_id, open_order> open_orders_;
-    /// Refused lately; not asked again until then.
+    /// Back-off after a refused order: the instance gets none until then.
     std::map<instance_id, boot_time> order_backoff_until_;
+    /// Moves that the platform has rejected as invalid.
     std::set<std::pair<instance_id, pool_id>> incompatible_moves_;
     std::map<target_id, boot_time> idle_since_;
-    std::set<target_id> draining_targets_; ///< Cordoned for maintenance.
+    std::set<target_id>
+        draining_targets_; ///< Cordoned for maintenance by `drain`.
     std::map<pool_id, pool_sizing> sizings_;
-    /// When a pool that had scattered room may get another instance.
+    /// When a pool with fragmented capacity may get the next instance for it.
     std::map<pool_id, boot_time> next_fragmentation_growth_;
-    double order_tokens_ = 0;
+    double order_tokens_ = 0; ///< Orders that the rate limit allows now.
     std::optional<boot_time> tokens_refilled_at_;
+    /// By number of the wave.
     std::map<std::uint64_t, std::set<instance_id>> begun_instances_;
     std::map<std::uint64_t, boot_time> wave_first_seen_;
 };
--- a/tests/systems/coordination/coordinator_election_test.cpp
+++ b/tests/systems/coordination/coordinator_election_test.cpp
@@ -25,6 +25,7 @@
 class coordinator_election_test : public testing::Test
 {
 protected:
+    /// Reads the head row at `ms`, with the given row version.
     void read(std::optional<ledger_head> head, int version, int ms)
     {
         election.record_head(head,
@@ -37,6 +38,8 @@
 
 } // namespace
 
+// Guards against a new fleet that never gets a coordinator because no head row
+// exists yet.
 TEST_F(coordinator_election_test, takes_over_when_the_head_row_is_absent)
 {
     EXPECT_FALSE(election.may_take_over(at(0)));
@@ -44,7 +47,8 @@
     EXPECT_TRUE(election.may_take_over(at(20)));
 }
 
-// Guards against a coordinator that is replaced while it writes.
+// Guards against a takeover from a live coordinator: it does not reply to
+// probes, but it still renews the head row.
 TEST_F(coordinator_election_test, does_not_take_over_while_the_head_row_changes)
 {
     for (int i = 0; i < 20; ++i)
@@ -54,7 +58,8 @@
     }
 }
 
-// Guards against a place that stays empty after its holder died.
+// Guards against a fleet that stays without a coordinator after a crash: the
+// holder neither replies nor renews the head row.
 TEST_F(coordinator_election_test, takes_over_after_the_head_row_stops_changing)
 {
     read(other, 5, 0);
@@ -64,8 +69,8 @@
     EXPECT_TRUE(election.may_take_over(at(860)));
 }
 
-// Guards against an entry with little processor that takes a place for which
-// stronger ones stand by, also right after its own restart.
+// Guards against a takeover by an entry with little CPU while entries with more
+// are available, also right after its own restart.
 TEST_F(coordinator_election_test, delays_the_takeover_by_weak_candidates)
 {
     election.set_takeover_delay(milliseconds(600));
@@ -81,7 +86,8 @@
     EXPECT_TRUE(election.may_take_over(at(2'460)));
 }
 
-// Guards against a wait for a coordinator whose process was restarted.
+// Guards against a needless wait after a restart of the coordinator's process:
+// another boot replies at its address, so the holder has certainly ended.
 TEST_F(coordinator_election_test, takes_over_from_a_replaced_process)
 {
     read(other, 5, 0);
@@ -91,7 +97,8 @@
     EXPECT_FALSE(election.may_take_over(at(30)));
 }
 
-// Guards against a decision made on what was read before a pause.
+// Guards against a takeover based on stale data: this process was paused after
+// it had read the head row.
 TEST_F(coordinator_election_test, requires_a_recent_read)
 {
     read(other, 5, 0);
@@ -99,6 +106,8 @@
     EXPECT_FALSE(election.may_take_over(at(2'500)));
 }
 
+// Guards against a needless wait after an orderly shutdown: the coordinator has
+// released its term.
 TEST_F(coordinator_election_test, takes_over_a_released_term_at_once)
 {
     other.is_released = true;
@@ -106,15 +115,17 @@
     EXPECT_TRUE(election.may_take_over(at(1)));
 }
 
-// Guards against a wait for a process that is certainly gone.
+// Guards against a needless wait after a restart of this process: the holder is
+// an earlier boot at the same address, which has certainly ended.
 TEST_F(coordinator_election_test, takes_over_from_its_own_earlier_boot)
 {
     read(make_head("earlier", "10.0.0.1:7000"), 5, 0);
     EXPECT_TRUE(election.may_take_over(at(1)));
 }
 
-// Guards against a takeover by an entry that alone misses the coordinator, and
-// against a coordinator that answers but cannot reach the store.
+// Guards against a takeover by the only entry that misses the coordinator: its
+// earlier probe was answered. Guards also against a coordinator that keeps its
+// role because it replies, although it cannot reach the store.
 TEST_F(
     coordinator_election_test, suspects_only_a_coordinator_that_stops_renewing)
 {
@@ -128,8 +139,9 @@
     EXPECT_TRUE(election.may_take_over(at(1'410)));
 }
 
-// Guards against a wait for a coordinator that says itself that it has written
-// nothing, and against a takeover on the word of its predecessor.
+// Guards against a needless wait for a coordinator that reports that it has
+// written nothing for too long, and against a takeover from a coordinator
+// because of an old report or a report by its predecessor.
 TEST_F(coordinator_election_test,
     uses_the_renewal_age_that_the_coordinator_reports)
 {
@@ -137,7 +149,7 @@
     election.record_probe(milliseconds(1'050), at(10));
     read(other, 5, 20);
     EXPECT_FALSE(election.may_take_over(at(30)));
-    // It may have written since.
+    // The report is old: the coordinator may have written since.
     election.record_probe_failure();
     read(other, 6, 300);
     EXPECT_FALSE(election.may_take_over(at(310)));
--- a/tests/systems/coordination/ledger_test.cpp
+++ b/tests/systems/coordination/ledger_test.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-/// One part of the users' store: applies a batch if its condition holds.
+/// Model of one part (partition) of the users' store. It applies a batch if the
+/// head row has the expected version.
 struct store_model
 {
     std::uint64_t version = 1;
@@ -58,23 +59,24 @@
     return ledger(head, answer.version);
 }
 
-batch_result lost()
+batch_result make_unknown_result()
 {
     return {};
 }
 
 } // namespace
 
-// Guards against rows that are told to be durable and are not, rows that go
-// back to an older value when a delayed copy applies, and a coordinator that
-// goes on after another took the ledger: answers are lost, copies are delayed.
+// Guards against callbacks that run before their rows are durable, against rows
+// that revert to an older value when a delayed copy of a batch applies, and
+// against a ledger that counts as lost although nobody took it over. Replies
+// are lost and copies of batches are delayed at random.
 RC_GTEST_PROP(ledger, runs_callbacks_only_once_changes_are_durable, ())
 {
     auto choices =
         *rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 10'000));
     store_model store;
     ledger it = start_term(store, 1, "a");
-    std::map<std::string, std::string> wanted;
+    std::map<std::string, std::string> expected_rows;
     std::deque<ledger_batch> delayed;
     int n = 0;
     for (int choice : choices)
@@ -89,7 +91,7 @@
             std::string key = "k" + std::to_string(choice / 8 % 5);
             std::string value = std::to_string(n);
             it.put(ledger_table::progress, key, value);
-            wanted[key] = value;
+            expected_rows[key] = value;
             it.when_durable([&store, key, n]
                 { RC_ASSERT(std::stoi(store.rows[key]) >= n); });
             break;
@@ -99,14 +101,15 @@
             it.handle_result(store.apply(it.make_batch()));
             break;
         case 5:
-            // Applied, but the answer is lost.
+            // The batch applies, but the reply is lost.
             store.apply(it.make_batch());
-            it.handle_result(lost());
+            it.handle_result(make_unknown_result());
             break;
         case 6:
-            // Neither applied nor answered; it may apply later.
+            // The batch gets no reply and does not apply yet; it may apply
+            // later.
             delayed.push_back(it.make_batch());
-            it.handle_result(lost());
+            it.handle_result(make_unknown_result());
             break;
         default:
             if (!delayed.empty())
@@ -122,10 +125,11 @@
         it.handle_result(store.apply(it.make_batch()));
     for (const ledger_batch& batch : delayed)
         store.apply(batch);
-    RC_ASSERT(store.rows == wanted);
+    RC_ASSERT(store.rows == expected_rows);
 }
 
-// Guards against a replaced coordinator that still writes.
+// Guards against a write by a former coordinator after another one has taken
+// the ledger over.
 TEST(ledger, is_lost_after_a_takeover_by_another_holder)
 {
     store_model store;
@@ -143,8 +147,8 @@
     EXPECT_EQ(store.rows["j"], "w");
 }
 
-// Guards against a successor that waits although the coordinator has left, and
-// against a release that overtakes changes.
+// Guards against a release that is never written, so that the successor waits
+// in vain, and against one that is written before the last pending change.
 TEST(ledger, releases_after_all_changes)
 {
     store_model store;
@@ -160,7 +164,8 @@
     EXPECT_EQ(store.rows.size(), ledger::max_batch_rows + 5);
 }
 
-// Guards against a transaction beyond the store's limits.
+// Guards against a transaction that the store refuses because its rows exceed
+// the limit in bytes.
 TEST(ledger, splits_large_batches)
 {
     store_model store;
@@ -171,6 +176,8 @@
     EXPECT_EQ(it.make_batch().changes.size(), 1U);
 }
 
+// Guards against fields that are lost between two coordinators, and against a
+// malformed head row that is read as a valid one.
 TEST(ledger_head, round_trips_fields_and_rejects_malformed_rows)
 {
     ledger_head it = make_head(7, "boot");
--- a/tests/systems/pools/pool_planner_test.cpp
+++ b/tests/systems/pools/pool_planner_test.cpp
@@ -14,8 +14,8 @@
 const pool_id pool_b("b");
 const queue_id queue_b("qb");
 
-/// Two pools and a standby pool of instances with 16 cores. Orders take
-/// effect at once; a moved instance has a new target, or none in standby.
+/// Sets up two pools and a standby pool of instances with 16 cores. Orders take
+/// effect at once. A moved instance has a new target, or none in standby.
 class pool_planner_test : public testing::Test, public coordinator_fixture
 {
 protected:
@@ -51,7 +51,8 @@
         add_target(report);
     }
 
-    pool_decisions tick(std::int64_t ms)
+    /// Plans one round and carries out its orders.
+    pool_decisions run_round(std::int64_t ms)
     {
         planner.set_instances(instances, at(ms));
         auto out = planner.plan(it, at(ms));
@@ -61,12 +62,12 @@
                 order, instance_order_outcome::accepted, it, at(ms));
             for (platform_instance& instance : instances)
                 if (instance.instance == order.instance)
-                    obey(instance, order);
+                    apply_order(instance, order);
         }
         return out;
     }
 
-    void obey(platform_instance& instance, const instance_order& order)
+    void apply_order(platform_instance& instance, const instance_order& order)
     {
         it.note_target_change({instance.target, std::nullopt}, at(0));
         instance.target = target_id();
@@ -76,6 +77,7 @@
             start_target(instance);
     }
 
+    /// @return number of instances in the pool.
     std::size_t count(const pool_id& pool) const
     {
         return static_cast<std::size_t>(std::ranges::count_if(
@@ -90,12 +92,13 @@
         it.submit(job_id(id), record, at(ms));
     }
 
-    void run_ticks(std::int64_t from, std::int64_t to)
+    /// Plans tasks and pools every 100 ms.
+    void run_rounds(std::int64_t from, std::int64_t to)
     {
         for (std::int64_t ms = from; ms < to; ms += 100)
         {
             plan(ms);
-            tick(ms);
+            run_round(ms);
         }
     }
 
@@ -107,21 +110,22 @@
 
 } // namespace
 
-// Guards against instances that are paid for while nobody needs them.
+// Guards against the cost of idle instances that are never moved to standby.
 TEST_F(pool_planner_test, moves_idle_instances_to_standby_except_a_reserve)
 {
     for (int i = 0; i < 6; ++i)
         add_instance("m" + std::to_string(i), pool_a);
     std::int64_t idle = pool_planner_options{}.standby_delay.count();
-    run_ticks(0, idle);
+    run_rounds(0, idle);
     EXPECT_EQ(count(pool_a), 6U);
-    run_ticks(idle, idle + 500);
+    run_rounds(idle, idle + 500);
     EXPECT_EQ(count(pool_a), 1U);
     EXPECT_EQ(count(pool_off), 5U);
 }
 
-// Answers a burst on one queue of several times what its pool holds: instances
-// of standby and idle ones of other pools join it within a few ticks.
+// Guards against a burst that waits for capacity: the demand on one queue is a
+// multiple of its pool's capacity. Standby instances and idle instances of
+// other pools must join the pool within a few planning rounds.
 TEST_F(pool_planner_test, scales_a_pool_up_for_a_burst)
 {
     add_instance("m0", pool_a);
@@ -131,27 +135,27 @@
         add_instance("m" + std::to_string(i), pool_off);
     for (int i = 0; i < 8; ++i)
         submit(std::to_string(i), queue_a, 16, 0);
-    run_ticks(0, 300);
+    run_rounds(0, 300);
     EXPECT_GE(count(pool_a), 7U);
-    // An idle instance saves the move to standby that it is about to make.
+    // An idle instance moves straight to the busy pool instead of to standby.
     EXPECT_LE(count(pool_b), 1U);
 }
 
-// Guards against instances that go to standby and back between the queues'
-// turns: demand that moves on takes them along.
+// Guards against needless moves to standby and back when demand shifts from one
+// pool to another: idle instances must move directly.
 TEST_F(pool_planner_test, moves_idle_instances_directly_between_pools)
 {
     for (int i = 0; i < 8; ++i)
         add_instance("m" + std::to_string(i), i < 6 ? pool_a : pool_off);
-    run_ticks(0, 400);
+    run_rounds(0, 400);
     for (int i = 0; i < 2; ++i)
         submit(std::to_string(i), queue_b, 16, 400);
-    run_ticks(400, 1'000);
+    run_rounds(400, 1'000);
     EXPECT_GE(count(pool_b), 3U);
     EXPECT_EQ(count(pool_off), 2U);
 }
 
-// Guards against work that is thrown away by a move.
+// Guards against tasks that are lost because a move ends their target.
 TEST_F(pool_planner_test, does_not_move_instances_with_running_tasks)
 {
     add_instance("m0", pool_a);
@@ -159,15 +163,15 @@
     add_instance("m2", pool_a);
     submit("1", queue_a, 3, 0);
     plan(0);
-    run_ticks(0, 8'000);
+    run_rounds(0, 8'000);
     ASSERT_EQ(it.get_runs().size(), 3U);
     for (const auto& entry : it.get_runs())
         EXPECT_TRUE(std::ranges::any_of(instances,
             [&](const auto& at) { return at.target == entry.second.target; }));
 }
 
-// Guards against a wave that takes more instances at once than it may, misses
-// some, or is said to be done too early.
+// Guards against a wave that maintains more instances at once than its limit,
+// misses some, or is reported as completed too early.
 TEST_F(pool_planner_test, limits_concurrent_maintenance_of_a_wave)
 {
     maintenance_wave wave;
@@ -201,7 +205,8 @@
         EXPECT_LE(down, 2U);
         EXPECT_EQ(planner.get_begun_instances(1).size(), begun);
         EXPECT_EQ(planner.is_wave_completed(wave), begun == 6);
-        // The platform shows the instances as down for two seconds.
+        // Maintenance takes two seconds. After it the platform lists the
+        // instances as up again, with a new target.
         if (ms % 2'500 == 2'400)
             for (platform_instance& instance : instances)
                 if (planner.get_begun_instances(1).contains(instance.instance))
@@ -213,8 +218,9 @@
     EXPECT_EQ(begun, 6U);
 }
 
-// Guards against one instance too many in maintenance: an order whose answer
-// was lost is sent again, and the instance is busy with the first copy.
+// Guards against one instance too many in maintenance: an order whose reply was
+// lost is sent again, and the instance is busy with the first copy. It still
+// counts against the wave's limit.
 TEST_F(pool_planner_test, counts_an_instance_busy_with_a_duplicate_order)
 {
     for (int i = 0; i < 3; ++i)
@@ -235,14 +241,14 @@
     ASSERT_EQ(first.orders.size(), 1U);
     planner.handle_order_reply(
         first.orders[0], instance_order_outcome::no_answer, it, at(0));
-    // The list is still the one from before the order.
+    // The instance list is still the one from before the order.
     auto second = planner.plan(it, at(800));
     ASSERT_EQ(second.orders.size(), 1U);
     EXPECT_EQ(second.orders[0].instance, first.orders[0].instance);
     planner.handle_order_reply(
         second.orders[0], instance_order_outcome::busy, it, at(800));
     EXPECT_TRUE(planner.plan(it, at(900)).orders.empty());
-    // The platform says so when the first copy has been carried out.
+    // Once the first copy has been carried out, the platform accepts the next.
     auto third = planner.plan(it, at(1'600));
     ASSERT_EQ(third.orders.size(), 1U);
     planner.handle_order_reply(
@@ -250,7 +256,8 @@
     EXPECT_EQ(planner.get_begun_instances(1).size(), 1U);
 }
 
-// Guards against a successor that maintains an instance twice.
+// Guards against a second maintenance of an instance: a new coordinator takes a
+// wave over in which its predecessor has already begun that instance.
 TEST_F(pool_planner_test, skips_instances_maintained_by_a_predecessor)
 {
     maintenance_wave wave;
@@ -263,13 +270,13 @@
     state.waves[1] = wave;
     it.set_publication(state);
     planner.restore_wave(1, {instance_id("m0")}, at(0));
-    auto out = tick(0);
+    auto out = run_round(0);
     ASSERT_EQ(out.orders.size(), 1U);
     EXPECT_EQ(out.orders[0].instance, instance_id("m1"));
 }
 
-// Guards against maintenance that ends a task of a step when as many others as
-// may be are away already.
+// Guards against a drain that tasks_to_stop a task of a step although the
+// step's `max_unavailable` tasks are already stopped.
 TEST_F(pool_planner_test, drains_long_running_tasks_within_max_unavailable)
 {
     maintenance_wave wave;
@@ -291,14 +298,15 @@
         it.note_look(id, make_look(id), at(10), at(11));
     state.waves[1] = wave;
     it.set_publication(state);
-    tick(100);
-    auto out = tick(600);
+    run_round(100);
+    auto out = run_round(600);
     EXPECT_EQ(out.tasks_to_stop.size(), 1U);
     EXPECT_TRUE(out.orders.empty());
 }
 
-// Guards against a wave that ends too late: a new coordinator must know how
-// much of its time has passed, and drain instances that are at work.
+// Guards against a wave that exceeds its time limit after a takeover: a new
+// coordinator must know how much of the time has passed, and drain instances
+// with running tasks.
 TEST_F(pool_planner_test, drains_for_a_wave_begun_by_a_predecessor)
 {
     add_instance("m0", pool_a);
@@ -311,17 +319,17 @@
     wave.instances = {instance_id("m0")};
     state.waves[1] = wave;
     it.set_publication(state);
-    tick(7'000);
+    run_round(7'000);
     EXPECT_FALSE(it.get_targets().at(target_id("t1")).is_cordoned);
     planner = pool_planner(pool_planner_options{});
     planner.restore_wave(1, {}, at(0));
-    tick(7'100);
+    run_round(7'100);
     EXPECT_TRUE(it.get_targets().at(target_id("t1")).is_cordoned);
     EXPECT_EQ(planner.get_wave_first_seen(1), at(0));
 }
 
-// Guards against a backlog that is past its use and yet draws instances from
-// pools whose jobs can be in time.
+// Guards against a backlog of overdue jobs that takes instances from pools
+// whose jobs can still meet their deadlines.
 TEST_F(pool_planner_test, does_not_scale_up_for_overdue_jobs)
 {
     for (int i = 0; i < 10; ++i)
@@ -329,15 +337,15 @@
     for (int i = 0; i < 100; ++i)
         submit(std::to_string(i), queue_a, 16, 0);
     plan(20'000);
-    tick(20'000);
+    run_round(20'000);
     EXPECT_EQ(count(pool_a), 4U);
     const pool_sizing& sizing = planner.get_pool_sizings().at(pool_a);
     EXPECT_LT(sizing.required_instances, 4U);
     EXPECT_GT(sizing.retained_instances, 4U);
 }
 
-// Guards against tasks that wait out the leases of a target whose instance has
-// started another life.
+// Guards against tasks that wait until the leases of a target expire although
+// that incarnation of its instance has ended.
 TEST_F(pool_planner_test, finds_ended_incarnations)
 {
     add_instance("m0", pool_a);
@@ -350,26 +358,28 @@
     planner.set_instances(instances, at(100));
     EXPECT_EQ(planner.find_ended_incarnations(it, at(100)),
         std::vector<target_id>{crashed});
-    // A target that no list has named may be newer than the list.
+    // A target that has never been listed may be newer than the list.
     add_target(make_report("fresh"));
     EXPECT_EQ(planner.find_ended_incarnations(it, at(200)).size(), 1U);
     EXPECT_EQ(planner.find_ended_incarnations(it, at(1'800)).size(), 2U);
 }
 
-// Guards against bursts that the meter sees too late, or that it never forgets.
+// Guards against a rate that follows the arrivals too late, or that does not
+// decay after the last one.
 TEST(arrival_rate_meter, follows_the_arrival_rate)
 {
     arrival_rate_meter meter{milliseconds(1'000)};
     for (int i = 0; i < 200; ++i)
         meter.add(pool_a, 1'000, at(i * 10));
-    // One core-second each 10 ms is 100 cores.
+    // One core-second every 10 ms amounts to 100 cores.
     EXPECT_NEAR(meter.get_rate(pool_a, at(2'000)), 100.0, 15.0);
     EXPECT_LT(meter.get_rate(pool_a, at(7'000)), 1.0);
     EXPECT_EQ(meter.get_rate(pool_b, at(0)), 0.0);
 }
 
-// Answers a burst that begins at once: jobs would wait for the second that an
-// average takes to follow. A single large job is no burst.
+// Guards against a sudden burst whose jobs wait for the second that the slow
+// average needs to follow, and against a single large job that counts as a
+// burst.
 TEST(arrival_rate_meter, detects_a_burst_before_the_slow_average)
 {
     arrival_rate_meter meter{milliseconds(1'000)};
