--- a/drivers/acceptor.cpp
+++ b/drivers/acceptor.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-constexpr milliseconds pause_after_failure{50};
+/// Back-off after a failed accept.
+constexpr milliseconds accept_retry_delay{50};
 
 } // namespace
 
@@ -30,8 +31,8 @@
 asio::awaitable<std::optional<tcp::socket>> accept_next(tcp::acceptor& acceptor)
 {
     boost::system::error_code ec;
-    // Connections that wait already are taken at once: a busy process would
-    // take only one each time that it looks for events.
+    // Pending connections are accepted without a pass of the event loop: a
+    // busy process would otherwise accept only one of them in each pass.
     acceptor.non_blocking(true, ec);
     tcp::socket socket = acceptor.accept(ec);
     if (ec)
@@ -44,10 +45,10 @@
     }
     if (ec == asio::error::operation_aborted)
         co_return std::nullopt;
-    // Running out of file descriptors must not end an accept loop, nor make
-    // it spin.
+    // Running out of file descriptors must neither end the accept loop nor
+    // make it spin.
     asio::steady_timer pause(acceptor.get_executor());
-    pause.expires_after(pause_after_failure);
+    pause.expires_after(accept_retry_delay);
     co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     co_return std::nullopt;
 }
--- a/drivers/acceptor.hpp
+++ b/drivers/acceptor.hpp
@@ -7,13 +7,14 @@
 namespace cowslippass
 {
 
-/// Opens a listening socket.
+/// Binds the acceptor to `endpoint` and starts listening.
 /// @throws platform_error (`cannot_listen`).
 void listen_on(tcp::acceptor& acceptor, const tcp::endpoint& endpoint);
 
-/// Waits for the next connection.
-/// @return nothing when the acceptor was closed, or after a pause when no
-///   connection could be taken; the caller goes on unless it is stopping.
+/// Accepts the next connection.
+/// @return the connected socket; nothing when the acceptor was closed, or when
+///   accepting failed, then after a short delay. The caller tries again unless
+///   it is stopping.
 asio::awaitable<std::optional<tcp::socket>> accept_next(
     tcp::acceptor& acceptor);
 
--- a/drivers/command_client.cpp
+++ b/drivers/command_client.cpp
@@ -14,8 +14,8 @@
 
 using json = nlohmann::json;
 
-/// An entry that waits until a change is in force answers after about 5 s;
-/// less time for an attempt would give up on entries that work.
+/// An entry that waits until a change is in force responds after about 5 s; a
+/// shorter attempt would time out on a healthy entry.
 constexpr milliseconds min_attempt_time{8'000};
 
 http_request make_request(const command_request& command)
@@ -25,7 +25,7 @@
     out.path = "/v1/command";
     out.headers["Authorization"] = "Bearer " + command.key;
     out.headers["Command-Id"] = command.id.get();
-    if (command.is_wait)
+    if (command.waits_until_in_force)
         out.headers["Wait"] = "1";
     if (command.is_dry_run)
         out.headers["Dry-Run"] = "1";
@@ -33,7 +33,7 @@
     return out;
 }
 
-/// @return the member as text, or an empty string if `in` has no such text.
+/// @return the string member `name`, or an empty string if there is none.
 std::string get_text(const json& in, const char* name)
 {
     if (!in.is_object() || !in.contains(name) || !in[name].is_string())
@@ -41,16 +41,16 @@
     return in[name].get<std::string>();
 }
 
-/// Tells from an error whether the change may have been committed. A server
-/// error is taken for that unless the entry says otherwise, as it may have
-/// come after the commit.
-bool is_unknown(unsigned status, const json& error)
+/// @return whether the change may have been committed in spite of this error
+///   response. A 5xx status counts as such unless the entry states that the
+///   command did not run, because the error may have followed the commit.
+bool may_be_committed(unsigned status, const json& error)
 {
     std::string run = get_text(error, "run");
     if (run == "unknown" || get_text(error, "code") == "outcome_unknown")
         return true;
-    bool is_proved = run == "no" || status == 503;
-    return status >= 500 && !is_proved;
+    bool is_proved_unapplied = run == "no" || status == 503;
+    return status >= 500 && !is_proved_unapplied;
 }
 
 command_reply read_response(const http_response& response, bool is_change)
@@ -65,10 +65,11 @@
     bool is_success = response.status >= 200 && response.status < 300;
     if (is_success && body.is_object())
         out.outcome = command_outcome::done;
-    else if (is_change && (is_success || is_unknown(response.status, body)))
+    else if (is_change &&
+             (is_success || may_be_committed(response.status, body)))
         out.outcome = command_outcome::unknown;
     else if (is_success || response.status >= 500)
-        out.outcome = command_outcome::no_entry;
+        out.outcome = command_outcome::no_entry_available;
     else
         out.outcome = command_outcome::refused;
     return out;
@@ -92,14 +93,14 @@
 {
     auto now = [] { return std::chrono::steady_clock::now(); };
     auto deadline = now() + command.timeout;
-    bool is_unresolved = false;
+    bool has_unknown_attempt = false;
     command_reply reply;
     std::size_t attempts = entries.size() * (command.is_change ? 2 : 1);
     for (std::size_t i = 0; i < attempts; ++i)
     {
         auto left = std::chrono::duration_cast<milliseconds>(deadline - now());
-        bool is_second_round = i >= entries.size();
-        if (left <= milliseconds(0) || (is_second_round && !is_unresolved))
+        bool is_retry_round = i >= entries.size();
+        if (left <= milliseconds(0) || (is_retry_round && !has_unknown_attempt))
             break;
         auto share = left / static_cast<int>(attempts - i);
         const tcp::endpoint& entry = entries[i % entries.size()];
@@ -111,13 +112,13 @@
             co_return reply;
         reply.message = format_endpoint(entry) + ": " + reply.message;
         if (reply.outcome == command_outcome::unknown)
-            is_unresolved = true;
-        if (reply.outcome == command_outcome::refused && !is_unresolved)
+            has_unknown_attempt = true;
+        if (reply.outcome == command_outcome::refused && !has_unknown_attempt)
             break;
     }
-    // A refusal by one entry says nothing about an earlier attempt, which
-    // another entry may still be working on.
-    if (is_unresolved)
+    // A rejection by one entry does not decide an earlier attempt that another
+    // entry may still be processing.
+    if (has_unknown_attempt)
         reply.outcome = command_outcome::unknown;
     co_return reply;
 }
--- a/drivers/drivers.hpp
+++ b/drivers/drivers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-/// Public header of the platform library: sockets, HTTP, settings, logs.
+/// Public header of the drivers library: sockets, HTTP, the connections between
+/// entries, the clients of platform and targets, settings, logs and metrics.
 
 #include "drivers/asio.hpp"
 #include "drivers/command_client.hpp"
@@ -10,10 +11,12 @@
 #include "drivers/http_server.hpp"
 #include "drivers/log.hpp"
 #include "drivers/metrics.hpp"
+#include "drivers/peer_client.hpp"
 #include "drivers/peer_connection.hpp"
-#include "drivers/peer_link.hpp"
 #include "drivers/peer_message.hpp"
+#include "drivers/peer_server.hpp"
+#include "drivers/platform_client.hpp"
 #include "drivers/platform_clock.hpp"
+#include "drivers/platform_store.hpp"
 #include "drivers/settings.hpp"
-#include "drivers/table_client.hpp"
 #include "drivers/target_client.hpp"
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -17,9 +17,11 @@
 namespace
 {
 
-/// An idle connection older than this is not reused: the other end may have
-/// closed it, or something between may have forgotten it.
-constexpr milliseconds max_idle_age{5'000};
+/// A connection idle for longer is not reused: the peer may have closed it, or
+/// a middlebox may have dropped its state.
+constexpr milliseconds max_idle_time{5'000};
+
+constexpr std::uint64_t max_response_bytes = 64 * 1024 * 1024;
 
 struct connection
 {
@@ -32,7 +34,7 @@
 
 using connection_ptr = std::unique_ptr<connection>;
 
-http::request<http::string_body> to_message(
+http::request<http::string_body> to_beast_request(
     http_request&& request, const std::string& host)
 {
     http::request<http::string_body> out;
@@ -47,7 +49,7 @@
     return out;
 }
 
-http_response to_response(http::response<http::string_body>&& message)
+http_response from_beast_response(http::response<http::string_body>&& message)
 {
     http_response out;
     out.status = message.result_int();
@@ -68,9 +70,15 @@
     {
     }
 
-    asio::awaitable<bool> wait_for_room(monotonic_time deadline);
-    connection_ptr take_idle();
-    void release(connection_ptr conn);
+    /// Waits until fewer than `max_connections` requests are in progress.
+    /// @return false when the deadline passed first.
+    asio::awaitable<bool> acquire_slot(monotonic_time deadline);
+    /// @return null when no idle connection is young enough.
+    connection_ptr take_idle_connection();
+    /// @param conn is kept for reuse; null when it was closed.
+    void release_slot(connection_ptr conn);
+    /// Connects if necessary, sends the request and reads the response.
+    /// @param is_reusable is set when the connection may be kept alive.
     asio::awaitable<http_result> exchange(connection& conn,
         http::request<http::string_body> message, monotonic_time deadline,
         bool& is_reusable);
@@ -79,54 +87,54 @@
     tcp::endpoint endpoint;
     std::string host;
     std::size_t max_connections;
-    std::size_t in_use = 0;
-    std::vector<connection_ptr> idle;
-    std::deque<std::shared_ptr<asio::steady_timer>> waiters;
+    std::size_t slots_in_use = 0;
+    std::vector<connection_ptr> idle_connections;
+    std::deque<std::shared_ptr<asio::steady_timer>> slot_waiters;
 };
 
-asio::awaitable<bool> http_client::state::wait_for_room(monotonic_time deadline)
+asio::awaitable<bool> http_client::state::acquire_slot(monotonic_time deadline)
 {
-    while (in_use >= max_connections)
+    while (slots_in_use >= max_connections)
     {
         if (std::chrono::steady_clock::now() >= deadline)
             co_return false;
         auto timer = std::make_shared<asio::steady_timer>(io);
         timer->expires_at(deadline);
-        waiters.push_back(timer);
+        slot_waiters.push_back(timer);
         boost::system::error_code ec;
         co_await timer->async_wait(
             asio::redirect_error(asio::use_awaitable, ec));
-        std::erase(waiters, timer);
+        std::erase(slot_waiters, timer);
     }
-    ++in_use;
+    ++slots_in_use;
     co_return true;
 }
 
-connection_ptr http_client::state::take_idle()
+connection_ptr http_client::state::take_idle_connection()
 {
     auto now = std::chrono::steady_clock::now();
-    while (!idle.empty())
+    while (!idle_connections.empty())
     {
-        connection_ptr conn = std::move(idle.back());
-        idle.pop_back();
-        if (now - conn->idle_since <= max_idle_age)
+        connection_ptr conn = std::move(idle_connections.back());
+        idle_connections.pop_back();
+        if (now - conn->idle_since <= max_idle_time)
             return conn;
     }
     return nullptr;
 }
 
-void http_client::state::release(connection_ptr conn)
+void http_client::state::release_slot(connection_ptr conn)
 {
-    --in_use;
+    --slots_in_use;
     if (conn)
     {
         conn->idle_since = std::chrono::steady_clock::now();
-        idle.push_back(std::move(conn));
+        idle_connections.push_back(std::move(conn));
     }
-    if (!waiters.empty())
+    if (!slot_waiters.empty())
     {
-        waiters.front()->cancel();
-        waiters.pop_front();
+        slot_waiters.front()->cancel();
+        slot_waiters.pop_front();
     }
 }
 
@@ -148,17 +156,17 @@
     if (ec)
         co_return http_result{{}, http_failure::no_reply, ec.message()};
     http::response_parser<http::string_body> parser;
-    parser.body_limit(64 * 1024 * 1024);
+    parser.body_limit(max_response_bytes);
     co_await http::async_read_header(conn.stream, conn.buf, parser, token);
     if (ec)
         co_return http_result{{}, http_failure::no_reply, ec.message()};
     co_await http::async_read(conn.stream, conn.buf, parser, token);
     if (ec)
-        co_return http_result{{}, http_failure::cut_short, ec.message()};
+        co_return http_result{{}, http_failure::truncated, ec.message()};
     is_reusable = parser.get().keep_alive();
     conn.stream.expires_never();
     co_return http_result{
-        to_response(parser.release()), http_failure::not_sent, {}};
+        from_beast_response(parser.release()), http_failure::not_sent, {}};
 }
 
 http_client::http_client(
@@ -172,21 +180,22 @@
 asio::awaitable<http_result> http_client::send(
     http_request request, milliseconds timeout)
 {
-    // Keeps the state alive when the client is destroyed during a request.
+    // Keeps the state alive if the client is destroyed during the request.
     auto self = state_;
     auto deadline = std::chrono::steady_clock::now() + timeout;
-    if (!co_await self->wait_for_room(deadline))
+    if (!co_await self->acquire_slot(deadline))
         co_return http_result{{}, http_failure::not_sent,
             "no connection became free before the deadline"};
-    connection_ptr conn = self->take_idle();
+    connection_ptr conn = self->take_idle_connection();
     if (!conn)
         conn = std::make_unique<connection>(self->io);
     bool is_reusable = false;
     http_result result = co_await self->exchange(*conn,
-        to_message(std::move(request), self->host), deadline, is_reusable);
+        to_beast_request(std::move(request), self->host), deadline,
+        is_reusable);
     if (!is_reusable)
         conn.reset();
-    self->release(std::move(conn));
+    self->release_slot(std::move(conn));
     co_return result;
 }
 
@@ -197,7 +206,7 @@
 
 std::size_t http_client::get_connection_count() const
 {
-    return state_->in_use + state_->idle.size();
+    return state_->slots_in_use + state_->idle_connections.size();
 }
 
 } // namespace cowslippass
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -11,23 +11,23 @@
 namespace cowslippass
 {
 
-/// How far a failed request got; decides whether it may have taken effect.
+/// How far a failed request got, and so whether it may have taken effect.
 enum class http_failure
 {
-    not_sent, ///< No connection; the request cannot have taken effect.
+    not_sent, ///< No connection was made; it cannot have taken effect.
     no_reply, ///< Sent at least in part; it may have taken effect.
-    cut_short ///< The answer began but did not arrive whole.
+    truncated ///< The response began but did not arrive completely.
 };
 
 struct http_result
 {
-    std::optional<http_response> response; ///< Set exactly on success.
+    std::optional<http_response> response; ///< Set on success only.
     http_failure failure = http_failure::not_sent;
-    std::string message; ///< For logs, on failure.
+    std::string message; ///< Cause of a failure, for logs.
 };
 
-/// Sends HTTP/1.1 requests to one address over a bounded set of connections.
-/// Requests beyond the set wait; waiting counts towards the deadline.
+/// Sends HTTP/1.1 requests to one address over a bounded connection pool.
+/// Requests wait for a free connection; the wait counts towards the time-out.
 class http_client
 {
 public:
@@ -35,17 +35,19 @@
         std::size_t max_connections);
     ~http_client();
 
-    /// Never throws for input and output errors.
-    /// @param timeout for connecting, sending and the whole answer; the
-    ///   connection is then closed, so that a silent one is replaced.
-    /// @return the whole answer, or how the request failed. A request whose
-    ///   reused connection was closed before any byte of an answer came back
-    ///   counts as `no_reply`.
+    /// Reports I/O errors in the result and throws none.
+    /// @param timeout for connecting, sending and receiving the complete
+    ///   response. The connection is closed when it expires, so that an
+    ///   unresponsive one is replaced.
+    /// @return the complete response, or how the request failed. A reused
+    ///   connection that was closed before the first byte of a response counts
+    ///   as `no_reply`.
     asio::awaitable<http_result> send(
         http_request request, milliseconds timeout);
 
     const tcp::endpoint& get_endpoint() const;
 
+    /// @return connections in use or idle.
     std::size_t get_connection_count() const;
 
 private:
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -16,7 +16,7 @@
     return std::tolower(static_cast<unsigned char>(c));
 }
 
-int from_hex_digit(char c)
+int parse_hex_digit(char c)
 {
     if (c >= '0' && c <= '9')
         return c - '0';
@@ -38,9 +38,9 @@
         }
         if (i + 2 >= text.size())
             throw platform_error("bad_request", "malformed escape in the URL");
-        int high = from_hex_digit(text[i + 1]);
+        int high = parse_hex_digit(text[i + 1]);
         out.push_back(
-            static_cast<char>(high * 16 + from_hex_digit(text[i + 2])));
+            static_cast<char>(high * 16 + parse_hex_digit(text[i + 2])));
         i += 2;
     }
     return out;
--- a/drivers/http_message.hpp
+++ b/drivers/http_message.hpp
@@ -7,7 +7,7 @@
 namespace cowslippass
 {
 
-/// Orders header names without regard to case, as HTTP requires.
+/// Orders header names case-insensitively, as HTTP requires.
 struct header_less
 {
     using is_transparent = void;
@@ -16,8 +16,8 @@
 
 using http_headers = std::map<std::string, std::string, header_less>;
 
-/// A request as handlers and callers of the client see it; independent of the
-/// HTTP library, which is slow to compile.
+/// A request as server handlers and users of the client see it. It is
+/// independent of the HTTP library, whose headers are slow to compile.
 struct http_request
 {
     std::string method = "GET";
@@ -39,14 +39,15 @@
     http_headers headers;
     std::string body;
 
+    /// @return the header's value, or an empty string.
     std::string get_header(std::string_view name) const;
 };
 
 /// Splits a request target into path and decoded query parameters.
-/// @throws platform_error (`bad_request`) when an escape is malformed.
+/// @throws platform_error (`bad_request`) for a malformed percent escape.
 void parse_request_target(std::string_view target, http_request& request);
 
-/// @return path and query parameters as an escaped request target.
+/// @return path and query parameters as a percent-encoded request target.
 std::string format_request_target(const http_request& request);
 
 } // namespace cowslippass
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -33,7 +33,7 @@
     http_server_options options;
     http_handler handler;
     std::size_t active_count = 0;
-    /// Connections that wait for a request; closed at once by `stop`.
+    /// Connections that wait for a request; `stop` closes them at once.
     std::set<std::shared_ptr<beast::tcp_stream>> idle;
     std::size_t connection_count = 0;
     bool is_stopping = false;
@@ -42,7 +42,7 @@
 namespace
 {
 
-http_request to_request(http::request<http::string_body>&& message)
+http_request from_beast_request(http::request<http::string_body>&& message)
 {
     http_request out;
     out.method = std::string(message.method_string());
@@ -54,7 +54,7 @@
     return out;
 }
 
-http::response<http::string_body> to_message(
+http::response<http::string_body> to_beast_response(
     http_response&& response, bool keep_alive)
 {
     http::response<http::string_body> out;
@@ -85,7 +85,7 @@
     http_request request;
     try
     {
-        request = to_request(std::move(message));
+        request = from_beast_request(std::move(message));
     }
     catch (const error& e)
     {
@@ -150,7 +150,7 @@
             --active_count;
         }
         auto message =
-            to_message(std::move(response), keep_alive && !is_stopping);
+            to_beast_response(std::move(response), keep_alive && !is_stopping);
         stream->expires_after(options.idle_timeout);
         co_await http::async_write(
             *stream, message, asio::redirect_error(asio::use_awaitable, ec));
--- a/drivers/http_server.hpp
+++ b/drivers/http_server.hpp
@@ -18,16 +18,18 @@
     tcp::endpoint endpoint;
     std::size_t max_body_bytes = 4 * 1024 * 1024;
     std::size_t max_connections = 4096;
-    /// A connection without a whole request for this long is closed.
+    /// A connection that sends no complete request within this time is closed.
+    /// The same limit applies to the sending of a response.
     milliseconds idle_timeout{60'000};
-    /// Builds the answer to a request that the server itself refuses.
+    /// Builds the response to a request that the server itself rejects; may be
+    /// empty.
     std::function<http_response(
         unsigned status, const std::string& code, const std::string& message)>
         make_error;
 };
 
-/// Serves HTTP/1.1 with keep-alive on one executor; handlers run as
-/// coroutines on it.
+/// HTTP/1.1 server with keep-alive. It runs on one executor, as do the handler
+/// coroutines.
 class http_server
 {
 public:
@@ -35,14 +37,15 @@
         http_handler handler);
     ~http_server();
 
-    /// @return the bound port, which the system chose if 0 was asked for.
+    /// @return the bound port; the system chooses one if the endpoint's port is
+    ///   0.
     unsigned short get_port() const;
 
-    /// Stops accepting; requests that are being handled are answered, then
-    /// their connections are closed.
+    /// Stops accepting and closes idle connections. Requests in progress still
+    /// get their responses; then their connections are closed.
     void stop();
 
-    /// @return requests read whole and not yet answered.
+    /// @return requests that were read completely and have no response yet.
     std::size_t get_active_count() const;
 
     std::size_t get_connection_count() const;
--- a/drivers/log.cpp
+++ b/drivers/log.cpp
@@ -23,18 +23,23 @@
 using json = nlohmann::ordered_json;
 
 /// Fields of the line that this thread is writing. Appenders format a line
-/// within the call that logs it, so that the layout finds them here.
+/// within the call that logs it, so the layout can read them here.
 thread_local const log_fields* current_fields = nullptr;
 
-class line_fields
+/// Sets `current_fields` for the duration of one log call.
+class current_fields_scope
 {
 public:
-    explicit line_fields(const log_fields& fields) { current_fields = &fields; }
-    ~line_fields() { current_fields = nullptr; }
-    line_fields(const line_fields&) = delete;
-    line_fields& operator=(const line_fields&) = delete;
+    explicit current_fields_scope(const log_fields& fields)
+    {
+        current_fields = &fields;
+    }
+    ~current_fields_scope() { current_fields = nullptr; }
+    current_fields_scope(const current_fields_scope&) = delete;
+    current_fields_scope& operator=(const current_fields_scope&) = delete;
 };
 
+/// Parts of field names whose values are redacted.
 constexpr std::array secret_words{
     "secret", "authorization", "password", "token", "bearer"};
 
@@ -53,7 +58,7 @@
 }
 
 /// @param microseconds since 1970-01-01 UTC.
-/// @return RFC 3339 text with milliseconds.
+/// @return RFC 3339 timestamp with milliseconds.
 std::string format_time(std::int64_t microseconds)
 {
     std::time_t seconds = microseconds / 1'000'000;
@@ -76,8 +81,9 @@
     return text;
 }
 
-/// `JSONLayout` nests the fields in `context_map` and takes them from the
-/// thread's context map; readers of our lines expect one flat object.
+/// Formats a line as one flat JSON object, which is what readers of the log
+/// expect. The `JSONLayout` of log4cxx would take the fields from the thread's
+/// context map and nest them in `context_map`.
 class flat_json_layout : public log4cxx::Layout
 {
 public:
@@ -152,11 +158,11 @@
     if (file.empty())
         return std::make_shared<log4cxx::ConsoleAppender>(
             layout, log4cxx::ConsoleAppender::getSystemErr());
-    if (file == log_to_output)
+    if (file == log_to_stdout)
         return std::make_shared<log4cxx::ConsoleAppender>(
             layout, log4cxx::ConsoleAppender::getSystemOut());
-    // The appender reports a file that cannot be opened only to its own
-    // error handler.
+    // Checked here because the appender reports a file that cannot be opened
+    // only to its own error handler.
     if (!std::ofstream(file, std::ios::app))
         throw platform_error(
             "log_file", "log file '" + file + "' cannot be opened");
@@ -178,12 +184,12 @@
 void write_log(log_level level, const std::string& logger,
     const std::string& message, const log_fields& fields)
 {
-    auto target = log4cxx::Logger::getLogger(logger);
+    auto out = log4cxx::Logger::getLogger(logger);
     auto at = get_level(level);
-    if (!target->isEnabledFor(at))
+    if (!out->isEnabledFor(at))
         return;
-    line_fields scope(fields);
-    target->forcedLog(at, message);
+    current_fields_scope scope(fields);
+    out->forcedLog(at, message);
 }
 
 bool is_log_enabled(log_level level, const std::string& logger)
--- a/drivers/log.hpp
+++ b/drivers/log.hpp
@@ -14,7 +14,8 @@
 
 using log_value = std::variant<std::string, std::int64_t, double, bool>;
 
-/// One field of a line; converts from text, numbers and strong ids.
+/// One field of a log line; converts implicitly from strings, numbers, booleans
+/// and strong ids.
 class log_field
 {
 public:
@@ -57,38 +58,38 @@
     error
 };
 
-/// Stands for standard output in place of a file.
-inline constexpr const char* log_to_output = "-";
+/// Value of `file` that selects standard output.
+inline constexpr const char* log_to_stdout = "-";
 
-/// Sends all lines at or above `level` to one place, each as one flat JSON
+/// Writes all lines at or above `level` to one destination, each as a flat JSON
 /// object with `time` (UTC), `level`, `logger`, `message` and the fields. A
-/// later call replaces the former set-up.
+/// later call replaces the configuration.
 /// @param level `debug`, `info`, `warn` or `error`.
-/// @param file appended to; empty means standard error, `log_to_output`
-///   standard output.
+/// @param file path that lines are appended to; empty for standard error,
+///   `log_to_stdout` for standard output.
 /// @throws platform_error (`bad_log_level`, `log_file`).
 void configure_log(const std::string& level, const std::string& file);
 
-/// Writes a line. The value of a field whose name tells of a secret
-/// (`secret`, `authorization`, `password`, `token`, `bearer`) is left out;
-/// digests of secrets too. Fields cannot replace the four fixed members.
-/// @param logger name of the part that writes, as `peer_link`.
+/// Writes a line. The value of a field is redacted if the field's name contains
+/// `secret`, `authorization`, `password`, `token` or `bearer` in any case; this
+/// covers digests of secrets too. Fields cannot replace the four fixed members.
+/// @param logger name of the component that logs, such as `peer_link`.
 void write_log(log_level level, const std::string& logger,
     const std::string& message, const log_fields& fields = {});
 
-/// @return whether a line of this level would be written.
+/// @return whether this logger would write a line of this level.
 bool is_log_enabled(log_level level, const std::string& logger);
 
-/// Writes one line for each routing or placement decision.
+/// Logs scheduling decisions, one line each, at level `info`.
 class decision_log
 {
 public:
-    /// @param system name of the deciding system, as `placement`.
+    /// @param system name of the system that decides, such as `placement`.
     explicit decision_log(std::string system);
 
-    /// @param decision what was decided, as `start` or `forward`.
-    /// @param rule the rule that decided.
-    /// @param fields subject, candidates and figures of the decision.
+    /// @param decision what was decided, such as `start` or `forward`.
+    /// @param rule the rule that led to the decision.
+    /// @param fields subject, candidates and input values of the decision.
     void write(std::string_view decision, std::string_view rule,
         const log_fields& fields = {}) const;
 
--- a/drivers/metrics.cpp
+++ b/drivers/metrics.cpp
@@ -23,40 +23,44 @@
 namespace acc = boost::accumulators;
 
 constexpr std::array quantiles{0.5, 0.9, 0.99, 0.999};
-// The estimator has two markers for each quantile and three more; it gives no
-// estimate until each holds a sample.
-constexpr std::size_t estimator_markers = 2 * quantiles.size() + 3;
+// The extended P-square estimator has two markers for each quantile and three
+// more. It gives no estimate until each marker holds a sample.
+constexpr std::size_t estimator_marker_count = 2 * quantiles.size() + 3;
 constexpr std::array unit_suffixes{
     "_seconds", "_bytes", "_ratio", "_tasks", "_slots", "_instances"};
 
-/// Quantiles are exact up to the number of markers and estimated beyond.
+/// Count, sum and quantiles of samples. The quantiles are exact up to
+/// `estimator_marker_count` samples and estimated beyond.
 class distribution
 {
 public:
     void observe(double value)
     {
-        set_(value);
-        if (first_.size() < estimator_markers)
-            first_.insert(std::ranges::upper_bound(first_, value), value);
+        accumulator_(value);
+        if (first_samples_.size() < estimator_marker_count)
+            first_samples_.insert(
+                std::ranges::upper_bound(first_samples_, value), value);
     }
 
-    std::size_t get_count() const { return acc::count(set_); }
-    double get_sum() const { return acc::sum(set_); }
+    std::size_t get_count() const { return acc::count(accumulator_); }
+    double get_sum() const { return acc::sum(accumulator_); }
 
     double get_quantile(std::size_t i) const
     {
-        if (get_count() > estimator_markers)
-            return acc::extended_p_square(set_)[static_cast<long>(i)];
-        double rank =
-            std::ceil(quantiles.at(i) * static_cast<double>(first_.size()));
-        return first_.at(static_cast<std::size_t>(std::max(rank, 1.0)) - 1);
+        if (get_count() > estimator_marker_count)
+            return acc::extended_p_square(accumulator_)[static_cast<long>(i)];
+        double rank = std::ceil(
+            quantiles.at(i) * static_cast<double>(first_samples_.size()));
+        return first_samples_.at(
+            static_cast<std::size_t>(std::max(rank, 1.0)) - 1);
     }
 
 private:
     acc::accumulator_set<double,
         acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>
-        set_{acc::tag::extended_p_square::probabilities = quantiles};
-    std::vector<double> first_; ///< Sorted.
+        accumulator_{acc::tag::extended_p_square::probabilities = quantiles};
+    /// The first `estimator_marker_count` samples, sorted.
+    std::vector<double> first_samples_;
 };
 
 struct counter
@@ -69,8 +73,10 @@
     double value = 0;
 };
 
+/// The value of one combination of labels.
 using series = std::variant<counter, gauge, distribution>;
 
+/// One declared metric with all its series.
 struct family
 {
     metric_description description;
@@ -88,7 +94,7 @@
     return {buf.data(), result.ptr};
 }
 
-/// @param has_quotes whether '"' is escaped too, as in label values.
+/// @param has_quotes whether '"' is escaped too, as label values need it.
 std::string escape(const std::string& text, bool has_quotes)
 {
     std::string out;
@@ -110,6 +116,7 @@
     return out.empty() ? out : out + '}';
 }
 
+/// Appends the sample lines of one series to `out`.
 struct series_formatter
 {
     const std::string& name;
@@ -159,7 +166,7 @@
     return "untyped";
 }
 
-bool is_conventional(const metric_description& it)
+bool follows_naming_convention(const metric_description& it)
 {
     auto is_lower = [](char c)
     { return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '_'; };
@@ -220,9 +227,9 @@
 {
     for (const metric_description& it : metrics)
     {
-        if (!is_conventional(it))
+        if (!follows_naming_convention(it))
             throw platform_error("bad_metric",
-                it.name + " breaks the convention for names, or has no help");
+                it.name + " breaks the naming convention or has no help text");
         if (!state_->families.emplace(it.name, family{it, {}}).second)
             throw platform_error("bad_metric", it.name + " is declared twice");
     }
@@ -279,30 +286,36 @@
         {"cowslippass_slow_wait_seconds", distribution,
             "Seconds that a slow job waited before its start."},
         {"cowslippass_platform_call_seconds", distribution,
-            "Seconds of calls to the platform, by operation."},
+            "Duration of calls to the platform in seconds, by operation."},
         {"cowslippass_platform_failures_total", counter,
-            "Calls that the platform did not answer, by operation."},
+            "Calls to the platform without a response or with a server error, "
+            "by operation."},
         {"cowslippass_config_version", gauge,
-            "Version of the fleet log in hand."},
+            "Version of the fleet log that this entry has applied."},
         {"cowslippass_freshness_age_seconds", gauge,
-            "Seconds since the version in hand was known to be the newest."},
+            "Seconds since the applied version was last known to be the "
+            "newest."},
         {"cowslippass_running_tasks", gauge, "Running tasks, by team."},
         {"cowslippass_waiting_tasks", gauge, "Waiting tasks, by queue."},
         {"cowslippass_waiting_bytes", gauge,
             "Bytes of the work that waits in this entry."},
         {"cowslippass_waiting_refusals_total", counter,
-            "Work refused or sent back as too much waits here, by team."},
+            "Requests and jobs rejected or returned because the bound on "
+            "waiting work was reached, by team."},
         {"cowslippass_granted_tasks", gauge,
             "Tasks granted to this session, by team."},
-        {"cowslippass_free_slots", gauge, "Free slots of owned pools."},
+        {"cowslippass_free_slots", gauge,
+            "Free slots of the pools that this entry owns."},
         {"cowslippass_peer_connections", gauge,
             "Open connections to and from other entries."},
         {"cowslippass_dropped_replies_total", counter,
-            "Replies dropped as late or unknown."},
+            "Replies from other entries that were dropped because no call "
+            "waited for them."},
         {"cowslippass_starts_refused_total", counter,
-            "Starts that a target or this entry refused, by reason."},
+            "Starts that a target or this entry rejected, by reason."},
         {"cowslippass_retries_total", counter,
-            "Repeatable work that was queued again, by pool."},
+            "Idempotent work that was queued again after a failed attempt, by "
+            "pool."},
         {"cowslippass_maintenance_decisions_total", counter,
             "Decisions of the maintenance planner, by rule."},
     };
--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -12,7 +12,9 @@
 namespace
 {
 
-constexpr milliseconds silence_check_interval{500};
+/// A peer that owes a reply for this long is sent a `peer_hello` as liveness
+/// check.
+constexpr milliseconds liveness_check_interval{500};
 
 monotonic_time now()
 {
@@ -34,10 +36,10 @@
 
 } // namespace
 
-peer_connection::peer_connection(
-    tcp::socket socket, peer_handler handler, peer_fault_handler on_fault)
+peer_connection::peer_connection(tcp::socket socket,
+    peer_request_handler handler, peer_error_handler on_error)
     : socket_(std::move(socket)), handler_(std::move(handler)),
-      on_fault_(std::move(on_fault))
+      on_error_(std::move(on_error))
 {
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
@@ -50,12 +52,12 @@
     asio::co_spawn(
         executor, [self] { return self->read_loop(); }, asio::detached);
     asio::co_spawn(
-        executor, [self] { return self->watch_for_silence(); }, asio::detached);
+        executor, [self] { return self->monitor_liveness(); }, asio::detached);
 }
 
-milliseconds peer_connection::get_quiet_time() const
+milliseconds peer_connection::get_time_since_last_frame() const
 {
-    return std::chrono::duration_cast<milliseconds>(now() - last_received_);
+    return std::chrono::duration_cast<milliseconds>(now() - last_frame_time_);
 }
 
 void peer_connection::close()
@@ -65,7 +67,7 @@
     is_closed_ = true;
     boost::system::error_code ignored;
     socket_.close(ignored);
-    for (auto& [id, call] : pending_)
+    for (auto& [id, call] : pending_calls_)
         call->timer.cancel();
 }
 
@@ -78,16 +80,17 @@
     std::uint64_t correlation = ++last_correlation_;
     auto pending = std::make_shared<pending_call>(socket_.get_executor());
     pending->timer.expires_after(timeout);
-    // Silence counts from the first unanswered request, not from an idle past.
+    // The liveness time-out starts at the first unanswered request; idle time
+    // before it does not count.
     if (!unanswered_since_)
         unanswered_since_ = now();
-    pending_[correlation] = pending;
+    pending_calls_[correlation] = pending;
     peer_message message{correlation, false, std::move(body)};
     send(message);
     boost::system::error_code ec;
     co_await pending->timer.async_wait(
         asio::redirect_error(asio::use_awaitable, ec));
-    pending_.erase(correlation);
+    pending_calls_.erase(correlation);
     co_return std::move(pending->reply);
 }
 
@@ -96,13 +99,15 @@
     std::string body = encode_peer_message(message);
     if (body.size() > max_frame_bytes)
     {
-        on_fault_("frame_too_large", "a message exceeds the frame limit");
+        on_error_("frame_too_large",
+            "a message of " + std::to_string(body.size()) +
+                " bytes exceeds the frame limit and was not sent");
         return;
     }
     auto length = encode_length(static_cast<std::uint32_t>(body.size()));
     std::string frame(length.begin(), length.end());
     frame += body;
-    outgoing_.push_back(std::move(frame));
+    outgoing_frames_.push_back(std::move(frame));
     if (is_writing_)
         return;
     is_writing_ = true;
@@ -114,12 +119,13 @@
 
 asio::awaitable<void> peer_connection::write_loop()
 {
-    while (!outgoing_.empty() && !is_closed_)
+    while (!outgoing_frames_.empty() && !is_closed_)
     {
         boost::system::error_code ec;
-        co_await asio::async_write(socket_, asio::buffer(outgoing_.front()),
+        co_await asio::async_write(socket_,
+            asio::buffer(outgoing_frames_.front()),
             asio::redirect_error(asio::use_awaitable, ec));
-        outgoing_.pop_front();
+        outgoing_frames_.pop_front();
         if (ec)
             close();
     }
@@ -140,8 +146,10 @@
         std::uint32_t n = decode_length(header);
         if (n > max_frame_bytes)
         {
-            on_fault_("malformed_frame",
-                "a peer announced a frame of " + std::to_string(n) + " bytes");
+            on_error_("malformed_frame", "a peer announced a frame of " +
+                                             std::to_string(n) +
+                                             " bytes, more than the limit of " +
+                                             std::to_string(max_frame_bytes));
             break;
         }
         std::string buf(n, '\0');
@@ -149,17 +157,17 @@
             asio::redirect_error(asio::use_awaitable, ec));
         if (ec)
             break;
-        last_received_ = now();
+        last_frame_time_ = now();
         try
         {
             dispatch(decode_peer_message(buf));
             unanswered_since_.reset();
-            if (!pending_.empty())
+            if (!pending_calls_.empty())
                 unanswered_since_ = now();
         }
         catch (const error& e)
         {
-            on_fault_(e.get_code(), e.what());
+            on_error_(e.get_code(), e.what());
             break;
         }
     }
@@ -170,32 +178,32 @@
 {
     if (message.is_reply)
     {
-        accept_reply(std::move(message));
+        complete_call(std::move(message));
         return;
     }
     asio::co_spawn(
         socket_.get_executor(),
         [self = shared_from_this(), request = std::move(message)]() mutable
-        { return self->answer(std::move(request)); },
+        { return self->handle_request(std::move(request)); },
         asio::detached);
 }
 
-void peer_connection::accept_reply(peer_message message)
+void peer_connection::complete_call(peer_message message)
 {
-    auto it = pending_.find(message.correlation);
-    if (it == pending_.end())
+    auto it = pending_calls_.find(message.correlation);
+    if (it == pending_calls_.end())
     {
-        on_fault_("late_reply", "dropped a reply to request " +
+        on_error_("late_reply", "dropped a reply to request " +
                                     std::to_string(message.correlation) +
-                                    ", which is not open any more");
+                                    ", which has timed out or was never sent");
         return;
     }
     it->second->reply = std::move(message.body);
     it->second->timer.cancel();
-    pending_.erase(it);
+    pending_calls_.erase(it);
 }
 
-asio::awaitable<void> peer_connection::answer(peer_message request)
+asio::awaitable<void> peer_connection::handle_request(peer_message request)
 {
     auto self = shared_from_this();
     std::optional<peer_body> reply;
@@ -205,7 +213,7 @@
     }
     catch (const std::exception& e)
     {
-        on_fault_("peer_request_failed", e.what());
+        on_error_("peer_request_failed", e.what());
     }
     if (!reply || is_closed_)
         co_return;
@@ -213,29 +221,31 @@
     send(message);
 }
 
-asio::awaitable<void> peer_connection::watch_for_silence()
+asio::awaitable<void> peer_connection::monitor_liveness()
 {
     auto self = shared_from_this();
     asio::steady_timer timer(socket_.get_executor());
     while (!is_closed_)
     {
-        timer.expires_after(silence_check_interval);
+        timer.expires_after(liveness_check_interval);
         boost::system::error_code ec;
         co_await timer.async_wait(
             asio::redirect_error(asio::use_awaitable, ec));
         if (is_closed_ || !unanswered_since_)
             continue;
-        auto silence = now() - *unanswered_since_;
-        if (silence > silence_limit)
+        auto unanswered_time = now() - *unanswered_since_;
+        if (unanswered_time > liveness_timeout)
         {
-            on_fault_("silent_connection",
-                "closed a connection that stayed silent after a request");
+            on_error_("silent_connection",
+                "closed a connection on which nothing arrived within " +
+                    std::to_string(liveness_timeout.count()) +
+                    " ms after a request");
             close();
             continue;
         }
-        // A long request leaves the connection quiet; a hello tells a slow
-        // peer from a silent connection.
-        if (silence > silence_check_interval)
+        // No frames arrive while the peer works on a long request. Its reply
+        // to a hello tells a slow peer from a dead connection.
+        if (unanswered_time > liveness_check_interval)
         {
             peer_message ping{0, false, peer_hello{}};
             send(ping);
--- a/drivers/peer_connection.hpp
+++ b/drivers/peer_connection.hpp
@@ -12,43 +12,49 @@
 namespace cowslippass
 {
 
-/// Answers one request of a peer; nothing when no reply is to be sent.
-using peer_handler =
+/// Handles one request of a peer.
+/// @return the reply; nothing when no reply is to be sent.
+using peer_request_handler =
     std::function<asio::awaitable<std::optional<peer_body>>(peer_body)>;
 
-/// Reports a fault on a connection: a stable code and a sentence.
-using peer_fault_handler =
+/// Receives each error on a connection.
+/// @param code stable error code.
+/// @param message description of the error for people.
+using peer_error_handler =
     std::function<void(const std::string& code, const std::string& message)>;
 
-/// One framed TCP connection between two entries. Either end sends requests;
-/// a correlation id joins each reply to its request.
+/// One TCP connection between two entries. It carries frames: a little-endian
+/// 32-bit length and a FlatBuffer of that many bytes. Either side may send
+/// requests; a correlation id matches each reply to its request.
 class peer_connection : public std::enable_shared_from_this<peer_connection>
 {
 public:
-    /// Bounds the memory that one frame can make the receiver allocate.
+    /// Bounds the memory that the receiver allocates for one frame.
     static constexpr std::uint32_t max_frame_bytes = 16 * 1024 * 1024;
-    /// A connection with an unanswered request and no frame for this long is
-    /// closed, also when the calls gave up earlier.
-    static constexpr milliseconds silence_limit{2'000};
+    /// A connection on which a request is unanswered and no frame has arrived
+    /// for this long is closed, even if its calls timed out earlier.
+    static constexpr milliseconds liveness_timeout{2'000};
 
-    peer_connection(
-        tcp::socket socket, peer_handler handler, peer_fault_handler on_fault);
+    peer_connection(tcp::socket socket, peer_request_handler handler,
+        peer_error_handler on_error);
 
-    /// Starts reading and watching for silence.
+    /// Starts reading and monitoring the peer's liveness.
     void start();
 
-    /// @return the reply, or nothing when it did not come before `timeout` or
-    ///   the connection ended; the request may then have taken effect.
+    /// Sends a request and waits for its reply.
+    /// @return the reply; nothing when `timeout` expired or the connection
+    ///   closed first. The request may then have taken effect.
     asio::awaitable<std::optional<peer_body>> call(
         peer_body body, milliseconds timeout);
 
+    /// Closes the socket and ends all pending calls without a reply.
     void close();
 
     bool is_open() const { return !is_closed_; }
 
-    /// @return time since the last frame came in, or since the connection was
-    ///   made.
-    milliseconds get_quiet_time() const;
+    /// @return time since the last frame arrived, or since the connection was
+    ///   established when none has.
+    milliseconds get_time_since_last_frame() const;
 
 private:
     struct pending_call
@@ -64,23 +70,25 @@
 
     asio::awaitable<void> read_loop();
     asio::awaitable<void> write_loop();
-    asio::awaitable<void> watch_for_silence();
-    asio::awaitable<void> answer(peer_message request);
+    asio::awaitable<void> monitor_liveness();
+    asio::awaitable<void> handle_request(peer_message request);
+    /// Passes a reply to its call, and a request to the handler.
     void dispatch(peer_message message);
-    void accept_reply(peer_message message);
+    void complete_call(peer_message message);
     void send(const peer_message& message);
 
     tcp::socket socket_;
-    peer_handler handler_;
-    peer_fault_handler on_fault_;
-    std::deque<std::string> outgoing_;
+    peer_request_handler handler_;
+    peer_error_handler on_error_;
+    std::deque<std::string> outgoing_frames_;
     bool is_writing_ = false;
     bool is_closed_ = false;
-    std::uint64_t last_correlation_ = 0;
-    std::map<std::uint64_t, std::shared_ptr<pending_call>> pending_;
-    monotonic_time last_received_;
-    /// When the first request since the last frame was sent. Kept when the
-    /// request times out: a row of short requests must not hide the silence.
+    std::uint64_t last_correlation_ = 0; ///< 0 is used by liveness checks.
+    std::map<std::uint64_t, std::shared_ptr<pending_call>> pending_calls_;
+    monotonic_time last_frame_time_;
+    /// When the first request since the last received frame was sent. Not
+    /// reset when the request times out, because a series of short requests
+    /// must not hide an unresponsive peer.
     std::optional<monotonic_time> unanswered_since_;
 };
 
--- a/drivers/peer_message.cpp
+++ b/drivers/peer_message.cpp
@@ -14,6 +14,8 @@
 
 constexpr milliseconds max_list_age{1'000'000};
 
+/// An encoded member of the union `body`.
+
 struct body_offset
 {
     wire::body type;
@@ -45,7 +47,7 @@
         wire::body::hello, wire::Createhello(out, body.session.get()).Union()};
 }
 
-/// @return the vector, or nothing for an empty one, which takes no space then.
+/// @return the vector; a null offset for an empty one, which saves its space.
 template <class Item>
 flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Item>>>
 write_vector(builder& out, const std::vector<flatbuffers::Offset<Item>>& items)
@@ -77,19 +79,20 @@
     auto team_vector = write_vector(out, teams);
     auto leaving_vector = write_vector(out, leaving);
     flatbuffers::Offset<flatbuffers::String> tag = 0;
-    if (!body.list_tag.empty())
-        tag = out.CreateString(body.list_tag);
+    if (!body.instance_list_etag.empty())
+        tag = out.CreateString(body.instance_list_etag);
     std::int64_t age = body.freshness_age ? body.freshness_age->count() : -1;
-    // An older age than fits is as good as none.
-    std::int32_t list_age = -1;
-    if (body.list_age && body.list_age <= max_list_age)
-        list_age = static_cast<std::int32_t>(body.list_age->count());
+    // A list older than the limit is useless; it is sent as no list.
+    std::int32_t instance_list_age = -1;
+    if (body.instance_list_age && body.instance_list_age <= max_list_age)
+        instance_list_age =
+            static_cast<std::int32_t>(body.instance_list_age->count());
     return {wire::body::summary,
         wire::Createsummary(out, body.session.get(), body.version.get(), age,
             body.is_platform_reachable, body.has_unresolved_change,
             body.is_leaving, body.is_admitted, pool_vector, team_vector,
-            body.revision, body.known_revision, !body.has_lists, list_age, tag,
-            leaving_vector)
+            body.revision, body.known_revision, !body.has_lists,
+            instance_list_age, tag, leaving_vector)
             .Union()};
 }
 
@@ -162,7 +165,7 @@
     return {wire::body::coordinator_reply,
         wire::Createcoordinator_reply(out,
             static_cast<wire::coordinator_result>(body.result), body.phase,
-            body.count, to_u32(body.retry_after), to_u32(body.renewed_age),
+            body.count, to_u32(body.retry_after), to_u32(body.renewal_age),
             boot, body.top_processor_share)
             .Union()};
 }
@@ -198,8 +201,8 @@
     out.known_revision = body.known_revision();
     out.has_lists = !body.has_no_lists();
     if (body.list_age_ms() >= 0)
-        out.list_age = milliseconds(body.list_age_ms());
-    out.list_tag = read_text(body.list_tag());
+        out.instance_list_age = milliseconds(body.list_age_ms());
+    out.instance_list_etag = read_text(body.list_tag());
     if (body.leaving())
         for (const auto* it : *body.leaving())
             out.leaving.emplace_back(it->str());
@@ -282,7 +285,7 @@
     flatbuffers::Verifier verifier(data, buf.size());
     if (!wire::VerifymessageBuffer(verifier))
         throw platform_error(
-            "malformed_frame", "a peer sent a frame that does not verify");
+            "malformed_frame", "a peer sent a frame that fails verification");
     const wire::message* message = wire::Getmessage(data);
     return {message->correlation(), message->is_reply(), read_body(*message)};
 }
--- a/drivers/peer_message.hpp
+++ b/drivers/peer_message.hpp
@@ -11,16 +11,19 @@
 namespace cowslippass
 {
 
+/// State of one pool at the entry that owns it.
 struct pool_summary
 {
     pool_id pool;
     std::uint32_t free_slots = 0;
-    std::uint32_t waiting = 0;
+    std::uint32_t waiting = 0; ///< Urgent tasks that wait for a slot.
     std::uint32_t targets = 0; ///< In service in the sender's data centre.
 
     bool operator==(const pool_summary&) const = default;
 };
 
+/// Task counts of one team at the sender: running there, granted to its
+/// session, and waiting there.
 struct team_summary
 {
     team_id team;
@@ -31,68 +34,75 @@
     bool operator==(const team_summary&) const = default;
 };
 
+/// First request on a connection, and the liveness check later.
 struct peer_hello
 {
     session_id session;
 };
 
-/// What an entry tells its peers about itself, as request and as reply.
+/// Status report of an entry to its peers; both the request and the reply.
 struct peer_summary
 {
     session_id session;
     config_version version;
-    /// Age of the sender's freshness when it sent this; nothing when it has
-    /// never had any.
+    /// Time since the sender last knew that its version was the newest one;
+    /// nothing when it has never known.
     std::optional<milliseconds> freshness_age;
     bool is_platform_reachable = false;
+    /// The outcome of a change that the sender tried to commit is unknown.
     bool has_unresolved_change = false;
-    bool is_leaving = false;  ///< A planned stop has begun.
-    bool is_admitted = false; ///< May append changes to the fleet log.
-    /// Age of `list_tag` and `leaving`; nothing without an instance list.
-    std::optional<milliseconds> list_age;
-    /// Numbers the contents of the lists below; 0 for none.
+    bool is_leaving = false;  ///< A planned shutdown has begun.
+    bool is_admitted = false; ///< The sender may append to the fleet log.
+    /// Age of `instance_list_etag` and `leaving`; nothing when the sender has
+    /// no instance list.
+    std::optional<milliseconds> instance_list_age;
+    /// Revision of the lists below; 0 for none.
     std::uint32_t revision = 0;
     /// Revision of the receiver's lists that the sender holds; 0 for none.
     std::uint32_t known_revision = 0;
-    /// False when the receiver holds this revision of the lists.
+    /// False when the lists are left out because the receiver already holds
+    /// this revision.
     bool has_lists = true;
 
     std::vector<pool_summary> pools;
     std::vector<team_summary> teams;
-    std::string list_tag;             ///< ETag of the platform's instance list.
-    std::vector<instance_id> leaving; ///< As that list names them.
+    std::string instance_list_etag;   ///< ETag of the platform's instance list.
+    std::vector<instance_id> leaving; ///< Instances listed there as leaving.
 };
 
-/// A caller's admitted request on its way to the owner of its pool.
+/// A caller's admitted request, forwarded to the owner of its pool.
 struct peer_forward
 {
     request_id request;
     team_id team;
     queue_id queue;
     std::string payload;
-    milliseconds deadline{0}; ///< Time left for the answer.
+    milliseconds deadline{0}; ///< Time left until the response is due.
     byte_count declared_memory;
-    std::string run_ms; ///< Hint for the target; may be empty.
-    config_version version;
-    /// The caller says that it has not sent this request before.
+    std::string run_ms;     ///< Run time hint for the target; may be empty.
+    config_version version; ///< Newest one that the sender knows.
+    /// The caller states that it has not sent this request before.
     bool is_first_attempt = false;
 };
 
-/// The answer to a caller's request, also between entries.
+/// The response to a caller's request; HTTP callers get the same members.
 struct peer_forward_reply
 {
-    unsigned status = 500;
+    unsigned status = 500; ///< HTTP status.
     std::string code;
     std::string message;
-    std::string run; ///< `no`, `yes` or `unknown`.
+    std::string run; ///< Whether the task ran: `no`, `yes` or `unknown`.
     std::string payload;
 };
 
+/// Asks the receiver to cancel the tasks of a job that it holds.
 struct peer_cancel
 {
     job_id job;
 };
 
+/// Asks for data that the receiver holds, such as the entries of the fleet log
+/// since a version.
 struct peer_query
 {
     std::string text;
@@ -100,27 +110,27 @@
 
 struct peer_query_reply
 {
-    std::string json;
+    std::string json; ///< Empty when the receiver has no such data.
 };
 
 enum class coordinator_operation
 {
-    probe, ///< Whether the receiver is the coordinator.
+    probe, ///< Asks whether the receiver is the coordinator.
     submit,
     status,
     cancel,
-    count ///< Jobs of a queue of which no task has started.
+    count ///< Counts the jobs of a queue of which no task has started.
 };
 
-/// A caller's operation on its way to the coordinator.
+/// A caller's operation, forwarded to the coordinator.
 struct peer_coordinator_call
 {
     coordinator_operation operation = coordinator_operation::probe;
     job_id job;
     queue_id queue;
     team_id team;
-    std::string spec; ///< Encoded job, of a submission.
-    /// Of the sender's instance, in thousandths of a core.
+    std::string spec; ///< Encoded job specification, for `submit`.
+    /// Processor share of the sender's instance, in thousandths of a core.
     std::uint32_t processor_share = 0;
 };
 
@@ -128,7 +138,7 @@
 {
     done,
     unknown_job,
-    refused, ///< Not accepted, and never will be by this call.
+    refused, ///< Not accepted; this call will have no effect later either.
     not_coordinator,
     invalid
 };
@@ -136,13 +146,15 @@
 struct peer_coordinator_reply
 {
     coordinator_result result = coordinator_result::not_coordinator;
-    std::uint8_t phase = 0; ///< `job_phase` of the job.
-    std::uint64_t count = 0;
-    milliseconds retry_after{0};
-    /// Age of the coordinator's last durable transaction.
-    milliseconds renewed_age{0};
-    std::string boot; ///< Boot id of the process that answers.
-    /// The largest share of an entry that asked, in thousandths of a core.
+    std::uint8_t phase = 0;      ///< `job_phase` of the job.
+    std::uint64_t count = 0;     ///< For `count`.
+    milliseconds retry_after{0}; ///< Delay before the caller tries again.
+    /// Age of the coordinator's last committed transaction, which renewed its
+    /// term.
+    milliseconds renewal_age{0};
+    std::string boot; ///< Boot id of the process that replies.
+    /// Largest processor share among the entries that called, in thousandths of
+    /// a core.
     std::uint32_t top_processor_share = 0;
 };
 
@@ -150,18 +162,20 @@
     peer_forward_reply, peer_cancel, peer_query, peer_query_reply,
     peer_coordinator_call, peer_coordinator_reply>;
 
+/// A request or a reply.
 struct peer_message
 {
-    std::uint64_t correlation = 0;
+    std::uint64_t correlation = 0; ///< Id of the request.
     bool is_reply = false;
     peer_body body;
 };
 
-/// @return the message as a FlatBuffer, without the frame's length.
+/// @return the message as a FlatBuffer, without the length of the frame.
 std::string encode_peer_message(const peer_message& message);
 
-/// @throws platform_error (`malformed_frame`) when the buffer does not verify
-///   or lacks a field.
+/// @param buf a frame without its length.
+/// @throws platform_error (`malformed_frame`) when the buffer fails
+///   verification or its message is of an unknown type.
 peer_message decode_peer_message(const std::string& buf);
 
 } // namespace cowslippass
--- /dev/null
+++ b/drivers/peer_server.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "drivers/peer_connection.hpp"
+
+namespace cowslippass
+{
+
+/// Accepts connections from other entries.
+class peer_server
+{
+public:
+    /// @throws platform_error (`cannot_listen`).
+    peer_server(asio::io_context& io, const tcp::endpoint& endpoint,
+        peer_request_handler handler, peer_error_handler on_error);
+    ~peer_server();
+
+    /// @return the bound port.
+    unsigned short get_port() const;
+
+    std::size_t count_open_connections() const;
+
+    /// Stops accepting and closes all connections.
+    void stop();
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace cowslippass
--- a/drivers/table_client.cpp
+++ b/drivers/platform_client.cpp
@@ -1,4 +1,4 @@
-#include "drivers/table_client.hpp"
+#include "drivers/platform_client.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -11,7 +11,8 @@
 using json = nlohmann::json;
 
 constexpr std::size_t max_platform_connections = 16;
-/// Longer than an ordinary answer takes, short against the freshness limit.
+/// Longer than an ordinary response takes and short compared with the freshness
+/// limit, within which the configuration has to be confirmed.
 constexpr milliseconds platform_timeout{1'500};
 
 json encode(const transaction& tx)
@@ -38,12 +39,13 @@
 
 } // namespace
 
-table_client::table_client(asio::io_context& io, const tcp::endpoint& platform)
+platform_client::platform_client(
+    asio::io_context& io, const tcp::endpoint& platform)
     : client_(io, platform, max_platform_connections)
 {
 }
 
-asio::awaitable<http_result> table_client::send(
+asio::awaitable<http_result> platform_client::send(
     std::string operation, http_request request)
 {
     auto begin = std::chrono::steady_clock::now();
@@ -51,7 +53,7 @@
         co_await client_.send(std::move(request), platform_timeout);
     is_reachable_ = result.response && result.response->status < 500;
     if (is_reachable_)
-        clock_.note_date(result.response->get_header("Date"),
+        clock_.update_from_date(result.response->get_header("Date"),
             std::chrono::steady_clock::now());
     std::chrono::duration<double> time =
         std::chrono::steady_clock::now() - begin;
@@ -60,7 +62,7 @@
     co_return result;
 }
 
-asio::awaitable<std::optional<http_response>> table_client::fetch(
+asio::awaitable<std::optional<http_response>> platform_client::fetch(
     std::string operation, http_request request)
 {
     http_result result =
@@ -70,7 +72,7 @@
     co_return std::move(result.response);
 }
 
-asio::awaitable<transaction_result> table_client::commit(transaction tx)
+asio::awaitable<transaction_result> platform_client::commit(transaction tx)
 {
     http_request request;
     request.method = "POST";
@@ -111,7 +113,7 @@
     co_return out;
 }
 
-asio::awaitable<std::optional<row>> table_client::read(std::string key)
+asio::awaitable<std::optional<row>> platform_client::read(std::string key)
 {
     http_request request;
     request.path = "/v1/row";
@@ -133,7 +135,7 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<std::optional<scan_result>> table_client::scan(
+asio::awaitable<std::optional<scan_result>> platform_client::scan(
     std::string prefix, std::string after, std::size_t limit)
 {
     http_request request;
@@ -159,7 +161,7 @@
     co_return std::nullopt;
 }
 
-asio::awaitable<bool> table_client::put_object(
+asio::awaitable<bool> platform_client::put_object(
     std::string name, std::string bytes)
 {
     http_request request;
@@ -170,7 +172,7 @@
     co_return response && response->status < 300;
 }
 
-asio::awaitable<std::optional<std::string>> table_client::get_object(
+asio::awaitable<std::optional<std::string>> platform_client::get_object(
     std::string name)
 {
     http_request request;
@@ -181,7 +183,7 @@
     co_return std::move(response->body);
 }
 
-asio::awaitable<bool> table_client::delete_object(std::string name)
+asio::awaitable<bool> platform_client::delete_object(std::string name)
 {
     http_request request;
     request.method = "DELETE";
@@ -190,28 +192,29 @@
     co_return response && (response->status < 300 || response->status == 404);
 }
 
-platform_time table_client::get_time() const
+platform_time platform_client::get_time() const
 {
     return clock_.get_time(std::chrono::steady_clock::now());
 }
 
-void table_client::note_list(std::string tag, std::vector<instance_id> leaving)
+void platform_client::set_instance_list(
+    std::string tag, std::vector<instance_id> leaving)
 {
-    list_tag_ = std::move(tag);
-    leaving_ = std::move(leaving);
+    instance_list_etag_ = std::move(tag);
+    leaving_instances_ = std::move(leaving);
 }
 
 asio::awaitable<std::optional<std::vector<instance_id>>>
-table_client::list_leaving()
+platform_client::list_leaving_instances()
 {
     http_request request;
     request.path = "/v1/instances";
-    // The list of 4,300 instances has 530 KB and seldom changes.
-    if (!list_tag_.empty())
-        request.headers["If-None-Match"] = list_tag_;
+    // The list of 4,300 instances takes 530 KB and changes rarely.
+    if (!instance_list_etag_.empty())
+        request.headers["If-None-Match"] = instance_list_etag_;
     auto response = co_await fetch("list_leaving", std::move(request));
     if (response && response->status == 304)
-        co_return leaving_;
+        co_return leaving_instances_;
     if (!response || response->status != 200)
         co_return std::nullopt;
     try
@@ -221,8 +224,8 @@
         for (const auto& it : body.at("instances"))
             if (it.at("state") == "leaving")
                 out.emplace_back(it.at("id").get<std::string>());
-        list_tag_ = response->get_header("ETag");
-        leaving_ = out;
+        instance_list_etag_ = response->get_header("ETag");
+        leaving_instances_ = out;
         co_return out;
     }
     catch (const json::exception&)
--- a/drivers/platform_clock.cpp
+++ b/drivers/platform_clock.cpp
@@ -8,7 +8,8 @@
 namespace cowslippass
 {
 
-void platform_clock::note_date(const std::string& date, monotonic_time received)
+void platform_clock::update_from_date(
+    const std::string& date, monotonic_time received)
 {
     std::tm fields{};
     std::istringstream in(date);
@@ -17,16 +18,16 @@
     if (in.fail())
         return;
     std::int64_t seconds = timegm(&fields);
-    last_ = {platform_time(seconds * 1'000), received};
+    last_reading_ = {platform_time(seconds * 1'000), received};
 }
 
 platform_time platform_clock::get_time(monotonic_time now) const
 {
-    if (!last_)
+    if (!last_reading_)
         return platform_time();
     auto passed =
-        std::chrono::duration_cast<milliseconds>(now - last_->received);
-    return platform_time(last_->time.get() + passed.count());
+        std::chrono::duration_cast<milliseconds>(now - last_reading_->received);
+    return platform_time(last_reading_->time.get() + passed.count());
 }
 
 } // namespace cowslippass
--- a/drivers/platform_clock.hpp
+++ b/drivers/platform_clock.hpp
@@ -8,16 +8,18 @@
 namespace cowslippass
 {
 
-/// The platform's clock, told by the header `Date` of its answers. It is the
-/// only clock that all entries share; rows are dated and aged by it.
+/// The platform's clock, estimated from the `Date` header of its responses. It
+/// is the only clock that all entries share, so timestamps in rows and the ages
+/// of rows use it.
 class platform_clock
 {
 public:
-    /// @param date as in RFC 9110; anything else is ignored.
-    void note_date(const std::string& date, monotonic_time received);
+    /// @param date value of a `Date` header (RFC 9110); other text is ignored.
+    /// @param received when the response arrived.
+    void update_from_date(const std::string& date, monotonic_time received);
 
-    /// @return the platform's time, behind by at most a second and the delay
-    ///   of the answer that told it; 0 when no answer did.
+    /// @return the platform's time, at most one second plus the delay of the
+    ///   last response behind it; 0 before the first `Date` header.
     platform_time get_time(monotonic_time now) const;
 
 private:
@@ -26,7 +28,7 @@
         platform_time time;
         monotonic_time received;
     };
-    std::optional<reading> last_;
+    std::optional<reading> last_reading_;
 };
 
 } // namespace cowslippass
--- a/drivers/settings.cpp
+++ b/drivers/settings.cpp
@@ -14,8 +14,8 @@
 namespace
 {
 
-/// @return the number of insertions, deletions and replacements that turn `a`
-///   into `b`.
+/// @return the Levenshtein distance: the number of insertions, deletions and
+///   replacements that turn `a` into `b`.
 std::size_t get_edit_distance(std::string_view a, std::string_view b)
 {
     std::vector<std::size_t> costs(b.size() + 1);
@@ -43,7 +43,7 @@
         ->name;
 }
 
-/// Fills `settings` from a parsed file and collects every fault.
+/// Fills `settings` from a parsed file and collects every error.
 class settings_reader
 {
 public:
@@ -54,25 +54,25 @@
 
     settings read()
     {
-        read_unknown_names();
+        report_unknown_names();
         for (const setting_description& it : get_setting_descriptions())
             read_member(it);
         for (const setting_relation& it : get_setting_relations())
             check_relation(it);
-        if (!faults_.empty())
-            throw platform_error("bad_settings", join_faults());
+        if (!errors_.empty())
+            throw platform_error("bad_settings", join_errors());
         return out_;
     }
 
 private:
-    void read_unknown_names()
+    void report_unknown_names()
     {
         for (const auto& it : table_)
         {
             std::string_view name = it.first.str();
             std::string_view nearest = find_nearest_name(name);
             if (name != nearest)
-                add_fault(name, "unknown name; the nearest known one is " +
+                add_error(name, "unknown name; the nearest known one is " +
                                     std::string(nearest));
         }
     }
@@ -81,7 +81,7 @@
     {
         const toml::node* node = table_.get(it.name);
         if (!node && it.is_required)
-            add_fault(it.name, "required; must be " + std::string(it.allowed));
+            add_error(it.name, "required; must be " + std::string(it.allowed));
         if (!node)
             return;
         bool is_read = std::visit([&](auto member)
@@ -89,8 +89,8 @@
             it.member);
         if (is_read)
             return;
-        faulty_.insert(it.name);
-        add_fault(it.name, "must be " + std::string(it.allowed));
+        invalid_names_.insert(it.name);
+        add_error(it.name, "must be " + std::string(it.allowed));
     }
 
     bool read_value(const setting_description& it, const toml::node& node,
@@ -159,27 +159,27 @@
         return true;
     }
 
-    /// A relation is reported only when its own setting is not faulty, as
-    /// the value in hand would then be the default.
+    /// Skips a relation whose own setting is invalid: `out_` then holds its
+    /// default, for which the relation says nothing about the file.
     void check_relation(const setting_relation& it)
     {
-        if (!faulty_.contains(it.name) && !it.holds(out_))
-            add_fault(it.name, "must be " + std::string(it.allowed));
+        if (!invalid_names_.contains(it.name) && !it.holds(out_))
+            add_error(it.name, "must be " + std::string(it.allowed));
     }
 
-    void add_fault(std::string_view name, const std::string& what)
+    void add_error(std::string_view name, const std::string& what)
     {
         const toml::node* node = table_.get(name);
         auto line = node ? node->source().begin.line : 1;
-        faults_.emplace_back(line, std::string(name) + ": " + what);
+        errors_.emplace_back(line, std::string(name) + ": " + what);
     }
 
-    std::string join_faults()
+    std::string join_errors()
     {
         std::ranges::stable_sort(
-            faults_, {}, &std::pair<toml::source_index, std::string>::first);
+            errors_, {}, &std::pair<toml::source_index, std::string>::first);
         std::string out;
-        for (const auto& [line, what] : faults_)
+        for (const auto& [line, what] : errors_)
         {
             if (!out.empty())
                 out += '\n';
@@ -191,8 +191,8 @@
     std::string path_;
     const toml::table& table_;
     settings out_;
-    std::set<std::string_view> faulty_;
-    std::vector<std::pair<toml::source_index, std::string>> faults_;
+    std::set<std::string_view> invalid_names_;
+    std::vector<std::pair<toml::source_index, std::string>> errors_;
 };
 
 } // namespace
--- a/drivers/settings.hpp
+++ b/drivers/settings.hpp
@@ -9,7 +9,7 @@
 namespace cowslippass
 {
 
-/// Settings of one entry daemon, all checked.
+/// The validated settings of one entry daemon.
 struct settings
 {
     entry_id entry;
@@ -17,11 +17,11 @@
     tcp::endpoint http_listen; ///< Callers and operators.
     tcp::endpoint peer_listen; ///< Other entries.
     tcp::endpoint platform;    ///< The platform's HTTP address.
-    /// Addresses given to other entries; the bound ones when not set.
+    /// Addresses announced to other entries; the bound ones when empty.
     std::string http_advertise;
     std::string peer_advertise;
     std::size_t max_body_bytes = 4 * 1024 * 1024;
-    /// Of all work that waits in this entry.
+    /// Bound on the memory of all work that waits in this entry.
     std::size_t max_waiting_bytes = 2 * 1024 * 1024;
     milliseconds freshness_limit{4'000};
     milliseconds start_deadline{2'000};
@@ -29,22 +29,23 @@
     milliseconds heartbeat_interval{3'000};
     milliseconds session_death{12'000};
     milliseconds balancer_lag{3'000};
-    milliseconds urgent_deadline{30'000}; ///< Longest wait of a caller.
-    /// For how long request ids with their outcomes, and command ids, are
-    /// remembered.
+    /// Longest wait of a caller of an urgent queue.
+    milliseconds urgent_deadline{30'000};
+    /// How long request ids with their outcomes, and command ids, are kept for
+    /// deduplication.
     milliseconds request_lifetime{86'400'000};
     milliseconds command_lifetime{86'400'000};
     std::size_t clean_up_writes_per_second = 50;
-    /// Digest of the secret that may create the first operator.
+    /// SHA-256 digest of the secret that may create the first operator.
     std::string bootstrap_secret_sha256;
     std::string log_file; ///< Empty means standard error.
     std::string log_level = "info";
 };
 
-/// Reads and checks a TOML file as a whole.
-/// @param path of the file, for the messages.
-/// @throws platform_error (`bad_settings`) with one line for each fault: file,
-///   line, name, and what is allowed.
+/// Reads and validates a TOML file as a whole.
+/// @param path path of the file; error messages name it.
+/// @throws platform_error (`bad_settings`) with one line for each error: file,
+///   line, name, and the allowed values.
 settings load_settings(const std::string& path);
 
 } // namespace cowslippass
--- a/drivers/settings_table.cpp
+++ b/drivers/settings_table.cpp
@@ -15,13 +15,14 @@
 constexpr std::size_t max_id_characters = 64;
 // A forwarded request with its headers must fit into one frame of 16 MiB.
 constexpr std::int64_t max_body_bytes = 15 * 1024 * 1024;
-// Grants of a dead session are released after a time computed from these three
-// constants; longer settings would let its tasks outlive its grants.
+// The grants of a dead session are released after a delay computed from these
+// three constants. With longer settings its tasks would outlive its grants.
 constexpr std::int64_t max_freshness_limit = freshness_limit.count();
 constexpr std::int64_t max_start_deadline = start_deadline.count();
 constexpr std::int64_t max_task_lease = task_lease.count();
 
-// As long as targets keep ended tasks, and longer than any wait of a caller.
+// At least as long as targets keep ended tasks, which exceeds every wait of a
+// caller.
 constexpr std::int64_t min_lifetime = ended_task_retention.count();
 constexpr std::int64_t max_lifetime = 30LL * 24 * 3'600 * 1'000;
 
@@ -60,6 +61,8 @@
     return std::ranges::find(levels, text) != levels.end();
 }
 
+// Completions of "must be ...". The settings page quotes them, and the
+// descriptions below, word for word.
 constexpr std::string_view id_allowed =
     "1 to 64 letters, digits, '-', '_' or '.'";
 constexpr std::string_view listen_allowed =
--- a/drivers/target_client.cpp
+++ b/drivers/target_client.cpp
@@ -14,9 +14,9 @@
 
 using json = nlohmann::json;
 
-/// A target that does not answer for this long is treated as silent.
+/// A target that does not respond within this time is treated as unreachable.
 constexpr milliseconds target_timeout{1'000};
-/// Results may be large; the deadline is for the whole body.
+/// Results may be large; this limit covers the complete body.
 constexpr milliseconds result_timeout{5'000};
 
 constexpr std::array<std::pair<const char*, target_task_state>, 6> state_names{
@@ -65,7 +65,7 @@
 
 } // namespace
 
-bool is_proof_of_no_start(start_outcome outcome)
+bool proves_not_started(start_outcome outcome)
 {
     return outcome != start_outcome::started &&
            outcome != start_outcome::already_known &&
@@ -85,7 +85,7 @@
 {
 }
 
-asio::awaitable<http_result> target_client::fetch(
+asio::awaitable<http_result> target_client::send(
     http_request request, milliseconds timeout)
 {
     http_result result = co_await client_.send(std::move(request), timeout);
@@ -117,7 +117,7 @@
     if (!request.run_ms.empty())
         message.headers["Run-Ms"] = request.run_ms;
     message.body = std::move(request.payload);
-    http_result result = co_await fetch(std::move(message), target_timeout);
+    http_result result = co_await send(std::move(message), target_timeout);
     if (result.response)
         co_return to_start_outcome(result.response->status);
     co_return result.failure == http_failure::not_sent ? start_outcome::not_sent
@@ -129,7 +129,7 @@
     std::vector<task_id> renew)
 {
     json body{{"owner", std::to_string(owner.get())}};
-    // Idle targets are asked most often; these fields mean nothing to them.
+    // Most polls go to idle targets, which need none of these fields.
     if (!renew.empty())
     {
         json ids = json::array();
@@ -156,7 +156,7 @@
     message.method = "POST";
     message.path = "/v1/sync";
     message.body = std::move(body);
-    http_result result = co_await fetch(std::move(message), timeout);
+    http_result result = co_await send(std::move(message), timeout);
     if (!result.response || result.response->status != 200)
         co_return std::nullopt;
     try
@@ -180,10 +180,10 @@
 {
     http_request message;
     message.path = "/v1/tasks/" + id.get();
-    http_result result = co_await fetch(std::move(message), target_timeout);
+    http_result result = co_await send(std::move(message), target_timeout);
     if (!result.response || !clock_)
         co_return std::nullopt;
-    // Taken now, as another answer may replace the reading.
+    // Copied now, because a concurrent response may replace the reading.
     target_task_report out{target_task_state::unknown, *clock_};
     if (result.response->status == 404)
         co_return out;
@@ -206,10 +206,10 @@
 {
     http_request message;
     message.path = "/v1/tasks/" + id.get() + "/result";
-    http_result result = co_await fetch(std::move(message), result_timeout);
+    http_result result = co_await send(std::move(message), result_timeout);
     if (!result.response || result.response->status != 200)
         co_return std::nullopt;
-    // An answer to another request must never reach this caller.
+    // A result that belongs to another request must never reach this caller.
     if (result.response->get_header("Request-Id") != request.get())
         co_return std::nullopt;
     co_return std::move(result.response->body);
@@ -220,7 +220,7 @@
 {
     http_request message;
     message.path = "/v1/tasks";
-    http_result result = co_await fetch(std::move(message), target_timeout);
+    http_result result = co_await send(std::move(message), target_timeout);
     if (!result.response || result.response->status != 200)
         co_return std::nullopt;
     try
@@ -239,7 +239,7 @@
     http_request message;
     message.method = "POST";
     message.path = "/v1/reboot";
-    http_result result = co_await fetch(std::move(message), target_timeout);
+    http_result result = co_await send(std::move(message), target_timeout);
     co_return result.response&& result.response->status < 300;
 }
 
@@ -248,7 +248,7 @@
     http_request message;
     message.method = "POST";
     message.path = "/v1/tasks/" + id.get() + "/" + action;
-    http_result result = co_await fetch(std::move(message), target_timeout);
+    http_result result = co_await send(std::move(message), target_timeout);
     co_return result.response&& result.response->status < 300;
 }
 
--- a/main/cowslippass_main.cpp
+++ b/main/cowslippass_main.cpp
@@ -268,7 +268,7 @@
     request.id = command_id(make_random_hex(16));
     request.is_change =
         !FLAGS_dry_run && !std::holds_alternative<query_command>(it.parsed);
-    request.is_wait = FLAGS_wait;
+    request.waits_until_in_force = FLAGS_wait;
     request.is_dry_run = FLAGS_dry_run;
     request.timeout = milliseconds(FLAGS_timeout_ms);
     asio::io_context io;
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -61,7 +61,7 @@
       leaving_(node_, peers_,
           [this](const std::set<instance_id>& it) { apply_leaving(it); })
 {
-    table_.set_observer(
+    table_.set_call_observer(
         [this](const std::string& operation, double seconds, bool is_failed)
         {
             metric_labels labels{{"operation", operation}};
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -70,7 +70,7 @@
     std::size_t count_active() const;
 
     settings& config_;
-    table_client table_;
+    platform_client table_;
     node_context node_;
     fleet_sync sync_;
     peer_network peers_;
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -111,7 +111,7 @@
             break;
         }
     }
-    reply.renewed_age = get_renewed_age();
+    reply.renewal_age = get_renewed_age();
     co_return reply;
 }
 
--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_seat.cpp
@@ -139,7 +139,7 @@
     {
         last_answer_ = boot_clock::now();
         top_share_ = reply->top_processor_share;
-        candidacy_.note_probe(reply->renewed_age, *last_answer_);
+        candidacy_.note_probe(reply->renewal_age, *last_answer_);
         co_return;
     }
     if (reply && !reply->boot.empty() && reply->boot != holder)
@@ -191,11 +191,11 @@
             {"address", head->address}, {"version", version}});
     auto handler = [](peer_body) -> asio::awaitable<std::optional<peer_body>>
     { co_return std::nullopt; };
-    auto on_fault = [](const std::string& code, const std::string& message) {
+    auto on_error = [](const std::string& code, const std::string& message) {
         write_log(log_level::debug, "peer_link", message, {{"code", code}});
     };
     peer_ = std::make_shared<peer_client>(io_, parse_endpoint(head->address),
-        settings_.peer_listen.address(), handler, on_fault);
+        settings_.peer_listen.address(), handler, on_error);
 }
 
 asio::awaitable<void> coordinator_seat::take_over()
@@ -348,7 +348,7 @@
     else if (recovering_ && call.operation == coordinator_operation::probe)
     {
         reply.result = coordinator_result::done;
-        reply.renewed_age = recovering_->get_renewed_age();
+        reply.renewal_age = recovering_->get_renewed_age();
     }
     if (auto& active = is_holder() ? runner_ : recovering_)
     {
--- a/main/entryd/coordinator_seat.hpp
+++ b/main/entryd/coordinator_seat.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "drivers/peer_link.hpp"
+#include "drivers/peer_client.hpp"
 #include "main/entryd/config_follower.hpp"
 #include "main/entryd/coordinator_runner.hpp"
 #include "systems/coordination/candidacy.hpp"
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/log.hpp"
 #include "drivers/metrics.hpp"
+#include "drivers/peer_server.hpp"
 #include "main/entryd/caller_front.hpp"
 
 #include <boost/asio/signal_set.hpp>
@@ -139,7 +140,7 @@
             settings_.maintenance_time = fresh.maintenance_time;
             settings_.notice_time = fresh.notice_time;
             settings_.log_level = fresh.log_level;
-            configure_log(settings_.log_level, log_to_output);
+            configure_log(settings_.log_level, log_to_stdout);
             write_log(log_level::info, "process", "reloaded");
         }
         catch (const error& e)
@@ -218,7 +219,7 @@
 {
     // A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
-    configure_log(settings.log_level, log_to_output);
+    configure_log(settings.log_level, log_to_stdout);
     asio::io_context io(1);
     entryd node(io, path, std::move(settings));
     node.start();
--- a/main/leaving_watch.cpp
+++ b/main/leaving_watch.cpp
@@ -61,9 +61,10 @@
 {
     last_read_ = get_now();
     auto asked = last_read_;
-    auto listed = co_await node_.table.list_leaving();
+    auto listed = co_await node_.table.list_leaving_instances();
     if (listed)
-        accept({asked, node_.table.get_list_tag(), std::move(*listed)});
+        accept(
+            {asked, node_.table.get_instance_list_etag(), std::move(*listed)});
 }
 
 void leaving_watch::adopt_from_peers()
@@ -72,7 +73,7 @@
     if (!newest || (as_of_ && newest->as_of <= *as_of_))
         return;
     // The next read of this entry then asks for later changes only.
-    node_.table.note_list(newest->tag, newest->leaving);
+    node_.table.set_instance_list(newest->tag, newest->leaving);
     accept(*newest);
 }
 
@@ -91,10 +92,10 @@
 {
     if (!as_of_)
         return;
-    out.list_age =
+    out.instance_list_age =
         std::chrono::duration_cast<milliseconds>(get_now() - *as_of_) +
         milliseconds(1);
-    out.list_tag = tag_;
+    out.instance_list_etag = tag_;
     out.leaving.assign(leaving_.begin(), leaving_.end());
 }
 
--- a/main/maintenance_keeper.cpp
+++ b/main/maintenance_keeper.cpp
@@ -160,9 +160,9 @@
     if (it == seen_.end())
         co_return;
     it->second.report = instance_report::unknown;
-    if (!tasks || !client->get_clock())
+    if (!tasks || !client->get_clock_reading())
         co_return;
-    const std::string boot = client->get_clock()->boot;
+    const std::string boot = client->get_clock_reading()->boot;
     if (it->second.boot.empty())
     {
         it->second.boot = boot;
--- a/main/node_context.cpp
+++ b/main/node_context.cpp
@@ -9,7 +9,7 @@
 }
 
 node_context::node_context(asio::io_context& context, const settings& options,
-    table_client& platform, const start_policy& policy)
+    platform_client& platform, const start_policy& policy)
     : io(context), config(options), table(platform),
       metrics(get_entry_metrics()), freshness(options.freshness_limit),
       nonce(make_random_hex(16)),
--- a/main/node_context.hpp
+++ b/main/node_context.hpp
@@ -20,7 +20,7 @@
 struct node_context
 {
     node_context(asio::io_context& context, const settings& options,
-        table_client& platform, const start_policy& policy);
+        platform_client& platform, const start_policy& policy);
 
     /// @return whether tasks may be started on the configuration in hand.
     bool may_start() const;
@@ -50,7 +50,7 @@
 
     asio::io_context& io;
     const settings& config;
-    table_client& table;
+    platform_client& table;
     metrics_registry metrics;
     fleet_state state;
     cowslippass::freshness freshness;
--- a/main/peer_network.cpp
+++ b/main/peer_network.cpp
@@ -171,8 +171,8 @@
         co_return;
     accept_summary(summary);
     const peer_summary* held = summaries_.find(session);
-    if (held != nullptr && held->list_age)
-        to->list_as_of = asked - *held->list_age;
+    if (held != nullptr && held->instance_list_age)
+        to->list_as_of = asked - *held->instance_list_age;
     if (summary.freshness_age)
         node_.freshness.note_peer(
             asked, *summary.freshness_age, summary.version);
@@ -369,11 +369,11 @@
     {
         const peer_summary* summary = summaries_.find(session);
         bool is_usable = it->list_as_of && summary != nullptr &&
-                         summary->list_age && is_local(session);
+                         summary->instance_list_age && is_local(session);
         if (!is_usable || (out && it->list_as_of <= out->as_of))
             continue;
         out = listed_leaving{
-            *it->list_as_of, summary->list_tag, summary->leaving};
+            *it->list_as_of, summary->instance_list_etag, summary->leaving};
     }
     return out;
 }
@@ -385,7 +385,7 @@
 
 std::size_t peer_network::count_connections() const
 {
-    std::size_t n = server_->count_open();
+    std::size_t n = server_->count_open_connections();
     for (const auto& [session, it] : peers_)
         n += it->client->is_connected();
     return n;
--- a/main/pool_runner_tasks.cpp
+++ b/main/pool_runner_tasks.cpp
@@ -63,7 +63,7 @@
     request.payload = active->item.payload;
     start_outcome outcome =
         co_await link->get_client().start(std::move(request));
-    if (is_proof_of_no_start(outcome))
+    if (proves_not_started(outcome))
         active->may_have_run = had_run;
     switch (outcome)
     {
--- a/main/row_cleaner.cpp
+++ b/main/row_cleaner.cpp
@@ -31,7 +31,7 @@
     return kinds;
 }
 
-row_cleaner::row_cleaner(table_service& table, retention_limits limits,
+row_cleaner::row_cleaner(platform_store& table, retention_limits limits,
     fence fence, retention_rule::session_check is_gone)
     : table_(table), limits_(limits), fence_(std::move(fence)),
       is_gone_(std::move(is_gone))
--- a/main/row_cleaner.hpp
+++ b/main/row_cleaner.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "drivers/table_client.hpp"
+#include "drivers/platform_client.hpp"
 #include "systems/retention.hpp"
 
 #include <functional>
@@ -28,7 +28,7 @@
     ///   when it may not remove any.
     using fence = std::function<std::optional<row_condition>()>;
 
-    row_cleaner(table_service& table, retention_limits limits, fence fence,
+    row_cleaner(platform_store& table, retention_limits limits, fence fence,
         retention_rule::session_check is_gone);
 
     /// Looks at one page of each kind of rows.
@@ -55,7 +55,7 @@
     asio::awaitable<bool> delete_objects(const retention_decision& decision);
     retention_decision judge(const row_kind& kind, const row& it) const;
 
-    table_service& table_;
+    platform_store& table_;
     retention_limits limits_;
     fence fence_;
     retention_rule::session_check is_gone_;
--- a/main/summary_exchange.cpp
+++ b/main/summary_exchange.cpp
@@ -11,14 +11,15 @@
 bool has_same_lists(const peer_summary& a, const peer_summary& b)
 {
     return a.pools == b.pools && a.teams == b.teams &&
-           a.list_tag == b.list_tag && a.leaving == b.leaving;
+           a.instance_list_etag == b.instance_list_etag &&
+           a.leaving == b.leaving;
 }
 
 void move_lists(peer_summary& from, peer_summary& to)
 {
     to.pools = std::move(from.pools);
     to.teams = std::move(from.teams);
-    to.list_tag = std::move(from.list_tag);
+    to.instance_list_etag = std::move(from.instance_list_etag);
     to.leaving = std::move(from.leaving);
 }
 
@@ -63,7 +64,7 @@
     if (!is_complete)
     {
         received.revision = 0;
-        received.list_age.reset();
+        received.instance_list_age.reset();
     }
     held = std::move(received);
 }
--- a/main/target_link.cpp
+++ b/main/target_link.cpp
@@ -69,8 +69,8 @@
 milliseconds target_link::get_silence() const
 {
     auto since = last_answer_;
-    if (client_.get_clock())
-        since = std::max(since, client_.get_clock()->received);
+    if (client_.get_clock_reading())
+        since = std::max(since, client_.get_clock_reading()->received);
     return std::chrono::duration_cast<milliseconds>(get_now() - since);
 }
 
@@ -125,7 +125,7 @@
 asio::awaitable<std::optional<target_clock_reading>>
 target_link::make_start_deadline()
 {
-    auto reading = client_.get_clock();
+    auto reading = client_.get_clock_reading();
     if (!reading || get_now() - reading->received > max_reading_age)
     {
         auto answer = co_await client_.probe(confirm_timeout);
@@ -138,7 +138,7 @@
         // The slots may have been taken since the last sync.
         if (!is_stopped_)
             observer_.on_answer(id_, *answer);
-        reading = client_.get_clock();
+        reading = client_.get_clock_reading();
     }
     // The freshness is checked after the reading arrived, so that a pause
     // between the two cannot lead to a start on stale configuration.
--- a/tests/drivers/command_client_test.cpp
+++ b/tests/drivers/command_client_test.cpp
@@ -15,14 +15,15 @@
 
 const std::string command_text = "drain instance i1";
 
-/// How a fake entry treats a request.
+/// How a fake entry responds to one request.
 struct behaviour
 {
-    unsigned status = 200; ///< 0 closes the connection without an answer.
+    unsigned status = 200; ///< 0 closes the connection without a response.
     std::string body = "{}";
 };
 
-/// Answers one request after the other as told; the last behaviour stays.
+/// Responds to the n-th request with the n-th behaviour, and to all later ones
+/// with the last.
 class fake_entry
 {
 public:
@@ -72,25 +73,27 @@
     return out;
 }
 
-struct outcome_of_run
+struct run_result
 {
     command_reply reply;
-    std::vector<std::vector<std::string>> requests; ///< By entry.
+    std::vector<std::vector<std::string>> requests; ///< Received, by entry.
 };
 
-outcome_of_run run(std::vector<std::vector<behaviour>> behaviours,
+/// Sends `command` to an unreachable entry and then to one entry for each list
+/// of behaviours.
+run_result run(std::vector<std::vector<behaviour>> behaviours,
     const command_request& command)
 {
     asio::io_context io;
-    // Bound but not listening, so that it refuses connections and no other
-    // process takes the port.
+    // Bound but not listening: it refuses connections, and no other process
+    // can take the port.
     tcp::socket dead(io, parse_endpoint("127.0.0.1:0"));
     std::vector<tcp::endpoint> endpoints{dead.local_endpoint()};
     std::list<fake_entry> entries;
     for (auto& it : behaviours)
         endpoints.push_back(
             entries.emplace_back(io, std::move(it)).get_endpoint());
-    outcome_of_run out;
+    run_result out;
     asio::co_spawn(
         io,
         [&]() -> asio::awaitable<void>
@@ -113,8 +116,9 @@
 
 } // namespace
 
-// Guards against a change that is committed twice after a lost reply.
-TEST(command_client, a_lost_change_is_repeated_with_its_id)
+// Guards against a change that is committed twice because the retry after a
+// lost response carries another command id.
+TEST(command_client, a_change_is_retried_with_the_same_id_after_a_lost_response)
 {
     auto result = run({{lost, committed}}, make_change());
     EXPECT_EQ(result.reply.outcome, command_outcome::done);
@@ -126,9 +130,10 @@
         EXPECT_NE(text.find(part), std::string::npos) << part;
 }
 
-// Guards against "refused" being reported for a change that an earlier
-// attempt may have committed.
-TEST(command_client, a_refusal_does_not_settle_an_earlier_attempt)
+// Guards against `refused` being reported for a change that an earlier attempt
+// may have committed: its response was lost, and the retry was rejected.
+TEST(command_client,
+    a_refusal_does_not_decide_an_earlier_attempt_of_unknown_outcome)
 {
     for (const behaviour& it : {refused, not_fresh, broken, lost})
     {
@@ -140,9 +145,9 @@
     EXPECT_EQ(result.reply.outcome, command_outcome::done);
 }
 
-// Guards against a refused change that is tried elsewhere until it passes, and
-// against giving up while another entry can serve.
-TEST(command_client, only_entries_that_cannot_serve_are_passed_over)
+// Guards against sending a rejected change to further entries until one accepts
+// it, and against giving up while another entry could serve the command.
+TEST(command_client, only_unavailable_entries_are_skipped)
 {
     auto result = run({{not_fresh}, {committed}}, make_change());
     EXPECT_EQ(result.reply.outcome, command_outcome::done);
@@ -152,14 +157,15 @@
     EXPECT_EQ(result.reply.code, "no_change");
     EXPECT_TRUE(result.requests[2].empty());
     result = run({{not_fresh}}, make_change());
-    EXPECT_EQ(result.reply.outcome, command_outcome::no_entry);
+    EXPECT_EQ(result.reply.outcome, command_outcome::no_entry_available);
     EXPECT_EQ(result.requests[0].size(), 1u);
     EXPECT_EQ(result.reply.code, "not_fresh");
 }
 
-// Guards against server errors after the commit that look like refusals, and
-// against queries that are said to have an unknown outcome.
-TEST(command_client, server_errors_leave_only_changes_unknown)
+// Guards against a server error after the commit being taken for a rejection,
+// and against an unknown outcome being reported for a query, which changes
+// nothing.
+TEST(command_client, server_errors_make_the_outcome_unknown_only_for_changes)
 {
     command_request query = make_change();
     query.is_change = false;
@@ -170,11 +176,12 @@
             run({{it}}, make_change()).reply.outcome, command_outcome::unknown);
         auto result = run({{it}, {behaviour{200, "{}"}}}, query);
         EXPECT_EQ(result.reply.outcome, command_outcome::done);
-        EXPECT_EQ(run({{it}}, query).reply.outcome, command_outcome::no_entry);
+        EXPECT_EQ(run({{it}}, query).reply.outcome,
+            command_outcome::no_entry_available);
     }
     behaviour proved{500, R"({"code":"x","run":"no"})"};
     EXPECT_EQ(run({{proved}}, make_change()).reply.outcome,
-        command_outcome::no_entry);
+        command_outcome::no_entry_available);
 }
 
 } // namespace cowslippass
--- a/tests/drivers/http_test.cpp
+++ b/tests/drivers/http_test.cpp
@@ -9,6 +9,7 @@
 namespace
 {
 
+/// Echoes the body and the query parameter `q`; `/fail` throws.
 asio::awaitable<http_response> echo(http_request request)
 {
     if (request.path == "/fail")
@@ -17,6 +18,7 @@
         200, {{"X-Query", request.get_query("q")}}, request.body};
 }
 
+/// Sends one request to a server with the handler `echo`.
 http_result send_once(unsigned max_body, http_request request)
 {
     asio::io_context io;
@@ -42,7 +44,9 @@
 
 } // namespace
 
-TEST(http, request_and_answer_arrive_whole)
+// Guards against query parameters that are altered by percent-encoding, and
+// against lost headers or bodies.
+TEST(http, request_and_response_arrive_complete)
 {
     http_request request{"POST", "/x", {{"q", "a b&c/%"}}, {}, "payload"};
     http_result result = send_once(100, request);
@@ -52,7 +56,8 @@
     EXPECT_EQ(result.response->get_header("x-query"), "a b&c/%");
 }
 
-// Guards against a large body being read without a bound.
+// Guards against unbounded memory use when a client sends a body over the
+// limit.
 TEST(http, a_body_over_the_limit_is_refused)
 {
     http_result result = send_once(10, {"POST", "/x", {}, {}, "eleven bytes"});
@@ -60,7 +65,8 @@
     EXPECT_EQ(result.response->status, 413u);
 }
 
-// Guards against an exception in a handler ending the server.
+// Guards against an exception in a handler that ends the server or leaves the
+// request without a response.
 TEST(http, a_failing_handler_is_answered_with_500)
 {
     http_result result = send_once(10, {"GET", "/fail", {}, {}, ""});
@@ -68,6 +74,8 @@
     EXPECT_EQ(result.response->status, 500u);
 }
 
+// Guards against an address with a missing port, a host name, a port out of
+// range or unbalanced brackets being accepted from a configuration.
 TEST(endpoint, malformed_addresses_are_refused)
 {
     for (const char* text : {"", "127.0.0.1", "host:80", "127.0.0.1:x",
--- a/tests/drivers/log_test.cpp
+++ b/tests/drivers/log_test.cpp
@@ -14,6 +14,7 @@
 
 using nlohmann::json;
 
+/// Sends the log to a file and reads its lines back.
 class log_lines : public testing::Test
 {
 protected:
@@ -39,7 +40,9 @@
 
 } // namespace
 
-TEST_F(log_lines, a_decision_is_one_flat_object)
+// Guards against nested, missing or converted fields, which readers of the
+// decision log cannot parse.
+TEST_F(log_lines, a_decision_is_logged_as_one_flat_json_object)
 {
     decision_log("placement")
         .write("start", "free_slot",
@@ -57,7 +60,8 @@
                 {"slots", 3}, {"ratio", 0.5}, {"is_urgent", true}}));
 }
 
-// Guards against input of callers that forges lines or breaks readers.
+// Guards against callers' input that forges log lines or members, or that makes
+// a line invalid JSON: line breaks, control characters, broken UTF-8.
 TEST_F(log_lines, control_characters_and_bad_utf8_stay_on_one_line)
 {
     write_log(log_level::warn, "http", "a\n\"b\"\x01",
@@ -67,6 +71,8 @@
     EXPECT_EQ(lines[0]["message"], "a\n\"b\"\x01");
 }
 
+// Guards against secrets in log files, and against lines below the configured
+// level.
 TEST_F(log_lines, secrets_and_lower_levels_are_left_out)
 {
     write_log(log_level::debug, "http", "hidden");
@@ -78,6 +84,8 @@
     EXPECT_FALSE(is_log_enabled(log_level::debug, "http"));
 }
 
+// Guards against a process that starts without a log because of a misspelt
+// level or a file that cannot be opened.
 TEST(log, unknown_levels_and_unusable_files_are_refused)
 {
     EXPECT_THROW(configure_log("loud", ""), platform_error);
--- a/tests/drivers/metrics_test.cpp
+++ b/tests/drivers/metrics_test.cpp
@@ -17,6 +17,7 @@
     {"cowslippass_b", metric_kind::gauge, "Line\nbreak."},
     {"cowslippass_c_seconds", metric_kind::distribution, "Seconds."}};
 
+/// @return the value of a series in the exposition text, or -1 if it is absent.
 double get_value(const std::string& text, const std::string& series)
 {
     auto at = text.find('\n' + series + ' ');
@@ -27,6 +28,8 @@
 
 } // namespace
 
+// Guards against output that scrapers reject: unescaped quotes, backslashes and
+// line breaks in labels and help texts, or missing HELP and TYPE lines.
 TEST(metrics, series_are_written_in_the_exposition_format)
 {
     metrics_registry it(metrics);
@@ -42,8 +45,8 @@
     EXPECT_EQ(get_value(text, "cowslippass_b"), -1.5);
 }
 
-// Guards against the estimator's markers being reported as quantiles before
-// they are sorted: it has no estimate for its first samples.
+// Guards against wrong quantiles for the first samples: the estimator has no
+// estimate until all its markers are filled and sorted.
 TEST(metrics, quantiles_of_few_samples_are_exact)
 {
     metrics_registry it(metrics);
@@ -56,7 +59,9 @@
     EXPECT_EQ(get_value(text, "cowslippass_c_seconds_count"), 3);
 }
 
-TEST(metrics, quantiles_of_many_samples_are_near)
+// Guards against an estimator that drifts from the true quantiles as samples
+// accumulate.
+TEST(metrics, quantiles_of_many_samples_are_estimated_closely)
 {
     metrics_registry it(metrics);
     for (unsigned i = 0; i < 10'000; ++i)
@@ -71,7 +76,9 @@
     EXPECT_NEAR(get("0.99"), 9'900, 100);
 }
 
-TEST(metrics, names_without_declaration_or_convention_are_refused)
+// Guards against metrics that appear under an undeclared name or the wrong
+// kind, and against declared names without prefix, unit or lower case.
+TEST(metrics, undeclared_and_unconventional_names_are_rejected)
 {
     metrics_registry it(metrics);
     EXPECT_THROW(it.add("cowslippass_x_total"), platform_error);
--- a/tests/drivers/peer_link_test.cpp
+++ b/tests/drivers/peer_connection_test.cpp
@@ -1,7 +1,8 @@
-#include "drivers/peer_link.hpp"
+#include "drivers/peer_client.hpp"
 
 #include "drivers/acceptor.hpp"
 #include "drivers/endpoint.hpp"
+#include "drivers/peer_server.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
@@ -15,7 +16,7 @@
 namespace
 {
 
-/// A peer that answers each hello with its own and collects faults.
+/// A peer that replies to each hello with its own and collects the error codes.
 class echo_peer
 {
 public:
@@ -29,7 +30,7 @@
                   co_return std::nullopt;
               },
               [this](const std::string& code, const std::string&)
-              { faults.push_back(code); })
+              { errors.push_back(code); })
     {
     }
 
@@ -38,43 +39,47 @@
         return {asio::ip::make_address("127.0.0.1"), server_.get_port()};
     }
 
-    std::vector<std::string> faults;
+    std::vector<std::string> errors;
 
 private:
     peer_server server_;
 };
 
-/// A peer whose open connections can go silent for good, as after a network
-/// cut: bytes arrive nowhere and nothing is closed.
-class silenced_peer
+/// A peer whose open connections can stop replying for good, as after a network
+/// failure: frames are lost and no connection is closed.
+class unresponsive_peer
 {
 public:
-    explicit silenced_peer(asio::io_context& io)
+    explicit unresponsive_peer(asio::io_context& io)
         : acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0})
     {
         asio::co_spawn(
-            io, [this] { return accept_all(); }, asio::detached);
+            io, [this] { return accept_loop(); }, asio::detached);
     }
 
     tcp::endpoint get_endpoint() const { return acceptor_.local_endpoint(); }
 
-    void silence_open() { first_answering_ = accepted_; }
+    /// Connections accepted later still reply.
+    void stop_answering_open_connections()
+    {
+        first_answering_index_ = accepted_;
+    }
 
-    std::size_t count_accepted() const { return accepted_; }
+    std::size_t get_accepted_count() const { return accepted_; }
 
 private:
-    asio::awaitable<void> accept_all()
+    asio::awaitable<void> accept_loop()
     {
         while (true)
         {
             tcp::socket socket =
                 co_await acceptor_.async_accept(asio::use_awaitable);
             std::size_t index = accepted_++;
-            peer_handler handler =
+            peer_request_handler handler =
                 [this, index](
                     peer_body) -> asio::awaitable<std::optional<peer_body>>
             {
-                if (index < first_answering_)
+                if (index < first_answering_index_)
                     co_return std::nullopt;
                 co_return peer_body(peer_hello{session_id(7)});
             };
@@ -86,17 +91,19 @@
 
     tcp::acceptor acceptor_;
     std::size_t accepted_ = 0;
-    std::size_t first_answering_ = 0;
+    std::size_t first_answering_index_ = 0;
 };
 
-/// Calls the peer once, silences the open connection, and calls again.
+/// Calls the peer once, makes the open connection unresponsive, and calls
+/// again.
 /// @param pauses time before each of the later calls.
 /// @return whether each of the later calls got a reply.
-std::vector<bool> call_after_silence(const std::vector<milliseconds>& pauses)
+std::vector<bool> call_after_peer_stops_answering(
+    const std::vector<milliseconds>& pauses)
 {
     constexpr milliseconds timeout{1'000};
     asio::io_context io;
-    silenced_peer peer(io);
+    unresponsive_peer peer(io);
     peer_client client(
         io, peer.get_endpoint(), {},
         [](peer_body) -> asio::awaitable<std::optional<peer_body>>
@@ -110,7 +117,7 @@
             bool was_sent = false;
             peer_body first = peer_hello{session_id(1)};
             co_await client.call(std::move(first), timeout, was_sent);
-            peer.silence_open();
+            peer.stop_answering_open_connections();
             for (milliseconds pause : pauses)
             {
                 asio::steady_timer timer(io, pause);
@@ -127,8 +134,9 @@
     return out;
 }
 
-/// @return whether the peer closed the connection after these bytes.
-bool is_cut_off_after(asio::io_context& io, echo_peer& peer, std::string bytes)
+/// @return whether the peer closed the connection after receiving `bytes`.
+bool is_connection_closed_after(
+    asio::io_context& io, echo_peer& peer, std::string bytes)
 {
     bool is_closed = false;
     asio::co_spawn(
@@ -152,6 +160,7 @@
     return is_closed;
 }
 
+/// @return `body` behind its length as the protocol frames it.
 std::string make_frame(const std::string& body)
 {
     std::string out;
@@ -162,7 +171,8 @@
 
 } // namespace
 
-TEST(peer_link, a_request_gets_its_reply)
+// Guards against a reply that does not reach the call that waits for it.
+TEST(peer_connection, a_request_gets_its_reply)
 {
     asio::io_context io;
     echo_peer peer(io);
@@ -188,28 +198,29 @@
     EXPECT_EQ(std::get<peer_hello>(*reply).session, session_id(7));
 }
 
-// Guards against a silent connection that lives on because each of its calls
-// ends before the silence limit, with no other call open in between.
-TEST(peer_link, short_calls_do_not_keep_a_silent_connection)
+// Guards against an unresponsive connection that stays open because each call
+// on it times out before the liveness time-out, with no call pending in
+// between.
+TEST(peer_connection, short_calls_do_not_keep_an_unresponsive_connection_open)
 {
     std::vector<milliseconds> pauses(4, milliseconds(200));
-    EXPECT_TRUE(call_after_silence(pauses).back());
+    EXPECT_TRUE(call_after_peer_stops_answering(pauses).back());
 }
 
-// Guards against a request that is lost, and for a non-idempotent one ends
-// unknown, on a connection that went silent while nobody used it.
-TEST(peer_link, a_call_after_a_long_pause_uses_a_new_connection)
+// Guards against a lost request on a connection that the network dropped while
+// it was idle; the outcome of a non-idempotent request would then be unknown.
+TEST(peer_connection, a_call_after_a_long_pause_uses_a_new_connection)
 {
-    auto pause = peer_client::reuse_limit + milliseconds(200);
-    EXPECT_TRUE(call_after_silence({pause}).front());
+    auto pause = peer_client::max_idle_time + milliseconds(200);
+    EXPECT_TRUE(call_after_peer_stops_answering({pause}).front());
 }
 
-// Guards against a storm of connections when many calls wait for a peer that
-// has just become the coordinator.
-TEST(peer_link, calls_at_the_same_time_share_a_connection)
+// Guards against one connection per call when many calls start at once, as they
+// do towards a newly elected coordinator.
+TEST(peer_connection, concurrent_calls_share_one_connection)
 {
     asio::io_context io;
-    silenced_peer peer(io);
+    unresponsive_peer peer(io);
     peer_client client(
         io, peer.get_endpoint(), asio::ip::make_address("127.0.0.1"),
         [](peer_body) -> asio::awaitable<std::optional<peer_body>>
@@ -229,12 +240,12 @@
             asio::detached);
     io.run_for(std::chrono::milliseconds(500));
     EXPECT_EQ(answered, 20);
-    EXPECT_EQ(peer.count_accepted(), 1U);
+    EXPECT_EQ(peer.get_accepted_count(), 1U);
 }
 
-// Guards against connections that are closed as silent before a busy process
-// has taken them: it must not need a round of its events for each.
-TEST(acceptor, takes_all_waiting_connections_at_once)
+// Guards against callers that time out before a busy process accepts their
+// connections, which happens if it accepts one in each pass of its event loop.
+TEST(acceptor, accepts_all_pending_connections_without_yielding)
 {
     asio::io_context io;
     tcp::acceptor acceptor(io);
@@ -242,55 +253,58 @@
     std::vector<tcp::socket> callers;
     for (int i = 0; i < 10; ++i)
         callers.emplace_back(io).connect(acceptor.local_endpoint());
-    bool had_others_turn = false;
+    bool has_yielded = false;
     int taken = 0;
     asio::co_spawn(
         io,
         [&]() -> asio::awaitable<void>
         {
-            asio::post(io, [&] { had_others_turn = true; });
+            asio::post(io, [&] { has_yielded = true; });
             for (int i = 0; i < 10; ++i)
             {
                 auto socket = co_await accept_next(acceptor);
                 taken += socket ? 1 : 0;
             }
-            EXPECT_FALSE(had_others_turn);
+            EXPECT_FALSE(has_yielded);
         },
         asio::detached);
     io.run_for(std::chrono::milliseconds(500));
     EXPECT_EQ(taken, 10);
 }
 
-// Guards against a peer's bytes that make an entry allocate without a bound,
-// read outside a buffer, or go on with a connection that is out of step.
-TEST(peer_link, malformed_frames_cut_the_connection_with_a_fault)
+// Guards against input from a peer that makes an entry allocate without a bound
+// or read outside a buffer, and against further use of a connection whose frame
+// boundaries are lost.
+TEST(peer_connection, malformed_frames_close_the_connection_and_report_an_error)
 {
     for (const std::string& bytes : {std::string("\xff\xff\xff\xff rest"),
              make_frame("not a buffer"), make_frame("")})
     {
         asio::io_context io;
         echo_peer peer(io);
-        EXPECT_TRUE(is_cut_off_after(io, peer, bytes));
-        ASSERT_EQ(peer.faults.size(), 1u);
-        EXPECT_EQ(peer.faults.front(), "malformed_frame");
+        EXPECT_TRUE(is_connection_closed_after(io, peer, bytes));
+        ASSERT_EQ(peer.errors.size(), 1u);
+        EXPECT_EQ(peer.errors.front(), "malformed_frame");
     }
 }
 
-// Guards against a late or crossed reply reaching another request (I6).
-TEST(peer_link, a_reply_that_nobody_waits_for_is_dropped)
+// Guards against a late or misdirected reply being returned to another request
+// (I6).
+TEST(peer_connection, an_unexpected_reply_is_dropped)
 {
     asio::io_context io;
     echo_peer peer(io);
     peer_message stray{99, true, peer_hello{session_id(1)}};
     std::string bytes = make_frame(encode_peer_message(stray));
-    // The malformed frame after it makes the peer close.
-    EXPECT_TRUE(is_cut_off_after(io, peer, bytes + make_frame("x")));
-    ASSERT_EQ(peer.faults.size(), 2u);
-    EXPECT_EQ(peer.faults.front(), "late_reply");
+    // The malformed frame behind it makes the peer close the connection.
+    EXPECT_TRUE(is_connection_closed_after(io, peer, bytes + make_frame("x")));
+    ASSERT_EQ(peer.errors.size(), 2u);
+    EXPECT_EQ(peer.errors.front(), "late_reply");
 }
 
-// Guards against a verified buffer being trusted after bytes of it changed.
-RC_GTEST_PROP(peer_message, changed_bytes_are_read_or_refused, ())
+// Guards against reads outside the buffer, or unexpected exceptions, when one
+// byte of an encoded message is corrupted.
+RC_GTEST_PROP(peer_message, corrupted_buffers_are_decoded_or_rejected, ())
 {
     peer_summary summary;
     summary.session = session_id(3);
--- a/tests/drivers/settings_test.cpp
+++ b/tests/drivers/settings_test.cpp
@@ -19,6 +19,7 @@
                                  "peer_listen = \"[::1]:7000\"\n"
                                  "platform = \"127.0.0.1:9000\"\n";
 
+/// Writes `text` to a file and loads it as settings.
 settings load_text(const std::string& text)
 {
     std::string path = testing::TempDir() + "cowslippass_settings_" +
@@ -27,7 +28,8 @@
     return load_settings(path);
 }
 
-std::string get_faults(const std::string& text)
+/// @return the error messages of invalid settings; empty for valid ones.
+std::string get_settings_errors(const std::string& text)
 {
     try
     {
@@ -43,6 +45,8 @@
 
 } // namespace
 
+// Guards against values that are read into the wrong member, and against wrong
+// defaults for settings that the file leaves out.
 TEST(settings, values_and_defaults_are_read)
 {
     settings it = load_text(std::string(required) +
@@ -54,63 +58,67 @@
     EXPECT_EQ(it.log_level, "warn");
 }
 
-// Guards against a file that is corrected fault by fault, one start each.
-TEST(settings, every_fault_is_reported_with_its_line)
+// Guards against validation that stops at the first error, so that an operator
+// has to restart the daemon once for each error.
+TEST(settings, every_error_is_reported_with_its_line)
 {
-    std::string faults = get_faults("entry = 5\n"
-                                    "data_center = \"dc1\"\n"
-                                    "http_listen = \"localhost:80\"\n"
-                                    "platform = \"127.0.0.1:0\"\n"
-                                    "task_lease_ms = 2999\n"
-                                    "max_body_bytes = 1.5\n");
-    EXPECT_THAT(faults, HasSubstr(".toml:1: entry: must be 1 to 64"));
-    EXPECT_THAT(faults, HasSubstr(":2: data_center: unknown name; the nearest "
+    std::string errors = get_settings_errors("entry = 5\n"
+                                             "data_center = \"dc1\"\n"
+                                             "http_listen = \"localhost:80\"\n"
+                                             "platform = \"127.0.0.1:0\"\n"
+                                             "task_lease_ms = 2999\n"
+                                             "max_body_bytes = 1.5\n");
+    EXPECT_THAT(errors, HasSubstr(".toml:1: entry: must be 1 to 64"));
+    EXPECT_THAT(errors, HasSubstr(":2: data_center: unknown name; the nearest "
                                   "known one is data_centre"));
-    EXPECT_THAT(faults, HasSubstr(":1: data_centre: required"));
-    EXPECT_THAT(faults, HasSubstr(":1: peer_listen: required"));
-    EXPECT_THAT(faults, HasSubstr(":3: http_listen: must be IP:port"));
-    EXPECT_THAT(faults, HasSubstr(":4: platform: must be IP:port"));
-    EXPECT_THAT(faults, HasSubstr(":5: task_lease_ms: must be 3000"));
-    EXPECT_THAT(faults, HasSubstr(":6: max_body_bytes: must be 1 to"));
-    EXPECT_EQ(std::ranges::count(faults, '\n'), 7);
+    EXPECT_THAT(errors, HasSubstr(":1: data_centre: required"));
+    EXPECT_THAT(errors, HasSubstr(":1: peer_listen: required"));
+    EXPECT_THAT(errors, HasSubstr(":3: http_listen: must be IP:port"));
+    EXPECT_THAT(errors, HasSubstr(":4: platform: must be IP:port"));
+    EXPECT_THAT(errors, HasSubstr(":5: task_lease_ms: must be 3000"));
+    EXPECT_THAT(errors, HasSubstr(":6: max_body_bytes: must be 1 to"));
+    EXPECT_EQ(std::ranges::count(errors, '\n'), 7);
 }
 
-// Guards against timing that ends live sessions or outlives freshness.
+// Guards against heartbeats too rare to keep a live session, and against start
+// deadlines that exceed the freshness limit.
 TEST(settings, relations_between_settings_are_checked)
 {
-    std::string faults =
-        get_faults(std::string(required) + "heartbeat_interval_ms = 3001\n"
-                                           "session_death_ms = 9000\n"
-                                           "start_deadline_ms = 4001\n");
-    EXPECT_THAT(faults, HasSubstr(":6: heartbeat_interval_ms: must be"));
-    EXPECT_THAT(faults, HasSubstr(":8: start_deadline_ms: must be"));
-    EXPECT_EQ(
-        get_faults(std::string(required) + "heartbeat_interval_ms = 3000\n"
-                                           "session_death_ms = 9000\n"),
+    std::string errors = get_settings_errors(std::string(required) +
+                                             "heartbeat_interval_ms = 3001\n"
+                                             "session_death_ms = 9000\n"
+                                             "start_deadline_ms = 4001\n");
+    EXPECT_THAT(errors, HasSubstr(":6: heartbeat_interval_ms: must be"));
+    EXPECT_THAT(errors, HasSubstr(":8: start_deadline_ms: must be"));
+    EXPECT_EQ(get_settings_errors(std::string(required) +
+                                  "heartbeat_interval_ms = 3000\n"
+                                  "session_death_ms = 9000\n"),
         "");
 }
 
-// Guards against settings under which a dead session's tasks outlive its
-// grants, which would break the limits of teams (I4).
-TEST(settings, times_beyond_those_that_grants_are_released_by_are_refused)
+// Guards against settings with which a dead session's tasks outlive its grants:
+// the released grants are used again, and a team exceeds its limit (I4).
+TEST(settings, times_longer_than_the_grant_release_delay_assumes_are_rejected)
 {
     for (const char* line : {"freshness_limit_ms = 4001",
              "start_deadline_ms = 2001", "task_lease_ms = 10001"})
-        EXPECT_THAT(get_faults(std::string(required) + line),
+        EXPECT_THAT(get_settings_errors(std::string(required) + line),
             HasSubstr(std::string(line).substr(0, 10)))
             << line;
 }
 
+// Guards against a syntax error or a missing file that is reported without its
+// position or taken for empty settings.
 TEST(settings, text_that_is_not_toml_is_reported_with_its_line)
 {
-    EXPECT_THAT(
-        get_faults("entry = \"e1\"\nentry = \"e2\"\n"), HasSubstr(".toml:2: "));
+    EXPECT_THAT(get_settings_errors("entry = \"e1\"\nentry = \"e2\"\n"),
+        HasSubstr(".toml:2: "));
     EXPECT_THROW(load_settings("/no/such/file"), platform_error);
 }
 
-// Guards against a page that lags behind the table. The page contains the
-// output of format_settings_tables() word for word.
-TEST(settings, the_page_names_every_setting)
+// Guards against a configuration page that is out of date. The page contains
+// the output of format_settings_tables() word for word.
+TEST(settings, the_configuration_page_lists_every_setting)
 {
     std::ifstream file(SOURCE_DIR "/docs/configuration.md");
     std::stringstream page;
--- a/tests/integration/stand_ins_test.cpp
+++ b/tests/integration/stand_ins_test.cpp
@@ -199,7 +199,7 @@
     set_control(target.endpoint, {{"truncate_results", true}});
     http_result cut = fetch(target.endpoint, ask, long_timeout);
     EXPECT_FALSE(cut.response);
-    EXPECT_EQ(cut.failure, http_failure::cut_short);
+    EXPECT_EQ(cut.failure, http_failure::truncated);
 }
 
 // Guards against a refused start that runs, and a repeat that runs twice.
@@ -360,7 +360,7 @@
     http_request ask{"GET", "/v1/row", {{"key", "k"}}, {}, ""};
     proxy.control({{"truncate_after_bytes", 500}});
     EXPECT_EQ(fetch(proxy.endpoint, ask, long_timeout).failure,
-        http_failure::cut_short);
+        http_failure::truncated);
     proxy.control({{"restore", true}, {"delay_ms", 100}});
     auto begin = std::chrono::steady_clock::now();
     EXPECT_TRUE(fetch(proxy.endpoint, ask, long_timeout).response);
--- a/tests/main/row_cleaner_test.cpp
+++ b/tests/main/row_cleaner_test.cpp
@@ -18,7 +18,7 @@
 const std::string lease_key = "leases/janitor";
 
 /// A table in memory whose commits and deletions can be made to fail.
-class fake_table : public table_service
+class fake_table : public platform_store
 {
 public:
     std::map<std::string, row> rows;
@@ -86,7 +86,7 @@
     }
     platform_time get_time() const override { return platform_time(now); }
     asio::awaitable<std::optional<std::vector<instance_id>>>
-    list_leaving() override
+    list_leaving_instances() override
     {
         co_return std::nullopt;
     }
--- a/tests/main/summary_exchange_test.cpp
+++ b/tests/main/summary_exchange_test.cpp
@@ -17,7 +17,7 @@
     {
         peer_summary out;
         out.session = session;
-        out.list_age = milliseconds(5);
+        out.instance_list_age = milliseconds(5);
         if (waiting > 0)
             out.pools.push_back({pool_id("pool-1"), 1, waiting, 1});
         out.leaving.assign(waiting, instance_id("leaving"));
@@ -39,7 +39,7 @@
     RC_ASSERT(held->leaving.size() == (held->revision == 0 ? 0 : waiting));
     RC_ASSERT(held->pools.empty() == held->leaving.empty());
     // Without its lists an instance list must not look free of leaving ones.
-    RC_ASSERT(held->list_age.has_value() == (held->revision != 0));
+    RC_ASSERT(held->instance_list_age.has_value() == (held->revision != 0));
 }
 
 void exchange(side& asker, side& other, bool loses_request, bool loses_reply)
