--- a/bench/driver.cpp
+++ b/bench/driver.cpp
@@ -139,7 +139,7 @@
     owner.next_tick_s = 1e18;
     for (std::size_t i : owner.targets)
     {
-        targets_[i].description.health = target_health_state::sound;
+        targets_[i].description.health = target_health_state::healthy;
         owner.placement->set_target(targets_[i].description);
         owner.health->set_target(targets_[i].description.id);
     }
--- a/bench/driver_tasks.cpp
+++ b/bench/driver_tasks.cpp
@@ -223,14 +223,16 @@
                          task.attempts < most_attempts;
     if (may_run_again && is_failure && task.task.kind == queue_kind::urgent)
         may_run_again =
-            owners_[task.owner].health->get_retries().try_take(get_now());
+            owners_[task.owner].health->get_retry_budget().try_acquire(
+                get_now());
     if (!may_run_again)
     {
         give_up(task);
         return;
     }
     if (is_failure && plan_.has.has_health)
-        task.task.avoid.push_back(targets_[task.target].description.id);
+        task.task.avoided_targets.push_back(
+            targets_[task.target].description.id);
     task.outcome = task_outcome::done;
     add_again(index, 0.0);
 }
@@ -293,7 +295,7 @@
     {
         target_row& target = targets_[owner.numbers.at(change.target)];
         bool was_aside =
-            target.description.health == target_health_state::set_aside;
+            target.description.health == target_health_state::quarantined;
         owner.aside -= was_aside ? 1 : 0;
         target.description.health = change.state;
         owner.placement->set_target(target.description);
--- a/bench/placement_bench.cpp
+++ b/bench/placement_bench.cpp
@@ -51,7 +51,7 @@
 placement_policy make_policy()
 {
     placement_policy policy;
-    policy.max_waiting = 1'000'000;
+    policy.max_waiting_per_class = 1'000'000;
     return policy;
 }
 
--- a/bench/tables.cpp
+++ b/bench/tables.cpp
@@ -54,7 +54,7 @@
         {"first come first served",
             [](scenario& plan)
             {
-                plan.policy.order = work_order::first_come;
+                plan.policy.order = queue_order::first_come;
                 plan.policy.headroom = 0.0;
                 plan.policy.is_preemptive = false;
             }},
@@ -64,9 +64,9 @@
             [](scenario& plan) { plan.policy.is_headroom_adaptive = false; }},
         {"no headroom", [](scenario& plan) { plan.policy.headroom = 0.0; }},
         {"no reservation",
-            [](scenario& plan) { plan.policy.reserves = false; }},
+            [](scenario& plan) { plan.policy.is_reservation_enabled = false; }},
         {"no patience", [](scenario& plan)
-            { plan.policy.urgent_patience = std::chrono::hours(1); }},
+            { plan.policy.urgent_wait_limit = std::chrono::hours(1); }},
         {"no preemption",
             [](scenario& plan) { plan.policy.is_preemptive = false; }}};
 }
@@ -144,8 +144,8 @@
             [](scenario& plan) { plan.load.misfit_fraction = 0.02; },
             [](scenario& plan)
             {
-                plan.policy.refuses_misfits = false;
-                plan.policy.look_ahead = 1;
+                plan.policy.refuses_oversized_tasks = false;
+                plan.policy.lookahead_tasks = 1;
             }},
         {"half of a large team's tasks are cancelled, 4 times",
             "cancelled tasks run on", add_cancellations,
--- a/examples/grants_example.cpp
+++ b/examples/grants_example.cpp
@@ -69,7 +69,7 @@
     for (grant_ledger* it : {&first, &second})
     {
         it->on_limit(team, task_count(3), version);
-        it->on_head(version, head_row);
+        it->on_config_head(version, head_row);
         it->set_waiting(team, task_count(2));
     }
     constexpr int rounds = 40;
@@ -82,7 +82,7 @@
     int started = 0;
     for (grant_ledger* it : {&first, &second})
         for (int i = 0; i < 2; ++i)
-            started += it->try_take(team);
+            started += it->try_acquire(team);
     std::cout << "of 4 tasks that wait, " << started
               << " may start under the limit of 3\n";
     return started <= 3 && started > 0 ? 0 : 1;
--- a/main/cowslippassd_main.cpp
+++ b/main/cowslippassd_main.cpp
@@ -45,7 +45,7 @@
         std::cout << path << ": the settings are valid\n";
         return 0;
     }
-    return run_entry_process(std::move(config), fresh_start_policy());
+    return run_entry_process(std::move(config), fresh_configuration_policy());
 }
 
 } // namespace
--- a/main/grant_keeper.cpp
+++ b/main/grant_keeper.cpp
@@ -43,7 +43,7 @@
 
 bool grant_keeper::take(const team_id& team)
 {
-    return ledger_ && ledger_->try_take(team);
+    return ledger_ && ledger_->try_acquire(team);
 }
 
 void grant_keeper::give_back(const team_id& team)
@@ -91,9 +91,9 @@
         if (is_new_head)
         {
             noted_head_ = head;
-            ledger_->on_head(head.version, head.head_row);
+            ledger_->on_config_head(head.version, head.head_row);
         }
-        else if (ledger_->needs_head())
+        else if (ledger_->needs_config_head())
             co_await sync_.catch_up();
         auto waiting = count_waiting_();
         for (const auto& team : waiting_teams)
@@ -156,8 +156,8 @@
     if (grant_row::decode(found->value).get(dead) == 0)
         co_return true;
     ledger_->on_row(team, *found, node_.state.get_version());
-    auto transfer =
-        ledger_->plan_dead_release(dead, team, ended_observed, get_now());
+    auto transfer = ledger_->plan_ended_session_release(
+        dead, team, ended_observed, get_now());
     if (!transfer)
         co_return false;
     auto outcome = co_await send(std::move(*transfer));
--- a/main/janitor.cpp
+++ b/main/janitor.cpp
@@ -100,8 +100,8 @@
 bool janitor::is_gone(session_id session)
 {
     return !live_.contains(session) &&
-           get_now() >
-               grant_ledger::get_dead_release_time(observe_ended(session));
+           get_now() > grant_ledger::get_ended_session_release_time(
+                           observe_ended(session));
 }
 
 // Apart from the other loop, which a slow clean-up must not delay.
@@ -199,7 +199,7 @@
             if (live_.contains(session))
                 continue;
             auto ended = observe_ended(session);
-            if (now < grant_ledger::get_dead_release_time(ended))
+            if (now < grant_ledger::get_ended_session_release_time(ended))
                 continue;
             bool is_released =
                 co_await grants_.release_dead(session, team, ended);
--- a/main/job_keeper_runs.cpp
+++ b/main/job_keeper_runs.cpp
@@ -331,7 +331,7 @@
     bool is_done = report && report->state == target_task_state::done;
     // Without an answer the task may run until its lease has surely lapsed.
     bool is_gone = (report && !is_running && !is_done) ||
-                   get_now() > grant_ledger::get_dead_release_time(
+                   get_now() > grant_ledger::get_ended_session_release_time(
                                    observer_.observe_ended(row.session));
     if (is_done)
     {
--- a/main/operator_api.cpp
+++ b/main/operator_api.cpp
@@ -92,7 +92,7 @@
 void operator_api::authenticate(const http_request& request) const
 {
     std::string authorization = request.get_header("Authorization");
-    std::string_view secret = get_bearer(authorization);
+    std::string_view secret = get_bearer_token(authorization);
     if (secret.empty())
         throw admission_error(401, "missing_key",
             "the header 'Authorization: Bearer <operator key>' is required");
@@ -176,8 +176,8 @@
             "'Command-Id' must be 1 to 128 characters without '/?&%'");
     command_id command(id);
     std::string authorization = request.get_header("Authorization");
-    auto secret = set_digest(
-        change, derive_secret(std::string(get_bearer(authorization)), command));
+    auto secret = set_digest(change,
+        derive_secret(std::string(get_bearer_token(authorization)), command));
     if (!request.get_header("Dry-Run").empty())
         co_return run_dry(change);
     if (!node_.is_admitted())
--- a/main/pool_runner.cpp
+++ b/main/pool_runner.cpp
@@ -282,7 +282,7 @@
                      !active->is_cancelled && is_owned_ &&
                      get_now() < active->item.answer_deadline &&
                      !bad_work_.contains(get_work_id(*active)) &&
-                     health_.get_retries().try_take(get_now());
+                     health_.get_retry_budget().try_acquire(get_now());
     if (!may_retry)
     {
         finish(active, std::move(otherwise));
@@ -292,9 +292,10 @@
     active_.erase(active->item.task.id);
     // A new id, as the target may still know the old one.
     active->item.task.id = make_task_id();
-    auto& avoid = active->item.task.avoid;
-    if (std::ranges::find(avoid, active->target) == avoid.end())
-        avoid.push_back(active->target);
+    auto& avoided_targets = active->item.task.avoided_targets;
+    if (std::ranges::find(avoided_targets, active->target) ==
+        avoided_targets.end())
+        avoided_targets.push_back(active->target);
     active->target = {};
     active_[active->item.task.id] = active;
     if (auto refusal = placement_.add_task(active->item.task))
@@ -307,7 +308,7 @@
 void pool_runner::note_waiting(const active_ptr& active)
 {
     const placement_task& task = active->item.task;
-    node_.waiting.add_again(task.id, task.team,
+    node_.waiting.readmit(task.id, task.team,
         byte_count(active->item.payload.size()), task.kind == queue_kind::slow);
 }
 
--- a/main/pool_runner_targets.cpp
+++ b/main/pool_runner_targets.cpp
@@ -155,7 +155,7 @@
         return;
     entry.description.health = entry.is_answering
                                    ? health_.get_state(entry.description.id)
-                                   : target_health_state::set_aside;
+                                   : target_health_state::quarantined;
     placement_.set_target(entry.description);
 }
 
@@ -228,7 +228,7 @@
         return false;
     std::uint32_t n = node_.state.count_unavailable(pool_);
     for (const auto& [id, it] : targets_)
-        if (health_.get_state(id) == target_health_state::set_aside &&
+        if (health_.get_state(id) == target_health_state::quarantined &&
             it.description.state == instance_state::in_service)
             ++n;
     return n < pool->second.max_unavailable;
--- a/systems/admission.cpp
+++ b/systems/admission.cpp
@@ -3,7 +3,7 @@
 namespace cowslippass
 {
 
-std::string_view get_bearer(std::string_view authorization)
+std::string_view get_bearer_token(std::string_view authorization)
 {
     constexpr std::string_view prefix = "Bearer ";
     if (!authorization.starts_with(prefix))
@@ -14,7 +14,7 @@
 team_id authenticate_team(
     const fleet_state& state, std::string_view authorization)
 {
-    std::string_view secret = get_bearer(authorization);
+    std::string_view secret = get_bearer_token(authorization);
     if (secret.empty())
         throw admission_error(401, "missing_key",
             "the header 'Authorization: Bearer <key>' is required");
--- a/systems/admission.hpp
+++ b/systems/admission.hpp
@@ -41,6 +41,6 @@
     const fleet_state& state, std::string_view authorization);
 
 /// @return the secret in a `Bearer` header, or an empty view.
-std::string_view get_bearer(std::string_view authorization);
+std::string_view get_bearer_token(std::string_view authorization);
 
 } // namespace cowslippass
--- a/systems/grant_ledger.cpp
+++ b/systems/grant_ledger.cpp
@@ -6,19 +6,19 @@
 {
 
 grant_ledger::grant_ledger(session_id own, grant_settings settings)
-    : own_(own), settings_(settings),
+    : own_session_(own), settings_(settings),
       writes_(settings.writes_per_second, settings.write_burst),
       reads_(settings.reads_per_second, settings.read_burst)
 {
 }
 
-bool grant_ledger::try_take(const team_id& team)
+bool grant_ledger::try_acquire(const team_id& team)
 {
     auto& entry = get_entry(team);
     if (entry.in_use >= entry.get_usable())
         return false;
     ++entry.in_use;
-    entry.peak = std::max(entry.peak, entry.in_use);
+    entry.peak_demand = std::max(entry.peak_demand, entry.in_use);
     return true;
 }
 
@@ -45,14 +45,14 @@
     entry.needs_read = true;
 }
 
-void grant_ledger::on_head(config_version version, row_version head)
+void grant_ledger::on_config_head(config_version version, row_version head)
 {
     known_version_ = std::max(known_version_, version);
-    if (head_config_ && version < *head_config_)
+    if (config_head_version_ && version < *config_head_version_)
         return;
-    is_head_stale_ = false;
-    head_config_ = version;
-    head_ = head;
+    is_config_head_stale_ = false;
+    config_head_version_ = version;
+    config_head_ = head;
 }
 
 void grant_ledger::on_row(
@@ -60,18 +60,19 @@
 {
     auto& entry = get_entry(team);
     entry.is_reading = false;
-    entry.is_newly_seen = true;
+    entry.has_new_row = true;
     // A newer head may have come in since; then nothing more would end the
     // wait for one.
-    if (entry.conflicted_at == value.version && entry.conflicted_head == head_)
-        is_head_stale_ = true;
-    entry.conflicted_at.reset();
+    if (entry.conflicted_version == value.version &&
+        entry.conflicted_config_head == config_head_)
+        is_config_head_stale_ = true;
+    entry.conflicted_version.reset();
     bool is_older = entry.is_row_known && value.version < entry.version;
     bool is_same = entry.is_row_known && value.version == entry.version;
     if (is_same)
         entry.read_at = std::max(entry.read_at, read_at_version);
     else if (!is_older)
-        install(entry, grant_row::decode(value.value), value.version,
+        install_row(entry, grant_row::decode(value.value), value.version,
             read_at_version);
     if (is_older || !entry.is_current())
         entry.needs_read = true;
@@ -107,7 +108,7 @@
         auto& entry = get_entry(team);
         if (!is_read_due(entry, now))
             continue;
-        if (!reads_.try_take(now))
+        if (!reads_.try_acquire(now))
             break;
         entry.needs_read = false;
         entry.is_reading = true;
@@ -128,28 +129,28 @@
     for (auto& team : get_teams_after(last_written_team_))
     {
         auto& entry = get_entry(team);
-        entry.drop_demand_before(now - settings_.peer_waiting_lifetime);
+        entry.discard_demand_before(now - settings_.peer_waiting_lifetime);
         entry.update_cap();
-        if (std::exchange(entry.is_newly_seen, false))
-            entry.last_seen = now;
+        if (std::exchange(entry.has_new_row, false))
+            entry.row_seen_at = now;
         if (!is_transfer_due(entry, now))
             continue;
-        auto target = choose_target(entry, now);
+        auto target = choose_held_count(entry, now);
         // An open transfer of unknown outcome is settled by any write that
         // moves the row's version past its condition.
-        if (target == entry.get_own() && entry.open.empty())
+        if (target == entry.get_own_grants() && entry.open_transfers.empty())
             continue;
-        if (now - *entry.last_seen > settings_.row_age)
+        if (now - *entry.row_seen_at > settings_.max_row_age)
         {
             entry.needs_read = true;
             continue;
         }
-        if (!writes_.try_take(now))
+        if (!writes_.try_acquire(now))
             break;
         entry.last_transfer = now;
         entry.idle_since.reset();
         last_written_team_ = team;
-        result.push_back(open_own(team, entry, target));
+        result.push_back(begin_own_transfer(team, entry, target));
     }
     return result;
 }
@@ -159,15 +160,15 @@
     monotonic_time now)
 {
     auto& entry = get_entry(team);
-    bool can_write = entry.is_row_known && entry.open.empty();
-    if (!can_write || dead == own_ || count.get() == 0 ||
+    bool can_write = entry.is_row_known && entry.open_transfers.empty();
+    if (!can_write || dead == own_session_ || count.get() == 0 ||
         entry.row_value.get(dead) < count.get() ||
         now < get_adoption_time(ended_observed))
         return std::nullopt;
     auto written = entry.row_value;
     written.set(dead, written.get(dead) - count.get());
-    written.set(own_, written.get(own_) + count.get());
-    return open_write(team, entry, std::move(written), count.get(), false);
+    written.set(own_session_, written.get(own_session_) + count.get());
+    return begin_transfer(team, entry, std::move(written), count.get(), false);
 }
 
 monotonic_time grant_ledger::get_adoption_time(monotonic_time ended_observed)
@@ -175,7 +176,7 @@
     return ended_observed + freshness_limit + start_deadline;
 }
 
-monotonic_time grant_ledger::get_dead_release_time(
+monotonic_time grant_ledger::get_ended_session_release_time(
     monotonic_time ended_observed)
 {
     return ended_observed + freshness_limit + start_deadline + 2 * task_lease;
@@ -183,20 +184,21 @@
 
 monotonic_time grant_ledger::get_renewal_deadline(monotonic_time fresh_as_of)
 {
-    return get_dead_release_time(fresh_as_of) - task_lease;
+    return get_ended_session_release_time(fresh_as_of) - task_lease;
 }
 
-std::optional<grant_transfer> grant_ledger::plan_dead_release(session_id dead,
-    const team_id& team, monotonic_time ended_observed, monotonic_time now)
+std::optional<grant_transfer> grant_ledger::plan_ended_session_release(
+    session_id dead, const team_id& team, monotonic_time ended_observed,
+    monotonic_time now)
 {
     auto& entry = get_entry(team);
-    bool can_write = entry.is_row_known && entry.open.empty();
-    if (!can_write || dead == own_ || entry.row_value.get(dead) == 0 ||
-        now < get_dead_release_time(ended_observed))
+    bool can_write = entry.is_row_known && entry.open_transfers.empty();
+    if (!can_write || dead == own_session_ || entry.row_value.get(dead) == 0 ||
+        now < get_ended_session_release_time(ended_observed))
         return std::nullopt;
     auto written = entry.row_value;
     written.set(dead, 0);
-    return open_write(team, entry, std::move(written), 0, false);
+    return begin_transfer(team, entry, std::move(written), 0, false);
 }
 
 void grant_ledger::on_result(std::uint64_t id, transaction_outcome outcome,
@@ -207,16 +209,17 @@
         return;
     auto& entry = get_entry(it->second);
     transfers_.erase(it);
-    auto open = std::find_if(entry.open.begin(), entry.open.end(),
-        [id](const open_transfer& one) { return one.id == id; });
-    if (open == entry.open.end())
+    auto open =
+        std::find_if(entry.open_transfers.begin(), entry.open_transfers.end(),
+            [id](const open_transfer& one) { return one.id == id; });
+    if (open == entry.open_transfers.end())
         return;
     bool is_known_write = outcome == transaction_outcome::committed && written;
     if (is_known_write)
     {
-        install(entry, open->written, *written, open->planned_at);
-        entry.is_newly_seen = true;
-        entry.conflicts = 0;
+        install_row(entry, open->written, *written, open->planned_at);
+        entry.has_new_row = true;
+        entry.consecutive_conflicts = 0;
         entry.backoff = milliseconds(0);
         return;
     }
@@ -224,32 +227,33 @@
                           outcome == transaction_outcome::unknown;
     if (may_be_written)
     {
-        open->is_answered = true;
+        open->is_outcome_unknown = true;
         entry.needs_read = true;
         return;
     }
     if (outcome == transaction_outcome::conflict)
-        note_conflict(entry, *open);
+        record_conflict(entry, *open);
     if (open->adopted > 0)
         adoptions_.push_back({id, false});
-    entry.open.erase(open);
+    entry.open_transfers.erase(open);
 }
 
-void grant_ledger::note_conflict(team_grants& entry, const open_transfer& open)
+void grant_ledger::record_conflict(
+    team_grants& entry, const open_transfer& open)
 {
     constexpr unsigned most_doublings = 4;
     entry.needs_read = true;
     if (open.is_growth)
     {
-        entry.conflicted_at = open.condition;
-        entry.conflicted_head = open.head;
+        entry.conflicted_version = open.condition;
+        entry.conflicted_config_head = open.config_head;
     }
     auto bound = settings_.backoff.count()
-                 << std::min(entry.conflicts, most_doublings);
-    auto random =
-        hash_64(std::to_string(own_.get()) + '/' + std::to_string(open.id));
+                 << std::min(entry.consecutive_conflicts, most_doublings);
+    auto random = hash_64(
+        std::to_string(own_session_.get()) + '/' + std::to_string(open.id));
     entry.backoff = milliseconds(random % static_cast<std::uint64_t>(bound));
-    ++entry.conflicts;
+    ++entry.consecutive_conflicts;
 }
 
 std::vector<adoption_outcome> grant_ledger::take_adoption_outcomes()
@@ -278,7 +282,7 @@
 team_grants& grant_ledger::get_entry(const team_id& team)
 {
     auto& entry = teams_[team];
-    entry.own = own_;
+    entry.own_session = own_session_;
     return entry;
 }
 
@@ -303,7 +307,8 @@
 
 bool grant_ledger::can_grow() const
 {
-    return head_config_ && *head_config_ >= known_version_ && !is_head_stale_;
+    return config_head_version_ && *config_head_version_ >= known_version_ &&
+           !is_config_head_stale_;
 }
 
 bool grant_ledger::is_read_due(
@@ -315,15 +320,15 @@
     if (entry.needs_read)
         return !entry.is_current() || !is_paced(entry, now);
     return entry.is_starved() &&
-           (!entry.last_seen ||
-               now - *entry.last_seen >= settings_.reread_interval);
+           (!entry.row_seen_at ||
+               now - *entry.row_seen_at >= settings_.reread_interval);
 }
 
 bool grant_ledger::is_paced(const team_grants& entry, monotonic_time now) const
 {
     return entry.last_transfer &&
            now - *entry.last_transfer <
-               settings_.transfer_interval + entry.backoff;
+               settings_.min_transfer_interval + entry.backoff;
 }
 
 bool grant_ledger::is_transfer_due(
@@ -333,33 +338,34 @@
            !entry.is_in_flight() && !is_paced(entry, now);
 }
 
-std::uint32_t grant_ledger::choose_target(
+std::uint32_t grant_ledger::choose_held_count(
     team_grants& entry, monotonic_time now) const
 {
     auto held = entry.get_held();
     auto limit = entry.limit->get();
-    auto sum = entry.get_others() + held;
+    auto sum = entry.get_peer_grants() + held;
     if (sum > limit)
     {
         auto share = static_cast<std::uint64_t>(held) * limit / sum;
         auto target = std::max(entry.in_use, static_cast<std::uint32_t>(share));
         return std::min(held, target);
     }
-    if (entry.get_need() <= held)
-        return choose_return(entry, now);
+    if (entry.get_demand() <= held)
+        return choose_count_after_return(entry, now);
     entry.idle_since.reset();
     // Growth from an unsettled number could not be told from the open one.
-    if (!entry.open.empty() || !can_grow())
+    if (!entry.open_transfers.empty() || !can_grow())
         return held;
-    return held + choose_growth_step(settings_.growth, entry.get_need() - held,
-                      entry.get_free(), entry.get_peer_waiting());
+    return held + choose_growth_step(settings_.growth,
+                      entry.get_demand() - held, entry.get_free(),
+                      entry.get_peer_waiting());
 }
 
-std::uint32_t grant_ledger::choose_return(
+std::uint32_t grant_ledger::choose_count_after_return(
     team_grants& entry, monotonic_time now) const
 {
     auto held = entry.get_held();
-    auto need = entry.get_need();
+    auto need = entry.get_demand();
     auto surplus = held - need;
     if (surplus == 0)
     {
@@ -373,57 +379,58 @@
     if (!entry.idle_since)
     {
         entry.idle_since = now;
-        entry.peak = need;
+        entry.peak_demand = need;
     }
-    entry.peak = std::max(entry.peak, need);
-    if (now - *entry.idle_since < settings_.idle_limit)
+    entry.peak_demand = std::max(entry.peak_demand, need);
+    if (now - *entry.idle_since < settings_.idle_timeout)
         return held;
-    auto target = std::min(held, entry.peak);
+    auto target = std::min(held, entry.peak_demand);
     if (target == held)
         entry.idle_since.reset();
     return target;
 }
 
-grant_transfer grant_ledger::open_own(
+grant_transfer grant_ledger::begin_own_transfer(
     const team_id& team, team_grants& entry, std::uint32_t target)
 {
     auto written = entry.row_value;
-    written.set(own_, target);
+    written.set(own_session_, target);
     bool is_growth = target > entry.get_held();
-    return open_write(team, entry, std::move(written), 0, is_growth);
+    return begin_transfer(team, entry, std::move(written), 0, is_growth);
 }
 
-grant_transfer grant_ledger::open_write(const team_id& team, team_grants& entry,
-    grant_row written, std::uint32_t adopted, bool is_growth)
+grant_transfer grant_ledger::begin_transfer(const team_id& team,
+    team_grants& entry, grant_row written, std::uint32_t adopted,
+    bool is_growth)
 {
     auto key = grant_row::get_key(team);
     grant_transfer result{++last_id_, team, {}};
     result.request.conditions.push_back({key, entry.version});
     if (is_growth)
-        result.request.conditions.push_back({"config/head", head_});
+        result.request.conditions.push_back({"config/head", config_head_});
     result.request.writes.push_back({key, written.encode()});
     open_transfer open;
     open.id = result.id;
     open.condition = entry.version;
-    open.head = head_;
-    open.target = written.get(own_);
+    open.config_head = config_head_;
+    open.own_count = written.get(own_session_);
     open.planned_at = known_version_;
     open.written = std::move(written);
     open.adopted = adopted;
     open.is_growth = is_growth;
-    entry.open.push_back(std::move(open));
+    entry.open_transfers.push_back(std::move(open));
     transfers_[result.id] = team;
     return result;
 }
 
-void grant_ledger::install(team_grants& entry, grant_row value,
+void grant_ledger::install_row(team_grants& entry, grant_row value,
     row_version version, config_version read_at)
 {
     entry.is_row_known = true;
     entry.row_value = std::move(value);
     entry.version = version;
     entry.read_at = std::max(entry.read_at, read_at);
-    for (const auto& outcome : entry.settle())
+    for (const auto& outcome : entry.resolve_transfers())
         adoptions_.push_back(outcome);
 }
 
--- a/systems/grant_ledger.hpp
+++ b/systems/grant_ledger.hpp
@@ -18,14 +18,14 @@
 {
     /// The cap for waiting peers already leaves room for them. Smaller steps
     /// on top of it cost more writes and conflicts (`grant_growth_test`).
-    growth_policy growth = growth_policy::everything;
+    growth_policy growth = growth_policy::all_wanted;
     /// Grants that were idle for this long are returned.
-    milliseconds idle_limit{5000};
+    milliseconds idle_timeout{5000};
     /// Least time between two transfers of one team by this session.
-    milliseconds transfer_interval{50};
+    milliseconds min_transfer_interval{50};
     /// A row that was seen longer ago is read again before it is written:
     /// a read costs the platform less than a conflict.
-    milliseconds row_age{60};
+    milliseconds max_row_age{60};
     /// Bound of the first random delay after a conflict; it doubles with
     /// each further conflict, at most four times.
     milliseconds backoff{20};
@@ -53,7 +53,7 @@
 /// Grants of one session: how many tasks of each team it may run. The sum
 /// over the sessions never exceeds the team's fleet-wide limit (I4).
 ///
-/// The caller starts a task only after `try_take`, and only while its fleet
+/// The caller starts a task only after `try_acquire`, and only while its fleet
 /// log is fresh. A transaction must be sent at most once: a second sending
 /// could report a conflict with the first.
 class grant_ledger
@@ -63,7 +63,7 @@
 
     /// Reserves a grant for a task, before its start is sent.
     /// @return false when the session has no grant left to use.
-    bool try_take(const team_id& team);
+    bool try_acquire(const team_id& team);
 
     /// The end of a task is known, or that it will never start.
     void give_back(const team_id& team);
@@ -76,7 +76,7 @@
 
     /// `config/head` has the row version `head` while it holds `version`;
     /// called after the log up to `version` was applied.
-    void on_head(config_version version, row_version head);
+    void on_config_head(config_version version, row_version head);
 
     /// @param value the row as read; version 0 and no value when absent.
     /// @param read_at_version version in hand when the read was sent.
@@ -121,7 +121,8 @@
     /// @return time from which no task of a dead session can run, unless
     ///   another session adopted it.
     /// @param ended_observed when the commit of `session_ended` was known.
-    static monotonic_time get_dead_release_time(monotonic_time ended_observed);
+    static monotonic_time get_ended_session_release_time(
+        monotonic_time ended_observed);
 
     /// @return time after which leases of a session's tasks must not be
     ///   renewed without an adoption, by the session itself or by another:
@@ -133,9 +134,10 @@
 
     /// Removes the grants of a dead session; for the janitor, which adds the
     /// condition on its lease.
-    /// @return nothing before `get_dead_release_time`, while the row is
+    /// @return nothing before `get_ended_session_release_time`, while the row
+    /// is
     ///   unknown or another transfer is open, or when nothing is held.
-    std::optional<grant_transfer> plan_dead_release(session_id dead,
+    std::optional<grant_transfer> plan_ended_session_release(session_id dead,
         const team_id& team, monotonic_time ended_observed, monotonic_time now);
 
     /// @param written row version after a commit; without it the row is read
@@ -147,8 +149,8 @@
     std::vector<adoption_outcome> take_adoption_outcomes();
 
     /// A growth failed although its grants row had not changed; growth waits
-    /// for the next `on_head`.
-    bool needs_head() const { return is_head_stale_; }
+    /// for the next `on_config_head`.
+    bool needs_config_head() const { return is_config_head_stale_; }
 
     /// @return tasks that the session may run now, those in use included.
     task_count get_usable(const team_id& team) const;
@@ -164,17 +166,19 @@
     bool is_read_due(const team_grants& entry, monotonic_time now) const;
     bool is_transfer_due(const team_grants& entry, monotonic_time now) const;
     bool is_paced(const team_grants& entry, monotonic_time now) const;
-    std::uint32_t choose_target(team_grants& entry, monotonic_time now) const;
-    std::uint32_t choose_return(team_grants& entry, monotonic_time now) const;
-    grant_transfer open_own(
+    std::uint32_t choose_held_count(
+        team_grants& entry, monotonic_time now) const;
+    std::uint32_t choose_count_after_return(
+        team_grants& entry, monotonic_time now) const;
+    grant_transfer begin_own_transfer(
         const team_id& team, team_grants& entry, std::uint32_t target);
-    grant_transfer open_write(const team_id& team, team_grants& entry,
+    grant_transfer begin_transfer(const team_id& team, team_grants& entry,
         grant_row written, std::uint32_t adopted, bool is_growth);
-    void note_conflict(team_grants& entry, const open_transfer& open);
-    void install(team_grants& entry, grant_row value, row_version version,
+    void record_conflict(team_grants& entry, const open_transfer& open);
+    void install_row(team_grants& entry, grant_row value, row_version version,
         config_version read_at);
 
-    session_id own_;
+    session_id own_session_;
     grant_settings settings_;
     token_bucket writes_;
     token_bucket reads_;
@@ -185,9 +189,9 @@
     team_id last_read_team_;
     team_id last_written_team_;
     config_version known_version_;
-    std::optional<config_version> head_config_;
-    row_version head_;
-    bool is_head_stale_ = false;
+    std::optional<config_version> config_head_version_;
+    row_version config_head_;
+    bool is_config_head_stale_ = false;
 };
 
 } // namespace cowslippass
--- a/systems/grant_row.cpp
+++ b/systems/grant_row.cpp
@@ -19,7 +19,7 @@
         holders[session] = count;
 }
 
-std::uint32_t grant_row::get_sum() const
+std::uint32_t grant_row::get_total() const
 {
     std::uint32_t sum = 0;
     for (const auto& [session, count] : holders)
--- a/systems/grant_row.hpp
+++ b/systems/grant_row.hpp
@@ -17,7 +17,7 @@
     std::uint32_t get(session_id session) const;
     /// Removes the holder when `count` is 0.
     void set(session_id session, std::uint32_t count);
-    std::uint32_t get_sum() const;
+    std::uint32_t get_total() const;
 
     /// @return `{"holders":{"<session>":n},…}`.
     std::string encode() const;
--- a/systems/placement_order.cpp
+++ b/systems/placement_order.cpp
@@ -6,63 +6,72 @@
 namespace cowslippass
 {
 
-placement_system::pick placement_system::pick_by_shares(monotonic_time now)
+placement_system::start_choice placement_system::choose_by_fair_share(
+    monotonic_time now)
 {
-    team_row* urgent = find_neediest(lane::urgent);
-    pick slow = pick_slow();
+    team_row* urgent = find_least_served(task_class::urgent);
+    start_choice slow = choose_slow();
     if (urgent != nullptr && slow.team != nullptr &&
-        is_owed(*slow.team, *urgent))
+        is_underserved(*slow.team, *urgent))
         return {slow.team, slow.from, placement_rule::share_debt};
     if (urgent != nullptr)
     {
         team_row* late = find_longest_wait(*urgent, now);
         if (late != nullptr)
-            return {late, lane::urgent, placement_rule::long_wait};
-        return {urgent, lane::urgent, placement_rule::urgent_first};
+            return {late, task_class::urgent, placement_rule::long_wait};
+        return {urgent, task_class::urgent, placement_rule::urgent_first};
     }
-    if (slow.team != nullptr && targets_.count_free() > get_headroom())
+    if (slow.team != nullptr && targets_.get_free_slots() > get_headroom())
         return slow;
     return {};
 }
 
-placement_system::pick placement_system::pick_slow()
+placement_system::start_choice placement_system::choose_slow()
 {
-    team_row* slow = find_neediest(lane::slow);
-    team_row* fixed = find_neediest(lane::fixed);
-    pick from_slow{slow, lane::slow, placement_rule::spare_capacity};
-    pick from_fixed{fixed, lane::fixed, placement_rule::spare_capacity};
-    if (slow == nullptr || fixed == nullptr)
-        return fixed == nullptr ? from_slow : from_fixed;
-    if (team_row* owed = find_owed_fixed())
-        return {owed, lane::fixed, placement_rule::spare_capacity};
-    auto cap = std::max(1U, static_cast<std::uint32_t>(
-                                targets_.count_usable() * policy_.fixed_part));
-    if (fixed_running_ >= cap && !is_owed(*fixed, *slow))
+    team_row* slow = find_least_served(task_class::slow);
+    team_row* non_preemptible = find_least_served(task_class::non_preemptible);
+    start_choice from_slow{
+        slow, task_class::slow, placement_rule::spare_capacity};
+    start_choice from_fixed{non_preemptible, task_class::non_preemptible,
+        placement_rule::spare_capacity};
+    if (slow == nullptr || non_preemptible == nullptr)
+        return non_preemptible == nullptr ? from_slow : from_fixed;
+    if (team_row* owed = find_starved_non_preemptible())
+        return {
+            owed, task_class::non_preemptible, placement_rule::spare_capacity};
+    auto cap = std::max(
+        1U, static_cast<std::uint32_t>(targets_.get_usable_slots() *
+                                       policy_.max_non_preemptible_fraction));
+    if (non_preemptible_running_ >= cap &&
+        !is_underserved(*non_preemptible, *slow))
         return from_slow;
-    if (slow != fixed)
-        return shares_.get_rank(fixed->account) <
-                       shares_.get_rank(slow->account)
+    if (slow != non_preemptible)
+        return shares_.get_projected_usage(non_preemptible->account) <
+                       shares_.get_projected_usage(slow->account)
                    ? from_fixed
                    : from_slow;
-    return *fixed->get_queue(lane::fixed).begin() <
-                   *slow->get_queue(lane::slow).begin()
+    return *non_preemptible->get_queue(task_class::non_preemptible).begin() <
+                   *slow->get_queue(task_class::slow).begin()
                ? from_fixed
                : from_slow;
 }
 
-placement_system::pick placement_system::pick_first_come(monotonic_time)
+placement_system::start_choice placement_system::choose_first_come(
+    monotonic_time)
 {
-    pick best;
+    start_choice best;
     monotonic_time earliest = monotonic_time::max();
     for (auto& [id, team] : teams_)
     {
-        for (lane from : {lane::urgent, lane::slow, lane::fixed})
+        for (task_class from :
+            {task_class::urgent, task_class::slow, task_class::non_preemptible})
         {
             const task_order& queue = team.get_queue(from);
             if (queue.empty() || team.is_without_grant ||
                 team.is_blocked[static_cast<std::size_t>(from)])
                 continue;
-            if (from != lane::urgent && targets_.count_free() <= get_headroom())
+            if (from != task_class::urgent &&
+                targets_.get_free_slots() <= get_headroom())
                 continue;
             if (std::get<0>(*queue.begin()) >= earliest)
                 continue;
@@ -73,9 +82,10 @@
     return best;
 }
 
-placement_system::team_row* placement_system::find_neediest(lane from)
+placement_system::team_row* placement_system::find_least_served(task_class from)
 {
-    auto kind = from == lane::urgent ? queue_kind::urgent : queue_kind::slow;
+    auto kind =
+        from == task_class::urgent ? queue_kind::urgent : queue_kind::slow;
     if (count_waiting(kind) == 0)
         return nullptr;
     team_row* best = nullptr;
@@ -84,7 +94,7 @@
     {
         if (!may_start_from(team, from))
             continue;
-        double rank = shares_.get_rank(team.account);
+        double rank = shares_.get_projected_usage(team.account);
         if (best != nullptr && rank >= best_rank)
             continue;
         best = &team;
@@ -93,19 +103,21 @@
     return best;
 }
 
-bool placement_system::may_start_from(const team_row& team, lane from) const
+bool placement_system::may_start_from(
+    const team_row& team, task_class from) const
 {
     return !team.get_queue(from).empty() && !team.is_without_grant &&
            !team.is_blocked[static_cast<std::size_t>(from)];
 }
 
-placement_system::team_row* placement_system::find_most_behind(lane from)
+placement_system::team_row* placement_system::find_largest_deficit(
+    task_class from)
 {
     team_row* best = nullptr;
     double most_s = 0.0;
     for (auto& [id, team] : teams_)
     {
-        double behind_s = team_shares::get_behind_s(team.account);
+        double behind_s = team_shares::get_deficit_s(team.account);
         if (behind_s <= most_s || !may_start_from(team, from))
             continue;
         best = &team;
@@ -114,33 +126,35 @@
     return best;
 }
 
-placement_system::team_row* placement_system::find_owed_fixed()
+placement_system::team_row* placement_system::find_starved_non_preemptible()
 {
     // The rank follows the time that was served and not what is missing; a
     // team that just came has a low rank and is behind by nothing.
-    team_row* fixed = find_most_behind(lane::fixed);
-    if (fixed == nullptr)
+    team_row* non_preemptible =
+        find_largest_deficit(task_class::non_preemptible);
+    if (non_preemptible == nullptr)
         return nullptr;
     std::chrono::duration<double> behind(
-        team_shares::get_behind_s(fixed->account));
-    if (behind <= policy_.fixed_tolerance)
+        team_shares::get_deficit_s(non_preemptible->account));
+    if (behind <= policy_.non_preemptible_lag_limit)
         return nullptr;
-    team_row* slow = find_most_behind(lane::slow);
+    team_row* slow = find_largest_deficit(task_class::slow);
     bool is_first = slow == nullptr ||
-                    team_shares::get_behind_s(slow->account) <= behind.count();
-    return is_first ? fixed : nullptr;
+                    team_shares::get_deficit_s(slow->account) <= behind.count();
+    return is_first ? non_preemptible : nullptr;
 }
 
 placement_system::team_row* placement_system::find_longest_wait(
-    team_row& neediest, monotonic_time now)
+    team_row& least_served, monotonic_time now)
 {
     team_row* best = nullptr;
-    monotonic_time earliest = now - policy_.urgent_patience;
+    monotonic_time earliest = now - policy_.urgent_wait_limit;
     for (auto& [id, team] : teams_)
     {
-        const task_order& queue = team.get_queue(lane::urgent);
+        const task_order& queue = team.get_queue(task_class::urgent);
         if (queue.empty() || team.is_without_grant || team.is_blocked[0] ||
-            std::get<0>(*queue.begin()) >= earliest || is_owed(neediest, team))
+            std::get<0>(*queue.begin()) >= earliest ||
+            is_underserved(least_served, team))
             continue;
         earliest = std::get<0>(*queue.begin());
         best = &team;
@@ -148,19 +162,20 @@
     return best;
 }
 
-bool placement_system::is_owed(
+bool placement_system::is_underserved(
     const team_row& team, const team_row& other) const
 {
-    double behind_s = team_shares::get_behind_s(team.account);
-    return milliseconds(policy_.share_tolerance) <
+    double behind_s = team_shares::get_deficit_s(team.account);
+    return milliseconds(policy_.share_lag_limit) <
                std::chrono::duration<double>(behind_s) &&
-           team_shares::get_behind_s(other.account) < behind_s;
+           team_shares::get_deficit_s(other.account) < behind_s;
 }
 
-void placement_system::start_from(const pick& chosen, context& ctx)
+void placement_system::start_from_queue(
+    const start_choice& chosen, context& ctx)
 {
     team_row& team = *chosen.team;
-    int tries = policy_.look_ahead;
+    int tries = policy_.lookahead_tasks;
     for (const time_key& key : team.get_queue(chosen.from))
     {
         if (tries-- == 0)
@@ -169,7 +184,7 @@
         auto where = targets_.choose(row.task);
         if (where.target == nullptr)
         {
-            consider_reservation(row, ctx.now);
+            reserve_if_due(row, ctx.now);
             continue;
         }
         if (take_grant(team, ctx))
@@ -181,7 +196,7 @@
 
 void placement_system::start_reserved(context& ctx)
 {
-    const placement_task* task = targets_.get_reserved();
+    const placement_task* task = targets_.get_reserved_task();
     if (task == nullptr)
         return;
     task_row& row = *find_task(task->id);
@@ -190,22 +205,22 @@
         start(row, where, placement_rule::reservation, ctx);
 }
 
-void placement_system::consider_reservation(
-    const task_row& row, monotonic_time now)
+void placement_system::reserve_if_due(const task_row& row, monotonic_time now)
 {
-    bool is_due = policy_.reserves && row.task.kind == queue_kind::slow &&
-                  now - row.task.arrival >= policy_.reserve_after;
-    if (is_due && targets_.is_too_large_now(row.task))
+    bool is_due = policy_.is_reservation_enabled &&
+                  row.task.kind == queue_kind::slow &&
+                  now - row.task.arrival >= policy_.reservation_delay;
+    if (is_due && targets_.exceeds_free_memory(row.task))
         targets_.reserve(row.task);
 }
 
 std::uint32_t placement_system::get_headroom() const
 {
     auto highest = static_cast<std::uint32_t>(
-        std::ceil(targets_.count_usable() * policy_.headroom));
+        std::ceil(targets_.get_usable_slots() * policy_.headroom));
     // Slots kept free cost every team a part of its share, so few are kept
     // while little urgent work runs.
-    std::uint32_t wanted = 1 + targets_.count_urgent() / 2;
+    std::uint32_t wanted = 1 + targets_.get_urgent_tasks() / 2;
     return policy_.is_headroom_adaptive ? std::min(highest, wanted) : highest;
 }
 
--- a/systems/placement_preemption.cpp
+++ b/systems/placement_preemption.cpp
@@ -13,21 +13,21 @@
 constexpr milliseconds preempt_after{20};
 
 /// Victims of one team that are looked at for one that makes enough room.
-constexpr std::uint32_t max_victims_looked_at = 16;
+constexpr std::uint32_t max_victims_examined = 16;
 
 } // namespace
 
 void placement_system::preempt(context& ctx)
 {
-    if (count_waiting(queue_kind::urgent) == 0 && freeing_count_ == 0)
+    if (count_waiting(queue_kind::urgent) == 0 && slots_being_freed_ == 0)
         return;
-    hold_grants(ctx);
-    std::uint32_t needed = count_needed(ctx.now);
-    while (freeing_count_ > needed &&
+    reserve_grants(ctx);
+    std::uint32_t needed = count_needed_slots(ctx.now);
+    while (slots_being_freed_ > needed &&
            !(throttled_.empty() && checkpointing_.empty()))
-        resume_one(ctx);
-    take_due_steps(ctx);
-    if (freeing_count_ >= needed)
+        resume_victim(ctx);
+    advance_preemptions(ctx);
+    if (slots_being_freed_ >= needed)
         return;
     ranked_teams victims =
         rank_teams([](const team_row& team) { return !team.victims.empty(); });
@@ -35,11 +35,11 @@
     if (victims.empty())
         return;
     ranked_teams urgent = rank_teams([](const team_row& team)
-        { return !team.get_queue(lane::urgent).empty(); });
+        { return !team.get_queue(task_class::urgent).empty(); });
     for (auto& [rank, team] : urgent)
     {
-        std::uint32_t count = team->held_grants;
-        while (freeing_count_ < needed && count-- > 0)
+        std::uint32_t count = team->unused_grants;
+        while (slots_being_freed_ < needed && count-- > 0)
             if (!preempt_for(*team, victims, ctx))
                 break;
     }
@@ -51,7 +51,8 @@
     ranked_teams ranked;
     for (auto& [id, team] : teams_)
         if (is_included(team))
-            ranked.emplace_back(shares_.get_rank(team.account), &team);
+            ranked.emplace_back(
+                shares_.get_projected_usage(team.account), &team);
     // Equal ranks stay in the order of ids, so that runs can be repeated.
     std::stable_sort(ranked.begin(), ranked.end(),
         [](const auto& a, const auto& b) { return a.first < b.first; });
@@ -61,13 +62,13 @@
 bool placement_system::is_urgent_overdue(
     const team_row& team, monotonic_time now)
 {
-    const task_order& queue = team.get_queue(lane::urgent);
+    const task_order& queue = team.get_queue(task_class::urgent);
     return !queue.empty() && now - std::get<0>(*queue.begin()) >= preempt_after;
 }
 
-void placement_system::hold_grants(context& ctx)
+void placement_system::reserve_grants(context& ctx)
 {
-    std::size_t most = freeing_count_;
+    std::size_t most = slots_being_freed_;
     for (const auto& [id, team] : teams_)
         most += team.victims.size();
     for (auto& [id, team] : teams_)
@@ -75,38 +76,38 @@
         if (!is_urgent_overdue(team, ctx.now) || team.is_without_grant)
             continue;
         std::size_t wanted =
-            std::min(most, team.get_queue(lane::urgent).size());
-        while (team.held_grants < wanted && take_new_grant(team, ctx))
-            ++team.held_grants;
+            std::min(most, team.get_queue(task_class::urgent).size());
+        while (team.unused_grants < wanted && take_new_grant(team, ctx))
+            ++team.unused_grants;
     }
 }
 
-std::uint32_t placement_system::count_needed(monotonic_time now) const
+std::uint32_t placement_system::count_needed_slots(monotonic_time now) const
 {
     std::size_t needed = 0;
     for (const auto& [id, team] : teams_)
         if (is_urgent_overdue(team, now))
             needed += std::min<std::size_t>(
-                team.held_grants, team.get_queue(lane::urgent).size());
+                team.unused_grants, team.get_queue(task_class::urgent).size());
     return static_cast<std::uint32_t>(needed);
 }
 
 bool placement_system::preempt_for(
     team_row& urgent, const ranked_teams& victims, context& ctx)
 {
-    const task_order& queue = urgent.get_queue(lane::urgent);
+    const task_order& queue = urgent.get_queue(task_class::urgent);
     const task_row& head = *std::get<2>(*queue.begin());
     std::uint32_t candidates = 0;
     task_row* victim = choose_victim(urgent, head, victims, candidates);
     if (victim == nullptr)
         return false;
-    emit(*victim, placement_action::throttle, placement_rule::urgent_waits,
-        candidates, ctx);
+    add_decision(*victim, placement_action::throttle,
+        placement_rule::urgent_waits, candidates, ctx);
     victim->team->victims.erase({victim->started, victim->sequence, victim});
-    victim->is_freeing = true;
-    ++freeing_count_;
-    set_step(
-        *victim, task_state::throttled, ctx.now + policy_.checkpoint_after);
+    victim->is_freeing_slot = true;
+    ++slots_being_freed_;
+    set_preemption_step(
+        *victim, task_state::throttled, ctx.now + policy_.checkpoint_delay);
     return true;
 }
 
@@ -117,7 +118,7 @@
     for (auto& [rank, team] : victims)
     {
         // Work of a team that is far below its share stays where it is.
-        bool is_protected = team != &urgent && is_owed(*team, urgent);
+        bool is_protected = team != &urgent && is_underserved(*team, urgent);
         if (is_protected)
             continue;
         if (task_row* victim = choose_victim_of(*team, head, candidates))
@@ -129,11 +130,11 @@
 placement_system::task_row* placement_system::choose_victim_of(
     team_row& team, const task_row& head, std::uint32_t& candidates)
 {
-    std::uint32_t looked_at = 0;
+    std::uint32_t examined = 0;
     // The task that started last has the least work to repeat.
     for (auto it = team.victims.rbegin(); it != team.victims.rend(); ++it)
     {
-        if (looked_at++ == max_victims_looked_at)
+        if (examined++ == max_victims_examined)
             return nullptr;
         ++candidates;
         task_row& row = *std::get<2>(*it);
@@ -144,7 +145,7 @@
     return nullptr;
 }
 
-void placement_system::take_due_steps(context& ctx)
+void placement_system::advance_preemptions(context& ctx)
 {
     auto next = [&](task_order& steps) -> task_row*
     {
@@ -153,9 +154,10 @@
     };
     while (task_row* row = next(throttled_))
     {
-        emit(*row, placement_action::checkpoint, placement_rule::urgent_waits,
-            1, ctx);
-        set_step(*row, task_state::checkpointing, ctx.now + policy_.stop_after);
+        add_decision(*row, placement_action::checkpoint,
+            placement_rule::urgent_waits, 1, ctx);
+        set_preemption_step(*row, task_state::checkpointing,
+            ctx.now + policy_.checkpoint_timeout);
     }
     while (task_row* row = next(checkpointing_))
         stop_victim(*row,
@@ -164,56 +166,57 @@
             ctx);
 }
 
-void placement_system::resume_one(context& ctx)
+void placement_system::resume_victim(context& ctx)
 {
     const task_order& steps = throttled_.empty() ? checkpointing_ : throttled_;
     task_row& row = *std::get<2>(*steps.rbegin());
-    leave_ladder(row);
+    end_preemption(row);
     row.state = task_state::running;
     row.is_checkpointed = false;
     add_victim(row);
-    emit(row, placement_action::resume, placement_rule::urgent_served, 1, ctx);
+    add_decision(
+        row, placement_action::resume, placement_rule::urgent_served, 1, ctx);
 }
 
 void placement_system::add_victim(task_row& row)
 {
     // A task that is not idempotent could not run again after a stop.
-    if (get_lane(row.task) == lane::slow && !row.is_cancelled)
+    if (get_task_class(row.task) == task_class::slow && !row.is_cancelled)
         row.team->victims.emplace(row.started, row.sequence, &row);
 }
 
-void placement_system::set_step(
-    task_row& row, task_state state, monotonic_time due)
+void placement_system::set_preemption_step(
+    task_row& row, task_state state, monotonic_time next_step_at)
 {
-    throttled_.erase({row.due, row.sequence, &row});
-    checkpointing_.erase({row.due, row.sequence, &row});
+    throttled_.erase({row.next_step_at, row.sequence, &row});
+    checkpointing_.erase({row.next_step_at, row.sequence, &row});
     row.state = state;
-    row.due = due;
+    row.next_step_at = next_step_at;
     task_order& steps =
         state == task_state::throttled ? throttled_ : checkpointing_;
-    steps.emplace(due, row.sequence, &row);
+    steps.emplace(next_step_at, row.sequence, &row);
 }
 
-void placement_system::leave_ladder(task_row& row)
+void placement_system::end_preemption(task_row& row)
 {
-    throttled_.erase({row.due, row.sequence, &row});
-    checkpointing_.erase({row.due, row.sequence, &row});
-    freeing_count_ -= row.is_freeing ? 1 : 0;
-    row.is_freeing = false;
+    throttled_.erase({row.next_step_at, row.sequence, &row});
+    checkpointing_.erase({row.next_step_at, row.sequence, &row});
+    slots_being_freed_ -= row.is_freeing_slot ? 1 : 0;
+    row.is_freeing_slot = false;
 }
 
 void placement_system::stop_victim(
     task_row& row, placement_rule rule, context& ctx)
 {
-    emit(row, placement_action::stop, rule, 1, ctx);
-    leave_ladder(row);
+    add_decision(row, placement_action::stop, rule, 1, ctx);
+    end_preemption(row);
     row.team->victims.erase({row.started, row.sequence, &row});
     bool was_starting = row.state == task_state::starting;
     if (!was_starting)
         row.state = task_state::stopping;
     // A stopping task is about to free its slot.
-    row.is_freeing = true;
-    ++freeing_count_;
+    row.is_freeing_slot = true;
+    ++slots_being_freed_;
 }
 
 } // namespace cowslippass
--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -7,13 +7,14 @@
 namespace cowslippass
 {
 
-placement_system::task_order& placement_system::team_row::get_queue(lane from)
+placement_system::task_order& placement_system::team_row::get_queue(
+    task_class from)
 {
     return waiting[static_cast<std::size_t>(from)];
 }
 
 const placement_system::task_order& placement_system::team_row::get_queue(
-    lane from) const
+    task_class from) const
 {
     return waiting[static_cast<std::size_t>(from)];
 }
@@ -23,11 +24,12 @@
     return waiting[0].size() + waiting[1].size() + waiting[2].size();
 }
 
-placement_system::lane placement_system::get_lane(const placement_task& task)
+placement_system::task_class placement_system::get_task_class(
+    const placement_task& task)
 {
     if (task.kind == queue_kind::urgent)
-        return lane::urgent;
-    return task.is_idempotent ? lane::slow : lane::fixed;
+        return task_class::urgent;
+    return task.is_idempotent ? task_class::slow : task_class::non_preemptible;
 }
 
 placement_system::placement_system(placement_policy policy)
@@ -61,7 +63,7 @@
         refused.task = task;
         auto decision = make_decision(
             refused, placement_action::refuse, *obstacle, task.arrival);
-        decision.candidates = targets_.count_rows();
+        decision.candidates = targets_.get_target_count();
         return decision;
     }
     task_row& row = tasks_[task.id];
@@ -77,10 +79,11 @@
 {
     if (tasks_.contains(task.id))
         return placement_rule::duplicate_task;
-    if (policy_.refuses_misfits && !targets_.can_ever_fit(task.memory))
+    if (policy_.refuses_oversized_tasks &&
+        !targets_.fits_any_target(task.memory))
         return placement_rule::fits_no_target;
-    if (get_team(task.team).get_queue(get_lane(task)).size() >=
-        policy_.max_waiting)
+    if (get_team(task.team).get_queue(get_task_class(task)).size() >=
+        policy_.max_waiting_per_class)
         return placement_rule::team_queue_full;
     return std::nullopt;
 }
@@ -124,7 +127,7 @@
         return;
     targets_.on_refused(*row->target, reason, now);
     vacate(*row, now);
-    ++row->team->held_grants;
+    ++row->team->unused_grants;
     enqueue(*row);
     if (row->is_cancelled)
         cancelled_.push_back(id);
@@ -136,7 +139,7 @@
     if (row == nullptr || row->state != task_state::checkpointing)
         return;
     row->is_checkpointed = true;
-    set_step(*row, task_state::checkpointing, now);
+    set_preemption_step(*row, task_state::checkpointing, now);
 }
 
 void placement_system::on_task_end(
@@ -152,7 +155,7 @@
 bool placement_system::adopt_running(
     const placement_task& task, const instance_id& target, monotonic_time now)
 {
-    placement_targets::row* place = targets_.find(target);
+    placement_targets::target_row* place = targets_.find(target);
     task_row* known = find_task(task.id);
     if (place == nullptr)
         return false;
@@ -200,7 +203,7 @@
 std::uint32_t placement_system::count_running(const team_id& team) const
 {
     auto it = teams_.find(team);
-    return it == teams_.end() ? 0 : it->second.account.running;
+    return it == teams_.end() ? 0 : it->second.account.running_tasks;
 }
 
 placement_system::team_row& placement_system::get_team(const team_id& id)
@@ -221,9 +224,9 @@
 {
     team_row& team = *row.team;
     if (team.count_waiting() == 0)
-        team.is_joining = true;
+        team.has_begun_waiting = true;
     row.state = task_state::waiting;
-    team.get_queue(get_lane(row.task))
+    team.get_queue(get_task_class(row.task))
         .emplace(row.task.arrival, row.sequence, &row);
     if (row.task.deadline != monotonic_time::max())
         deadlines_.emplace(row.task.deadline, row.sequence, &row);
@@ -232,15 +235,15 @@
 
 void placement_system::dequeue(task_row& row)
 {
-    row.team->get_queue(get_lane(row.task))
+    row.team->get_queue(get_task_class(row.task))
         .erase({row.task.arrival, row.sequence, &row});
     deadlines_.erase({row.task.deadline, row.sequence, &row});
     --waiting_count_[static_cast<std::size_t>(row.task.kind)];
     targets_.release(row.task);
 }
 
-void placement_system::occupy(task_row& row, placement_targets::row& target,
-    task_state state, monotonic_time now)
+void placement_system::occupy(task_row& row,
+    placement_targets::target_row& target, task_state state, monotonic_time now)
 {
     shares_.advance(now, is_contended_);
     row.state = state;
@@ -248,17 +251,19 @@
     row.started = now;
     targets_.occupy(target, row.task, state == task_state::starting);
     shares_.on_start(row.team->account);
-    fixed_running_ += get_lane(row.task) == lane::fixed ? 1 : 0;
+    non_preemptible_running_ +=
+        get_task_class(row.task) == task_class::non_preemptible ? 1 : 0;
 }
 
 void placement_system::vacate(task_row& row, monotonic_time now)
 {
     shares_.advance(now, is_contended_);
-    leave_ladder(row);
+    end_preemption(row);
     row.team->victims.erase({row.started, row.sequence, &row});
     targets_.vacate(*row.target, row.task, row.state == task_state::starting);
     shares_.on_end(row.team->account);
-    fixed_running_ -= get_lane(row.task) == lane::fixed ? 1 : 0;
+    non_preemptible_running_ -=
+        get_task_class(row.task) == task_class::non_preemptible ? 1 : 0;
     row.target = nullptr;
 }
 
@@ -278,14 +283,14 @@
     {
         team.is_blocked = {};
         team.is_without_grant = false;
-        if (team.count_waiting() > 0 && !team.is_joining)
-            least = std::min(least, shares_.get_served(team.account));
+        if (team.count_waiting() > 0 && !team.has_begun_waiting)
+            least = std::min(least, shares_.get_weighted_usage(team.account));
     }
     if (least < std::numeric_limits<double>::max())
-        shares_.raise_floor(least);
+        shares_.raise_usage_floor(least);
     for (auto& [id, team] : teams_)
-        if (std::exchange(team.is_joining, false))
-            shares_.join(team.account);
+        if (std::exchange(team.has_begun_waiting, false))
+            shares_.raise_to_floor(team.account);
 }
 
 void placement_system::finish_cancelled(context& ctx)
@@ -298,8 +303,8 @@
         if (row->state == task_state::waiting)
         {
             // Its start was refused after the cancellation.
-            emit(*row, placement_action::refuse, placement_rule::cancelled, 0,
-                ctx);
+            add_decision(*row, placement_action::refuse,
+                placement_rule::cancelled, 0, ctx);
             dequeue(*row);
             erase(*row);
             continue;
@@ -314,8 +319,8 @@
     while (!deadlines_.empty() && std::get<0>(*deadlines_.begin()) <= ctx.now)
     {
         task_row& row = *std::get<2>(*deadlines_.begin());
-        emit(row, placement_action::refuse, placement_rule::deadline_passed,
-            targets_.count_rows(), ctx);
+        add_decision(row, placement_action::refuse,
+            placement_rule::deadline_passed, targets_.get_target_count(), ctx);
         dequeue(row);
         erase(row);
     }
@@ -323,25 +328,26 @@
 
 void placement_system::start_waiting(context& ctx)
 {
-    using picker = pick (placement_system::*)(monotonic_time);
-    static constexpr picker pickers[] = {
-        &placement_system::pick_by_shares, &placement_system::pick_first_come};
-    picker next = pickers[static_cast<std::size_t>(policy_.order)];
+    using chooser = start_choice (placement_system::*)(monotonic_time);
+    static constexpr chooser choosers[] = {
+        &placement_system::choose_by_fair_share,
+        &placement_system::choose_first_come};
+    chooser next = choosers[static_cast<std::size_t>(policy_.order)];
     start_reserved(ctx);
-    while (targets_.count_free() > 0)
+    while (targets_.get_free_slots() > 0)
     {
-        pick chosen = (this->*next)(ctx.now);
+        start_choice chosen = (this->*next)(ctx.now);
         if (chosen.team == nullptr)
             return;
-        start_from(chosen, ctx);
+        start_from_queue(chosen, ctx);
     }
 }
 
 bool placement_system::take_grant(team_row& team, context& ctx)
 {
-    if (team.held_grants > 0)
+    if (team.unused_grants > 0)
     {
-        --team.held_grants;
+        --team.unused_grants;
         return true;
     }
     return take_new_grant(team, ctx);
@@ -376,22 +382,23 @@
     accounts_.clear();
     for (auto& [id, team] : teams_)
     {
-        team.account.waiting = team.count_waiting();
+        team.account.waiting_tasks = team.count_waiting();
         accounts_.push_back(&team.account);
         bool is_waiting = team.count_waiting() > 0;
         if (is_waiting && !team.is_without_grant)
             is_contended_ = true;
         // Grants are held only while slots are being freed.
-        std::size_t wanted =
-            freeing_count_ > 0 ? team.get_queue(lane::urgent).size() : 0;
-        while (team.held_grants > wanted)
+        std::size_t wanted = slots_being_freed_ > 0
+                                 ? team.get_queue(task_class::urgent).size()
+                                 : 0;
+        while (team.unused_grants > wanted)
         {
-            --team.held_grants;
+            --team.unused_grants;
             ctx.out.returned_grants.push_back(id);
         }
     }
     // At the end, as the slots of tasks that just ended are in use again.
-    shares_.update_level(accounts_, targets_.count_usable(), ctx.now);
+    shares_.update_fair_slots(accounts_, targets_.get_usable_slots(), ctx.now);
 }
 
 placement_decision placement_system::make_decision(const task_row& row,
@@ -409,14 +416,14 @@
         decision.target_epoch = row.target->target.epoch;
         decision.rack = row.target->target.rack;
     }
-    decision.free_slots = targets_.count_free();
+    decision.free_slots = targets_.get_free_slots();
     decision.waiting = count_waiting(row.task.kind);
     decision.waited =
         std::chrono::duration_cast<milliseconds>(now - row.task.arrival);
     return decision;
 }
 
-void placement_system::emit(task_row& row, placement_action action,
+void placement_system::add_decision(task_row& row, placement_action action,
     placement_rule rule, std::uint32_t candidates, context& ctx)
 {
     ctx.out.items.push_back(make_decision(row, action, rule, ctx.now));
--- a/systems/placement_system.hpp
+++ b/systems/placement_system.hpp
@@ -87,7 +87,7 @@
     std::uint32_t count_waiting(queue_kind kind) const;
     std::uint32_t count_waiting(const team_id& team) const;
     std::uint32_t count_running(const team_id& team) const;
-    std::uint32_t count_free_slots() const { return targets_.count_free(); }
+    std::uint32_t count_free_slots() const { return targets_.get_free_slots(); }
     std::size_t count_tasks() const { return tasks_.size(); }
     /// @return whether work waits for slots since the last tick.
     bool is_contended() const { return is_contended_; }
@@ -102,11 +102,11 @@
         checkpointing,
         stopping
     };
-    enum class lane
+    enum class task_class
     {
         urgent,
         slow, ///< Idempotent, so that it can be stopped and run again.
-        fixed ///< Slow and not idempotent; keeps its slot to its end.
+        non_preemptible ///< Slow and not idempotent; keeps its slot to its end.
     };
     struct team_row;
     struct task_row
@@ -115,12 +115,12 @@
         team_row* team = nullptr;
         task_state state = task_state::waiting;
         std::uint64_t sequence = 0;
-        placement_targets::row* target = nullptr;
+        placement_targets::target_row* target = nullptr;
         monotonic_time started{};
-        monotonic_time due{}; ///< Next step of a preemption.
+        monotonic_time next_step_at{}; ///< Next step of a preemption.
         bool is_checkpointed = false;
         bool is_cancelled = false;
-        bool is_freeing = false; ///< Counted in `freeing_count_`.
+        bool is_freeing_slot = false; ///< Counted in `slots_being_freed_`.
     };
     using time_key = std::tuple<monotonic_time, std::uint64_t, task_row*>;
     using task_order = std::set<time_key>;
@@ -128,21 +128,21 @@
     {
         team_id id;
         team_shares::account account;
-        task_order waiting[3]; ///< By lane, in order of arrival.
+        task_order waiting[3]; ///< By task_class, in order of arrival.
         task_order victims;    ///< Running slow tasks that may be stopped.
-        std::uint32_t held_grants = 0;
-        std::array<bool, 3> is_blocked{}; ///< In this tick, by lane.
+        std::uint32_t unused_grants = 0;
+        std::array<bool, 3> is_blocked{}; ///< In this tick, by task_class.
         bool is_without_grant = false;    ///< In this tick.
-        bool is_joining = false; ///< Began to wait since the last tick.
+        bool has_begun_waiting = false; ///< Began to wait since the last tick.
 
         std::size_t count_waiting() const;
-        task_order& get_queue(lane from);
-        const task_order& get_queue(lane from) const;
+        task_order& get_queue(task_class from);
+        const task_order& get_queue(task_class from) const;
     };
-    struct pick
+    struct start_choice
     {
         team_row* team = nullptr;
-        lane from = lane::urgent;
+        task_class from = task_class::urgent;
         placement_rule rule = placement_rule::urgent_first;
     };
     struct context
@@ -157,8 +157,8 @@
     std::optional<placement_rule> find_obstacle(const placement_task& task);
     void enqueue(task_row& row);
     void dequeue(task_row& row);
-    void occupy(task_row& row, placement_targets::row& target, task_state state,
-        monotonic_time now);
+    void occupy(task_row& row, placement_targets::target_row& target,
+        task_state state, monotonic_time now);
     void vacate(task_row& row, monotonic_time now);
     void erase(task_row& row);
 
@@ -171,40 +171,41 @@
     bool take_grant(team_row& team, context& ctx);
     bool take_new_grant(team_row& team, context& ctx);
 
-    static lane get_lane(const placement_task& task);
-    pick pick_slow();
-    pick pick_by_shares(monotonic_time now);
-    pick pick_first_come(monotonic_time now);
-    team_row* find_neediest(lane from);
-    /// @return the team with waiting work of the lane that is most behind its
+    static task_class get_task_class(const placement_task& task);
+    start_choice choose_slow();
+    start_choice choose_by_fair_share(monotonic_time now);
+    start_choice choose_first_come(monotonic_time now);
+    team_row* find_least_served(task_class from);
+    /// @return the team with waiting work of the task_class that is most behind
+    /// its
     ///   share; null if none is behind.
-    team_row* find_most_behind(lane from);
+    team_row* find_largest_deficit(task_class from);
     /// @return the team whose waiting work that cannot be stopped goes beyond
-    ///   `fixed_part`; null if there is none.
-    team_row* find_owed_fixed();
-    bool may_start_from(const team_row& team, lane from) const;
+    ///   `max_non_preemptible_fraction`; null if there is none.
+    team_row* find_starved_non_preemptible();
+    bool may_start_from(const team_row& team, task_class from) const;
     /// @return the team whose urgent work waits longest beyond patience, of
-    ///   those that are not far ahead of `neediest`; null if there is none.
-    team_row* find_longest_wait(team_row& neediest, monotonic_time now);
+    ///   those that are not far ahead of `least_served`; null if there is none.
+    team_row* find_longest_wait(team_row& least_served, monotonic_time now);
     /// @return whether the team is behind its share by more than the
     ///   tolerance, and by more than the other team.
-    bool is_owed(const team_row& team, const team_row& other) const;
-    void start_from(const pick& chosen, context& ctx);
+    bool is_underserved(const team_row& team, const team_row& other) const;
+    void start_from_queue(const start_choice& chosen, context& ctx);
     void start_reserved(context& ctx);
-    void consider_reservation(const task_row& row, monotonic_time now);
+    void reserve_if_due(const task_row& row, monotonic_time now);
     void start(task_row& row, const placement_targets::choice& where,
         placement_rule rule, context& ctx);
     std::uint32_t get_headroom() const;
 
     // Preemption; a victim is throttled, checkpointed and stopped in turn.
     void preempt(context& ctx);
-    void take_due_steps(context& ctx);
-    void resume_one(context& ctx);
+    void advance_preemptions(context& ctx);
+    void resume_victim(context& ctx);
     static bool is_urgent_overdue(const team_row& team, monotonic_time now);
     /// Takes grants for urgent work before slots are freed for it: a slot is
     /// of no use to a team that is at its limit.
-    void hold_grants(context& ctx);
-    std::uint32_t count_needed(monotonic_time now) const;
+    void reserve_grants(context& ctx);
+    std::uint32_t count_needed_slots(monotonic_time now) const;
     using ranked_teams = std::vector<std::pair<double, team_row*>>;
     /// Least served first.
     ranked_teams rank_teams(bool (*is_included)(const team_row&));
@@ -215,14 +216,15 @@
     static task_row* choose_victim_of(
         team_row& team, const task_row& head, std::uint32_t& candidates);
     void add_victim(task_row& row);
-    void set_step(task_row& row, task_state state, monotonic_time due);
-    void leave_ladder(task_row& row);
+    void set_preemption_step(
+        task_row& row, task_state state, monotonic_time next_step_at);
+    void end_preemption(task_row& row);
     void stop_victim(task_row& row, placement_rule rule, context& ctx);
 
     placement_decision make_decision(const task_row& row,
         placement_action action, placement_rule rule, monotonic_time now) const;
-    void emit(task_row& row, placement_action action, placement_rule rule,
-        std::uint32_t candidates, context& ctx);
+    void add_decision(task_row& row, placement_action action,
+        placement_rule rule, std::uint32_t candidates, context& ctx);
 
     placement_policy policy_;
     placement_targets targets_;
@@ -235,8 +237,9 @@
     task_order checkpointing_;
     std::vector<task_id> cancelled_;
     std::uint32_t waiting_count_[2] = {0, 0};
-    std::uint32_t fixed_running_ = 0; ///< Tasks of that lane on targets.
-    std::uint32_t freeing_count_ = 0; ///< Victims, stopping ones included.
+    std::uint32_t non_preemptible_running_ =
+        0; ///< Tasks of that task_class on targets.
+    std::uint32_t slots_being_freed_ = 0; ///< Victims, stopping ones included.
     std::uint64_t last_sequence_ = 0;
     bool is_contended_ = false;
 };
--- a/systems/placement_types.hpp
+++ b/systems/placement_types.hpp
@@ -14,9 +14,9 @@
 
 enum class target_health_state
 {
-    sound,
-    probation, ///< Gets one idempotent task at a time until it proves sound.
-    set_aside  ///< Gets no work.
+    healthy,
+    probation,  ///< Gets one idempotent task at a time until it proves healthy.
+    quarantined ///< Gets no work.
 };
 
 /// A target as the pool owner sees it.
@@ -35,7 +35,7 @@
     /// tasks that this owner did not start. Nothing keeps what is known.
     std::optional<slot_count> free_slots;
     byte_count memory{0}; ///< 0 means that it is not checked.
-    target_health_state health = target_health_state::sound;
+    target_health_state health = target_health_state::healthy;
 };
 
 /// A piece of work as the pool owner sees it.
@@ -54,7 +54,7 @@
     monotonic_time deadline = monotonic_time::max();
     /// Targets where earlier attempts failed. They are used again only when
     /// the pool has no other.
-    std::vector<instance_id> avoid;
+    std::vector<instance_id> avoided_targets;
 };
 
 /// Why a target did not start a task. Each means "not run".
--- a/systems/retry_budget.cpp
+++ b/systems/retry_budget.cpp
@@ -8,25 +8,25 @@
 namespace
 {
 
-constexpr milliseconds earn_interval{5000};
+constexpr milliseconds time_refill_interval{5000};
 
 } // namespace
 
 retry_budget::retry_budget(double fraction, double capacity)
-    : fraction_(fraction), capacity_(capacity), tokens_(capacity)
+    : retry_ratio_(fraction), capacity_(capacity), tokens_(capacity)
 {
 }
 
 void retry_budget::on_success()
 {
-    tokens_ = std::min(capacity_, tokens_ + fraction_);
+    tokens_ = std::min(capacity_, tokens_ + retry_ratio_);
 }
 
-bool retry_budget::try_take(monotonic_time now)
+bool retry_budget::try_acquire(monotonic_time now)
 {
-    if (now - last_earned_ >= earn_interval)
+    if (now - last_time_refill_ >= time_refill_interval)
     {
-        last_earned_ = now;
+        last_time_refill_ = now;
         tokens_ = std::min(capacity_, tokens_ + 1.0);
     }
     if (tokens_ < 1.0)
--- a/systems/retry_budget.hpp
+++ b/systems/retry_budget.hpp
@@ -19,15 +19,15 @@
     /// Takes one retry. Besides the successes, one retry every 5 s is earned
     /// by time, as a pool with little work could otherwise never retry.
     /// @return false when the budget is used up.
-    bool try_take(monotonic_time now);
+    bool try_acquire(monotonic_time now);
 
     double get_tokens() const { return tokens_; }
 
 private:
-    double fraction_;
+    double retry_ratio_;
     double capacity_;
     double tokens_;
-    monotonic_time last_earned_{};
+    monotonic_time last_time_refill_{};
 };
 
 } // namespace cowslippass
--- a/systems/routing.cpp
+++ b/systems/routing.cpp
@@ -8,12 +8,12 @@
 namespace
 {
 
-bool can_take(const route_candidate& it)
+bool can_serve(const route_candidate& it)
 {
     return it.is_in_service && it.has_owner && it.targets > 0;
 }
 
-std::int64_t get_room(const route_candidate& it)
+std::int64_t get_spare_slots(const route_candidate& it)
 {
     return std::int64_t(it.free_slots) - std::int64_t(it.waiting);
 }
@@ -34,7 +34,7 @@
     const route_candidate* remote = nullptr;
     for (const auto& it : candidates)
     {
-        if (!can_take(it))
+        if (!can_serve(it))
             continue;
         ++out.candidates;
         if (it.is_local)
@@ -42,8 +42,9 @@
             local = &it;
             continue;
         }
-        bool is_better = !remote || get_room(it) > get_room(*remote) ||
-                         (get_room(it) == get_room(*remote) &&
+        bool is_better = !remote ||
+                         get_spare_slots(it) > get_spare_slots(*remote) ||
+                         (get_spare_slots(it) == get_spare_slots(*remote) &&
                              it.data_centre < remote->data_centre);
         if (is_better)
             remote = &it;
@@ -58,7 +59,7 @@
     }
     bool is_remote_free = remote && remote->is_known &&
                           local->free_slots == 0 && local->waiting > 0 &&
-                          get_room(*remote) > 0;
+                          get_spare_slots(*remote) > 0;
     out.rule = is_remote_free ? route_rule::remote_free : route_rule::local;
     out.data_centre = is_remote_free ? remote->data_centre : local->data_centre;
     return out;
--- a/systems/start_policy.cpp
+++ b/systems/start_policy.cpp
@@ -5,7 +5,7 @@
 namespace cowslippass
 {
 
-std::optional<monotonic_time> fresh_start_policy::get_start_deadline(
+std::optional<monotonic_time> fresh_configuration_policy::get_start_deadline(
     const start_view& view) const
 {
     if (!view.configuration.is_fresh(view.now))
@@ -13,7 +13,7 @@
     return view.configuration.get_deadline();
 }
 
-bool fresh_start_policy::may_renew(const start_view& view) const
+bool fresh_configuration_policy::may_renew(const start_view& view) const
 {
     // Once this session may have been declared dead, its grants may be given
     // to others; its tasks must have lapsed by then.
--- a/systems/start_policy.hpp
+++ b/systems/start_policy.hpp
@@ -16,7 +16,7 @@
     bool is_platform_reachable;
     /// Whether an entry of each other data centre is heard. A function, as it
     /// is asked by few policies and costs a walk over the sessions.
-    const std::function<bool()>& hears_data_centres;
+    const std::function<bool()>& reaches_all_data_centres;
 };
 
 /// Decides whether an entry may start tasks and renew their leases.
@@ -36,7 +36,7 @@
 /// Starts only on a configuration that is known to have been the newest
 /// within the freshness limit (I3, I5, I11), and renews only while no other
 /// session may hold the grants of the tasks (I4).
-class fresh_start_policy : public start_policy
+class fresh_configuration_policy : public start_policy
 {
 public:
     std::optional<monotonic_time> get_start_deadline(
--- a/systems/target_health.cpp
+++ b/systems/target_health.cpp
@@ -16,49 +16,49 @@
 
 /// Evidence that one success takes back. Below 1, a target that does its
 /// part would slowly collect evidence in a pool where half of the work fails.
-constexpr double evidence_of_success = 2.0;
+constexpr double success_evidence = 2.0;
 
 /// Added to a failure when the same task succeeds elsewhere.
-constexpr double evidence_of_contrast = 3.0;
+constexpr double contrast_evidence = 3.0;
 
 /// The lowest failure rate that is assumed of other targets; one failure is
 /// then worth 3.0 and three of them suffice.
-constexpr double lowest_rate = 0.05;
-constexpr double highest_rate = 0.95;
+constexpr double min_failure_rate = 0.05;
+constexpr double max_failure_rate = 0.95;
 
 /// Weight of the newest task in a target's failure rate. When everything
 /// begins to fail, the rates have to rise before evidence reaches its limit;
 /// with 0.25 the evidence of an unbroken row of failures stays below 7.
-constexpr double rate_step = 0.25;
+constexpr double failure_rate_weight = 0.25;
 
 /// Sound targets that a task has to fail on before it is a bad task.
-constexpr std::size_t witness_count = 3;
+constexpr std::size_t min_credible_targets = 3;
 
 /// A target with more evidence from other tasks is no witness against a task.
-constexpr double witness_evidence = evidence_limit / 2;
+constexpr double max_credible_evidence = evidence_limit / 2;
 
 /// Failures on so many targets make a bad task whatever the targets' state;
 /// a job has no more attempts either.
-constexpr std::size_t most_attempts = 5;
+constexpr std::size_t max_failed_targets = 5;
 
 /// Successes on probation after failures, and after silence, which says
 /// nothing against the work of the target.
-constexpr std::uint32_t proofs_after_failures = 3;
-constexpr std::uint32_t proofs_after_silence = 1;
-constexpr milliseconds first_pause{10'000};
-constexpr milliseconds longest_pause{600'000};
+constexpr std::uint32_t successes_after_failures = 3;
+constexpr std::uint32_t successes_after_silence = 1;
+constexpr milliseconds first_quarantine{10'000};
+constexpr milliseconds longest_quarantine{600'000};
 
 /// A target returns with half of the limit, so that two failures suffice.
-constexpr double evidence_on_return = 3.5;
+constexpr double probation_evidence = 3.5;
 
 /// A target that was silent has to answer for so long before it gets work.
-constexpr milliseconds answer_pause{2000};
+constexpr milliseconds min_answering_time{2000};
 
-/// A target that stays sound for so long starts again with the first pause.
-constexpr milliseconds relapse_time{600'000};
+/// A target that stays healthy for so long starts again with the first pause.
+constexpr milliseconds relapse_window{600'000};
 
 /// Failed tasks that are remembered; about 200 bytes each.
-constexpr std::size_t most_failed_tasks = 10'000;
+constexpr std::size_t max_failed_tasks = 10'000;
 
 } // namespace
 
@@ -80,10 +80,10 @@
     auto it = targets_.find(id);
     if (it == targets_.end())
         return;
-    rate_sum_ -= it->second.failure_rate;
+    failure_rate_sum_ -= it->second.failure_rate;
     targets_.erase(it);
-    suspects_.erase(id);
-    aside_.erase(id);
+    pending_evaluations_.erase(id);
+    quarantined_.erase(id);
 }
 
 void target_health::on_task_end(const task_id& task, const instance_id& target,
@@ -109,7 +109,7 @@
     if (it == targets_.end() || it->second.is_silent)
         return;
     it->second.is_silent = true;
-    suspects_.insert(target);
+    pending_evaluations_.insert(target);
 }
 
 void target_health::on_answer(const instance_id& target, monotonic_time now)
@@ -118,66 +118,69 @@
     if (it == targets_.end() || !it->second.is_silent)
         return;
     it->second.is_silent = false;
-    it->second.returns = std::max(it->second.returns, now + answer_pause);
+    it->second.probation_time =
+        std::max(it->second.probation_time, now + min_answering_time);
 }
 
 health_decisions target_health::tick(
-    monotonic_time now, const budget_strategy& may_set_aside)
+    monotonic_time now, const availability_check& may_quarantine)
 {
     health_decisions out;
     out.bad_tasks = std::exchange(bad_tasks_, {});
-    for (const instance_id& id : std::exchange(suspects_, {}))
-        judge_target(id, now, may_set_aside, out);
-    for (const instance_id& id : std::set<instance_id>(aside_))
+    for (const instance_id& id : std::exchange(pending_evaluations_, {}))
+        evaluate_target(id, now, may_quarantine, out);
+    for (const instance_id& id : std::set<instance_id>(quarantined_))
     {
         target_row& row = targets_.at(id);
-        if (row.is_silent || row.returns > now)
+        if (row.is_silent || row.probation_time > now)
             continue;
-        row.evidence = evidence_on_return;
-        row.proofs = 0;
-        change(id, row, target_health_state::probation,
-            row.is_aside_silent ? health_rule::answers_again
-                                : health_rule::pause_over,
+        row.evidence = probation_evidence;
+        row.probation_successes = 0;
+        change_state(id, row, target_health_state::probation,
+            row.is_quarantined_for_silence ? health_rule::answers_again
+                                           : health_rule::quarantine_expired,
             out);
     }
     return out;
 }
 
-void target_health::judge_target(const instance_id& id, monotonic_time now,
-    const budget_strategy& may_set_aside, health_decisions& out)
+void target_health::evaluate_target(const instance_id& id, monotonic_time now,
+    const availability_check& may_quarantine, health_decisions& out)
 {
     target_row& row = targets_.at(id);
-    if (row.state == target_health_state::set_aside)
+    if (row.state == target_health_state::quarantined)
         return;
     if (row.is_silent || row.evidence >= evidence_limit)
     {
-        set_aside(id, row, now, may_set_aside, out);
+        quarantine_target(id, row, now, may_quarantine, out);
         return;
     }
-    if (!is_proved(row))
+    if (!has_passed_probation(row))
         return;
-    row.proofs = 0;
-    row.sound_since = now;
-    change(id, row, target_health_state::sound, health_rule::proved_sound, out);
+    row.probation_successes = 0;
+    row.healthy_since = now;
+    change_state(id, row, target_health_state::healthy,
+        health_rule::probation_passed, out);
     row.failures = 0;
 }
 
 target_health_state target_health::get_state(const instance_id& target) const
 {
     auto it = targets_.find(target);
-    return it == targets_.end() ? target_health_state::sound : it->second.state;
+    return it == targets_.end() ? target_health_state::healthy
+                                : it->second.state;
 }
 
 void target_health::on_success(const task_id& task, const instance_id& target,
     target_row& row, monotonic_time)
 {
-    retries_.on_success();
-    note_rate(row, 0.0);
+    retry_budget_.on_success();
+    update_failure_rate(row, 0.0);
     row.has_succeeded = true;
-    row.evidence = std::max(0.0, row.evidence - evidence_of_success);
-    ++row.proofs;
-    if (is_proved(row))
-        suspects_.insert(target);
+    row.evidence = std::max(0.0, row.evidence - success_evidence);
+    ++row.probation_successes;
+    if (has_passed_probation(row))
+        pending_evaluations_.insert(target);
     auto it = failures_.find(task);
     if (it == failures_.end())
         return;
@@ -185,7 +188,7 @@
     {
         auto accused = targets_.find(earlier.target);
         if (accused != targets_.end() && earlier.target != target)
-            accuse(accused->first, accused->second, evidence_of_contrast);
+            add_evidence(accused->first, accused->second, contrast_evidence);
     }
     failures_.erase(it);
 }
@@ -195,10 +198,10 @@
 {
     double elsewhere = get_rate_elsewhere(row);
     double evidence =
-        -std::log(std::clamp(elsewhere, lowest_rate, highest_rate));
-    note_rate(row, 1.0);
+        -std::log(std::clamp(elsewhere, min_failure_rate, max_failure_rate));
+    update_failure_rate(row, 1.0);
     ++row.failures;
-    row.proofs = 0;
+    row.probation_successes = 0;
     auto [it, is_new] = failures_.try_emplace(task);
     if (is_new)
         failure_order_.push_back(task);
@@ -209,29 +212,31 @@
     if (!is_known)
     {
         failures.push_back(
-            {target, evidence, row.state == target_health_state::sound});
-        accuse(target, row, evidence);
-        judge_task(task);
+            {target, evidence, row.state == target_health_state::healthy});
+        add_evidence(target, row, evidence);
+        evaluate_task(task);
     }
-    while (failure_order_.size() > most_failed_tasks)
+    while (failure_order_.size() > max_failed_tasks)
     {
         failures_.erase(failure_order_.front());
         failure_order_.pop_front();
     }
 }
 
-bool target_health::is_proved(const target_row& row)
+bool target_health::has_passed_probation(const target_row& row)
 {
-    std::uint32_t needed =
-        row.is_aside_silent ? proofs_after_silence : proofs_after_failures;
-    return row.state == target_health_state::probation && row.proofs >= needed;
+    std::uint32_t needed = row.is_quarantined_for_silence
+                               ? successes_after_silence
+                               : successes_after_failures;
+    return row.state == target_health_state::probation &&
+           row.probation_successes >= needed;
 }
 
-void target_health::note_rate(target_row& row, double sample)
+void target_health::update_failure_rate(target_row& row, double sample)
 {
-    double step = rate_step * (sample - row.failure_rate);
+    double step = failure_rate_weight * (sample - row.failure_rate);
     row.failure_rate += step;
-    rate_sum_ += step;
+    failure_rate_sum_ += step;
 }
 
 double target_health::get_rate_elsewhere(const target_row& row) const
@@ -239,22 +244,22 @@
     // Each target counts once, so that one that fails quickly and therefore
     // gets most tasks does not hide itself in the average.
     if (targets_.size() < 2)
-        return highest_rate;
-    return (rate_sum_ - row.failure_rate) / (targets_.size() - 1.0);
+        return max_failure_rate;
+    return (failure_rate_sum_ - row.failure_rate) / (targets_.size() - 1.0);
 }
 
-void target_health::accuse(
+void target_health::add_evidence(
     const instance_id& id, target_row& row, double evidence)
 {
     row.evidence += evidence;
     if (row.evidence >= evidence_limit)
-        suspects_.insert(id);
+        pending_evaluations_.insert(id);
 }
 
-void target_health::judge_task(const task_id& task)
+void target_health::evaluate_task(const task_id& task)
 {
     auto it = failures_.find(task);
-    if (!has_enough_witnesses(it->second))
+    if (!has_failed_on_credible_targets(it->second))
         return;
     bad_task report{task, {}};
     for (const failure& earlier : it->second)
@@ -270,63 +275,65 @@
     failures_.erase(it);
 }
 
-bool target_health::has_enough_witnesses(
+bool target_health::has_failed_on_credible_targets(
     const std::vector<failure>& failures) const
 {
-    if (failures.size() >= most_attempts)
+    if (failures.size() >= max_failed_targets)
         return true;
     auto is_witness = [&](const failure& failure)
     {
         auto it = targets_.find(failure.target);
-        if (it == targets_.end() || !failure.is_target_sound)
+        if (it == targets_.end() || !failure.is_target_healthy)
             return false;
         const target_row& row = it->second;
-        return row.state == target_health_state::sound && row.has_succeeded &&
-               row.evidence - failure.evidence < witness_evidence;
+        return row.state == target_health_state::healthy && row.has_succeeded &&
+               row.evidence - failure.evidence < max_credible_evidence;
     };
     auto count = std::count_if(failures.begin(), failures.end(), is_witness);
-    return static_cast<std::size_t>(count) >= witness_count;
+    return static_cast<std::size_t>(count) >= min_credible_targets;
 }
 
-void target_health::set_aside(const instance_id& id, target_row& row,
-    monotonic_time now, const budget_strategy& may_set_aside,
+void target_health::quarantine_target(const instance_id& id, target_row& row,
+    monotonic_time now, const availability_check& may_quarantine,
     health_decisions& out)
 {
     bool is_on_probation = row.state == target_health_state::probation;
-    row.is_aside_silent = row.is_silent;
-    if (!may_set_aside(id))
+    row.is_quarantined_for_silence = row.is_silent;
+    if (!may_quarantine(id))
     {
         // Probation limits the harm to one idempotent task at a time.
-        row.evidence = evidence_on_return;
-        row.proofs = 0;
+        row.evidence = probation_evidence;
+        row.probation_successes = 0;
         if (row.is_silent)
-            suspects_.insert(id);
+            pending_evaluations_.insert(id);
         if (!is_on_probation)
-            change(id, row, target_health_state::probation,
+            change_state(id, row, target_health_state::probation,
                 health_rule::budget_used_up, out);
         return;
     }
-    bool is_relapse = row.pause.count() > 0 &&
-                      (is_on_probation || now - row.sound_since < relapse_time);
+    bool is_relapse =
+        row.quarantine_time.count() > 0 &&
+        (is_on_probation || now - row.healthy_since < relapse_window);
     row.has_succeeded = false;
-    row.pause =
-        is_relapse ? std::min(row.pause * 2, longest_pause) : first_pause;
+    row.quarantine_time =
+        is_relapse ? std::min(row.quarantine_time * 2, longest_quarantine)
+                   : first_quarantine;
     // A silent target returns when it answers.
-    row.returns = row.is_silent ? now : now + row.pause;
-    change(id, row, target_health_state::set_aside,
+    row.probation_time = row.is_silent ? now : now + row.quarantine_time;
+    change_state(id, row, target_health_state::quarantined,
         row.is_silent ? health_rule::silent
                       : health_rule::fails_what_succeeds_elsewhere,
         out);
 }
 
-void target_health::change(const instance_id& id, target_row& row,
+void target_health::change_state(const instance_id& id, target_row& row,
     target_health_state state, health_rule rule, health_decisions& out)
 {
     row.state = state;
-    if (state == target_health_state::set_aside)
-        aside_.insert(id);
+    if (state == target_health_state::quarantined)
+        quarantined_.insert(id);
     else
-        aside_.erase(id);
+        quarantined_.erase(id);
     out.changes.push_back({id, state, rule, row.evidence, row.failures});
 }
 
--- a/systems/team_grants.cpp
+++ b/systems/team_grants.cpp
@@ -7,23 +7,23 @@
 namespace cowslippass
 {
 
-std::uint32_t team_grants::get_others() const
+std::uint32_t team_grants::get_peer_grants() const
 {
-    return row_value.get_sum() - get_own();
+    return row_value.get_total() - get_own_grants();
 }
 
 std::uint32_t team_grants::get_held() const
 {
-    auto held = get_own();
-    for (const auto& it : open)
-        held = std::min(held, it.target);
+    auto held = get_own_grants();
+    for (const auto& it : open_transfers)
+        held = std::min(held, it.own_count);
     return held;
 }
 
 std::uint32_t team_grants::get_free() const
 {
     auto most = limit ? limit->get() : 0;
-    auto granted = get_others() + get_held();
+    auto granted = get_peer_grants() + get_held();
     return most > granted ? most - granted : 0;
 }
 
@@ -32,14 +32,15 @@
     if (!is_current())
         return 0;
     auto most = limit->get();
-    auto usable = std::min(get_held(), most - std::min(most, get_others()));
-    return cap ? std::min(usable, *cap) : usable;
+    auto usable =
+        std::min(get_held(), most - std::min(most, get_peer_grants()));
+    return fair_cap ? std::min(usable, *fair_cap) : usable;
 }
 
-std::uint32_t team_grants::get_need() const
+std::uint32_t team_grants::get_demand() const
 {
     auto need = in_use + waiting;
-    return cap ? std::max(in_use, std::min(need, *cap)) : need;
+    return fair_cap ? std::max(in_use, std::min(need, *fair_cap)) : need;
 }
 
 std::uint32_t team_grants::get_peer_waiting() const
@@ -57,46 +58,47 @@
 
 bool team_grants::is_in_flight() const
 {
-    return std::any_of(open.begin(), open.end(),
-        [](const open_transfer& it) { return !it.is_answered; });
+    return std::any_of(open_transfers.begin(), open_transfers.end(),
+        [](const open_transfer& it) { return !it.is_outcome_unknown; });
 }
 
 bool team_grants::is_starved() const
 {
-    return in_use + waiting > get_held() && get_free() == 0 && open.empty();
+    return in_use + waiting > get_held() && get_free() == 0 &&
+           open_transfers.empty();
 }
 
-void team_grants::drop_demand_before(monotonic_time oldest)
+void team_grants::discard_demand_before(monotonic_time oldest)
 {
     std::erase_if(
-        peers, [&](const auto& it) { return it.second.heard < oldest; });
+        peers, [&](const auto& it) { return it.second.received_at < oldest; });
 }
 
 void team_grants::update_cap()
 {
-    cap.reset();
+    fair_cap.reset();
     if (!is_current() || waiting == 0 || peers.empty())
         return;
-    std::vector<peer_claim> claims;
+    std::vector<peer_allocation> claims;
     claims.reserve(peers.size());
     for (const auto& [peer, demand] : peers)
         claims.push_back({row_value.get(peer), demand.waiting});
-    cap = choose_grant_cap(limit->get(), get_others(), claims);
+    fair_cap = choose_grant_cap(limit->get(), get_peer_grants(), claims);
 }
 
-std::vector<adoption_outcome> team_grants::settle()
+std::vector<adoption_outcome> team_grants::resolve_transfers()
 {
     std::vector<adoption_outcome> result;
-    for (const auto& it : open)
+    for (const auto& it : open_transfers)
     {
         if (it.adopted == 0)
             continue;
-        bool is_adopted = get_own() == it.target;
+        bool is_adopted = get_own_grants() == it.own_count;
         if (is_adopted)
             in_use += it.adopted;
         result.push_back({it.id, is_adopted});
     }
-    open.clear();
+    open_transfers.clear();
     return result;
 }
 
--- a/systems/team_grants.hpp
+++ b/systems/team_grants.hpp
@@ -22,13 +22,13 @@
 {
     std::uint64_t id = 0;
     row_version condition;
-    row_version head;         ///< Head row that a growth was planned on.
-    std::uint32_t target = 0; ///< Own number that it writes.
+    row_version config_head;     ///< Head row that a growth was planned on.
+    std::uint32_t own_count = 0; ///< Own number that it writes.
     config_version planned_at;
     grant_row written;
     std::uint32_t adopted = 0;
     bool is_growth = false;
-    bool is_answered = false; ///< With the outcome unknown.
+    bool is_outcome_unknown = false; ///< With the outcome unknown.
 };
 
 /// What one session knows of the grants of one team; a row of the table that
@@ -38,10 +38,10 @@
     struct peer_demand
     {
         std::uint32_t waiting;
-        monotonic_time heard;
+        monotonic_time received_at;
     };
 
-    session_id own;
+    session_id own_session;
     std::optional<task_count> limit;
     config_version limit_version;
 
@@ -54,26 +54,26 @@
     std::uint32_t waiting = 0;
     std::map<session_id, peer_demand> peers;
     /// Most to hold, so that waiting peers reach an even share.
-    std::optional<std::uint32_t> cap;
+    std::optional<std::uint32_t> fair_cap;
 
-    std::uint32_t peak = 0; ///< Most needed since `idle_since`.
+    std::uint32_t peak_demand = 0; ///< Most needed since `idle_since`.
     std::optional<monotonic_time> idle_since;
 
-    std::vector<open_transfer> open;
-    std::optional<row_version> conflicted_at;
-    row_version conflicted_head; ///< Head row of that growth.
-    unsigned conflicts = 0;      ///< In a row.
+    std::vector<open_transfer> open_transfers;
+    std::optional<row_version> conflicted_version;
+    row_version conflicted_config_head; ///< Head row of that growth.
+    unsigned consecutive_conflicts = 0; ///< In a row.
     milliseconds backoff{0};
     bool needs_read = true;
     bool is_reading = false;
     /// The row came in since the last tick, which notes the time: replies of
     /// a distant platform may be old when they arrive.
-    bool is_newly_seen = false;
-    std::optional<monotonic_time> last_seen;
+    bool has_new_row = false;
+    std::optional<monotonic_time> row_seen_at;
     std::optional<monotonic_time> last_transfer;
 
-    std::uint32_t get_own() const { return row_value.get(own); }
-    std::uint32_t get_others() const;
+    std::uint32_t get_own_grants() const { return row_value.get(own_session); }
+    std::uint32_t get_peer_grants() const;
     /// @return what the session surely holds: a transfer without a known
     ///   outcome counts as not grown and as shrunk.
     std::uint32_t get_held() const;
@@ -83,8 +83,9 @@
     ///   share in proportion to the limit would let this session start tasks
     ///   while those of the others alone reach the limit.
     std::uint32_t get_usable() const;
-    /// @return grants for running and waiting work, as far as the cap allows.
-    std::uint32_t get_need() const;
+    /// @return grants for running and waiting work, as far as the fair_cap
+    /// allows.
+    std::uint32_t get_demand() const;
     std::uint32_t get_peer_waiting() const;
     /// @return whether the row was read at the limit's version or later.
     bool is_current() const;
@@ -92,13 +93,13 @@
     /// @return whether work waits and nothing seems to be free.
     bool is_starved() const;
 
-    void drop_demand_before(monotonic_time oldest);
+    void discard_demand_before(monotonic_time oldest);
     void update_cap();
 
     /// Settles the open transfers after the row's version moved past their
     /// condition. Only this session writes its own number, so that the number
     /// tells which of them took effect.
-    std::vector<adoption_outcome> settle();
+    std::vector<adoption_outcome> resolve_transfers();
 };
 
 } // namespace cowslippass
--- a/systems/team_shares.cpp
+++ b/systems/team_shares.cpp
@@ -13,7 +13,7 @@
 
 /// Accounts are closed when no work waited for so long. Shorter gaps occur
 /// within one burst.
-constexpr seconds period_gap{5.0};
+constexpr seconds contention_gap{5.0};
 
 /// A team that is ahead is held back for at most so long. Without the bound,
 /// long tasks that cannot be stopped would shut their team out for as long
@@ -21,24 +21,26 @@
 constexpr seconds max_lead{30.0};
 
 /// A running task counts as if it had run for so long already. Differences
-/// in served time are corrected over about this time; a shorter one makes
-/// the number of running tasks swing.
-constexpr seconds projection{2.0};
+/// in weighted_usage time are corrected over about this time; a shorter one
+/// makes the number of running tasks swing.
+constexpr seconds running_task_projection{2.0};
 
-constexpr milliseconds level_interval{100};
+constexpr milliseconds fair_slots_interval{100};
 
 /// An owner that did not tick for longer knows nothing about that time.
-constexpr seconds longest_level_gap{0.5};
+constexpr seconds max_update_gap{0.5};
 
 /// @return slots for a weight of 1 when every team gets what it asks for up
 ///   to its part of what the others leave.
-double find_level(const std::vector<team_shares::account*>& teams, double slots)
+double compute_fair_slots_per_weight(
+    const std::vector<team_shares::account*>& teams, double slots)
 {
     std::vector<std::pair<double, double>> demands;
     double weight = 0.0;
     for (const auto* team : teams)
     {
-        double demand = static_cast<double>(team->running + team->waiting);
+        double demand =
+            static_cast<double>(team->running_tasks + team->waiting_tasks);
         if (demand <= 0.0)
             continue;
         demands.emplace_back(demand / team->weight, team->weight);
@@ -60,104 +62,108 @@
 
 void team_shares::advance(monotonic_time now, bool is_contended)
 {
-    if (now <= last_now_)
+    if (now <= last_advance_)
         return;
     if (is_contended)
     {
         // The first interval of a period begins at the last call.
-        clock_ += seconds(now - last_now_).count();
+        contention_clock_ += seconds(now - last_advance_).count();
         last_contended_ = now;
-        is_period_open_ = true;
+        is_in_contention_ = true;
     }
-    else if (is_period_open_ && now - last_contended_ > period_gap)
+    else if (is_in_contention_ && now - last_contended_ > contention_gap)
     {
-        ++period_;
-        floor_ = 0.0;
-        is_period_open_ = false;
+        ++contention_period_;
+        usage_floor_ = 0.0;
+        is_in_contention_ = false;
     }
-    last_now_ = now;
+    last_advance_ = now;
 }
 
 void team_shares::on_start(account& team)
 {
-    settle(team);
-    ++team.running;
+    update_usage(team);
+    ++team.running_tasks;
 }
 
 void team_shares::on_end(account& team)
 {
-    settle(team);
-    if (team.running > 0)
-        --team.running;
+    update_usage(team);
+    if (team.running_tasks > 0)
+        --team.running_tasks;
 }
 
 void team_shares::set_weight(account& team, double weight)
 {
-    settle(team);
-    team.served *= team.weight / weight;
+    update_usage(team);
+    team.weighted_usage *= team.weight / weight;
     team.weight = weight;
 }
 
-void team_shares::raise_floor(double served)
+void team_shares::raise_usage_floor(double weighted_usage)
 {
-    floor_ = std::max(floor_, served);
+    usage_floor_ = std::max(usage_floor_, weighted_usage);
 }
 
-void team_shares::join(account& team)
+void team_shares::raise_to_floor(account& team)
 {
-    settle(team);
-    team.served = std::max(team.served, floor_);
+    update_usage(team);
+    team.weighted_usage = std::max(team.weighted_usage, usage_floor_);
 }
 
-double team_shares::get_served(account& team) const
+double team_shares::get_weighted_usage(account& team) const
 {
-    settle(team);
-    return team.served;
+    update_usage(team);
+    return team.weighted_usage;
 }
 
-double team_shares::get_rank(account& team) const
+double team_shares::get_projected_usage(account& team) const
 {
-    return get_served(team) + team.running * projection.count() / team.weight;
+    return get_weighted_usage(team) +
+           team.running_tasks * running_task_projection.count() / team.weight;
 }
 
-void team_shares::update_level(
+void team_shares::update_fair_slots(
     const std::vector<account*>& teams, double slots, monotonic_time now)
 {
-    if (now - last_level_ < level_interval)
+    if (now - last_fair_slots_update_ < fair_slots_interval)
         return;
-    double passed_s =
-        std::min(seconds(now - last_level_).count(), longest_level_gap.count());
-    last_level_ = now;
-    slots_per_weight_ = find_level(teams, slots);
+    double passed_s = std::min(
+        seconds(now - last_fair_slots_update_).count(), max_update_gap.count());
+    last_fair_slots_update_ = now;
+    fair_slots_per_weight_ = compute_fair_slots_per_weight(teams, slots);
     for (account* team : teams)
     {
-        double demand = static_cast<double>(team->running + team->waiting);
-        team->fair_slots = std::min(demand, slots_per_weight_ * team->weight);
-        double missing = team->fair_slots - team->running;
-        team->behind = std::max(0.0, team->behind + missing * passed_s);
+        double demand =
+            static_cast<double>(team->running_tasks + team->waiting_tasks);
+        team->fair_slots =
+            std::min(demand, fair_slots_per_weight_ * team->weight);
+        double missing = team->fair_slots - team->running_tasks;
+        team->deficit = std::max(0.0, team->deficit + missing * passed_s);
         // Nothing is owed to a team whose work all runs.
-        if (team->waiting == 0)
-            team->behind = 0.0;
+        if (team->waiting_tasks == 0)
+            team->deficit = 0.0;
     }
 }
 
-double team_shares::get_behind_s(const account& team)
+double team_shares::get_deficit_s(const account& team)
 {
-    return team.fair_slots > 0.0 ? team.behind / team.fair_slots : 0.0;
+    return team.fair_slots > 0.0 ? team.deficit / team.fair_slots : 0.0;
 }
 
-void team_shares::settle(account& team) const
+void team_shares::update_usage(account& team) const
 {
-    if (team.period != period_)
+    if (team.contention_period != contention_period_)
     {
-        team.period = period_;
-        team.served = 0.0;
-        team.seen = clock_;
+        team.contention_period = contention_period_;
+        team.weighted_usage = 0.0;
+        team.settled_at = contention_clock_;
     }
-    team.served += team.running * (clock_ - team.seen) / team.weight;
-    team.seen = clock_;
-    double highest = floor_ + max_lead.count() * slots_per_weight_;
-    team.served = std::min(team.served, highest);
+    team.weighted_usage += team.running_tasks *
+                           (contention_clock_ - team.settled_at) / team.weight;
+    team.settled_at = contention_clock_;
+    double highest = usage_floor_ + max_lead.count() * fair_slots_per_weight_;
+    team.weighted_usage = std::min(team.weighted_usage, highest);
 }
 
 } // namespace cowslippass
--- a/systems/token_bucket.hpp
+++ b/systems/token_bucket.hpp
@@ -20,7 +20,7 @@
     }
 
     /// @return whether one more event may happen at `now`; counts it.
-    bool try_take(monotonic_time now)
+    bool try_acquire(monotonic_time now)
     {
         if (last_ && now > *last_)
         {
--- a/systems/waiting_budget.cpp
+++ b/systems/waiting_budget.cpp
@@ -10,34 +10,34 @@
 {
     std::uint64_t bytes = payload.get() + task_overhead_bytes;
     std::vector<task_id> victims;
-    if (total_ + bytes > bound_ && total_ > 0)
+    if (total_bytes_ + bytes > max_bytes_ && total_bytes_ > 0)
     {
         std::uint64_t teams = teams_.size() + (teams_.contains(team) ? 0 : 1);
-        if (get_bytes(team).get() + bytes > bound_ / teams)
+        if (get_bytes(team).get() + bytes > max_bytes_ / teams)
             return std::nullopt;
         // The team stays within its part, so that another exceeds its own.
-        while (total_ + bytes > bound_)
+        while (total_bytes_ + bytes > max_bytes_)
         {
             victims.push_back(find_largest()->second.tasks.rbegin()->second);
             remove(victims.back());
         }
     }
-    add_again(id, team, payload, is_durable);
+    readmit(id, team, payload, is_durable);
     return victims;
 }
 
-void waiting_budget::add_again(
+void waiting_budget::readmit(
     const task_id& id, const team_id& team, byte_count payload, bool is_durable)
 {
     remove(id);
     task_row& row = tasks_[id];
     row.team = team;
     row.bytes = payload.get() + task_overhead_bytes;
-    row.place = {is_durable, ++last_sequence_};
+    row.key = {is_durable, ++last_sequence_};
     team_row& owner = teams_[team];
     owner.bytes += row.bytes;
-    owner.tasks.emplace(row.place, id);
-    total_ += row.bytes;
+    owner.tasks.emplace(row.key, id);
+    total_bytes_ += row.bytes;
 }
 
 void waiting_budget::remove(const task_id& id)
@@ -47,8 +47,8 @@
         return;
     auto owner = teams_.find(it->second.team);
     owner->second.bytes -= it->second.bytes;
-    owner->second.tasks.erase(it->second.place);
-    total_ -= it->second.bytes;
+    owner->second.tasks.erase(it->second.key);
+    total_bytes_ -= it->second.bytes;
     if (owner->second.tasks.empty())
         teams_.erase(owner);
     tasks_.erase(it);
--- a/systems/waiting_budget.hpp
+++ b/systems/waiting_budget.hpp
@@ -21,7 +21,7 @@
     /// Memory of a waiting task besides its payload.
     static constexpr std::uint64_t task_overhead_bytes = 1024;
 
-    explicit waiting_budget(byte_count bound) : bound_(bound.get()) {}
+    explicit waiting_budget(byte_count bound) : max_bytes_(bound.get()) {}
 
     /// @param payload size of the task's payload.
     /// @param is_durable whether the task is kept elsewhere too; such tasks
@@ -34,41 +34,41 @@
 
     /// Counts a task that had been accepted before and waits again. It is
     /// never refused, so that the bound may be exceeded by such tasks.
-    void add_again(const task_id& id, const team_id& team, byte_count payload,
+    void readmit(const task_id& id, const team_id& team, byte_count payload,
         bool is_durable);
 
     /// The task waits no longer. Unknown tasks are ignored.
     void remove(const task_id& id);
 
-    byte_count get_bytes() const { return byte_count(total_); }
+    byte_count get_bytes() const { return byte_count(total_bytes_); }
 
     byte_count get_bytes(const team_id& team) const;
 
 private:
     /// Orders by who gives way last.
-    struct rank
+    struct eviction_key
     {
         bool is_durable = false;
         std::uint64_t sequence = 0;
 
-        auto operator<=>(const rank&) const = default;
+        auto operator<=>(const eviction_key&) const = default;
     };
     struct task_row
     {
         team_id team;
         std::uint64_t bytes = 0;
-        rank place;
+        eviction_key key;
     };
     struct team_row
     {
         std::uint64_t bytes = 0;
-        std::map<rank, task_id> tasks;
+        std::map<eviction_key, task_id> tasks;
     };
 
     std::map<team_id, team_row>::iterator find_largest();
 
-    std::uint64_t bound_;
-    std::uint64_t total_ = 0;
+    std::uint64_t max_bytes_;
+    std::uint64_t total_bytes_ = 0;
     std::uint64_t last_sequence_ = 0;
     std::map<task_id, task_row> tasks_;
     std::map<team_id, team_row> teams_; ///< Those with waiting tasks.
--- a/tests/systems/admission_test.cpp
+++ b/tests/systems/admission_test.cpp
@@ -45,7 +45,7 @@
 } // namespace
 
 // Guards against work being taken for a team whose key did not come with it.
-TEST(admission, takes_work_only_for_the_team_of_the_key)
+TEST(admission, accepts_work_only_for_the_team_of_the_key)
 {
     fleet_state state = make_state();
     EXPECT_EQ(get_code(state, "closed", "Bearer red-secret"), "team red");
--- a/tests/systems/claim_machine_test.cpp
+++ b/tests/systems/claim_machine_test.cpp
@@ -50,7 +50,7 @@
 }
 
 // Guards against rows that another version of the codec cannot read.
-TEST(claim_row, keeps_its_value_and_refuses_others)
+TEST(claim_row, round_trips_and_rejects_malformed_rows)
 {
     claim_row it;
     it.state = claim_state::done;
--- a/tests/systems/grant_growth_test.cpp
+++ b/tests/systems/grant_growth_test.cpp
@@ -54,7 +54,7 @@
                 std::mt19937(static_cast<unsigned>(n))});
             auto& ledger = sessions_.back().ledger;
             ledger.on_limit(team_, task_count(limit), config_version(1));
-            ledger.on_head(config_version(1), row_version(1));
+            ledger.on_config_head(config_version(1), row_version(1));
         }
     }
 
@@ -94,7 +94,7 @@
         for (; ended > 0; --ended)
             it.ledger.give_back(team_);
         arrive(it, n);
-        while (!it.waiting.empty() && it.ledger.try_take(team_))
+        while (!it.waiting.empty() && it.ledger.try_acquire(team_))
         {
             waits_.push_back(n - it.waiting.front().first);
             it.wait_sum += waits_.back();
@@ -166,7 +166,7 @@
         ++writes_;
         table_.value = *transfer.request.writes.front().value;
         table_.version = row_version(base.get() + 1);
-        EXPECT_LE(grant_row::decode(table_.value).get_sum(), limit);
+        EXPECT_LE(grant_row::decode(table_.value).get_total(), limit);
         it.ledger.on_result(
             transfer.id, transaction_outcome::committed, table_.version);
     }
@@ -211,13 +211,13 @@
 
 // Prints what the growth policies cost in simulated time, and guards against
 // a policy under which waiting work never starts.
-TEST(grant_growth, measures_the_policies)
+TEST(grant_growth, compares_growth_policies)
 {
     const load loads[] = {{"half full, short bursts", 0.5, 300, 0.2},
         {"nearly full, bursts", 0.9, 500, 0.2},
         {"nearly full, steady", 0.9, 1000, 0.9}, {"overload", 1.2, 500, 0.2}};
     const std::pair<const char*, growth_policy> policies[] = {
-        {"everything", growth_policy::everything},
+        {"everything", growth_policy::all_wanted},
         {"half", growth_policy::half},
         {"proportional", growth_policy::proportional}};
     for (const auto& shape : loads)
--- a/tests/systems/grant_ledger_test.cpp
+++ b/tests/systems/grant_ledger_test.cpp
@@ -10,24 +10,26 @@
 namespace
 {
 
-constexpr std::uint64_t most_runs = 20000;
+constexpr std::uint64_t max_runs = 20000;
 const std::string above_limit = "above the limit";
 
 using enum grant_action;
 
 // Session 0 grows after session 1 read the row at a lowered limit.
-const std::vector<grant_step> growth_past_a_lowering = {{operate, 1, 3, 0},
-    {operate, 0, 0, 0}, {change_limit, 0, 0, 2}, {catch_up, 1, 0, 0},
-    {exchange_rows, 1, 0, 0}, {want, 0, 3, 0}, {land_and_deliver, 0, 0, 0},
-    {start, 0, 2, 0}, {pass_time, 0, 0, 30}, {renew, 0, 0, 0},
-    {catch_up, 1, 0, 0}, {pass_time, 0, 0, 20}, {start, 1, 2, 0}};
+const std::vector<grant_step> growth_after_lowered_limit = {
+    {run_without_faults, 1, 3, 0}, {run_without_faults, 0, 0, 0},
+    {change_limit, 0, 0, 2}, {catch_up, 1, 0, 0}, {exchange_rows, 1, 0, 0},
+    {set_waiting_count, 0, 3, 0}, {apply_and_answer, 0, 0, 0}, {start, 0, 2, 0},
+    {pass_time, 0, 0, 30}, {renew, 0, 0, 0}, {catch_up, 1, 0, 0},
+    {pass_time, 0, 0, 20}, {start, 1, 2, 0}};
 
 // Session 0 ends a task that session 1 is adopting, and starts another one.
 const std::vector<grant_step> adoption_from_a_live_session = {
-    {operate, 0, 1, 0}, {start, 0, 0, 0}, {operate, 1, 5, 0}, {start, 1, 4, 0},
-    {disturb, 0, 5, 0}, {end_session, 0, 0, 0}, {catch_up, 1, 0, 0},
+    {run_without_faults, 0, 1, 0}, {start, 0, 0, 0},
+    {run_without_faults, 1, 5, 0}, {start, 1, 4, 0}, {inject_fault, 0, 5, 0},
+    {end_unreachable_session, 0, 0, 0}, {catch_up, 1, 0, 0},
     {exchange_rows, 1, 0, 0}, {adopt, 1, 0, 0}, {end, 0, 0, 0},
-    {start, 0, 0, 0}, {land_and_deliver, 1, 0, 0}, {start, 1, 0, 0}};
+    {start, 0, 0, 0}, {apply_and_answer, 1, 0, 0}, {start, 1, 0, 0}};
 
 } // namespace
 
@@ -48,53 +50,53 @@
 }
 
 // Each of these guards against a model too weak to see that a rule is needed.
-TEST(grant_ledger, growth_without_head_condition_is_found_broken)
+TEST(grant_ledger, model_detects_growth_without_head_condition)
 {
     grant_rules broken{.conditions_growth_on_head = false};
-    EXPECT_FALSE(grant_model({}).run(growth_past_a_lowering, false));
-    EXPECT_TRUE(grant_model(broken).run(growth_past_a_lowering, false));
+    EXPECT_FALSE(grant_model({}).run(growth_after_lowered_limit, false));
+    EXPECT_TRUE(grant_model(broken).run(growth_after_lowered_limit, false));
 }
 
-TEST(grant_ledger, no_reading_after_a_new_limit_is_found_broken)
+TEST(grant_ledger, model_detects_missing_reread_after_limit_change)
 {
     EXPECT_TRUE(find_grant_violation(
-        {.reads_again_after_limit = false}, above_limit, most_runs));
+        {.reads_again_after_limit = false}, above_limit, max_runs));
 }
 
-TEST(grant_ledger, unknown_growth_counted_as_grown_is_found_broken)
+TEST(grant_ledger, model_detects_unknown_growth_counted_as_committed)
 {
     EXPECT_TRUE(find_grant_violation(
-        {.counts_unknown_as_not_grown = false}, above_limit, most_runs));
+        {.counts_unknown_as_not_grown = false}, above_limit, max_runs));
 }
 
-TEST(grant_ledger, renewal_without_end_is_found_broken)
+TEST(grant_ledger, model_detects_renewal_without_deadline)
 {
-    EXPECT_TRUE(find_grant_violation(
-        {.stops_renewing = false}, above_limit, most_runs));
+    EXPECT_TRUE(
+        find_grant_violation({.stops_renewing = false}, above_limit, max_runs));
 }
 
-TEST(grant_ledger, early_release_of_dead_grants_is_found_broken)
+TEST(grant_ledger, model_detects_early_release_of_ended_session)
 {
     EXPECT_TRUE(find_grant_violation(
-        {.waits_for_release = false}, above_limit, most_runs));
+        {.waits_for_release = false}, above_limit, max_runs));
 }
 
-TEST(grant_ledger, early_adoption_is_found_broken)
+TEST(grant_ledger, model_detects_early_adoption)
 {
     grant_rules broken{.waits_for_adoption = false};
     EXPECT_FALSE(grant_model({}).run(adoption_from_a_live_session, false));
     EXPECT_TRUE(grant_model(broken).run(adoption_from_a_live_session, false));
 }
 
-TEST(grant_ledger, starts_without_freshness_are_found_broken)
+TEST(grant_ledger, model_detects_starts_without_freshness)
 {
     EXPECT_TRUE(find_grant_violation(
-        {.needs_freshness = false}, above_limit, most_runs));
+        {.needs_freshness = false}, above_limit, max_runs));
 }
 
 // Guards against a start above a lowered limit: with shares in proportion to
 // the limit, this session could run 3 tasks while another one runs 5.
-TEST(grant_ledger, lowered_limit_leaves_out_what_others_hold)
+TEST(grant_ledger, lowered_limit_excludes_grants_of_peers)
 {
     team_id team("alpha");
     grant_ledger it(session_id(1));
@@ -118,18 +120,18 @@
     grant_ledger it(session_id(1));
     row value{"grants/alpha", R"({"holders":{}})", row_version(3)};
     it.on_limit(team, task_count(8), config_version(1));
-    it.on_head(config_version(1), row_version(10));
+    it.on_config_head(config_version(1), row_version(10));
     it.set_waiting(team, task_count(1));
     ASSERT_EQ(it.plan_reads(now).size(), 1U);
     it.on_row(team, value, config_version(1));
     auto planned = it.plan_transfers(now);
     ASSERT_EQ(planned.size(), 1U);
-    it.on_head(config_version(2), row_version(11));
+    it.on_config_head(config_version(2), row_version(11));
     it.on_result(planned[0].id, transaction_outcome::conflict);
     now += std::chrono::seconds(10);
     ASSERT_EQ(it.plan_reads(now).size(), 1U);
     it.on_row(team, value, config_version(2));
-    EXPECT_FALSE(it.needs_head());
+    EXPECT_FALSE(it.needs_config_head());
     EXPECT_EQ(it.plan_transfers(now).size(), 1U);
 }
 
@@ -145,13 +147,13 @@
 }
 
 // Guards against rows that are read as empty although they are malformed.
-TEST(grant_row, keeps_its_value_and_refuses_others)
+TEST(grant_row, round_trips_and_rejects_malformed_rows)
 {
     grant_row it;
     it.set(session_id(3), 4);
     EXPECT_EQ(it.encode(), R"({"holders":{"3":4}})");
     EXPECT_EQ(grant_row::decode(it.encode()).get(session_id(3)), 4);
-    EXPECT_EQ(grant_row::decode("").get_sum(), 0);
+    EXPECT_EQ(grant_row::decode("").get_total(), 0);
     EXPECT_THROW(grant_row::decode("{}"), systems_error);
     EXPECT_THROW(grant_row::decode(R"({"holders":{"x":1}})"), systems_error);
 }
--- a/tests/systems/grant_model.hpp
+++ b/tests/systems/grant_model.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tests/systems/grant_world.hpp"
+#include "tests/systems/grant_model_state.hpp"
 
 #include <rapidcheck.h>
 
@@ -9,16 +9,16 @@
 namespace cowslippass
 {
 
-/// The grants row, and the requests and replies that the steps apply late,
-/// lose or deliver late.
-class grant_model : private grant_world
+/// The grants row, and the pending_requests and replies that the steps apply
+/// late, lose or deliver_reply late.
+class grant_model : private grant_model_state
 {
 public:
-    explicit grant_model(grant_rules rules) : grant_world(rules) {}
+    explicit grant_model(grant_rules rules) : grant_model_state(rules) {}
 
     /// @return a description of the first violation.
     std::optional<std::string> run(
-        const std::vector<grant_step>& steps, bool checks_quiet = true)
+        const std::vector<grant_step>& steps, bool checks_idle_state = true)
     {
         for (const auto& step : steps)
         {
@@ -26,7 +26,7 @@
             if (violation)
                 return violation;
         }
-        return checks_quiet ? run_until_quiet() : std::nullopt;
+        return checks_idle_state ? check_idle_state() : std::nullopt;
     }
 
 private:
@@ -36,53 +36,57 @@
         static constexpr handler handlers[] = {&grant_model::pass_time,
             &grant_model::start, &grant_model::end, &grant_model::renew,
             &grant_model::change_limit, &grant_model::catch_up,
-            &grant_model::want, &grant_model::gossip, &grant_model::send_reads,
-            &grant_model::sample_read, &grant_model::deliver_read,
-            &grant_model::exchange_rows, &grant_model::send_transfers,
-            &grant_model::land, &grant_model::deliver, &grant_model::lose_reply,
-            &grant_model::land_and_deliver, &grant_model::operate,
-            &grant_model::disturb, &grant_model::end_session,
+            &grant_model::set_waiting_count, &grant_model::send_peer_waiting,
+            &grant_model::send_reads, &grant_model::execute_read,
+            &grant_model::deliver_read, &grant_model::exchange_rows,
+            &grant_model::send_transfers, &grant_model::apply_request,
+            &grant_model::deliver_reply, &grant_model::lose_reply,
+            &grant_model::apply_and_answer, &grant_model::run_without_faults,
+            &grant_model::inject_fault, &grant_model::end_unreachable_session,
             &grant_model::release, &grant_model::adopt,
             &grant_model::renew_for_other, &grant_model::start_session,
-            &grant_model::run_on};
+            &grant_model::run_all_sessions};
         (this->*handlers[static_cast<std::size_t>(step.kind)])(step);
         drop_lapsed();
     }
 
     void send_reads(const grant_step& step)
     {
-        auto& it = get(step.a);
+        auto& it = get(step.session);
         if (!can_act(it))
             return;
         auto from = it.id.get() - 1;
         for (const auto& team : it.ledger->plan_reads(now))
         {
-            if (it.is_cut)
+            if (it.is_partitioned)
                 it.ledger->on_read_failed(team);
             else
-                reads.push_back({from, config_version(it.version)});
+                pending_reads.push_back({from, config_version(it.version)});
         }
     }
 
-    void sample_read(const grant_step& step)
+    void execute_read(const grant_step& step)
     {
-        if (reads.empty())
+        if (pending_reads.empty())
             return;
-        auto& one = reads[static_cast<std::size_t>(step.b) % reads.size()];
+        auto& one = pending_reads[static_cast<std::size_t>(step.argument) %
+                                  pending_reads.size()];
         if (!one.value)
             one.value = table;
     }
 
     void deliver_read(const grant_step& step)
     {
-        if (reads.empty())
+        if (pending_reads.empty())
             return;
-        auto index = static_cast<std::size_t>(step.b) % reads.size();
-        auto one = reads[index];
+        auto index =
+            static_cast<std::size_t>(step.argument) % pending_reads.size();
+        auto one = pending_reads[index];
         auto& it = all_sessions[one.from];
         if (!one.value || it.is_paused)
             return;
-        reads.erase(reads.begin() + static_cast<std::ptrdiff_t>(index));
+        pending_reads.erase(
+            pending_reads.begin() + static_cast<std::ptrdiff_t>(index));
         if (!it.is_alive)
             return;
         if (!rules.reads_again_after_limit)
@@ -94,9 +98,9 @@
     void exchange_rows(const grant_step& step)
     {
         send_reads(step);
-        for (int n = 0; n < static_cast<int>(reads.size()); ++n)
-            sample_read({{}, 0, n, 0});
-        for (int n = static_cast<int>(reads.size()); n-- > 0;)
+        for (int n = 0; n < static_cast<int>(pending_reads.size()); ++n)
+            execute_read({{}, 0, n, 0});
+        for (int n = static_cast<int>(pending_reads.size()); n-- > 0;)
             deliver_read({{}, 0, n, 0});
     }
 
@@ -108,17 +112,17 @@
             std::erase_if(one.transfer.request.conditions,
                 [](const auto& c) { return c.key == "config/head"; });
         }
-        requests.push_back(std::move(one));
+        pending_requests.push_back(std::move(one));
     }
 
     void send_transfers(const grant_step& step)
     {
-        auto& it = get(step.a);
+        auto& it = get(step.session);
         if (!can_act(it))
             return;
         for (auto& transfer : it.ledger->plan_transfers(now))
         {
-            if (it.is_cut)
+            if (it.is_partitioned)
                 it.ledger->on_result(
                     transfer.id, transaction_outcome::unavailable);
             else
@@ -133,7 +137,7 @@
         return condition.version == table.version;
     }
 
-    void land_one(request& one)
+    void apply_one_request(request& one)
     {
         if (one.outcome)
             return;
@@ -150,11 +154,12 @@
         one.written = table.version;
     }
 
-    void land(const grant_step& step)
+    void apply_request(const grant_step& step)
     {
-        if (!requests.empty())
-            land_one(
-                requests[static_cast<std::size_t>(step.b) % requests.size()]);
+        if (!pending_requests.empty())
+            apply_one_request(
+                pending_requests[static_cast<std::size_t>(step.argument) %
+                                 pending_requests.size()]);
     }
 
     void answer(request& one, transaction_outcome outcome)
@@ -177,47 +182,48 @@
         note_adoptions(it);
     }
 
-    void deliver(const grant_step& step)
+    void deliver_reply(const grant_step& step)
     {
-        if (requests.empty())
+        if (pending_requests.empty())
             return;
-        auto& one =
-            requests[static_cast<std::size_t>(step.b) % requests.size()];
+        auto& one = pending_requests[static_cast<std::size_t>(step.argument) %
+                                     pending_requests.size()];
         if (one.outcome)
             answer(one, *one.outcome);
     }
 
-    // The request may still land later.
+    // The request may still apply_request later.
     void lose_reply(const grant_step& step)
     {
-        if (!requests.empty())
-            answer(requests[static_cast<std::size_t>(step.b) % requests.size()],
+        if (!pending_requests.empty())
+            answer(pending_requests[static_cast<std::size_t>(step.argument) %
+                                    pending_requests.size()],
                 transaction_outcome::unknown);
     }
 
-    void land_and_deliver(const grant_step& step)
+    void apply_and_answer(const grant_step& step)
     {
         send_transfers(step);
-        for (auto& one : requests)
+        for (auto& one : pending_requests)
         {
-            if (one.from != get(step.a).id.get() - 1)
+            if (one.from != get(step.session).id.get() - 1)
                 continue;
-            land_one(one);
+            apply_one_request(one);
             answer(one, *one.outcome);
         }
     }
 
     // Everything that works at once, without losses.
-    void operate(const grant_step& step)
+    void run_without_faults(const grant_step& step)
     {
         catch_up(step);
         exchange_rows(step);
-        want(step);
-        land_and_deliver(step);
+        set_waiting_count(step);
+        apply_and_answer(step);
     }
 
     // Some seconds in which all sessions do what they can.
-    void run_on(const grant_step& step)
+    void run_all_sessions(const grant_step& step)
     {
         for (int second = 0; second < step.amount; ++second)
         {
@@ -227,21 +233,21 @@
                 catch_up({{}, n, 0, 0});
                 renew({{}, n, 0, 0});
                 exchange_rows({{}, n, 0, 0});
-                land_and_deliver({{}, n, 0, 0});
+                apply_and_answer({{}, n, 0, 0});
             }
             drop_lapsed();
         }
     }
 
-    void disturb(const grant_step& step)
+    void inject_fault(const grant_step& step)
     {
-        auto& it = get(step.a);
-        if (step.b == 0)
+        auto& it = get(step.session);
+        if (step.argument == 0)
             it.is_alive = false;
-        else if (step.b < 4)
+        else if (step.argument < 4)
             it.is_paused = !it.is_paused;
         else
-            it.is_cut = !it.is_cut;
+            it.is_partitioned = !it.is_partitioned;
     }
 
     bool is_ended(const session& it) const
@@ -250,9 +256,9 @@
             [&](const auto& one) { return one.ended == it.id.get(); });
     }
 
-    void end_session(const grant_step& step)
+    void end_unreachable_session(const grant_step& step)
     {
-        auto& it = get(step.a);
+        auto& it = get(step.session);
         if (can_reach(it) || is_ended(it))
             return;
         auto limit = log.back().limit;
@@ -261,8 +267,8 @@
 
     void release(const grant_step& step)
     {
-        auto& it = get(step.a);
-        auto& dead = get(step.b);
+        auto& it = get(step.session);
+        auto& dead = get(step.argument);
         auto ended = it.ended_observed.find(dead.id.get());
         if (!can_reach(it) || ended == it.ended_observed.end())
             return;
@@ -270,15 +276,15 @@
         if (!rules.waits_for_release)
             observed -= milliseconds(20000);
         auto transfer =
-            it.ledger->plan_dead_release(dead.id, team, observed, now);
+            it.ledger->plan_ended_session_release(dead.id, team, observed, now);
         if (transfer)
             send(it, std::move(*transfer));
     }
 
     void adopt(const grant_step& step)
     {
-        auto& it = get(step.a);
-        auto& dead = get(step.b);
+        auto& it = get(step.session);
+        auto& dead = get(step.argument);
         auto ended = it.ended_observed.find(dead.id.get());
         if (!can_reach(it) || ended == it.ended_observed.end())
             return;
@@ -300,22 +306,23 @@
     }
 
     // Everything works again, all work ends, and nobody wants more.
-    std::optional<std::string> run_until_quiet()
+    std::optional<std::string> check_idle_state()
     {
         for (auto& it : all_sessions)
         {
             it.is_paused = false;
-            it.is_cut = false;
+            it.is_partitioned = false;
             if (!it.is_alive)
-                end_session({{}, static_cast<int>(it.id.get()) - 1, 0, 0});
+                end_unreachable_session(
+                    {{}, static_cast<int>(it.id.get()) - 1, 0, 0});
         }
         for (auto& it : all_tasks)
             it.is_running = false;
         add_session();
-        settle(0, 600);
+        run_rounds(0, 600);
         if (violation)
             return violation;
-        auto left = grant_row::decode(table.value).get_sum();
+        auto left = grant_row::decode(table.value).get_total();
         if (left > 0)
         {
             std::string text = "grants lost: " + table.value;
@@ -327,23 +334,23 @@
             return text;
         }
         // The whole limit can be granted again.
-        settle(6, 100);
-        if (grant_row::decode(table.value).get_sum() != log.back().limit)
+        run_rounds(6, 100);
+        if (grant_row::decode(table.value).get_total() != log.back().limit)
             return "growth stuck: " + table.value;
         return std::nullopt;
     }
 
-    void settle(int wanted, int rounds)
+    void run_rounds(int wanted, int rounds)
     {
         for (int round = 0; round < rounds && !violation; ++round)
         {
             now += milliseconds(100);
             for (int n = 0; n < static_cast<int>(all_sessions.size()); ++n)
-                settle_session(n, wanted);
+                run_round(n, wanted);
         }
     }
 
-    void settle_session(int n, int wanted)
+    void run_round(int n, int wanted)
     {
         catch_up({{}, n, 0, 0});
         auto& it = get(n);
@@ -351,35 +358,37 @@
             return;
         for (std::size_t left = get_tasks(it).size(); left > 0; --left)
             end({{}, n, 0, 0});
-        want({{}, n, wanted, 0});
+        set_waiting_count({{}, n, wanted, 0});
         for (int peer = 0; peer < static_cast<int>(all_sessions.size()); ++peer)
         {
             release({{}, n, peer, 0});
-            gossip({{}, n, peer, 0});
+            send_peer_waiting({{}, n, peer, 0});
         }
         exchange_rows({{}, n, 0, 0});
-        land_and_deliver({{}, n, 0, 0});
+        apply_and_answer({{}, n, 0, 0});
     }
 };
 
 inline rc::Gen<grant_action> gen_grant_action()
 {
     using enum grant_action;
-    return rc::gen::weightedElement<grant_action>({{2, pass_time}, {4, start},
-        {2, end}, {1, renew}, {1, change_limit}, {2, catch_up}, {2, want},
-        {1, gossip}, {1, send_reads}, {1, sample_read}, {1, deliver_read},
-        {2, exchange_rows}, {1, send_transfers}, {1, land}, {1, deliver},
-        {1, lose_reply}, {2, land_and_deliver}, {3, operate}, {1, disturb},
-        {1, end_session}, {1, release}, {1, adopt}, {1, renew_for_other},
-        {1, start_session}, {1, run_on}});
+    return rc::gen::weightedElement<grant_action>(
+        {{2, pass_time}, {4, start}, {2, end}, {1, renew}, {1, change_limit},
+            {2, catch_up}, {2, set_waiting_count}, {1, send_peer_waiting},
+            {1, send_reads}, {1, execute_read}, {1, deliver_read},
+            {2, exchange_rows}, {1, send_transfers}, {1, apply_request},
+            {1, deliver_reply}, {1, lose_reply}, {2, apply_and_answer},
+            {3, run_without_faults}, {1, inject_fault},
+            {1, end_unreachable_session}, {1, release}, {1, adopt},
+            {1, renew_for_other}, {1, start_session}, {1, run_all_sessions}});
 }
 
 inline rc::Gen<std::vector<grant_step>> gen_grant_steps()
 {
     auto step = rc::gen::build<grant_step>(
         rc::gen::set(&grant_step::kind, gen_grant_action()),
-        rc::gen::set(&grant_step::a, rc::gen::inRange(0, 4)),
-        rc::gen::set(&grant_step::b, rc::gen::inRange(0, 7)),
+        rc::gen::set(&grant_step::session, rc::gen::inRange(0, 4)),
+        rc::gen::set(&grant_step::argument, rc::gen::inRange(0, 7)),
         rc::gen::set(&grant_step::amount, rc::gen::inRange(0, 30)));
     return rc::gen::container<std::vector<grant_step>>(250, step);
 }
@@ -387,10 +396,10 @@
 /// Searches with fixed seeds, so that the result never depends on chance.
 /// @param sought part of the violation's description.
 inline std::optional<std::string> find_grant_violation(
-    grant_rules rules, const std::string& sought, std::uint64_t most_runs)
+    grant_rules rules, const std::string& sought, std::uint64_t max_runs)
 {
     auto gen = gen_grant_steps();
-    for (std::uint64_t seed = 1; seed <= most_runs; ++seed)
+    for (std::uint64_t seed = 1; seed <= max_runs; ++seed)
     {
         auto steps = gen(rc::Random(seed), rc::kNominalSize).value();
         auto violation = grant_model(rules).run(steps, sought.empty());
@@ -406,8 +415,8 @@
 
 inline void showValue(const grant_step& step, std::ostream& os) // NOLINT
 {
-    os << static_cast<int>(step.kind) << ' ' << step.a << ' ' << step.b << ' '
-       << step.amount;
+    os << static_cast<int>(step.kind) << ' ' << step.session << ' '
+       << step.argument << ' ' << step.amount;
 }
 
 } // namespace cowslippass
--- a/tests/systems/grant_world.hpp
+++ b/tests/systems/grant_model_state.hpp
@@ -33,41 +33,41 @@
     renew,
     change_limit,
     catch_up,
-    want,
-    gossip,
+    set_waiting_count,
+    send_peer_waiting,
     send_reads,
-    sample_read,
+    execute_read,
     deliver_read,
     exchange_rows,
     send_transfers,
-    land,
-    deliver,
+    apply_request,
+    deliver_reply,
     lose_reply,
-    land_and_deliver,
-    operate,
-    disturb,
-    end_session,
+    apply_and_answer,
+    run_without_faults,
+    inject_fault,
+    end_unreachable_session,
     release,
     adopt,
     renew_for_other,
     start_session,
-    run_on
+    run_all_sessions
 };
 
 struct grant_step
 {
     grant_action kind;
-    int a;
-    int b;
+    int session;
+    int argument;
     int amount;
 };
 
 /// One team, its limit and its tasks, and sessions whose clocks and lives the
 /// steps control. Steps that are not possible do nothing.
-class grant_world
+class grant_model_state
 {
 protected:
-    explicit grant_world(grant_rules chosen) : rules(chosen)
+    explicit grant_model_state(grant_rules chosen) : rules(chosen)
     {
         change_limit({{}, 0, 0, 5});
         for (int i = 0; i < 2; ++i)
@@ -80,7 +80,7 @@
         std::unique_ptr<grant_ledger> ledger;
         bool is_alive = true;
         bool is_paused = false;
-        bool is_cut = false;
+        bool is_partitioned = false;
         std::uint64_t version = 0;
         monotonic_time fresh_as_of{};
         /// When the end of a session was learned, and the last freshness
@@ -135,7 +135,7 @@
 
     static bool can_reach(const session& it)
     {
-        return can_act(it) && !it.is_cut;
+        return can_act(it) && !it.is_partitioned;
     }
 
     void start_session(const grant_step&)
@@ -183,15 +183,15 @@
 
     void start(const grant_step& step)
     {
-        for (int n = 0; n <= step.b && !violation; ++n)
-            start_one(get(step.a));
+        for (int n = 0; n <= step.argument && !violation; ++n)
+            start_one(get(step.session));
     }
 
     void start_one(session& it)
     {
         bool may_start =
             can_act(it) && (is_fresh(it) || !rules.needs_freshness);
-        if (!may_start || !it.ledger->try_take(team))
+        if (!may_start || !it.ledger->try_acquire(team))
             return;
         // The target starts it up to the start deadline later.
         all_tasks.push_back({{it.id}, now + start_deadline + task_lease});
@@ -215,12 +215,12 @@
 
     void end(const grant_step& step)
     {
-        auto& it = get(step.a);
+        auto& it = get(step.session);
         auto tasks = get_tasks(it);
         if (!can_act(it) || tasks.empty())
             return;
-        auto& one =
-            all_tasks[tasks[static_cast<std::size_t>(step.b) % tasks.size()]];
+        auto& one = all_tasks[tasks[static_cast<std::size_t>(step.argument) %
+                                    tasks.size()]];
         one.is_running = false;
         one.owners.erase(it.id);
         it.ledger->give_back(team);
@@ -237,7 +237,7 @@
 
     void renew(const grant_step& step)
     {
-        auto& it = get(step.a);
+        auto& it = get(step.session);
         auto deadline = grant_ledger::get_renewal_deadline(it.fresh_as_of);
         if (!can_act(it) || (now >= deadline && rules.stops_renewing))
             return;
@@ -251,8 +251,8 @@
     // A pool owner keeps the tasks of another session alive.
     void renew_for_other(const grant_step& step)
     {
-        auto& it = get(step.a);
-        auto& other = get(step.b);
+        auto& it = get(step.session);
+        auto& other = get(step.argument);
         auto ended = it.fresh_before_end.find(other.id.get());
         auto fresh =
             ended == it.fresh_before_end.end() ? it.fresh_as_of : ended->second;
@@ -273,7 +273,7 @@
 
     void catch_up(const grant_step& step)
     {
-        auto& it = get(step.a);
+        auto& it = get(step.session);
         if (!can_reach(it))
             return;
         auto before = it.fresh_as_of;
@@ -293,21 +293,21 @@
         config_version version(it.version);
         if (is_changed)
             it.ledger->on_limit(team, task_count(log.back().limit), version);
-        it.ledger->on_head(version, row_version(it.version));
+        it.ledger->on_config_head(version, row_version(it.version));
     }
 
-    void want(const grant_step& step)
+    void set_waiting_count(const grant_step& step)
     {
-        auto& it = get(step.a);
+        auto& it = get(step.session);
         it.ledger->set_waiting(
-            team, task_count(static_cast<std::uint32_t>(step.b)));
-        waiting[it.id.get()] = static_cast<std::uint32_t>(step.b);
+            team, task_count(static_cast<std::uint32_t>(step.argument)));
+        waiting[it.id.get()] = static_cast<std::uint32_t>(step.argument);
     }
 
-    void gossip(const grant_step& step)
+    void send_peer_waiting(const grant_step& step)
     {
-        auto& it = get(step.a);
-        auto& peer = get(step.b);
+        auto& it = get(step.session);
+        auto& peer = get(step.argument);
         if (can_act(it) && can_act(peer) && it.id != peer.id)
             it.ledger->on_peer_waiting(
                 peer.id, team, task_count(waiting[peer.id.get()]), now);
@@ -334,8 +334,8 @@
     row table{"grants/alpha", "", row_version(0)};
     std::vector<session> all_sessions;
     std::vector<task> all_tasks;
-    std::vector<request> requests;
-    std::vector<read> reads;
+    std::vector<request> pending_requests;
+    std::vector<read> pending_reads;
     std::map<std::uint64_t, std::uint32_t> waiting;
     std::optional<std::string> violation;
 };
--- a/tests/systems/job_machine_test.cpp
+++ b/tests/systems/job_machine_test.cpp
@@ -388,7 +388,7 @@
 }
 
 // Guards against rows that another version of the codec cannot read.
-TEST(job_row, keeps_its_value_and_refuses_others)
+TEST(job_row, round_trips_and_rejects_malformed_rows)
 {
     auto it = make_running(2).value;
     it.order.memory = byte_count(7);
--- a/tests/systems/placement_preemption_test.cpp
+++ b/tests/systems/placement_preemption_test.cpp
@@ -93,7 +93,7 @@
 
 // Guards against slots that are freed, tick after tick, for more tasks than
 // the teams with waiting work may run.
-TEST(placement_preemption, frees_no_more_slots_than_there_are_grants)
+TEST(placement_preemption, frees_at_most_one_slot_per_grant)
 {
     placement_system system(make_policy(0.0));
     system.set_target(make_target("a", 5));
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -119,7 +119,7 @@
 
 // Guards against slow work that cannot be stopped and piles up in the pool,
 // and against slots left free for other work that is not there.
-TEST(placement_system, bounds_slow_work_that_cannot_be_stopped)
+TEST(placement_system, bounds_non_preemptible_slow_work)
 {
     placement_system system(make_policy(0.0));
     auto target = make_target("a", 32);
@@ -145,7 +145,8 @@
 
 // Guards against a team without a share for as long as others wait, because
 // all its work cannot be stopped and the pool has enough of that kind.
-TEST(placement_system, a_team_far_behind_exceeds_the_bound_on_fixed_work)
+TEST(placement_system,
+    a_team_far_behind_exceeds_the_bound_on_non_preemptible_work)
 {
     placement_system system(make_policy(0.0));
     auto target = make_target("a", 16);
@@ -179,10 +180,10 @@
 
 // Guards against work that waits for ever, that runs after its caller left,
 // or that fills the memory.
-TEST(placement_system, refuses_with_the_reason)
+TEST(placement_system, refuses_tasks_with_the_matching_rule)
 {
     placement_policy policy;
-    policy.max_waiting = 1;
+    policy.max_waiting_per_class = 1;
     placement_system system(policy);
     auto target = make_target("a", 1);
     target.memory = byte_count(100);
@@ -312,7 +313,7 @@
     system.set_target(make_target("a"));
     system.set_target(other);
     auto retry = make_task("t", "x");
-    retry.avoid = {instance_id("a")};
+    retry.avoided_targets = {instance_id("a")};
     system.add_task(retry);
     auto items = tick(system, epoch);
     ASSERT_EQ(items.size(), 1u);
@@ -347,7 +348,7 @@
 
 // Guards against a retry on the target that failed, and against one that waits
 // although no other target can take it.
-TEST(placement_system, uses_a_target_to_avoid_only_when_no_other_is_usable)
+TEST(placement_system, uses_an_avoided_target_only_when_no_other_is_usable)
 {
     for (bool is_other_aside : {false, true})
     {
@@ -355,10 +356,10 @@
         system.set_target(make_target("a"));
         auto other = make_target("b");
         if (is_other_aside)
-            other.health = target_health_state::set_aside;
+            other.health = target_health_state::quarantined;
         system.set_target(other);
         auto task = make_task("t", "x");
-        task.avoid = {instance_id("a")};
+        task.avoided_targets = {instance_id("a")};
         system.add_task(task);
         auto items = tick(system, epoch);
         ASSERT_EQ(items.size(), 1u);
@@ -404,7 +405,7 @@
 
 // Guards against more tasks on a target than slots, lost or doubled grants,
 // and lost tasks, under any order of calls.
-RC_GTEST_PROP(placement_system, keeps_slots_grants_and_tasks, ())
+RC_GTEST_PROP(placement_system, conserves_slots_grants_and_tasks, ())
 {
     placement_system system(make_policy(0.1));
     for (int i = 0; i < 3; ++i)
--- a/tests/systems/target_health_test.cpp
+++ b/tests/systems/target_health_test.cpp
@@ -18,9 +18,9 @@
     return true;
 }
 
-struct health_fixture : ::testing::Test
+struct target_health_test : ::testing::Test
 {
-    health_fixture()
+    target_health_test()
     {
         for (int i = 0; i < 10; ++i)
             health.set_target(get_target(i));
@@ -46,7 +46,7 @@
 } // namespace
 
 // Guards against a target that fails quickly and so attracts all work.
-TEST_F(health_fixture, sets_a_target_aside_that_fails_everything)
+TEST_F(target_health_test, quarantines_a_target_that_fails_everything)
 {
     for (int i = 0; i < 3; ++i)
     {
@@ -60,7 +60,7 @@
 }
 
 // Guards against targets that are set aside for a wave of bad tasks.
-TEST_F(health_fixture, a_wave_of_bad_tasks_accuses_no_target)
+TEST_F(target_health_test, a_wave_of_bad_tasks_quarantines_no_target)
 {
     std::size_t bad = 0;
     for (int i = 0; i < 400; ++i)
@@ -77,7 +77,7 @@
 }
 
 // Guards against a good task that is given up because it met faulty targets.
-TEST_F(health_fixture, failures_on_faulty_targets_do_not_make_a_bad_task)
+TEST_F(target_health_test, failures_on_faulty_targets_do_not_make_a_bad_task)
 {
     for (int i = 0; i < 10; ++i)
         end("first", i, true);
@@ -91,7 +91,7 @@
 
 // Guards against a return to full work without a test, and against a target
 // that comes and goes at the same rate for ever.
-TEST_F(health_fixture, returns_on_probation_with_longer_pauses)
+TEST_F(target_health_test, returns_on_probation_with_longer_pauses)
 {
     for (int i = 0; i < 3; ++i)
         end("a" + std::to_string(i), 0, false);
@@ -112,11 +112,11 @@
         end("c" + std::to_string(i), 0, true);
     auto out = tick();
     ASSERT_EQ(out.changes.size(), 1u);
-    EXPECT_EQ(out.changes[0].rule, health_rule::proved_sound);
+    EXPECT_EQ(out.changes[0].rule, health_rule::probation_passed);
 }
 
 // Guards against a pool that loses more targets than its budget (I1).
-TEST_F(health_fixture, respects_the_budget)
+TEST_F(target_health_test, respects_the_availability_budget)
 {
     auto never = [](const instance_id&) { return false; };
     health.on_silent(get_target(0), now);
@@ -126,11 +126,11 @@
     EXPECT_TRUE(health.tick(now, never).changes.empty());
     out = tick();
     ASSERT_EQ(out.changes.size(), 1u);
-    EXPECT_EQ(out.changes[0].state, target_health_state::set_aside);
+    EXPECT_EQ(out.changes[0].state, target_health_state::quarantined);
 }
 
 // Guards against a silent target that gets work as soon as it answers once.
-TEST_F(health_fixture, a_silent_target_returns_after_it_answers_for_a_while)
+TEST_F(target_health_test, a_silent_target_returns_after_it_answers_for_a_while)
 {
     health.on_silent(get_target(0), now);
     tick();
@@ -153,10 +153,10 @@
     for (int i = 0; i < successes; ++i)
     {
         budget.on_success();
-        retries += budget.try_take(epoch) ? 1 : 0;
+        retries += budget.try_acquire(epoch) ? 1 : 0;
     }
     for (int i = 0; i < 1000; ++i)
-        retries += budget.try_take(epoch) ? 1 : 0;
+        retries += budget.try_acquire(epoch) ? 1 : 0;
     RC_ASSERT(retries <= 21 + successes / 10);
 }
 
--- a/tests/systems/waiting_budget_test.cpp
+++ b/tests/systems/waiting_budget_test.cpp
@@ -72,7 +72,8 @@
 
 // Guards against waiting work that fills the entry's memory, and against a
 // team that keeps the others out with its own waiting work.
-RC_GTEST_PROP(waiting_budget, is_kept_and_refuses_only_above_the_fair_part, ())
+RC_GTEST_PROP(waiting_budget,
+    stays_within_the_bound_and_refuses_only_above_the_equal_part, ())
 {
     waiting_budget budget{byte_count(bound)};
     waiting_model model;
