--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -164,8 +164,8 @@
     /// Cordons the instance's target and adds the order to the round.
     void issue_order(const platform_instance& instance, instance_order order,
         coordinator& decisions, boot_time now, pool_decisions& out);
-    /// Cordons the instance's target and tasks_to_stop its tasks that may be
-    /// interrupted.
+    /// Cordons the instance's target and interrupts its tasks, as far as their
+    /// steps allow it.
     void drain(const platform_instance& instance, coordinator& decisions,
         pool_decisions& out);
     /// @return null if the instance is not listed.
@@ -196,8 +196,8 @@
     /// Moves that the platform has rejected as invalid.
     std::set<std::pair<instance_id, pool_id>> incompatible_moves_;
     std::map<target_id, boot_time> idle_since_;
-    std::set<target_id>
-        draining_targets_; ///< Cordoned for maintenance by `drain`.
+    /// Cordoned for maintenance by `drain`.
+    std::set<target_id> draining_targets_;
     std::map<pool_id, pool_sizing> sizings_;
     /// When a pool with fragmented capacity may get the next instance for it.
     std::map<pool_id, boot_time> next_fragmentation_growth_;
--- a/tests/systems/pools/pool_planner_test.cpp
+++ b/tests/systems/pools/pool_planner_test.cpp
@@ -275,8 +275,8 @@
     EXPECT_EQ(out.orders[0].instance, instance_id("m1"));
 }
 
-// Guards against a drain that tasks_to_stop a task of a step although the
-// step's `max_unavailable` tasks are already stopped.
+// Guards against a drain that interrupts a task of a step although as many
+// others as `max_unavailable` allows are already unavailable.
 TEST_F(pool_planner_test, drains_long_running_tasks_within_max_unavailable)
 {
     maintenance_wave wave;
