Rename workload, configuration and core names to terms of the field

Several names were figurative or private to this project, such as born, beat, filler or find_key. They now use the usual terms: incarnation, report number, best effort, fencing token, run outcome. Names on the wire, in stored rows and in settings are unchanged.

Verification is partial: the objects of the renamed sources were being compiled when this was committed; the whole tree was not built and no test ran on this commit.

--- a/core/strong_id.hpp
+++ b/core/strong_id.hpp
@@ -52,7 +52,7 @@
 /// Version of a platform row; 0 means that the row is absent.
 using row_version = strong_id<struct row_version_tag, std::uint64_t>;
 /// Rises with each holder of a lease.
-using fencing_number = strong_id<struct fencing_tag, std::uint64_t>;
+using fencing_token = strong_id<struct fencing_token_tag, std::uint64_t>;
 
 } // namespace cowslippass
 
--- a/main/entryd/caller_front.cpp
+++ b/main/entryd/caller_front.cpp
@@ -103,7 +103,7 @@
             "no configuration is known here yet; nothing was done");
         return out;
     }
-    out.queue = config->find_route(get_host(request), request.path);
+    out.queue = config->find_queue_by_route(get_host(request), request.path);
     if (!out.queue)
     {
         out.refusal = make_error(404, "no_such_queue", "no queue is there");
@@ -111,16 +111,17 @@
     }
     std::string key = request.get_header("Authorization");
     bool has_key = key.starts_with(key_scheme);
-    if (!has_key && out.queue->is_open_to_all)
+    if (!has_key && out.queue->allows_anonymous_callers)
         return out;
     const team_config* team =
-        has_key ? config->find_key(key.substr(key_scheme.size())) : nullptr;
+        has_key ? config->find_team_by_key(key.substr(key_scheme.size()))
+                : nullptr;
     if (team && is_key_check_current())
     {
         out.team = team->team;
         return out;
     }
-    if (out.queue->is_open_to_all)
+    if (out.queue->allows_anonymous_callers)
         return out;
     if (team)
         out.refusal = make_busy("stale_configuration",
@@ -220,7 +221,7 @@
     peer_coordinator_call call;
     call.queue = allowed.queue->queue;
     call.team = allowed.team;
-    std::string rest = request.path.substr(allowed.queue->prefix.size());
+    std::string rest = request.path.substr(allowed.queue->path_prefix.size());
     if (rest.empty() && request.method == "GET")
         co_return co_await get_waiting_count(call, deadline);
     auto job = parse_job_id(rest);
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -58,7 +58,7 @@
         top_share_ = std::max(top_share_, thousandths);
     }
     std::uint32_t get_top_share() const { return top_share_; }
-    fencing_number get_term() const { return head_.term; }
+    fencing_token get_term() const { return head_.term; }
     const coordinator& get_decisions() const { return decisions_; }
 
     /// @param deadline by when an answer is of use.
--- a/main/entryd/coordinator_runner_parts.hpp
+++ b/main/entryd/coordinator_runner_parts.hpp
@@ -23,7 +23,7 @@
 struct coordinator_runner::target_link
 {
     target_link(
-        asio::io_context& io, const target_report& report, fencing_number fence)
+        asio::io_context& io, const target_report& report, fencing_token fence)
         : target(report.target), address(report.address),
           client(io, parse_endpoint(report.address), report.target, fence),
           timer(io)
--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_seat.cpp
@@ -202,7 +202,7 @@
 {
     const auto& old = candidacy_.get_head();
     ledger_head head;
-    head.term = fencing_number(old ? old->term.get() + 1 : 1);
+    head.term = fencing_token(old ? old->term.get() + 1 : 1);
     head.holder = boot_;
     head.entry = settings_.entry.get();
     head.address = address_;
--- a/main/entryd/pool_keeper.hpp
+++ b/main/entryd/pool_keeper.hpp
@@ -23,7 +23,7 @@
     /// What the keeper needs of the coordinator that it works for.
     struct term
     {
-        fencing_number number;
+        fencing_token number;
         coordinator& decisions;
         ledger& book;
         /// Whether orders to instances may be given now.
--- a/systems/configuration/fleet_config.cpp
+++ b/systems/configuration/fleet_config.cpp
@@ -32,18 +32,18 @@
     return find_or_null(teams, team);
 }
 
-const queue_config* fleet_config::find_route(
+const queue_config* fleet_config::find_queue_by_route(
     std::string_view host, std::string_view path) const
 {
     const queue_config* out = nullptr;
     for (const auto& [id, it] : queues)
-        if (it.host == host && path.starts_with(it.prefix) &&
-            (!out || it.prefix.size() > out->prefix.size()))
+        if (it.host == host && path.starts_with(it.path_prefix) &&
+            (!out || it.path_prefix.size() > out->path_prefix.size()))
             out = &it;
     return out;
 }
 
-const team_config* fleet_config::find_key(std::string_view key) const
+const team_config* fleet_config::find_team_by_key(std::string_view key) const
 {
     const team_config* out = nullptr;
     for (const auto& [id, it] : teams)
--- a/systems/configuration/fleet_config.hpp
+++ b/systems/configuration/fleet_config.hpp
@@ -15,22 +15,23 @@
 /// Limits of the service that says which targets may run a step.
 struct advice_config
 {
-    milliseconds decision_time{0};   ///< For each call.
+    milliseconds time_per_call{0};   ///< For each call.
     milliseconds time_per_target{0}; ///< For each target that a call names.
-    milliseconds validity{0};        ///< Of a ticket.
+    milliseconds ticket_validity{0}; ///< Of a ticket.
 };
 
 struct queue_config
 {
     queue_id queue;
     std::string host;
-    std::string prefix; ///< Of the path.
+    std::string path_prefix;
     pool_id pool;
     std::uint32_t priority = 0; ///< 0 goes first.
     std::uint32_t max_attempts = 1;
-    double stretch = 1.0; ///< Of the longest chain of work, for the target.
-    milliseconds target_duration{0}; ///< Added to the stretched chain.
-    bool is_open_to_all = false;     ///< Needs no key.
+    double stretch_factor =
+        1.0; ///< Of the longest chain of work, for the target.
+    milliseconds deadline_allowance{0};    ///< Added to the stretched chain.
+    bool allows_anonymous_callers = false; ///< Needs no key.
     std::optional<advice_config> advice;
 };
 
@@ -38,7 +39,7 @@
 {
     pool_id pool;
     /// Targets refuse what does not fit; otherwise the order decides alone.
-    bool targets_check_room = false;
+    bool targets_check_capacity = false;
     /// Instances in it are switched off and cost nothing.
     bool is_standby = false;
 };
@@ -66,11 +67,11 @@
 
     /// @param host without a port.
     /// @return the queue of that host with the longest prefix of the path.
-    const queue_config* find_route(
+    const queue_config* find_queue_by_route(
         std::string_view host, std::string_view path) const;
 
     /// @return the team that the key belongs to now.
-    const team_config* find_key(std::string_view key) const;
+    const team_config* find_team_by_key(std::string_view key) const;
 
     /// @return the pool whose instances are switched off, if there is one.
     std::optional<pool_id> find_standby_pool() const;
@@ -82,7 +83,7 @@
     std::uint64_t number = 0;
     std::vector<instance_id> instances;
     milliseconds time_limit{0}; ///< From the wave's publication.
-    std::uint32_t max_at_once = 1;
+    std::uint32_t max_unavailable_instances = 1;
 };
 
 /// Everything that operators publish.
--- a/systems/configuration/target_report.hpp
+++ b/systems/configuration/target_report.hpp
@@ -20,10 +20,10 @@
     resources capacity;
     std::vector<std::string> labels; ///< Kind and rack among them.
     /// How long the target stays slow after its start.
-    milliseconds cold_left{0};
+    milliseconds warm_up_remaining{0};
     /// Start of this life, Unix milliseconds; 0 when it is not told.
-    platform_time born;
-    std::uint64_t beat = 0; ///< Rises with every report.
+    platform_time incarnation_start;
+    std::uint64_t report_number = 0; ///< Rises with every report.
 };
 
 /// A target that was removed from the list, or changed.
--- a/systems/coordination/ledger_head.cpp
+++ b/systems/coordination/ledger_head.cpp
@@ -22,7 +22,7 @@
     {
         json in = json::parse(text);
         ledger_head out;
-        out.term = fencing_number(in.at("term").get<std::uint64_t>());
+        out.term = fencing_token(in.at("term").get<std::uint64_t>());
         in.at("holder").get_to(out.holder);
         in.at("entry").get_to(out.entry);
         in.at("address").get_to(out.address);
--- a/systems/coordination/ledger_head.hpp
+++ b/systems/coordination/ledger_head.hpp
@@ -10,7 +10,7 @@
 /// The row that every transaction of the coordinator rewrites.
 struct ledger_head
 {
-    fencing_number term; ///< Rises with every coordinator.
+    fencing_token term;  ///< Rises with every coordinator.
     std::string holder;  ///< Boot id of the coordinator's process.
     std::string entry;   ///< Name of its instance, for people.
     std::string address; ///< IP:port for its peers.
--- a/systems/lease_keeper.cpp
+++ b/systems/lease_keeper.cpp
@@ -29,7 +29,7 @@
         return {};
     json body = json::parse(it.value);
     return {session_id(body.at("session").get<std::uint64_t>()),
-        fencing_number(body.at("fencing").get<std::uint64_t>())};
+        fencing_token(body.at("fencing").get<std::uint64_t>())};
 }
 catch (const json::exception& e)
 {
@@ -89,8 +89,8 @@
     bool is_own = found.holder == session_ && read_->version.get() != 0;
     if (!is_own && !is_free(now))
         return std::nullopt;
-    fencing_number fencing =
-        is_own ? found.fencing : fencing_number(found.fencing.get() + 1);
+    fencing_token fencing =
+        is_own ? found.fencing : fencing_token(found.fencing.get() + 1);
     // Any own write that took effect since the row had this version, also an
     // older one that was delayed, did so after the read was sent.
     attempt_ = attempt{fencing, read_->version, read_sent_};
--- a/systems/lease_keeper.hpp
+++ b/systems/lease_keeper.hpp
@@ -57,7 +57,7 @@
     void add_condition(transaction& tx) const;
 
     /// @return the number of the current holding; rises with each holder.
-    fencing_number get_fencing() const { return fencing_; }
+    fencing_token get_fencing() const { return fencing_; }
 
     const std::string& get_key() const { return key_; }
 
@@ -65,12 +65,12 @@
     struct content
     {
         session_id holder; ///< 0 when the lease was given back.
-        fencing_number fencing;
+        fencing_token fencing;
     };
 
     struct attempt
     {
-        fencing_number fencing;
+        fencing_token fencing;
         row_version base; ///< Of the row that it is conditioned on.
         monotonic_time since;
     };
@@ -91,7 +91,7 @@
     std::optional<attempt> attempt_; ///< Sent; the outcome is not known.
     row_version held_version_{0};    ///< 0 when the lease is not held.
     row_version released_{0};        ///< Version that the last release is for.
-    fencing_number fencing_{0};
+    fencing_token fencing_{0};
     monotonic_time held_until_{};
 };
 
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -304,7 +304,7 @@
         std::size_t open_drains = 0;
         for (const instance_report* it : due)
         {
-            if (down + open_drains >= wave.max_at_once)
+            if (down + open_drains >= wave.max_unavailable_instances)
                 break;
             if (order_tokens_ >= 1 &&
                 (it->target.get().empty() || is_idle(*it, now, {})))
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -40,8 +40,8 @@
     const std::string& progress, boot_time now, platform_time wall_time)
 {
     job value(id, record.queue, record.team, std::move(record.spec));
-    milliseconds age(
-        std::max<std::int64_t>(0, wall_time.get() - record.accepted.get()));
+    milliseconds age(std::max<std::int64_t>(
+        0, wall_time.get() - record.acceptance_time.get()));
     if (!progress.empty())
         value.decode_progress(progress);
     job_entry entry{std::move(value), now - age, ++last_order_};
@@ -357,8 +357,8 @@
     runs_.erase(it);
 }
 
-void coordinator::end_run(
-    const task_name& task, run_end end, const std::string& saved, boot_time now)
+void coordinator::end_run(const task_name& task, run_outcome end,
+    const std::string& saved, boot_time now)
 {
     auto it = runs_.find(task);
     if (it == runs_.end())
@@ -370,10 +370,10 @@
     if (!entry)
         return;
     const step_spec& step = entry->value.get_step(task.key);
-    if (end == run_end::done && saved.empty())
+    if (end == run_outcome::done && saved.empty())
         estimates_.add(entry->value.get_queue(), step.estimate,
             std::chrono::duration_cast<milliseconds>(now - assigned_at));
-    if (step.is_gang && end == run_end::done)
+    if (step.is_gang && end == run_outcome::done)
         for (std::uint32_t i = 0; i < step.task_count; ++i)
         {
             task_name member{task.job, {task.key.occurrence, task.key.step, i}};
@@ -381,7 +381,7 @@
             if (other != runs_.end() && other->second.number == number)
                 remove_run(member);
         }
-    if (entry->value.note_end(task.key, number, end, saved,
+    if (entry->value.record_run_end(task.key, number, end, saved,
             get_max_attempts(entry->value.get_queue())))
         note_change(*entry, now);
 }
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -229,8 +229,8 @@
     /// Frees what a run took.
     void remove_run(const task_name& task);
     /// Takes note of the end of an active run.
-    void end_run(const task_name& task, run_end end, const std::string& saved,
-        boot_time now);
+    void end_run(const task_name& task, run_outcome end,
+        const std::string& saved, boot_time now);
     void note_running(
         target_entry& target, const running_report& it, boot_time now);
     void note_end(target_entry& target, const end_report& it, boot_time now);
--- a/systems/scheduling/coordinator_answers.cpp
+++ b/systems/scheduling/coordinator_answers.cpp
@@ -53,7 +53,7 @@
     if (run->second.is_sent)
         request_stop(it.task, run->second);
     else
-        end_run(it.task, run_end::stopped, {}, now);
+        end_run(it.task, run_outcome::stopped, {}, now);
 }
 
 void coordinator::note_start_reply(
@@ -97,7 +97,7 @@
         request_stop(it.task, run->second);
         return;
     }
-    end_run(it.task, run_end::stopped, {}, now);
+    end_run(it.task, run_outcome::stopped, {}, now);
 }
 
 void coordinator::note_stop_reply(
@@ -159,7 +159,7 @@
         const active_run& run = runs_.at(it);
         bool is_settled = run.settled_at && *run.settled_at < sent_at;
         if (is_settled && !is_listed(it, run.number))
-            end_run(it, run_end::lapsed, {}, now);
+            end_run(it, run_outcome::lease_expired, {}, now);
     }
 }
 
@@ -229,7 +229,7 @@
         bool is_recovered = run.is_sent && !target.is_known;
         bool is_settled = run.settled_at && *run.settled_at < asked_at;
         if (is_settled || is_recovered)
-            end_run(name, run_end::lapsed, {}, now);
+            end_run(name, run_outcome::lease_expired, {}, now);
     }
     // No work until it answers, as it may start again under its name.
     target.failures = std::max(target.failures, 1U);
@@ -245,7 +245,7 @@
         {
             auto runs = target.runs;
             for (const task_name& run : runs)
-                end_run(run, run_end::lapsed, {}, now);
+                end_run(run, run_outcome::lease_expired, {}, now);
         }
         if (!target.is_listed && target.runs.empty())
             it = targets_.erase(it);
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -257,7 +257,7 @@
     for (const start_decision& it : placed)
     {
         remove_run(it.task);
-        owner.note_end(it.task.key, it.run, run_end::stopped, {}, 1);
+        owner.record_run_end(it.task.key, it.run, run_outcome::stopped, {}, 1);
     }
     return false;
 }
--- a/systems/scheduling/job_urgency.cpp
+++ b/systems/scheduling/job_urgency.cpp
@@ -59,8 +59,8 @@
     milliseconds chain =
         estimate_chain(spec, [](std::uint32_t) { return true; });
     return milliseconds(static_cast<std::int64_t>(
-               static_cast<double>(chain.count()) * queue.stretch)) +
-           queue.target_duration;
+               static_cast<double>(chain.count()) * queue.stretch_factor)) +
+           queue.deadline_allowance;
 }
 
 void estimate_meter::add(
--- a/systems/scheduling/target_orders.hpp
+++ b/systems/scheduling/target_orders.hpp
@@ -42,7 +42,7 @@
     std::uint64_t number = 0; ///< Rises within one life of the target.
     task_name task;
     run_number run;
-    run_end end = run_end::lapsed;
+    run_outcome end = run_outcome::lease_expired;
     std::string saved;
 };
 
--- a/systems/workload/job.cpp
+++ b/systems/workload/job.cpp
@@ -32,7 +32,7 @@
     return phase_names.at(static_cast<std::size_t>(state));
 }
 
-const char* to_string(run_end end)
+const char* to_string(run_outcome end)
 {
     return end_names.at(static_cast<std::size_t>(end));
 }
@@ -153,15 +153,15 @@
         phase_ = job_phase::completed;
 }
 
-void job::note_failure(task_progress& task, std::uint32_t max_attempts)
+void job::count_failure(task_progress& task, std::uint32_t max_attempts)
 {
     ++task.failures;
     if (task.failures >= max_attempts && !is_ended())
         phase_ = job_phase::failed;
 }
 
-bool job::note_end(const task_key& key, run_number number, run_end end,
-    const std::string& saved, std::uint32_t max_attempts)
+bool job::record_run_end(const task_key& key, run_number number,
+    run_outcome end, const std::string& saved, std::uint32_t max_attempts)
 {
     auto step = steps_.find({key.occurrence, key.step});
     if (step == steps_.end())
@@ -175,7 +175,7 @@
     const step_spec& spec = get_step(key);
     if (!saved.empty())
         task.saved = saved;
-    if (end == run_end::done && !spec.is_long_running)
+    if (end == run_outcome::done && !spec.is_long_running)
     {
         task.saved.clear();
         if (!spec.is_gang)
@@ -195,8 +195,8 @@
         }
         return true;
     }
-    if (end == run_end::failed && !spec.is_long_running)
-        note_failure(task, max_attempts);
+    if (end == run_outcome::failed && !spec.is_long_running)
+        count_failure(task, max_attempts);
     return true;
 }
 
--- a/systems/workload/job.hpp
+++ b/systems/workload/job.hpp
@@ -21,17 +21,17 @@
 const char* to_string(job_phase state);
 
 /// How a run ended, as the target tells it.
-enum class run_end
+enum class run_outcome
 {
     done,
-    failed,  ///< Through the task's fault or the target's.
-    stopped, ///< By our order.
-    lapsed,  ///< Its lease ran out, or its target is gone.
-    broken,  ///< Another member of its gang ended.
-    alone    ///< It waited in vain for the other members of its gang.
+    failed,         ///< Through the task's fault or the target's.
+    stopped,        ///< By our order.
+    lease_expired,  ///< Its lease ran out, or its target is gone.
+    gang_broken,    ///< Another member of its gang ended.
+    gang_incomplete ///< It waited in vain for the other members of its gang.
 };
 
-const char* to_string(run_end end);
+const char* to_string(run_outcome end);
 
 /// One run of a task that a target may be executing.
 struct task_run
@@ -108,7 +108,7 @@
     /// progress changes nothing.
     /// @param max_attempts runs that may fail before the job fails.
     /// @return whether anything changed.
-    bool note_end(const task_key& key, run_number number, run_end end,
+    bool record_run_end(const task_key& key, run_number number, run_outcome end,
         const std::string& saved, std::uint32_t max_attempts);
 
     /// @return whether the job was not ended before.
@@ -125,7 +125,7 @@
     /// @throws systems_error (`bad_job`).
     void decode_progress(const std::string& text);
 
-    /// Restores a settled job from its progress alone.
+    /// Restores a settled job from its progress only.
     /// @return nothing when the text is that of another job.
     static std::optional<job> decode_settled(
         const job_id& id, const std::string& text);
@@ -134,7 +134,7 @@
     using step_key = std::pair<std::uint32_t, std::uint32_t>;
 
     void mark_done(const task_key& key);
-    void note_failure(task_progress& task, std::uint32_t max_attempts);
+    void count_failure(task_progress& task, std::uint32_t max_attempts);
 
     job_id id_;
     queue_id queue_;
--- a/systems/workload/job_record.cpp
+++ b/systems/workload/job_record.cpp
@@ -9,8 +9,9 @@
 
 std::string encode_job_record(const job_record& record)
 {
-    return json::array({record.queue.get(), record.team.get(),
-                           record.accepted.get(), encode_job_spec(record.spec)})
+    return json::array(
+        {record.queue.get(), record.team.get(), record.acceptance_time.get(),
+            encode_job_spec(record.spec)})
         .dump();
 }
 
--- a/systems/workload/job_record.hpp
+++ b/systems/workload/job_record.hpp
@@ -11,7 +11,7 @@
 {
     queue_id queue;
     team_id team;
-    platform_time accepted; ///< Unix milliseconds.
+    platform_time acceptance_time; ///< Unix milliseconds.
     job_spec spec;
 };
 
--- a/systems/workload/job_spec.cpp
+++ b/systems/workload/job_spec.cpp
@@ -17,10 +17,11 @@
 json encode_step(const step_spec& it)
 {
     return json::array({it.task_count, it.need.processor, it.need.memory,
-        it.need.accelerators, it.estimate.count(), it.after, it.saves_progress,
-        it.is_gang, it.prefers_one_rack, it.required_label, it.data_rack.get(),
-        it.max_per_target, it.allows_copies, it.is_long_running, it.image,
-        it.tail_target.count(), it.is_filler, it.max_unavailable});
+        it.need.accelerators, it.estimate.count(), it.after,
+        it.saves_checkpoints, it.is_gang, it.prefers_one_rack,
+        it.required_label, it.data_rack.get(), it.max_per_target,
+        it.allows_speculative_runs, it.is_long_running, it.image,
+        it.tail_latency_limit.count(), it.is_best_effort, it.max_unavailable});
 }
 
 step_spec decode_step(const json& row)
@@ -36,17 +37,17 @@
     read(out.need.accelerators);
     read_time(out.estimate);
     read(out.after);
-    read(out.saves_progress);
+    read(out.saves_checkpoints);
     read(out.is_gang);
     read(out.prefers_one_rack);
     read(out.required_label);
     out.data_rack = rack_id(row.at(i++).get<std::string>());
     read(out.max_per_target);
-    read(out.allows_copies);
+    read(out.allows_speculative_runs);
     read(out.is_long_running);
     read(out.image);
-    read_time(out.tail_target);
-    read(out.is_filler);
+    read_time(out.tail_latency_limit);
+    read(out.is_best_effort);
     read(out.max_unavailable);
     return out;
 }
@@ -93,7 +94,7 @@
 resources step_spec::get_counted_need() const
 {
     resources out = need;
-    if (is_filler)
+    if (is_best_effort)
         out.processor = 0;
     return out;
 }
--- a/systems/workload/job_spec.hpp
+++ b/systems/workload/job_spec.hpp
@@ -36,7 +36,7 @@
     milliseconds estimate{0}; ///< Rough duration of a task; may be far off.
     /// Earlier steps all of whose tasks must be done before this one starts.
     std::vector<std::uint32_t> after;
-    bool saves_progress = false;
+    bool saves_checkpoints = false;
     /// The tasks only work together.
     bool is_gang = false;
     /// The tasks of a gang run slowly on more than one rack.
@@ -44,13 +44,13 @@
     std::string required_label;
     rack_id data_rack; ///< Tasks run slowly on other racks; may be empty.
     std::uint32_t max_per_target = 0; ///< 0 for no bound.
-    bool allows_copies = false;
+    bool allows_speculative_runs = false;
     /// The tasks run until the job is cancelled.
     bool is_long_running = false;
-    std::string image;           ///< Tasks of one image behave alike.
-    milliseconds tail_target{0}; ///< Bound on the tasks' response times.
+    std::string image;                  ///< Tasks of one image behave alike.
+    milliseconds tail_latency_limit{0}; ///< Bound on the tasks' response times.
     /// The tasks use what processor others leave; it is not counted.
-    bool is_filler = false;
+    bool is_best_effort = false;
     /// How many tasks may be away because of the system's own orders.
     std::uint32_t max_unavailable = 0;
 
--- a/tests/main/entryd/whole_path_test.cpp
+++ b/tests/main/entryd/whole_path_test.cpp
@@ -252,7 +252,7 @@
         [this]() -> asio::awaitable<void>
         {
             ledger_head lost;
-            lost.term = fencing_number(5);
+            lost.term = fencing_token(5);
             lost.holder = "lost";
             lost.address = "127.0.0.1:9";
             ledger_batch batch{row_version(0), lost, {}};
--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/publication_test.cpp
@@ -34,23 +34,23 @@
     ASSERT_TRUE(apply_publication(make_row("config", config_text), state));
     const fleet_config& it = *state.config;
     EXPECT_EQ(it.version, config_version(7));
-    const queue_config* queue = it.find_route("a.example", "/x/1");
+    const queue_config* queue = it.find_queue_by_route("a.example", "/x/1");
     ASSERT_TRUE(queue);
     EXPECT_EQ(queue->queue, queue_id("r1"));
     EXPECT_EQ(queue->max_attempts, 4U);
     EXPECT_EQ(queue->priority, 1U);
-    EXPECT_EQ(queue->target_duration, milliseconds(600));
+    EXPECT_EQ(queue->deadline_allowance, milliseconds(600));
     EXPECT_FALSE(queue->advice);
-    queue = it.find_route("a.example", "/x/y/1");
+    queue = it.find_queue_by_route("a.example", "/x/y/1");
     ASSERT_TRUE(queue);
-    EXPECT_TRUE(queue->is_open_to_all);
+    EXPECT_TRUE(queue->allows_anonymous_callers);
     EXPECT_EQ(queue->advice->time_per_target, milliseconds(2));
-    EXPECT_FALSE(it.find_route("b.example", "/x/1"));
-    EXPECT_FALSE(it.find_route("a.example", "/z"));
+    EXPECT_FALSE(it.find_queue_by_route("b.example", "/x/1"));
+    EXPECT_FALSE(it.find_queue_by_route("a.example", "/z"));
     EXPECT_EQ(it.find_standby_pool(), pool_id("off"));
-    ASSERT_TRUE(it.find_key("k2"));
-    EXPECT_EQ(it.find_key("k2")->limit, (resources{5, 6, 7}));
-    EXPECT_FALSE(it.find_key("k3"));
+    ASSERT_TRUE(it.find_team_by_key("k2"));
+    EXPECT_EQ(it.find_team_by_key("k2")->limit, (resources{5, 6, 7}));
+    EXPECT_FALSE(it.find_team_by_key("k3"));
     EXPECT_EQ(it.max_body_bytes, 1'000U);
 }
 
@@ -79,7 +79,7 @@
             R"({"wave":3,"machines":["m1"],"deadlineS":20,"maxCount":2})"),
         state));
     EXPECT_EQ(state.waves.at(3).time_limit, milliseconds(20'000));
-    EXPECT_EQ(state.waves.at(3).max_at_once, 2U);
+    EXPECT_EQ(state.waves.at(3).max_unavailable_instances, 2U);
     EXPECT_EQ(get_wave_status_key(3), "wave/3");
     EXPECT_EQ(encode_wave_status(true), R"({"state":"completed"})");
 }
@@ -110,8 +110,8 @@
     ASSERT_TRUE(it);
     EXPECT_EQ(it->target, target_id("i-1"));
     EXPECT_EQ(it->capacity, (resources{1, 2, 3}));
-    EXPECT_EQ(it->cold_left, milliseconds(5));
-    EXPECT_EQ(it->born, platform_time(9));
+    EXPECT_EQ(it->warm_up_remaining, milliseconds(5));
+    EXPECT_EQ(it->incarnation_start, platform_time(9));
     EXPECT_FALSE(it->is_draining);
     auto with = [&](const std::string& from, const std::string& to)
     {
--- a/tests/platform/submission_codec_test.cpp
+++ b/tests/platform/submission_codec_test.cpp
@@ -26,11 +26,12 @@
     const step_spec& step = it.steps[1];
     EXPECT_EQ(step.task_count, 1U);
     EXPECT_EQ(step.after, std::vector<std::uint32_t>{0});
-    EXPECT_TRUE(step.saves_progress && step.is_gang && step.prefers_one_rack &&
-                step.allows_copies && step.is_long_running && step.is_filler);
+    EXPECT_TRUE(step.saves_checkpoints && step.is_gang &&
+                step.prefers_one_rack && step.allows_speculative_runs &&
+                step.is_long_running && step.is_best_effort);
     EXPECT_EQ(step.required_label, "l");
     EXPECT_EQ(step.max_per_target, 2U);
-    EXPECT_EQ(step.tail_target, milliseconds(7));
+    EXPECT_EQ(step.tail_latency_limit, milliseconds(7));
     EXPECT_EQ(step.max_unavailable, 3U);
     EXPECT_EQ(it.repeat_count, 5U);
     EXPECT_EQ(it.first_start, platform_time(6));
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -171,10 +171,10 @@
 }
 
 void users_platform::publish_wave(
-    std::uint64_t number, std::uint32_t max_at_once)
+    std::uint64_t number, std::uint32_t max_unavailable_instances)
 {
     json wave{{"wave", number}, {"machines", instances_}, {"deadlineS", 20},
-        {"maxCount", max_at_once}};
+        {"maxCount", max_unavailable_instances}};
     put("op", "wave/" + std::to_string(number), wave.dump());
 }
 
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -44,7 +44,8 @@
     void add_instance(const std::string& id);
 
     /// Publishes a wave of maintenance over all instances.
-    void publish_wave(std::uint64_t number, std::uint32_t max_at_once);
+    void publish_wave(
+        std::uint64_t number, std::uint32_t max_unavailable_instances);
 
     /// Orders to instances wait for their answers until this is undone.
     void set_holding(bool is_holding) { is_holding_ = is_holding; }
--- a/tests/systems/coordination/candidacy_test.cpp
+++ b/tests/systems/coordination/candidacy_test.cpp
@@ -16,7 +16,7 @@
 ledger_head make_head(const std::string& holder, const std::string& address)
 {
     ledger_head out;
-    out.term = fencing_number(1);
+    out.term = fencing_token(1);
     out.holder = holder;
     out.address = address;
     return out;
--- a/tests/systems/coordination/ledger_test.cpp
+++ b/tests/systems/coordination/ledger_test.cpp
@@ -45,7 +45,7 @@
 ledger_head make_head(std::uint64_t term, const std::string& holder)
 {
     ledger_head out;
-    out.term = fencing_number(term);
+    out.term = fencing_token(term);
     out.holder = holder;
     return out;
 }
--- a/tests/systems/lease_keeper_test.cpp
+++ b/tests/systems/lease_keeper_test.cpp
@@ -302,7 +302,7 @@
     }
     EXPECT_TRUE(model.processes[0].keeper.is_held(model.now));
     EXPECT_FALSE(model.processes[1].keeper.is_held(model.now));
-    EXPECT_EQ(model.processes[0].keeper.get_fencing(), fencing_number(1));
+    EXPECT_EQ(model.processes[0].keeper.get_fencing(), fencing_token(1));
 }
 
 TEST(lease_keeper, a_released_lease_is_free_at_once_and_fencing_rises)
@@ -313,7 +313,7 @@
     model.deliver(0, false);
     run_round(model, 1);
     EXPECT_TRUE(model.processes[1].keeper.is_held(model.now));
-    EXPECT_EQ(model.processes[1].keeper.get_fencing(), fencing_number(2));
+    EXPECT_EQ(model.processes[1].keeper.get_fencing(), fencing_token(2));
     transaction tx;
     EXPECT_THROW(model.processes[0].keeper.add_condition(tx), systems_error);
 }
--- a/tests/systems/pools/pool_planner_test.cpp
+++ b/tests/systems/pools/pool_planner_test.cpp
@@ -172,7 +172,7 @@
     maintenance_wave wave;
     wave.number = 1;
     wave.time_limit = milliseconds(20'000);
-    wave.max_at_once = 2;
+    wave.max_unavailable_instances = 2;
     for (int i = 0; i < 6; ++i)
     {
         add_instance("m" + std::to_string(i), pool_a);
@@ -220,7 +220,7 @@
         add_instance("m" + std::to_string(i), pool_a);
     maintenance_wave wave;
     wave.number = 1;
-    wave.max_at_once = 1;
+    wave.max_unavailable_instances = 1;
     wave.time_limit = milliseconds(20'000);
     for (const auto& instance : instances)
         wave.instances.push_back(instance.instance);
@@ -253,7 +253,7 @@
     maintenance_wave wave;
     wave.number = 1;
     wave.time_limit = milliseconds(20'000);
-    wave.max_at_once = 5;
+    wave.max_unavailable_instances = 5;
     add_instance("m0", pool_a);
     add_instance("m1", pool_a);
     wave.instances = {instance_id("m0"), instance_id("m1")};
@@ -272,7 +272,7 @@
     maintenance_wave wave;
     wave.number = 1;
     wave.time_limit = milliseconds(1'000);
-    wave.max_at_once = 5;
+    wave.max_unavailable_instances = 5;
     for (int i = 0; i < 2; ++i)
     {
         add_instance("m" + std::to_string(i), pool_a);
@@ -304,7 +304,7 @@
     maintenance_wave wave;
     wave.number = 1;
     wave.time_limit = milliseconds(20'000);
-    wave.max_at_once = 5;
+    wave.max_unavailable_instances = 5;
     wave.instances = {instance_id("m0")};
     state.waves[1] = wave;
     it.set_publication(state);
--- a/tests/systems/scheduling/coordinator_model_test.cpp
+++ b/tests/systems/scheduling/coordinator_model_test.cpp
@@ -38,7 +38,7 @@
     /// them later does not count.
     std::uint64_t lapsed_end = 0;
 
-    void end(const task_name& task, run_end how)
+    void end(const task_name& task, run_outcome how)
     {
         auto it = runs.find(task);
         highest_ended[task] = std::max(highest_ended[task], it->second.number);
@@ -54,7 +54,7 @@
             if (it.lease_end <= now)
                 out.push_back(task);
         for (const task_name& it : out)
-            end(it, run_end::lapsed);
+            end(it, run_outcome::lease_expired);
         if (lease_end <= now)
             lapsed_end = last_end;
     }
@@ -300,7 +300,8 @@
             {
                 if (it.number > seen_here)
                     return false;
-                if (it.end == run_end::done && it.number > target.lapsed_end)
+                if (it.end == run_outcome::done &&
+                    it.number > target.lapsed_end)
                     noted_done_.insert(it.task);
                 return true;
             });
@@ -331,7 +332,7 @@
 
     void finish_on(std::size_t i, task_name task)
     {
-        targets_[i].end(task, run_end::done);
+        targets_[i].end(task, run_outcome::done);
     }
 
     void stop(std::size_t n)
@@ -344,7 +345,7 @@
                 continue;
             target.fence = std::max(target.fence, term_);
             if (target.runs.contains(it.task))
-                target.end(it.task, run_end::stopped);
+                target.end(it.task, run_outcome::stopped);
             target.highest_ended[it.task] =
                 std::max(target.highest_ended[it.task], it.run.get());
             current_->note_stop_reply(it,
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -45,7 +45,7 @@
     EXPECT_TRUE(plan(20).empty());
     target_look look;
     look.ended.push_back(
-        {1, starts[0].task, starts[0].run, run_end::stopped, ""});
+        {1, starts[0].task, starts[0].run, run_outcome::stopped, ""});
     it.note_look(target_1, look, at(30), at(31));
     EXPECT_EQ(plan(32).size(), 1U);
 }
--- a/tests/systems/scheduling/job_urgency_test.cpp
+++ b/tests/systems/scheduling/job_urgency_test.cpp
@@ -16,8 +16,8 @@
     job_urgency_test()
     {
         auto state = make_published_state();
-        state.config->queues[queue_a].stretch = 1.5;
-        state.config->queues[queue_a].target_duration = milliseconds(500);
+        state.config->queues[queue_a].stretch_factor = 1.5;
+        state.config->queues[queue_a].deadline_allowance = milliseconds(500);
         state.config->teams[team_a].weight = 100;
         it.set_publication(state);
     }
@@ -42,12 +42,12 @@
         make_record({make_step(2), longer, last}).spec);
     EXPECT_EQ(estimate_remaining_chain(it), milliseconds(2'500));
     for (std::uint32_t i = 0; i < 4; ++i)
-        it.note_end({0, 1, i}, it.assign({0, 1, i}, target_id("t")),
-            run_end::done, "", 1);
+        it.record_run_end({0, 1, i}, it.assign({0, 1, i}, target_id("t")),
+            run_outcome::done, "", 1);
     EXPECT_EQ(estimate_remaining_chain(it), milliseconds(2'000));
     queue_config queue;
-    queue.stretch = 2;
-    queue.target_duration = milliseconds(100);
+    queue.stretch_factor = 2;
+    queue.deadline_allowance = milliseconds(100);
     EXPECT_EQ(get_time_allowed(it.get_spec(), queue), milliseconds(5'100));
 }
 
@@ -85,7 +85,8 @@
     ASSERT_EQ(first.size(), 1U);
     submit("fresh", {make_step(1)}, 10);
     target_look look;
-    look.ended.push_back({1, first[0].task, first[0].run, run_end::done, ""});
+    look.ended.push_back(
+        {1, first[0].task, first[0].run, run_outcome::done, ""});
     it.note_look(target_id("t1"), look, at(500), at(501));
     auto starts = plan(502);
     ASSERT_EQ(starts.size(), 1U);
@@ -98,7 +99,7 @@
 {
     auto state = make_published_state();
     state.config->version = config_version(2);
-    state.config->queues[queue_a].target_duration = milliseconds(9'000);
+    state.config->queues[queue_a].deadline_allowance = milliseconds(9'000);
     state.config->teams[team_a].weight = 2;
     state.config->teams[team_id("small")].team = team_id("small");
     it.set_publication(state);
@@ -123,7 +124,8 @@
     target_look look;
     std::uint64_t n = 0;
     for (const start_decision& start : plan(0))
-        look.ended.push_back({++n, start.task, start.run, run_end::done, ""});
+        look.ended.push_back(
+            {++n, start.task, start.run, run_outcome::done, ""});
     it.note_look(target_id("t1"), look, at(1'000), at(1'000));
     // A job may take two seconds, of which its work is one.
     submit("doomed", {make_step(20)}, 2'000);
--- a/tests/systems/workload/job_test.cpp
+++ b/tests/systems/workload/job_test.cpp
@@ -37,15 +37,15 @@
 } // namespace
 
 // Guards against a step that starts before all tasks it waits for are done.
-TEST(job, opens_a_step_when_all_tasks_before_it_are_done)
+TEST(job, opens_a_step_when_its_predecessors_are_done)
 {
     job it = make_job({make_step(2), make_step(1, {0})});
     auto first = it.assign({0, 0, 0}, target_a);
     auto second = it.assign({0, 0, 1}, target_a);
     EXPECT_TRUE(it.list_waiting(platform_time(0)).empty());
-    it.note_end({0, 0, 0}, first, run_end::done, "", 3);
+    it.record_run_end({0, 0, 0}, first, run_outcome::done, "", 3);
     EXPECT_TRUE(it.list_waiting(platform_time(0)).empty());
-    it.note_end({0, 0, 1}, second, run_end::done, "", 3);
+    it.record_run_end({0, 0, 1}, second, run_outcome::done, "", 3);
     EXPECT_EQ(
         it.list_waiting(platform_time(0)), (std::vector<task_key>{{0, 1, 0}}));
 }
@@ -55,12 +55,12 @@
 {
     job it = make_job({make_step(1)});
     auto run = it.assign({0, 0, 0}, target_a);
-    EXPECT_TRUE(it.note_end({0, 0, 0}, run, run_end::failed, "", 2));
-    EXPECT_FALSE(it.note_end({0, 0, 0}, run, run_end::failed, "", 2));
+    EXPECT_TRUE(it.record_run_end({0, 0, 0}, run, run_outcome::failed, "", 2));
+    EXPECT_FALSE(it.record_run_end({0, 0, 0}, run, run_outcome::failed, "", 2));
     EXPECT_EQ(it.get_phase(), job_phase::running);
     run = it.assign({0, 0, 0}, target_a);
     EXPECT_EQ(run.get(), 2U);
-    it.note_end({0, 0, 0}, run, run_end::failed, "", 2);
+    it.record_run_end({0, 0, 0}, run, run_outcome::failed, "", 2);
     EXPECT_EQ(it.get_phase(), job_phase::failed);
 }
 
@@ -68,22 +68,26 @@
 TEST(job, counts_only_failures_as_attempts)
 {
     job it = make_job({make_step(1)});
-    for (run_end end : {run_end::stopped, run_end::lapsed, run_end::broken,
-             run_end::alone, run_end::lapsed})
-        it.note_end({0, 0, 0}, it.assign({0, 0, 0}, target_a), end, "", 1);
+    for (run_outcome end : {run_outcome::stopped, run_outcome::lease_expired,
+             run_outcome::gang_broken, run_outcome::gang_incomplete,
+             run_outcome::lease_expired})
+        it.record_run_end(
+            {0, 0, 0}, it.assign({0, 0, 0}, target_a), end, "", 1);
     EXPECT_EQ(it.get_phase(), job_phase::running);
     EXPECT_EQ(it.list_waiting(platform_time(0)).size(), 1U);
 }
 
 // Guards against a long-running task that is taken for done.
-TEST(job, starts_a_long_running_task_again_however_it_ends)
+TEST(job, restarts_a_long_running_task_however_it_ends)
 {
     step_spec step = make_step(1);
     step.is_long_running = true;
     job it = make_job({step});
-    for (run_end end : {run_end::done, run_end::failed, run_end::failed})
+    for (run_outcome end :
+        {run_outcome::done, run_outcome::failed, run_outcome::failed})
     {
-        it.note_end({0, 0, 0}, it.assign({0, 0, 0}, target_a), end, "", 1);
+        it.record_run_end(
+            {0, 0, 0}, it.assign({0, 0, 0}, target_a), end, "", 1);
         EXPECT_EQ(it.list_waiting(platform_time(0)).size(), 1U);
     }
 }
@@ -96,13 +100,13 @@
     job it = make_job({step});
     for (std::uint32_t i = 0; i < 3; ++i)
         it.assign({0, 0, i}, target_a, run_number(1));
-    it.note_end({0, 0, 1}, run_number(1), run_end::done, "", 1);
+    it.record_run_end({0, 0, 1}, run_number(1), run_outcome::done, "", 1);
     EXPECT_EQ(it.get_phase(), job_phase::completed);
     EXPECT_TRUE(it.list_running().empty());
 }
 
 // Guards against an occurrence that starts before it is due.
-TEST(job, opens_occurrences_at_their_time)
+TEST(job, opens_occurrences_when_they_are_due)
 {
     job_spec spec = make_spec({make_step(1)});
     spec.repeat_count = 3;
@@ -117,7 +121,7 @@
 
 // Guards against a successor that starts a job's tasks again, or forgets their
 // progress, as the row lost something.
-RC_GTEST_PROP(job, keeps_its_progress_in_its_row, ())
+RC_GTEST_PROP(job, restores_its_progress_from_its_row, ())
 {
     auto choices =
         *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 1'000));
@@ -131,8 +135,8 @@
         else if (!running.empty())
         {
             task_key key = running[n / 2 % running.size()];
-            auto end = static_cast<run_end>(n / 7 % 4);
-            it.note_end(key, it.find_task(key)->run->number, end,
+            auto end = static_cast<run_outcome>(n / 7 % 4);
+            it.record_run_end(key, it.find_task(key)->run->number, end,
                 n % 3 == 0 ? "saved" : "", 5);
         }
     }
@@ -168,19 +172,20 @@
 
 // Guards against a field of a step that the row or the way between entries
 // loses.
-TEST(job_spec, keeps_every_field_of_its_text)
+TEST(job_spec, keeps_every_field_when_encoded)
 {
     step_spec step;
     step.task_count = 7;
     step.need = {1, 2, 3};
     step.estimate = milliseconds(4);
-    step.saves_progress = step.is_gang = step.prefers_one_rack = true;
+    step.saves_checkpoints = step.is_gang = step.prefers_one_rack = true;
     step.required_label = "l";
     step.data_rack = rack_id("r");
     step.max_per_target = 5;
-    step.allows_copies = step.is_long_running = step.is_filler = true;
+    step.allows_speculative_runs = step.is_long_running = step.is_best_effort =
+        true;
     step.image = "i";
-    step.tail_target = milliseconds(6);
+    step.tail_latency_limit = milliseconds(6);
     step.max_unavailable = 8;
     job_spec spec = make_spec({make_step(1), step});
     spec.steps[1].after = {0};
@@ -195,15 +200,16 @@
     EXPECT_EQ(it.need, (resources{1, 2, 3}));
     EXPECT_EQ(it.after, std::vector<std::uint32_t>{0});
     EXPECT_EQ(it.max_unavailable, 8U);
-    EXPECT_EQ(it.tail_target, milliseconds(6));
-    EXPECT_TRUE(it.saves_progress && it.is_gang && it.prefers_one_rack &&
-                it.allows_copies && it.is_long_running && it.is_filler);
+    EXPECT_EQ(it.tail_latency_limit, milliseconds(6));
+    EXPECT_TRUE(it.saves_checkpoints && it.is_gang && it.prefers_one_rack &&
+                it.allows_speculative_runs && it.is_long_running &&
+                it.is_best_effort);
     EXPECT_EQ(copy.spec.interval, milliseconds(11));
-    EXPECT_EQ(copy.accepted, platform_time(12));
+    EXPECT_EQ(copy.acceptance_time, platform_time(12));
 }
 
 // Guards against jobs that could never end, or that no table can hold.
-TEST(job_spec, refuses_jobs_without_an_end)
+TEST(job_spec, rejects_specs_that_can_never_complete)
 {
     EXPECT_THROW(check_job_spec(make_spec({})), systems_error);
     EXPECT_THROW(check_job_spec(make_spec({make_step(0)})), systems_error);
