Reword comments and messages of workload, configuration and core

Comments and error texts were terse or figurative. They now state what the code does and why, in the usual terms; parameters have full names.

--- a/core/boot_clock.hpp
+++ b/core/boot_clock.hpp
@@ -8,7 +8,8 @@
 {
 
 /// A monotonic clock that also counts the time in which the machine was
-/// suspended. Leases that others grant on their own clocks need it.
+/// suspended. It measures leases that other processes grant on their own
+/// clocks, as those leases also run out during a suspension.
 struct boot_clock
 {
     using duration = std::chrono::nanoseconds;
--- a/core/errors.hpp
+++ b/core/errors.hpp
@@ -12,8 +12,9 @@
 class error : public std::runtime_error
 {
 public:
-    /// @param code stable, machine-readable, in lower case with underscores.
-    /// @param message one sentence for people.
+    /// @param code stable, machine-readable identifier in lower case with
+    ///   underscores.
+    /// @param message one sentence for operators and callers.
     error(std::string code, const std::string& message)
         : std::runtime_error(message), code_(std::move(code))
     {
@@ -25,21 +26,22 @@
     std::string code_;
 };
 
-/// A value that does not have the form that `core` requires.
+/// A function of `core` failed, or a value does not have the form that it
+/// requires.
 class core_error : public error
 {
 public:
     using error::error;
 };
 
-/// A decision system refuses an input or a change.
+/// A decision system (the code in `systems`) refused an input or a change.
 class systems_error : public error
 {
 public:
     using error::error;
 };
 
-/// Input or output failed: settings, sockets, frames, HTTP.
+/// Input or output failed, for example settings, sockets, frames or HTTP.
 class platform_error : public error
 {
 public:
--- a/core/hashing.cpp
+++ b/core/hashing.cpp
@@ -16,12 +16,12 @@
 namespace
 {
 
-std::string to_hex(const unsigned char* data, std::size_t n)
+std::string to_hex(const unsigned char* data, std::size_t size)
 {
     static constexpr char digits[] = "0123456789abcdef";
     std::string out;
-    out.reserve(2 * n);
-    for (std::size_t i = 0; i < n; ++i)
+    out.reserve(2 * size);
+    for (std::size_t i = 0; i < size; ++i)
     {
         out.push_back(digits[data[i] >> 4]);
         out.push_back(digits[data[i] & 15]);
@@ -44,18 +44,19 @@
     return to_hex(digest.data(), digest.size());
 }
 
-bool is_equal_constant_time(std::string_view a, std::string_view b)
+bool is_equal_constant_time(std::string_view left, std::string_view right)
 {
-    if (a.size() != b.size())
+    if (left.size() != right.size())
         return false;
-    return CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+    return CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
 }
 
 std::string make_random_hex(std::size_t bytes)
 {
     std::vector<unsigned char> buf(bytes);
     if (RAND_bytes(buf.data(), static_cast<int>(bytes)) != 1)
-        throw core_error("no_randomness", "the random generator failed");
+        throw core_error(
+            "no_randomness", "the system's random generator failed");
     return to_hex(buf.data(), buf.size());
 }
 
--- a/core/strong_id.hpp
+++ b/core/strong_id.hpp
@@ -11,7 +11,8 @@
 
 /// A value of type `Value` that cannot be mixed up with ids or numbers of
 /// another kind.
-/// @tparam Tag marks the kind; never instantiated.
+/// @tparam Tag type that distinguishes the kind; never instantiated.
+/// @tparam Value type of the plain value, such as a string or an integer.
 template <class Tag, class Value>
 class strong_id
 {
@@ -21,7 +22,7 @@
     strong_id() = default;
     explicit strong_id(Value value) : value_(std::move(value)) {}
 
-    /// @return the plain value, for output and for codecs.
+    /// @return the plain value, for output and encoding.
     const Value& get() const { return value_; }
 
     auto operator<=>(const strong_id&) const = default;
@@ -40,18 +41,19 @@
 using request_id = strong_id<struct request_tag, std::string>;
 using job_id = strong_id<struct job_tag, std::string>;
 using task_id = strong_id<struct task_tag, std::string>;
-/// Names a key or an operator without its secret.
+/// Identifies a caller's key or an operator without revealing its secret.
 using key_id = strong_id<struct key_tag, std::string>;
-/// Identifies one operator command, so that a retry applies once.
+/// Identifies one operator command, so that a retry does not apply it twice.
 using command_id = strong_id<struct command_tag, std::string>;
 
-/// Number of one run of an entry daemon; never reused.
+/// Number of one run of an entry daemon's process; never reused.
 using session_id = strong_id<struct session_tag, std::uint64_t>;
-/// Number of an append to the fleet log; 0 is the empty log.
+/// Position of a record in the fleet log; 0 stands for the empty log.
 using config_version = strong_id<struct config_version_tag, std::uint64_t>;
 /// Version of a platform row; 0 means that the row is absent.
 using row_version = strong_id<struct row_version_tag, std::uint64_t>;
-/// Rises with each holder of a lease.
+/// Increases with each new holder of a lease, so that a request of a former
+/// holder can be recognised and refused.
 using fencing_token = strong_id<struct fencing_token_tag, std::uint64_t>;
 
 } // namespace cowslippass
--- a/core/transaction.hpp
+++ b/core/transaction.hpp
@@ -9,7 +9,7 @@
 namespace cowslippass
 {
 
-/// One row of the platform's table.
+/// One row of the table that the platform stores.
 struct row
 {
     std::string key;
@@ -17,35 +17,36 @@
     row_version version; ///< 0 when the row is absent.
 };
 
-/// Holds when the row's version is exactly `version`; 0 means absent.
+/// Requires that the row's version is exactly `version`; 0 requires that the
+/// row is absent.
 struct row_condition
 {
     std::string key;
     row_version version;
 };
 
-/// Sets a row, or deletes it when `value` is empty.
+/// Sets a row, or deletes it when `value` has no value.
 struct row_write
 {
     std::string key;
     std::optional<std::string> value;
 };
 
-/// All writes take effect together, or none when a condition fails.
+/// A set of writes that take effect together, or not at all when a condition
+/// fails.
 struct transaction
 {
     std::vector<row_condition> conditions;
     std::vector<row_write> writes;
 };
 
-/// `unknown` means that the write may or may not have taken effect, as the
-/// reply was lost.
+/// What the caller learns of a transaction that it sent.
 enum class transaction_outcome
 {
     committed,
-    conflict,
-    unavailable,
-    unknown
+    conflict,    ///< A condition failed; nothing was written.
+    unavailable, ///< It was not sent, or the platform refused it.
+    unknown ///< The reply was lost; the writes may have taken effect or not.
 };
 
 } // namespace cowslippass
--- a/core/units.hpp
+++ b/core/units.hpp
@@ -8,14 +8,15 @@
 namespace cowslippass
 {
 
-/// Local time that never goes back; not comparable between processes.
+/// Time of the local clock that never goes back; not comparable between
+/// processes.
 using monotonic_time = std::chrono::steady_clock::time_point;
 using milliseconds = std::chrono::milliseconds;
 
-/// Milliseconds of a target's own monotonic clock.
+/// Time of a target's own monotonic clock, in milliseconds.
 using target_time = strong_id<struct target_time_tag, std::int64_t>;
 
-/// Unix milliseconds of the platform's clock; 0 when it is not known.
+/// Time of the platform's clock in Unix milliseconds; 0 when it is not known.
 using platform_time = strong_id<struct platform_time_tag, std::int64_t>;
 
 using slot_count = strong_id<struct slot_count_tag, std::uint32_t>;
--- a/systems/configuration/fleet_config.cpp
+++ b/systems/configuration/fleet_config.cpp
@@ -46,6 +46,8 @@
 const team_config* fleet_config::find_team_by_key(std::string_view key) const
 {
     const team_config* out = nullptr;
+    // The loop has no early exit: the running time must not tell which key
+    // matched.
     for (const auto& [id, it] : teams)
         for (const std::string& candidate : it.keys)
             if (is_equal_constant_time(candidate, key))
--- a/systems/configuration/fleet_config.hpp
+++ b/systems/configuration/fleet_config.hpp
@@ -12,47 +12,53 @@
 namespace cowslippass
 {
 
-/// Limits of the service that says which targets may run a step.
+/// Limits of the service that decides which targets may run a step.
 struct advice_config
 {
-    milliseconds time_per_call{0};   ///< For each call.
-    milliseconds time_per_target{0}; ///< For each target that a call names.
-    milliseconds ticket_validity{0}; ///< Of a ticket.
+    milliseconds time_per_call{0};   ///< Base time for each call.
+    milliseconds time_per_target{0}; ///< For each named target.
+    milliseconds ticket_validity{0}; ///< How long a ticket is valid.
 };
 
+/// A queue: the route on which its jobs arrive, and how they are run.
 struct queue_config
 {
     queue_id queue;
-    std::string host;
-    std::string path_prefix;
-    pool_id pool;
-    std::uint32_t priority = 0; ///< 0 goes first.
+    std::string host;           ///< Of the route, without a port.
+    std::string path_prefix;    ///< Of the paths that lead here.
+    pool_id pool;               ///< Runs the queue's jobs.
+    std::uint32_t priority = 0; ///< 0 is the highest; larger numbers follow.
+    /// Number of failed runs of one task with which its job fails.
     std::uint32_t max_attempts = 1;
-    double stretch_factor =
-        1.0; ///< Of the longest chain of work, for the target.
-    milliseconds deadline_allowance{0};    ///< Added to the stretched chain.
-    bool allows_anonymous_callers = false; ///< Needs no key.
+    /// A job's allowed time is its longest chain of estimated work times this
+    /// factor, plus `deadline_allowance`.
+    double stretch_factor = 1.0;
+    milliseconds deadline_allowance{0};
+    bool allows_anonymous_callers = false; ///< Callers need no key.
     std::optional<advice_config> advice;
 };
 
+/// A pool: the targets that run the jobs of its queues.
 struct pool_config
 {
     pool_id pool;
-    /// Targets refuse what does not fit; otherwise the order decides alone.
+    /// The targets refuse tasks that do not fit; otherwise they start whatever
+    /// they are ordered to start.
     bool targets_check_capacity = false;
-    /// Instances in it are switched off and cost nothing.
+    /// The instances in it are switched off and cost nothing.
     bool is_standby = false;
 };
 
+/// A workspace or team, whose callers submit jobs with its keys.
 struct team_config
 {
     team_id team;
     std::vector<std::string> keys;
-    double weight = 1.0; ///< Share when the fleet is full.
-    resources limit;     ///< Of all that runs; 0 for no bound.
+    double weight = 1.0; ///< Relative share when the fleet is full.
+    resources limit;     ///< Of all its running tasks; 0 for no bound.
 };
 
-/// The operators' configuration, whole, as published under one version.
+/// The operators' whole configuration, as published under one version.
 struct fleet_config
 {
     config_version version;
@@ -66,23 +72,26 @@
     const team_config* find_team(const team_id& team) const;
 
     /// @param host without a port.
-    /// @return the queue of that host with the longest prefix of the path.
+    /// @return the queue of that host with the longest matching path prefix;
+    ///   null when there is none.
     const queue_config* find_queue_by_route(
         std::string_view host, std::string_view path) const;
 
-    /// @return the team that the key belongs to now.
+    /// @return the team that the key belongs to in this version; null for an
+    ///   unknown key.
     const team_config* find_team_by_key(std::string_view key) const;
 
     /// @return the pool whose instances are switched off, if there is one.
     std::optional<pool_id> find_standby_pool() const;
 };
 
-/// Instances that are due for maintenance by a time.
+/// A group of instances that are due for maintenance by a deadline.
 struct maintenance_wave
 {
     std::uint64_t number = 0;
     std::vector<instance_id> instances;
     milliseconds time_limit{0}; ///< From the wave's publication.
+    /// How many of them may be out of service at the same time.
     std::uint32_t max_unavailable_instances = 1;
 };
 
@@ -90,7 +99,7 @@
 struct published_state
 {
     std::optional<fleet_config> config;
-    std::set<data_centre_id> evacuated; ///< Get no new work.
+    std::set<data_centre_id> evacuated; ///< They get no new work.
     std::map<std::uint64_t, maintenance_wave> waves;
 };
 
--- a/systems/configuration/target_report.hpp
+++ b/systems/configuration/target_report.hpp
@@ -9,28 +9,28 @@
 namespace cowslippass
 {
 
-/// What a target says of itself in the list of targets.
+/// A target's report on itself in the platform's list of targets.
 struct target_report
 {
     target_id target;
     pool_id pool;
     std::string address; ///< IP:port.
     data_centre_id data_centre;
-    bool is_draining = false;
-    resources capacity;
-    std::vector<std::string> labels; ///< Kind and rack among them.
-    /// How long the target stays slow after its start.
+    bool is_draining = false; ///< Takes no new work.
+    resources capacity;       ///< Of the whole target, also of what is in use.
+    std::vector<std::string> labels; ///< Include its kind and its rack.
+    /// How much longer the target runs slowly after its start.
     milliseconds warm_up_remaining{0};
-    /// Start of this life, Unix milliseconds; 0 when it is not told.
+    /// Start of this incarnation of the target; 0 when it is not reported.
     platform_time incarnation_start;
-    std::uint64_t report_number = 0; ///< Rises with every report.
+    std::uint64_t report_number = 0; ///< Increases with each report.
 };
 
-/// A target that was removed from the list, or changed.
+/// A change of one target in the list: added, changed or removed.
 struct target_change
 {
     target_id target;
-    std::optional<target_report> report; ///< Nothing: it is gone.
+    std::optional<target_report> report; ///< Not set when it was removed.
 };
 
 } // namespace cowslippass
--- a/systems/workload/job.cpp
+++ b/systems/workload/job.cpp
@@ -14,27 +14,27 @@
 
 constexpr std::array phase_names{
     "queued", "running", "completed", "failed", "cancelled"};
-constexpr std::array end_names{
+constexpr std::array outcome_names{
     "done", "failed", "stopped", "lapsed", "broken", "alone"};
 
 job_phase parse_phase(const std::string& text)
 {
     auto it = std::ranges::find(phase_names, text);
     if (it == phase_names.end())
-        throw systems_error("bad_job", "unknown state '" + text + "'");
+        throw systems_error("bad_job", "unknown job state '" + text + "'");
     return static_cast<job_phase>(it - phase_names.begin());
 }
 
 } // namespace
 
-const char* to_string(job_phase state)
+const char* to_string(job_phase phase)
 {
-    return phase_names.at(static_cast<std::size_t>(state));
+    return phase_names.at(static_cast<std::size_t>(phase));
 }
 
-const char* to_string(run_outcome end)
+const char* to_string(run_outcome outcome)
 {
-    return end_names.at(static_cast<std::size_t>(end));
+    return outcome_names.at(static_cast<std::size_t>(outcome));
 }
 
 job::job(job_id id, queue_id queue, team_id team, job_spec spec)
@@ -161,7 +161,7 @@
 }
 
 bool job::record_run_end(const task_key& key, run_number number,
-    run_outcome end, const std::string& saved, std::uint32_t max_attempts)
+    run_outcome outcome, const std::string& saved, std::uint32_t max_attempts)
 {
     auto step = steps_.find({key.occurrence, key.step});
     if (step == steps_.end())
@@ -175,7 +175,7 @@
     const step_spec& spec = get_step(key);
     if (!saved.empty())
         task.saved = saved;
-    if (end == run_outcome::done && !spec.is_long_running)
+    if (outcome == run_outcome::done && !spec.is_long_running)
     {
         task.saved.clear();
         if (!spec.is_gang)
@@ -183,7 +183,8 @@
             mark_done(key);
             return true;
         }
-        // One end stands for all members, which end together.
+        // The members of a gang end together, so that one reported end
+        // completes all of them.
         for (std::uint32_t i = 0; i < spec.task_count; ++i)
         {
             task_key member{key.occurrence, key.step, i};
@@ -195,7 +196,7 @@
         }
         return true;
     }
-    if (end == run_outcome::failed && !spec.is_long_running)
+    if (outcome == run_outcome::failed && !spec.is_long_running)
         count_failure(task, max_attempts);
     return true;
 }
@@ -220,7 +221,8 @@
         json tasks = json::array();
         for (const auto& [index, task] : step.tasks)
         {
-            // The run number of a task that is done is of no further use.
+            // A task that is done never runs again, so its last run number
+            // is not needed.
             if (step.done.contains(index) && !task.run)
                 continue;
             tasks.push_back(json::array(
@@ -266,7 +268,7 @@
         phase_ = parse_phase(in.at("state").get<std::string>());
         steps_.clear();
         done_count_ = 0;
-        // A settled job has none.
+        // The text of a settled job has no steps.
         for (const json& it : in.value("steps", json::array()))
         {
             step_key at{
--- a/systems/workload/job.hpp
+++ b/systems/workload/job.hpp
@@ -14,51 +14,54 @@
     queued, ///< No task has started.
     running,
     completed, ///< Every task is done.
-    failed,    ///< A task failed as often as its queue allows.
+    failed,    ///< A task has failed as often as its queue allows.
     cancelled
 };
 
-const char* to_string(job_phase state);
+/// @return the name under which the phase is stored and reported.
+const char* to_string(job_phase phase);
 
-/// How a run ended, as the target tells it.
+/// How a run ended, as the target reports it.
 enum class run_outcome
 {
     done,
-    failed,         ///< Through the task's fault or the target's.
-    stopped,        ///< By our order.
+    failed,         ///< By a fault of the task or of the target.
+    stopped,        ///< On the coordinator's order.
     lease_expired,  ///< Its lease ran out, or its target is gone.
     gang_broken,    ///< Another member of its gang ended.
-    gang_incomplete ///< It waited in vain for the other members of its gang.
+    gang_incomplete ///< The other members of its gang did not start in time.
 };
 
-const char* to_string(run_outcome end);
+/// @return the name under which targets report the outcome.
+const char* to_string(run_outcome outcome);
 
-/// One run of a task that a target may be executing.
+/// One run of a task, which a target may be executing.
 struct task_run
 {
     run_number number;
     target_id target;
 };
 
-/// What is known of one task.
+/// Progress of one task.
 struct task_progress
 {
-    std::optional<task_run> run; ///< Set while a target may execute it.
-    run_number last_number;      ///< The highest number ever given out.
-    std::uint32_t failures = 0;  ///< Runs that ended `failed`.
-    std::string saved;           ///< Saved progress; empty for none.
+    std::optional<task_run> run; ///< Set while a target may be executing it.
+    run_number last_number;      ///< Highest run number assigned so far.
+    std::uint32_t failures = 0;  ///< Runs with the outcome `failed`.
+    std::string saved;           ///< Last checkpoint; empty for none.
 };
 
-/// Tasks of one step of one occurrence.
+/// Progress of the tasks of one step in one occurrence.
 struct step_progress
 {
-    std::set<std::uint32_t> done;
-    /// Tasks that were ever assigned; all others have the default progress.
+    std::set<std::uint32_t> done; ///< Indices of the tasks that are done.
+    /// By index, the tasks that were ever assigned; all others have the default
+    /// progress.
     std::map<std::uint32_t, task_progress> tasks;
 };
 
 /// A job and its progress. All changes go through the methods, which keep the
-/// state consistent; none of them has effects outside.
+/// state consistent; none of them has side effects outside the object.
 class job
 {
 public:
@@ -69,68 +72,84 @@
     const team_id& get_team() const { return team_; }
     const job_spec& get_spec() const { return spec_; }
     job_phase get_phase() const { return phase_; }
+
+    /// @return whether it is completed, failed or cancelled; its runs may still
+    ///   be in progress.
     bool is_ended() const;
 
-    /// @return whether it has ended and nothing of it runs.
+    /// @return whether it has ended and none of its tasks runs.
     bool is_settled() const;
 
     const step_spec& get_step(const task_key& key) const;
 
-    /// @return nothing for a task that was never assigned.
+    /// @return null for a task that was never assigned.
     const task_progress* find_task(const task_key& key) const;
 
-    /// @return whether the task is done.
     bool is_done(const task_key& key) const;
 
     /// @return whether all tasks of the step are done.
     bool is_step_done(std::uint32_t occurrence, std::uint32_t step) const;
 
-    /// @return whether all steps before this one are done and its time has
-    ///   come.
+    /// @return whether the occurrence is due at `now` and all steps that this
+    ///   one depends on are done in it.
     bool is_step_open(
         std::uint32_t occurrence, std::uint32_t step, platform_time now) const;
 
-    /// @return when an occurrence is due; 0 for a job without a schedule.
+    /// @return when the occurrence is due; 0 for a job without a schedule.
     platform_time get_due_time(std::uint32_t occurrence) const;
 
-    /// Tasks of open steps that neither run nor are done, in order.
+    /// @return the tasks of open steps that are neither running nor done, by
+    ///   occurrence, step and index; none when the job has ended.
     std::vector<task_key> list_waiting(platform_time now) const;
 
-    /// Tasks that a target may be executing.
+    /// @return the tasks that a target may be executing.
     std::vector<task_key> list_running() const;
 
-    /// Gives a task to a target under the next run number.
-    /// @param number a gang's common number; the next one when not set.
+    /// Assigns a task to a target and thereby starts a new run.
+    /// @param number run number that all members of a gang share; the task's
+    ///   next one when not set.
+    /// @return the run number.
     run_number assign(const task_key& key, target_id target,
         std::optional<run_number> number = std::nullopt);
 
-    /// Takes note of the end of a run. An end of another run than the one in
-    /// progress changes nothing.
-    /// @param max_attempts runs that may fail before the job fails.
+    /// Records the end of a run. The end of any run but the one in progress
+    /// changes nothing.
+    /// @param saved checkpoint that the run left; empty for none.
+    /// @param max_attempts number of failed runs of one task with which the job
+    ///   fails.
     /// @return whether anything changed.
-    bool record_run_end(const task_key& key, run_number number, run_outcome end,
-        const std::string& saved, std::uint32_t max_attempts);
+    bool record_run_end(const task_key& key, run_number number,
+        run_outcome outcome, const std::string& saved,
+        std::uint32_t max_attempts);
 
-    /// @return whether the job was not ended before.
+    /// Ends the job; its runs in progress remain until they are recorded as
+    /// ended.
+    /// @return whether the job had not ended before.
     bool cancel();
 
-    /// @return the number of tasks that are done, of all occurrences.
+    /// @return the number of tasks that are done, over all occurrences.
     std::uint64_t count_done() const { return done_count_; }
+
+    /// @return the number of tasks, over all occurrences.
     std::uint64_t count_tasks() const { return task_count_; }
 
-    /// @return JSON text of everything but the identity and the spec; of a
-    ///   settled job its queue, team and state, which are all that is of use.
+    /// @return JSON text of everything but the identity and the spec; for a
+    ///   settled job only its queue, team and phase, as nothing else is needed
+    ///   any more.
     std::string encode_progress() const;
 
-    /// @throws systems_error (`bad_job`).
+    /// Replaces the progress by the encoded one.
+    /// @throws systems_error (`bad_job`) when the text is not encoded progress.
     void decode_progress(const std::string& text);
 
-    /// Restores a settled job from its progress only.
-    /// @return nothing when the text is that of another job.
+    /// Restores a settled job from its encoded progress, without its spec.
+    /// @return nothing when the text is that of a job that is not settled.
+    /// @throws systems_error (`bad_job`) when the text is not encoded progress.
     static std::optional<job> decode_settled(
         const job_id& id, const std::string& text);
 
 private:
+    /// Occurrence and index of the step.
     using step_key = std::pair<std::uint32_t, std::uint32_t>;
 
     void mark_done(const task_key& key);
--- a/systems/workload/job_record.hpp
+++ b/systems/workload/job_record.hpp
@@ -5,19 +5,20 @@
 namespace cowslippass
 {
 
-/// What a job's row in the ledger holds; it never changes, and is removed when
-/// the job is settled.
+/// Content of a job's row in the ledger. The row never changes and is removed
+/// when the job is settled.
 struct job_record
 {
     queue_id queue;
     team_id team;
-    platform_time acceptance_time; ///< Unix milliseconds.
+    platform_time acceptance_time; ///< When the coordinator accepted it.
     job_spec spec;
 };
 
+/// @return JSON text for the ledger's row.
 std::string encode_job_record(const job_record& record);
 
-/// @throws systems_error (`bad_job`).
+/// @throws systems_error (`bad_job`) when the text is not a job record.
 job_record decode_job_record(const std::string& text);
 
 } // namespace cowslippass
--- a/systems/workload/job_spec.cpp
+++ b/systems/workload/job_spec.cpp
@@ -10,10 +10,12 @@
 
 using json = nlohmann::json;
 
-/// Keeps a job's tables within what one ledger row can describe.
+/// Upper bound on the tasks of one job over all its occurrences. It keeps the
+/// job's progress within what one ledger row can describe.
 constexpr std::uint32_t max_tasks = 10'000;
 
-// Steps are rows of fixed columns, as their names would be most of the bytes.
+/// Encodes a step as an array with a fixed order of columns, as the names of
+/// the fields would take most of the bytes.
 json encode_step(const step_spec& it)
 {
     return json::array({it.task_count, it.need.processor, it.need.memory,
@@ -24,6 +26,7 @@
         it.tail_latency_limit.count(), it.is_best_effort, it.max_unavailable});
 }
 
+/// Reads the columns in the order in which `encode_step` writes them.
 step_spec decode_step(const json& row)
 {
     step_spec out;
@@ -76,19 +79,20 @@
            accelerators >= need.accelerators;
 }
 
-resources operator+(resources a, const resources& b)
+resources operator+(resources left, const resources& right)
 {
-    return a += b;
+    return left += right;
 }
 
-resources operator-(resources a, const resources& b)
+resources operator-(resources left, const resources& right)
 {
-    return a -= b;
+    return left -= right;
 }
 
-resources operator*(resources a, std::int64_t n)
+resources operator*(resources amount, std::int64_t factor)
 {
-    return {a.processor * n, a.memory * n, a.accelerators * n};
+    return {amount.processor * factor, amount.memory * factor,
+        amount.accelerators * factor};
 }
 
 resources step_spec::get_counted_need() const
@@ -154,10 +158,10 @@
             fail(name + " has no tasks");
         if (it.need.processor < 0 || it.need.memory < 0 ||
             it.need.accelerators < 0)
-            fail(name + " has a negative size");
+            fail(name + " needs a negative amount of a resource");
         for (std::uint32_t before : it.after)
             if (before >= i)
-                fail(name + " waits for a step that is not before it");
+                fail(name + " depends on a step that does not precede it");
         tasks += it.task_count;
     }
     if (tasks * spec.get_occurrence_count() > max_tasks)
--- a/tests/systems/workload/job_test.cpp
+++ b/tests/systems/workload/job_test.cpp
@@ -36,7 +36,8 @@
 
 } // namespace
 
-// Guards against a step that starts before all tasks it waits for are done.
+// Guards against a step that starts before all tasks of the steps that it
+// depends on are done.
 TEST(job, opens_a_step_when_its_predecessors_are_done)
 {
     job it = make_job({make_step(2), make_step(1, {0})});
@@ -50,7 +51,8 @@
         it.list_waiting(platform_time(0)), (std::vector<task_key>{{0, 1, 0}}));
 }
 
-// Guards against an end that is listed twice and counts as two failures.
+// Guards against a target that reports the end of one failed run twice and
+// thereby uses up two attempts.
 TEST(job, counts_a_repeated_end_once)
 {
     job it = make_job({make_step(1)});
@@ -64,7 +66,8 @@
     EXPECT_EQ(it.get_phase(), job_phase::failed);
 }
 
-// Guards against attempts that are used up by ends that nobody failed.
+// Guards against attempts that are used up by runs that ended without a fault:
+// stopped on an order, expired leases, and gangs that broke up.
 TEST(job, counts_only_failures_as_attempts)
 {
     job it = make_job({make_step(1)});
@@ -77,7 +80,8 @@
     EXPECT_EQ(it.list_waiting(platform_time(0)).size(), 1U);
 }
 
-// Guards against a long-running task that is taken for done.
+// Guards against a long-running task that counts as done, or fails its job,
+// because one of its runs ended.
 TEST(job, restarts_a_long_running_task_however_it_ends)
 {
     step_spec step = make_step(1);
@@ -92,7 +96,8 @@
     }
 }
 
-// Guards against members of a gang that stay running after its one end.
+// Guards against members of a gang that stay recorded as running although the
+// end of one member completes them all.
 TEST(job, ends_a_gang_as_a_whole)
 {
     step_spec step = make_step(3);
@@ -105,7 +110,7 @@
     EXPECT_TRUE(it.list_running().empty());
 }
 
-// Guards against an occurrence that starts before it is due.
+// Guards against an occurrence of a scheduled job that starts before it is due.
 TEST(job, opens_occurrences_when_they_are_due)
 {
     job_spec spec = make_spec({make_step(1)});
@@ -119,8 +124,8 @@
     EXPECT_EQ(it.list_waiting(platform_time(2'000)).size(), 3U);
 }
 
-// Guards against a successor that starts a job's tasks again, or forgets their
-// progress, as the row lost something.
+// Guards against a new coordinator that starts tasks again or loses their
+// progress because the job's row does not hold all of it.
 RC_GTEST_PROP(job, restores_its_progress_from_its_row, ())
 {
     auto choices =
@@ -170,8 +175,8 @@
     }
 }
 
-// Guards against a field of a step that the row or the way between entries
-// loses.
+// Guards against a field of a spec that gets lost in the ledger's row or in a
+// message between entries.
 TEST(job_spec, keeps_every_field_when_encoded)
 {
     step_spec step;
@@ -208,7 +213,8 @@
     EXPECT_EQ(copy.acceptance_time, platform_time(12));
 }
 
-// Guards against jobs that could never end, or that no table can hold.
+// Guards against accepting jobs that could never complete, or whose progress
+// does not fit into a ledger row.
 TEST(job_spec, rejects_specs_that_can_never_complete)
 {
     EXPECT_THROW(check_job_spec(make_spec({})), systems_error);
