--- a/systems/coordination/ledger_head.hpp
+++ b/systems/coordination/ledger_head.hpp
@@ -11,7 +11,7 @@
 /// condition of its version, so that only one coordinator can write.
 struct ledger_head
 {
-    fencing_number term; ///< Fencing token; each new coordinator raises it.
+    fencing_token term;  ///< Fencing token; each new coordinator raises it.
     std::string holder;  ///< Boot id of the coordinator's process.
     std::string entry;   ///< Name of the coordinator's entry, for operators.
     std::string address; ///< IP:port at which peers reach the coordinator.
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -263,8 +263,8 @@
     /// Removes a run and frees the capacity and team limit that it used.
     void remove_run(const task_name& task);
     /// Removes an active run and records its end in its job.
-    void end_run(const task_name& task, run_end end, const std::string& saved,
-        boot_time now);
+    void end_run(const task_name& task, run_outcome end,
+        const std::string& saved, boot_time now);
     void handle_running_report(
         target_entry& target, const running_report& report, boot_time now);
     void handle_end_report(
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -54,7 +54,7 @@
     if (run->second.is_sent)
         request_stop(decision.task, run->second);
     else
-        end_run(decision.task, run_end::stopped, {}, now);
+        end_run(decision.task, run_outcome::stopped, {}, now);
 }
 
 void coordinator::handle_start_reply(
@@ -100,7 +100,7 @@
         request_stop(decision.task, run->second);
         return;
     }
-    end_run(decision.task, run_end::stopped, {}, now);
+    end_run(decision.task, run_outcome::stopped, {}, now);
 }
 
 void coordinator::handle_stop_reply(
@@ -163,7 +163,7 @@
         const active_run& run = runs_.at(it);
         bool is_confirmed = run.confirmed_at && *run.confirmed_at < sent_at;
         if (is_confirmed && !is_reported(it, run.number))
-            end_run(it, run_end::lapsed, {}, now);
+            end_run(it, run_outcome::lease_expired, {}, now);
     }
 }
 
@@ -235,7 +235,7 @@
         bool is_recovered = run.is_sent && !target.has_reported;
         bool is_confirmed = run.confirmed_at && *run.confirmed_at < asked_at;
         if (is_confirmed || is_recovered)
-            end_run(name, run_end::lapsed, {}, now);
+            end_run(name, run_outcome::lease_expired, {}, now);
     }
     // The target gets no work until it answers, because it may start again
     // under the same name.
@@ -252,7 +252,7 @@
         {
             auto runs = target.runs;
             for (const task_name& run : runs)
-                end_run(run, run_end::lapsed, {}, now);
+                end_run(run, run_outcome::lease_expired, {}, now);
         }
         if (!target.is_listed && target.runs.empty())
             it = targets_.erase(it);
--- a/systems/scheduling/target_protocol.hpp
+++ b/systems/scheduling/target_protocol.hpp
@@ -45,7 +45,7 @@
     std::uint64_t number = 0;
     task_name task;
     run_number run;
-    run_end end = run_end::lapsed;
+    run_outcome end = run_outcome::lease_expired;
     std::string saved; ///< Checkpointed progress; empty for none.
 };
 
--- a/systems/workload/job_spec.cpp
+++ b/systems/workload/job_spec.cpp
@@ -10,19 +10,23 @@
 
 using json = nlohmann::json;
 
-/// Keeps a job's tables within what one ledger row can describe.
+/// Upper bound on the tasks of one job over all its occurrences. It keeps the
+/// job's progress within what one ledger row can describe.
 constexpr std::uint32_t max_tasks = 10'000;
 
-// Steps are rows of fixed columns, as their names would be most of the bytes.
+/// Encodes a step as an array with a fixed order of columns, as the names of
+/// the fields would take most of the bytes.
 json encode_step(const step_spec& it)
 {
     return json::array({it.task_count, it.need.processor, it.need.memory,
-        it.need.accelerators, it.estimate.count(), it.after, it.saves_progress,
-        it.is_gang, it.prefers_one_rack, it.required_label, it.data_rack.get(),
-        it.max_per_target, it.allows_copies, it.is_long_running, it.image,
-        it.tail_target.count(), it.is_filler, it.max_unavailable});
+        it.need.accelerators, it.estimate.count(), it.after,
+        it.saves_checkpoints, it.is_gang, it.prefers_one_rack,
+        it.required_label, it.data_rack.get(), it.max_per_target,
+        it.allows_speculative_runs, it.is_long_running, it.image,
+        it.tail_latency_limit.count(), it.is_best_effort, it.max_unavailable});
 }
 
+/// Reads the columns in the order in which `encode_step` writes them.
 step_spec decode_step(const json& row)
 {
     step_spec out;
@@ -36,17 +40,17 @@
     read(out.need.accelerators);
     read_time(out.estimate);
     read(out.after);
-    read(out.saves_progress);
+    read(out.saves_checkpoints);
     read(out.is_gang);
     read(out.prefers_one_rack);
     read(out.required_label);
     out.data_rack = rack_id(row.at(i++).get<std::string>());
     read(out.max_per_target);
-    read(out.allows_copies);
+    read(out.allows_speculative_runs);
     read(out.is_long_running);
     read(out.image);
-    read_time(out.tail_target);
-    read(out.is_filler);
+    read_time(out.tail_latency_limit);
+    read(out.is_best_effort);
     read(out.max_unavailable);
     return out;
 }
@@ -75,25 +79,26 @@
            accelerators >= need.accelerators;
 }
 
-resources operator+(resources a, const resources& b)
+resources operator+(resources left, const resources& right)
 {
-    return a += b;
+    return left += right;
 }
 
-resources operator-(resources a, const resources& b)
+resources operator-(resources left, const resources& right)
 {
-    return a -= b;
+    return left -= right;
 }
 
-resources operator*(resources a, std::int64_t n)
+resources operator*(resources amount, std::int64_t factor)
 {
-    return {a.processor * n, a.memory * n, a.accelerators * n};
+    return {amount.processor * factor, amount.memory * factor,
+        amount.accelerators * factor};
 }
 
 resources step_spec::get_counted_need() const
 {
     resources out = need;
-    if (is_filler)
+    if (is_best_effort)
         out.processor = 0;
     return out;
 }
@@ -153,10 +158,10 @@
             fail(name + " has no tasks");
         if (it.need.processor < 0 || it.need.memory < 0 ||
             it.need.accelerators < 0)
-            fail(name + " has a negative size");
+            fail(name + " needs a negative amount of a resource");
         for (std::uint32_t before : it.after)
             if (before >= i)
-                fail(name + " waits for a step that is not before it");
+                fail(name + " depends on a step that does not precede it");
         tasks += it.task_count;
     }
     if (tasks * spec.get_occurrence_count() > max_tasks)
--- a/tests/systems/pools/pool_planner_test.cpp
+++ b/tests/systems/pools/pool_planner_test.cpp
@@ -177,7 +177,7 @@
     maintenance_wave wave;
     wave.number = 1;
     wave.time_limit = milliseconds(20'000);
-    wave.max_at_once = 2;
+    wave.max_unavailable_instances = 2;
     for (int i = 0; i < 6; ++i)
     {
         add_instance("m" + std::to_string(i), pool_a);
@@ -227,7 +227,7 @@
         add_instance("m" + std::to_string(i), pool_a);
     maintenance_wave wave;
     wave.number = 1;
-    wave.max_at_once = 1;
+    wave.max_unavailable_instances = 1;
     wave.time_limit = milliseconds(20'000);
     for (const auto& instance : instances)
         wave.instances.push_back(instance.instance);
@@ -263,7 +263,7 @@
     maintenance_wave wave;
     wave.number = 1;
     wave.time_limit = milliseconds(20'000);
-    wave.max_at_once = 5;
+    wave.max_unavailable_instances = 5;
     add_instance("m0", pool_a);
     add_instance("m1", pool_a);
     wave.instances = {instance_id("m0"), instance_id("m1")};
@@ -282,7 +282,7 @@
     maintenance_wave wave;
     wave.number = 1;
     wave.time_limit = milliseconds(1'000);
-    wave.max_at_once = 5;
+    wave.max_unavailable_instances = 5;
     for (int i = 0; i < 2; ++i)
     {
         add_instance("m" + std::to_string(i), pool_a);
@@ -315,7 +315,7 @@
     maintenance_wave wave;
     wave.number = 1;
     wave.time_limit = milliseconds(20'000);
-    wave.max_at_once = 5;
+    wave.max_unavailable_instances = 5;
     wave.instances = {instance_id("m0")};
     state.waves[1] = wave;
     it.set_published_state(state);
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -46,7 +46,7 @@
     EXPECT_TRUE(plan(20).empty());
     target_status status;
     status.ended.push_back(
-        {1, starts[0].task, starts[0].run, run_end::stopped, ""});
+        {1, starts[0].task, starts[0].run, run_outcome::stopped, ""});
     it.handle_status(target_1, status, at(30), at(31));
     EXPECT_EQ(plan(32).size(), 1U);
 }
--- a/tests/systems/scheduling/job_urgency_test.cpp
+++ b/tests/systems/scheduling/job_urgency_test.cpp
@@ -16,8 +16,8 @@
     job_urgency_test()
     {
         auto state = make_published_state();
-        state.config->queues[queue_a].stretch = 1.5;
-        state.config->queues[queue_a].target_duration = milliseconds(500);
+        state.config->queues[queue_a].stretch_factor = 1.5;
+        state.config->queues[queue_a].deadline_allowance = milliseconds(500);
         state.config->teams[team_a].weight = 100;
         it.set_published_state(state);
     }
@@ -43,12 +43,12 @@
         make_record({make_step(2), longer, last}).spec);
     EXPECT_EQ(estimate_remaining_critical_path(it), milliseconds(2'500));
     for (std::uint32_t i = 0; i < 4; ++i)
-        it.note_end({0, 1, i}, it.assign({0, 1, i}, target_id("t")),
-            run_end::done, "", 1);
+        it.record_run_end({0, 1, i}, it.assign({0, 1, i}, target_id("t")),
+            run_outcome::done, "", 1);
     EXPECT_EQ(estimate_remaining_critical_path(it), milliseconds(2'000));
     queue_config queue;
-    queue.stretch = 2;
-    queue.target_duration = milliseconds(100);
+    queue.stretch_factor = 2;
+    queue.deadline_allowance = milliseconds(100);
     EXPECT_EQ(get_time_allowed(it.get_spec(), queue), milliseconds(5'100));
 }
 
@@ -89,7 +89,8 @@
     ASSERT_EQ(first.size(), 1U);
     submit("fresh", {make_step(1)}, 10);
     target_status status;
-    status.ended.push_back({1, first[0].task, first[0].run, run_end::done, ""});
+    status.ended.push_back(
+        {1, first[0].task, first[0].run, run_outcome::done, ""});
     it.handle_status(target_id("t1"), status, at(500), at(501));
     auto starts = plan(502);
     ASSERT_EQ(starts.size(), 1U);
@@ -102,7 +103,7 @@
 {
     auto state = make_published_state();
     state.config->version = config_version(2);
-    state.config->queues[queue_a].target_duration = milliseconds(9'000);
+    state.config->queues[queue_a].deadline_allowance = milliseconds(9'000);
     state.config->teams[team_a].weight = 2;
     state.config->teams[team_id("small")].team = team_id("small");
     it.set_published_state(state);
@@ -128,7 +129,8 @@
     target_status status;
     std::uint64_t n = 0;
     for (const start_decision& start : plan(0))
-        status.ended.push_back({++n, start.task, start.run, run_end::done, ""});
+        status.ended.push_back(
+            {++n, start.task, start.run, run_outcome::done, ""});
     it.handle_status(target_id("t1"), status, at(1'000), at(1'000));
     // The time allowed for a job is 2 s; the work takes 1 s of it.
     submit("doomed", {make_step(20)}, 2'000);
