--- a/systems/limit_table.cpp
+++ b/systems/limit_table.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-/// Sums a column of numbers over the rows of each team.
+/// Sums a numeric column over the rows of each team.
 std::map<query_cell, std::int64_t> sum_by_team(
     const query_table& table, const std::string& column)
 {
@@ -39,7 +39,8 @@
     {
         query_cell team = make_cell(id);
         std::int64_t limit = it.limit.get();
-        // A lowered limit is below what is granted until work has ended.
+        // After a limit has been lowered, more than the limit stays granted
+        // until enough tasks have ended.
         std::int64_t free = std::max<std::int64_t>(limit - held[team], 0);
         out.rows.push_back(
             {team, make_cell(it.share), limit, held[team], in_use[team], free});
--- a/systems/limit_table.hpp
+++ b/systems/limit_table.hpp
@@ -6,9 +6,10 @@
 namespace cowslippass
 {
 
-/// Makes the table `limits`: for each team its share and limit, and over the
-/// whole fleet what is granted to entries, used by them and not granted.
-/// @param grants the table `grants` of all entries that answered.
+/// Builds the query table `limits`. For each team it shows the share, the limit
+/// and, over the whole fleet, how many grants entries hold, how many of these
+/// are in use, and how many are not granted.
+/// @param grants the merged `grants` tables of all entries that replied.
 query_table make_limit_table(
     const fleet_state& state, const query_table& grants);
 
--- a/systems/placement_order.cpp
+++ b/systems/placement_order.cpp
@@ -32,13 +32,13 @@
     team_row* non_preemptible = find_least_served(task_class::non_preemptible);
     start_choice from_slow{
         slow, task_class::slow, placement_rule::spare_capacity};
-    start_choice from_fixed{non_preemptible, task_class::non_preemptible,
-        placement_rule::spare_capacity};
+    start_choice from_non_preemptible{non_preemptible,
+        task_class::non_preemptible, placement_rule::spare_capacity};
     if (slow == nullptr || non_preemptible == nullptr)
-        return non_preemptible == nullptr ? from_slow : from_fixed;
-    if (team_row* owed = find_starved_non_preemptible())
-        return {
-            owed, task_class::non_preemptible, placement_rule::spare_capacity};
+        return non_preemptible == nullptr ? from_slow : from_non_preemptible;
+    if (team_row* starved = find_starved_non_preemptible())
+        return {starved, task_class::non_preemptible,
+            placement_rule::spare_capacity};
     auto cap = std::max(
         1U, static_cast<std::uint32_t>(targets_.get_usable_slots() *
                                        policy_.max_non_preemptible_fraction));
@@ -48,11 +48,11 @@
     if (slow != non_preemptible)
         return shares_.get_projected_usage(non_preemptible->account) <
                        shares_.get_projected_usage(slow->account)
-                   ? from_fixed
+                   ? from_non_preemptible
                    : from_slow;
     return *non_preemptible->get_queue(task_class::non_preemptible).begin() <
                    *slow->get_queue(task_class::slow).begin()
-               ? from_fixed
+               ? from_non_preemptible
                : from_slow;
 }
 
@@ -114,33 +114,33 @@
     task_class from)
 {
     team_row* best = nullptr;
-    double most_s = 0.0;
+    double largest_s = 0.0;
     for (auto& [id, team] : teams_)
     {
-        double behind_s = team_shares::get_deficit_s(team.account);
-        if (behind_s <= most_s || !may_start_from(team, from))
+        double deficit_s = team_shares::get_deficit_s(team.account);
+        if (deficit_s <= largest_s || !may_start_from(team, from))
             continue;
         best = &team;
-        most_s = behind_s;
+        largest_s = deficit_s;
     }
     return best;
 }
 
 placement_system::team_row* placement_system::find_starved_non_preemptible()
 {
-    // The rank follows the time that was served and not what is missing; a
-    // team that just came has a low rank and is behind by nothing.
+    // Compares deficits instead of projected usage: a team that has just begun
+    // to wait has a low usage but no deficit.
     team_row* non_preemptible =
         find_largest_deficit(task_class::non_preemptible);
     if (non_preemptible == nullptr)
         return nullptr;
-    std::chrono::duration<double> behind(
+    std::chrono::duration<double> deficit(
         team_shares::get_deficit_s(non_preemptible->account));
-    if (behind <= policy_.non_preemptible_lag_limit)
+    if (deficit <= policy_.non_preemptible_lag_limit)
         return nullptr;
     team_row* slow = find_largest_deficit(task_class::slow);
-    bool is_first = slow == nullptr ||
-                    team_shares::get_deficit_s(slow->account) <= behind.count();
+    bool is_first = slow == nullptr || team_shares::get_deficit_s(
+                                           slow->account) <= deficit.count();
     return is_first ? non_preemptible : nullptr;
 }
 
@@ -165,10 +165,10 @@
 bool placement_system::is_underserved(
     const team_row& team, const team_row& other) const
 {
-    double behind_s = team_shares::get_deficit_s(team.account);
+    double deficit_s = team_shares::get_deficit_s(team.account);
     return milliseconds(policy_.share_lag_limit) <
-               std::chrono::duration<double>(behind_s) &&
-           team_shares::get_deficit_s(other.account) < behind_s;
+               std::chrono::duration<double>(deficit_s) &&
+           team_shares::get_deficit_s(other.account) < deficit_s;
 }
 
 void placement_system::start_from_queue(
@@ -218,8 +218,8 @@
 {
     auto highest = static_cast<std::uint32_t>(
         std::ceil(targets_.get_usable_slots() * policy_.headroom));
-    // Slots kept free cost every team a part of its share, so few are kept
-    // while little urgent work runs.
+    // Slots that stay free reduce the share of every team, so few are kept free
+    // while few urgent tasks run.
     std::uint32_t wanted = 1 + targets_.get_urgent_tasks() / 2;
     return policy_.is_headroom_adaptive ? std::min(highest, wanted) : highest;
 }
--- a/systems/placement_policy.hpp
+++ b/systems/placement_policy.hpp
@@ -7,17 +7,18 @@
 namespace cowslippass
 {
 
-/// Order in which waiting work gets free slots.
+/// Order in which waiting tasks get free slots.
 enum class queue_order
 {
-    urgent_then_fair_share,
-    first_come ///< Baseline: by arrival, without kinds and shares.
+    urgent_then_fair_share, ///< Urgent tasks first, then by fair shares.
+    first_come ///< Baseline: by arrival, ignoring kinds and shares.
 };
 
+/// How a target is chosen for a task.
 enum class target_choice
 {
     spread, ///< Racks with least urgent work, then targets with least load.
-    random  ///< Baseline.
+    random  ///< Baseline: any target that can run the task.
 };
 
 /// Strategy and limits of a `placement_system`.
@@ -25,58 +26,62 @@
 {
     queue_order order = queue_order::urgent_then_fair_share;
     target_choice choice = target_choice::spread;
-    /// Largest part of the slots that slow work leaves free for urgent work.
-    /// One eighth is one slot of each target.
+    /// Largest fraction of the slots that slow tasks leave free for urgent
+    /// tasks. With 8 slots per target, one eighth is one slot of each target.
     double headroom = 0.125;
-    /// The headroom follows the urgent work that runs, up to `headroom`.
+    /// The headroom follows the number of running urgent tasks, up to
+    /// `headroom`.
     bool is_headroom_adaptive = true;
     bool is_preemptive = true;
-    /// Part of the slots that slow work which cannot be stopped may hold while
-    /// other slow work waits and no team is owed. It outlives preemptions and
-    /// would otherwise pile up and leave less for bursts of urgent work. At
-    /// least one slot is theirs.
+    /// Largest fraction of the slots for slow tasks that are not idempotent
+    /// and therefore cannot be preempted, while preemptible slow tasks wait.
+    /// Because preemption never removes them, they would otherwise accumulate
+    /// and leave fewer slots for bursts of urgent tasks. They may always use
+    /// at least one slot.
     double max_non_preemptible_fraction = 0.0625;
-    /// Such work starts beyond `max_non_preemptible_fraction` when its team is
-    /// behind its share by so long; a team that has no other work would wait
-    /// without bound.
+    /// Non-preemptible tasks exceed `max_non_preemptible_fraction` when their
+    /// team is behind its share by more than this time. A team that has only
+    /// such tasks could otherwise wait without bound.
     milliseconds non_preemptible_lag_limit{20'000};
-    /// Tasks of a team that may wait in this pool, for each of the three
-    /// lanes. The memory of all waiting work is bounded by `waiting_budget`:
-    /// 72 teams at this bound would hold 216,000 tasks of about 300 bytes.
+    /// Maximum number of waiting tasks of a team in this pool, for each task
+    /// class (urgent, slow, non-preemptible). `waiting_budget` limits the
+    /// memory of all waiting tasks; without it, 72 teams at this limit would
+    /// hold 216,000 tasks of about 300 bytes.
     std::uint32_t max_waiting_per_class = 1'000;
-    /// A victim stays throttled for so long before its checkpoint begins. A
-    /// throttled task makes no progress in its slot, so a longer time costs
-    /// more work than the resumed victims save.
+    /// Time from the throttling of a victim to the start of its checkpoint. A
+    /// throttled task makes no progress in its slot; a longer delay costs more
+    /// work than resumed victims save.
     milliseconds checkpoint_delay{0};
-    /// A victim is stopped without a checkpoint after so long; together with
-    /// `checkpoint_delay` and a start this stays below the bound of 2.2 s.
+    /// A victim is stopped without a checkpoint after this time. Together with
+    /// `checkpoint_delay` and the time of a start it must stay below the start
+    /// bound of urgent tasks, 2.2 s.
     milliseconds checkpoint_timeout{1000};
-    /// Slow work may be held back by urgent work for so long at the expense
-    /// of its team's share. Bursts last some seconds and fit into it.
+    /// How far a team may fall behind its share because urgent tasks of other
+    /// teams hold back its slow tasks. Bursts last some seconds and fit in.
     milliseconds share_lag_limit{10'000};
-    /// Urgent work that waited for so long goes first whatever its team's
-    /// share, so that a burst of a large team stays within the start bound of
-    /// 2.2 s while the others can bear it.
+    /// Urgent tasks that have waited for longer go first, whatever the share
+    /// of their team, so that a burst of a large team stays within the start
+    /// bound of 2.2 s as long as the other teams can bear it.
     milliseconds urgent_wait_limit{500};
-    /// A slow task that is too large for the room on every target gets a
-    /// target reserved after so long, as smaller tasks would keep it out for
-    /// ever. One target of a pool is reserved at a time. Urgent tasks get no
-    /// reservation: the slots that it idles in a burst make more of them late
-    /// than it helps.
+    /// A slow task that does not fit into the free memory of any target gets a
+    /// target reserved after this time, because smaller tasks could otherwise
+    /// take the memory for ever. One target of a pool is reserved at a time.
+    /// Urgent tasks get no reservation: the slots that it idles in a burst
+    /// delay more urgent tasks than it helps.
     milliseconds reservation_delay{20'000};
     bool is_reservation_enabled = true;
-    /// Urgent tasks may use a reserved target for so long, which is a few
-    /// bursts and the pauses between them. Without an end, a steady urgent
-    /// load could keep a large task out for ever.
+    /// Urgent tasks may use a reserved target for this long, which covers a
+    /// few bursts and the pauses between them. Without this limit, a steady
+    /// urgent load could delay the large task for ever.
     milliseconds reservation_sharing_time{30'000};
-    /// No task is placed on a target for so long after it refused a start,
-    /// unless it reports in the meantime.
+    /// A target that refused a start gets no task for this long, unless it
+    /// sends a status report earlier.
     milliseconds refusal_backoff{500};
-    /// Tasks of a queue that are tried when the first does not fit, so that
-    /// one large task does not hold up the small ones behind it.
+    /// How many tasks of a queue are tried when the first does not fit, so
+    /// that a large task does not block the small ones behind it.
     int lookahead_tasks = 8;
-    /// Work that fits no target is refused at once. Without it, such work
-    /// waits for ever (baseline).
+    /// Refuse tasks that fit no target of the pool at once. If false
+    /// (baseline), such tasks wait for ever.
     bool refuses_oversized_tasks = true;
     /// Seed of the random target choice.
     std::uint64_t seed = 1;
--- a/systems/placement_preemption.cpp
+++ b/systems/placement_preemption.cpp
@@ -8,11 +8,12 @@
 namespace
 {
 
-/// Urgent work waits for so long before it takes a slot from slow work; most
-/// slots free sooner by themselves.
+/// Urgent tasks wait this long before they preempt slow tasks. In most cases a
+/// task ends sooner and frees a slot.
 constexpr milliseconds preempt_after{20};
 
-/// Victims of one team that are looked at for one that makes enough room.
+/// Running tasks of a team that are examined in the search for a victim that
+/// frees enough memory.
 constexpr std::uint32_t max_victims_examined = 16;
 
 } // namespace
@@ -53,7 +54,8 @@
         if (is_included(team))
             ranked.emplace_back(
                 shares_.get_projected_usage(team.account), &team);
-    // Equal ranks stay in the order of ids, so that runs can be repeated.
+    // Equal teams stay in the order of their ids, so that runs are
+    // reproducible.
     std::stable_sort(ranked.begin(), ranked.end(),
         [](const auto& a, const auto& b) { return a.first < b.first; });
     return ranked;
@@ -117,7 +119,7 @@
 {
     for (auto& [rank, team] : victims)
     {
-        // Work of a team that is far below its share stays where it is.
+        // Tasks of an underserved team are not preempted for another team.
         bool is_protected = team != &urgent && is_underserved(*team, urgent);
         if (is_protected)
             continue;
@@ -131,7 +133,7 @@
     team_row& team, const task_row& head, std::uint32_t& candidates)
 {
     std::uint32_t examined = 0;
-    // The task that started last has the least work to repeat.
+    // The task that started last loses the least work.
     for (auto it = team.victims.rbegin(); it != team.victims.rend(); ++it)
     {
         if (examined++ == max_victims_examined)
@@ -180,7 +182,7 @@
 
 void placement_system::add_victim(task_row& row)
 {
-    // A task that is not idempotent could not run again after a stop.
+    // A task that is not idempotent must not run again after a stop.
     if (get_task_class(row.task) == task_class::slow && !row.is_cancelled)
         row.team->victims.emplace(row.started, row.sequence, &row);
 }
@@ -214,7 +216,7 @@
     bool was_starting = row.state == task_state::starting;
     if (!was_starting)
         row.state = task_state::stopping;
-    // A stopping task is about to free its slot.
+    // A task that is being stopped will free its slot soon.
     row.is_freeing_slot = true;
     ++slots_being_freed_;
 }
--- a/systems/placement_system.cpp
+++ b/systems/placement_system.cpp
@@ -50,7 +50,7 @@
 void placement_system::set_team(const team_id& team, std::uint32_t share)
 {
     if (share == 0)
-        throw systems_error("bad_share", "A share must be at least 1.");
+        throw systems_error("bad_share", "the share must be at least 1");
     shares_.set_weight(get_team(team).account, share);
 }
 
@@ -269,7 +269,7 @@
 
 void placement_system::erase(task_row& row)
 {
-    // A copy, as the key would be erased while it is used.
+    // A copy: erase would destroy the key while it still uses it.
     task_id id = row.task.id;
     tasks_.erase(id);
 }
@@ -302,7 +302,7 @@
             continue;
         if (row->state == task_state::waiting)
         {
-            // Its start was refused after the cancellation.
+            // The start was refused after the task had been cancelled.
             add_decision(*row, placement_action::refuse,
                 placement_rule::cancelled, 0, ctx);
             dequeue(*row);
@@ -387,7 +387,7 @@
         bool is_waiting = team.count_waiting() > 0;
         if (is_waiting && !team.is_without_grant)
             is_contended_ = true;
-        // Grants are held only while slots are being freed.
+        // Unused grants are kept only while slots are being freed.
         std::size_t wanted = slots_being_freed_ > 0
                                  ? team.get_queue(task_class::urgent).size()
                                  : 0;
@@ -397,7 +397,8 @@
             ctx.out.returned_grants.push_back(id);
         }
     }
-    // At the end, as the slots of tasks that just ended are in use again.
+    // At the end of the tick, when the slots of tasks that ended before it are
+    // in use again.
     shares_.update_fair_slots(accounts_, targets_.get_usable_slots(), ctx.now);
 }
 
--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -12,9 +12,10 @@
 
 constexpr std::uint64_t unlimited = std::numeric_limits<std::uint64_t>::max();
 
-/// Random draws before the baseline falls back to a scan.
+/// Random draws before the random choice falls back to a scan.
 constexpr int random_tries = 8;
 
+/// @return memory in bytes; unlimited if it is not checked.
 std::uint64_t get_memory_limit(const placement_target& target)
 {
     return target.memory.get() == 0 ? unlimited : target.memory.get();
@@ -258,7 +259,8 @@
 void placement_targets::on_refused(
     target_row& row, start_refusal reason, monotonic_time now)
 {
-    // A late start is the fault of the path, not of the target.
+    // A start request that arrives too late was delayed on the way; it says
+    // nothing about the target.
     if (row.is_removed || reason == start_refusal::deadline_passed)
         return;
     if (reason == start_refusal::leaving)
@@ -309,9 +311,9 @@
 bool placement_targets::can_run(
     const target_row& row, const placement_task& task) const
 {
-    // A task that cannot run again is not risked on a target under test.
-    bool is_proved = row.target.health == target_health_state::healthy;
-    if (!is_proved && !task.is_idempotent)
+    // A task that cannot run again must not be used to test a target.
+    bool is_healthy = row.target.health == target_health_state::healthy;
+    if (!is_healthy && !task.is_idempotent)
         return false;
     bool is_for_other =
         row.reserved_for != nullptr && row.reserved_for != &task;
@@ -364,7 +366,7 @@
     remove_from_index(row);
     row.free_slots = count_free_slots(row);
     free_slots_ += row.free_slots;
-    // One connection carries the sync.
+    // One connection carries the status synchronization.
     bool is_available =
         row.free_slots > 0 && row.starting_tasks + 1 < row.target.connections;
     if (is_available)
@@ -394,8 +396,8 @@
 placement_targets::order_key placement_targets::make_urgent_key(
     const target_row& row)
 {
-    // A target on probation gets urgent work last, and slow work first, so
-    // that it is tested on work that can wait for a retry.
+    // A target on probation gets urgent tasks last and slow tasks first, so
+    // that it is tested with tasks that can wait for a retry.
     bool is_probation = row.target.health == target_health_state::probation;
     std::uint32_t reserved_class = row.reserved_for != nullptr ? 1 : 0;
     std::uint32_t slots = row.target.slots.get();
@@ -476,7 +478,7 @@
 {
     if (!row.is_removed || row.placed_tasks > 0)
         return;
-    // A copy, as the key would be erased while it is used.
+    // A copy: erase would destroy the key while it still uses it.
     instance_id id = row.target.id;
     rows_.erase(id);
 }
--- a/systems/placement_types.hpp
+++ b/systems/placement_types.hpp
@@ -12,33 +12,34 @@
 namespace cowslippass
 {
 
+/// Whether a target gets work, as decided by `target_health`.
 enum class target_health_state
 {
     healthy,
-    probation,  ///< Gets one idempotent task at a time until it proves healthy.
+    probation,  ///< Gets one idempotent task at a time as a test.
     quarantined ///< Gets no work.
 };
 
-/// A target as the pool owner sees it.
+/// What the pool owner knows about a target.
 struct placement_target
 {
     instance_id id;
     data_centre_id data_centre;
     rack_id rack;
     slot_count slots{8};
-    /// Connections that this entry may use towards the target. One carries
-    /// the sync; the others bound the starts in flight.
+    /// Connections that this entry may open to the target. One carries the
+    /// status synchronization; the others limit the start requests in flight.
     std::uint32_t connections = 7;
     instance_state state = instance_state::in_service;
-    std::uint64_t epoch = 1;
-    /// Set in the call that follows a report of the target, where it shows
-    /// tasks that this owner did not start. Nothing keeps what is known.
+    std::uint64_t epoch = 1; ///< Raised when the instance changes pool.
+    /// Free slots according to a status report of the target, which reveals
+    /// tasks that this owner did not start. Unset keeps the last known value.
     std::optional<slot_count> free_slots;
-    byte_count memory{0}; ///< 0 means that it is not checked.
+    byte_count memory{0}; ///< 0 means that memory is not checked.
     target_health_state health = target_health_state::healthy;
 };
 
-/// A piece of work as the pool owner sees it.
+/// A task to place, and what the pool owner knows about it.
 struct placement_task
 {
     task_id id;
@@ -47,72 +48,74 @@
     bool is_idempotent = true;
     byte_count memory{0};     ///< Declared; 0 means not declared.
     milliseconds run_time{0}; ///< Declared; 0 means not declared.
-    /// Of the first attempt, so that a task that is queued again keeps its
-    /// place.
+    /// Arrival of the first attempt, so that a task that is queued again keeps
+    /// its place in the queue.
     monotonic_time arrival;
-    /// The task is refused when it has not started by then.
+    /// A task that has not started by then is refused.
     monotonic_time deadline = monotonic_time::max();
     /// Targets where earlier attempts failed. They are used again only when
-    /// the pool has no other.
+    /// the pool has no other usable target.
     std::vector<instance_id> avoided_targets;
 };
 
-/// Why a target did not start a task. Each means "not run".
+/// Why a target did not start a task. In each case the task has not run.
 enum class start_refusal
 {
-    deadline_passed, ///< 412
-    no_free_slot,    ///< 429
-    leaving,         ///< 503
+    deadline_passed, ///< HTTP status 412.
+    no_free_slot,    ///< HTTP status 429.
+    leaving,         ///< HTTP status 503: the target takes no more work.
     unreachable      ///< The connection failed before the request was sent.
 };
 
+/// How a task left its target.
 enum class task_outcome
 {
     done,
     failed,
     stopped,
-    lapsed,
+    lapsed, ///< Its lease expired.
     unknown
 };
 
+/// What the caller has to do with a task.
 enum class placement_action
 {
     start,
-    throttle,
-    resume,
-    checkpoint,
-    stop,
-    refuse
+    throttle,   ///< First step of a preemption.
+    resume,     ///< Ends a preemption; the task runs on.
+    checkpoint, ///< Second step of a preemption.
+    stop,       ///< Last step of a preemption, or a cancellation.
+    refuse      ///< The task has not run and leaves the queue.
 };
 
 /// The rule that decided an action.
 enum class placement_rule
 {
-    urgent_first,       ///< start: urgent work precedes slow work.
-    long_wait,          ///< start: urgent work near its start bound.
-    spare_capacity,     ///< start: slow work, more than the headroom is free.
-    share_debt,         ///< start: slow work of a team far below its share.
+    urgent_first,       ///< start: urgent tasks precede slow tasks.
+    long_wait,          ///< start: urgent task that waited beyond the limit.
+    spare_capacity,     ///< start: slow task; the headroom stays free.
+    share_debt,         ///< start: slow task of a team far below its share.
     reservation,        ///< start: large task on its reserved target.
     first_come,         ///< start: baseline order by arrival.
-    urgent_waits,       ///< throttle, checkpoint: a slot is needed.
+    urgent_waits,       ///< throttle, checkpoint: an urgent task needs a slot.
     checkpoint_done,    ///< stop: the checkpoint is stored.
     checkpoint_overdue, ///< stop: the checkpoint took too long.
-    urgent_served,      ///< resume: the slot is no longer needed.
-    cancelled,          ///< stop: the caller cancelled the task.
-    deadline_passed,    ///< refuse: not started in time.
-    fits_no_target,     ///< refuse: the declared size exceeds every target.
-    team_queue_full,    ///< refuse: the team's queue is at its bound.
-    duplicate_task      ///< refuse: the id is already in the table.
+    urgent_served,      ///< resume: no urgent task needs the slot any more.
+    cancelled,          ///< stop, refuse: the caller cancelled the task.
+    deadline_passed,    ///< refuse: not started before its deadline.
+    fits_no_target,  ///< refuse: it declares more memory than any target has.
+    team_queue_full, ///< refuse: the team has too many waiting tasks.
+    duplicate_task   ///< refuse: a task with this id exists.
 };
 
-/// @return the name of the enumerator, for log lines.
+/// @return the name in log lines. The names are part of the log format.
 const char* to_string(placement_action action);
 const char* to_string(placement_rule rule);
 const char* to_string(start_refusal reason);
 const char* to_string(task_outcome outcome);
 const char* to_string(target_health_state state);
 
-/// One effect that the caller has to carry out, with its reason.
+/// An action that the caller has to carry out, with its reason.
 struct placement_decision
 {
     placement_action action = placement_action::refuse;
@@ -124,24 +127,25 @@
     instance_id target;
     std::uint64_t target_epoch = 0;
     rack_id rack;
-    /// Targets (start, refuse) or running tasks (throttle) looked at.
+    /// Number of targets (start, refuse) or running tasks (throttle) examined.
     std::uint32_t candidates = 0;
-    /// Free slots of the pool and waiting tasks of the kind at the time.
+    /// Free slots of the pool when the decision was made.
     std::uint32_t free_slots = 0;
-    std::uint32_t waiting = 0;
-    milliseconds waited{0};
+    std::uint32_t waiting = 0; ///< Waiting tasks of the same kind, then.
+    milliseconds waited{0};    ///< Since the arrival of the task.
 
-    /// @return one line of `name=value` fields.
+    /// @return the fields of a log line, as `name=value` pairs.
     std::string describe() const;
 };
 
+/// Result of a tick.
 struct placement_decisions
 {
     std::vector<placement_decision> items;
-    /// One entry for each grant that was taken and is not needed any more;
-    /// the caller gives it back.
+    /// The team of each grant that was taken and is no longer needed. The
+    /// caller has to return these grants.
     std::vector<team_id> returned_grants;
-    /// Teams with waiting work that `take_grant` turned down.
+    /// Teams with waiting tasks that got no grant from `take_grant`.
     std::vector<team_id> teams_without_grant;
 };
 
--- a/systems/pool_owners.hpp
+++ b/systems/pool_owners.hpp
@@ -8,10 +8,12 @@
 namespace cowslippass
 {
 
-/// Chooses the entry that queues and places for a pool in one data centre, by
-/// rendezvous hashing: when an entry joins or leaves, only its own pools move.
-/// @param sessions live sessions of the data centre, in any order.
-/// @return nothing when `sessions` is empty.
+/// Chooses the entry that queues and places the work of a pool in one data
+/// centre. Rendezvous hashing keeps every pool where it is when an entry joins
+/// or leaves, except for the pools of that entry.
+/// @param sessions live sessions of the entries in the data centre, in any
+///   order.
+/// @return the owner's session; nothing when `sessions` is empty.
 std::optional<session_id> choose_pool_owner(
     const pool_id& pool, const std::vector<session_id>& sessions);
 
--- a/systems/retry_budget.cpp
+++ b/systems/retry_budget.cpp
@@ -12,8 +12,8 @@
 
 } // namespace
 
-retry_budget::retry_budget(double fraction, double capacity)
-    : retry_ratio_(fraction), capacity_(capacity), tokens_(capacity)
+retry_budget::retry_budget(double retry_ratio, double capacity)
+    : retry_ratio_(retry_ratio), capacity_(capacity), tokens_(capacity)
 {
 }
 
--- a/systems/retry_budget.hpp
+++ b/systems/retry_budget.hpp
@@ -5,20 +5,21 @@
 namespace cowslippass
 {
 
-/// Token bucket that keeps retries a fraction of successes, so that failures
-/// of a whole pool do not multiply its load.
+/// Token bucket that limits retries to a fraction of the successes, so that
+/// retries do not multiply the load when all tasks of a pool fail.
 class retry_budget
 {
 public:
-    /// @param fraction retries earned by each success.
-    /// @param capacity most retries that can be saved up.
-    explicit retry_budget(double fraction = 0.1, double capacity = 20.0);
+    /// @param retry_ratio tokens added by each success; a retry costs one.
+    /// @param capacity maximum number of tokens.
+    explicit retry_budget(double retry_ratio = 0.1, double capacity = 20.0);
 
+    /// Adds `retry_ratio` tokens.
     void on_success();
 
-    /// Takes one retry. Besides the successes, one retry every 5 s is earned
-    /// by time, as a pool with little work could otherwise never retry.
-    /// @return false when the budget is used up.
+    /// Takes the token for one retry. One token is also added at most every
+    /// 5 s, because a pool with little work could otherwise never retry.
+    /// @return false when the budget is exhausted.
     bool try_acquire(monotonic_time now);
 
     double get_tokens() const { return tokens_; }
--- a/systems/routing.cpp
+++ b/systems/routing.cpp
@@ -13,6 +13,7 @@
     return it.is_in_service && it.has_owner && it.targets > 0;
 }
 
+/// @return free slots less waiting tasks; negative under a backlog.
 std::int64_t get_spare_slots(const route_candidate& it)
 {
     return std::int64_t(it.free_slots) - std::int64_t(it.waiting);
--- a/systems/start_policy.cpp
+++ b/systems/start_policy.cpp
@@ -15,8 +15,8 @@
 
 bool fresh_configuration_policy::may_renew(const start_view& view) const
 {
-    // Once this session may have been declared dead, its grants may be given
-    // to others; its tasks must have lapsed by then.
+    // Other entries may have ended this session once its configuration is no
+    // longer fresh. Its leases must have lapsed before they release its grants.
     auto fresh_as_of = view.configuration.get_fresh_as_of();
     return fresh_as_of &&
            view.now < grant_ledger::get_renewal_deadline(*fresh_as_of);
--- a/systems/target_health.cpp
+++ b/systems/target_health.cpp
@@ -10,54 +10,59 @@
 namespace
 {
 
-/// A target is set aside when chance explains its failures with a
-/// probability below about 1 in 1,000 (e to the minus 7).
+/// A target is quarantined when the probability that its failures are due to
+/// chance is below about 1 in 1,000 (e to the power of -7).
 constexpr double evidence_limit = 7.0;
 
-/// Evidence that one success takes back. Below 1, a target that does its
-/// part would slowly collect evidence in a pool where half of the work fails.
+/// Evidence that one success removes. With less than 1, a healthy target would
+/// slowly accumulate evidence in a pool where half of the tasks fail.
 constexpr double success_evidence = 2.0;
 
-/// Added to a failure when the same task succeeds elsewhere.
+/// Evidence added for a failure when the same task succeeds on another target.
 constexpr double contrast_evidence = 3.0;
 
-/// The lowest failure rate that is assumed of other targets; one failure is
-/// then worth 3.0 and three of them suffice.
+/// Bounds of the failure rate that is assumed for the other targets. At the
+/// lower bound one failure adds evidence of 3.0, and three failures suffice.
 constexpr double min_failure_rate = 0.05;
 constexpr double max_failure_rate = 0.95;
 
-/// Weight of the newest task in a target's failure rate. When everything
-/// begins to fail, the rates have to rise before evidence reaches its limit;
-/// with 0.25 the evidence of an unbroken row of failures stays below 7.
+/// Weight of the newest task in the failure rate of a target. When all tasks
+/// begin to fail, the rates have to rise before the evidence reaches its limit;
+/// with 0.25 the evidence of an unbroken series of failures stays below 7.
 constexpr double failure_rate_weight = 0.25;
 
-/// Sound targets that a task has to fail on before it is a bad task.
+/// A task is bad once it has failed on this many healthy targets that count as
+/// credible.
 constexpr std::size_t min_credible_targets = 3;
 
-/// A target with more evidence from other tasks is no witness against a task.
+/// A target is credible only if the evidence from other tasks is lower.
 constexpr double max_credible_evidence = evidence_limit / 2;
 
-/// Failures on so many targets make a bad task whatever the targets' state;
-/// a job has no more attempts either.
+/// A task is bad once it has failed on this many targets, whatever their state;
+/// a job gets no more attempts either.
 constexpr std::size_t max_failed_targets = 5;
 
-/// Successes on probation after failures, and after silence, which says
-/// nothing against the work of the target.
+/// Successes that end a probation, after a quarantine for failures and for
+/// silence. Silence says nothing about how tasks fare on the target.
 constexpr std::uint32_t successes_after_failures = 3;
 constexpr std::uint32_t successes_after_silence = 1;
+
+/// Length of the first quarantine, and the longest after relapses.
 constexpr milliseconds first_quarantine{10'000};
 constexpr milliseconds longest_quarantine{600'000};
 
-/// A target returns with half of the limit, so that two failures suffice.
+/// Evidence at the start of a probation: half of the limit, so that two
+/// failures suffice for another quarantine.
 constexpr double probation_evidence = 3.5;
 
-/// A target that was silent has to answer for so long before it gets work.
+/// A target that was silent has to answer for this long before it gets tasks.
 constexpr milliseconds min_answering_time{2000};
 
-/// A target that stays healthy for so long starts again with the first pause.
+/// A fault of a target that has been healthy for longer is no relapse; its
+/// quarantine has the first length again.
 constexpr milliseconds relapse_window{600'000};
 
-/// Failed tasks that are remembered; about 200 bytes each.
+/// Maximum number of failed tasks that are kept; each takes about 200 bytes.
 constexpr std::size_t max_failed_tasks = 10'000;
 
 } // namespace
@@ -186,9 +191,9 @@
         return;
     for (const failure& earlier : it->second)
     {
-        auto accused = targets_.find(earlier.target);
-        if (accused != targets_.end() && earlier.target != target)
-            add_evidence(accused->first, accused->second, contrast_evidence);
+        auto blamed = targets_.find(earlier.target);
+        if (blamed != targets_.end() && earlier.target != target)
+            add_evidence(blamed->first, blamed->second, contrast_evidence);
     }
     failures_.erase(it);
 }
@@ -208,7 +213,7 @@
     auto& failures = it->second;
     bool is_known = std::any_of(failures.begin(), failures.end(),
         [&](const failure& earlier) { return earlier.target == target; });
-    // A second failure of the same task on the same target proves nothing.
+    // A second failure of the same task on the same target is no evidence.
     if (!is_known)
     {
         failures.push_back(
@@ -241,8 +246,8 @@
 
 double target_health::get_rate_elsewhere(const target_row& row) const
 {
-    // Each target counts once, so that one that fails quickly and therefore
-    // gets most tasks does not hide itself in the average.
+    // Each target counts once. In an average over tasks, a target that fails
+    // quickly, and therefore gets most tasks, would hide its own fault.
     if (targets_.size() < 2)
         return max_failure_rate;
     return (failure_rate_sum_ - row.failure_rate) / (targets_.size() - 1.0);
@@ -280,7 +285,7 @@
 {
     if (failures.size() >= max_failed_targets)
         return true;
-    auto is_witness = [&](const failure& failure)
+    auto is_credible = [&](const failure& failure)
     {
         auto it = targets_.find(failure.target);
         if (it == targets_.end() || !failure.is_target_healthy)
@@ -289,7 +294,7 @@
         return row.state == target_health_state::healthy && row.has_succeeded &&
                row.evidence - failure.evidence < max_credible_evidence;
     };
-    auto count = std::count_if(failures.begin(), failures.end(), is_witness);
+    auto count = std::count_if(failures.begin(), failures.end(), is_credible);
     return static_cast<std::size_t>(count) >= min_credible_targets;
 }
 
@@ -301,7 +306,7 @@
     row.is_quarantined_for_silence = row.is_silent;
     if (!may_quarantine(id))
     {
-        // Probation limits the harm to one idempotent task at a time.
+        // On probation at most one idempotent task at a time can be affected.
         row.evidence = probation_evidence;
         row.probation_successes = 0;
         if (row.is_silent)
@@ -318,7 +323,7 @@
     row.quarantine_time =
         is_relapse ? std::min(row.quarantine_time * 2, longest_quarantine)
                    : first_quarantine;
-    // A silent target returns when it answers.
+    // The quarantine of a silent target ends when it answers.
     row.probation_time = row.is_silent ? now : now + row.quarantine_time;
     change_state(id, row, target_health_state::quarantined,
         row.is_silent ? health_rule::silent
--- a/systems/team_shares.cpp
+++ b/systems/team_shares.cpp
@@ -11,27 +11,28 @@
 
 using seconds = std::chrono::duration<double>;
 
-/// Accounts are closed when no work waited for so long. Shorter gaps occur
-/// within one burst.
+/// A contention period ends, and usage restarts at 0, when no task has waited
+/// for this long. Shorter gaps occur within a burst.
 constexpr seconds contention_gap{5.0};
 
-/// A team that is ahead is held back for at most so long. Without the bound,
-/// long tasks that cannot be stopped would shut their team out for as long
-/// as they ran.
+/// A team that is ahead of its share is held back for at most this long.
+/// Without this bound, long tasks that cannot be preempted would keep their
+/// team from starting others for as long as they ran.
 constexpr seconds max_lead{30.0};
 
-/// A running task counts as if it had run for so long already. Differences
-/// in weighted_usage time are corrected over about this time; a shorter one
-/// makes the number of running tasks swing.
+/// A running task counts as if it had already run this much longer. Differences
+/// in usage are corrected over about this time; a shorter time makes the number
+/// of running tasks oscillate.
 constexpr seconds running_task_projection{2.0};
 
 constexpr milliseconds fair_slots_interval{100};
 
-/// An owner that did not tick for longer knows nothing about that time.
+/// Longer intervals count only up to this length, because nothing is known
+/// about the time in which the owner did not tick.
 constexpr seconds max_update_gap{0.5};
 
-/// @return slots for a weight of 1 when every team gets what it asks for up
-///   to its part of what the others leave.
+/// Computes a weighted max-min fair division of the slots.
+/// @return slots per unit of weight for a team whose demand is not met.
 double compute_fair_slots_per_weight(
     const std::vector<team_shares::account*>& teams, double slots)
 {
@@ -54,7 +55,7 @@
         slots -= demand * own;
         weight -= own;
     }
-    // Everybody gets all; the last demand is as good a level as any.
+    // All demands are met, so any value from the largest demand on will do.
     return demands.empty() ? 1.0 : std::max(1.0, demands.back().first);
 }
 
@@ -66,7 +67,7 @@
         return;
     if (is_contended)
     {
-        // The first interval of a period begins at the last call.
+        // The first interval of a contention period begins at the last call.
         contention_clock_ += seconds(now - last_advance_).count();
         last_contended_ = now;
         is_in_contention_ = true;
@@ -140,7 +141,7 @@
             std::min(demand, fair_slots_per_weight_ * team->weight);
         double missing = team->fair_slots - team->running_tasks;
         team->deficit = std::max(0.0, team->deficit + missing * passed_s);
-        // Nothing is owed to a team whose work all runs.
+        // A team whose tasks all run has no deficit.
         if (team->waiting_tasks == 0)
             team->deficit = 0.0;
     }
--- a/systems/timing.hpp
+++ b/systems/timing.hpp
@@ -5,17 +5,18 @@
 namespace cowslippass
 {
 
-/// Longest time since the fleet log version in hand was known to be the
-/// newest for which an entry may still act on it.
+/// An entry may act on its version of the fleet log for this long after it last
+/// knew that version to be the newest.
 constexpr milliseconds freshness_limit{4000};
 
-/// Furthest that the deadline of a start lies ahead on the target's clock.
+/// Maximum time between sending a start request and the deadline that it
+/// carries; the deadline is a time on the target's clock.
 constexpr milliseconds start_deadline{2000};
 
-/// A task whose lease is not renewed for this long is stopped by its target.
+/// A target stops a task whose lease has not been renewed for this long.
 constexpr milliseconds task_lease{10000};
 
-/// Ended tasks are kept by their target for this long.
+/// A target keeps the result of an ended task for this long.
 constexpr milliseconds ended_task_retention{600000};
 
 } // namespace cowslippass
--- a/systems/token_bucket.hpp
+++ b/systems/token_bucket.hpp
@@ -8,26 +8,27 @@
 namespace cowslippass
 {
 
-/// Limits a rate of events, with room for a burst.
+/// Limits the rate of events and allows bursts.
 class token_bucket
 {
 public:
-    /// @param per_second long-term rate.
-    /// @param burst most events at once.
+    /// @param per_second sustained rate, in events per second.
+    /// @param burst maximum number of events at once.
     token_bucket(double per_second, double burst)
         : per_second_(per_second), burst_(burst), tokens_(burst)
     {
     }
 
-    /// @return whether one more event may happen at `now`; counts it.
+    /// Takes a token for one event.
+    /// @return false when the rate limit is reached.
     bool try_acquire(monotonic_time now)
     {
-        if (last_ && now > *last_)
+        if (last_refill_ && now > *last_refill_)
         {
-            std::chrono::duration<double> passed = now - *last_;
+            std::chrono::duration<double> passed = now - *last_refill_;
             tokens_ = std::min(burst_, tokens_ + passed.count() * per_second_);
         }
-        last_ = now;
+        last_refill_ = now;
         if (tokens_ < 1)
             return false;
         tokens_ -= 1;
@@ -38,7 +39,7 @@
     double per_second_;
     double burst_;
     double tokens_;
-    std::optional<monotonic_time> last_;
+    std::optional<monotonic_time> last_refill_;
 };
 
 } // namespace cowslippass
--- a/systems/waiting_budget.cpp
+++ b/systems/waiting_budget.cpp
@@ -15,10 +15,11 @@
         std::uint64_t teams = teams_.size() + (teams_.contains(team) ? 0 : 1);
         if (get_bytes(team).get() + bytes > max_bytes_ / teams)
             return std::nullopt;
-        // The team stays within its part, so that another exceeds its own.
+        // This team stays within its part, so another team exceeds its part.
         while (total_bytes_ + bytes > max_bytes_)
         {
-            victims.push_back(find_largest()->second.tasks.rbegin()->second);
+            victims.push_back(
+                find_largest_team()->second.tasks.rbegin()->second);
             remove(victims.back());
         }
     }
@@ -61,7 +62,7 @@
 }
 
 std::map<team_id, waiting_budget::team_row>::iterator
-waiting_budget::find_largest()
+waiting_budget::find_largest_team()
 {
     return std::max_element(teams_.begin(), teams_.end(),
         [](const auto& a, const auto& b)
--- a/systems/waiting_budget.hpp
+++ b/systems/waiting_budget.hpp
@@ -9,43 +9,49 @@
 namespace cowslippass
 {
 
-/// Bounds the bytes of all work that waits in one entry, over all pools.
+/// Limits the memory of all tasks that wait in one entry, over all pools.
 ///
-/// Each team with waiting work has an equal part of the bound. While there is
-/// room, a team may use more than its part. When there is none, a team that
-/// would exceed its part is refused, and one that stays within it gets room
-/// from the teams that hold most.
+/// Each team with waiting tasks has an equal part of the limit. While memory is
+/// left, a team may use more than its part. When none is left, a task that
+/// would take its team beyond its part is refused; for a task within the part
+/// of its team, tasks of the teams that use most memory are evicted.
 class waiting_budget
 {
 public:
-    /// Memory of a waiting task besides its payload.
+    /// Memory of a waiting task in addition to its payload.
     static constexpr std::uint64_t task_overhead_bytes = 1024;
 
-    explicit waiting_budget(byte_count bound) : max_bytes_(bound.get()) {}
+    /// @param max_bytes limit for all waiting tasks, payloads included.
+    explicit waiting_budget(byte_count max_bytes) : max_bytes_(max_bytes.get())
+    {
+    }
 
+    /// Adds a task, evicting others if needed.
     /// @param payload size of the task's payload.
-    /// @param is_durable whether the task is kept elsewhere too; such tasks
-    ///   of a team give way first, then the newest.
-    /// @return tasks that have to give way; nothing when the task is refused.
-    ///   They do not count any more. Without other waiting work a task of any
-    ///   size is accepted, as it could never run otherwise.
+    /// @param is_durable whether the task is also stored elsewhere. Durable
+    ///   tasks of a team are evicted first, and among equals the newest.
+    /// @return the evicted tasks, which no longer count; nothing when the task
+    ///   is refused. When no other task waits, a task of any size is accepted,
+    ///   as it could otherwise never run.
     std::optional<std::vector<task_id>> add(const task_id& id,
         const team_id& team, byte_count payload, bool is_durable);
 
-    /// Counts a task that had been accepted before and waits again. It is
-    /// never refused, so that the bound may be exceeded by such tasks.
+    /// Adds a task that was accepted before and waits again. It is never
+    /// refused, so such tasks may exceed the limit.
     void readmit(const task_id& id, const team_id& team, byte_count payload,
         bool is_durable);
 
-    /// The task waits no longer. Unknown tasks are ignored.
+    /// Removes a task that no longer waits. Unknown tasks are ignored.
     void remove(const task_id& id);
 
+    /// @return memory of all waiting tasks.
     byte_count get_bytes() const { return byte_count(total_bytes_); }
 
+    /// @return memory of the waiting tasks of one team.
     byte_count get_bytes(const team_id& team) const;
 
 private:
-    /// Orders by who gives way last.
+    /// Orders the tasks of a team; the last one is evicted first.
     struct eviction_key
     {
         bool is_durable = false;
@@ -65,7 +71,8 @@
         std::map<eviction_key, task_id> tasks;
     };
 
-    std::map<team_id, team_row>::iterator find_largest();
+    /// @return the team whose waiting tasks use most memory.
+    std::map<team_id, team_row>::iterator find_largest_team();
 
     std::uint64_t max_bytes_;
     std::uint64_t total_bytes_ = 0;
--- a/tests/systems/admission_test.cpp
+++ b/tests/systems/admission_test.cpp
@@ -28,6 +28,7 @@
     return out;
 }
 
+/// @return the team of an admitted request, or the error code of a refused one.
 std::string get_code(
     const fleet_state& state, const char* queue, std::string_view authorization)
 {
@@ -44,7 +45,7 @@
 
 } // namespace
 
-// Guards against work being taken for a team whose key did not come with it.
+// Guards against a request that is admitted for a team without that team's key.
 TEST(admission, accepts_work_only_for_the_team_of_the_key)
 {
     fleet_state state = make_state();
@@ -57,6 +58,8 @@
     EXPECT_EQ(get_code(state, "none", "Bearer red-secret"), "unknown_queue");
 }
 
+// Guards against a request to an open queue that counts for the wrong team or
+// is refused: without a key it counts for the team of the queue.
 TEST(admission, an_open_queue_counts_for_its_team_or_for_that_of_the_key)
 {
     fleet_state state = make_state();
@@ -64,7 +67,7 @@
     EXPECT_EQ(get_code(state, "open", "Bearer red-secret"), "team red");
 }
 
-// Guards against a withdrawn key that goes on working.
+// Guards against a key that still works after it has been withdrawn.
 TEST(admission, a_withdrawn_key_is_unknown)
 {
     fleet_state state = make_state();
--- a/tests/systems/grant_growth_test.cpp
+++ b/tests/systems/grant_growth_test.cpp
@@ -13,21 +13,23 @@
 namespace
 {
 
-constexpr int session_count = 15; // Pool owners of 5 pools in 3 data centres.
+constexpr int session_count = 15; // Pool owners: 5 pools, 3 data centres.
 constexpr std::uint32_t limit = 60;
 constexpr milliseconds tick{10};
 constexpr int ticks = 12000; // Two minutes.
 constexpr int ticks_per_summary = 50;
 constexpr int mean_run_ticks = 40;
 
+/// Arrivals of a session: bursts with pauses between them.
 struct load
 {
     const char* name;
-    double peak_fraction; ///< Mean demand in bursts, of the limit.
+    double peak_fraction; ///< Mean demand of all sessions / limit.
     int burst_ticks;
-    double burst_share; ///< Part of the time that a session is in a burst.
+    double burst_share; ///< Fraction of time in bursts.
 };
 
+/// Result of a simulation.
 struct figures
 {
     double mean_wait_ms = 0;
@@ -35,11 +37,11 @@
     double writes_per_second = 0;
     double conflicts_per_second = 0;
     double reads_per_second = 0;
-    double worst_wait_ms = 0; ///< Highest mean wait of one session.
-    double used = 0;          ///< Mean tasks running, of the limit.
+    double worst_wait_ms = 0; ///< Mean wait of the worst session.
+    double used = 0;          ///< Mean running tasks / limit.
 };
 
-/// Sessions whose transactions and reads take one tick, in simulated time.
+/// Simulates sessions whose transactions and reads take one tick each.
 class growth_simulation
 {
 public:
@@ -78,9 +80,9 @@
     struct session
     {
         grant_ledger ledger;
-        std::mt19937 random; ///< Equal arrivals for every policy.
+        std::mt19937 random; ///< Same arrivals for every policy.
         bool is_in_burst = false;
-        std::deque<std::pair<int, int>> waiting{}; ///< Arrival and length.
+        std::deque<std::pair<int, int>> waiting{}; ///< Arrival, run time.
         std::vector<int> ends{};
         double wait_sum = 0;
         double started = 1;
@@ -209,8 +211,8 @@
 
 } // namespace
 
-// Prints what the growth policies cost in simulated time, and guards against
-// a policy under which waiting work never starts.
+// Guards against a growth policy under which waiting tasks never start. Prints
+// the waiting times and the platform load of each policy, in simulated time.
 TEST(grant_growth, compares_growth_policies)
 {
     const load loads[] = {{"half full, short bursts", 0.5, 300, 0.2},
--- a/tests/systems/grant_ledger_test.cpp
+++ b/tests/systems/grant_ledger_test.cpp
@@ -15,7 +15,7 @@
 
 using enum grant_action;
 
-// Session 0 grows after session 1 read the row at a lowered limit.
+// Session 0 grows after session 1 has read the row at the lowered limit.
 const std::vector<grant_step> growth_after_lowered_limit = {
     {run_without_faults, 1, 3, 0}, {run_without_faults, 0, 0, 0},
     {change_limit, 0, 0, 2}, {catch_up, 1, 0, 0}, {exchange_rows, 1, 0, 0},
@@ -23,7 +23,7 @@
     {pass_time, 0, 0, 30}, {renew, 0, 0, 0}, {catch_up, 1, 0, 0},
     {pass_time, 0, 0, 20}, {start, 1, 2, 0}};
 
-// Session 0 ends a task that session 1 is adopting, and starts another one.
+// Session 0 ends a task while session 1 adopts it, and starts another one.
 const std::vector<grant_step> adoption_from_a_live_session = {
     {run_without_faults, 0, 1, 0}, {start, 0, 0, 0},
     {run_without_faults, 1, 5, 0}, {start, 1, 4, 0}, {inject_fault, 0, 5, 0},
@@ -33,9 +33,9 @@
 
 } // namespace
 
-// Guards against a team that starts tasks above its limit, and against grants
-// that nobody returns, over deaths, pauses, cuts, lost replies, late requests,
-// stale rows, adoptions and changes of the limit.
+// Guards against tasks started above the team's limit, and against grants that
+// are never returned. Random steps crash, pause and disconnect sessions, lose
+// replies, delay requests, return stale rows, adopt tasks and change the limit.
 RC_GTEST_PROP(grant_ledger, limit_holds_and_no_grant_is_lost, ())
 {
     auto steps = *gen_grant_steps();
@@ -44,12 +44,18 @@
         RC_FAIL(*violation);
 }
 
+// Guards against violations that show only in rare interleavings of the steps,
+// with 3,000 fixed seeds.
 TEST(grant_ledger, long_search_finds_no_violation)
 {
     EXPECT_EQ(find_grant_violation({}, "", 3000), std::nullopt);
 }
 
-// Each of these guards against a model too weak to see that a rule is needed.
+// This test and the six that follow guard against a model that is too weak to
+// show that a rule of the protocol is needed. Each switches off one rule; the
+// model must then find tasks above the limit.
+//
+// Here a session grows after a peer has read the row at a lowered limit.
 TEST(grant_ledger, model_detects_growth_without_head_condition)
 {
     grant_rules broken{.conditions_growth_on_head = false};
@@ -57,30 +63,37 @@
     EXPECT_TRUE(grant_model(broken).run(growth_after_lowered_limit, false));
 }
 
+// Here a session uses a row that it read before the limit was lowered.
 TEST(grant_ledger, model_detects_missing_reread_after_limit_change)
 {
     EXPECT_TRUE(find_grant_violation(
         {.reads_again_after_limit = false}, above_limit, max_runs));
 }
 
+// Here a session uses grants of a growth whose reply was lost.
 TEST(grant_ledger, model_detects_unknown_growth_counted_as_committed)
 {
     EXPECT_TRUE(find_grant_violation(
         {.counts_unknown_as_not_grown = false}, above_limit, max_runs));
 }
 
+// Here a disconnected session keeps its tasks running after it was ended and
+// its grants were released.
 TEST(grant_ledger, model_detects_renewal_without_deadline)
 {
     EXPECT_TRUE(
         find_grant_violation({.stops_renewing = false}, above_limit, max_runs));
 }
 
+// Here grants of an ended session are released while its tasks still run.
 TEST(grant_ledger, model_detects_early_release_of_ended_session)
 {
     EXPECT_TRUE(find_grant_violation(
         {.waits_for_release = false}, above_limit, max_runs));
 }
 
+// Here an ended session, which does not know it, still starts tasks with grants
+// that a peer adopts.
 TEST(grant_ledger, model_detects_early_adoption)
 {
     grant_rules broken{.waits_for_adoption = false};
@@ -88,14 +101,17 @@
     EXPECT_TRUE(grant_model(broken).run(adoption_from_a_live_session, false));
 }
 
+// Here a session starts tasks without knowing that the limit was lowered or
+// that it was ended.
 TEST(grant_ledger, model_detects_starts_without_freshness)
 {
     EXPECT_TRUE(find_grant_violation(
         {.needs_freshness = false}, above_limit, max_runs));
 }
 
-// Guards against a start above a lowered limit: with shares in proportion to
-// the limit, this session could run 3 tasks while another one runs 5.
+// Guards against starts above a lowered limit. If each session could use a
+// share in proportion to the limit, this session could run 3 tasks while
+// another one still runs 5.
 TEST(grant_ledger, lowered_limit_excludes_grants_of_peers)
 {
     team_id team("alpha");
@@ -110,9 +126,9 @@
     EXPECT_EQ(it.get_usable(team), task_count(1));
 }
 
-// Guards against growth that stops until the next configuration change: the
-// new head was in hand before the read showed that the row had not changed, so
-// that no later head would have ended the wait.
+// Guards against growth that stops until the next configuration change. The
+// new head was known before the read showed that the row had not changed, so
+// no later head would have ended the wait.
 TEST(grant_ledger, conflict_with_an_older_head_does_not_stop_growth)
 {
     team_id team("alpha");
@@ -135,8 +151,8 @@
     EXPECT_EQ(it.plan_transfers(now).size(), 1U);
 }
 
-// Guards against a session that keeps the whole limit while a peer waits, and
-// against one that is held back although the peer has its even share.
+// Guards against a session that keeps the whole limit while tasks wait at a
+// peer, and against a cap that stays although the peer has its even share.
 TEST(grant_policy, cap_leaves_waiting_peers_an_even_share)
 {
     EXPECT_EQ(choose_grant_cap(10, 0, {{0, 20}}), 5);
@@ -146,7 +162,7 @@
     EXPECT_EQ(choose_grant_cap(1, 0, {{0, 20}}), 1);
 }
 
-// Guards against rows that are read as empty although they are malformed.
+// Guards against malformed rows that are decoded as empty ones.
 TEST(grant_row, round_trips_and_rejects_malformed_rows)
 {
     grant_row it;
--- a/tests/systems/grant_model.hpp
+++ b/tests/systems/grant_model.hpp
@@ -9,13 +9,17 @@
 namespace cowslippass
 {
 
-/// The grants row, and the pending_requests and replies that the steps apply
-/// late, lose or deliver_reply late.
+/// Model of sessions that change one grants row through a platform which may
+/// delay requests, and delay or lose replies. Checks after each step that the
+/// team stays within its limit.
 class grant_model : private grant_model_state
 {
 public:
     explicit grant_model(grant_rules rules) : grant_model_state(rules) {}
 
+    /// @param checks_idle_state whether to check after the steps that all
+    /// grants
+    ///   are returned and can be granted again.
     /// @return a description of the first violation.
     std::optional<std::string> run(
         const std::vector<grant_step>& steps, bool checks_idle_state = true)
@@ -192,7 +196,7 @@
             answer(one, *one.outcome);
     }
 
-    // The request may still apply_request later.
+    // The platform may still execute the request later.
     void lose_reply(const grant_step& step)
     {
         if (!pending_requests.empty())
@@ -213,7 +217,7 @@
         }
     }
 
-    // Everything that works at once, without losses.
+    // One round of everything a session does, without delays or losses.
     void run_without_faults(const grant_step& step)
     {
         catch_up(step);
@@ -222,7 +226,7 @@
         apply_and_answer(step);
     }
 
-    // Some seconds in which all sessions do what they can.
+    // All sessions run for some seconds.
     void run_all_sessions(const grant_step& step)
     {
         for (int second = 0; second < step.amount; ++second)
@@ -305,7 +309,8 @@
         }
     }
 
-    // Everything works again, all work ends, and nobody wants more.
+    // Ends all faults and tasks and checks that all grants are returned, and
+    // that the whole limit can be granted afterwards.
     std::optional<std::string> check_idle_state()
     {
         for (auto& it : all_sessions)
@@ -325,7 +330,7 @@
         auto left = grant_row::decode(table.value).get_total();
         if (left > 0)
         {
-            std::string text = "grants lost: " + table.value;
+            std::string text = "grants not returned: " + table.value;
             for (const auto& it : all_sessions)
                 text += " [" + std::to_string(it.id.get()) +
                         (it.is_alive ? " alive" : " dead") + " in use " +
@@ -333,10 +338,10 @@
                         " tasks " + std::to_string(get_tasks(it).size()) + "]";
             return text;
         }
-        // The whole limit can be granted again.
+        // With waiting work, the whole limit must be granted again.
         run_rounds(6, 100);
         if (grant_row::decode(table.value).get_total() != log.back().limit)
-            return "growth stuck: " + table.value;
+            return "limit not granted completely: " + table.value;
         return std::nullopt;
     }
 
@@ -393,8 +398,11 @@
     return rc::gen::container<std::vector<grant_step>>(250, step);
 }
 
-/// Searches with fixed seeds, so that the result never depends on chance.
-/// @param sought part of the violation's description.
+/// Runs random steps with the seeds 1 to `max_runs`, so that the result is
+/// reproducible.
+/// @param sought part of the violation's description; empty accepts any
+///   violation.
+/// @return the description of the first violation found.
 inline std::optional<std::string> find_grant_violation(
     grant_rules rules, const std::string& sought, std::uint64_t max_runs)
 {
--- a/tests/systems/grant_model_state.hpp
+++ b/tests/systems/grant_model_state.hpp
@@ -13,57 +13,69 @@
 namespace cowslippass
 {
 
-/// Switches single rules off, to show that the model finds their absence.
+/// Rules of the protocol. Tests switch single rules off to show that the model
+/// detects their absence.
 struct grant_rules
 {
+    /// A growth is conditioned on the version of `config/head`.
     bool conditions_growth_on_head = true;
+    /// The grants row is read again after a change of the limit.
     bool reads_again_after_limit = true;
+    /// A growth without a known outcome counts as failed.
     bool counts_unknown_as_not_grown = true;
+    /// Leases are renewed only until the renewal deadline.
     bool stops_renewing = true;
+    /// Grants of an ended session are released only at the release time.
     bool waits_for_release = true;
+    /// Grants of an ended session are adopted only from the adoption time on.
     bool waits_for_adoption = true;
+    /// Tasks start only on a fresh configuration.
     bool needs_freshness = true;
 };
 
+/// What a step of the model does. The order is that of the handlers in
+/// `grant_model::apply`.
 enum class grant_action
 {
     pass_time,
-    start,
-    end,
-    renew,
+    start, ///< Starts tasks.
+    end,   ///< Ends a task.
+    renew, ///< Renews the leases of the session's own tasks.
     change_limit,
-    catch_up,
-    set_waiting_count,
-    send_peer_waiting,
+    catch_up,          ///< Applies the fleet log up to its newest version.
+    set_waiting_count, ///< Sets the number of tasks that wait for a grant.
+    send_peer_waiting, ///< Delivers the summary of a peer.
     send_reads,
-    execute_read,
-    deliver_read,
+    execute_read, ///< The platform reads the row.
+    deliver_read, ///< The reply reaches the session.
     exchange_rows,
     send_transfers,
-    apply_request,
-    deliver_reply,
+    apply_request, ///< The platform executes a transaction.
+    deliver_reply, ///< The reply reaches the session.
     lose_reply,
     apply_and_answer,
     run_without_faults,
-    inject_fault,
-    end_unreachable_session,
-    release,
-    adopt,
+    inject_fault, ///< Crashes a session, or toggles its pause or partition.
+    end_unreachable_session, ///< Commits `session_ended`.
+    release,                 ///< Releases grants of an ended session.
+    adopt,                   ///< Adopts a task of an ended session.
     renew_for_other,
     start_session,
     run_all_sessions
 };
 
+/// A step of the model.
 struct grant_step
 {
     grant_action kind;
-    int session;
-    int argument;
-    int amount;
+    int session;  ///< Index of the acting session, modulo their number.
+    int argument; ///< Another session, a task, a message or a count.
+    int amount;   ///< A time or a limit.
 };
 
-/// One team, its limit and its tasks, and sessions whose clocks and lives the
-/// steps control. Steps that are not possible do nothing.
+/// State of the model: one team with its limit and its tasks, and sessions that
+/// the steps start, stop and disconnect. Steps that are not possible do
+/// nothing.
 class grant_model_state
 {
 protected:
@@ -80,46 +92,50 @@
         std::unique_ptr<grant_ledger> ledger;
         bool is_alive = true;
         bool is_paused = false;
-        bool is_partitioned = false;
-        std::uint64_t version = 0;
+        bool is_partitioned = false; ///< Cannot reach the platform.
+        std::uint64_t version = 0;   ///< Of the fleet log, as applied.
         monotonic_time fresh_as_of{};
-        /// When the end of a session was learned, and the last freshness
-        /// before that.
+        /// By ended session: when this session learned of its end, and when its
+        /// own configuration was last fresh before that.
         std::map<std::uint64_t, monotonic_time> ended_observed{};
         std::map<std::uint64_t, monotonic_time> fresh_before_end{};
+        /// Transfer id and task of each adoption that was sent.
         std::map<std::uint64_t, std::size_t> adoptions{};
     };
 
     struct task
     {
-        /// Sessions that count it as in use: the starter, and those that
-        /// adopted it.
+        /// Sessions that count the task as in use: the one that started it and
+        /// those that adopted it.
         std::set<session_id> owners;
         monotonic_time lease_until;
         bool is_running = true;
     };
 
+    /// A transaction that a session sent.
     struct request
     {
-        std::size_t from;
+        std::size_t from; ///< Index of the session.
         grant_transfer transfer;
-        std::optional<transaction_outcome> outcome{};
+        std::optional<transaction_outcome> outcome{}; ///< Set when executed.
         row_version written{};
         bool is_answered = false;
     };
 
+    /// A read of the grants row that a session sent.
     struct read
     {
-        std::size_t from;
+        std::size_t from; ///< Index of the session.
         config_version read_at;
-        std::optional<row> value{};
+        std::optional<row> value{}; ///< Set when executed.
     };
 
+    /// An entry of the fleet log.
     struct limit_change
     {
         monotonic_time committed;
         std::uint32_t limit;
-        std::optional<std::uint64_t> ended;
+        std::optional<std::uint64_t> ended; ///< The session that it ends.
     };
 
     session& get(int index)
@@ -168,7 +184,8 @@
             all_tasks.end(), [](const task& it) { return it.is_running; }));
     }
 
-    // Entries learn of a lowered limit within the freshness limit.
+    // Entries may use a higher limit until the freshness limit has passed since
+    // it was lowered.
     std::uint32_t get_highest_limit() const
     {
         std::uint32_t highest = log.back().limit;
@@ -193,7 +210,7 @@
             can_act(it) && (is_fresh(it) || !rules.needs_freshness);
         if (!may_start || !it.ledger->try_acquire(team))
             return;
-        // The target starts it up to the start deadline later.
+        // The target may start the task as late as the start deadline.
         all_tasks.push_back({{it.id}, now + start_deadline + task_lease});
         if (count_running() > get_highest_limit())
             violation = "session " + std::to_string(it.id.get()) +
@@ -248,7 +265,7 @@
         }
     }
 
-    // A pool owner keeps the tasks of another session alive.
+    // A pool owner renews the leases of tasks that another session started.
     void renew_for_other(const grant_step& step)
     {
         auto& it = get(step.session);
@@ -289,7 +306,7 @@
         bool is_changed = it.version < log.size();
         it.version = log.size();
         it.fresh_as_of = now;
-        // As after a snapshot: limits in between are not seen.
+        // As after a snapshot: the session sees only the newest limit.
         config_version version(it.version);
         if (is_changed)
             it.ledger->on_limit(team, task_count(log.back().limit), version);
--- a/tests/systems/placement_fixture.hpp
+++ b/tests/systems/placement_fixture.hpp
@@ -34,6 +34,7 @@
     return task;
 }
 
+/// Grants every task.
 inline bool always(const team_id&)
 {
     return true;
--- a/tests/systems/placement_preemption_test.cpp
+++ b/tests/systems/placement_preemption_test.cpp
@@ -7,8 +7,8 @@
 
 using namespace placement_test;
 
-// Guards against a preemption that loses work although a checkpoint was
-// possible, and against one that never ends.
+// Guards against a preemption that stops a task before its checkpoint is
+// stored, and against one that never frees the slot.
 TEST(placement_preemption, preempts_by_throttle_checkpoint_and_stop)
 {
     placement_system system(make_policy(0.0));
@@ -34,8 +34,8 @@
         get_rules(tick(system, now)), rules{placement_rule::urgent_first});
 }
 
-// Guards against a checkpoint that never completes and holds up urgent work
-// beyond its bound.
+// Guards against a checkpoint that never completes and delays an urgent task
+// beyond its start bound.
 TEST(placement_preemption, stops_a_victim_whose_checkpoint_is_overdue)
 {
     placement_system system(make_policy(0.0));
@@ -49,7 +49,8 @@
         std::vector{placement_rule::checkpoint_overdue});
 }
 
-// Guards against a stop of slow work although the urgent task found a slot.
+// Guards against a slow task that is stopped although no urgent task needs its
+// slot any more.
 TEST(placement_preemption, resumes_a_victim_that_is_no_longer_needed)
 {
     placement_system system(make_policy(0.0));
@@ -64,7 +65,8 @@
         std::vector{placement_rule::urgent_served});
 }
 
-// Guards against a stop of work that could not run again (I8).
+// Guards against the preemption of a task that must not run twice (invariant
+// I8).
 TEST(placement_preemption, never_preempts_work_that_is_not_idempotent)
 {
     placement_system system(make_policy(0.0));
@@ -77,8 +79,8 @@
     EXPECT_TRUE(tick(system, epoch + 2s).empty());
 }
 
-// Guards against preemption for a team at its fleet-wide limit, which frees
-// a slot that the team may not use.
+// Guards against a preemption for a team at its fleet-wide limit, which could
+// not use the slot.
 TEST(placement_preemption, does_not_preempt_for_a_team_without_grant)
 {
     placement_system system(make_policy(0.0));
@@ -91,8 +93,8 @@
     EXPECT_EQ(out.teams_without_grant, std::vector{team_id("y")});
 }
 
-// Guards against slots that are freed, tick after tick, for more tasks than
-// the teams with waiting work may run.
+// Guards against victims that are preempted in every tick for more tasks than
+// the teams with waiting tasks have grants for.
 TEST(placement_preemption, frees_at_most_one_slot_per_grant)
 {
     placement_system system(make_policy(0.0));
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -10,7 +10,7 @@
 
 using namespace placement_test;
 
-// Guards against head-of-line blocking of urgent work behind a batch.
+// Guards against urgent tasks that wait behind slow tasks that arrived earlier.
 TEST(placement_system, urgent_work_starts_before_earlier_slow_work)
 {
     placement_system system;
@@ -23,8 +23,8 @@
     EXPECT_EQ(items[0].rule, placement_rule::urgent_first);
 }
 
-// Guards against slow work that fills the pool and leaves no slot for an
-// urgent task that arrives a moment later.
+// Guards against slow tasks that fill the pool and leave no slot for an urgent
+// task that arrives shortly after.
 TEST(placement_system, slow_work_leaves_the_headroom_free)
 {
     placement_system system(make_policy(0.125));
@@ -32,13 +32,15 @@
     for (int i = 0; i < 10; ++i)
         system.add_task(
             make_task("s" + std::to_string(i), "x", queue_kind::slow));
-    EXPECT_EQ(tick(system, epoch).size(), 6u); // 7 connections less the sync
+    EXPECT_EQ(tick(system, epoch).size(),
+        6u); // One of 7 connections is for the sync.
     EXPECT_EQ(tick(system, epoch).size(), 1u);
     EXPECT_EQ(system.count_free_slots(), 1u);
 }
 
-// Guards against an idle team that collects credit and then takes the whole
-// pool, and against a busy team that pays for slots nobody wanted.
+// Guards against a team that gains credit while it is idle and then takes the
+// whole pool, and against a team that is held back later because it used slots
+// that no other team needed.
 TEST(placement_system, team_that_returns_gets_its_share_and_no_more)
 {
     placement_system system(make_policy(0.0));
@@ -74,7 +76,7 @@
 }
 
 // Guards against a burst of a large team that waits beyond the start bound
-// while the tasks of others start at once.
+// while urgent tasks of other teams start at once.
 TEST(placement_system, urgent_work_that_waited_long_precedes_other_teams)
 {
     placement_system system(make_policy(0.0));
@@ -91,7 +93,7 @@
     EXPECT_EQ(items[0].team, team_id("x"));
 }
 
-// Guards against slow work that starves behind urgent work of teams that are
+// Guards against slow tasks that starve behind urgent tasks of teams that are
 // far above their share.
 TEST(placement_system, slow_work_far_below_its_share_precedes_urgent_work)
 {
@@ -117,8 +119,8 @@
     EXPECT_GT(now, epoch + 5s);
 }
 
-// Guards against slow work that cannot be stopped and piles up in the pool,
-// and against slots left free for other work that is not there.
+// Guards against non-preemptible tasks that accumulate in the pool, and against
+// slots that stay free although only such tasks wait.
 TEST(placement_system, bounds_non_preemptible_slow_work)
 {
     placement_system system(make_policy(0.0));
@@ -138,13 +140,13 @@
     auto items = tick(system, epoch);
     auto count = std::count_if(items.begin(), items.end(),
         [](const auto& item) { return item.task.get().starts_with("fixed"); });
-    EXPECT_EQ(count, 12); // 2 by the bound, 10 when no other work waits
+    EXPECT_EQ(count, 12); // 2 by the bound, 10 once no others wait.
     EXPECT_EQ(items.size(), 32u);
     EXPECT_TRUE(items[2].task.get().starts_with("slow"));
 }
 
-// Guards against a team without a share for as long as others wait, because
-// all its work cannot be stopped and the pool has enough of that kind.
+// Guards against a team that starves while others wait, because it has only
+// non-preemptible tasks and the pool runs its maximum of these.
 TEST(placement_system,
     a_team_far_behind_exceeds_the_bound_on_non_preemptible_work)
 {
@@ -168,7 +170,7 @@
     EXPECT_EQ(system.count_running(team_id("b")), 1u);
     for (; now < epoch + 30s; now += 100ms)
         tick(system, now);
-    // Its rank is lower than that of the team behind.
+    // Team c has used less than team b, but only team b has a deficit.
     add("c", "c", false, now);
     auto ended = std::find_if(items.begin(), items.end(),
         [](const auto& item) { return item.team == team_id("a"); });
@@ -178,8 +180,8 @@
     EXPECT_EQ(items[0].team, team_id("b"));
 }
 
-// Guards against work that waits for ever, that runs after its caller left,
-// or that fills the memory.
+// Guards against tasks that can never start, that run after the deadline of
+// their caller, that fill the memory or that are queued twice.
 TEST(placement_system, refuses_tasks_with_the_matching_rule)
 {
     placement_policy policy;
@@ -202,7 +204,7 @@
     EXPECT_EQ(system.count_tasks(), 0u);
 }
 
-// Guards against a rack failure that takes most of the urgent work.
+// Guards against a rack failure that stops most of the urgent tasks.
 TEST(placement_system, spreads_urgent_work_over_racks)
 {
     placement_system system;
@@ -221,7 +223,8 @@
     EXPECT_EQ(count[rack_id("small6")], 1);
 }
 
-// Guards against a large slow task that small ones keep out for ever.
+// Guards against a large slow task that never fits because small tasks take the
+// memory that becomes free.
 TEST(placement_system, reserves_a_target_for_a_large_task)
 {
     placement_system system(make_policy(0.0));
@@ -260,9 +263,9 @@
     EXPECT_TRUE(is_started);
 }
 
-// Guards against urgent work that waits in a burst beside the free slots of a
-// reserved target, and against a steady urgent load that keeps the large task
-// out for ever.
+// Guards against urgent tasks that wait in a burst although a reserved target
+// has free slots, and against a steady urgent load that delays the large task
+// for ever.
 TEST(placement_system, a_reservation_yields_to_urgent_work_for_a_while)
 {
     placement_system system(make_policy(0.0));
@@ -289,7 +292,7 @@
         now += 1s;
         add_urgent(i, now);
         auto items = tick(system, now);
-        // Each urgent task runs until after the next one came.
+        // Each urgent task runs until the next one has started.
         if (system.count_running(team_id("y")) > 1)
             system.on_task_end(
                 task_id(std::to_string(last++)), task_outcome::done, now);
@@ -304,8 +307,8 @@
     EXPECT_TRUE(is_started);
 }
 
-// Guards against a retry that waits for its deadline, because the only other
-// target is out of service.
+// Guards against a retry that waits until its deadline because the only target
+// that it does not avoid is out of service.
 TEST(placement_system, avoids_a_target_only_while_another_can_serve)
 {
     placement_system system;
@@ -327,8 +330,8 @@
     EXPECT_EQ(items[0].target, instance_id("a"));
 }
 
-// Guards against starts on a target that just refused one, and on one that
-// another owner still uses.
+// Guards against starts on a target that has just refused one, and on one whose
+// slots another owner still uses.
 TEST(placement_system, avoids_targets_that_refuse_or_are_used_by_others)
 {
     placement_system system;
@@ -346,16 +349,16 @@
     EXPECT_EQ(tick(system, epoch + 600ms).size(), 1u);
 }
 
-// Guards against a retry on the target that failed, and against one that waits
-// although no other target can take it.
+// Guards against a retry on the target where the task failed while another one
+// is usable, and against a retry that waits although no other is usable.
 TEST(placement_system, uses_an_avoided_target_only_when_no_other_is_usable)
 {
-    for (bool is_other_aside : {false, true})
+    for (bool is_other_quarantined : {false, true})
     {
         placement_system system;
         system.set_target(make_target("a"));
         auto other = make_target("b");
-        if (is_other_aside)
+        if (is_other_quarantined)
             other.health = target_health_state::quarantined;
         system.set_target(other);
         auto task = make_task("t", "x");
@@ -363,12 +366,12 @@
         system.add_task(task);
         auto items = tick(system, epoch);
         ASSERT_EQ(items.size(), 1u);
-        EXPECT_EQ(items[0].target.get(), is_other_aside ? "a" : "b");
+        EXPECT_EQ(items[0].target.get(), is_other_quarantined ? "a" : "b");
     }
 }
 
-// Guards against double counting after a change of owner, and against a task
-// that outlives its target in the table.
+// Guards against tasks that are counted twice after the pool has changed its
+// owner, and against tasks of a removed target that stay in the table.
 TEST(placement_system, counts_adopted_tasks_and_tasks_of_removed_targets)
 {
     placement_system system;
@@ -385,7 +388,8 @@
     EXPECT_TRUE(tick(system, epoch).empty());
 }
 
-// Guards against a cancelled task that starts again after a refused start.
+// Guards against a cancelled task that is started again after the target has
+// refused it.
 TEST(placement_system, cancelled_start_that_was_refused_has_not_run)
 {
     placement_system system;
@@ -403,8 +407,8 @@
     EXPECT_EQ(out.returned_grants, std::vector{team_id("x")});
 }
 
-// Guards against more tasks on a target than slots, lost or doubled grants,
-// and lost tasks, under any order of calls.
+// Guards against more tasks on a target than it has slots, against lost or
+// doubled grants and against lost tasks, under random sequences of calls.
 RC_GTEST_PROP(placement_system, conserves_slots_grants_and_tasks, ())
 {
     placement_system system(make_policy(0.1));
--- a/tests/systems/pool_owners_test.cpp
+++ b/tests/systems/pool_owners_test.cpp
@@ -6,8 +6,8 @@
 namespace cowslippass
 {
 
-// Guards against a pool that moves although its owner stayed, which would
-// hand its queue over for nothing.
+// Guards against a pool that changes its owner although the owner stays, which
+// would hand over its queue needlessly.
 RC_GTEST_PROP(pool_owners, only_pools_of_a_leaving_entry_move, ())
 {
     auto count = *rc::gen::inRange<std::uint64_t>(2, 10);
@@ -23,6 +23,7 @@
     RC_ASSERT(before == leaving || before == after);
 }
 
+// Guards against an owner that is made up when no entry is live.
 TEST(pool_owners, has_no_owner_without_entries)
 {
     EXPECT_FALSE(choose_pool_owner(pool_id("previews"), {}));
--- a/tests/systems/routing_test.cpp
+++ b/tests/systems/routing_test.cpp
@@ -30,7 +30,7 @@
     EXPECT_EQ(out.data_centre, data_centre_id("a"));
 }
 
-// Guards against work that waits while slots are free elsewhere.
+// Guards against requests that wait while another data centre has free slots.
 TEST(routing, leaves_a_full_data_centre_for_one_with_free_slots)
 {
     auto out = choose_route({make("a", true, 0, 3), make("b", false, 5, 1)});
@@ -38,7 +38,8 @@
     EXPECT_EQ(out.data_centre, data_centre_id("b"));
 }
 
-// Guards against starts in a data centre that operators took out (I5).
+// Guards against starts in a data centre that operators have taken out of
+// service (invariant I5).
 TEST(routing, never_chooses_a_data_centre_out_of_service)
 {
     auto out_of_service = make("a", true, 9, 0);
--- a/tests/systems/target_health_test.cpp
+++ b/tests/systems/target_health_test.cpp
@@ -45,7 +45,8 @@
 
 } // namespace
 
-// Guards against a target that fails quickly and so attracts all work.
+// Guards against a faulty target that attracts most tasks because it fails them
+// quickly and so has free slots.
 TEST_F(target_health_test, quarantines_a_target_that_fails_everything)
 {
     for (int i = 0; i < 3; ++i)
@@ -59,7 +60,8 @@
     EXPECT_EQ(out.changes[0].rule, health_rule::fails_what_succeeds_elsewhere);
 }
 
-// Guards against targets that are set aside for a wave of bad tasks.
+// Guards against healthy targets that are quarantined because many bad tasks
+// fail on them.
 TEST_F(target_health_test, a_wave_of_bad_tasks_quarantines_no_target)
 {
     std::size_t bad = 0;
@@ -76,7 +78,8 @@
     EXPECT_GT(bad, 200u);
 }
 
-// Guards against a good task that is given up because it met faulty targets.
+// Guards against a good task that is reported as bad because its attempts ran
+// on faulty targets.
 TEST_F(target_health_test, failures_on_faulty_targets_do_not_make_a_bad_task)
 {
     for (int i = 0; i < 10; ++i)
@@ -89,8 +92,9 @@
     EXPECT_TRUE(tick().bad_tasks.empty());
 }
 
-// Guards against a return to full work without a test, and against a target
-// that comes and goes at the same rate for ever.
+// Guards against a quarantined target that gets all kinds of tasks again
+// without a probation, and against one that keeps failing and returning at the
+// same rate because its quarantine does not get longer.
 TEST_F(target_health_test, returns_on_probation_with_longer_pauses)
 {
     for (int i = 0; i < 3; ++i)
@@ -115,7 +119,8 @@
     EXPECT_EQ(out.changes[0].rule, health_rule::probation_passed);
 }
 
-// Guards against a pool that loses more targets than its budget (I1).
+// Guards against more quarantined targets than the availability budget of the
+// pool allows (invariant I1).
 TEST_F(target_health_test, respects_the_availability_budget)
 {
     auto never = [](const instance_id&) { return false; };
@@ -129,7 +134,7 @@
     EXPECT_EQ(out.changes[0].state, target_health_state::quarantined);
 }
 
-// Guards against a silent target that gets work as soon as it answers once.
+// Guards against a silent target that gets tasks as soon as it answers once.
 TEST_F(target_health_test, a_silent_target_returns_after_it_answers_for_a_while)
 {
     health.on_silent(get_target(0), now);
@@ -144,7 +149,7 @@
     EXPECT_EQ(out.changes[0].rule, health_rule::answers_again);
 }
 
-// Guards against retries that multiply the load when everything fails.
+// Guards against retries that multiply the load when all tasks fail.
 RC_GTEST_PROP(retry_budget, retries_stay_a_fraction_of_successes, ())
 {
     retry_budget budget(0.1, 20.0);
--- a/tests/systems/waiting_budget_test.cpp
+++ b/tests/systems/waiting_budget_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::uint64_t bound = 20'000;
 
+/// Reference model: the waiting tasks and their sizes.
 struct waiting_model
 {
     struct item
@@ -41,6 +42,7 @@
     std::map<task_id, item> items;
 };
 
+/// Adds a task to both and checks that the refusal or the evictions are right.
 void check_add(waiting_budget& budget, waiting_model& model, const task_id& id,
     const waiting_model::item& added)
 {
@@ -70,8 +72,8 @@
 
 } // namespace
 
-// Guards against waiting work that fills the entry's memory, and against a
-// team that keeps the others out with its own waiting work.
+// Guards against waiting tasks that exhaust the memory of the entry, and
+// against a team whose waiting tasks keep those of other teams out.
 RC_GTEST_PROP(waiting_budget,
     stays_within_the_bound_and_refuses_only_above_the_equal_part, ())
 {
@@ -86,7 +88,7 @@
         model.items.erase(id);
         if ((step >> 6) % 4 == 0)
             continue;
-        // The first team adds most.
+        // Most tasks belong to the first team.
         std::uint32_t team = (step >> 8) % 16;
         check_add(budget, model, id,
             {team_id(std::to_string(team < 10 ? 0 : team)),
