--- a/main/entryd/config_follower.cpp
+++ b/main/entryd/config_watcher.cpp
@@ -1,4 +1,4 @@
-#include "main/entryd/config_follower.hpp"
+#include "main/entryd/config_watcher.hpp"
 
 #include "drivers/log.hpp"
 
@@ -17,13 +17,13 @@
 
 } // namespace
 
-config_follower::config_follower(
+config_watcher::config_watcher(
     asio::io_context& io, store_client& store, change_handler on_change)
     : io_(io), store_(store), on_change_(std::move(on_change))
 {
 }
 
-void config_follower::apply(const std::vector<stored_row>& rows)
+void config_watcher::apply(const std::vector<stored_row>& rows)
 {
     bool is_changed = false;
     for (const stored_row& it : rows)
@@ -49,7 +49,7 @@
     on_change_();
 }
 
-asio::awaitable<bool> config_follower::read_whole()
+asio::awaitable<bool> config_watcher::read_all()
 {
     boot_time sent = boot_clock::now();
     row_range range{published_table::operators, "", "", ""};
@@ -59,44 +59,45 @@
     // Rows that were removed while nobody followed are not in the answer.
     state_.evacuated.clear();
     state_.waves.clear();
-    newest_ = rows.newest;
-    as_of_ = sent;
-    needs_whole_ = false;
+    version_ = rows.newest;
+    confirmed_at_ = sent;
+    needs_full_read_ = false;
     apply(rows.rows);
     on_change_();
     co_return true;
 }
 
-asio::awaitable<bool> config_follower::follow_once()
+asio::awaitable<bool> config_watcher::read_feed()
 {
     boot_time sent = boot_clock::now();
     store_rows rows = co_await store_.follow(
-        published_table::operators, newest_, feed_wait, feed_timeout);
+        published_table::operators, version_, feed_wait, feed_timeout);
     if (rows.failure == store_failure::history_gone)
     {
         write_log(log_level::warn, "configuration",
-            "the store has dropped the feed's history", {{"version", newest_}});
-        needs_whole_ = true;
+            "the store has dropped the feed's history",
+            {{"version", version_}});
+        needs_full_read_ = true;
         co_return true;
     }
     if (rows.failure != store_failure::none)
         co_return false;
-    newest_ = std::max(newest_, rows.newest);
-    as_of_ = sent;
+    version_ = std::max(version_, rows.newest);
+    confirmed_at_ = sent;
     apply(rows.rows);
     co_return true;
 }
 
-asio::awaitable<void> config_follower::run()
+asio::awaitable<void> config_watcher::run()
 {
     bool was_reached = true;
     for (;;)
     {
         bool is_reached = false;
-        if (needs_whole_)
-            is_reached = co_await read_whole();
+        if (needs_full_read_)
+            is_reached = co_await read_all();
         else
-            is_reached = co_await follow_once();
+            is_reached = co_await read_feed();
         if (is_reached != was_reached)
             write_log(is_reached ? log_level::info : log_level::warn,
                 "configuration",
--- a/main/entryd/coordinator_seat.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -1,4 +1,4 @@
-#include "main/entryd/coordinator_seat.hpp"
+#include "main/entryd/coordinator_role.hpp"
 
 #include "drivers/endpoint.hpp"
 #include "drivers/log.hpp"
@@ -59,57 +59,58 @@
 
 } // namespace
 
-coordinator_seat::coordinator_seat(asio::io_context& io,
+coordinator_role::coordinator_role(asio::io_context& io,
     const entry_settings& settings, store_client& store,
-    metrics_registry& metrics, const config_follower& config)
+    metrics_registry& metrics, const config_watcher& config)
     : io_(io), settings_(settings), store_(store), metrics_(metrics),
-      config_(config), boot_(make_random_hex(8)),
+      config_(config), boot_id_(make_random_hex(8)),
       address_(format_endpoint(settings.peer_listen)),
-      candidacy_(boot_, address_), timer_(io)
+      election_(boot_id_, address_), probe_timer_(io)
 {
 }
 
-std::uint32_t coordinator_seat::get_own_share() const
+std::uint32_t coordinator_role::get_own_processor_share() const
 {
     return static_cast<std::uint32_t>(settings_.processor_share * 1'000);
 }
 
-bool coordinator_seat::is_weak() const
+bool coordinator_role::is_low_on_processor() const
 {
-    return get_own_share() < top_share_ * weak_share;
+    return get_own_processor_share() < max_processor_share_ * weak_share;
 }
 
-bool coordinator_seat::is_coordinator_known() const
+bool coordinator_role::is_coordinator_known() const
 {
-    if (is_holder())
+    if (is_coordinator())
         return true;
-    return last_answer_ && boot_clock::now() - *last_answer_ < answer_age_limit;
+    return last_coordinator_reply_at_ &&
+           boot_clock::now() - *last_coordinator_reply_at_ < answer_age_limit;
 }
 
-void coordinator_seat::suspect()
+void coordinator_role::suspect_coordinator()
 {
-    candidacy_.record_probe_failure();
-    timer_.cancel();
+    election_.record_probe_failure();
+    probe_timer_.cancel();
 }
 
-void coordinator_seat::note_publication()
+void coordinator_role::handle_published_change()
 {
-    if (is_holder())
+    if (is_coordinator())
         runner_->set_published_state(config_.get_state());
 }
 
-void coordinator_seat::leave()
+void coordinator_role::resign()
 {
-    is_leaving_ = true;
-    if (is_holder())
+    is_resigning_ = true;
+    if (is_coordinator())
         runner_->release();
 }
 
 asio::awaitable<std::optional<peer_coordinator_reply>>
-coordinator_seat::ask_peer(
+coordinator_role::call_remote_coordinator(
     peer_coordinator_call call, milliseconds timeout, bool& was_sent)
 {
-    auto peer = peer_;
+    auto peer = remote_coordinator_;
     if (!peer)
         co_return std::nullopt;
     bool was_sent_now = false;
@@ -124,31 +125,32 @@
     co_return *reply;
 }
 
-asio::awaitable<void> coordinator_seat::probe()
+asio::awaitable<void> coordinator_role::probe()
 {
-    const auto& head = candidacy_.get_head();
-    if (!head || !peer_)
+    const auto& head = election_.get_head();
+    if (!head || !remote_coordinator_)
         co_return;
     std::string holder = head->holder;
     peer_coordinator_call question;
-    question.processor_share = get_own_share();
+    question.processor_share = get_own_processor_share();
     bool was_sent = false;
-    auto reply = co_await ask_peer(question, probe_timeout, was_sent);
+    auto reply =
+        co_await call_remote_coordinator(question, probe_timeout, was_sent);
     if (reply && reply->result == coordinator_result::done &&
         reply->boot == holder)
     {
-        last_answer_ = boot_clock::now();
-        top_share_ = reply->top_processor_share;
-        candidacy_.record_probe(reply->renewed_age, *last_answer_);
+        last_coordinator_reply_at_ = boot_clock::now();
+        max_processor_share_ = reply->top_processor_share;
+        election_.record_probe(reply->renewed_age, *last_coordinator_reply_at_);
         co_return;
     }
     if (reply && !reply->boot.empty() && reply->boot != holder)
-        candidacy_.record_replacement();
+        election_.record_replacement();
     else
-        candidacy_.record_probe_failure();
+        election_.record_probe_failure();
 }
 
-asio::awaitable<void> coordinator_seat::read_head()
+asio::awaitable<void> coordinator_role::read_head()
 {
     boot_time sent = boot_clock::now();
     row_range range{
@@ -173,18 +175,19 @@
             }
             version = it.version;
         }
-    auto before = candidacy_.get_head();
+    auto before = election_.get_head();
     if (head)
-        top_share_ = std::max(top_share_, head->top_processor_share);
-    candidacy_.set_takeover_delay(
-        is_weak() ? handicap_of_weak : milliseconds(0));
-    candidacy_.record_head(head, version, sent, boot_clock::now());
+        max_processor_share_ =
+            std::max(max_processor_share_, head->top_processor_share);
+    election_.set_takeover_delay(
+        is_low_on_processor() ? handicap_of_weak : milliseconds(0));
+    election_.record_head(head, version, sent, boot_clock::now());
     bool is_same = head && before && before->holder == head->holder;
-    if (peer_ && is_same)
+    if (remote_coordinator_ && is_same)
         co_return;
-    if (peer_)
-        peer_->close();
-    peer_.reset();
+    if (remote_coordinator_)
+        remote_coordinator_->close();
+    remote_coordinator_.reset();
     if (!head || head->address == address_)
         co_return;
     write_log(log_level::info, "candidate", "coordinator known",
@@ -195,25 +198,27 @@
     auto on_fault = [](const std::string& code, const std::string& message) {
         write_log(log_level::debug, "peer_link", message, {{"code", code}});
     };
-    peer_ = std::make_shared<peer_client>(io_, parse_endpoint(head->address),
-        settings_.peer_listen.address(), handler, on_fault);
+    remote_coordinator_ =
+        std::make_shared<peer_client>(io_, parse_endpoint(head->address),
+            settings_.peer_listen.address(), handler, on_fault);
 }
 
-asio::awaitable<void> coordinator_seat::take_over()
+asio::awaitable<void> coordinator_role::take_over()
 {
-    const auto& old = candidacy_.get_head();
+    const auto& old = election_.get_head();
     ledger_head head;
     head.term = fencing_number(old ? old->term.get() + 1 : 1);
-    head.holder = boot_;
+    head.holder = boot_id_;
     head.entry = settings_.entry.get();
     head.address = address_;
-    head.top_processor_share = std::max(top_share_, get_own_share());
+    head.top_processor_share =
+        std::max(max_processor_share_, get_own_processor_share());
     write_log(log_level::info, "candidate", "taking over",
-        {{"term", head.term}, {"version", candidacy_.get_version()},
+        {{"term", head.term}, {"version", election_.get_version()},
             {"former", old ? old->entry : std::string()},
             {"released", old && old->is_released}});
-    bool was_released = !old || old->is_released;
-    ledger_batch batch{candidacy_.get_version(), head, {}};
+    bool was_previous_term_released = !old || old->is_released;
+    ledger_batch batch{election_.get_version(), head, {}};
     boot_time sent = boot_clock::now();
     batch_result answer = co_await store_.commit(batch, take_over_timeout);
     // A copy that was delayed may have applied; nobody else writes our name.
@@ -227,18 +232,18 @@
         co_return;
     }
     auto runner = std::make_shared<coordinator_runner>(io_, settings_, store_,
-        metrics_, head, answer.version, sent, was_released);
-    runner->note_share(get_own_share());
+        metrics_, head, answer.version, sent, was_previous_term_released);
+    runner->record_processor_share(get_own_processor_share());
     runner->start_renewing();
-    recovering_ = runner;
+    recovering_runner_ = runner;
     bool is_recovered = false;
     for (int i = 0; i < recovery_attempts && !is_recovered; ++i)
         is_recovered = co_await runner->recover();
-    recovering_.reset();
-    if (is_leaving_)
+    recovering_runner_.reset();
+    if (is_resigning_)
     {
         // The stop came meanwhile; a successor need not wait for it.
-        if (was_released)
+        if (was_previous_term_released)
             runner->release();
         else
             runner->abandon();
@@ -252,44 +257,45 @@
         co_return;
     }
     metrics_.add("cowslippass_takeovers_total");
-    held_since_ = boot_clock::now();
+    role_held_since_ = boot_clock::now();
     runner_ = runner;
     runner_->start(config_.get_state());
 }
 
-asio::awaitable<void> coordinator_seat::run()
+asio::awaitable<void> coordinator_role::run()
 {
     for (;;)
     {
-        if (is_holder())
+        if (is_coordinator())
         {
-            top_share_ = runner_->get_top_share();
-            if (is_weak() && boot_clock::now() - held_since_ > shortest_term)
+            max_processor_share_ = runner_->get_max_processor_share();
+            if (is_low_on_processor() &&
+                boot_clock::now() - role_held_since_ > shortest_term)
                 runner_->release();
-            co_await wait_on(timer_, probe_interval);
+            co_await wait_on(probe_timer_, probe_interval);
             continue;
         }
-        if (peer_)
+        if (remote_coordinator_)
             co_await probe();
-        if (!candidacy_.needs_head_read())
+        if (!election_.needs_head_read())
         {
-            co_await wait_on(timer_, probe_interval);
+            co_await wait_on(probe_timer_, probe_interval);
             continue;
         }
         co_await read_head();
         // Without a configuration nothing could be decided.
-        bool may_lead = !is_leaving_ && config_.get_state().config;
-        if (may_lead && candidacy_.may_take_over(boot_clock::now()))
+        bool may_lead = !is_resigning_ && config_.get_state().config;
+        if (may_lead && election_.may_take_over(boot_clock::now()))
         {
             asio::steady_timer delay(io_);
             co_await wait_on(delay, draw_jitter());
             // Another may have been faster, or the store is back for all.
-            if (peer_ && is_coordinator_known())
+            if (remote_coordinator_ && is_coordinator_known())
                 co_await probe();
             co_await read_head();
-            if (!is_leaving_ && candidacy_.may_take_over(boot_clock::now()))
+            if (!is_resigning_ && election_.may_take_over(boot_clock::now()))
                 co_await take_over();
-            if (is_holder())
+            if (is_coordinator())
                 continue;
         }
         asio::steady_timer pause(io_);
@@ -297,16 +303,16 @@
     }
 }
 
-asio::awaitable<seat_reply> coordinator_seat::call(
+asio::awaitable<coordinator_call_result> coordinator_role::call(
     peer_coordinator_call call, boot_time deadline)
 {
-    seat_reply out;
+    coordinator_call_result out;
     for (;;)
     {
-        if (is_holder())
+        if (is_coordinator())
         {
             auto runner = runner_;
-            out.may_be_done = true;
+            out.may_be_applied = true;
             peer_coordinator_reply reply =
                 co_await runner->handle(call, deadline);
             if (reply.result != coordinator_result::not_coordinator)
@@ -320,15 +326,15 @@
             // A busy coordinator answers late, and a copy of the call would
             // make it busier. When another takes its place, the calls that
             // wait on the old connection end.
-            auto reply = co_await ask_peer(
-                call, get_time_left(deadline), out.may_be_done);
+            auto reply = co_await call_remote_coordinator(
+                call, get_time_left(deadline), out.may_be_applied);
             if (reply && reply->result != coordinator_result::not_coordinator)
             {
-                last_answer_ = boot_clock::now();
+                last_coordinator_reply_at_ = boot_clock::now();
                 out.reply = reply;
                 co_return out;
             }
-            suspect();
+            suspect_coordinator();
         }
         if (get_time_left(deadline) <= pause_between_calls)
             co_return out;
@@ -337,26 +343,27 @@
     }
 }
 
-asio::awaitable<peer_coordinator_reply> coordinator_seat::handle_peer(
+asio::awaitable<peer_coordinator_reply> coordinator_role::handle_peer_call(
     peer_coordinator_call call)
 {
     peer_coordinator_reply reply;
     std::uint32_t share = call.processor_share;
     auto runner = runner_;
-    if (is_holder())
+    if (is_coordinator())
         reply = co_await runner->handle(
             std::move(call), boot_clock::now() + longest_peer_wait);
-    else if (recovering_ && call.operation == coordinator_operation::probe)
+    else if (recovering_runner_ &&
+             call.operation == coordinator_operation::probe)
     {
         reply.result = coordinator_result::done;
-        reply.renewed_age = recovering_->get_renewed_age();
+        reply.renewed_age = recovering_runner_->get_renewal_age();
     }
-    if (auto& active = is_holder() ? runner_ : recovering_)
+    if (auto& active = is_coordinator() ? runner_ : recovering_runner_)
     {
-        active->note_share(share);
-        reply.top_processor_share = active->get_top_share();
+        active->record_processor_share(share);
+        reply.top_processor_share = active->get_max_processor_share();
     }
-    reply.boot = boot_;
+    reply.boot = boot_id_;
     co_return reply;
 }
 
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -1,7 +1,7 @@
 #include "main/entryd/coordinator_runner.hpp"
 
 #include "drivers/metrics.hpp"
-#include "main/entryd/coordinator_runner_parts.hpp"
+#include "main/entryd/coordinator_runner_internal.hpp"
 
 #include <algorithm>
 
@@ -42,9 +42,11 @@
 /// A successor of a released term counts on it that no earlier coordinator may
 /// extend leases any more.
 /// @return whether that is so.
-bool is_predecessor_over(bool was_released, boot_time taken_at)
+bool is_predecessor_over(
+    bool was_previous_term_released, boot_time taken_over_at)
 {
-    return was_released || boot_clock::now() - taken_at >= authority;
+    return was_previous_term_released ||
+           boot_clock::now() - taken_over_at >= authority;
 }
 
 } // namespace
@@ -52,24 +54,25 @@
 coordinator_runner::coordinator_runner(asio::io_context& io,
     const entry_settings& settings, store_client& store,
     metrics_registry& metrics, ledger_head head, row_version version,
-    boot_time renewed, bool was_released)
+    boot_time renewed_at, bool was_previous_term_released)
     : io_(io), settings_(settings), store_(store), metrics_(metrics),
       head_(head), ledger_(head, version),
-      decisions_(
+      coordinator_(
           {milliseconds(1'000), settings.status_time + milliseconds(30'000)}),
-      was_released_(was_released), taken_at_(boot_clock::now()),
-      renewed_(renewed), wake_timer_(io)
+      was_previous_term_released_(was_previous_term_released),
+      taken_over_at_(boot_clock::now()), renewed_at_(renewed_at),
+      wake_timer_(io)
 {
 }
 
-bool coordinator_runner::has_authority() const
+bool coordinator_runner::has_valid_term() const
 {
-    return !is_over_ && boot_clock::now() - renewed_ < authority;
+    return !is_over_ && boot_clock::now() - renewed_at_ < authority;
 }
 
-milliseconds coordinator_runner::get_renewed_age() const
+milliseconds coordinator_runner::get_renewal_age() const
 {
-    return to_milliseconds(boot_clock::now() - renewed_);
+    return to_milliseconds(boot_clock::now() - renewed_at_);
 }
 
 void coordinator_runner::wake()
@@ -92,7 +95,7 @@
     is_over_ = true;
     write_log(log_level::warn, "coordinator", "term ended",
         {{"term", head_.term}, {"why", why},
-            {"renewed_age_ms", get_renewed_age().count()}});
+            {"renewed_age_ms", get_renewal_age().count()}});
     for (auto& [id, link] : links_)
     {
         link->is_closed = true;
@@ -100,7 +103,7 @@
     }
     links_.clear();
     // What has not become durable is for the next coordinator to tell.
-    for (const auto& it : durable_waits_)
+    for (const auto& it : durability_waits_)
         it->cancel();
     wake();
 }
@@ -111,10 +114,10 @@
     try
     {
         job_id id(row.key);
-        decisions_.load_job(
+        coordinator_.load_job(
             id, decode_job_record(row.value), progress, now, get_wall_time());
-        if (decisions_.find_job(id)->is_ended())
-            durable_ended_.insert(id);
+        if (coordinator_.find_job(id)->is_ended())
+            durably_ended_jobs_.insert(id);
     }
     catch (const systems_error& e)
     {
@@ -131,8 +134,8 @@
         auto settled = job::decode_settled(id, row.value);
         if (!settled)
             return false;
-        decisions_.load_settled_job(std::move(*settled), now);
-        durable_ended_.insert(id);
+        coordinator_.load_settled_job(std::move(*settled), now);
+        durably_ended_jobs_.insert(id);
         return true;
     }
     catch (const systems_error& e)
@@ -163,7 +166,7 @@
     {
         if (is_pause_due())
             co_await sleep(milliseconds(1));
-        if (!decisions_.find_job(job_id(it.key)))
+        if (!coordinator_.find_job(job_id(it.key)))
             load_job(it, progress[it.key], now);
         else
             // The predecessor ended before it removed the row.
@@ -192,13 +195,15 @@
     co_await load_jobs(std::move(specs.rows), std::move(states.rows));
     if (is_over_)
         co_return false;
-    milliseconds left = was_released_ ? milliseconds(0) : authority;
-    for (const auto& [id, target] : decisions_.get_targets())
-        decisions_.record_lease(id, taken_at_ + left + get_longest_lease());
+    milliseconds left =
+        was_previous_term_released_ ? milliseconds(0) : authority;
+    for (const auto& [id, target] : coordinator_.get_targets())
+        coordinator_.record_lease(
+            id, taken_over_at_ + left + get_max_lease_time());
     write_log(log_level::info, "coordinator", "recovered",
-        {{"term", head_.term}, {"jobs", decisions_.count_jobs()},
-            {"runs", decisions_.get_runs().size()},
-            {"targets", decisions_.get_targets().size()}});
+        {{"term", head_.term}, {"jobs", coordinator_.count_jobs()},
+            {"runs", coordinator_.get_runs().size()},
+            {"targets", coordinator_.get_targets().size()}});
     co_return true;
 }
 
@@ -216,36 +221,37 @@
 
 void coordinator_runner::start(const published_state& state)
 {
-    decisions_.set_published_state(state);
+    coordinator_.set_published_state(state);
     is_recovered_ = true;
     open_links();
     auto self = shared_from_this();
     asio::co_spawn(
         io_, [self] { return self->target_feed_loop(); }, asio::detached);
     if (settings_.machines.port() != 0)
-        start_pools();
+        start_pool_plan_executor();
 }
 
-void coordinator_runner::start_pools()
+void coordinator_runner::start_pool_plan_executor()
 {
     auto self = shared_from_this();
-    pool_keeper::term term{head_.term, decisions_, ledger_,
+    pool_plan_executor::term term{head_.term, coordinator_, ledger_,
         [self]
         {
             return !self->is_over_ && !self->is_releasing_ &&
-                   self->get_renewed_age() < machine_authority;
+                   self->get_renewal_age() < machine_authority;
         },
         [self] { return self->is_over_; }, [self] { self->wake(); }};
-    pools_ = std::make_shared<pool_keeper>(
+    pool_plan_executor_ = std::make_shared<pool_plan_executor>(
         io_, settings_, store_, metrics_, std::move(term));
-    pools_->load(wave_rows_);
+    pool_plan_executor_->load(wave_rows_);
     asio::co_spawn(
-        io_, [keeper = pools_] { return keeper->run(); }, asio::detached);
+        io_, [keeper = pool_plan_executor_] { return keeper->run(); },
+        asio::detached);
 }
 
 void coordinator_runner::set_published_state(const published_state& state)
 {
-    decisions_.set_published_state(state);
+    coordinator_.set_published_state(state);
     wake();
 }
 
@@ -255,11 +261,12 @@
     wake();
 }
 
-void coordinator_runner::release_when_quiet()
+void coordinator_runner::release_when_no_order_in_flight()
 {
-    bool has_orders = pools_ && pools_->has_orders_in_flight();
+    bool has_orders =
+        pool_plan_executor_ && pool_plan_executor_->has_orders_in_flight();
     if (is_releasing_ && !has_orders &&
-        is_predecessor_over(was_released_, taken_at_))
+        is_predecessor_over(was_previous_term_released_, taken_over_at_))
         ledger_.release();
 }
 
@@ -267,38 +274,38 @@
 
 void coordinator_runner::put_changed_rows()
 {
-    for (const job_id& id : decisions_.take_changed_jobs())
+    for (const job_id& id : coordinator_.take_changed_jobs())
     {
-        const job* it = decisions_.find_job(id);
+        const job* it = coordinator_.find_job(id);
         if (!it)
             continue;
         ledger_.put(ledger_table::progress, id.get(), it->encode_progress());
         if (it->is_settled())
             ledger_.erase(ledger_table::jobs, id.get());
-        if (it->is_ended() && !durable_ended_.contains(id))
+        if (it->is_ended() && !durably_ended_jobs_.contains(id))
             ledger_.when_durable([self = shared_from_this(), id]
-                { self->durable_ended_.insert(id); });
+                { self->durably_ended_jobs_.insert(id); });
     }
 }
 
-void coordinator_runner::erase_forgotten_rows()
+void coordinator_runner::erase_expired_rows()
 {
     boot_time now = boot_clock::now();
-    if (now < next_erase_)
+    if (now < next_erase_at_)
         return;
-    next_erase_ = now + erase_interval;
-    for (const job_id& id : decisions_.take_expired_jobs(now))
+    next_erase_at_ = now + erase_interval;
+    for (const job_id& id : coordinator_.take_expired_jobs(now))
     {
-        durable_ended_.erase(id);
+        durably_ended_jobs_.erase(id);
         ledger_.erase(ledger_table::progress, id.get());
     }
 }
 
-void coordinator_runner::confirm_seen_ends()
+void coordinator_runner::acknowledge_ends_when_durable()
 {
-    if (seen_ends_.empty())
+    if (received_end_numbers_.empty())
         return;
-    for (const auto& [link, number] : seen_ends_)
+    for (const auto& [link, number] : received_end_numbers_)
         ledger_.when_durable(
             [link = link, number = number,
                 incarnation_start = link->incarnation_start]
@@ -308,7 +315,7 @@
                     link->acknowledged_up_to =
                         std::max(link->acknowledged_up_to, number);
             });
-    seen_ends_.clear();
+    received_end_numbers_.clear();
 }
 
 void coordinator_runner::log_starts(const std::vector<start_decision>& starts)
@@ -330,18 +337,18 @@
                 {"occurrence", first->task.key.occurrence},
                 {"step", first->task.key.step}, {"tasks", tasks},
                 {"term", head_.term},
-                {"renewed_age_ms", get_renewed_age().count()}});
+                {"renewed_age_ms", get_renewal_age().count()}});
     }
 }
 
-void coordinator_runner::note_ends(
-    const target_link& link, const target_status& look, std::uint64_t before)
+void coordinator_runner::collect_ends_to_log(const target_link& link,
+    const target_status& status, std::uint64_t last_known_number)
 {
-    for (const end_report& it : look.ended)
+    for (const end_report& it : status.ended)
     {
-        if (it.number <= before)
+        if (it.number <= last_known_number)
             continue;
-        ++ends_count_;
+        ++ends_to_log_count_;
         ends_to_log_ += (ends_to_log_.empty() ? "" : " ") + it.task.job.get() +
                         "." + std::to_string(it.task.key.occurrence) + "." +
                         std::to_string(it.task.key.step) + "." +
@@ -350,56 +357,58 @@
                         "#" + std::to_string(it.number) + ":" +
                         to_string(it.end);
     }
-    if (ends_count_ >= ends_per_line)
+    if (ends_to_log_count_ >= ends_per_line)
         log_ends();
 }
 
 void coordinator_runner::log_ends()
 {
-    if (ends_count_ > 0)
+    if (ends_to_log_count_ > 0)
         coordinator_log.write("ends", "listed_by_targets",
-            {{"count", ends_count_}, {"ends", ends_to_log_},
+            {{"count", ends_to_log_count_}, {"ends", ends_to_log_},
                 {"term", head_.term}});
-    ends_count_ = 0;
+    ends_to_log_count_ = 0;
     ends_to_log_.clear();
 }
 
 void coordinator_runner::log_load()
 {
     boot_time now = boot_clock::now();
-    if (now < next_load_line_)
+    if (now < next_load_report_at_)
         return;
-    next_load_line_ = now + load_line_interval;
+    next_load_report_at_ = now + load_line_interval;
     coordinator_log.write("load", "each_second",
         {{"rows_waiting", ledger_.count_pending_changes()},
             {"starts_to_send", starts_to_send_.size()},
-            {"busy_targets", busy_targets_},
-            {"runs", decisions_.get_runs().size()}, {"commits", commits_},
+            {"busy_targets", busy_target_count_},
+            {"runs", coordinator_.get_runs().size()},
+            {"commits", commit_count_},
             {"longest_commit_ms", longest_commit_.count()},
             {"term", head_.term}});
-    commits_ = 0;
+    commit_count_ = 0;
     longest_commit_ = milliseconds(0);
 }
 
 void coordinator_runner::decide()
 {
     boot_time now = boot_clock::now();
-    decisions_.end_runs_without_lease(now);
+    coordinator_.end_runs_without_lease(now);
     std::vector<start_decision> starts;
     // What is assigned later is assigned with more knowledge.
     bool is_keeping_up = starts_to_send_.size() < starts_ahead;
     // Until the term can be released its work goes on.
     bool is_leaving =
-        is_releasing_ && is_predecessor_over(was_released_, taken_at_);
-    if (!is_leaving && is_keeping_up && has_authority())
-        starts = decisions_.plan(now, get_wall_time(), starts_per_batch);
+        is_releasing_ &&
+        is_predecessor_over(was_previous_term_released_, taken_over_at_);
+    if (!is_leaving && is_keeping_up && has_valid_term())
+        starts = coordinator_.plan(now, get_wall_time(), starts_per_batch);
     put_changed_rows();
-    confirm_seen_ends();
-    erase_forgotten_rows();
+    acknowledge_ends_when_durable();
+    erase_expired_rows();
     log_ends();
     log_load();
-    busy_targets_ =
-        static_cast<std::size_t>(std::ranges::count_if(decisions_.get_targets(),
+    busy_target_count_ = static_cast<std::size_t>(
+        std::ranges::count_if(coordinator_.get_targets(),
             [](const auto& it) { return !it.second.runs.empty(); }));
     log_starts(starts);
     auto self = shared_from_this();
@@ -427,8 +436,8 @@
         if (!ledger_.is_in_flight())
         {
             // A batch that an earlier copy has committed may be older.
-            renewed_ = std::max(renewed_, sent);
-            ++commits_;
+            renewed_at_ = std::max(renewed_at_, sent);
+            ++commit_count_;
             longest_commit_ = std::max(
                 longest_commit_, to_milliseconds(boot_clock::now() - sent));
             metrics_.observe("cowslippass_ledger_commit_seconds",
@@ -452,12 +461,12 @@
     {
         if (is_recovered_)
             decide();
-        release_when_quiet();
+        release_when_no_order_in_flight();
         boot_time now = boot_clock::now();
-        bool is_due = now - last_batch_ >= renewal_interval;
+        bool is_due = now - last_batch_at_ >= renewal_interval;
         if (ledger_.has_changes() || is_due)
         {
-            last_batch_ = now;
+            last_batch_at_ = now;
             bool is_done = false;
             co_await commit_batch(is_done);
             if (ledger_.is_released())
@@ -466,7 +475,8 @@
         if (is_over_)
             break;
         // Changes that came up meanwhile share the next transaction.
-        milliseconds since = to_milliseconds(boot_clock::now() - last_batch_);
+        milliseconds since =
+            to_milliseconds(boot_clock::now() - last_batch_at_);
         if (since < batch_interval && !ledger_.has_full_batch())
             co_await sleep(batch_interval - since);
         if (ledger_.has_changes() || is_over_)
@@ -492,10 +502,10 @@
         });
     if (*is_durable || is_over_)
         co_return *is_durable;
-    durable_waits_.insert(timer);
+    durability_waits_.insert(timer);
     boost::system::error_code ec;
     co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    durable_waits_.erase(timer);
+    durability_waits_.erase(timer);
     co_return *is_durable;
 }
 
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -2,7 +2,7 @@
 
 #include "drivers/peer_message.hpp"
 #include "main/entryd/entry_settings.hpp"
-#include "main/entryd/pool_keeper.hpp"
+#include "main/entryd/pool_plan_executor.hpp"
 #include "platform/publication.hpp"
 #include "platform/runner_client.hpp"
 #include "systems/coordination/ledger.hpp"
@@ -23,11 +23,13 @@
     : public std::enable_shared_from_this<coordinator_runner>
 {
 public:
-    /// @param renewed before the takeover's transaction was sent.
-    /// @param was_released whether the predecessor ended its term in order.
+    /// @param renewed_at before the takeover's transaction was sent.
+    /// @param was_previous_term_released whether the predecessor ended its term
+    /// in order.
     coordinator_runner(asio::io_context& io, const entry_settings& settings,
         store_client& store, metrics_registry& metrics, ledger_head head,
-        row_version version, boot_time renewed, bool was_released);
+        row_version version, boot_time renewed_at,
+        bool was_previous_term_released);
 
     /// Reads the ledger, renewing the term meanwhile.
     /// @return whether the ledger could be read.
@@ -50,16 +52,19 @@
     /// @return whether the term is over.
     bool is_over() const { return is_over_; }
 
-    milliseconds get_renewed_age() const;
+    milliseconds get_renewal_age() const;
 
     /// An entry of that share has asked.
-    void note_share(std::uint32_t thousandths)
+    void record_processor_share(std::uint32_t millicores)
     {
-        top_share_ = std::max(top_share_, thousandths);
+        max_processor_share_ = std::max(max_processor_share_, millicores);
+    }
+    std::uint32_t get_max_processor_share() const
+    {
+        return max_processor_share_;
     }
-    std::uint32_t get_top_share() const { return top_share_; }
     fencing_number get_term() const { return head_.term; }
-    const coordinator& get_decisions() const { return decisions_; }
+    const coordinator& get_coordinator() const { return coordinator_; }
 
     /// @param deadline by when an answer is of use.
     asio::awaitable<peer_coordinator_reply> handle(
@@ -69,7 +74,7 @@
     struct target_link;
     using link_ptr = std::shared_ptr<target_link>;
 
-    bool has_authority() const;
+    bool has_valid_term() const;
     void end_term(const char* why);
     void wake();
 
@@ -82,11 +87,11 @@
     asio::awaitable<void> write_loop();
     asio::awaitable<void> target_feed_loop();
     asio::awaitable<void> watch_target(link_ptr link);
-    asio::awaitable<void> look_loop(link_ptr link);
+    asio::awaitable<void> poll_loop(link_ptr link);
     asio::awaitable<void> send_start(start_decision decision);
     /// Sends the starts that are durable, some at a time: what else is ready
     /// to be handled, calls above all, has its turn between them.
-    asio::awaitable<void> pump_starts();
+    asio::awaitable<void> send_queued_starts();
     void queue_start(const start_decision& decision);
     asio::awaitable<void> send_stop(stop_decision decision);
     asio::awaitable<void> commit_batch(bool& is_done);
@@ -101,32 +106,32 @@
 
     void decide();
     void log_starts(const std::vector<start_decision>& starts);
-    /// Collects the ends that a look lists anew, for one line a batch.
-    void note_ends(const target_link& link, const target_status& look,
-        std::uint64_t before);
+    /// Collects the ends that a status lists anew, for one line a batch.
+    void collect_ends_to_log(const target_link& link,
+        const target_status& status, std::uint64_t last_known_number);
     void log_ends();
     /// Tells once a second how far the coordinator keeps up.
     void log_load();
     void put_changed_rows();
     /// Removes the rows of jobs that callers can no longer ask for.
-    void erase_forgotten_rows();
+    void erase_expired_rows();
     /// Lets targets forget the ends that the next transaction holds.
-    void confirm_seen_ends();
+    void acknowledge_ends_when_durable();
     void send_stops();
     void apply_target_rows(const std::vector<stored_row>& rows);
     void open_links();
     void open_link(const target_id& id, const target_report& report);
     void close_unused_links();
-    void process_look(const link_ptr& link, const target_status& look,
+    void process_status(const link_ptr& link, const target_status& status,
         boot_time sent_at, boot_time received_at);
-    milliseconds get_longest_lease() const;
-    milliseconds get_look_gap() const;
+    milliseconds get_max_lease_time() const;
+    milliseconds get_poll_interval() const;
     /// @return the end of a new lease on the target's clock.
     target_time grant_lease(const target_link& link);
-    void start_pools();
+    void start_pool_plan_executor();
     /// Tells the ledger of a release once no order to an instance is under
     /// way: the successor orders at once.
-    void release_when_quiet();
+    void release_when_no_order_in_flight();
     link_ptr find_link(const target_id& target) const;
 
     asio::io_context& io_;
@@ -135,33 +140,33 @@
     metrics_registry& metrics_;
     ledger_head head_;
     ledger ledger_;
-    coordinator decisions_;
+    coordinator coordinator_;
     /// The predecessor gives no more orders.
-    bool was_released_;
-    boot_time taken_at_; ///< The predecessor has written nothing since.
-    boot_time renewed_;  ///< Before the last durable transaction was sent.
-    boot_time last_batch_{};
-    std::uint32_t top_share_ = 0; ///< Of an entry that asked.
+    bool was_previous_term_released_;
+    boot_time taken_over_at_; ///< The predecessor has written nothing since.
+    boot_time renewed_at_;    ///< Before the last durable transaction was sent.
+    boot_time last_batch_at_{};
+    std::uint32_t max_processor_share_ = 0; ///< Of an entry that asked.
     asio::steady_timer wake_timer_;
     std::map<target_id, link_ptr> links_;
-    std::shared_ptr<pool_keeper> pools_;
+    std::shared_ptr<pool_plan_executor> pool_plan_executor_;
     std::vector<stored_row> wave_rows_;         ///< As read at the takeover.
     std::deque<start_decision> starts_to_send_; ///< Durable ones.
-    bool is_pumping_ = false;
+    bool is_sending_starts_ = false;
     std::set<task_name> stops_in_flight_;
     /// Highest ends that were taken note of and whose rows are not put yet.
-    std::map<link_ptr, std::uint64_t> seen_ends_;
-    boot_time next_erase_{};
-    boot_time next_load_line_{};
-    std::uint64_t commits_ = 0; ///< Since the last such line.
+    std::map<link_ptr, std::uint64_t> received_end_numbers_;
+    boot_time next_erase_at_{};
+    boot_time next_load_report_at_{};
+    std::uint64_t commit_count_ = 0; ///< Since the last such line.
     milliseconds longest_commit_{0};
     std::string ends_to_log_;
-    std::size_t ends_count_ = 0;
+    std::size_t ends_to_log_count_ = 0;
     /// Targets with runs, as of the last decisions.
-    std::size_t busy_targets_ = 0;
-    std::set<job_id> durable_ended_; ///< Jobs whose end the ledger holds.
-    row_version targets_newest_;
-    std::set<std::shared_ptr<asio::steady_timer>> durable_waits_;
+    std::size_t busy_target_count_ = 0;
+    std::set<job_id> durably_ended_jobs_; ///< Jobs whose end the ledger holds.
+    row_version targets_version_;
+    std::set<std::shared_ptr<asio::steady_timer>> durability_waits_;
     bool is_recovered_ = false;
     bool is_over_ = false;
     bool is_releasing_ = false;
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -1,4 +1,4 @@
-#include "main/entryd/coordinator_runner_parts.hpp"
+#include "main/entryd/coordinator_runner_internal.hpp"
 
 namespace cowslippass
 {
@@ -28,7 +28,7 @@
     }
     std::string text = encode_job_record(record);
     auto outcome =
-        decisions_.submit(call.job, std::move(record), boot_clock::now());
+        coordinator_.submit(call.job, std::move(record), boot_clock::now());
     if (outcome == submit_outcome::added)
     {
         ledger_.put(ledger_table::jobs, call.job.get(), std::move(text));
@@ -54,7 +54,7 @@
 {
     auto self = shared_from_this();
     peer_coordinator_reply reply;
-    if (!decisions_.cancel(call.job, boot_clock::now()))
+    if (!coordinator_.cancel(call.job, boot_clock::now()))
     {
         reply.result = coordinator_result::unknown_job;
         co_return reply;
@@ -87,7 +87,7 @@
             break;
         case coordinator_operation::status:
         {
-            const job* it = decisions_.find_job(call.job);
+            const job* it = coordinator_.find_job(call.job);
             reply.result = it && it->get_queue() == call.queue
                                ? coordinator_result::done
                                : coordinator_result::unknown_job;
@@ -96,7 +96,7 @@
                 break;
             put_changed_rows();
             auto phase = static_cast<std::uint8_t>(it->get_phase());
-            if (it->is_ended() && !durable_ended_.contains(call.job) &&
+            if (it->is_ended() && !durably_ended_jobs_.contains(call.job) &&
                 !co_await wait_until_durable(deadline))
                 phase = static_cast<std::uint8_t>(job_phase::running);
             reply.phase = phase;
@@ -104,14 +104,14 @@
         }
         case coordinator_operation::count:
             reply.result = coordinator_result::done;
-            reply.count = decisions_.count_queued(call.queue);
+            reply.count = coordinator_.count_queued(call.queue);
             break;
         case coordinator_operation::probe:
             reply.result = coordinator_result::done;
             break;
         }
     }
-    reply.renewed_age = get_renewed_age();
+    reply.renewed_age = get_renewal_age();
     co_return reply;
 }
 
--- a/main/entryd/coordinator_runner_parts.hpp
+++ b/main/entryd/coordinator_runner_internal.hpp
@@ -35,13 +35,14 @@
     runner_client client;
     asio::steady_timer timer;
     bool is_closed = false;
-    /// The target's clock at `clock_at`, the earliest time it can have had it.
+    /// The target's clock at `clock_received_at`, the earliest time it can have
+    /// had it.
     std::optional<target_time> clock;
-    boot_time clock_at{};
+    boot_time clock_received_at{};
     platform_time incarnation_start; ///< Start of the life that answered last.
     /// Ends of this life that are durable.
     std::uint64_t acknowledged_up_to = 0;
-    bool was_reached = true;
+    bool is_reachable = true;
 };
 
 } // namespace cowslippass
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -1,5 +1,5 @@
 #include "drivers/metrics.hpp"
-#include "main/entryd/coordinator_runner_parts.hpp"
+#include "main/entryd/coordinator_runner_internal.hpp"
 
 namespace cowslippass
 {
@@ -46,7 +46,7 @@
             if (!change.report)
                 continue;
         }
-        const auto& targets = decisions_.get_targets();
+        const auto& targets = coordinator_.get_targets();
         auto known = targets.find(change.target);
         bool was_listed = known != targets.end() && known->second.is_listed;
         bool was_draining =
@@ -59,7 +59,7 @@
                 : is_draining  ? "target drains"
                                : "target listed",
                 {{"target", change.target}, {"version", it.version}});
-        decisions_.handle_target_change(change, now);
+        coordinator_.handle_target_change(change, now);
         if (change.report)
             open_link(change.target, *change.report);
     }
@@ -97,7 +97,7 @@
 
 void coordinator_runner::open_links()
 {
-    for (const auto& [id, target] : decisions_.get_targets())
+    for (const auto& [id, target] : coordinator_.get_targets())
         if (target.is_listed)
             open_link(id, target.report);
     close_unused_links();
@@ -105,11 +105,11 @@
 
 void coordinator_runner::close_unused_links()
 {
-    if (links_.size() <= decisions_.get_targets().size())
+    if (links_.size() <= coordinator_.get_targets().size())
         return;
     for (auto it = links_.begin(); it != links_.end();)
     {
-        if (decisions_.get_targets().contains(it->first))
+        if (coordinator_.get_targets().contains(it->first))
         {
             ++it;
             continue;
@@ -133,20 +133,21 @@
     store_rows rows = co_await store_.read_all_rows(range, read_timeout);
     if (rows.failure != store_failure::none)
         co_return false;
-    targets_newest_ = rows.newest;
+    targets_version_ = rows.newest;
     std::set<target_id> listed;
     for (const stored_row& it : rows.rows)
         listed.insert(target_id(it.key));
     std::vector<target_id> gone;
-    for (const auto& [id, it] : decisions_.get_targets())
+    for (const auto& [id, it] : coordinator_.get_targets())
         if (it.is_listed && !listed.contains(id))
             gone.push_back(id);
     for (const target_id& it : gone)
-        decisions_.handle_target_change({it, std::nullopt}, boot_clock::now());
+        coordinator_.handle_target_change(
+            {it, std::nullopt}, boot_clock::now());
     boot_time now = boot_clock::now();
     for (const stored_row& it : rows.rows)
         if (auto report = decode_target_report(it))
-            decisions_.handle_target_change({report->target, report}, now);
+            coordinator_.handle_target_change({report->target, report}, now);
     co_return true;
 }
 
@@ -155,15 +156,15 @@
     auto self = shared_from_this();
     while (!is_over_)
     {
-        store_rows rows = co_await store_.follow(
-            published_table::targets, targets_newest_, feed_wait, feed_timeout);
+        store_rows rows = co_await store_.follow(published_table::targets,
+            targets_version_, feed_wait, feed_timeout);
         if (is_over_)
             break;
         if (rows.failure == store_failure::history_gone)
         {
             write_log(log_level::warn, "targets",
                 "the store has dropped the feed's history",
-                {{"version", targets_newest_}});
+                {{"version", targets_version_}});
             if (co_await read_targets())
                 open_links();
             continue;
@@ -173,88 +174,88 @@
             co_await sleep(milliseconds(100));
             continue;
         }
-        targets_newest_ = std::max(targets_newest_, rows.newest);
+        targets_version_ = std::max(targets_version_, rows.newest);
         if (!rows.rows.empty())
             apply_target_rows(rows.rows);
     }
 }
 
-milliseconds coordinator_runner::get_longest_lease() const
+milliseconds coordinator_runner::get_max_lease_time() const
 {
     return milliseconds(static_cast<std::int64_t>(
         static_cast<double>(settings_.lease_limit.count()) *
         (1 + clock_slack)));
 }
 
-milliseconds coordinator_runner::get_look_gap() const
+milliseconds coordinator_runner::get_poll_interval() const
 {
     double rate = looks_per_core * settings_.processor_share;
     milliseconds gap(static_cast<std::int64_t>(
-        static_cast<double>(busy_targets_) * 1'000.0 / rate));
+        static_cast<double>(busy_target_count_) * 1'000.0 / rate));
     return std::clamp(gap, look_gap, longest_look_gap);
 }
 
 target_time coordinator_runner::grant_lease(const target_link& link)
 {
-    decisions_.record_lease(
-        link.target, boot_clock::now() + get_longest_lease());
-    auto passed = to_milliseconds(boot_clock::now() - link.clock_at);
+    coordinator_.record_lease(
+        link.target, boot_clock::now() + get_max_lease_time());
+    auto passed = to_milliseconds(boot_clock::now() - link.clock_received_at);
     auto lease = static_cast<std::int64_t>(
         static_cast<double>(settings_.lease_limit.count()) * lease_share);
     return target_time(link.clock->get() + passed.count() + lease);
 }
 
-void coordinator_runner::process_look(const link_ptr& link,
+void coordinator_runner::process_status(const link_ptr& link,
     const target_status& look, boot_time sent_at, boot_time received_at)
 {
     if (look.incarnation_start != link->incarnation_start)
     {
         link->incarnation_start = look.incarnation_start;
         link->acknowledged_up_to = 0;
-        seen_ends_.erase(link);
+        received_end_numbers_.erase(link);
     }
     // The answer was written after the request was sent: the estimate made
     // from the time of sending is never late.
     link->clock = look.clock;
-    link->clock_at = received_at;
+    link->clock_received_at = received_at;
     std::uint64_t before = 0;
-    if (auto it = decisions_.get_targets().find(link->target);
-        it != decisions_.get_targets().end())
+    if (auto it = coordinator_.get_targets().find(link->target);
+        it != coordinator_.get_targets().end())
         before = it->second.last_end_number;
-    note_ends(*link, look, before);
-    decisions_.handle_status(link->target, look, sent_at, received_at);
-    auto it = decisions_.get_targets().find(link->target);
-    if (it == decisions_.get_targets().end())
+    collect_ends_to_log(*link, look, before);
+    coordinator_.handle_status(link->target, look, sent_at, received_at);
+    auto it = coordinator_.get_targets().find(link->target);
+    if (it == coordinator_.get_targets().end())
         return;
     std::uint64_t after = it->second.last_end_number;
     if (after == before && look.ended.empty())
         return;
-    seen_ends_[link] = after;
+    received_end_numbers_[link] = after;
     wake();
 }
 
 asio::awaitable<void> coordinator_runner::watch_target(link_ptr link)
 {
     auto self = shared_from_this();
-    co_await look_loop(link);
+    co_await poll_loop(link);
     link->is_closed = true;
 }
 
-asio::awaitable<void> coordinator_runner::look_loop(link_ptr link)
+asio::awaitable<void> coordinator_runner::poll_loop(link_ptr link)
 {
     auto self = shared_from_this();
     while (!is_over_ && !link->is_closed)
     {
-        auto it = decisions_.get_targets().find(link->target);
-        if (it == decisions_.get_targets().end())
+        auto it = coordinator_.get_targets().find(link->target);
+        if (it == coordinator_.get_targets().end())
             break;
         const target_entry& target = it->second;
         bool is_busy = !target.runs.empty();
         bool has_unseen = target.last_end_number > link->acknowledged_up_to;
         poll_request order;
         order.acknowledged_up_to = link->acknowledged_up_to;
-        if (decisions_.should_renew_leases(link->target) && link->clock &&
-            has_authority())
+        if (coordinator_.should_renew_leases(link->target) && link->clock &&
+            has_valid_term())
             order.lease_end = grant_lease(*link);
         if (is_busy && target.has_reported &&
             target.consecutive_failures == 0 && !has_unseen)
@@ -273,17 +274,17 @@
         }
         if (reply.status)
         {
-            if (!link->was_reached)
+            if (!link->is_reachable)
                 write_log(log_level::info, "targets", "target reached again",
                     {{"target", link->target}});
-            link->was_reached = true;
-            process_look(link, *reply.status, sent_at, now);
+            link->is_reachable = true;
+            process_status(link, *reply.status, sent_at, now);
             if (is_over_ || link->is_closed)
                 break;
             // An idle target is asked again when it gets a run.
-            it = decisions_.get_targets().find(link->target);
+            it = coordinator_.get_targets().find(link->target);
             bool is_idle =
-                it != decisions_.get_targets().end() &&
+                it != coordinator_.get_targets().end() &&
                 it->second.runs.empty() &&
                 it->second.last_end_number <= link->acknowledged_up_to;
             // Ends that come in the meantime share the next look.
@@ -291,17 +292,17 @@
             if (!is_idle && !has_ends)
                 continue;
             link->timer.expires_after(
-                is_idle ? idle_look_interval : get_look_gap());
+                is_idle ? idle_look_interval : get_poll_interval());
         }
         else
         {
-            if (link->was_reached)
+            if (link->is_reachable)
                 write_log(log_level::warn, "targets", "target does not answer",
                     {{"target", link->target},
                         {"outcome", to_string(reply.outcome)},
                         {"why", reply.message}});
-            link->was_reached = false;
-            decisions_.handle_poll_failure(link->target, now);
+            link->is_reachable = false;
+            coordinator_.handle_poll_failure(link->target, now);
             wake();
             link->timer.expires_after(pause_after_look_failure);
         }
@@ -316,15 +317,15 @@
 void coordinator_runner::queue_start(const start_decision& decision)
 {
     starts_to_send_.push_back(decision);
-    if (is_pumping_)
+    if (is_sending_starts_)
         return;
-    is_pumping_ = true;
+    is_sending_starts_ = true;
     auto self = shared_from_this();
     asio::co_spawn(
-        io_, [self] { return self->pump_starts(); }, asio::detached);
+        io_, [self] { return self->send_queued_starts(); }, asio::detached);
 }
 
-asio::awaitable<void> coordinator_runner::pump_starts()
+asio::awaitable<void> coordinator_runner::send_queued_starts()
 {
     auto self = shared_from_this();
     while (!starts_to_send_.empty() && !is_over_)
@@ -340,7 +341,7 @@
         }
         co_await asio::post(io_, asio::use_awaitable);
     }
-    is_pumping_ = false;
+    is_sending_starts_ = false;
     wake();
 }
 
@@ -351,15 +352,15 @@
     while (!is_over_)
     {
         link_ptr link = find_link(decision.target);
-        if (!link || !link->clock || !has_authority())
+        if (!link || !link->clock || !has_valid_term())
         {
-            decisions_.abandon_start(decision, boot_clock::now());
+            coordinator_.abandon_start(decision, boot_clock::now());
             co_return;
         }
-        auto order = decisions_.make_start_request(decision);
+        auto order = coordinator_.make_start_request(decision);
         if (!order)
         {
-            decisions_.abandon_start(decision, boot_clock::now());
+            coordinator_.abandon_start(decision, boot_clock::now());
             wake();
             co_return;
         }
@@ -380,7 +381,7 @@
             end_term("a target has seen a higher fence number");
             co_return;
         }
-        decisions_.handle_start_reply(
+        coordinator_.handle_start_reply(
             decision, reply.outcome, boot_clock::now());
         if (reply.outcome != request_outcome::accepted)
             write_log(log_level::info, "decision.coordinator",
@@ -399,9 +400,9 @@
 void coordinator_runner::send_stops()
 {
     auto self = shared_from_this();
-    if (!has_authority())
+    if (!has_valid_term())
         return;
-    for (const stop_decision& it : decisions_.list_stops())
+    for (const stop_decision& it : coordinator_.list_stops())
         if (stops_in_flight_.insert(it.task).second)
             asio::co_spawn(
                 io_, [self, it] { return self->send_stop(it); },
@@ -424,7 +425,7 @@
                 {"step", decision.task.key.step},
                 {"index", decision.task.key.index}, {"run", decision.run},
                 {"target", decision.target}, {"why", reply.message}});
-        decisions_.handle_stop_reply(
+        coordinator_.handle_stop_reply(
             decision, reply.outcome, boot_clock::now());
     }
     // The run is gone when the target lists its end; until then the stop is
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -2,7 +2,7 @@
 
 #include "drivers/log.hpp"
 #include "drivers/metrics.hpp"
-#include "main/entryd/caller_front.hpp"
+#include "main/entryd/job_api.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -33,19 +33,21 @@
     entryd(asio::io_context& io, std::string path, entry_settings settings)
         : io_(io), path_(std::move(path)), settings_(std::move(settings)),
           metrics_(get_entryd_metrics()), store_(io, settings_.store),
-          config_(io, store_, [this] { seat_.note_publication(); }),
-          seat_(io, settings_, store_, metrics_, config_),
-          front_(settings_, config_, seat_, metrics_),
-          peers_(
+          config_(io, store_,
+              [this] { coordinator_role_.handle_published_change(); }),
+          coordinator_role_(io, settings_, store_, metrics_, config_),
+          job_api_(settings_, config_, coordinator_role_, metrics_),
+          peer_server_(
               io, settings_.peer_listen,
               [this](peer_body body) { return answer_peer(std::move(body)); },
               [](const std::string& code, const std::string& message) {
                   write_log(
                       log_level::debug, "peer_link", message, {{"code", code}});
               }),
-          callers_(io, make_options(settings_.front_listen),
-              [this](http_request it) { return front_.handle(std::move(it)); }),
-          readiness_(io, make_options(settings_.readiness_listen),
+          caller_server_(io, make_options(settings_.front_listen),
+              [this](http_request it)
+              { return job_api_.handle(std::move(it)); }),
+          readiness_server_(io, make_options(settings_.readiness_listen),
               [this](http_request) { return answer_readiness(); }),
           metrics_server_(io, make_options(settings_.metrics_listen),
               [this](http_request) { return answer_metrics(); }),
@@ -61,7 +63,7 @@
         asio::co_spawn(
             io_, [this] { return config_.run(); }, asio::detached);
         asio::co_spawn(
-            io_, [this] { return seat_.run(); }, asio::detached);
+            io_, [this] { return coordinator_role_.run(); }, asio::detached);
         asio::co_spawn(
             io_, [this] { return wait_for_signals(); }, asio::detached);
     }
@@ -81,14 +83,15 @@
         auto* call = std::get_if<peer_coordinator_call>(&body);
         if (!call)
             co_return std::nullopt;
-        peer_body reply = co_await seat_.handle_peer(std::move(*call));
+        peer_body reply =
+            co_await coordinator_role_.handle_peer_call(std::move(*call));
         co_return reply;
     }
 
     asio::awaitable<http_response> answer_readiness()
     {
         http_response out;
-        out.status = front_.is_ready() ? 200 : 503;
+        out.status = job_api_.is_ready() ? 200 : 503;
         co_return out;
     }
 
@@ -155,8 +158,8 @@
         boot_time end = boot_clock::now() + settings_.stop_grace - stop_margin;
         boot_time quiet = boot_clock::now() + balancer_lag;
         write_log(log_level::info, "process", "stop");
-        front_.leave(end - last_answer_margin);
-        seat_.leave();
+        job_api_.start_draining(end - last_answer_margin);
+        coordinator_role_.resign();
         asio::steady_timer timer(io_);
         while (boot_clock::now() < end)
         {
@@ -165,12 +168,13 @@
             co_await timer.async_wait(
                 asio::redirect_error(asio::use_awaitable, ec));
             if (boot_clock::now() >= quiet &&
-                callers_.get_active_count() == 0 && !seat_.is_holder())
+                caller_server_.get_active_count() == 0 &&
+                !coordinator_role_.is_coordinator())
                 break;
         }
         write_log(log_level::info, "process", "stopped",
-            {{"open_calls", callers_.get_active_count()},
-                {"is_coordinator", seat_.is_holder()}});
+            {{"open_calls", caller_server_.get_active_count()},
+                {"is_coordinator", coordinator_role_.is_coordinator()}});
         io_.stop();
     }
 
@@ -179,12 +183,12 @@
     entry_settings settings_;
     metrics_registry metrics_;
     store_client store_;
-    config_follower config_;
-    coordinator_seat seat_;
-    caller_front front_;
-    peer_server peers_;
-    http_server callers_;
-    http_server readiness_;
+    config_watcher config_;
+    coordinator_role coordinator_role_;
+    job_api job_api_;
+    peer_server peer_server_;
+    http_server caller_server_;
+    http_server readiness_server_;
     http_server metrics_server_;
     asio::signal_set signals_;
     bool is_stopping_ = false;
--- a/main/entryd/caller_front.cpp
+++ b/main/entryd/job_api.cpp
@@ -1,4 +1,4 @@
-#include "main/entryd/caller_front.hpp"
+#include "main/entryd/job_api.hpp"
 
 #include "drivers/log.hpp"
 #include "drivers/metrics.hpp"
@@ -71,29 +71,29 @@
 
 } // namespace
 
-caller_front::caller_front(const entry_settings& settings,
-    const config_follower& config, coordinator_seat& seat,
-    metrics_registry& metrics)
-    : settings_(settings), config_(config), seat_(seat), metrics_(metrics)
+job_api::job_api(const entry_settings& settings, const config_watcher& config,
+    coordinator_role& role, metrics_registry& metrics)
+    : settings_(settings), config_(config), coordinator_role_(role),
+      metrics_(metrics)
 {
 }
 
-bool caller_front::is_key_check_current() const
+bool job_api::can_check_keys() const
 {
-    auto as_of = config_.get_as_of();
+    auto as_of = config_.get_confirmed_at();
     return as_of &&
            boot_clock::now() - *as_of < settings_.key_withdrawal - key_margin;
 }
 
-bool caller_front::is_ready() const
+bool job_api::is_ready() const
 {
-    auto as_of = config_.get_as_of();
-    return !last_answer_ && config_.get_state().config && as_of &&
+    auto as_of = config_.get_confirmed_at();
+    return !drain_deadline_ && config_.get_state().config && as_of &&
            boot_clock::now() - *as_of < ready_age_limit &&
-           seat_.is_coordinator_known();
+           coordinator_role_.is_coordinator_known();
 }
 
-caller_front::admission caller_front::admit(const http_request& request) const
+job_api::admission job_api::admit(const http_request& request) const
 {
     admission out;
     const auto& config = config_.get_state().config;
@@ -115,7 +115,7 @@
         return out;
     const team_config* team =
         has_key ? config->find_key(key.substr(key_scheme.size())) : nullptr;
-    if (team && is_key_check_current())
+    if (team && can_check_keys())
     {
         out.team = team->team;
         return out;
@@ -130,7 +130,7 @@
     return out;
 }
 
-asio::awaitable<http_response> caller_front::submit(
+asio::awaitable<http_response> job_api::submit(
     http_request request, peer_coordinator_call call, boot_time deadline)
 {
     std::optional<http_response> refusal;
@@ -145,10 +145,11 @@
     if (refusal)
         co_return *refusal;
     call.operation = coordinator_operation::submit;
-    seat_reply answer = co_await seat_.call(call, deadline);
+    coordinator_call_result answer =
+        co_await coordinator_role_.call(call, deadline);
     if (!answer.reply)
     {
-        if (!answer.may_be_done)
+        if (!answer.may_be_applied)
             co_return make_busy("no_coordinator",
                 "no coordinator can be reached; the job was not accepted");
         // Neither accepted nor refused: the caller has to ask again.
@@ -172,11 +173,12 @@
     }
 }
 
-asio::awaitable<http_response> caller_front::cancel(
+asio::awaitable<http_response> job_api::cancel(
     peer_coordinator_call call, boot_time deadline)
 {
     call.operation = coordinator_operation::cancel;
-    seat_reply answer = co_await seat_.call(call, deadline);
+    coordinator_call_result answer =
+        co_await coordinator_role_.call(call, deadline);
     if (!answer.reply)
         co_return make_error(504, "no_answer", "no coordinator answered");
     if (answer.reply->result == coordinator_result::unknown_job)
@@ -184,11 +186,12 @@
     co_return make_json("{}");
 }
 
-asio::awaitable<http_response> caller_front::get_state(
+asio::awaitable<http_response> job_api::get_state(
     peer_coordinator_call call, boot_time deadline)
 {
     call.operation = coordinator_operation::status;
-    seat_reply answer = co_await seat_.call(call, deadline);
+    coordinator_call_result answer =
+        co_await coordinator_role_.call(call, deadline);
     if (!answer.reply)
         co_return make_busy("no_coordinator", "no coordinator answered");
     if (answer.reply->result == coordinator_result::unknown_job)
@@ -197,23 +200,24 @@
         encode_state(static_cast<job_phase>(answer.reply->phase)));
 }
 
-asio::awaitable<http_response> caller_front::get_waiting_count(
+asio::awaitable<http_response> job_api::get_waiting_count(
     peer_coordinator_call call, boot_time deadline)
 {
     call.operation = coordinator_operation::count;
-    seat_reply answer = co_await seat_.call(call, deadline);
+    coordinator_call_result answer =
+        co_await coordinator_role_.call(call, deadline);
     if (!answer.reply)
         co_return make_busy("no_coordinator", "no coordinator answered");
     co_return make_json(encode_waiting_count(answer.reply->count));
 }
 
-asio::awaitable<http_response> caller_front::dispatch(http_request request)
+asio::awaitable<http_response> job_api::dispatch(http_request request)
 {
     boot_time deadline =
         boot_clock::now() +
         std::max(get_wait(request) - answer_margin, milliseconds(50));
-    if (last_answer_)
-        deadline = std::min(deadline, *last_answer_);
+    if (drain_deadline_)
+        deadline = std::min(deadline, *drain_deadline_);
     admission allowed = admit(request);
     if (allowed.refusal)
         co_return *allowed.refusal;
@@ -236,13 +240,13 @@
     co_return make_error(405, "bad_method", "use POST, GET or DELETE");
 }
 
-asio::awaitable<http_response> caller_front::handle(http_request request)
+asio::awaitable<http_response> job_api::handle(http_request request)
 {
     boot_time from = boot_clock::now();
     std::string method = request.method;
     std::string path = request.path;
     http_response out = co_await dispatch(std::move(request));
-    if (last_answer_)
+    if (drain_deadline_)
         out.headers["Connection"] = "close";
     auto took = boot_clock::now() - from;
     metrics_.add("cowslippass_calls_total",
--- a/main/entryd/caller_front.hpp
+++ b/main/entryd/job_api.hpp
@@ -1,18 +1,18 @@
 #pragma once
 
 #include "drivers/http_server.hpp"
-#include "main/entryd/coordinator_seat.hpp"
+#include "main/entryd/coordinator_role.hpp"
 
 namespace cowslippass
 {
 
 /// Answers callers: finds the queue, checks the key, and passes the operation
 /// to the coordinator.
-class caller_front
+class job_api
 {
 public:
-    caller_front(const entry_settings& settings, const config_follower& config,
-        coordinator_seat& seat, metrics_registry& metrics);
+    job_api(const entry_settings& settings, const config_watcher& config,
+        coordinator_role& role, metrics_registry& metrics);
 
     asio::awaitable<http_response> handle(http_request request);
 
@@ -20,8 +20,11 @@
     bool is_ready() const;
 
     /// Turns unready; answers ask callers to connect elsewhere.
-    /// @param last_answer by when every call is answered.
-    void leave(boot_time last_answer) { last_answer_ = last_answer; }
+    /// @param drain_deadline by when every call is answered.
+    void start_draining(boot_time drain_deadline)
+    {
+        drain_deadline_ = drain_deadline;
+    }
 
 private:
     /// What the configuration in hand allows.
@@ -33,7 +36,7 @@
     };
 
     admission admit(const http_request& request) const;
-    bool is_key_check_current() const;
+    bool can_check_keys() const;
     asio::awaitable<http_response> submit(
         http_request request, peer_coordinator_call call, boot_time deadline);
     asio::awaitable<http_response> cancel(
@@ -45,10 +48,10 @@
     asio::awaitable<http_response> dispatch(http_request request);
 
     const entry_settings& settings_;
-    const config_follower& config_;
-    coordinator_seat& seat_;
+    const config_watcher& config_;
+    coordinator_role& coordinator_role_;
     metrics_registry& metrics_;
-    std::optional<boot_time> last_answer_; ///< Set when the entry leaves.
+    std::optional<boot_time> drain_deadline_; ///< Set when the entry leaves.
 };
 
 } // namespace cowslippass
--- a/main/entryd/pool_keeper.cpp
+++ b/main/entryd/pool_plan_executor.cpp
@@ -1,4 +1,4 @@
-#include "main/entryd/pool_keeper.hpp"
+#include "main/entryd/pool_plan_executor.hpp"
 
 #include "drivers/log.hpp"
 #include "drivers/metrics.hpp"
@@ -37,15 +37,16 @@
 
 } // namespace
 
-pool_keeper::pool_keeper(asio::io_context& io, const entry_settings& settings,
-    store_client& store, metrics_registry& metrics, term owner)
-    : io_(io), store_(store), metrics_(metrics), owner_(std::move(owner)),
+pool_plan_executor::pool_plan_executor(asio::io_context& io,
+    const entry_settings& settings, store_client& store,
+    metrics_registry& metrics, term owner)
+    : io_(io), store_(store), metrics_(metrics), term_(std::move(owner)),
       client_(io, settings.machines, settings.entry.get()),
       planner_(make_options(settings))
 {
 }
 
-void pool_keeper::load(const std::vector<stored_row>& rows)
+void pool_plan_executor::load(const std::vector<stored_row>& rows)
 {
     for (const stored_row& it : rows)
     {
@@ -66,50 +67,50 @@
             continue;
         }
         std::uint64_t wave = std::stoull(it.key);
-        saved_[wave] = begun.size();
+        saved_begun_counts_[wave] = begun.size();
         planner_.restore_wave(wave, std::move(begun), boot_clock::now() - age);
     }
 }
 
-asio::awaitable<void> pool_keeper::list_instances()
+asio::awaitable<void> pool_plan_executor::list_instances()
 {
     auto self = shared_from_this();
     is_listing_ = true;
     boot_time sent = boot_clock::now();
     auto list = co_await client_.list(list_timeout);
     is_listing_ = false;
-    if (!list || owner_.is_over())
+    if (!list || term_.is_over())
         co_return;
     planner_.set_instances(std::move(*list), sent);
     boot_time now = boot_clock::now();
     for (const target_id& it :
-        planner_.find_ended_incarnations(owner_.decisions, now))
+        planner_.find_ended_incarnations(term_.term_coordinator, now))
     {
-        auto target = owner_.decisions.get_targets().find(it);
+        auto target = term_.term_coordinator.get_targets().find(it);
         if (!target->second.runs.empty())
             decisions_log.write("end_runs", "instance_has_another_life",
                 {{"target", it}, {"runs", target->second.runs.size()},
                     {"list_age_ms",
                         std::chrono::duration_cast<milliseconds>(now - sent)
                             .count()}});
-        owner_.decisions.handle_incarnation_end(it, sent, now);
+        term_.term_coordinator.handle_incarnation_end(it, sent, now);
     }
-    owner_.wake();
+    term_.wake();
 }
 
-asio::awaitable<void> pool_keeper::send(instance_order order)
+asio::awaitable<void> pool_plan_executor::send(instance_order order)
 {
     auto self = shared_from_this();
     instance_order_outcome outcome = instance_order_outcome::no_answer;
     if (order.is_maintenance())
         outcome = co_await client_.maintain(
-            order.instance, order.wave, owner_.number, order_timeout);
+            order.instance, order.wave, term_.number, order_timeout);
     else
         outcome = co_await client_.move(
-            order.instance, order.pool, owner_.number, order_timeout);
+            order.instance, order.pool, term_.number, order_timeout);
     --orders_in_flight_;
-    pending_.erase(order.instance);
-    if (owner_.is_over())
+    pending_instances_.erase(order.instance);
+    if (term_.is_over())
         co_return;
     metrics_.add("cowslippass_instance_orders_total",
         {{"order", order.is_maintenance() ? "maintain" : "move"},
@@ -117,15 +118,15 @@
     decisions_log.write(order.is_maintenance() ? "maintain" : "move",
         to_string(outcome),
         {{"instance", order.instance}, {"pool", order.pool},
-            {"wave", order.wave}, {"term", owner_.number}});
+            {"wave", order.wave}, {"term", term_.number}});
     planner_.handle_order_reply(
-        order, outcome, owner_.decisions, boot_clock::now());
+        order, outcome, term_.term_coordinator, boot_clock::now());
     update_waves();
-    send_waiting();
-    owner_.wake();
+    send_waiting_orders();
+    term_.wake();
 }
 
-void pool_keeper::send_waiting()
+void pool_plan_executor::send_waiting_orders()
 {
     auto self = shared_from_this();
     while (!waiting_orders_.empty() &&
@@ -133,11 +134,11 @@
     {
         instance_order order = std::move(waiting_orders_.front());
         waiting_orders_.pop_front();
-        if (!owner_.may_order())
+        if (!term_.may_send_orders())
         {
-            pending_.erase(order.instance);
+            pending_instances_.erase(order.instance);
             planner_.handle_order_reply(order, instance_order_outcome::refused,
-                owner_.decisions, boot_clock::now());
+                term_.term_coordinator, boot_clock::now());
             continue;
         }
         ++orders_in_flight_;
@@ -146,7 +147,7 @@
     }
 }
 
-asio::awaitable<void> pool_keeper::tell_status(
+asio::awaitable<void> pool_plan_executor::write_wave_status(
     std::uint64_t wave, bool is_completed)
 {
     auto self = shared_from_this();
@@ -154,18 +155,19 @@
         get_wave_status_key(wave), encode_wave_status(is_completed),
         status_timeout);
     if (!is_told)
-        told_.erase(wave);
+        written_statuses_.erase(wave);
 }
 
-void pool_keeper::update_waves()
+void pool_plan_executor::update_waves()
 {
     for (const auto& [number, wave] :
-        owner_.decisions.get_published_state().waves)
+        term_.term_coordinator.get_published_state().waves)
     {
         const auto& begun = planner_.get_begun_instances(number);
         auto seen = planner_.get_wave_first_seen(number);
-        auto saved = saved_.find(number);
-        bool is_saved = saved != saved_.end() && saved->second == begun.size();
+        auto saved = saved_begun_counts_.find(number);
+        bool is_saved =
+            saved != saved_begun_counts_.end() && saved->second == begun.size();
         if (seen && !is_saved)
         {
             json row{{"begun", json::array()}};
@@ -174,25 +176,25 @@
             auto age = std::chrono::duration_cast<milliseconds>(
                 boot_clock::now() - *seen);
             row["seen"] = get_wall_time().get() - age.count();
-            saved_[number] = begun.size();
-            owner_.book.put(
+            saved_begun_counts_[number] = begun.size();
+            term_.term_ledger.put(
                 ledger_table::waves, std::to_string(number), row.dump());
         }
         bool is_completed = planner_.is_wave_completed(wave);
-        auto told = told_.find(number);
-        if (told != told_.end() && told->second == is_completed)
+        auto told = written_statuses_.find(number);
+        if (told != written_statuses_.end() && told->second == is_completed)
             continue;
-        told_[number] = is_completed;
+        written_statuses_[number] = is_completed;
         auto self = shared_from_this();
         asio::co_spawn(
             io_,
             [self, number = number, is_completed]
-            { return self->tell_status(number, is_completed); },
+            { return self->write_wave_status(number, is_completed); },
             asio::detached);
     }
 }
 
-void pool_keeper::report_balances()
+void pool_plan_executor::log_pool_sizings()
 {
     for (const auto& [pool, it] : planner_.get_pool_sizings())
         decisions_log.write("balance", "demand",
@@ -203,38 +205,38 @@
                 {"offered_cores", it.offered_cores}, {"spread", it.spread}});
 }
 
-void pool_keeper::decide()
+void pool_plan_executor::decide()
 {
     boot_time now = boot_clock::now();
     auto self = shared_from_this();
-    if (now >= next_list_ && !is_listing_)
+    if (now >= next_list_at_ && !is_listing_)
     {
-        next_list_ = now + list_interval;
+        next_list_at_ = now + list_interval;
         asio::co_spawn(
             io_, [self] { return self->list_instances(); }, asio::detached);
     }
-    if (!owner_.may_order())
+    if (!term_.may_send_orders())
         return;
-    pool_decisions out = planner_.plan(owner_.decisions, now);
-    if (now >= next_report_)
+    pool_decisions out = planner_.plan(term_.term_coordinator, now);
+    if (now >= next_report_at_)
     {
-        next_report_ = now + report_interval;
-        report_balances();
+        next_report_at_ = now + report_interval;
+        log_pool_sizings();
     }
     update_waves();
     for (const instance_order& it : out.orders)
-        if (pending_.insert(it.instance).second)
+        if (pending_instances_.insert(it.instance).second)
             waiting_orders_.push_back(it);
-    send_waiting();
+    send_waiting_orders();
     if (!out.tasks_to_stop.empty())
-        owner_.wake();
+        term_.wake();
 }
 
-asio::awaitable<void> pool_keeper::run()
+asio::awaitable<void> pool_plan_executor::run()
 {
     auto self = shared_from_this();
     asio::steady_timer timer(io_);
-    while (!owner_.is_over())
+    while (!term_.is_over())
     {
         decide();
         timer.expires_after(tick_interval);
--- a/tests/main/entryd/whole_path_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -1,5 +1,5 @@
-#include "main/entryd/caller_front.hpp"
 #include "main/entryd/entryd_process.hpp"
+#include "main/entryd/job_api.hpp"
 #include "tests/stand_ins/users_platform.hpp"
 
 #include <gtest/gtest.h>
@@ -18,19 +18,19 @@
     "estimateMs":50},{"count":1,"cpu":1000,"memMb":100,"estimateMs":50,
     "after":[0]}]})";
 
-/// The front, the follower and the seat of one entry, without the process.
+/// The front, the follower and the role of one entry, without the process.
 struct entry
 {
     entry(asio::io_context& io, users_platform& platform,
         const std::string& peer_address)
         : settings(make_settings(platform, peer_address)),
           metrics(get_entryd_metrics()), store(io, settings.store),
-          config(io, store, [this] { seat.note_publication(); }),
-          seat(io, settings, store, metrics, config),
-          front(settings, config, seat, metrics)
+          config(io, store, [this] { role.handle_published_change(); }),
+          role(io, settings, store, metrics, config),
+          api(settings, config, role, metrics)
     {
         asio::co_spawn(io, config.run(), asio::detached);
-        asio::co_spawn(io, seat.run(), asio::detached);
+        asio::co_spawn(io, role.run(), asio::detached);
     }
 
     static entry_settings make_settings(
@@ -48,15 +48,15 @@
     entry_settings settings;
     metrics_registry metrics;
     store_client store;
-    config_follower config;
-    coordinator_seat seat;
-    caller_front front;
+    config_watcher config;
+    coordinator_role role;
+    job_api api;
 };
 
-class whole_path_test : public testing::Test
+class entry_end_to_end_test : public testing::Test
 {
 protected:
-    whole_path_test() { platform.publish_config(); }
+    entry_end_to_end_test() { platform.publish_config(); }
 
     /// Runs the test's body as a coroutine, for at most 20 s.
     void run(std::function<asio::awaitable<void>()> body)
@@ -83,7 +83,7 @@
         request.path = std::move(path);
         request.headers["Host"] = "h:80";
         request.body = std::move(body);
-        return node->front.handle(std::move(request));
+        return node->api.handle(std::move(request));
     }
 
     asio::awaitable<void> sleep(milliseconds time)
@@ -97,7 +97,7 @@
 
     asio::awaitable<void> wait_until_ready()
     {
-        while (!node->front.is_ready())
+        while (!node->api.is_ready())
             co_await sleep(milliseconds(10));
     }
 
@@ -127,7 +127,7 @@
 
 // Guards against a path that breaks between its parts: accept, both steps in
 // order, each task once, the end shown, a repeat that stays one job.
-TEST_F(whole_path_test, runs_a_job_to_its_end)
+TEST_F(entry_end_to_end_test, runs_a_job_to_completion)
 {
     platform.add_target("t1", milliseconds(60));
     run(
@@ -154,7 +154,7 @@
 
 // Guards against a target that is never used again after it was given up: its
 // entry went away during a cut and came back.
-TEST_F(whole_path_test, uses_a_target_that_is_listed_again)
+TEST_F(entry_end_to_end_test, uses_a_target_that_is_listed_again)
 {
     platform.add_target("t1", milliseconds(20));
     run(
@@ -175,7 +175,7 @@
 
 // Guards against a job that is lost with its coordinator, and a task that its
 // successor starts again although it runs.
-TEST_F(whole_path_test, goes_on_where_a_lost_coordinator_stopped)
+TEST_F(entry_end_to_end_test, resumes_the_jobs_of_a_lost_coordinator)
 {
     platform.add_target("t1", milliseconds(2'500));
     run(
@@ -186,7 +186,7 @@
             EXPECT_TRUE(co_await wait_for(job_1, "running"));
             // Another process on another port: the first is silent for it.
             auto lost = std::move(node);
-            lost->seat.leave();
+            lost->role.resign();
             node = std::make_unique<entry>(io, platform, "127.0.0.1:2");
             co_await wait_until_ready();
             EXPECT_TRUE(co_await wait_for(job_1, "completed"));
@@ -197,7 +197,7 @@
 
 // Guards against a submission that is refused as "not accepted" although it
 // may have been stored, and against one that is accepted without the store.
-TEST_F(whole_path_test, neither_accepts_nor_refuses_without_the_store)
+TEST_F(entry_end_to_end_test, neither_accepts_nor_refuses_without_the_store)
 {
     platform.add_target("t1", milliseconds(20));
     run(
@@ -217,7 +217,7 @@
 
 // Guards against one instance too many in maintenance: a successor that orders
 // while an order of its predecessor is still under way.
-TEST_F(whole_path_test, hands_over_only_when_no_order_is_under_way)
+TEST_F(entry_end_to_end_test, releases_the_term_only_when_no_order_is_in_flight)
 {
     platform.add_instance("m1");
     platform.add_instance("m2");
@@ -229,13 +229,13 @@
             co_await wait_until_ready();
             while (platform.get_maintained().empty())
                 co_await sleep(milliseconds(20));
-            node->seat.leave();
+            node->role.resign();
             co_await sleep(milliseconds(600));
-            EXPECT_TRUE(node->seat.is_holder());
+            EXPECT_TRUE(node->role.is_coordinator());
             platform.set_holding(false);
-            for (int i = 0; i < 50 && node->seat.is_holder(); ++i)
+            for (int i = 0; i < 50 && node->role.is_coordinator(); ++i)
                 co_await sleep(milliseconds(20));
-            EXPECT_FALSE(node->seat.is_holder());
+            EXPECT_FALSE(node->role.is_coordinator());
             // The successor learns from the ledger what has begun.
             EXPECT_FALSE(platform.get_row("waves", "1").empty());
             EXPECT_EQ(platform.get_maintained().size(), 1U);
@@ -245,7 +245,8 @@
 // Guards against a task that runs twice on targets that nobody reaches: the
 // successor of a released term does not wait for leases that an earlier, lost
 // coordinator may still extend.
-TEST_F(whole_path_test, releases_no_term_while_a_lost_one_may_hold_leases)
+TEST_F(entry_end_to_end_test,
+    keeps_the_term_while_a_lost_coordinator_may_extend_leases)
 {
     platform.add_target("t1", milliseconds(20));
     run(
@@ -259,16 +260,16 @@
             batch_result answer =
                 co_await node->store.commit(batch, milliseconds(500));
             EXPECT_EQ(answer.outcome, batch_result::kind::committed);
-            while (!node->seat.is_holder())
+            while (!node->role.is_coordinator())
                 co_await sleep(milliseconds(20));
             boot_time taken = boot_clock::now();
-            node->seat.leave();
+            node->role.resign();
             co_await sleep(milliseconds(1'000));
-            EXPECT_TRUE(node->seat.is_holder());
+            EXPECT_TRUE(node->role.is_coordinator());
             // Its work goes on until then.
             co_await send("POST", "/q/" + job_1, one_task);
             EXPECT_TRUE(co_await wait_for(job_1, "completed"));
-            while (node->seat.is_holder())
+            while (node->role.is_coordinator())
                 co_await sleep(milliseconds(20));
             EXPECT_GE(boot_clock::now() - taken, milliseconds(3'700));
         });
--- a/tests/main/entryd/entry_settings_test.cpp
+++ b/tests/main/entryd/entry_settings_test.cpp
@@ -70,7 +70,7 @@
     EXPECT_NE(fault.find("'peer_listen' is required"), std::string::npos);
 }
 
-TEST_F(entry_settings_test, reports_where_a_file_is_not_toml)
+TEST_F(entry_settings_test, reports_the_line_of_a_syntax_error)
 {
     EXPECT_NE(get_fault("entry = \n").find(":1: "), std::string::npos);
     EXPECT_THROW(load_entry_settings("/does/not/exist"), platform_error);
