--- a/main/cowslippass_entryd_main.cpp
+++ b/main/cowslippass_entryd_main.cpp
@@ -57,8 +57,8 @@
     try
     {
         int status = run(FLAGS_settings);
-        // Pending coroutines are not unwound: all that must last is in the
-        // store already.
+        // Skips the clean-up of suspended coroutines. Everything that must
+        // survive is already in the store.
         std::cout.flush();
         std::_Exit(status);
     }
--- a/main/entryd/config_watcher.cpp
+++ b/main/entryd/config_watcher.cpp
@@ -8,8 +8,9 @@
 namespace
 {
 
-/// Longest wait of one feed call. A connection that went silent delays a
-/// change by this and the timeout, and the age of the state is never more.
+/// How long the store may delay its answer to one feed call until there is a
+/// change. If a connection stops answering, a change arrives late by up to this
+/// time plus the timeout. The state gets no older than that.
 constexpr milliseconds feed_wait{1'000};
 constexpr milliseconds feed_timeout{700};
 constexpr milliseconds read_timeout{2'000};
@@ -35,7 +36,7 @@
         catch (const platform_error& e)
         {
             write_log(log_level::error, "configuration",
-                "a published row cannot be read",
+                "cannot decode a published row",
                 {{"key", it.key}, {"version", it.version}, {"why", e.what()}});
         }
     }
@@ -56,7 +57,8 @@
     store_rows rows = co_await store_.read_all_rows(range, read_timeout);
     if (rows.failure != store_failure::none)
         co_return false;
-    // Rows that were removed while nobody followed are not in the answer.
+    // The answer does not list the rows that were removed while the feed was
+    // not followed.
     state_.evacuated.clear();
     state_.waves.clear();
     version_ = rows.newest;
@@ -75,7 +77,8 @@
     if (rows.failure == store_failure::history_gone)
     {
         write_log(log_level::warn, "configuration",
-            "the store has dropped the feed's history",
+            "the store no longer has the feed's history; all rows are read "
+            "again",
             {{"version", version_}});
         needs_full_read_ = true;
         co_return true;
--- a/main/entryd/config_watcher.hpp
+++ b/main/entryd/config_watcher.hpp
@@ -7,12 +7,14 @@
 namespace cowslippass
 {
 
-/// Follows what operators publish and knows how old that knowledge is.
+/// Follows the configuration, evacuations and maintenance waves that operators
+/// publish in the store, and tracks how recent its copy of them is.
 class config_watcher
 {
 public:
     using change_handler = std::function<void()>;
 
+    /// @param on_change called after each change of the state.
     config_watcher(
         asio::io_context& io, store_client& store, change_handler on_change);
 
@@ -21,13 +23,18 @@
 
     const published_state& get_state() const { return state_; }
 
-    /// @return the time as of which the state is known to be the newest;
-    ///   nothing before the first answer.
+    /// @return the latest time at which the state is known to have been up to
+    ///   date; nothing before the first answer of the store.
     std::optional<boot_time> get_confirmed_at() const { return confirmed_at_; }
 
 private:
+    /// Replaces the state by a full read of the published rows.
+    /// @return whether the store answered.
     asio::awaitable<bool> read_all();
+    /// Waits for the next changes and applies them.
+    /// @return whether the store answered.
     asio::awaitable<bool> read_feed();
+    /// Applies rows to the state. Skips rows that cannot be decoded.
     void apply(const std::vector<stored_row>& rows);
 
     asio::io_context& io_;
--- a/main/entryd/coordinator_role.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -13,28 +13,32 @@
 {
 
 constexpr milliseconds probe_interval{250};
-/// A coordinator that needs longer is suspected; one read of the head row
-/// shows whether it is at work.
+/// A coordinator that needs longer to reply is suspected; one read of the head
+/// row then shows whether it renews its term.
 constexpr milliseconds probe_timeout{300};
-/// Between reads of the head row while the coordinator is missed.
+/// Pause between reads of the head row while the coordinator is suspected.
 constexpr milliseconds suspect_interval{150};
 constexpr milliseconds read_timeout{1'000};
 constexpr milliseconds take_over_timeout{1'000};
-/// Candidates that see the same silence do not all write at once.
+/// Random delay of a takeover, so that candidates that detect the same failure
+/// do not all write at once.
 constexpr int max_jitter_ms = 40;
-/// Weak entries wait so much longer than strong ones: more than a strong one
-/// takes to miss the coordinator after the first.
-constexpr milliseconds handicap_of_weak{600};
-/// An entry with less than this share of the strongest one's processor is weak.
-constexpr double weak_share = 0.8;
-/// A coordinator keeps its place for so long before it gives it to a stronger
-/// entry.
-constexpr milliseconds shortest_term{3'000};
+/// Entries with a small processor share wait this much longer before a
+/// takeover. This exceeds the time between the first detection of a failure
+/// and the detection by an entry with a large share.
+constexpr milliseconds low_processor_takeover_delay{600};
+/// An entry is low on processor if it has less than this fraction of the
+/// largest processor share.
+constexpr double low_processor_ratio = 0.8;
+/// A coordinator that is low on processor keeps the role at least this long
+/// before it releases it to an entry with a larger share.
+constexpr milliseconds min_term_time{3'000};
 constexpr milliseconds pause_between_calls{50};
-/// An answer older than this says nothing of the coordinator now.
-constexpr milliseconds answer_age_limit{2'500};
-/// Bounds a peer's call; the peer itself gives up earlier.
-constexpr milliseconds longest_peer_wait{5'000};
+/// A reply that is older than this does not show that the coordinator still
+/// works.
+constexpr milliseconds max_reply_age{2'500};
+/// Upper bound on the time for a peer's call; the peer gives up earlier.
+constexpr milliseconds max_peer_call_time{5'000};
 constexpr int recovery_attempts = 5;
 
 milliseconds get_time_left(boot_time deadline)
@@ -76,7 +80,8 @@
 
 bool coordinator_role::is_low_on_processor() const
 {
-    return get_own_processor_share() < max_processor_share_ * weak_share;
+    return get_own_processor_share() <
+           max_processor_share_ * low_processor_ratio;
 }
 
 bool coordinator_role::is_coordinator_known() const
@@ -84,7 +89,7 @@
     if (is_coordinator())
         return true;
     return last_coordinator_reply_at_ &&
-           boot_clock::now() - *last_coordinator_reply_at_ < answer_age_limit;
+           boot_clock::now() - *last_coordinator_reply_at_ < max_reply_age;
 }
 
 void coordinator_role::suspect_coordinator()
@@ -131,11 +136,11 @@
     if (!head || !remote_coordinator_)
         co_return;
     std::string holder = head->holder;
-    peer_coordinator_call question;
-    question.processor_share = get_own_processor_share();
+    peer_coordinator_call call;
+    call.processor_share = get_own_processor_share();
     bool was_sent = false;
     auto reply =
-        co_await call_remote_coordinator(question, probe_timeout, was_sent);
+        co_await call_remote_coordinator(call, probe_timeout, was_sent);
     if (reply && reply->result == coordinator_result::done &&
         reply->boot == holder)
     {
@@ -170,7 +175,7 @@
             catch (const systems_error& e)
             {
                 write_log(log_level::error, "candidate",
-                    "the head row cannot be read", {{"why", e.what()}});
+                    "cannot decode the head row", {{"why", e.what()}});
                 co_return;
             }
             version = it.version;
@@ -180,7 +185,7 @@
         max_processor_share_ =
             std::max(max_processor_share_, head->top_processor_share);
     election_.set_takeover_delay(
-        is_low_on_processor() ? handicap_of_weak : milliseconds(0));
+        is_low_on_processor() ? low_processor_takeover_delay : milliseconds(0));
     election_.record_head(head, version, sent, boot_clock::now());
     bool is_same = head && before && before->holder == head->holder;
     if (remote_coordinator_ && is_same)
@@ -190,7 +195,8 @@
     remote_coordinator_.reset();
     if (!head || head->address == address_)
         co_return;
-    write_log(log_level::info, "candidate", "coordinator known",
+    write_log(log_level::info, "candidate",
+        "the head row names another coordinator",
         {{"term", head->term}, {"entry", head->entry},
             {"address", head->address}, {"version", version}});
     auto handler = [](peer_body) -> asio::awaitable<std::optional<peer_body>>
@@ -220,19 +226,20 @@
     bool was_previous_term_released = !old || old->is_released;
     ledger_batch batch{election_.get_version(), head, {}};
     boot_time sent = boot_clock::now();
-    batch_result answer = co_await store_.commit(batch, take_over_timeout);
-    // A copy that was delayed may have applied; nobody else writes our name.
-    bool is_ours = answer.outcome == batch_result::kind::committed ||
-                   (answer.head && *answer.head == head);
+    batch_result result = co_await store_.commit(batch, take_over_timeout);
+    // A delayed copy of this batch may have been applied. The head row then
+    // shows it, because no other process writes this boot id.
+    bool is_ours = result.outcome == batch_result::kind::committed ||
+                   (result.head && *result.head == head);
     if (!is_ours)
     {
-        write_log(log_level::info, "candidate", "not taken over",
+        write_log(log_level::info, "candidate", "the takeover failed",
             {{"term", head.term},
-                {"outcome", static_cast<int>(answer.outcome)}});
+                {"outcome", static_cast<int>(result.outcome)}});
         co_return;
     }
     auto runner = std::make_shared<coordinator_runner>(io_, settings_, store_,
-        metrics_, head, answer.version, sent, was_previous_term_released);
+        metrics_, head, result.version, sent, was_previous_term_released);
     runner->record_processor_share(get_own_processor_share());
     runner->start_renewing();
     recovering_runner_ = runner;
@@ -242,7 +249,8 @@
     recovering_runner_.reset();
     if (is_resigning_)
     {
-        // The stop came meanwhile; a successor need not wait for it.
+        // The process has begun to stop meanwhile. Where possible, the term is
+        // released so that a successor need not wait.
         if (was_previous_term_released)
             runner->release();
         else
@@ -252,8 +260,8 @@
     if (!is_recovered)
     {
         runner->abandon();
-        write_log(log_level::error, "candidate", "ledger cannot be read",
-            {{"term", head.term}});
+        write_log(log_level::error, "candidate",
+            "the ledger cannot be read; the term ends", {{"term", head.term}});
         co_return;
     }
     metrics_.add("cowslippass_takeovers_total");
@@ -270,7 +278,7 @@
         {
             max_processor_share_ = runner_->get_max_processor_share();
             if (is_low_on_processor() &&
-                boot_clock::now() - role_held_since_ > shortest_term)
+                boot_clock::now() - role_held_since_ > min_term_time)
                 runner_->release();
             co_await wait_on(probe_timer_, probe_interval);
             continue;
@@ -283,13 +291,14 @@
             continue;
         }
         co_await read_head();
-        // Without a configuration nothing could be decided.
-        bool may_lead = !is_resigning_ && config_.get_state().config;
-        if (may_lead && election_.may_take_over(boot_clock::now()))
+        // A coordinator without a configuration could make no decisions.
+        bool may_be_coordinator = !is_resigning_ && config_.get_state().config;
+        if (may_be_coordinator && election_.may_take_over(boot_clock::now()))
         {
             asio::steady_timer delay(io_);
             co_await wait_on(delay, draw_jitter());
-            // Another may have been faster, or the store is back for all.
+            // Another candidate may have taken over meanwhile, or the
+            // coordinator may have reached the store again.
             if (remote_coordinator_ && is_coordinator_known())
                 co_await probe();
             co_await read_head();
@@ -323,9 +332,9 @@
         }
         else
         {
-            // A busy coordinator answers late, and a copy of the call would
-            // make it busier. When another takes its place, the calls that
-            // wait on the old connection end.
+            // The call waits until the deadline: a busy coordinator replies
+            // late, and a retry would add to its load. After a takeover the old
+            // connection is closed, which ends the calls that wait on it.
             auto reply = co_await call_remote_coordinator(
                 call, get_time_left(deadline), out.may_be_applied);
             if (reply && reply->result != coordinator_result::not_coordinator)
@@ -351,7 +360,7 @@
     auto runner = runner_;
     if (is_coordinator())
         reply = co_await runner->handle(
-            std::move(call), boot_clock::now() + longest_peer_wait);
+            std::move(call), boot_clock::now() + max_peer_call_time);
     else if (recovering_runner_ &&
              call.operation == coordinator_operation::probe)
     {
--- a/main/entryd/coordinator_role.hpp
+++ b/main/entryd/coordinator_role.hpp
@@ -8,16 +8,18 @@
 namespace cowslippass
 {
 
-/// The answer to a caller's operation, as far as there is one.
+/// The outcome of a caller's operation.
 struct coordinator_call_result
 {
-    std::optional<peer_coordinator_reply> reply;
-    /// A coordinator may have taken the operation although none answered.
+    std::optional<peer_coordinator_reply> reply; ///< Not set without a reply.
+    /// Whether a coordinator may have executed the operation although none
+    /// replied.
     bool may_be_applied = false;
 };
 
-/// Knows the coordinator, passes operations to it, and takes its place in
-/// this process when it is gone.
+/// This process's part in the election of the coordinator. It tracks which
+/// entry is the coordinator, passes callers' operations to it, and takes over
+/// the role when the coordinator has failed or has released it.
 class coordinator_role
 {
 public:
@@ -25,39 +27,53 @@
         store_client& store, metrics_registry& metrics,
         const config_watcher& config);
 
-    /// Watches the coordinator until the process ends.
+    /// Probes the coordinator, and takes over its role when needed, until the
+    /// process ends.
     asio::awaitable<void> run();
 
-    /// Tries until the deadline; operations are safe to repeat.
+    /// Passes an operation to the coordinator. Retries until the deadline,
+    /// because operations are idempotent.
     asio::awaitable<coordinator_call_result> call(
         peer_coordinator_call call, boot_time deadline);
 
-    /// Answers a peer's operation if this process is the coordinator.
+    /// Executes an operation that a peer passed on, if this process is the
+    /// coordinator.
     asio::awaitable<peer_coordinator_reply> handle_peer_call(
         peer_coordinator_call call);
 
+    /// Passes a change of the published configuration to the current term.
     void handle_published_change();
 
-    /// Gives the place back, if it is held, and never takes it again.
+    /// Releases the role, if this process holds it, and never takes it over
+    /// again.
     void resign();
 
-    /// @return whether a coordinator answered lately, here or elsewhere.
+    /// @return whether this process is the coordinator, or another one has
+    ///   replied as the coordinator recently.
     bool is_coordinator_known() const;
 
+    /// @return whether this process is the coordinator.
     bool is_coordinator() const { return runner_ && !runner_->is_over(); }
 
 private:
+    /// Asks the coordinator for the age of its last renewal.
     asio::awaitable<void> probe();
+    /// Reads the head row of the ledger, which names the coordinator.
     asio::awaitable<void> read_head();
+    /// Writes a new term into the head row and, if that succeeds, restores the
+    /// coordinator's state.
     asio::awaitable<void> take_over();
+    /// @param was_sent set if the call may have reached the coordinator.
+    /// @return nothing without a reply.
     asio::awaitable<std::optional<peer_coordinator_reply>>
     call_remote_coordinator(
         peer_coordinator_call call, milliseconds timeout, bool& was_sent);
+    /// Makes run() read the head row at once.
     void suspect_coordinator();
 
-    /// @return in thousandths of a core.
+    /// @return processor share in thousandths of a core.
     std::uint32_t get_own_processor_share() const;
-    /// @return whether another entry has far more processor.
+    /// @return whether another entry has a much larger processor share.
     bool is_low_on_processor() const;
 
     asio::io_context& io_;
@@ -69,10 +85,11 @@
     std::string address_;
     coordinator_election election_;
     std::shared_ptr<coordinator_runner> runner_;
-    /// Holds the place, but has not read the ledger yet.
+    /// Holds the role, but has not read the ledger yet.
     std::shared_ptr<coordinator_runner> recovering_runner_;
     boot_time role_held_since_{};
-    std::uint32_t max_processor_share_ = 0; ///< Of all entries, as last told.
+    std::uint32_t max_processor_share_ =
+        0; ///< Of all entries, as last reported.
     bool is_resigning_ = false;
     std::shared_ptr<peer_client> remote_coordinator_;
     std::optional<boot_time> last_coordinator_reply_at_;
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -11,42 +11,42 @@
 namespace
 {
 
-/// How long orders may extend leases after the last durable transaction was
-/// sent. A successor counts on it for targets that it cannot reach.
-constexpr milliseconds authority{4'000};
-/// Orders to instances need a transaction this young. A candidate waits
-/// longer, so that two coordinators never take turns on one instance.
-constexpr milliseconds machine_authority{700};
-/// The head row is rewritten at least so often.
+/// Leases may be extended for this long after the last durable transaction was
+/// sent. A successor relies on it for targets that it cannot reach.
+constexpr milliseconds max_renewal_age{4'000};
+/// Orders to instances need a more recent renewal. A candidate waits longer
+/// than this, so that two coordinators never order the same instance in turn.
+constexpr milliseconds max_renewal_age_for_instance_orders{700};
+/// The head row is rewritten at least this often.
 constexpr milliseconds renewal_interval{400};
-/// Batches are not sent more often, so that rows share transactions.
+/// Minimum time between batches, so that rows share transactions.
 constexpr milliseconds batch_interval{20};
-/// Rows that are read at a time at a takeover.
-constexpr std::size_t jobs_between_pauses = 20;
-/// Without news, decisions are looked at again after this time.
+/// Number of rows that are loaded at a takeover before other work gets a turn.
+constexpr std::size_t rows_between_pauses = 20;
+/// Time between rounds of decisions when nothing has changed.
 constexpr milliseconds idle_interval{100};
-/// Starts that are decided together. Sending them takes a slow processor part
-/// of a second.
-constexpr std::size_t starts_per_batch = 400;
-/// With more that are still to be sent, none are decided.
-constexpr std::size_t starts_ahead = 100;
-constexpr milliseconds load_line_interval{1'000};
-/// Between the removals of rows that nobody asks for any more.
+/// Maximum number of starts of one round of decisions. A slow processor needs
+/// part of a second to send this many.
+constexpr std::size_t max_starts_per_round = 400;
+/// While this many starts are still to be sent, no further ones are planned.
+constexpr std::size_t max_queued_starts = 100;
+constexpr milliseconds load_report_interval{1'000};
+/// Time between the removals of expired jobs.
 constexpr milliseconds erase_interval{1'000};
-/// Ends of tasks that share one line of the log.
-constexpr std::size_t ends_per_line = 50;
+/// Number of ends of tasks from which on their log line is written.
+constexpr std::size_t ends_per_log_line = 50;
 constexpr milliseconds first_commit_timeout{500};
-constexpr milliseconds longest_commit_timeout{1'200};
+constexpr milliseconds max_commit_timeout{1'200};
 constexpr milliseconds pause_after_refusal{60};
 
-/// A successor of a released term counts on it that no earlier coordinator may
-/// extend leases any more.
-/// @return whether that is so.
-bool is_predecessor_over(
+/// The successor of a released term relies on this condition before that term
+/// is released.
+/// @return whether no earlier coordinator can still extend leases.
+bool is_previous_term_over(
     bool was_previous_term_released, boot_time taken_over_at)
 {
     return was_previous_term_released ||
-           boot_clock::now() - taken_over_at >= authority;
+           boot_clock::now() - taken_over_at >= max_renewal_age;
 }
 
 } // namespace
@@ -67,7 +67,7 @@
 
 bool coordinator_runner::has_valid_term() const
 {
-    return !is_over_ && boot_clock::now() - renewed_at_ < authority;
+    return !is_over_ && boot_clock::now() - renewed_at_ < max_renewal_age;
 }
 
 milliseconds coordinator_runner::get_renewal_age() const
@@ -102,7 +102,8 @@
         link->timer.cancel();
     }
     links_.clear();
-    // What has not become durable is for the next coordinator to tell.
+    // Only the next coordinator will know whether the rows that these calls
+    // wait for became durable.
     for (const auto& it : durability_waits_)
         it->cancel();
     wake();
@@ -121,7 +122,8 @@
     }
     catch (const systems_error& e)
     {
-        write_log(log_level::error, "coordinator", "a job's row cannot be read",
+        write_log(log_level::error, "coordinator",
+            "cannot decode the row of a job",
             {{"job", row.key}, {"version", row.version}, {"why", e.what()}});
     }
 }
@@ -141,7 +143,7 @@
     catch (const systems_error& e)
     {
         write_log(log_level::error, "coordinator",
-            "a job's progress cannot be read",
+            "cannot decode the progress row of a job",
             {{"job", row.key}, {"version", row.version}, {"why", e.what()}});
         return false;
     }
@@ -154,7 +156,7 @@
     std::map<std::string, std::string> progress;
     std::size_t n = 0;
     // The term has to be renewed while a slow processor reads many rows.
-    auto is_pause_due = [&] { return ++n % jobs_between_pauses == 0; };
+    auto is_pause_due = [&] { return ++n % rows_between_pauses == 0; };
     for (stored_row& it : states)
     {
         if (is_pause_due())
@@ -169,7 +171,8 @@
         if (!coordinator_.find_job(job_id(it.key)))
             load_job(it, progress[it.key], now);
         else
-            // The predecessor ended before it removed the row.
+            // The job is settled, but the predecessor's term ended before it
+            // removed the row.
             ledger_.erase(ledger_table::jobs, it.key);
     }
 }
@@ -196,7 +199,7 @@
     if (is_over_)
         co_return false;
     milliseconds left =
-        was_previous_term_released_ ? milliseconds(0) : authority;
+        was_previous_term_released_ ? milliseconds(0) : max_renewal_age;
     for (const auto& [id, target] : coordinator_.get_targets())
         coordinator_.record_lease(
             id, taken_over_at_ + left + get_max_lease_time());
@@ -238,14 +241,15 @@
         [self]
         {
             return !self->is_over_ && !self->is_releasing_ &&
-                   self->get_renewal_age() < machine_authority;
+                   self->get_renewal_age() <
+                       max_renewal_age_for_instance_orders;
         },
         [self] { return self->is_over_; }, [self] { self->wake(); }};
     pool_plan_executor_ = std::make_shared<pool_plan_executor>(
         io_, settings_, store_, metrics_, std::move(term));
     pool_plan_executor_->load(wave_rows_);
     asio::co_spawn(
-        io_, [keeper = pool_plan_executor_] { return keeper->run(); },
+        io_, [executor = pool_plan_executor_] { return executor->run(); },
         asio::detached);
 }
 
@@ -266,7 +270,7 @@
     bool has_orders =
         pool_plan_executor_ && pool_plan_executor_->has_orders_in_flight();
     if (is_releasing_ && !has_orders &&
-        is_predecessor_over(was_previous_term_released_, taken_over_at_))
+        is_previous_term_over(was_previous_term_released_, taken_over_at_))
         ledger_.release();
 }
 
@@ -310,7 +314,7 @@
             [link = link, number = number,
                 incarnation_start = link->incarnation_start]
             {
-                // Another life counts its ends anew.
+                // Another incarnation numbers its ends from the start.
                 if (link->incarnation_start == incarnation_start)
                     link->acknowledged_up_to =
                         std::max(link->acknowledged_up_to, number);
@@ -320,7 +324,7 @@
 
 void coordinator_runner::log_starts(const std::vector<start_decision>& starts)
 {
-    // One line for the tasks of a step that start together.
+    // Writes one line for the tasks of a step that start in the same round.
     for (auto it = starts.begin(); it != starts.end();)
     {
         auto first = it;
@@ -357,7 +361,7 @@
                         "#" + std::to_string(it.number) + ":" +
                         to_string(it.end);
     }
-    if (ends_to_log_count_ >= ends_per_line)
+    if (ends_to_log_count_ >= ends_per_log_line)
         log_ends();
 }
 
@@ -376,7 +380,7 @@
     boot_time now = boot_clock::now();
     if (now < next_load_report_at_)
         return;
-    next_load_report_at_ = now + load_line_interval;
+    next_load_report_at_ = now + load_report_interval;
     coordinator_log.write("load", "each_second",
         {{"rows_waiting", ledger_.count_pending_changes()},
             {"starts_to_send", starts_to_send_.size()},
@@ -394,14 +398,14 @@
     boot_time now = boot_clock::now();
     coordinator_.end_runs_without_lease(now);
     std::vector<start_decision> starts;
-    // What is assigned later is assigned with more knowledge.
-    bool is_keeping_up = starts_to_send_.size() < starts_ahead;
-    // Until the term can be released its work goes on.
-    bool is_leaving =
+    // A start that is planned later uses more recent statuses of the targets.
+    bool is_keeping_up = starts_to_send_.size() < max_queued_starts;
+    // Tasks start as before until the term can be released.
+    bool is_handing_over =
         is_releasing_ &&
-        is_predecessor_over(was_previous_term_released_, taken_over_at_);
-    if (!is_leaving && is_keeping_up && has_valid_term())
-        starts = coordinator_.plan(now, get_wall_time(), starts_per_batch);
+        is_previous_term_over(was_previous_term_released_, taken_over_at_);
+    if (!is_handing_over && is_keeping_up && has_valid_term())
+        starts = coordinator_.plan(now, get_wall_time(), max_starts_per_round);
     put_changed_rows();
     acknowledge_ends_when_durable();
     erase_expired_rows();
@@ -419,23 +423,24 @@
     send_stops();
 }
 
-asio::awaitable<void> coordinator_runner::commit_batch(bool& is_done)
+asio::awaitable<void> coordinator_runner::commit_batch(bool& is_committed)
 {
     milliseconds timeout = first_commit_timeout;
     while (!is_over_)
     {
         ledger_batch batch = ledger_.make_batch();
         boot_time sent = boot_clock::now();
-        batch_result answer = co_await store_.commit(batch, timeout);
-        ledger_.handle_result(answer);
+        batch_result result = co_await store_.commit(batch, timeout);
+        ledger_.handle_result(result);
         if (ledger_.is_lost())
         {
-            end_term("another coordinator has taken the ledger");
+            end_term("another coordinator has taken over the ledger");
             co_return;
         }
         if (!ledger_.is_in_flight())
         {
-            // A batch that an earlier copy has committed may be older.
+            // The store may have applied an earlier copy of this batch, before
+            // `sent`.
             renewed_at_ = std::max(renewed_at_, sent);
             ++commit_count_;
             longest_commit_ = std::max(
@@ -443,14 +448,14 @@
             metrics_.observe("cowslippass_ledger_commit_seconds",
                 std::chrono::duration<double>(boot_clock::now() - sent)
                     .count());
-            is_done = true;
+            is_committed = true;
             co_return;
         }
         metrics_.add("cowslippass_ledger_retries_total");
-        if (answer.outcome == batch_result::kind::refused)
+        if (result.outcome == batch_result::kind::refused)
             co_await sleep(pause_after_refusal);
         else
-            timeout = std::min(timeout * 2, longest_commit_timeout);
+            timeout = std::min(timeout * 2, max_commit_timeout);
     }
 }
 
@@ -467,14 +472,14 @@
         if (ledger_.has_changes() || is_due)
         {
             last_batch_at_ = now;
-            bool is_done = false;
-            co_await commit_batch(is_done);
+            bool is_committed = false;
+            co_await commit_batch(is_committed);
             if (ledger_.is_released())
                 end_term("planned stop");
         }
         if (is_over_)
             break;
-        // Changes that came up meanwhile share the next transaction.
+        // Changes that are made meanwhile share the next transaction.
         milliseconds since =
             to_milliseconds(boot_clock::now() - last_batch_at_);
         if (since < batch_interval && !ledger_.has_full_batch())
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -17,48 +17,56 @@
 
 class metrics_registry;
 
-/// Runs the coordinator's decisions: writes the ledger, sends orders and
-/// passes the answers back. One object for each term that this process holds.
+/// Carries out the decisions of the coordinator: writes them to the ledger,
+/// sends the requests to the targets and passes the replies back. There is one
+/// object for each term of this process.
 class coordinator_runner
     : public std::enable_shared_from_this<coordinator_runner>
 {
 public:
-    /// @param renewed_at before the takeover's transaction was sent.
-    /// @param was_previous_term_released whether the predecessor ended its term
-    /// in order.
+    /// @param version version of the head row that the takeover wrote.
+    /// @param renewed_at time just before the takeover's transaction was sent.
+    /// @param was_previous_term_released whether the predecessor released its
+    ///   term, instead of failing.
     coordinator_runner(asio::io_context& io, const entry_settings& settings,
         store_client& store, metrics_registry& metrics, ledger_head head,
         row_version version, boot_time renewed_at,
         bool was_previous_term_released);
 
-    /// Reads the ledger, renewing the term meanwhile.
+    /// Restores the coordinator's state from the ledger. The term has to be
+    /// renewed meanwhile, see start_renewing().
     /// @return whether the ledger could be read.
     asio::awaitable<bool> recover();
 
-    /// Keeps the term from now on, also while the ledger is read.
+    /// Starts the loop that renews the term and writes the ledger.
     void start_renewing();
 
-    /// Gives the term up without a word in the ledger.
+    /// Ends the term without releasing it in the ledger.
     void abandon();
 
-    /// Starts the other loops; they end with the term.
+    /// Starts to make decisions, and the other loops, which end with the term.
+    /// Needs a successful recover().
     void start(const published_state& state);
 
+    /// Replaces the configuration that operators have published.
     void set_published_state(const published_state& state);
 
-    /// Ends the term in order, so that a successor need not wait.
+    /// Requests the release of the term, so that a successor need not wait.
+    /// The term ends when the ledger holds the release.
     void release();
 
-    /// @return whether the term is over.
+    /// @return whether the term has ended.
     bool is_over() const { return is_over_; }
 
+    /// @return time since the last durable transaction was sent.
     milliseconds get_renewal_age() const;
 
-    /// An entry of that share has asked.
+    /// Records the processor share of an entry that sent a call.
     void record_processor_share(std::uint32_t millicores)
     {
         max_processor_share_ = std::max(max_processor_share_, millicores);
     }
+    /// @return the largest recorded share, in thousandths of a core.
     std::uint32_t get_max_processor_share() const
     {
         return max_processor_share_;
@@ -66,7 +74,9 @@
     fencing_number get_term() const { return head_.term; }
     const coordinator& get_coordinator() const { return coordinator_; }
 
-    /// @param deadline by when an answer is of use.
+    /// Executes a caller's operation. The result is `not_coordinator` when the
+    /// term has ended or the operation did not become durable in time.
+    /// @param deadline after which the caller no longer waits for the reply.
     asio::awaitable<peer_coordinator_reply> handle(
         peer_coordinator_call call, boot_time deadline);
 
@@ -74,64 +84,94 @@
     struct target_link;
     using link_ptr = std::shared_ptr<target_link>;
 
+    /// @return whether the last renewal is recent enough to start and stop runs
+    ///   and to extend leases.
     bool has_valid_term() const;
+    /// Stops all loops and closes the links to targets.
+    /// @param why reason for the log.
     void end_term(const char* why);
+    /// Lets the write loop run its next round at once.
     void wake();
 
     void load_job(
         const stored_row& row, const std::string& progress, boot_time now);
-    /// @return whether the row is that of a settled job.
+    /// @param row progress row of a job.
+    /// @return whether the job is settled.
     bool load_settled_job(const stored_row& row, boot_time now);
+    /// @param specs rows of accepted jobs.
+    /// @param states progress rows of jobs.
     asio::awaitable<void> load_jobs(
         std::vector<stored_row> specs, std::vector<stored_row> states);
+    /// Makes decisions and commits them in batches. Commits an empty batch to
+    /// renew the term when nothing has changed.
     asio::awaitable<void> write_loop();
+    /// Follows the list of targets that the platform publishes.
     asio::awaitable<void> target_feed_loop();
+    /// Polls a target until its link is closed.
     asio::awaitable<void> watch_target(link_ptr link);
     asio::awaitable<void> poll_loop(link_ptr link);
+    /// Sends a start until the target replies or the start is abandoned.
     asio::awaitable<void> send_start(start_decision decision);
-    /// Sends the starts that are durable, some at a time: what else is ready
-    /// to be handled, calls above all, has its turn between them.
+    /// Sends the queued starts in groups and yields between them, so that other
+    /// work, callers' operations above all, is not delayed.
     asio::awaitable<void> send_queued_starts();
+    /// @param decision a start that is durable in the ledger.
     void queue_start(const start_decision& decision);
     asio::awaitable<void> send_stop(stop_decision decision);
-    asio::awaitable<void> commit_batch(bool& is_done);
+    /// Sends the next batch until the store has applied it or the term ends.
+    /// @param is_committed set when the store has applied it.
+    asio::awaitable<void> commit_batch(bool& is_committed);
     asio::awaitable<peer_coordinator_reply> submit(
         peer_coordinator_call call, boot_time deadline);
     asio::awaitable<peer_coordinator_reply> cancel(
         peer_coordinator_call call, boot_time deadline);
-    /// @return whether everything put so far became durable.
+    /// @return whether all rows put so far became durable by the deadline.
     asio::awaitable<bool> wait_until_durable(boot_time deadline);
+    /// Reads the whole list of targets.
     asio::awaitable<bool> read_targets();
     asio::awaitable<void> sleep(milliseconds time);
 
+    /// Runs one round: plans starts, and puts the changed rows into the next
+    /// batch.
     void decide();
     void log_starts(const std::vector<start_decision>& starts);
-    /// Collects the ends that a status lists anew, for one line a batch.
+    /// Adds the ends that a status reports for the first time to the next
+    /// log line.
+    /// @param last_known_number number of the last end that was known before.
     void collect_ends_to_log(const target_link& link,
         const target_status& status, std::uint64_t last_known_number);
     void log_ends();
-    /// Tells once a second how far the coordinator keeps up.
+    /// Logs the backlog and the commit times once a second.
     void log_load();
     void put_changed_rows();
-    /// Removes the rows of jobs that callers can no longer ask for.
+    /// Removes the rows of jobs whose retention time has passed.
     void erase_expired_rows();
-    /// Lets targets forget the ends that the next transaction holds.
+    /// Acknowledges the received ends to their targets once the next
+    /// transaction, which contains them, is durable.
     void acknowledge_ends_when_durable();
     void send_stops();
     void apply_target_rows(const std::vector<stored_row>& rows);
+    /// Opens a link to each listed target.
     void open_links();
+    /// Opens a link, unless there is an open one to the same address.
     void open_link(const target_id& id, const target_report& report);
+    /// Closes the links of targets that the coordinator no longer tracks.
     void close_unused_links();
     void process_status(const link_ptr& link, const target_status& status,
         boot_time sent_at, boot_time received_at);
+    /// @return time after which a lease has certainly expired, even if the
+    ///   target's clock is slow.
     milliseconds get_max_lease_time() const;
+    /// @return pause after a status that reported ends.
     milliseconds get_poll_interval() const;
-    /// @return the end of a new lease on the target's clock.
+    /// Records a new lease of the target's runs.
+    /// @return its end on the target's clock.
     target_time grant_lease(const target_link& link);
     void start_pool_plan_executor();
-    /// Tells the ledger of a release once no order to an instance is under
-    /// way: the successor orders at once.
+    /// Releases the term in the ledger if that is requested and no instance
+    /// order is in flight, because the successor sends orders at once.
     void release_when_no_order_in_flight();
+    /// @return null if there is no link to the target.
     link_ptr find_link(const target_id& target) const;
 
     asio::io_context& io_;
@@ -141,31 +181,37 @@
     ledger_head head_;
     ledger ledger_;
     coordinator coordinator_;
-    /// The predecessor gives no more orders.
+    /// If set, the predecessor sends no more requests.
     bool was_previous_term_released_;
-    boot_time taken_over_at_; ///< The predecessor has written nothing since.
-    boot_time renewed_at_;    ///< Before the last durable transaction was sent.
+    /// Since then the predecessor cannot have written to the ledger.
+    boot_time taken_over_at_;
+    /// Time just before the last durable transaction was sent.
+    boot_time renewed_at_;
     boot_time last_batch_at_{};
-    std::uint32_t max_processor_share_ = 0; ///< Of an entry that asked.
+    /// Of the entries that sent calls, in thousandths of a core.
+    std::uint32_t max_processor_share_ = 0;
     asio::steady_timer wake_timer_;
     std::map<target_id, link_ptr> links_;
     std::shared_ptr<pool_plan_executor> pool_plan_executor_;
-    std::vector<stored_row> wave_rows_;         ///< As read at the takeover.
-    std::deque<start_decision> starts_to_send_; ///< Durable ones.
+    /// Rows of maintenance waves, as read at the takeover.
+    std::vector<stored_row> wave_rows_;
+    std::deque<start_decision> starts_to_send_; ///< All are durable.
     bool is_sending_starts_ = false;
     std::set<task_name> stops_in_flight_;
-    /// Highest ends that were taken note of and whose rows are not put yet.
+    /// Number of the last end received from each target, for the ends whose
+    /// rows are not in the ledger's next batch yet.
     std::map<link_ptr, std::uint64_t> received_end_numbers_;
     boot_time next_erase_at_{};
     boot_time next_load_report_at_{};
-    std::uint64_t commit_count_ = 0; ///< Since the last such line.
-    milliseconds longest_commit_{0};
+    std::uint64_t commit_count_ = 0; ///< Since the last load report.
+    milliseconds longest_commit_{0}; ///< Since the last load report.
     std::string ends_to_log_;
     std::size_t ends_to_log_count_ = 0;
-    /// Targets with runs, as of the last decisions.
+    /// Number of targets with runs, as of the last round of decisions.
     std::size_t busy_target_count_ = 0;
     std::set<job_id> durably_ended_jobs_; ///< Jobs whose end the ledger holds.
-    row_version targets_version_;
+    row_version targets_version_;         ///< Version of the list of targets.
+    /// Timers of the calls that wait until their rows are durable.
     std::set<std::shared_ptr<asio::steady_timer>> durability_waits_;
     bool is_recovered_ = false;
     bool is_over_ = false;
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -9,7 +9,7 @@
     auto self = shared_from_this();
     peer_coordinator_reply reply;
     job_record record;
-    std::optional<std::string> fault;
+    std::optional<std::string> decode_error;
     try
     {
         record = {
@@ -17,12 +17,12 @@
     }
     catch (const systems_error& e)
     {
-        fault = e.what();
+        decode_error = e.what();
     }
-    if (fault)
+    if (decode_error)
     {
-        write_log(log_level::warn, "coordinator", "unreadable submission",
-            {{"job", call.job}, {"why", *fault}});
+        write_log(log_level::warn, "coordinator", "cannot decode a submission",
+            {{"job", call.job}, {"why", *decode_error}});
         reply.result = coordinator_result::invalid;
         co_return reply;
     }
@@ -37,7 +37,7 @@
     bool is_durable = co_await wait_until_durable(deadline);
     if (!is_durable || is_over_)
     {
-        // Whether the row was written is for the next coordinator to tell.
+        // Only the next coordinator will know whether the row was written.
         reply.result = coordinator_result::not_coordinator;
         co_return reply;
     }
@@ -91,7 +91,8 @@
             reply.result = it && it->get_queue() == call.queue
                                ? coordinator_result::done
                                : coordinator_result::unknown_job;
-            // An ended job is shown as such only once that is durable.
+            // The end of a job is reported only once it is durable; until then
+            // the job counts as running.
             if (reply.result != coordinator_result::done)
                 break;
             put_changed_rows();
--- a/main/entryd/coordinator_runner_internal.hpp
+++ b/main/entryd/coordinator_runner_internal.hpp
@@ -8,7 +8,7 @@
 namespace cowslippass
 {
 
-// Shared by the files of `coordinator_runner`.
+// Definitions that only the source files of `coordinator_runner` include.
 
 inline constexpr milliseconds read_timeout{2'000};
 
@@ -19,7 +19,7 @@
 
 inline const decision_log coordinator_log("coordinator");
 
-/// The connection to one target and what is known of its clock.
+/// The connection to one target, with the state of its last poll.
 struct coordinator_runner::target_link
 {
     target_link(
@@ -35,14 +35,15 @@
     runner_client client;
     asio::steady_timer timer;
     bool is_closed = false;
-    /// The target's clock at `clock_received_at`, the earliest time it can have
-    /// had it.
+    /// The target's clock in its last status. At `clock_received_at`, the clock
+    /// had at least this value.
     std::optional<target_time> clock;
     boot_time clock_received_at{};
-    platform_time incarnation_start; ///< Start of the life that answered last.
-    /// Ends of this life that are durable.
+    /// Start of the incarnation that sent the last status.
+    platform_time incarnation_start;
+    /// Ends of this incarnation up to this number are durable.
     std::uint64_t acknowledged_up_to = 0;
-    bool is_reachable = true;
+    bool is_reachable = true; ///< Whether the last poll was answered.
 };
 
 } // namespace cowslippass
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -7,30 +7,36 @@
 namespace
 {
 
-constexpr milliseconds order_timeout{600};
-/// Starts that are sent before other work has its turn.
+/// Timeout of a request to start or stop a run.
+constexpr milliseconds request_timeout{600};
+/// Number of starts that are sent before other work gets a turn.
 constexpr std::size_t starts_per_turn = 16;
-constexpr milliseconds look_timeout{600};
-/// Longest wait of one look for an end.
-constexpr milliseconds look_wait{1'500};
-/// Pause after a look that listed ends. Looks are priced, and a task that
-/// ends meanwhile is noticed later by up to this time.
-constexpr milliseconds look_gap{100};
-/// With many busy targets the pause grows up to this, so that looks leave the
-/// processor time for starts; ends that come meanwhile share a look.
-constexpr milliseconds longest_look_gap{300};
-/// Looks a second for each processor core of the entry. A look costs about as
-/// much as a start, which wants the rest of the time.
-constexpr double looks_per_core = 2'000;
-/// Pause between the looks at a target without runs.
-constexpr milliseconds idle_look_interval{4'000};
-constexpr milliseconds pause_after_look_failure{150};
+/// Timeout of a poll, beyond the time for which it asks the target to wait.
+constexpr milliseconds poll_timeout{600};
+/// How long a target may delay its answer to a poll until a run ends.
+constexpr milliseconds poll_wait{1'500};
+/// Pause after a poll that reported ends. Polls are billed, so this limits
+/// their number; a task that ends during the pause is noticed later by up to
+/// this time.
+constexpr milliseconds min_poll_interval{100};
+/// With many busy targets the pause grows up to this time, so that polls leave
+/// processor time for starts. The next poll reports all ends of the pause.
+constexpr milliseconds max_poll_interval{300};
+/// Maximum number of polls a second for each processor core of the entry. A
+/// poll costs about as much as a start, and starts need the rest of the time.
+constexpr double polls_per_core_second = 2'000;
+/// Pause between the polls of a target without runs.
+constexpr milliseconds idle_poll_interval{4'000};
+constexpr milliseconds pause_after_poll_failure{150};
+constexpr milliseconds stop_retry_interval{300};
 constexpr milliseconds feed_wait{1'000};
 constexpr milliseconds feed_timeout{700};
-/// Below the targets' limit, as their clocks may run ahead of the estimate.
+constexpr milliseconds pause_after_feed_failure{100};
+/// Share of the targets' lease limit that is granted. The rest covers the
+/// difference between a target's clock and the estimate of it.
 constexpr double lease_share = 0.9;
 /// A target's clock may be slower than ours by this share.
-constexpr double clock_slack = 0.025;
+constexpr double max_clock_slowness = 0.025;
 
 } // namespace
 
@@ -55,9 +61,9 @@
         if (was_listed != change.report.has_value() ||
             was_draining != is_draining)
             write_log(log_level::info, "targets",
-                !change.report ? "target gone"
-                : is_draining  ? "target drains"
-                               : "target listed",
+                !change.report ? "a target is no longer listed"
+                : is_draining  ? "a target is listed as draining"
+                               : "a target is listed",
                 {{"target", change.target}, {"version", it.version}});
         coordinator_.handle_target_change(change, now);
         if (change.report)
@@ -71,8 +77,8 @@
     const target_id& id, const target_report& report)
 {
     auto it = links_.find(id);
-    // The link of a target that was given up is closed; the target may be
-    // listed again.
+    // A target that was removed from the list may be listed again; its old link
+    // is closed then.
     if (it != links_.end() && !it->second->is_closed &&
         it->second->address == report.address)
         return;
@@ -85,7 +91,8 @@
     }
     catch (const platform_error& e)
     {
-        write_log(log_level::warn, "targets", "unusable address",
+        write_log(log_level::warn, "targets",
+            "the address of a target is not valid",
             {{"target", id}, {"why", e.what()}});
         return;
     }
@@ -163,7 +170,8 @@
         if (rows.failure == store_failure::history_gone)
         {
             write_log(log_level::warn, "targets",
-                "the store has dropped the feed's history",
+                "the store no longer has the feed's history; the list of "
+                "targets is read again",
                 {{"version", targets_version_}});
             if (co_await read_targets())
                 open_links();
@@ -171,7 +179,7 @@
         }
         if (rows.failure != store_failure::none)
         {
-            co_await sleep(milliseconds(100));
+            co_await sleep(pause_after_feed_failure);
             continue;
         }
         targets_version_ = std::max(targets_version_, rows.newest);
@@ -184,15 +192,15 @@
 {
     return milliseconds(static_cast<std::int64_t>(
         static_cast<double>(settings_.lease_limit.count()) *
-        (1 + clock_slack)));
+        (1 + max_clock_slowness)));
 }
 
 milliseconds coordinator_runner::get_poll_interval() const
 {
-    double rate = looks_per_core * settings_.processor_share;
+    double rate = polls_per_core_second * settings_.processor_share;
     milliseconds gap(static_cast<std::int64_t>(
         static_cast<double>(busy_target_count_) * 1'000.0 / rate));
-    return std::clamp(gap, look_gap, longest_look_gap);
+    return std::clamp(gap, min_poll_interval, max_poll_interval);
 }
 
 target_time coordinator_runner::grant_lease(const target_link& link)
@@ -206,29 +214,29 @@
 }
 
 void coordinator_runner::process_status(const link_ptr& link,
-    const target_status& look, boot_time sent_at, boot_time received_at)
+    const target_status& status, boot_time sent_at, boot_time received_at)
 {
-    if (look.incarnation_start != link->incarnation_start)
+    if (status.incarnation_start != link->incarnation_start)
     {
-        link->incarnation_start = look.incarnation_start;
+        link->incarnation_start = status.incarnation_start;
         link->acknowledged_up_to = 0;
         received_end_numbers_.erase(link);
     }
-    // The answer was written after the request was sent: the estimate made
-    // from the time of sending is never late.
-    link->clock = look.clock;
+    // The target read its clock before its answer was received, so an estimate
+    // that counts from the time of receipt is never ahead of a correct clock.
+    link->clock = status.clock;
     link->clock_received_at = received_at;
     std::uint64_t before = 0;
     if (auto it = coordinator_.get_targets().find(link->target);
         it != coordinator_.get_targets().end())
         before = it->second.last_end_number;
-    collect_ends_to_log(*link, look, before);
-    coordinator_.handle_status(link->target, look, sent_at, received_at);
+    collect_ends_to_log(*link, status, before);
+    coordinator_.handle_status(link->target, status, sent_at, received_at);
     auto it = coordinator_.get_targets().find(link->target);
     if (it == coordinator_.get_targets().end())
         return;
     std::uint64_t after = it->second.last_end_number;
-    if (after == before && look.ended.empty())
+    if (after == before && status.ended.empty())
         return;
     received_end_numbers_[link] = after;
     wake();
@@ -252,16 +260,16 @@
         const target_entry& target = it->second;
         bool is_busy = !target.runs.empty();
         bool has_unseen = target.last_end_number > link->acknowledged_up_to;
-        poll_request order;
-        order.acknowledged_up_to = link->acknowledged_up_to;
+        poll_request request;
+        request.acknowledged_up_to = link->acknowledged_up_to;
         if (coordinator_.should_renew_leases(link->target) && link->clock &&
             has_valid_term())
-            order.lease_end = grant_lease(*link);
+            request.lease_end = grant_lease(*link);
         if (is_busy && target.has_reported &&
             target.consecutive_failures == 0 && !has_unseen)
-            order.wait = look_wait;
+            request.wait = poll_wait;
         boot_time sent_at = boot_clock::now();
-        poll_reply reply = co_await link->client.look(order, look_timeout);
+        poll_reply reply = co_await link->client.look(request, poll_timeout);
         if (is_over_ || link->is_closed)
             break;
         boot_time now = boot_clock::now();
@@ -275,36 +283,37 @@
         if (reply.status)
         {
             if (!link->is_reachable)
-                write_log(log_level::info, "targets", "target reached again",
+                write_log(log_level::info, "targets", "a target answers again",
                     {{"target", link->target}});
             link->is_reachable = true;
             process_status(link, *reply.status, sent_at, now);
             if (is_over_ || link->is_closed)
                 break;
-            // An idle target is asked again when it gets a run.
+            // An idle target is polled at once when it gets a run.
             it = coordinator_.get_targets().find(link->target);
             bool is_idle =
                 it != coordinator_.get_targets().end() &&
                 it->second.runs.empty() &&
                 it->second.last_end_number <= link->acknowledged_up_to;
-            // Ends that come in the meantime share the next look.
+            // Ends that occur during the pause share the next poll.
             bool has_ends = !reply.status->ended.empty();
             if (!is_idle && !has_ends)
                 continue;
             link->timer.expires_after(
-                is_idle ? idle_look_interval : get_poll_interval());
+                is_idle ? idle_poll_interval : get_poll_interval());
         }
         else
         {
             if (link->is_reachable)
-                write_log(log_level::warn, "targets", "target does not answer",
+                write_log(log_level::warn, "targets",
+                    "a target does not answer",
                     {{"target", link->target},
                         {"outcome", to_string(reply.outcome)},
                         {"why", reply.message}});
             link->is_reachable = false;
             coordinator_.handle_poll_failure(link->target, now);
             wake();
-            link->timer.expires_after(pause_after_look_failure);
+            link->timer.expires_after(pause_after_poll_failure);
         }
         boost::system::error_code ec;
         co_await link->timer.async_wait(
@@ -312,7 +321,7 @@
     }
 }
 
-// Orders.
+// Requests to start and stop runs.
 
 void coordinator_runner::queue_start(const start_decision& decision)
 {
@@ -357,21 +366,23 @@
             coordinator_.abandon_start(decision, boot_clock::now());
             co_return;
         }
-        auto order = coordinator_.make_start_request(decision);
-        if (!order)
+        auto request = coordinator_.make_start_request(decision);
+        if (!request)
         {
             coordinator_.abandon_start(decision, boot_clock::now());
             wake();
             co_return;
         }
-        // A repeat keeps the first lease: a silent target must run out of it.
+        // A retry keeps the first lease, so that the lease expires at a target
+        // that does not answer.
         if (!lease_end)
             lease_end = grant_lease(*link);
-        order->lease_end = *lease_end;
-        // Ends of this run have to be seen; an idle target is not asked.
+        request->lease_end = *lease_end;
+        // Ends the pause of an idle target's polls, so that the end of this run
+        // is noticed.
         link->timer.cancel();
         request_reply reply =
-            co_await link->client.start(*order, order_timeout);
+            co_await link->client.start(*request, request_timeout);
         if (is_over_)
             co_return;
         metrics_.add("cowslippass_starts_total",
@@ -385,7 +396,7 @@
             decision, reply.outcome, boot_clock::now());
         if (reply.outcome != request_outcome::accepted)
             write_log(log_level::info, "decision.coordinator",
-                "start not confirmed",
+                "a start was not confirmed",
                 {{"job", decision.task.job}, {"step", decision.task.key.step},
                     {"index", decision.task.key.index}, {"run", decision.run},
                     {"target", decision.target},
@@ -416,7 +427,7 @@
     if (link)
     {
         request_reply reply = co_await link->client.stop(
-            decision.task, decision.run, order_timeout);
+            decision.task, decision.run, request_timeout);
         if (is_over_)
             co_return;
         coordinator_log.write("stop", to_string(reply.outcome),
@@ -428,9 +439,9 @@
         coordinator_.handle_stop_reply(
             decision, reply.outcome, boot_clock::now());
     }
-    // The run is gone when the target lists its end; until then the stop is
-    // repeated.
-    co_await sleep(milliseconds(300));
+    // The run counts as stopped when the target reports its end; until then the
+    // stop is sent again.
+    co_await sleep(stop_retry_interval);
     stops_in_flight_.erase(decision.task);
 }
 
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -12,17 +12,19 @@
 namespace
 {
 
+/// Pointer to a member of the settings.
 using member =
     std::variant<entry_id entry_settings::*, data_centre_id entry_settings::*,
         tcp::endpoint entry_settings::*, std::string entry_settings::*,
         milliseconds entry_settings::*, double entry_settings::*>;
 
-struct description
+/// One setting: its key in the file and the rule for its value.
+struct setting_description
 {
-    std::string_view name; ///< Durations end in `_ms` or `_s`.
+    std::string_view name; ///< Names of durations end in `_ms` or `_s`.
     member value;
     bool is_required;
-    std::string_view allowed; ///< Completes "must be ...".
+    std::string_view allowed_values; ///< Completes "must be ...".
 };
 
 constexpr std::string_view text_rule = "a text that is not empty";
@@ -34,75 +36,89 @@
 {
     using s = entry_settings;
     static const std::array all{
-        description{"entry", &s::entry, true, text_rule},
-        description{"data_centre", &s::data_centre, true, text_rule},
-        description{"front_listen", &s::front_listen, true, address_rule},
-        description{
+        setting_description{"entry", &s::entry, true, text_rule},
+        setting_description{"data_centre", &s::data_centre, true, text_rule},
+        setting_description{
+            "front_listen", &s::front_listen, true, address_rule},
+        setting_description{
             "readiness_listen", &s::readiness_listen, true, address_rule},
-        description{"peer_listen", &s::peer_listen, true, address_rule},
-        description{"metrics_listen", &s::metrics_listen, true, address_rule},
-        description{"store", &s::store, true, address_rule},
-        description{"machines", &s::machines, false, address_rule},
-        description{
+        setting_description{"peer_listen", &s::peer_listen, true, address_rule},
+        setting_description{
+            "metrics_listen", &s::metrics_listen, true, address_rule},
+        setting_description{"store", &s::store, true, address_rule},
+        setting_description{"machines", &s::machines, false, address_rule},
+        setting_description{
             "log_level", &s::log_level, false, "debug, info, warn or error"},
-        description{"processor_share", &s::processor_share, false, number_rule},
-        description{"instance_orders_per_s", &s::instance_orders_per_s, false,
-            number_rule},
-        description{"key_withdrawal_ms", &s::key_withdrawal, false, time_rule},
-        description{"lease_limit_ms", &s::lease_limit, false, time_rule},
-        description{"stop_grace_s", &s::stop_grace, false, time_rule},
-        description{"status_time_s", &s::status_time, false, time_rule},
-        description{"move_time_s", &s::move_time, false, time_rule},
-        description{
+        setting_description{
+            "processor_share", &s::processor_share, false, number_rule},
+        setting_description{"instance_orders_per_s", &s::instance_orders_per_s,
+            false, number_rule},
+        setting_description{
+            "key_withdrawal_ms", &s::key_withdrawal, false, time_rule},
+        setting_description{
+            "lease_limit_ms", &s::lease_limit, false, time_rule},
+        setting_description{"stop_grace_s", &s::stop_grace, false, time_rule},
+        setting_description{"status_time_s", &s::status_time, false, time_rule},
+        setting_description{"move_time_s", &s::move_time, false, time_rule},
+        setting_description{
             "maintenance_time_s", &s::maintenance_time, false, time_rule},
-        description{"notice_time_ms", &s::notice_time, false, time_rule},
+        setting_description{
+            "notice_time_ms", &s::notice_time, false, time_rule},
     };
     return all;
 }
 
-class reader
+/// Reads the settings from a parsed TOML file and collects all errors.
+class settings_reader
 {
 public:
-    reader(std::string path, const toml::table& table)
+    settings_reader(std::string path, const toml::table& table)
         : path_(std::move(path)), table_(table)
     {
     }
 
+    /// @throws platform_error (`bad_settings`) with one line for each error.
     entry_settings read()
     {
         for (const auto& entry : table_)
         {
             std::string_view name = entry.first.str();
             if (std::ranges::none_of(get_descriptions(),
-                    [&](const description& it) { return it.name == name; }))
-                add_fault(name, entry.second, "is not a setting");
+                    [&](const setting_description& it)
+                    { return it.name == name; }))
+                add_error(name, entry.second, "is not a setting");
         }
-        for (const description& it : get_descriptions())
+        for (const setting_description& it : get_descriptions())
             read_member(it);
-        if (!faults_.empty())
-            throw platform_error("bad_settings", faults_);
+        if (!errors_.empty())
+            throw platform_error("bad_settings", errors_);
         return out_;
     }
 
 private:
-    void read_member(const description& it)
+    /// Reads one setting, or reports that it is missing or not valid.
+    void read_member(const setting_description& it)
     {
         const toml::node* node = table_.get(it.name);
         if (!node)
         {
             if (it.is_required)
-                add_fault(it.name, table_,
-                    "is required; it must be " + std::string(it.allowed));
+                add_error(it.name, table_,
+                    "is required; it must be " +
+                        std::string(it.allowed_values));
             return;
         }
         bool is_read = std::visit(
             [&](auto at) { return read_value(it, *node, out_.*at); }, it.value);
         if (!is_read)
-            add_fault(it.name, *node, "must be " + std::string(it.allowed));
+            add_error(
+                it.name, *node, "must be " + std::string(it.allowed_values));
     }
 
+    // Each overload of read_value() returns whether the value is valid.
+
     template <class Tag>
-    bool read_value(const description&, const toml::node& node,
+    bool read_value(const setting_description&, const toml::node& node,
         strong_id<Tag, std::string>& value)
     {
         auto text = node.value_exact<std::string>();
@@ -113,7 +129,7 @@
     }
 
     bool read_value(
-        const description&, const toml::node& node, std::string& value)
+        const setting_description&, const toml::node& node, std::string& value)
     {
         static constexpr std::array levels{"debug", "info", "warn", "error"};
         auto text = node.value_exact<std::string>();
@@ -123,8 +139,8 @@
         return true;
     }
 
-    bool read_value(
-        const description&, const toml::node& node, tcp::endpoint& value)
+    bool read_value(const setting_description&, const toml::node& node,
+        tcp::endpoint& value)
     {
         auto text = node.value_exact<std::string>();
         if (!text)
@@ -136,15 +152,15 @@
         }
         catch (const platform_error&)
         {
-            // Reported with its line by the caller.
+            // The caller reports the error with its line.
             return false;
         }
     }
 
-    bool read_value(
-        const description& it, const toml::node& node, milliseconds& value)
+    bool read_value(const setting_description& it, const toml::node& node,
+        milliseconds& value)
     {
-        // The deployment states some bounds in seconds, with fractions.
+        // The deployment states some times in seconds, with fractions.
         double unit = it.name.ends_with("_ms") ? 1.0 : 1'000.0;
         auto number = node.value<double>();
         if (!number || *number <= 0 || *number > 3'600'000)
@@ -153,7 +169,8 @@
         return true;
     }
 
-    bool read_value(const description&, const toml::node& node, double& value)
+    bool read_value(
+        const setting_description&, const toml::node& node, double& value)
     {
         auto number = node.value<double>();
         if (!number || *number <= 0 || *number > 10'000)
@@ -162,19 +179,19 @@
         return true;
     }
 
-    void add_fault(std::string_view name, const toml::node& node,
+    void add_error(std::string_view name, const toml::node& node,
         const std::string& message)
     {
-        if (!faults_.empty())
-            faults_ += '\n';
-        faults_ += path_ + ':' + std::to_string(node.source().begin.line) +
+        if (!errors_.empty())
+            errors_ += '\n';
+        errors_ += path_ + ':' + std::to_string(node.source().begin.line) +
                    ": '" + std::string(name) + "' " + message;
     }
 
     std::string path_;
     const toml::table& table_;
     entry_settings out_;
-    std::string faults_;
+    std::string errors_;
 };
 
 } // namespace
@@ -192,7 +209,7 @@
             "bad_settings", path + ':' + std::to_string(e.source().begin.line) +
                                 ": " + std::string(e.description()));
     }
-    return reader(path, table).read();
+    return settings_reader(path, table).read();
 }
 
 } // namespace cowslippass
--- a/main/entryd/entry_settings.hpp
+++ b/main/entryd/entry_settings.hpp
@@ -8,44 +8,46 @@
 namespace cowslippass
 {
 
-/// Settings of one `cowslippass_entryd`, all checked. The bounds are those
+/// Validated settings of one `cowslippass_entryd`. The limits in them are those
 /// that the users' deployment states.
 struct entry_settings
 {
     entry_id entry;
     data_centre_id data_centre;
-    tcp::endpoint front_listen;     ///< Callers.
-    tcp::endpoint readiness_listen; ///< The balancer's checks.
-    tcp::endpoint peer_listen;      ///< Other entries.
+    tcp::endpoint front_listen;     ///< For callers.
+    tcp::endpoint readiness_listen; ///< For the load balancer's checks.
+    tcp::endpoint peer_listen;      ///< For other entries.
     tcp::endpoint metrics_listen;
     tcp::endpoint store;
-    tcp::endpoint machines; ///< Instances, their moves and maintenance.
+    /// The platform's service that lists, moves and maintains instances. With
+    /// port 0, the entry does not manage instances.
+    tcp::endpoint machines;
     std::string log_level = "info";
 
-    /// Share of a core that this instance has; entries with more of it are
-    /// the first to take the coordinator's place.
+    /// Processor share of this instance in cores. Entries with a larger share
+    /// take over the coordinator role first.
     double processor_share = 0.25;
-    /// Orders to instances that the platform takes in a second.
+    /// Limit of the platform on orders to instances, per second.
     double instance_orders_per_s = 64;
 
     /// A withdrawn key stops working within this time.
     milliseconds key_withdrawal{5'000};
-    /// Longest lease that a target grants.
+    /// Longest lease that a target accepts.
     milliseconds lease_limit{6'000};
-    /// From SIGTERM until the process is killed.
+    /// Time between SIGTERM and the kill of the process.
     milliseconds stop_grace{6'000};
-    /// How long callers may ask for an ended job.
+    /// How long callers can query a job after its end.
     milliseconds status_time{120'000};
-    /// How long an instance takes to join another pool.
+    /// How long an instance takes to move to another pool.
     milliseconds move_time{1'500};
     milliseconds maintenance_time{2'000};
-    /// A task that is away for so long counts against its budget.
+    /// A task that is unavailable for this long counts against its budget.
     milliseconds notice_time{4'500};
 };
 
-/// Reads and checks a TOML file as a whole.
-/// @throws platform_error (`bad_settings`) with one line for each fault: file,
-///   line, name, and what is allowed.
+/// Reads a TOML file and checks all of its settings.
+/// @throws platform_error (`bad_settings`) with one line for each error, which
+///   states the file, the line, the setting and the allowed values.
 entry_settings load_entry_settings(const std::string& path);
 
 } // namespace cowslippass
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -14,19 +14,22 @@
 namespace
 {
 
-/// Calls of callers and operators carry one job of at most this size.
+/// Maximum size of a request body, which contains at most one job.
 constexpr std::size_t max_body_bytes = 1024 * 1024;
-/// Callers keep idle connections for longer than the balancer's checks take.
+/// Idle connections are closed after this time. It is longer than the load
+/// balancer's checks take.
 constexpr milliseconds idle_timeout{15'000};
-/// The balancer sends nobody new after two missed checks, one a second.
+/// The load balancer sends no new callers after two failed checks, one a
+/// second.
 constexpr milliseconds balancer_lag{2'500};
 constexpr milliseconds stop_check_interval{50};
-/// Between the last answer to a caller and the end of the process.
-constexpr milliseconds last_answer_margin{300};
-/// Left of the grace period for the end of the process itself.
+/// Time between the last response to a caller and the end of the process.
+constexpr milliseconds last_response_margin{300};
+/// Part of the grace period that is reserved for the end of the process.
 constexpr milliseconds stop_margin{700};
 
-/// All parts of one entry.
+/// One entry: its servers, its clients, and its part in the election of the
+/// coordinator.
 class entryd
 {
 public:
@@ -128,7 +131,8 @@
         }
     }
 
-    /// Addresses stay; a change of theirs needs a restart.
+    /// Reads the settings again. Some of them, such as addresses, keep their
+    /// old values until a restart.
     void reload()
     {
         try
@@ -148,17 +152,19 @@
         catch (const error& e)
         {
             write_log(log_level::error, "process",
-                "settings not reloaded; the old ones stay",
+                "the settings were not reloaded; the old ones stay in force",
                 {{"why", e.what()}});
         }
     }
 
+    /// Makes a planned stop: drains callers' requests and releases the
+    /// coordinator role, then ends the process.
     asio::awaitable<void> stop()
     {
         boot_time end = boot_clock::now() + settings_.stop_grace - stop_margin;
-        boot_time quiet = boot_clock::now() + balancer_lag;
+        boot_time balancer_deadline = boot_clock::now() + balancer_lag;
         write_log(log_level::info, "process", "stop");
-        job_api_.start_draining(end - last_answer_margin);
+        job_api_.start_draining(end - last_response_margin);
         coordinator_role_.resign();
         asio::steady_timer timer(io_);
         while (boot_clock::now() < end)
@@ -167,7 +173,7 @@
             boost::system::error_code ec;
             co_await timer.async_wait(
                 asio::redirect_error(asio::use_awaitable, ec));
-            if (boot_clock::now() >= quiet &&
+            if (boot_clock::now() >= balancer_deadline &&
                 caller_server_.get_active_count() == 0 &&
                 !coordinator_role_.is_coordinator())
                 break;
@@ -201,26 +207,27 @@
     using enum metric_kind;
     return {
         {"cowslippass_calls_total", counter,
-            "Calls of callers, by method and status."},
+            "Requests of callers, by method and status."},
         {"cowslippass_call_seconds", distribution,
-            "Seconds from a caller's whole call to its answer."},
+            "Seconds from a caller's complete request to the response."},
         {"cowslippass_ledger_commit_seconds", distribution,
-            "Seconds of the ledger's transactions."},
+            "Duration of the ledger's transactions in seconds."},
         {"cowslippass_ledger_retries_total", counter,
-            "Transactions that were sent again."},
+            "Retries of the ledger's transactions."},
         {"cowslippass_starts_total", counter,
-            "Orders to start a task, by outcome."},
+            "Requests to start a task, by outcome."},
         {"cowslippass_instance_orders_total", counter,
-            "Orders to instances, by order and outcome."},
-        {"cowslippass_looks_total", counter, "Looks at targets, by outcome."},
+            "Orders to instances, by kind and outcome."},
+        {"cowslippass_looks_total", counter, "Polls of targets, by outcome."},
         {"cowslippass_takeovers_total", counter,
-            "Terms as coordinator that began in this process."},
+            "Takeovers of the coordinator role by this process."},
     };
 }
 
 int run_entryd(const std::string& path, entry_settings settings)
 {
-    // A peer that closes its connection must not end the process.
+    // Without this, a write to a connection that a peer has closed would end
+    // the process.
     std::signal(SIGPIPE, SIG_IGN);
     configure_log(settings.log_level, log_to_output);
     asio::io_context io(1);
--- a/main/entryd/job_api.cpp
+++ b/main/entryd/job_api.cpp
@@ -12,18 +12,21 @@
 namespace
 {
 
-/// How long a caller waits when it does not say so.
-constexpr milliseconds default_wait{3'000};
-constexpr milliseconds longest_wait{30'000};
-/// Left of the caller's wait for the answer's way back.
-constexpr milliseconds answer_margin{150};
-/// Retry-After in whole seconds while there is no coordinator: a takeover
-/// takes about two seconds.
-constexpr const char* takeover_retry_after = "2";
-/// Taken off the bound on withdrawn keys, for the way to the coordinator.
+/// Wait limit of a request that does not state one.
+constexpr milliseconds default_wait_limit{3'000};
+constexpr milliseconds max_wait_limit{30'000};
+/// Part of the caller's wait limit that is reserved for the transfer of the
+/// response.
+constexpr milliseconds response_margin{150};
+constexpr milliseconds min_call_time{50};
+/// Retry-After in whole seconds while there is no coordinator. A takeover takes
+/// about two seconds.
+constexpr const char* takeover_retry_after_s = "2";
+/// Subtracted from the time limit for withdrawn keys, because the call still
+/// has to reach the coordinator.
 constexpr milliseconds key_margin{700};
 /// An entry whose configuration is older than this turns unready.
-constexpr milliseconds ready_age_limit{3'500};
+constexpr milliseconds max_ready_config_age{3'500};
 
 const decision_log decisions_log("front");
 
@@ -45,22 +48,23 @@
     return out;
 }
 
-http_response make_busy(const std::string& code, const std::string& message)
+http_response make_unavailable(
+    const std::string& code, const std::string& message)
 {
     http_response out = make_error(503, code, message);
-    out.headers["Retry-After"] = takeover_retry_after;
+    out.headers["Retry-After"] = takeover_retry_after_s;
     return out;
 }
 
-milliseconds get_wait(const http_request& request)
+milliseconds parse_wait_limit(const http_request& request)
 {
     std::string text = request.get_header(wait_limit_header);
     std::int64_t n = 0;
     auto [end, status] =
         std::from_chars(text.data(), text.data() + text.size(), n);
     if (status != std::errc() || n <= 0)
-        return default_wait;
-    return std::min(milliseconds(n), longest_wait);
+        return default_wait_limit;
+    return std::min(milliseconds(n), max_wait_limit);
 }
 
 std::string get_host(const http_request& request)
@@ -80,16 +84,16 @@
 
 bool job_api::can_check_keys() const
 {
-    auto as_of = config_.get_confirmed_at();
-    return as_of &&
-           boot_clock::now() - *as_of < settings_.key_withdrawal - key_margin;
+    auto confirmed_at = config_.get_confirmed_at();
+    return confirmed_at && boot_clock::now() - *confirmed_at <
+                               settings_.key_withdrawal - key_margin;
 }
 
 bool job_api::is_ready() const
 {
-    auto as_of = config_.get_confirmed_at();
-    return !drain_deadline_ && config_.get_state().config && as_of &&
-           boot_clock::now() - *as_of < ready_age_limit &&
+    auto confirmed_at = config_.get_confirmed_at();
+    return !drain_deadline_ && config_.get_state().config && confirmed_at &&
+           boot_clock::now() - *confirmed_at < max_ready_config_age &&
            coordinator_role_.is_coordinator_known();
 }
 
@@ -99,14 +103,15 @@
     const auto& config = config_.get_state().config;
     if (!config)
     {
-        out.refusal = make_busy("no_configuration",
-            "no configuration is known here yet; nothing was done");
+        out.refusal = make_unavailable("no_configuration",
+            "this entry has no configuration yet; nothing was done");
         return out;
     }
     out.queue = config->find_route(get_host(request), request.path);
     if (!out.queue)
     {
-        out.refusal = make_error(404, "no_such_queue", "no queue is there");
+        out.refusal =
+            make_error(404, "no_such_queue", "no queue has this address");
         return out;
     }
     std::string key = request.get_header("Authorization");
@@ -123,8 +128,8 @@
     if (out.queue->is_open_to_all)
         return out;
     if (team)
-        out.refusal = make_busy("stale_configuration",
-            "the key cannot be checked now; nothing was done");
+        out.refusal = make_unavailable("stale_configuration",
+            "the configuration is too old to check the key; nothing was done");
     else
         out.refusal = make_error(401, "unknown_key", "the key is not known");
     return out;
@@ -145,18 +150,18 @@
     if (refusal)
         co_return *refusal;
     call.operation = coordinator_operation::submit;
-    coordinator_call_result answer =
+    coordinator_call_result result =
         co_await coordinator_role_.call(call, deadline);
-    if (!answer.reply)
+    if (!result.reply)
     {
-        if (!answer.may_be_applied)
-            co_return make_busy("no_coordinator",
+        if (!result.may_be_applied)
+            co_return make_unavailable("no_coordinator",
                 "no coordinator can be reached; the job was not accepted");
-        // Neither accepted nor refused: the caller has to ask again.
+        // The job may or may not have been accepted; the caller has to retry.
         co_return make_error(
             504, "no_answer", "it is not known whether the job was accepted");
     }
-    switch (answer.reply->result)
+    switch (result.reply->result)
     {
     case coordinator_result::done:
         co_return make_json("{}");
@@ -164,12 +169,12 @@
     {
         http_response out = make_error(
             429, "refused", "the job was not accepted and will not run");
-        auto seconds = (answer.reply->retry_after.count() + 999) / 1'000;
+        auto seconds = (result.reply->retry_after.count() + 999) / 1'000;
         out.headers["Retry-After"] = std::to_string(seconds);
         co_return out;
     }
     default:
-        co_return make_error(400, "bad_request", "the job cannot be read");
+        co_return make_error(400, "bad_request", "the job cannot be decoded");
     }
 }
 
@@ -177,11 +182,11 @@
     peer_coordinator_call call, boot_time deadline)
 {
     call.operation = coordinator_operation::cancel;
-    coordinator_call_result answer =
+    coordinator_call_result result =
         co_await coordinator_role_.call(call, deadline);
-    if (!answer.reply)
+    if (!result.reply)
         co_return make_error(504, "no_answer", "no coordinator answered");
-    if (answer.reply->result == coordinator_result::unknown_job)
+    if (result.reply->result == coordinator_result::unknown_job)
         co_return make_error(410, "unknown_job", "there is no such job");
     co_return make_json("{}");
 }
@@ -190,32 +195,32 @@
     peer_coordinator_call call, boot_time deadline)
 {
     call.operation = coordinator_operation::status;
-    coordinator_call_result answer =
+    coordinator_call_result result =
         co_await coordinator_role_.call(call, deadline);
-    if (!answer.reply)
-        co_return make_busy("no_coordinator", "no coordinator answered");
-    if (answer.reply->result == coordinator_result::unknown_job)
+    if (!result.reply)
+        co_return make_unavailable("no_coordinator", "no coordinator answered");
+    if (result.reply->result == coordinator_result::unknown_job)
         co_return make_error(410, "unknown_job", "there is no such job");
     co_return make_json(
-        encode_state(static_cast<job_phase>(answer.reply->phase)));
+        encode_state(static_cast<job_phase>(result.reply->phase)));
 }
 
 asio::awaitable<http_response> job_api::get_waiting_count(
     peer_coordinator_call call, boot_time deadline)
 {
     call.operation = coordinator_operation::count;
-    coordinator_call_result answer =
+    coordinator_call_result result =
         co_await coordinator_role_.call(call, deadline);
-    if (!answer.reply)
-        co_return make_busy("no_coordinator", "no coordinator answered");
-    co_return make_json(encode_waiting_count(answer.reply->count));
+    if (!result.reply)
+        co_return make_unavailable("no_coordinator", "no coordinator answered");
+    co_return make_json(encode_waiting_count(result.reply->count));
 }
 
 asio::awaitable<http_response> job_api::dispatch(http_request request)
 {
     boot_time deadline =
         boot_clock::now() +
-        std::max(get_wait(request) - answer_margin, milliseconds(50));
+        std::max(parse_wait_limit(request) - response_margin, min_call_time);
     if (drain_deadline_)
         deadline = std::min(deadline, *drain_deadline_);
     admission allowed = admit(request);
@@ -229,7 +234,7 @@
         co_return co_await get_waiting_count(call, deadline);
     auto job = parse_job_id(rest);
     if (!job)
-        co_return make_error(404, "no_such_job", "no job can have this name");
+        co_return make_error(404, "no_such_job", "this is not a valid job id");
     call.job = *job;
     if (request.method == "POST")
         co_return co_await submit(std::move(request), call, deadline);
--- a/main/entryd/job_api.hpp
+++ b/main/entryd/job_api.hpp
@@ -6,36 +6,39 @@
 namespace cowslippass
 {
 
-/// Answers callers: finds the queue, checks the key, and passes the operation
-/// to the coordinator.
+/// The HTTP API for callers, which submit, query and cancel jobs. Finds the
+/// queue, checks the key, and passes the operation to the coordinator.
 class job_api
 {
 public:
     job_api(const entry_settings& settings, const config_watcher& config,
         coordinator_role& role, metrics_registry& metrics);
 
+    /// Executes a caller's request. Failures are reported in the response.
     asio::awaitable<http_response> handle(http_request request);
 
-    /// @return whether new callers are welcome.
+    /// @return whether the load balancer may send new callers to this entry.
     bool is_ready() const;
 
-    /// Turns unready; answers ask callers to connect elsewhere.
-    /// @param drain_deadline by when every call is answered.
+    /// Turns unready, and makes responses ask callers to close the connection.
+    /// @param drain_deadline by when every request is answered.
     void start_draining(boot_time drain_deadline)
     {
         drain_deadline_ = drain_deadline;
     }
 
 private:
-    /// What the configuration in hand allows.
+    /// The result of the check of a request against the configuration.
     struct admission
     {
         const queue_config* queue = nullptr;
         team_id team;
-        std::optional<http_response> refusal;
+        std::optional<http_response> refusal; ///< Not set if admitted.
     };
 
     admission admit(const http_request& request) const;
+    /// @return whether the configuration is recent enough to check keys: none
+    ///   of its keys can have been withdrawn too long ago.
     bool can_check_keys() const;
     asio::awaitable<http_response> submit(
         http_request request, peer_coordinator_call call, boot_time deadline);
@@ -51,7 +54,7 @@
     const config_watcher& config_;
     coordinator_role& coordinator_role_;
     metrics_registry& metrics_;
-    std::optional<boot_time> drain_deadline_; ///< Set when the entry leaves.
+    std::optional<boot_time> drain_deadline_; ///< Set while draining.
 };
 
 } // namespace cowslippass
--- a/main/entryd/pool_plan_executor.cpp
+++ b/main/entryd/pool_plan_executor.cpp
@@ -14,13 +14,14 @@
 
 using json = nlohmann::json;
 
-constexpr milliseconds tick_interval{100};
-/// The list is read at this interval; it shows which target an instance has.
+constexpr milliseconds planning_interval{100};
+/// Time between reads of the instance list, which shows the target of each
+/// instance.
 constexpr milliseconds list_interval{400};
 constexpr milliseconds list_timeout{1'000};
 constexpr milliseconds order_timeout{1'500};
-/// Between the lines that tell what each pool has and needs.
-constexpr milliseconds report_interval{1'000};
+/// Time between the log lines on how many instances each pool has and needs.
+constexpr milliseconds sizing_log_interval{1'000};
 constexpr milliseconds status_timeout{1'000};
 
 const decision_log decisions_log("pools");
@@ -30,7 +31,8 @@
     pool_planner_options out;
     out.move_time = settings.move_time;
     out.maintenance_time = settings.maintenance_time;
-    // The rest is left for a successor's first orders.
+    // The rest of the platform's limit is reserved for a successor's first
+    // orders.
     out.orders_per_second = settings.instance_orders_per_s * 0.8;
     return out;
 }
@@ -62,7 +64,8 @@
         }
         catch (const json::exception& e)
         {
-            write_log(log_level::error, "pools", "a wave's row is unreadable",
+            write_log(log_level::error, "pools",
+                "cannot decode the row of a wave",
                 {{"key", it.key}, {"why", e.what()}});
             continue;
         }
@@ -151,10 +154,10 @@
     std::uint64_t wave, bool is_completed)
 {
     auto self = shared_from_this();
-    bool is_told = co_await store_.put_row(published_table::status,
+    bool is_written = co_await store_.put_row(published_table::status,
         get_wave_status_key(wave), encode_wave_status(is_completed),
         status_timeout);
-    if (!is_told)
+    if (!is_written)
         written_statuses_.erase(wave);
 }
 
@@ -220,7 +223,7 @@
     pool_decisions out = planner_.plan(term_.term_coordinator, now);
     if (now >= next_report_at_)
     {
-        next_report_at_ = now + report_interval;
+        next_report_at_ = now + sizing_log_interval;
         log_pool_sizings();
     }
     update_waves();
@@ -239,7 +242,7 @@
     while (!term_.is_over())
     {
         decide();
-        timer.expires_after(tick_interval);
+        timer.expires_after(planning_interval);
         boost::system::error_code ec;
         co_await timer.async_wait(
             asio::redirect_error(asio::use_awaitable, ec));
--- a/main/entryd/pool_plan_executor.hpp
+++ b/main/entryd/pool_plan_executor.hpp
@@ -16,30 +16,34 @@
 
 class metrics_registry;
 
-/// Carries out the pool planner's decisions for one term of the coordinator.
+/// Carries out the decisions of the pool planner during one term of the
+/// coordinator: sends orders to instances and writes the progress of
+/// maintenance waves.
 class pool_plan_executor
     : public std::enable_shared_from_this<pool_plan_executor>
 {
 public:
-    /// What the keeper needs of the coordinator that it works for.
+    /// Access to the term for which the orders are sent.
     struct term
     {
-        fencing_number number;
+        fencing_number number; ///< Sent with each order as a fencing token.
         coordinator& term_coordinator;
         ledger& term_ledger;
-        /// Whether orders to instances may be given now.
+        /// @return whether orders to instances may be sent now.
         std::function<bool()> may_send_orders;
         std::function<bool()> is_over;
-        /// New decisions are to be looked at.
+        /// Makes the coordinator run its next round of decisions at once.
         std::function<void()> wake;
     };
 
     pool_plan_executor(asio::io_context& io, const entry_settings& settings,
         store_client& store, metrics_registry& metrics, term owner);
 
-    /// @param rows of the ledger's waves.
+    /// Restores the progress of maintenance waves.
+    /// @param rows rows of the ledger's table of waves.
     void load(const std::vector<stored_row>& rows);
 
+    /// Plans and sends orders until the term ends.
     asio::awaitable<void> run();
 
     /// @return whether an order may still reach the platform.
@@ -48,13 +52,18 @@
 private:
     asio::awaitable<void> list_instances();
     asio::awaitable<void> send(instance_order order);
-    /// Sends waiting orders, so many at once as there are connections: an
-    /// order that waits for one would leave long after it was decided.
+    /// Sends waiting orders, at most as many at once as there are connections:
+    /// an order that waits for a connection would be sent long after it was
+    /// decided.
     void send_waiting_orders();
+    /// Publishes for operators whether a wave is completed.
     asio::awaitable<void> write_wave_status(
         std::uint64_t wave, bool is_completed);
     void decide();
+    /// Saves the progress of each wave that has advanced in the ledger, and
+    /// publishes the changed statuses.
     void update_waves();
+    /// Logs how many instances each pool has and needs.
     void log_pool_sizings();
 
     asio::io_context& io_;
@@ -63,15 +72,17 @@
     term term_;
     machine_client client_;
     pool_planner planner_;
-    std::map<std::uint64_t, std::size_t>
-        saved_begun_counts_; ///< Begun, as in the ledger.
-    /// What operators were told, or are being told.
+    /// Number of begun instances of each wave, as in the ledger.
+    std::map<std::uint64_t, std::size_t> saved_begun_counts_;
+    /// Whether each wave is completed, as published for operators or as being
+    /// written.
     std::map<std::uint64_t, bool> written_statuses_;
     boot_time next_list_at_{};
     boot_time next_report_at_{};
     bool is_listing_ = false;
     std::deque<instance_order> waiting_orders_;
-    std::set<instance_id> pending_instances_; ///< With a waiting or sent order.
+    std::set<instance_id>
+        pending_instances_; ///< With a waiting or in-flight order.
     std::size_t orders_in_flight_ = 0;
 };
 
--- a/main/entryd/wall_clock.hpp
+++ b/main/entryd/wall_clock.hpp
@@ -7,7 +7,8 @@
 namespace cowslippass
 {
 
-/// @return the time that is written into rows; it may jump.
+/// @return the current Unix time in milliseconds, for times that are stored in
+///   rows. Adjustments of the system clock can make it jump.
 inline platform_time get_wall_time()
 {
     auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -18,7 +18,8 @@
     "estimateMs":50},{"count":1,"cpu":1000,"memMb":100,"estimateMs":50,
     "after":[0]}]})";
 
-/// The front, the follower and the role of one entry, without the process.
+/// The parts of one entry that serve callers, follow the configuration and
+/// take part in the election of the coordinator, without its process.
 struct entry
 {
     entry(asio::io_context& io, users_platform& platform,
@@ -58,7 +59,7 @@
 protected:
     entry_end_to_end_test() { platform.publish_config(); }
 
-    /// Runs the test's body as a coroutine, for at most 20 s.
+    /// Runs the test's body as a coroutine. Fails if it needs more than 20 s.
     void run(std::function<asio::awaitable<void>()> body)
     {
         bool is_done = false;
@@ -101,7 +102,7 @@
             co_await sleep(milliseconds(10));
     }
 
-    /// @return whether the job was shown in this state within five seconds.
+    /// @return whether the job was reported in this state within 5 s.
     asio::awaitable<bool> wait_for(std::string job, std::string state)
     {
         for (int i = 0; i < 250; ++i)
@@ -125,8 +126,9 @@
 
 } // namespace
 
-// Guards against a path that breaks between its parts: accept, both steps in
-// order, each task once, the end shown, a repeat that stays one job.
+// Guards against faults between the parts of an entry. A job is accepted, its
+// steps run in order, each task runs once, and its end is reported. A repeated
+// submission adds no second job.
 TEST_F(entry_end_to_end_test, runs_a_job_to_completion)
 {
     platform.add_target("t1", milliseconds(60));
@@ -152,8 +154,8 @@
         });
 }
 
-// Guards against a target that is never used again after it was given up: its
-// entry went away during a cut and came back.
+// Guards against a target that is never used again after it was removed: its
+// row disappeared from the list during a network partition and came back.
 TEST_F(entry_end_to_end_test, uses_a_target_that_is_listed_again)
 {
     platform.add_target("t1", milliseconds(20));
@@ -165,7 +167,8 @@
             EXPECT_TRUE(co_await wait_for(job_1, "completed"));
             platform.unlist_target("t1");
             co_await sleep(milliseconds(500));
-            // The link notices at its next look that the target is gone.
+            // The next poll of an idle target, after 4 s, closes the link of
+            // the removed target.
             co_await sleep(milliseconds(4'200));
             platform.list_target("t1");
             co_await send("POST", "/q/" + job_2, one_task);
@@ -173,8 +176,8 @@
         });
 }
 
-// Guards against a job that is lost with its coordinator, and a task that its
-// successor starts again although it runs.
+// Guards against a job that is lost with its coordinator, and against a task
+// that the successor starts again although it is still running.
 TEST_F(entry_end_to_end_test, resumes_the_jobs_of_a_lost_coordinator)
 {
     platform.add_target("t1", milliseconds(2'500));
@@ -184,7 +187,8 @@
             co_await wait_until_ready();
             co_await send("POST", "/q/" + job_1, one_task);
             EXPECT_TRUE(co_await wait_for(job_1, "running"));
-            // Another process on another port: the first is silent for it.
+            // The new entry has another port and gets no reply from the old
+            // one.
             auto lost = std::move(node);
             lost->role.resign();
             node = std::make_unique<entry>(io, platform, "127.0.0.1:2");
@@ -195,8 +199,9 @@
         });
 }
 
-// Guards against a submission that is refused as "not accepted" although it
-// may have been stored, and against one that is accepted without the store.
+// Guards against a submission that is reported as not accepted although it may
+// have been stored, and against one that is accepted while the store cannot be
+// written.
 TEST_F(entry_end_to_end_test, neither_accepts_nor_refuses_without_the_store)
 {
     platform.add_target("t1", milliseconds(20));
@@ -215,8 +220,9 @@
         });
 }
 
-// Guards against one instance too many in maintenance: a successor that orders
-// while an order of its predecessor is still under way.
+// Guards against more instances in maintenance than a wave allows, which
+// happens if a successor sends orders while an order of its predecessor is
+// still in flight.
 TEST_F(entry_end_to_end_test, releases_the_term_only_when_no_order_is_in_flight)
 {
     platform.add_instance("m1");
@@ -236,15 +242,17 @@
             for (int i = 0; i < 50 && node->role.is_coordinator(); ++i)
                 co_await sleep(milliseconds(20));
             EXPECT_FALSE(node->role.is_coordinator());
-            // The successor learns from the ledger what has begun.
+            // A successor reads from the ledger which instances have begun
+            // their maintenance.
             EXPECT_FALSE(platform.get_row("waves", "1").empty());
             EXPECT_EQ(platform.get_maintained().size(), 1U);
         });
 }
 
-// Guards against a task that runs twice on targets that nobody reaches: the
-// successor of a released term does not wait for leases that an earlier, lost
-// coordinator may still extend.
+// Guards against a task that runs twice when its first target is unreachable.
+// The successor of a released term relies on it that no earlier coordinator
+// extends leases any more, so the term must not be released while a failed
+// predecessor may still do so.
 TEST_F(entry_end_to_end_test,
     keeps_the_term_while_a_lost_coordinator_may_extend_leases)
 {
@@ -266,7 +274,7 @@
             node->role.resign();
             co_await sleep(milliseconds(1'000));
             EXPECT_TRUE(node->role.is_coordinator());
-            // Its work goes on until then.
+            // Jobs are still executed until the term is released.
             co_await send("POST", "/q/" + job_1, one_task);
             EXPECT_TRUE(co_await wait_for(job_1, "completed"));
             while (node->role.is_coordinator())
--- a/tests/main/entryd/entry_settings_test.cpp
+++ b/tests/main/entryd/entry_settings_test.cpp
@@ -48,6 +48,8 @@
 
 } // namespace
 
+// Guards against settings that are read into the wrong member or in the wrong
+// unit.
 TEST_F(entry_settings_test, reads_a_whole_file)
 {
     auto it = load(whole + "stop_grace_s = 1.5\nkey_withdrawal_ms = 5000\n");
@@ -58,7 +60,8 @@
     EXPECT_EQ(it.machines.port(), 0);
 }
 
-// Guards against faults that are found one restart at a time.
+// Guards against a check that stops at the first error, so that an operator
+// finds each further error only at the next start.
 TEST_F(entry_settings_test, reports_every_fault_with_its_line)
 {
     std::string fault =
@@ -70,6 +73,8 @@
     EXPECT_NE(fault.find("'peer_listen' is required"), std::string::npos);
 }
 
+// Guards against a syntax error without its line, and against a missing file
+// that is taken for an empty one.
 TEST_F(entry_settings_test, reports_the_line_of_a_syntax_error)
 {
     EXPECT_NE(get_fault("entry = \n").find(":1: "), std::string::npos);
