--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -1,4 +1,4 @@
-#include "main/entryd/coordinator_runner_parts.hpp"
+#include "main/entryd/coordinator_runner_internal.hpp"
 
 namespace cowslippass
 {
@@ -9,7 +9,7 @@
     auto self = shared_from_this();
     peer_coordinator_reply reply;
     job_record record;
-    std::optional<std::string> fault;
+    std::optional<std::string> decode_error;
     try
     {
         record = {
@@ -17,18 +17,18 @@
     }
     catch (const systems_error& e)
     {
-        fault = e.what();
+        decode_error = e.what();
     }
-    if (fault)
+    if (decode_error)
     {
-        write_log(log_level::warn, "coordinator", "unreadable submission",
-            {{"job", call.job}, {"why", *fault}});
+        write_log(log_level::warn, "coordinator", "cannot decode a submission",
+            {{"job", call.job}, {"why", *decode_error}});
         reply.result = coordinator_result::invalid;
         co_return reply;
     }
     std::string text = encode_job_record(record);
     auto outcome =
-        decisions_.submit(call.job, std::move(record), boot_clock::now());
+        coordinator_.submit(call.job, std::move(record), boot_clock::now());
     if (outcome == submit_outcome::added)
     {
         ledger_.put(ledger_table::jobs, call.job.get(), std::move(text));
@@ -37,7 +37,7 @@
     bool is_durable = co_await wait_until_durable(deadline);
     if (!is_durable || is_over_)
     {
-        // Whether the row was written is for the next coordinator to tell.
+        // Only the next coordinator will know whether the row was written.
         reply.result = coordinator_result::not_coordinator;
         co_return reply;
     }
@@ -54,7 +54,7 @@
 {
     auto self = shared_from_this();
     peer_coordinator_reply reply;
-    if (!decisions_.cancel(call.job, boot_clock::now()))
+    if (!coordinator_.cancel(call.job, boot_clock::now()))
     {
         reply.result = coordinator_result::unknown_job;
         co_return reply;
@@ -87,16 +87,17 @@
             break;
         case coordinator_operation::status:
         {
-            const job* it = decisions_.find_job(call.job);
+            const job* it = coordinator_.find_job(call.job);
             reply.result = it && it->get_queue() == call.queue
                                ? coordinator_result::done
                                : coordinator_result::unknown_job;
-            // An ended job is shown as such only once that is durable.
+            // The end of a job is reported only once it is durable; until then
+            // the job counts as running.
             if (reply.result != coordinator_result::done)
                 break;
             put_changed_rows();
             auto phase = static_cast<std::uint8_t>(it->get_phase());
-            if (it->is_ended() && !durable_ended_.contains(call.job) &&
+            if (it->is_ended() && !durably_ended_jobs_.contains(call.job) &&
                 !co_await wait_until_durable(deadline))
                 phase = static_cast<std::uint8_t>(job_phase::running);
             reply.phase = phase;
@@ -104,14 +105,14 @@
         }
         case coordinator_operation::count:
             reply.result = coordinator_result::done;
-            reply.count = decisions_.count_queued(call.queue);
+            reply.count = coordinator_.count_queued(call.queue);
             break;
         case coordinator_operation::probe:
             reply.result = coordinator_result::done;
             break;
         }
     }
-    reply.renewal_age = get_renewed_age();
+    reply.renewal_age = get_renewal_age();
     co_return reply;
 }
 
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -3,7 +3,7 @@
 #include "drivers/log.hpp"
 #include "drivers/metrics.hpp"
 #include "drivers/peer_server.hpp"
-#include "main/entryd/caller_front.hpp"
+#include "main/entryd/job_api.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -15,38 +15,43 @@
 namespace
 {
 
-/// Calls of callers and operators carry one job of at most this size.
+/// Maximum size of a request body, which contains at most one job.
 constexpr std::size_t max_body_bytes = 1024 * 1024;
-/// Callers keep idle connections for longer than the balancer's checks take.
+/// Idle connections are closed after this time. It is longer than the load
+/// balancer's checks take.
 constexpr milliseconds idle_timeout{15'000};
-/// The balancer sends nobody new after two missed checks, one a second.
+/// The load balancer sends no new callers after two failed checks, one a
+/// second.
 constexpr milliseconds balancer_lag{2'500};
 constexpr milliseconds stop_check_interval{50};
-/// Between the last answer to a caller and the end of the process.
-constexpr milliseconds last_answer_margin{300};
-/// Left of the grace period for the end of the process itself.
+/// Time between the last response to a caller and the end of the process.
+constexpr milliseconds last_response_margin{300};
+/// Part of the grace period that is reserved for the end of the process.
 constexpr milliseconds stop_margin{700};
 
-/// All parts of one entry.
+/// One entry: its servers, its clients, and its part in the election of the
+/// coordinator.
 class entryd
 {
 public:
     entryd(asio::io_context& io, std::string path, entry_settings settings)
         : io_(io), path_(std::move(path)), settings_(std::move(settings)),
           metrics_(get_entryd_metrics()), store_(io, settings_.store),
-          config_(io, store_, [this] { seat_.note_publication(); }),
-          seat_(io, settings_, store_, metrics_, config_),
-          front_(settings_, config_, seat_, metrics_),
-          peers_(
+          config_(io, store_,
+              [this] { coordinator_role_.handle_published_change(); }),
+          coordinator_role_(io, settings_, store_, metrics_, config_),
+          job_api_(settings_, config_, coordinator_role_, metrics_),
+          peer_server_(
               io, settings_.peer_listen,
               [this](peer_body body) { return answer_peer(std::move(body)); },
               [](const std::string& code, const std::string& message) {
                   write_log(
                       log_level::debug, "peer_link", message, {{"code", code}});
               }),
-          callers_(io, make_options(settings_.front_listen),
-              [this](http_request it) { return front_.handle(std::move(it)); }),
-          readiness_(io, make_options(settings_.readiness_listen),
+          caller_server_(io, make_options(settings_.front_listen),
+              [this](http_request it)
+              { return job_api_.handle(std::move(it)); }),
+          readiness_server_(io, make_options(settings_.readiness_listen),
               [this](http_request) { return answer_readiness(); }),
           metrics_server_(io, make_options(settings_.metrics_listen),
               [this](http_request) { return answer_metrics(); }),
@@ -62,7 +67,7 @@
         asio::co_spawn(
             io_, [this] { return config_.run(); }, asio::detached);
         asio::co_spawn(
-            io_, [this] { return seat_.run(); }, asio::detached);
+            io_, [this] { return coordinator_role_.run(); }, asio::detached);
         asio::co_spawn(
             io_, [this] { return wait_for_signals(); }, asio::detached);
     }
@@ -82,14 +87,15 @@
         auto* call = std::get_if<peer_coordinator_call>(&body);
         if (!call)
             co_return std::nullopt;
-        peer_body reply = co_await seat_.handle_peer(std::move(*call));
+        peer_body reply =
+            co_await coordinator_role_.handle_peer_call(std::move(*call));
         co_return reply;
     }
 
     asio::awaitable<http_response> answer_readiness()
     {
         http_response out;
-        out.status = front_.is_ready() ? 200 : 503;
+        out.status = job_api_.is_ready() ? 200 : 503;
         co_return out;
     }
 
@@ -126,7 +132,8 @@
         }
     }
 
-    /// Addresses stay; a change of theirs needs a restart.
+    /// Reads the settings again. Some of them, such as addresses, keep their
+    /// old values until a restart.
     void reload()
     {
         try
@@ -146,18 +153,20 @@
         catch (const error& e)
         {
             write_log(log_level::error, "process",
-                "settings not reloaded; the old ones stay",
+                "the settings were not reloaded; the old ones stay in force",
                 {{"why", e.what()}});
         }
     }
 
+    /// Makes a planned stop: drains callers' requests and releases the
+    /// coordinator role, then ends the process.
     asio::awaitable<void> stop()
     {
         boot_time end = boot_clock::now() + settings_.stop_grace - stop_margin;
-        boot_time quiet = boot_clock::now() + balancer_lag;
+        boot_time balancer_deadline = boot_clock::now() + balancer_lag;
         write_log(log_level::info, "process", "stop");
-        front_.leave(end - last_answer_margin);
-        seat_.leave();
+        job_api_.start_draining(end - last_response_margin);
+        coordinator_role_.resign();
         asio::steady_timer timer(io_);
         while (boot_clock::now() < end)
         {
@@ -165,13 +174,14 @@
             boost::system::error_code ec;
             co_await timer.async_wait(
                 asio::redirect_error(asio::use_awaitable, ec));
-            if (boot_clock::now() >= quiet &&
-                callers_.get_active_count() == 0 && !seat_.is_holder())
+            if (boot_clock::now() >= balancer_deadline &&
+                caller_server_.get_active_count() == 0 &&
+                !coordinator_role_.is_coordinator())
                 break;
         }
         write_log(log_level::info, "process", "stopped",
-            {{"open_calls", callers_.get_active_count()},
-                {"is_coordinator", seat_.is_holder()}});
+            {{"open_calls", caller_server_.get_active_count()},
+                {"is_coordinator", coordinator_role_.is_coordinator()}});
         io_.stop();
     }
 
@@ -180,12 +190,12 @@
     entry_settings settings_;
     metrics_registry metrics_;
     store_client store_;
-    config_follower config_;
-    coordinator_seat seat_;
-    caller_front front_;
-    peer_server peers_;
-    http_server callers_;
-    http_server readiness_;
+    config_watcher config_;
+    coordinator_role coordinator_role_;
+    job_api job_api_;
+    peer_server peer_server_;
+    http_server caller_server_;
+    http_server readiness_server_;
     http_server metrics_server_;
     asio::signal_set signals_;
     bool is_stopping_ = false;
@@ -198,26 +208,27 @@
     using enum metric_kind;
     return {
         {"cowslippass_calls_total", counter,
-            "Calls of callers, by method and status."},
+            "Requests of callers, by method and status."},
         {"cowslippass_call_seconds", distribution,
-            "Seconds from a caller's whole call to its answer."},
+            "Seconds from a caller's complete request to the response."},
         {"cowslippass_ledger_commit_seconds", distribution,
-            "Seconds of the ledger's transactions."},
+            "Duration of the ledger's transactions in seconds."},
         {"cowslippass_ledger_retries_total", counter,
-            "Transactions that were sent again."},
+            "Retries of the ledger's transactions."},
         {"cowslippass_starts_total", counter,
-            "Orders to start a task, by outcome."},
+            "Requests to start a task, by outcome."},
         {"cowslippass_instance_orders_total", counter,
-            "Orders to instances, by order and outcome."},
-        {"cowslippass_looks_total", counter, "Looks at targets, by outcome."},
+            "Orders to instances, by kind and outcome."},
+        {"cowslippass_looks_total", counter, "Polls of targets, by outcome."},
         {"cowslippass_takeovers_total", counter,
-            "Terms as coordinator that began in this process."},
+            "Takeovers of the coordinator role by this process."},
     };
 }
 
 int run_entryd(const std::string& path, entry_settings settings)
 {
-    // A peer that closes its connection must not end the process.
+    // Without this, a write to a connection that a peer has closed would end
+    // the process.
     std::signal(SIGPIPE, SIG_IGN);
     configure_log(settings.log_level, log_to_stdout);
     asio::io_context io(1);
--- /dev/null
+++ b/main/entryd/pool_plan_executor.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "main/entryd/entry_settings.hpp"
+#include "platform/machine_client.hpp"
+#include "platform/publication.hpp"
+#include "systems/coordination/ledger.hpp"
+#include "systems/pools/pool_planner.hpp"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace cowslippass
+{
+
+class metrics_registry;
+
+/// Carries out the decisions of the pool planner during one term of the
+/// coordinator: sends orders to instances and writes the progress of
+/// maintenance waves.
+class pool_plan_executor
+    : public std::enable_shared_from_this<pool_plan_executor>
+{
+public:
+    /// Access to the term for which the orders are sent.
+    struct term
+    {
+        fencing_token number; ///< Sent with each order as a fencing token.
+        coordinator& term_coordinator;
+        ledger& term_ledger;
+        /// @return whether orders to instances may be sent now.
+        std::function<bool()> may_send_orders;
+        std::function<bool()> is_over;
+        /// Makes the coordinator run its next round of decisions at once.
+        std::function<void()> wake;
+    };
+
+    pool_plan_executor(asio::io_context& io, const entry_settings& settings,
+        store_client& store, metrics_registry& metrics, term owner);
+
+    /// Restores the progress of maintenance waves.
+    /// @param rows rows of the ledger's table of waves.
+    void load(const std::vector<stored_row>& rows);
+
+    /// Plans and sends orders until the term ends.
+    asio::awaitable<void> run();
+
+    /// @return whether an order may still reach the platform.
+    bool has_orders_in_flight() const { return orders_in_flight_ > 0; }
+
+private:
+    asio::awaitable<void> list_instances();
+    asio::awaitable<void> send(instance_order order);
+    /// Sends waiting orders, at most as many at once as there are connections:
+    /// an order that waits for a connection would be sent long after it was
+    /// decided.
+    void send_waiting_orders();
+    /// Publishes for operators whether a wave is completed.
+    asio::awaitable<void> write_wave_status(
+        std::uint64_t wave, bool is_completed);
+    void decide();
+    /// Saves the progress of each wave that has advanced in the ledger, and
+    /// publishes the changed statuses.
+    void update_waves();
+    /// Logs how many instances each pool has and needs.
+    void log_pool_sizings();
+
+    asio::io_context& io_;
+    store_client& store_;
+    metrics_registry& metrics_;
+    term term_;
+    machine_client client_;
+    pool_planner planner_;
+    /// Number of begun instances of each wave, as in the ledger.
+    std::map<std::uint64_t, std::size_t> saved_begun_counts_;
+    /// Whether each wave is completed, as published for operators or as being
+    /// written.
+    std::map<std::uint64_t, bool> written_statuses_;
+    boot_time next_list_at_{};
+    boot_time next_report_at_{};
+    bool is_listing_ = false;
+    std::deque<instance_order> waiting_orders_;
+    std::set<instance_id>
+        pending_instances_; ///< With a waiting or in-flight order.
+    std::size_t orders_in_flight_ = 0;
+};
+
+} // namespace cowslippass
