--- a/systems/timing.hpp
+++ b/systems/timing.hpp
@@ -16,7 +16,7 @@
 /// A target stops a task whose lease has not been renewed for this long.
 constexpr milliseconds task_lease{10000};
 
-/// A target keeps the result of an ended task for this long.
+/// A target keeps ended tasks for this long.
 constexpr milliseconds ended_task_retention{600000};
 
 } // namespace cowslippass
--- a/systems/waiting_budget.cpp
+++ b/systems/waiting_budget.cpp
@@ -9,7 +9,7 @@
     const task_id& id, const team_id& team, byte_count payload, bool is_durable)
 {
     std::uint64_t bytes = payload.get() + task_overhead_bytes;
-    std::vector<task_id> victims;
+    std::vector<task_id> evicted;
     if (total_bytes_ + bytes > max_bytes_ && total_bytes_ > 0)
     {
         std::uint64_t teams = teams_.size() + (teams_.contains(team) ? 0 : 1);
@@ -18,13 +18,13 @@
         // This team stays within its part, so another team exceeds its part.
         while (total_bytes_ + bytes > max_bytes_)
         {
-            victims.push_back(
+            evicted.push_back(
                 find_largest_team()->second.tasks.rbegin()->second);
-            remove(victims.back());
+            remove(evicted.back());
         }
     }
     readmit(id, team, payload, is_durable);
-    return victims;
+    return evicted;
 }
 
 void waiting_budget::readmit(
--- a/tests/systems/grant_model.hpp
+++ b/tests/systems/grant_model.hpp
@@ -272,15 +272,15 @@
     void release(const grant_step& step)
     {
         auto& it = get(step.session);
-        auto& dead = get(step.argument);
-        auto ended = it.ended_observed.find(dead.id.get());
+        auto& other = get(step.argument);
+        auto ended = it.ended_observed.find(other.id.get());
         if (!can_reach(it) || ended == it.ended_observed.end())
             return;
         auto observed = ended->second;
         if (!rules.waits_for_release)
             observed -= milliseconds(20000);
-        auto transfer =
-            it.ledger->plan_ended_session_release(dead.id, team, observed, now);
+        auto transfer = it.ledger->plan_ended_session_release(
+            other.id, team, observed, now);
         if (transfer)
             send(it, std::move(*transfer));
     }
@@ -288,19 +288,19 @@
     void adopt(const grant_step& step)
     {
         auto& it = get(step.session);
-        auto& dead = get(step.argument);
-        auto ended = it.ended_observed.find(dead.id.get());
+        auto& other = get(step.argument);
+        auto ended = it.ended_observed.find(other.id.get());
         if (!can_reach(it) || ended == it.ended_observed.end())
             return;
         auto observed = ended->second;
         if (!rules.waits_for_adoption)
             observed -= milliseconds(20000);
-        for (auto n : get_tasks(dead))
+        for (auto n : get_tasks(other))
         {
             if (!all_tasks[n].is_running || all_tasks[n].owners.contains(it.id))
                 continue;
             auto transfer = it.ledger->plan_adoption(
-                dead.id, team, task_count(1), observed, now);
+                other.id, team, task_count(1), observed, now);
             if (!transfer)
                 return;
             it.adoptions[transfer->id] = n;
--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -32,8 +32,8 @@
     for (int i = 0; i < 10; ++i)
         system.add_task(
             make_task("s" + std::to_string(i), "x", queue_kind::slow));
-    EXPECT_EQ(tick(system, epoch).size(),
-        6u); // One of 7 connections is for the sync.
+    // 7 connections less the one that carries the status synchronization.
+    EXPECT_EQ(tick(system, epoch).size(), 6u);
     EXPECT_EQ(tick(system, epoch).size(), 1u);
     EXPECT_EQ(system.count_free_slots(), 1u);
 }
--- a/tests/systems/waiting_budget_test.cpp
+++ b/tests/systems/waiting_budget_test.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::uint64_t bound = 20'000;
+constexpr std::uint64_t max_bytes = 20'000;
 
 /// Reference model: the waiting tasks and their sizes.
 struct waiting_model
@@ -47,11 +47,11 @@
     const waiting_model::item& added)
 {
     std::uint64_t before = budget.get_bytes().get();
-    std::uint64_t part = bound / model.count_teams(added.team);
+    std::uint64_t part = max_bytes / model.count_teams(added.team);
     bool is_within_part = model.sum(added.team) + added.bytes <= part;
     byte_count payload(added.bytes - waiting_budget::task_overhead_bytes);
     auto victims = budget.add(id, added.team, payload, added.is_durable);
-    bool has_room = before + added.bytes <= bound || before == 0;
+    bool has_room = before + added.bytes <= max_bytes || before == 0;
     RC_ASSERT(victims.has_value() == (has_room || is_within_part));
     if (!victims)
         return;
@@ -67,7 +67,7 @@
         model.items.erase(it);
     }
     model.items[id] = added;
-    RC_ASSERT(budget.get_bytes().get() <= std::max(bound, added.bytes));
+    RC_ASSERT(budget.get_bytes().get() <= std::max(max_bytes, added.bytes));
 }
 
 } // namespace
@@ -77,7 +77,7 @@
 RC_GTEST_PROP(waiting_budget,
     stays_within_the_bound_and_refuses_only_above_the_equal_part, ())
 {
-    waiting_budget budget{byte_count(bound)};
+    waiting_budget budget{byte_count(max_bytes)};
     waiting_model model;
     auto steps = *rc::gen::container<std::vector<std::uint32_t>>(
         rc::gen::inRange<std::uint32_t>(0, 1U << 20));
