--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -308,7 +308,7 @@
 }
 
 // Guards against a retry that waits until its deadline because the only target
-// that it does not avoid is out of service.
+// where it has not failed yet is out of service.
 TEST(placement_system, avoids_a_target_only_while_another_can_serve)
 {
     placement_system system;
