--- a/tests/systems/placement_system_test.cpp
+++ b/tests/systems/placement_system_test.cpp
@@ -32,8 +32,8 @@
     for (int i = 0; i < 10; ++i)
         system.add_task(
             make_task("s" + std::to_string(i), "x", queue_kind::slow));
-    EXPECT_EQ(tick(system, epoch).size(),
-        6u); // One of 7 connections is for the sync.
+    // 7 connections less the one that carries the status synchronization.
+    EXPECT_EQ(tick(system, epoch).size(), 6u);
     EXPECT_EQ(tick(system, epoch).size(), 1u);
     EXPECT_EQ(system.count_free_slots(), 1u);
 }
@@ -308,7 +308,7 @@
 }
 
 // Guards against a retry that waits until its deadline because the only target
-// that it does not avoid is out of service.
+// where it has not failed yet is out of service.
 TEST(placement_system, avoids_a_target_only_while_another_can_serve)
 {
     placement_system system;
