Say what a dropped reply and the settings' bounds are

Cause: the message of a dropped reply named two causes, but the reply to a liveness check is dropped too; max_waiting_bytes was described as memory.

Change: the message says that no call is waiting for the reply, and the settings' header describes the bound in bytes and points to the table that describes each setting.

--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -195,7 +195,7 @@
     {
         on_error_("late_reply", "dropped a reply to request " +
                                     std::to_string(message.correlation) +
-                                    ", which has timed out or was never sent");
+                                    ", for which no call is waiting");
         return;
     }
     it->second->reply = std::move(message.body);
--- a/drivers/settings.hpp
+++ b/drivers/settings.hpp
@@ -9,7 +9,8 @@
 namespace cowslippass
 {
 
-/// The validated settings of one entry daemon.
+/// The validated settings of one entry daemon; settings_table.cpp describes
+/// each of them.
 struct settings
 {
     entry_id entry;
@@ -21,7 +22,7 @@
     std::string http_advertise;
     std::string peer_advertise;
     std::size_t max_body_bytes = 4 * 1024 * 1024;
-    /// Bound on the memory of all work that waits in this entry.
+    /// Bound on the bytes of all work that waits in this entry.
     std::size_t max_waiting_bytes = 2 * 1024 * 1024;
     milliseconds freshness_limit{4'000};
     milliseconds start_deadline{2'000};
