Complete the entry daemon's member comments

Cause: some members and file-local names were still undescribed or vague. Change: comments for them; file-local and test-local names in plain terms. No behaviour changes.

--- a/main/entryd/config_watcher.hpp
+++ b/main/entryd/config_watcher.hpp
@@ -14,13 +14,15 @@
 public:
     using change_handler = std::function<void()>;
 
-    /// @param on_change called after each change of the state.
+    /// @param on_change called after each change of the state and after each
+    ///   full read.
     config_watcher(
         asio::io_context& io, store_client& store, change_handler on_change);
 
     /// Runs until the process ends.
     asio::awaitable<void> run();
 
+    /// @return what operators have published, as last read.
     const published_state& get_state() const { return state_; }
 
     /// @return the latest time at which the state is known to have been up to
@@ -42,7 +44,7 @@
     change_handler on_change_;
     published_state state_;
     std::optional<boot_time> confirmed_at_;
-    row_version version_;
+    row_version version_; ///< The feed continues after this version.
     bool needs_full_read_ = true;
 };
 
--- a/main/entryd/coordinator_role.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -23,7 +23,7 @@
 /// Random delay of a takeover, so that candidates that detect the same failure
 /// do not all write at once.
 constexpr int max_jitter_ms = 40;
-/// Entries with a small processor share wait this much longer before a
+/// Entries with a small processor share wait this much longer old_head a
 /// takeover. This exceeds the time between the first detection of a failure
 /// and the detection by an entry with a large share.
 constexpr milliseconds low_processor_takeover_delay{600};
@@ -31,7 +31,7 @@
 /// largest processor share.
 constexpr double low_processor_ratio = 0.8;
 /// A coordinator that is low on processor keeps the role at least this long
-/// before it releases it to an entry with a larger share.
+/// old_head it releases it to an entry with a larger share.
 constexpr milliseconds min_term_time{3'000};
 constexpr milliseconds pause_between_calls{50};
 /// A reply that is older than this does not show that the coordinator still
@@ -180,14 +180,14 @@
             }
             version = it.version;
         }
-    auto before = election_.get_head();
+    auto old_head = election_.get_head();
     if (head)
         max_processor_share_ =
             std::max(max_processor_share_, head->top_processor_share);
     election_.set_takeover_delay(
         is_low_on_processor() ? low_processor_takeover_delay : milliseconds(0));
     election_.record_head(head, version, sent, boot_clock::now());
-    bool is_same = head && before && before->holder == head->holder;
+    bool is_same = head && old_head && old_head->holder == head->holder;
     if (remote_coordinator_ && is_same)
         co_return;
     if (remote_coordinator_)
@@ -201,12 +201,12 @@
             {"address", head->address}, {"version", version}});
     auto handler = [](peer_body) -> asio::awaitable<std::optional<peer_body>>
     { co_return std::nullopt; };
-    auto on_fault = [](const std::string& code, const std::string& message) {
+    auto on_error = [](const std::string& code, const std::string& message) {
         write_log(log_level::debug, "peer_link", message, {{"code", code}});
     };
     remote_coordinator_ =
         std::make_shared<peer_client>(io_, parse_endpoint(head->address),
-            settings_.peer_listen.address(), handler, on_fault);
+            settings_.peer_listen.address(), handler, on_error);
 }
 
 asio::awaitable<void> coordinator_role::take_over()
--- a/main/entryd/coordinator_role.hpp
+++ b/main/entryd/coordinator_role.hpp
@@ -88,9 +88,11 @@
     /// Holds the role, but has not read the ledger yet.
     std::shared_ptr<coordinator_runner> recovering_runner_;
     boot_time role_held_since_{};
-    std::uint32_t max_processor_share_ =
-        0; ///< Of all entries, as last reported.
+    /// Largest processor share of all entries, as last reported, in thousandths
+    /// of a core.
+    std::uint32_t max_processor_share_ = 0;
     bool is_resigning_ = false;
+    /// Connection to the coordinator; null if there is no remote one.
     std::shared_ptr<peer_client> remote_coordinator_;
     std::optional<boot_time> last_coordinator_reply_at_;
     asio::steady_timer probe_timer_;
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -33,15 +33,15 @@
 constexpr milliseconds load_report_interval{1'000};
 /// Time between the removals of expired jobs.
 constexpr milliseconds erase_interval{1'000};
-/// Number of ends of tasks from which on their log line is written.
+/// Number of ends of tasks after which their shared log line is written.
 constexpr std::size_t ends_per_log_line = 50;
 constexpr milliseconds first_commit_timeout{500};
 constexpr milliseconds max_commit_timeout{1'200};
 constexpr milliseconds pause_after_refusal{60};
 
-/// The successor of a released term relies on this condition before that term
-/// is released.
-/// @return whether no earlier coordinator can still extend leases.
+/// A term may be released only if this is true: the successor of a released
+/// term relies on it that no earlier coordinator can extend leases any more.
+/// @return whether the predecessor can no longer extend leases.
 bool is_previous_term_over(
     bool was_previous_term_released, boot_time taken_over_at)
 {
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -27,7 +27,7 @@
     /// @param version version of the head row that the takeover wrote.
     /// @param renewed_at time just before the takeover's transaction was sent.
     /// @param was_previous_term_released whether the predecessor released its
-    ///   term, instead of failing.
+    ///   term, instead of failing; also true if there was no predecessor.
     coordinator_runner(asio::io_context& io, const entry_settings& settings,
         store_client& store, metrics_registry& metrics, ledger_head head,
         row_version version, boot_time renewed_at,
@@ -48,7 +48,8 @@
     /// Needs a successful recover().
     void start(const published_state& state);
 
-    /// Replaces the configuration that operators have published.
+    /// Replaces the configuration, evacuations and waves that operators have
+    /// published.
     void set_published_state(const published_state& state);
 
     /// Requests the release of the term, so that a successor need not wait.
@@ -93,6 +94,8 @@
     /// Lets the write loop run its next round at once.
     void wake();
 
+    /// Restores an accepted job.
+    /// @param progress value of its progress row; empty if there is none.
     void load_job(
         const stored_row& row, const std::string& progress, boot_time now);
     /// @param row progress row of a job.
@@ -105,7 +108,7 @@
     /// Makes decisions and commits them in batches. Commits an empty batch to
     /// renew the term when nothing has changed.
     asio::awaitable<void> write_loop();
-    /// Follows the list of targets that the platform publishes.
+    /// Follows the list of targets in the store.
     asio::awaitable<void> target_feed_loop();
     /// Polls a target until its link is closed.
     asio::awaitable<void> watch_target(link_ptr link);
@@ -143,6 +146,7 @@
     void log_ends();
     /// Logs the backlog and the commit times once a second.
     void log_load();
+    /// Puts the progress rows of changed jobs into the ledger.
     void put_changed_rows();
     /// Removes the rows of jobs whose retention time has passed.
     void erase_expired_rows();
@@ -213,9 +217,9 @@
     row_version targets_version_;         ///< Version of the list of targets.
     /// Timers of the calls that wait until their rows are durable.
     std::set<std::shared_ptr<asio::steady_timer>> durability_waits_;
-    bool is_recovered_ = false;
+    bool is_recovered_ = false; ///< Until then the term is only renewed.
     bool is_over_ = false;
-    bool is_releasing_ = false;
+    bool is_releasing_ = false; ///< A release was requested.
 };
 
 } // namespace cowslippass
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -22,7 +22,7 @@
 /// With many busy targets the pause grows up to this time, so that polls leave
 /// processor time for starts. The next poll reports all ends of the pause.
 constexpr milliseconds max_poll_interval{300};
-/// Maximum number of polls a second for each processor core of the entry. A
+/// Intended number of polls a second for each processor core of the entry. A
 /// poll costs about as much as a start, and starts need the rest of the time.
 constexpr double polls_per_core_second = 2'000;
 /// Pause between the polls of a target without runs.
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -14,10 +14,10 @@
 namespace
 {
 
-/// Maximum size of a request body, which contains at most one job.
+/// A request of a caller or an operator contains one job of at most this size.
 constexpr std::size_t max_body_bytes = 1024 * 1024;
-/// Idle connections are closed after this time. It is longer than the load
-/// balancer's checks take.
+/// Idle connections are closed after this time. Callers keep connections idle
+/// for longer than the load balancer's checks take.
 constexpr milliseconds idle_timeout{15'000};
 /// The load balancer sends no new callers after two failed checks, one a
 /// second.
--- a/main/entryd/job_api.hpp
+++ b/main/entryd/job_api.hpp
@@ -38,7 +38,7 @@
 
     admission admit(const http_request& request) const;
     /// @return whether the configuration is recent enough to check keys: none
-    ///   of its keys can have been withdrawn too long ago.
+    ///   of its keys can have been withdrawn for longer than the limit.
     bool can_check_keys() const;
     asio::awaitable<http_response> submit(
         http_request request, peer_coordinator_call call, boot_time deadline);
--- a/main/entryd/pool_plan_executor.cpp
+++ b/main/entryd/pool_plan_executor.cpp
@@ -184,8 +184,9 @@
                 ledger_table::waves, std::to_string(number), row.dump());
         }
         bool is_completed = planner_.is_wave_completed(wave);
-        auto told = written_statuses_.find(number);
-        if (told != written_statuses_.end() && told->second == is_completed)
+        auto written = written_statuses_.find(number);
+        if (written != written_statuses_.end() &&
+            written->second == is_completed)
             continue;
         written_statuses_[number] = is_completed;
         auto self = shared_from_this();
--- a/main/entryd/pool_plan_executor.hpp
+++ b/main/entryd/pool_plan_executor.hpp
@@ -31,7 +31,7 @@
         ledger& term_ledger;
         /// @return whether orders to instances may be sent now.
         std::function<bool()> may_send_orders;
-        std::function<bool()> is_over;
+        std::function<bool()> is_over; ///< @return whether the term has ended.
         /// Makes the coordinator run its next round of decisions at once.
         std::function<void()> wake;
     };
@@ -59,8 +59,9 @@
     /// Publishes for operators whether a wave is completed.
     asio::awaitable<void> write_wave_status(
         std::uint64_t wave, bool is_completed);
+    /// Runs one planning round.
     void decide();
-    /// Saves the progress of each wave that has advanced in the ledger, and
+    /// Puts the progress of each wave that has advanced into the ledger, and
     /// publishes the changed statuses.
     void update_waves();
     /// Logs how many instances each pool has and needs.
@@ -81,8 +82,8 @@
     boot_time next_report_at_{};
     bool is_listing_ = false;
     std::deque<instance_order> waiting_orders_;
-    std::set<instance_id>
-        pending_instances_; ///< With a waiting or in-flight order.
+    /// Instances with a waiting or in-flight order.
+    std::set<instance_id> pending_instances_;
     std::size_t orders_in_flight_ = 0;
 };
 
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -270,7 +270,7 @@
             EXPECT_EQ(answer.outcome, batch_result::kind::committed);
             while (!node->role.is_coordinator())
                 co_await sleep(milliseconds(20));
-            boot_time taken = boot_clock::now();
+            boot_time taken_over_at = boot_clock::now();
             node->role.resign();
             co_await sleep(milliseconds(1'000));
             EXPECT_TRUE(node->role.is_coordinator());
@@ -279,7 +279,7 @@
             EXPECT_TRUE(co_await wait_for(job_1, "completed"));
             while (node->role.is_coordinator())
                 co_await sleep(milliseconds(20));
-            EXPECT_GE(boot_clock::now() - taken, milliseconds(3'700));
+            EXPECT_GE(boot_clock::now() - taken_over_at, milliseconds(3'700));
         });
 }
 
--- a/tests/main/entryd/entry_settings_test.cpp
+++ b/tests/main/entryd/entry_settings_test.cpp
@@ -20,7 +20,7 @@
         return load_entry_settings(path);
     }
 
-    std::string get_fault(const std::string& text)
+    std::string get_error(const std::string& text)
     {
         try
         {
@@ -38,12 +38,12 @@
     std::string path =
         testing::TempDir() + "entry_settings_" +
         testing::UnitTest::GetInstance()->current_test_info()->name() + ".toml";
-    std::string whole = "entry = \"e\"\ndata_centre = \"z\"\n"
-                        "front_listen = \"127.0.0.1:1\"\n"
-                        "readiness_listen = \"127.0.0.1:2\"\n"
-                        "peer_listen = \"127.0.0.1:3\"\n"
-                        "metrics_listen = \"127.0.0.1:4\"\n"
-                        "store = \"127.0.0.1:5\"\n";
+    std::string required_settings = "entry = \"e\"\ndata_centre = \"z\"\n"
+                                    "front_listen = \"127.0.0.1:1\"\n"
+                                    "readiness_listen = \"127.0.0.1:2\"\n"
+                                    "peer_listen = \"127.0.0.1:3\"\n"
+                                    "metrics_listen = \"127.0.0.1:4\"\n"
+                                    "store = \"127.0.0.1:5\"\n";
 };
 
 } // namespace
@@ -52,7 +52,8 @@
 // unit.
 TEST_F(entry_settings_test, reads_a_whole_file)
 {
-    auto it = load(whole + "stop_grace_s = 1.5\nkey_withdrawal_ms = 5000\n");
+    auto it = load(
+        required_settings + "stop_grace_s = 1.5\nkey_withdrawal_ms = 5000\n");
     EXPECT_EQ(it.entry, entry_id("e"));
     EXPECT_EQ(it.store.port(), 5);
     EXPECT_EQ(it.stop_grace, milliseconds(1'500));
@@ -64,20 +65,20 @@
 // finds each further error only at the next start.
 TEST_F(entry_settings_test, reports_every_fault_with_its_line)
 {
-    std::string fault =
-        get_fault("entry = \"\"\nstore = \"x\"\nodd = 1\nstop_grace_s = 0\n");
-    EXPECT_NE(fault.find(":1: 'entry' must be a text"), std::string::npos);
-    EXPECT_NE(fault.find(":2: 'store' must be IP:port"), std::string::npos);
-    EXPECT_NE(fault.find(":3: 'odd' is not a setting"), std::string::npos);
-    EXPECT_NE(fault.find(":4: 'stop_grace_s' must be"), std::string::npos);
-    EXPECT_NE(fault.find("'peer_listen' is required"), std::string::npos);
+    std::string errors =
+        get_error("entry = \"\"\nstore = \"x\"\nodd = 1\nstop_grace_s = 0\n");
+    EXPECT_NE(errors.find(":1: 'entry' must be a text"), std::string::npos);
+    EXPECT_NE(errors.find(":2: 'store' must be IP:port"), std::string::npos);
+    EXPECT_NE(errors.find(":3: 'odd' is not a setting"), std::string::npos);
+    EXPECT_NE(errors.find(":4: 'stop_grace_s' must be"), std::string::npos);
+    EXPECT_NE(errors.find("'peer_listen' is required"), std::string::npos);
 }
 
 // Guards against a syntax error without its line, and against a missing file
 // that is taken for an empty one.
 TEST_F(entry_settings_test, reports_the_line_of_a_syntax_error)
 {
-    EXPECT_NE(get_fault("entry = \n").find(":1: "), std::string::npos);
+    EXPECT_NE(get_error("entry = \n").find(":1: "), std::string::npos);
     EXPECT_THROW(load_entry_settings("/does/not/exist"), platform_error);
 }
 
