--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -208,20 +208,20 @@
     using enum metric_kind;
     return {
         {"cowslippass_calls_total", counter,
-            "Requests of callers, by method and status."},
+            "Calls of callers, by method and status."},
         {"cowslippass_call_seconds", distribution,
-            "Seconds from a caller's complete request to the response."},
+            "Seconds from a caller's whole call to its answer."},
         {"cowslippass_ledger_commit_seconds", distribution,
-            "Duration of the ledger's transactions in seconds."},
+            "Seconds of the ledger's transactions."},
         {"cowslippass_ledger_retries_total", counter,
-            "Retries of the ledger's transactions."},
+            "Transactions that were sent again."},
         {"cowslippass_starts_total", counter,
-            "Requests to start a task, by outcome."},
+            "Orders to start a task, by outcome."},
         {"cowslippass_instance_orders_total", counter,
-            "Orders to instances, by kind and outcome."},
-        {"cowslippass_looks_total", counter, "Polls of targets, by outcome."},
+            "Orders to instances, by order and outcome."},
+        {"cowslippass_looks_total", counter, "Looks at targets, by outcome."},
         {"cowslippass_takeovers_total", counter,
-            "Takeovers of the coordinator role by this process."},
+            "Terms as coordinator that began in this process."},
     };
 }
 
--- a/main/entryd/job_api.cpp
+++ b/main/entryd/job_api.cpp
@@ -104,14 +104,13 @@
     if (!config)
     {
         out.refusal = make_unavailable("no_configuration",
-            "this entry has no configuration yet; nothing was done");
+            "no configuration is known here yet; nothing was done");
         return out;
     }
     out.queue = config->find_queue_by_route(get_host(request), request.path);
     if (!out.queue)
     {
-        out.refusal =
-            make_error(404, "no_such_queue", "no queue has this address");
+        out.refusal = make_error(404, "no_such_queue", "no queue is there");
         return out;
     }
     std::string key = request.get_header("Authorization");
@@ -130,7 +129,7 @@
         return out;
     if (team)
         out.refusal = make_unavailable("stale_configuration",
-            "the configuration is too old to check the key; nothing was done");
+            "the key cannot be checked now; nothing was done");
     else
         out.refusal = make_error(401, "unknown_key", "the key is not known");
     return out;
@@ -175,7 +174,7 @@
         co_return out;
     }
     default:
-        co_return make_error(400, "bad_request", "the job cannot be decoded");
+        co_return make_error(400, "bad_request", "the job cannot be read");
     }
 }
 
@@ -235,7 +234,7 @@
         co_return co_await get_waiting_count(call, deadline);
     auto job = parse_job_id(rest);
     if (!job)
-        co_return make_error(404, "no_such_job", "this is not a valid job id");
+        co_return make_error(404, "no_such_job", "no job can have this name");
     call.job = *job;
     if (request.method == "POST")
         co_return co_await submit(std::move(request), call, deadline);
--- a/systems/workload/job_spec.cpp
+++ b/systems/workload/job_spec.cpp
@@ -158,10 +158,10 @@
             fail(name + " has no tasks");
         if (it.need.processor < 0 || it.need.memory < 0 ||
             it.need.accelerators < 0)
-            fail(name + " needs a negative amount of a resource");
+            fail(name + " has a negative size");
         for (std::uint32_t before : it.after)
             if (before >= i)
-                fail(name + " depends on a step that does not precede it");
+                fail(name + " waits for a step that is not before it");
         tasks += it.task_count;
     }
     if (tasks * spec.get_occurrence_count() > max_tasks)
