--- a/examples/consumer/consumer.cpp
+++ b/examples/consumer/consumer.cpp
@@ -4,8 +4,9 @@
 
 #include <iostream>
 
-// Plans operators' statements against a fleet state of its own and shows the
-// result, with a type of each of the three libraries.
+/// Applies two operator commands to a fleet state in memory and prints the
+/// teams. Uses each of the three installed libraries (core, systems, drivers),
+/// so that a header or dependency missing from the package fails the build.
 int main()
 try
 {
--- a/examples/grants_example.cpp
+++ b/examples/grants_example.cpp
@@ -1,5 +1,6 @@
-/// Embeds the grants part without the daemon: two sessions of one process
-/// share a team's limit of 3 through a table, here a map.
+/// Example of a program that embeds `grant_ledger` without the daemon: two
+/// sessions in one process share a team's limit of 3 tasks through a table in
+/// memory.
 
 #include <systems/systems.hpp>
 
@@ -11,7 +12,8 @@
 namespace
 {
 
-/// The smallest table that keeps what a grant transfer asks of it.
+/// Table in memory with row versions and conditional commits, which is all that
+/// grant transfers require. A removed row is kept with an empty value.
 class map_table
 {
 public:
@@ -37,7 +39,8 @@
     std::uint64_t last_version_ = 0;
 };
 
-/// One round of reads and transfers of one session.
+/// Performs the reads and the transfers that one session has due at `now`.
+/// @param version version of the fleet log that has been applied.
 void run_round(grant_ledger& ledger, map_table& table, config_version version,
     monotonic_time now)
 {
--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Configures and builds into $BUILD_DIR (default: build).
+# Configures and builds into $BUILD_DIR (default: build). A failed file does not
+# stop the build, so that one run reports every compile error.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds everything, starts a small fleet on free loopback ports, runs one
-# request of each kind through it, and stops it again.
+# Builds everything, starts a small fleet on free loopback ports, sends it one
+# request of each kind, and stops it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install_packages.sh
@@ -16,7 +16,8 @@
 }
 trap stop_all EXIT
 
-# start NAME PROGRAM ARGUMENTS...: runs a program in the background.
+# start NAME PROGRAM ARGUMENTS...: starts a program in the background and waits
+# for its first output, which contains its address.
 start() {
     local name=$1
     shift
@@ -26,8 +27,9 @@
         [[ -s $dir/$name.out ]] && return 0
         sleep 0.05
     done
-    echo "$name did not start"; cat "$dir/$name.err"; exit 1
+    echo "$name printed nothing within 5 s"; cat "$dir/$name.err"; exit 1
 }
+# address_of NAME: prints the address on which the started program listens.
 address_of() { grep -m1 -oE '127\.0\.0\.1:[0-9]+' "$dir/$1.out"; }
 
 echo "starting the stand-in platform, 6 targets and 6 entries in 2 data centres"
@@ -58,6 +60,7 @@
     curl -sf "http://$other/readyz" > /dev/null; do sleep 0.1; done
 
 export COWSLIPPASS_KEY=$secret
+# operate ARGUMENTS...: prints and runs an operator's command.
 operate() {
     echo "\$ cowslippass '$*'"
     "$bin/cowslippass" --entry="$entry" "$@"
@@ -84,10 +87,12 @@
 
 # Entries learn of the new targets within a second.
 sleep 2
+# call ARGUMENTS...: sends a caller's request with the team's key.
 call() { curl -sS -H "Authorization: Bearer $key" "$@"; }
 echo; echo "== an urgent request, through an entry of the other data centre"
 call -H 'Request-Id: preview-1' --data-binary 'stencil for crate 17' \
-    "http://$other/v1/queues/previews/requests" -w '\nstatus %{http_code}, %{time_total} s\n'
+    "http://$other/v1/queues/previews/requests" \
+    -w '\nstatus %{http_code}, %{time_total} s\n'
 echo; echo "== a non-idempotent request, sent twice with one request id"
 for _ in 1 2; do
     call -H 'Request-Id: render-1' --data-binary 'brand mark 4' \
@@ -114,5 +119,5 @@
 status=0
 for pid in "${pids[@]}"; do wait "$pid" || status=1; done
 pids=()
-echo "stopped, worst exit status $status"
+echo "all processes have stopped; exit status $status"
 exit "$status"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Checks the format of every source file and runs clang-tidy on those whose
-# preprocessed input or checks changed since their last clean run.
+# Checks the format of every source file and runs clang-tidy on each .cpp file,
+# except where the file, all headers of the repository and .clang-tidy are the
+# same as in a run that found nothing.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
@@ -8,9 +9,10 @@
 mkdir -p "$cache"
 git ls-files -co --exclude-standard '*.hpp' '*.cpp' | grep -v generated |
     xargs -r clang-format --dry-run --Werror
+# tidy_one FILE HEADERS: HEADERS contains the hash of all headers.
 tidy_one() {
     file=$1
-    # The key covers the file, every header of ours, and the checks.
+    # The key covers the file, all headers of the repository and the checks.
     key=$(cat "$file" "$2" .clang-tidy | sha256sum | cut -d' ' -f1)
     [[ -e $cache/$key ]] && return 0
     clang-tidy -p "$build/tidy" --quiet "$file" 2> "$cache/$key.err" ||
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Runs every measurement in turn, or only those named as arguments. Each part
-# is a script of its own, scripts/measure_NAME.sh, and rewrites its page.
+# Runs every measurement in turn, or only those named as arguments. The
+# measurement NAME is the script scripts/measure_NAME.sh, which rewrites a page
+# under docs/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 known=()
@@ -11,10 +12,10 @@
 if (($# == 0)); then
     set -- "${known[@]}"
 fi
-# All names are checked first: a part may run for an hour.
+# All names are checked first, because a measurement may run for an hour.
 for name in "$@"; do
     if [[ " ${known[*]} " != *" $name "* ]]; then
-        echo "measure.sh: no part '$name'; there are: ${known[*]}" >&2
+        echo "measure.sh: unknown measurement '$name'; known: ${known[*]}" >&2
         exit 2
     fi
 done
--- a/scripts/measure_capacity.sh
+++ b/scripts/measure_capacity.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Measures small clusters of real processes and rewrites the tables of
-# docs/CAPACITY.md between its two markers. Nothing is judged by speed.
+# Measures processor time, memory and traffic of small clusters of real
+# processes and rewrites the tables between the two markers in docs/CAPACITY.md.
+# No measured speed makes the script fail.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
--- a/scripts/measure_maintenance.sh
+++ b/scripts/measure_maintenance.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Measures the maintenance strategies and writes the page with the figures.
-# Simulated time and fixed seeds: only the last two columns depend on the
-# machine.
+# Measures the maintenance strategies and rewrites
+# docs/measurements-maintenance.md. Time is simulated and the seeds are fixed:
+# only the last two columns depend on the machine.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
--- a/scripts/measure_partitions.sh
+++ b/scripts/measure_partitions.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Cuts a data centre of real processes off under three policies and rewrites
-# docs/measurements-partitions.md. Fixed seeds; fails when the shipped daemon
-# starts work with a withdrawn key after the bound. Rates are not judged.
+# Partitions a data centre of real processes under three policies and rewrites
+# docs/measurements-partitions.md. The seeds are fixed. Fails when cowslippassd
+# starts work with a withdrawn key after the bound; no rate makes it fail.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
--- a/scripts/measure_placement.sh
+++ b/scripts/measure_placement.sh
@@ -1,12 +1,14 @@
 #!/usr/bin/env bash
-# Measures placement and shares from fixed seeds and rewrites
-# docs/measurements.md. With `quick` it leaves out the design size.
-# The benchmarks at its end depend on the machine; nothing is judged by them.
+# Measures placement and shares with fixed seeds and rewrites
+# docs/measurements.md. `quick` leaves out the scenario of the design size. The
+# benchmarks at the end of the page depend on the machine; none of their figures
+# makes the script fail.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
 cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo > /dev/null
-cmake --build "$build" --target measure bench -- -j"${BUILD_JOBS:-4}" > /dev/null
+cmake --build "$build" --target measure bench -- -j"${BUILD_JOBS:-4}" \
+    > /dev/null
 "$build/bench/measure" "$@" > "$build/measurements.md"
 {
     printf '\n## Speed and memory\n\n`build/bench/bench`, on the machine that '
