Name the row config/head plainly in the grants example

Cause: head_row held the row's version, not the row, and head the transaction that creates it.

Change: they are called head_row_version and create_head.

Not built or run.

--- a/examples/grants_example.cpp
+++ b/examples/grants_example.cpp
@@ -61,10 +61,10 @@
     const team_id team("packing");
     const config_version version(1);
     map_table table;
-    transaction head;
-    head.writes.push_back({fleet_head_key, "{\"version\":1}"});
-    table.commit(head);
-    row_version head_row = table.read(fleet_head_key).version;
+    transaction create_head;
+    create_head.writes.push_back({fleet_head_key, "{\"version\":1}"});
+    table.commit(create_head);
+    row_version head_row_version = table.read(fleet_head_key).version;
 
     grant_ledger first(session_id(1));
     grant_ledger second(session_id(2));
@@ -72,7 +72,7 @@
     for (grant_ledger* it : {&first, &second})
     {
         it->on_limit(team, task_count(3), version);
-        it->on_config_head(version, head_row);
+        it->on_config_head(version, head_row_version);
         it->set_waiting(team, task_count(2));
     }
     constexpr int rounds = 40;
