Correct comments that are vague or wrong against the code

Other comments used two terms for one thing (processor share and CPU share, allowed time and target duration), or said less than the code does: max_unavailable 0 counts as 1, plan() may exceed max_starts, a release also waits for the predecessor's leases.

Comments only.

--- a/main/entryd/coordinator_role.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -23,7 +23,7 @@
 /// Random delay of a takeover, so that candidates that detect the same failure
 /// do not all write at once.
 constexpr int max_jitter_ms = 40;
-/// Entries with a small processor share wait this much longer old_head a
+/// Entries with a small processor share wait this much longer before a
 /// takeover. This exceeds the time between the first detection of a failure
 /// and the detection by an entry with a large share.
 constexpr milliseconds low_processor_takeover_delay{600};
@@ -31,7 +31,7 @@
 /// largest processor share.
 constexpr double low_processor_ratio = 0.8;
 /// A coordinator that is low on processor keeps the role at least this long
-/// old_head it releases it to an entry with a larger share.
+/// before it releases it to an entry with a larger share.
 constexpr milliseconds min_term_time{3'000};
 constexpr milliseconds pause_between_calls{50};
 /// A reply that is older than this does not show that the coordinator still
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -15,7 +15,8 @@
 /// sent. A successor relies on it for targets that it cannot reach.
 constexpr milliseconds max_renewal_age{4'000};
 /// Orders to instances need a more recent renewal. A candidate waits longer
-/// than this, so that two coordinators never order the same instance in turn.
+/// than this before a takeover, so that two coordinators never send orders to
+/// instances at the same time.
 constexpr milliseconds max_renewal_age_for_instance_orders{700};
 /// The head row is rewritten at least this often.
 constexpr milliseconds renewal_interval{400};
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -172,8 +172,9 @@
     /// @return its end on the target's clock.
     target_time grant_lease(const target_link& link);
     void start_pool_plan_executor();
-    /// Releases the term in the ledger if that is requested and no instance
-    /// order is in flight, because the successor sends orders at once.
+    /// Releases the term in the ledger if that is requested, no earlier
+    /// coordinator can extend leases any more, and no instance order is in
+    /// flight, because the successor sends orders at once.
     void release_when_no_order_in_flight();
     /// @return null if there is no link to the target.
     link_ptr find_link(const target_id& target) const;
@@ -192,7 +193,8 @@
     /// Time just before the last durable transaction was sent.
     boot_time renewed_at_;
     boot_time last_batch_at_{};
-    /// Of the entries that sent calls, in thousandths of a core.
+    /// Largest processor share of this entry and of those that sent calls, in
+    /// thousandths of a core.
     std::uint32_t max_processor_share_ = 0;
     asio::steady_timer wake_timer_;
     std::map<target_id, link_ptr> links_;
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -29,13 +29,17 @@
 constexpr milliseconds idle_poll_interval{4'000};
 constexpr milliseconds pause_after_poll_failure{150};
 constexpr milliseconds stop_retry_interval{300};
+/// How long the store may delay its answer to a feed call until the list of
+/// targets changes.
 constexpr milliseconds feed_wait{1'000};
+/// Timeout of a feed call, beyond `feed_wait`.
 constexpr milliseconds feed_timeout{700};
 constexpr milliseconds pause_after_feed_failure{100};
 /// Share of the targets' lease limit that is granted. The rest covers the
 /// difference between a target's clock and the estimate of it.
 constexpr double lease_share = 0.9;
-/// A target's clock may be slower than ours by this share.
+/// A target's clock may be slower than this process's clock by
+/// this share.
 constexpr double max_clock_slowness = 0.025;
 
 } // namespace
--- a/main/entryd/entry_settings.hpp
+++ b/main/entryd/entry_settings.hpp
@@ -24,7 +24,7 @@
     tcp::endpoint machines;
     std::string log_level = "info";
 
-    /// Processor share of this instance in cores. Entries with a larger share
+    /// Processor share of this entry in cores. Entries with a larger share
     /// take over the coordinator role first.
     double processor_share = 0.25;
     /// Limit of the platform on orders to instances, per second.
--- a/systems/configuration/fleet_config.hpp
+++ b/systems/configuration/fleet_config.hpp
@@ -28,10 +28,10 @@
     std::string path_prefix;    ///< Of the paths that lead here.
     pool_id pool;               ///< Runs the queue's jobs.
     std::uint32_t priority = 0; ///< 0 is the highest; larger numbers follow.
-    /// Number of failed runs of one task with which its job fails.
+    /// Number of failed runs of one task after which its job fails.
     std::uint32_t max_attempts = 1;
-    /// A job's allowed time is its longest chain of estimated work times this
-    /// factor, plus `deadline_allowance`.
+    /// The time allowed for a job is the estimated time on its critical path
+    /// times this factor, plus `deadline_allowance`.
     double stretch_factor = 1.0;
     milliseconds deadline_allowance{0};
     bool allows_anonymous_callers = false; ///< Callers need no key.
--- a/systems/coordination/coordinator_election.hpp
+++ b/systems/coordination/coordinator_election.hpp
@@ -29,8 +29,8 @@
     /// @param address IP:port at which its peers reach it.
     coordinator_election(std::string boot, std::string address);
 
-    /// Makes this candidate wait longer, so that candidates with more CPU take
-    /// over first.
+    /// Makes this candidate wait longer, so that candidates with a larger
+    /// processor share take over first.
     /// @param time added to each waiting time.
     void set_takeover_delay(milliseconds time) { takeover_delay_ = time; }
 
--- a/systems/coordination/ledger_head.hpp
+++ b/systems/coordination/ledger_head.hpp
@@ -15,7 +15,7 @@
     std::string holder;  ///< Boot id of the coordinator's process.
     std::string entry;   ///< Name of the coordinator's entry, for operators.
     std::string address; ///< IP:port at which peers reach the coordinator.
-    /// Highest CPU share of any entry, in thousandths of a processor.
+    /// Largest processor share of any entry, in thousandths of a core.
     std::uint32_t top_processor_share = 0;
     std::uint64_t batch = 0; ///< Number of the last transaction in this term.
     /// The coordinator has shut down in an orderly way and sends no more
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -67,8 +67,8 @@
     double used_cores = 0;    ///< Of running tasks.
     double waiting_cores = 0; ///< Of tasks that wait for capacity.
     double offered_cores = 0; ///< Arrival rate of work, in cores.
-    /// Least number of instances for the tasks of one step that may not share
-    /// an instance.
+    /// Minimum number of instances for the tasks of one step, where the step
+    /// limits its tasks per target.
     std::uint32_t spread = 0;
     /// The pool scales up to this number.
     std::uint32_t required_instances = 0;
@@ -79,9 +79,10 @@
 };
 
 /// Scales pools and schedules maintenance. Pools with high demand get instances
-/// from standby or from pools with a surplus, idle instances move to standby,
-/// and instances of a maintenance wave are maintained when this costs least.
-/// Only instances without running tasks leave a pool.
+/// from standby or from pools with a surplus, and idle instances move to
+/// standby. Instances of a maintenance wave are maintained while they are idle;
+/// those with tasks are drained once part of the wave's time has passed. Only
+/// instances without running tasks leave a pool.
 class pool_planner
 {
 public:
@@ -141,7 +142,8 @@
         std::optional<boot_time> accepted_at;
         /// An order without a reply is sent again from this time on.
         boot_time resend_at{};
-        /// Then the platform may have carried out a copy whose reply was lost.
+        /// The order was sent more than once, so that the platform may have
+        /// carried out an earlier copy whose reply was lost.
         bool was_resent = false;
     };
 
@@ -191,7 +193,8 @@
     boot_time list_requested_at_{};
     std::optional<pool_id> standby_pool_;
     std::map<instance_id, open_order> open_orders_;
-    /// Back-off after a refused order: the instance gets none until then.
+    /// After the platform has rejected an order, the instance gets no other one
+    /// until this time.
     std::map<instance_id, boot_time> order_backoff_until_;
     /// Moves that the platform has rejected as invalid.
     std::set<std::pair<instance_id, pool_id>> incompatible_moves_;
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -16,7 +16,7 @@
 namespace cowslippass
 {
 
-/// Time limits of the coordinator's decisions.
+/// Time parameters of the coordinator's decisions.
 struct coordinator_options
 {
     /// How long a target gets no work after a request to it failed.
@@ -163,8 +163,9 @@
 
     /// Assigns waiting tasks to targets.
     /// @param wall_time determines which scheduled occurrences are due.
-    /// @param max_starts once a job reaches this number of starts, all jobs
-    ///   after it wait for the next call.
+    /// @param max_starts once the round has this many starts, the remaining
+    ///   jobs wait for the next call. The tasks of one job are not split, so
+    ///   that a round may exceed this number.
     std::vector<start_decision> plan(boot_time now, platform_time wall_time,
         std::size_t max_starts = std::numeric_limits<std::size_t>::max());
 
@@ -246,7 +247,8 @@
     /// Adds the waiting tasks of a job to the demand of its pool.
     static void add_waiting(
         const job_entry& entry, pool_demand& demand, boot_time now);
-    /// @return whether the run of a long-running task serves its users.
+    /// @return whether the run of a long-running task is available: it has
+    ///   started up, need not stop, and its target answers polls.
     bool is_serving_users(const active_run& run) const;
     job_entry* find_entry(const job_id& id);
     job_urgency get_urgency(const job_entry& entry, boot_time now) const;
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -178,8 +178,8 @@
     if (!target.has_reported)
     {
         // The target has seen the new fencing token and refuses requests of
-        // former coordinators: each run that the ledger names is there, or it
-        // has ended.
+        // former coordinators: each run that the ledger names is running
+        // there or has ended.
         for (const task_name& it : target.runs)
             if (active_run& run = runs_.at(it); run.is_sent)
                 run.confirmed_at = run.confirmed_at.value_or(boot_time{});
--- a/systems/scheduling/job_urgency.hpp
+++ b/systems/scheduling/job_urgency.hpp
@@ -13,17 +13,18 @@
 ///   not done; the maximum over the job's occurrences.
 milliseconds estimate_remaining_critical_path(const job& it);
 
-/// @return how long after its submission a job still counts as in time: its
-///   critical path times the queue's stretch, plus the queue's target duration.
+/// @return how long after its submission a job still counts as in time: the
+///   estimated time on its critical path times the queue's stretch factor, plus
+///   the queue's deadline allowance.
 milliseconds get_time_allowed(const job_spec& spec, const queue_config& queue);
 
 /// Callers still profit from a late job up to this multiple of the time
 /// allowed; after that, the job is overdue.
 constexpr int overdue_factor = 3;
 
-/// Token bucket for each team: tells which of a team's jobs are within its
-/// share while the fleet is full. The share is as many submissions a second as
-/// the team's weight.
+/// Token bucket for each team: tells which submissions are within the team's
+/// share, which is as many submissions a second as its weight. Jobs beyond the
+/// share start after the others when capacity is short.
 class team_share_limiter
 {
 public:
@@ -75,7 +76,7 @@
 /// get only what no other job needs.
 struct job_urgency
 {
-    /// So late that its caller has no use of it any more.
+    /// So late that its caller has no use for it any more.
     bool is_overdue = false;
     std::uint32_t priority = 0; ///< Priority of the queue; 0 goes first.
     /// The deadline has passed, or will have passed when the last step ends.
--- a/systems/scheduling/target_protocol.hpp
+++ b/systems/scheduling/target_protocol.hpp
@@ -78,7 +78,7 @@
     no_answer ///< The target may have executed the request, or may do so later.
 };
 
-/// @return the outcome's name in logs.
+/// @return the outcome's name in logs and metrics.
 const char* to_string(request_outcome outcome);
 
 /// A target's answer to a request to start or stop a run.
@@ -105,7 +105,8 @@
 /// Request for a target's status, which renews its leases as well.
 struct poll_request
 {
-    /// Extends the leases of all runs at the target; not set to leave them.
+    /// Extends the leases of all runs at the target; not set to leave
+    /// them unchanged.
     std::optional<target_time> lease_end;
     /// Acknowledges the ends up to this number, which the target may drop.
     std::uint64_t acknowledged_up_to = 0;
--- a/systems/workload/job.hpp
+++ b/systems/workload/job.hpp
@@ -115,8 +115,8 @@
     /// Records the end of a run. The end of any run but the one in progress
     /// changes nothing.
     /// @param saved checkpoint that the run left; empty for none.
-    /// @param max_attempts number of failed runs of one task with which the job
-    ///   fails.
+    /// @param max_attempts number of failed runs of one task after which the
+    ///   job fails.
     /// @return whether anything changed.
     bool record_run_end(const task_key& key, run_number number,
         run_outcome outcome, const std::string& saved,
@@ -133,7 +133,7 @@
     /// @return the number of tasks, over all occurrences.
     std::uint64_t count_tasks() const { return task_count_; }
 
-    /// @return JSON text of everything but the identity and the spec; for a
+    /// @return JSON text of the phase and of the progress of all steps; for a
     ///   settled job only its queue, team and phase, as nothing else is needed
     ///   any more.
     std::string encode_progress() const;
--- a/systems/workload/job_spec.hpp
+++ b/systems/workload/job_spec.hpp
@@ -59,7 +59,8 @@
     /// The tasks use only processor time that other tasks leave idle; it does
     /// not count against a target's capacity.
     bool is_best_effort = false;
-    /// Tasks that the system's own orders may keep from running at once.
+    /// Number of tasks that the system's own orders, such as maintenance, may
+    /// make unavailable at the same time; 0 counts as 1.
     std::uint32_t max_unavailable = 0;
 
     /// @return the need that counts against a target's capacity.
@@ -101,7 +102,8 @@
 /// @throws systems_error (`bad_job`) when the text is not an encoded job spec.
 job_spec decode_job_spec(const std::string& text);
 
-/// Refuses a job that no deployment could ever run.
+/// Rejects a job that could never complete, or whose progress would not fit
+/// into a ledger row.
 /// @throws systems_error (`bad_job`) with a message that names the fault and,
 ///   when it lies in one step, the step.
 void check_job_spec(const job_spec& spec);
--- a/tests/systems/coordination/coordinator_election_test.cpp
+++ b/tests/systems/coordination/coordinator_election_test.cpp
@@ -69,8 +69,8 @@
     EXPECT_TRUE(election.may_take_over(at(860)));
 }
 
-// Guards against a takeover by an entry with little CPU while entries with more
-// are available, also right after its own restart.
+// Guards against a takeover by an entry with a small processor share while
+// entries with a larger one are available, also right after its own restart.
 TEST_F(coordinator_election_test, delays_the_takeover_by_weak_candidates)
 {
     election.set_takeover_delay(milliseconds(600));
@@ -123,9 +123,10 @@
     EXPECT_TRUE(election.may_take_over(at(1)));
 }
 
-// Guards against a takeover by the only entry that misses the coordinator: its
-// earlier probe was answered. Guards also against a coordinator that keeps its
-// role because it replies, although it cannot reach the store.
+// Guards against a takeover from a coordinator that replied to a probe and had
+// renewed its term, because the head row looks unchanged to this entry alone.
+// Guards also against a coordinator that keeps its role because it replies,
+// although it cannot reach the store.
 TEST_F(
     coordinator_election_test, suspects_only_a_coordinator_that_stops_renewing)
 {
