Name local values by what they are and complete doc comments

Locals such as has_unseen, most, chain and lapsed_end, and job names such as "doomed" and "teacher", did not say what they stand for; each is used in one file only. Several members had no comment or one that left out the condition that the code checks.

No change of behaviour.

--- a/main/entryd/coordinator_role.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -19,7 +19,7 @@
 /// Pause between reads of the head row while the coordinator is suspected.
 constexpr milliseconds suspect_interval{150};
 constexpr milliseconds read_timeout{1'000};
-constexpr milliseconds take_over_timeout{1'000};
+constexpr milliseconds takeover_timeout{1'000};
 /// Random delay of a takeover, so that candidates that detect the same failure
 /// do not all write at once.
 constexpr int max_jitter_ms = 40;
@@ -226,7 +226,7 @@
     bool was_previous_term_released = !old || old->is_released;
     ledger_batch batch{election_.get_version(), head, {}};
     boot_time sent = boot_clock::now();
-    batch_result result = co_await store_.commit(batch, take_over_timeout);
+    batch_result result = co_await store_.commit(batch, takeover_timeout);
     // A delayed copy of this batch may have been applied. The head row then
     // shows it, because no other process writes this boot id.
     bool is_ours = result.outcome == batch_result::kind::committed ||
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -110,8 +110,9 @@
     asio::awaitable<void> write_loop();
     /// Follows the list of targets in the store.
     asio::awaitable<void> target_feed_loop();
-    /// Polls a target until its link is closed.
+    /// Runs poll_loop() and then marks the link as closed.
     asio::awaitable<void> watch_target(link_ptr link);
+    /// Polls a target until its link is closed, and processes its statuses.
     asio::awaitable<void> poll_loop(link_ptr link);
     /// Sends a start until the target replies or the start is abandoned.
     asio::awaitable<void> send_start(start_decision decision);
@@ -120,6 +121,7 @@
     asio::awaitable<void> send_queued_starts();
     /// @param decision a start that is durable in the ledger.
     void queue_start(const start_decision& decision);
+    /// Sends a stop once. Later rounds send it again until the run has ended.
     asio::awaitable<void> send_stop(stop_decision decision);
     /// Sends the next batch until the store has applied it or the term ends.
     /// @param is_committed set when the store has applied it.
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -263,14 +263,15 @@
             break;
         const target_entry& target = it->second;
         bool is_busy = !target.runs.empty();
-        bool has_unseen = target.last_end_number > link->acknowledged_up_to;
+        bool has_unacknowledged_ends =
+            target.last_end_number > link->acknowledged_up_to;
         poll_request request;
         request.acknowledged_up_to = link->acknowledged_up_to;
         if (coordinator_.should_renew_leases(link->target) && link->clock &&
             has_valid_term())
             request.lease_end = grant_lease(*link);
         if (is_busy && target.has_reported &&
-            target.consecutive_failures == 0 && !has_unseen)
+            target.consecutive_failures == 0 && !has_unacknowledged_ends)
             request.wait = poll_wait;
         boot_time sent_at = boot_clock::now();
         poll_reply reply = co_await link->client.look(request, poll_timeout);
@@ -443,8 +444,8 @@
         coordinator_.handle_stop_reply(
             decision, reply.outcome, boot_clock::now());
     }
-    // The run counts as stopped when the target reports its end; until then the
-    // stop is sent again.
+    // The run counts as stopped only once a status shows that it has ended.
+    // Until then each round of decisions sends the stop again.
     co_await sleep(stop_retry_interval);
     stops_in_flight_.erase(decision.task);
 }
--- a/main/entryd/job_api.cpp
+++ b/main/entryd/job_api.cpp
@@ -22,8 +22,8 @@
 /// Retry-After in whole seconds while there is no coordinator. A takeover takes
 /// about two seconds.
 constexpr const char* takeover_retry_after_s = "2";
-/// Subtracted from the time limit for withdrawn keys, because the call still
-/// has to reach the coordinator.
+/// Subtracted from the time within which a withdrawn key must stop working,
+/// because the call still has to reach the coordinator.
 constexpr milliseconds key_margin{700};
 /// An entry whose configuration is older than this turns unready.
 constexpr milliseconds max_ready_config_age{3'500};
--- a/main/entryd/job_api.hpp
+++ b/main/entryd/job_api.hpp
@@ -36,9 +36,11 @@
         std::optional<http_response> refusal; ///< Not set if admitted.
     };
 
+    /// Finds the queue of the request's route and checks the caller's key.
     admission admit(const http_request& request) const;
     /// @return whether the configuration is recent enough to check keys: none
-    ///   of its keys can have been withdrawn for longer than the limit.
+    ///   of its keys can have been withdrawn longer ago than the settings allow
+    ///   a withdrawn key to work.
     bool can_check_keys() const;
     asio::awaitable<http_response> submit(
         http_request request, peer_coordinator_call call, boot_time deadline);
@@ -48,6 +50,7 @@
         peer_coordinator_call call, boot_time deadline);
     asio::awaitable<http_response> get_waiting_count(
         peer_coordinator_call call, boot_time deadline);
+    /// Checks the request and executes its operation.
     asio::awaitable<http_response> dispatch(http_request request);
 
     const entry_settings& settings_;
--- a/main/entryd/pool_plan_executor.hpp
+++ b/main/entryd/pool_plan_executor.hpp
@@ -50,7 +50,10 @@
     bool has_orders_in_flight() const { return orders_in_flight_ > 0; }
 
 private:
+    /// Reads the instance list, and passes the incarnations that have ended to
+    /// the coordinator.
     asio::awaitable<void> list_instances();
+    /// Sends one order and passes the platform's reply to the planner.
     asio::awaitable<void> send(instance_order order);
     /// Sends waiting orders, at most as many at once as there are connections:
     /// an order that waits for a connection would be sent long after it was
--- a/systems/pools/platform_instance.hpp
+++ b/systems/pools/platform_instance.hpp
@@ -26,7 +26,8 @@
     data_centre_id data_centre;
     std::vector<std::string> labels;
     resources capacity;
-    target_id target; ///< Current incarnation; empty if none runs.
+    /// Target that runs on the instance now; empty if none does.
+    target_id target;
 };
 
 /// Outcome of an order to move or to maintain an instance.
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -11,7 +11,7 @@
 
 /// An order without a reply is sent again after this time.
 constexpr milliseconds resend_interval{700};
-/// An instance that did not accept an order gets none for this time.
+/// An instance whose order was rejected gets no other one for this time.
 constexpr milliseconds order_backoff{1'000};
 /// Instances with running tasks are drained for a wave once this fraction of
 /// its time limit has passed.
@@ -146,15 +146,16 @@
             open.accepted_at && list_requested_at_ > *open.accepted_at;
         milliseconds takes = get_duration(open.order);
         bool is_removed = !found && is_listed_later;
-        // The new incarnation has another target, or none in standby.
+        // The instance's new incarnation is another target; in standby it has
+        // none.
         bool is_done = is_listed_later && found &&
                        found->condition == instance_condition::up &&
                        (found->target != open.target ||
                            (found->target.get().empty() &&
                                now - *open.accepted_at >= takes));
-        bool is_overdue = open.accepted_at &&
-                          now - *open.accepted_at > takes + list_update_margin;
-        if (is_done || is_removed || is_overdue)
+        bool has_timed_out = open.accepted_at && now - *open.accepted_at >
+                                                     takes + list_update_margin;
+        if (is_done || is_removed || has_timed_out)
         {
             decisions.set_cordon(open.target, false);
             it = open_orders_.erase(it);
@@ -414,14 +415,14 @@
 void pool_planner::refill_tokens(boot_time now)
 {
     // Token bucket that holds the orders of half a second.
-    double most = options_.orders_per_second / 2;
+    double max_tokens = options_.orders_per_second / 2;
     std::chrono::duration<double> passed =
         now - tokens_refilled_at_.value_or(now);
     order_tokens_ =
         tokens_refilled_at_
-            ? std::min(most,
+            ? std::min(max_tokens,
                   order_tokens_ + passed.count() * options_.orders_per_second)
-            : most;
+            : max_tokens;
     tokens_refilled_at_ = now;
 }
 
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -37,9 +37,9 @@
     resources team_charge; ///< Counts against the team's limit.
     team_id team;
     boot_time assigned_at{};
-    /// Since when it is certain that the start has reached the target or
-    /// cannot take effect any more: a later status without the run means that
-    /// the run is gone.
+    /// Since when it is certain that the start has either reached the target or
+    /// can no longer take effect. The run has ended if a status that was polled
+    /// later does not list it.
     std::optional<boot_time> confirmed_at;
     bool is_sent = false; ///< A start request has been sent.
     /// A start request without an answer may still reach the target.
--- a/systems/scheduling/job_urgency.cpp
+++ b/systems/scheduling/job_urgency.cpp
@@ -16,8 +16,9 @@
 constexpr std::uint64_t min_samples = 30;
 /// Minimum weight of the newest sample in the moving averages.
 constexpr double min_sample_weight = 0.02;
-/// Estimates with a greater mean deviation (of the logarithm of the ratio;
-/// about a third) do not tell which jobs can still end in time.
+/// Estimates with a larger mean deviation do not tell which jobs can still end
+/// in time. The deviation is that of the logarithm of time taken divided by
+/// estimate, so that the quotient deviates by about a third.
 constexpr double max_trusted_deviation = 0.3;
 
 /// @param is_remaining tells for each step whether its estimate counts.
@@ -58,10 +59,11 @@
 
 milliseconds get_time_allowed(const job_spec& spec, const queue_config& queue)
 {
-    milliseconds chain =
+    milliseconds critical_path =
         estimate_critical_path(spec, [](std::uint32_t) { return true; });
     return milliseconds(static_cast<std::int64_t>(
-               static_cast<double>(chain.count()) * queue.stretch_factor)) +
+               static_cast<double>(critical_path.count()) *
+               queue.stretch_factor)) +
            queue.deadline_allowance;
 }
 
--- a/systems/scheduling/target_table.hpp
+++ b/systems/scheduling/target_table.hpp
@@ -30,7 +30,7 @@
 
     /// Start of the incarnation that answered last.
     platform_time incarnation_start;
-    /// Highest end number that was processed.
+    /// Number of the last end report of this incarnation that was processed.
     std::uint64_t last_end_number = 0;
     /// From this time on, all leases that any coordinator granted at the
     /// target have expired.
--- a/tests/systems/scheduling/coordinator_model_test.cpp
+++ b/tests/systems/scheduling/coordinator_model_test.cpp
@@ -38,7 +38,7 @@
     std::int64_t lease_end = 0; ///< Common to all runs at this target.
     /// Highest end number when the lease last expired. From then on, tasks may
     /// start elsewhere, so that reports of these ends do not count.
-    std::uint64_t lapsed_end = 0;
+    std::uint64_t last_end_number_at_expiry = 0;
 
     void end(const task_name& task, run_outcome how)
     {
@@ -58,7 +58,7 @@
         for (const task_name& it : out)
             end(it, run_outcome::lease_expired);
         if (lease_end <= now)
-            lapsed_end = last_end_number;
+            last_end_number_at_expiry = last_end_number;
     }
 
     void crash()
@@ -315,7 +315,7 @@
                 if (it.number > acknowledged_here)
                     return false;
                 if (it.end == run_outcome::done &&
-                    it.number > target.lapsed_end)
+                    it.number > target.last_end_number_at_expiry)
                     processed_done_.insert(it.task);
                 return true;
             });
--- a/tests/systems/scheduling/job_urgency_test.cpp
+++ b/tests/systems/scheduling/job_urgency_test.cpp
@@ -108,7 +108,7 @@
     state.config->teams[team_id("small")].team = team_id("small");
     it.set_published_state(state);
     for (int i = 0; i < 6; ++i)
-        submit("hot" + std::to_string(i), {make_step(1)}, 0);
+        submit("burst" + std::to_string(i), {make_step(1)}, 0);
     auto record = make_record({make_step(1)});
     record.team = team_id("small");
     it.submit(job_id("small"), record, at(100));
@@ -125,7 +125,7 @@
 TEST_F(job_urgency_test, prefers_jobs_that_can_end_in_time)
 {
     add_target(make_report("t1", 40));
-    submit("teacher", {make_step(32)}, 0);
+    submit("calibration", {make_step(32)}, 0);
     target_status status;
     std::uint64_t n = 0;
     for (const start_decision& start : plan(0))
@@ -133,12 +133,12 @@
             {++n, start.task, start.run, run_outcome::done, ""});
     it.handle_status(target_id("t1"), status, at(1'000), at(1'000));
     // The time allowed for a job is 2 s; the work takes 1 s of it.
-    submit("doomed", {make_step(20)}, 2'000);
-    submit("savable", {make_step(20)}, 2'900);
+    submit("late", {make_step(20)}, 2'000);
+    submit("in_time", {make_step(20)}, 2'900);
     auto starts = plan(3'200);
     ASSERT_EQ(starts.size(), 32U);
     for (std::size_t i = 0; i < 20; ++i)
-        EXPECT_EQ(starts[i].task.job, job_id("savable"));
+        EXPECT_EQ(starts[i].task.job, job_id("in_time"));
 }
 
 // Guards against jobs that are ranked by inaccurate estimates.
