Describe the steps of the planner and of the target links

Several members had no comment, and two constants of coordinator_role.cpp did not say what they limit: the pause between reads of the head row and the number of attempts to recover.

No change of behaviour.

--- a/main/entryd/coordinator_role.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -17,7 +17,7 @@
 /// row then shows whether it renews its term.
 constexpr milliseconds probe_timeout{300};
 /// Pause between reads of the head row while the coordinator is suspected.
-constexpr milliseconds suspect_interval{150};
+constexpr milliseconds head_read_interval{150};
 constexpr milliseconds read_timeout{1'000};
 constexpr milliseconds takeover_timeout{1'000};
 /// Random delay of a takeover, so that candidates that detect the same failure
@@ -39,7 +39,7 @@
 constexpr milliseconds max_reply_age{2'500};
 /// Upper bound on the time for a peer's call; the peer gives up earlier.
 constexpr milliseconds max_peer_call_time{5'000};
-constexpr int recovery_attempts = 5;
+constexpr int max_recovery_attempts = 5;
 
 milliseconds get_time_left(boot_time deadline)
 {
@@ -244,7 +244,7 @@
     runner->start_renewing();
     recovering_runner_ = runner;
     bool is_recovered = false;
-    for (int i = 0; i < recovery_attempts && !is_recovered; ++i)
+    for (int i = 0; i < max_recovery_attempts && !is_recovered; ++i)
         is_recovered = co_await runner->recover();
     recovering_runner_.reset();
     if (is_resigning_)
@@ -308,7 +308,7 @@
                 continue;
         }
         asio::steady_timer pause(io_);
-        co_await wait_on(pause, suspect_interval);
+        co_await wait_on(pause, head_read_interval);
     }
 }
 
--- a/main/entryd/coordinator_role.hpp
+++ b/main/entryd/coordinator_role.hpp
@@ -12,8 +12,8 @@
 struct coordinator_call_result
 {
     std::optional<peer_coordinator_reply> reply; ///< Not set without a reply.
-    /// Whether a coordinator may have executed the operation although none
-    /// replied.
+    /// Whether the operation was sent to a coordinator, which may have executed
+    /// it even if no reply came.
     bool may_be_applied = false;
 };
 
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -155,7 +155,10 @@
     /// Acknowledges the received ends to their targets once the next
     /// transaction, which contains them, is durable.
     void acknowledge_ends_when_durable();
+    /// Sends the stops that are not in flight, while the term is valid.
     void send_stops();
+    /// Applies changed rows of the list of targets, and opens and closes links
+    /// to match it.
     void apply_target_rows(const std::vector<stored_row>& rows);
     /// Opens a link to each listed target.
     void open_links();
@@ -163,6 +166,8 @@
     void open_link(const target_id& id, const target_report& report);
     /// Closes the links of targets that the coordinator no longer tracks.
     void close_unused_links();
+    /// Passes a target's status to the coordinator, and notes the ends that
+    /// have to be acknowledged.
     void process_status(const link_ptr& link, const target_status& status,
         boot_time sent_at, boot_time received_at);
     /// @return time after which a lease has certainly expired, even if the
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -472,6 +472,7 @@
         // The order may still take effect, so the target stays cordoned.
         return;
     case instance_order_outcome::refused:
+        // The order had no effect and stays open; resend_orders() repeats it.
         return;
     case instance_order_outcome::invalid:
         if (!order.is_maintenance())
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -154,13 +154,17 @@
     void close_orders(coordinator& decisions, boot_time now);
     /// Computes `sizings_` from the demand and the instance list.
     void measure_pools(const coordinator& decisions, boot_time now);
+    /// Orders maintenance for idle instances of waves, and drains others.
     void plan_maintenance(
         coordinator& decisions, boot_time now, pool_decisions& out);
+    /// Moves instances to the pools that have fewer than they require.
     void plan_scale_up(
         coordinator& decisions, boot_time now, pool_decisions& out);
+    /// Moves surplus idle instances to standby.
     void plan_scale_down(
         coordinator& decisions, boot_time now, pool_decisions& out);
     void refill_tokens(boot_time now);
+    /// Repeats orders that the platform has not accepted yet.
     void resend_orders(boot_time now, pool_decisions& out);
     milliseconds get_duration(const instance_order& order) const;
     /// Cordons the instance's target and adds the order to the round.
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -140,6 +140,7 @@
     {
         return published_state_;
     }
+    /// Updates a target from the platform's list of targets.
     void handle_target_change(const target_change& change, boot_time now);
 
     /// @param is_cordoned whether the target gets no new work, because its
@@ -196,6 +197,7 @@
     ///   runs that were confirmed later.
     void handle_status(const target_id& target, const target_status& status,
         boot_time sent_at, boot_time now);
+    /// A poll got no status: the target gets no work for a while.
     void handle_poll_failure(const target_id& target, boot_time now);
 
     /// @return whether the next poll renews the leases at the target. Leases
