--- a/main/entryd/coordinator_role.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -17,13 +17,13 @@
 /// row then shows whether it renews its term.
 constexpr milliseconds probe_timeout{300};
 /// Pause between reads of the head row while the coordinator is suspected.
-constexpr milliseconds suspect_interval{150};
+constexpr milliseconds head_read_interval{150};
 constexpr milliseconds read_timeout{1'000};
-constexpr milliseconds take_over_timeout{1'000};
+constexpr milliseconds takeover_timeout{1'000};
 /// Random delay of a takeover, so that candidates that detect the same failure
 /// do not all write at once.
 constexpr int max_jitter_ms = 40;
-/// Entries with a small processor share wait this much longer old_head a
+/// Entries with a small processor share wait this much longer before a
 /// takeover. This exceeds the time between the first detection of a failure
 /// and the detection by an entry with a large share.
 constexpr milliseconds low_processor_takeover_delay{600};
@@ -31,7 +31,7 @@
 /// largest processor share.
 constexpr double low_processor_ratio = 0.8;
 /// A coordinator that is low on processor keeps the role at least this long
-/// old_head it releases it to an entry with a larger share.
+/// before it releases it to an entry with a larger share.
 constexpr milliseconds min_term_time{3'000};
 constexpr milliseconds pause_between_calls{50};
 /// A reply that is older than this does not show that the coordinator still
@@ -39,7 +39,7 @@
 constexpr milliseconds max_reply_age{2'500};
 /// Upper bound on the time for a peer's call; the peer gives up earlier.
 constexpr milliseconds max_peer_call_time{5'000};
-constexpr int recovery_attempts = 5;
+constexpr int max_recovery_attempts = 5;
 
 milliseconds get_time_left(boot_time deadline)
 {
@@ -226,7 +226,7 @@
     bool was_previous_term_released = !old || old->is_released;
     ledger_batch batch{election_.get_version(), head, {}};
     boot_time sent = boot_clock::now();
-    batch_result result = co_await store_.commit(batch, take_over_timeout);
+    batch_result result = co_await store_.commit(batch, takeover_timeout);
     // A delayed copy of this batch may have been applied. The head row then
     // shows it, because no other process writes this boot id.
     bool is_ours = result.outcome == batch_result::kind::committed ||
@@ -244,7 +244,7 @@
     runner->start_renewing();
     recovering_runner_ = runner;
     bool is_recovered = false;
-    for (int i = 0; i < recovery_attempts && !is_recovered; ++i)
+    for (int i = 0; i < max_recovery_attempts && !is_recovered; ++i)
         is_recovered = co_await runner->recover();
     recovering_runner_.reset();
     if (is_resigning_)
@@ -308,7 +308,7 @@
                 continue;
         }
         asio::steady_timer pause(io_);
-        co_await wait_on(pause, suspect_interval);
+        co_await wait_on(pause, head_read_interval);
     }
 }
 
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -110,8 +110,9 @@
     asio::awaitable<void> write_loop();
     /// Follows the list of targets in the store.
     asio::awaitable<void> target_feed_loop();
-    /// Polls a target until its link is closed.
+    /// Runs poll_loop() and then marks the link as closed.
     asio::awaitable<void> watch_target(link_ptr link);
+    /// Polls a target until its link is closed, and processes its statuses.
     asio::awaitable<void> poll_loop(link_ptr link);
     /// Sends a start until the target replies or the start is abandoned.
     asio::awaitable<void> send_start(start_decision decision);
@@ -120,6 +121,7 @@
     asio::awaitable<void> send_queued_starts();
     /// @param decision a start that is durable in the ledger.
     void queue_start(const start_decision& decision);
+    /// Sends a stop once. Later rounds send it again until the run has ended.
     asio::awaitable<void> send_stop(stop_decision decision);
     /// Sends the next batch until the store has applied it or the term ends.
     /// @param is_committed set when the store has applied it.
@@ -153,7 +155,10 @@
     /// Acknowledges the received ends to their targets once the next
     /// transaction, which contains them, is durable.
     void acknowledge_ends_when_durable();
+    /// Sends the stops that are not in flight, while the term is valid.
     void send_stops();
+    /// Applies changed rows of the list of targets, and opens and closes links
+    /// to match it.
     void apply_target_rows(const std::vector<stored_row>& rows);
     /// Opens a link to each listed target.
     void open_links();
@@ -161,6 +166,8 @@
     void open_link(const target_id& id, const target_report& report);
     /// Closes the links of targets that the coordinator no longer tracks.
     void close_unused_links();
+    /// Passes a target's status to the coordinator, and notes the ends that
+    /// have to be acknowledged.
     void process_status(const link_ptr& link, const target_status& status,
         boot_time sent_at, boot_time received_at);
     /// @return time after which a lease has certainly expired, even if the
@@ -172,8 +179,9 @@
     /// @return its end on the target's clock.
     target_time grant_lease(const target_link& link);
     void start_pool_plan_executor();
-    /// Releases the term in the ledger if that is requested and no instance
-    /// order is in flight, because the successor sends orders at once.
+    /// Releases the term in the ledger if that is requested, no earlier
+    /// coordinator can extend leases any more, and no instance order is in
+    /// flight, because the successor sends orders at once.
     void release_when_no_order_in_flight();
     /// @return null if there is no link to the target.
     link_ptr find_link(const target_id& target) const;
@@ -192,7 +200,8 @@
     /// Time just before the last durable transaction was sent.
     boot_time renewed_at_;
     boot_time last_batch_at_{};
-    /// Of the entries that sent calls, in thousandths of a core.
+    /// Largest processor share of this entry and of those that sent calls, in
+    /// thousandths of a core.
     std::uint32_t max_processor_share_ = 0;
     asio::steady_timer wake_timer_;
     std::map<target_id, link_ptr> links_;
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -16,7 +16,7 @@
 namespace cowslippass
 {
 
-/// Time limits of the coordinator's decisions.
+/// Time parameters of the coordinator's decisions.
 struct coordinator_options
 {
     /// How long a target gets no work after a request to it failed.
@@ -37,9 +37,9 @@
     resources team_charge; ///< Counts against the team's limit.
     team_id team;
     boot_time assigned_at{};
-    /// Since when it is certain that the start has reached the target or
-    /// cannot take effect any more: a later status without the run means that
-    /// the run is gone.
+    /// Since when it is certain that the start has either reached the target or
+    /// can no longer take effect. The run has ended if a status that was polled
+    /// later does not list it.
     std::optional<boot_time> confirmed_at;
     bool is_sent = false; ///< A start request has been sent.
     /// A start request without an answer may still reach the target.
@@ -140,6 +140,7 @@
     {
         return published_state_;
     }
+    /// Updates a target from the platform's list of targets.
     void handle_target_change(const target_change& change, boot_time now);
 
     /// @param is_cordoned whether the target gets no new work, because its
@@ -163,8 +164,9 @@
 
     /// Assigns waiting tasks to targets.
     /// @param wall_time determines which scheduled occurrences are due.
-    /// @param max_starts once a job reaches this number of starts, all jobs
-    ///   after it wait for the next call.
+    /// @param max_starts once the round has this many starts, the remaining
+    ///   jobs wait for the next call. The tasks of one job are not split, so
+    ///   that a round may exceed this number.
     std::vector<start_decision> plan(boot_time now, platform_time wall_time,
         std::size_t max_starts = std::numeric_limits<std::size_t>::max());
 
@@ -195,6 +197,7 @@
     ///   runs that were confirmed later.
     void handle_status(const target_id& target, const target_status& status,
         boot_time sent_at, boot_time now);
+    /// A poll got no status: the target gets no work for a while.
     void handle_poll_failure(const target_id& target, boot_time now);
 
     /// @return whether the next poll renews the leases at the target. Leases
@@ -246,7 +249,8 @@
     /// Adds the waiting tasks of a job to the demand of its pool.
     static void add_waiting(
         const job_entry& entry, pool_demand& demand, boot_time now);
-    /// @return whether the run of a long-running task serves its users.
+    /// @return whether the run of a long-running task is available: it has
+    ///   started up, need not stop, and its target answers polls.
     bool is_serving_users(const active_run& run) const;
     job_entry* find_entry(const job_id& id);
     job_urgency get_urgency(const job_entry& entry, boot_time now) const;
