Mend comments and local names in drivers, grants and placement

Some comments were figurative, vague or damaged by reflowing, and a few local names said little (join, leave, claims, ping). State what the code does, describe every action of the grant model, and name three tests after what they check. No behaviour, number or assertion changes.

Test names changed in routing_test.cpp and target_health_test.cpp. Nothing was run.

--- a/drivers/acceptor.hpp
+++ b/drivers/acceptor.hpp
@@ -12,9 +12,9 @@
 void listen_on(tcp::acceptor& acceptor, const tcp::endpoint& endpoint);
 
 /// Accepts the next connection.
-/// @return the connected socket; nothing when the acceptor was closed, or when
-///   accepting failed, then after a short delay. The caller tries again unless
-///   it is stopping.
+/// @return the connected socket; nothing when the acceptor was closed or
+///   accepting failed. A failure is returned only after a short delay, so that
+///   the caller can try again at once unless it is stopping.
 asio::awaitable<std::optional<tcp::socket>> accept_next(
     tcp::acceptor& acceptor);
 
--- a/drivers/drivers.hpp
+++ b/drivers/drivers.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
 /// Public header of the drivers library: sockets, HTTP, the connections between
-/// entries, the clients of platform and targets, settings, logs and metrics.
+/// entries, the clients of the platform and the targets, settings, logs and
+/// metrics.
 
 #include "drivers/asio.hpp"
 #include "drivers/command_client.hpp"
--- a/drivers/metrics.cpp
+++ b/drivers/metrics.cpp
@@ -94,13 +94,13 @@
     return {buf.data(), result.ptr};
 }
 
-/// @param has_quotes whether '"' is escaped too, as label values need it.
-std::string escape(const std::string& text, bool has_quotes)
+/// @param escapes_quotes whether '"' is escaped too, as label values require.
+std::string escape(const std::string& text, bool escapes_quotes)
 {
     std::string out;
     for (char c : text)
     {
-        if (c == '\\' || (c == '"' && has_quotes))
+        if (c == '\\' || (c == '"' && escapes_quotes))
             out += '\\';
         out += c == '\n' ? std::string("\\n") : std::string(1, c);
     }
--- a/drivers/peer_client.hpp
+++ b/drivers/peer_client.hpp
@@ -50,8 +50,8 @@
     peer_request_handler handler_;
     peer_error_handler on_error_;
     std::shared_ptr<peer_connection> connection_;
-    /// Set while one call connects; it is cancelled when that call is done, for
-    /// which concurrent calls wait.
+    /// Set while one call opens the connection. Concurrent calls wait on it; it
+    /// is cancelled when the attempt has ended.
     std::shared_ptr<asio::steady_timer> connect_done_;
     bool is_closed_ = false;
 };
--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-/// A peer that owes a reply for this long is sent a `peer_hello` as liveness
-/// check.
+/// A peer that owes a reply for this long is sent a `peer_hello` as a
+/// liveness check.
 constexpr milliseconds liveness_check_interval{500};
 
 monotonic_time now()
@@ -247,8 +247,8 @@
         // to a hello tells a slow peer from a dead connection.
         if (unanswered_time > liveness_check_interval)
         {
-            peer_message ping{0, false, peer_hello{}};
-            send(ping);
+            peer_message check{0, false, peer_hello{}};
+            send(check);
         }
     }
 }
--- a/drivers/peer_message.cpp
+++ b/drivers/peer_message.cpp
@@ -15,7 +15,6 @@
 constexpr milliseconds max_list_age{1'000'000};
 
 /// An encoded member of the union `body`.
-
 struct body_offset
 {
     wire::body type;
--- a/drivers/platform_client.cpp
+++ b/drivers/platform_client.cpp
@@ -209,7 +209,8 @@
 {
     http_request request;
     request.path = "/v1/instances";
-    // The list of 4,300 instances takes 530 KB and changes rarely.
+    // The list of 4,300 instances takes 530 KB and changes rarely, so an
+    // unchanged list is not transferred again.
     if (!instance_list_etag_.empty())
         request.headers["If-None-Match"] = instance_list_etag_;
     auto response = co_await fetch("list_leaving", std::move(request));
--- a/systems/placement_policy.hpp
+++ b/systems/placement_policy.hpp
@@ -57,17 +57,19 @@
     /// bound of urgent tasks, 2.2 s.
     milliseconds checkpoint_timeout{1000};
     /// How far a team may fall behind its share because urgent tasks of other
-    /// teams hold back its slow tasks. Bursts last some seconds and fit in.
+    /// teams hold back its slow tasks. A burst lasts a few seconds, which is
+    /// within this limit.
     milliseconds share_lag_limit{10'000};
     /// Urgent tasks that have waited for longer go first, whatever the share
     /// of their team, so that a burst of a large team stays within the start
-    /// bound of 2.2 s as long as the other teams can bear it.
+    /// bound of 2.2 s unless another team is behind its share by more than
+    /// `share_lag_limit`.
     milliseconds urgent_wait_limit{500};
     /// A slow task that does not fit into the free memory of any target gets a
     /// target reserved after this time, because smaller tasks could otherwise
     /// take the memory for ever. One target of a pool is reserved at a time.
-    /// Urgent tasks get no reservation: the slots that it idles in a burst
-    /// delay more urgent tasks than it helps.
+    /// Urgent tasks get no reservation: the slots that it would leave idle
+    /// in a burst delay more urgent tasks than it helps.
     milliseconds reservation_delay{20'000};
     bool is_reservation_enabled = true;
     /// Urgent tasks may use a reserved target for this long, which covers a
--- a/systems/placement_targets.cpp
+++ b/systems/placement_targets.cpp
@@ -289,11 +289,11 @@
     if (is_useless)
         drop_reservation();
     std::erase_if(backing_off_,
-        [&](const auto& pause)
+        [&](const auto& backoff)
         {
-            if (pause.first > now)
+            if (backoff.first > now)
                 return false;
-            target_row* row = find(pause.second);
+            target_row* row = find(backoff.second);
             if (row != nullptr && row->is_backing_off)
             {
                 row->is_backing_off = false;
--- a/systems/placement_targets.hpp
+++ b/systems/placement_targets.hpp
@@ -103,7 +103,8 @@
     /// Stops using a target that refused a start, for a while or for good.
     void on_refused(target_row& row, start_refusal reason, monotonic_time now);
 
-    /// Drops a reservation that has become useless and ends expired back-offs.
+    /// Drops a reservation that its target can no longer serve, and ends
+    /// expired back-offs.
     void begin_tick(monotonic_time now);
 
     /// @return whether any target, when empty, has that much memory; true while
--- a/systems/target_health.cpp
+++ b/systems/target_health.cpp
@@ -43,7 +43,7 @@
 constexpr std::size_t max_failed_targets = 5;
 
 /// Successes that end a probation, after a quarantine for failures and for
-/// silence. Silence says nothing about how tasks fare on the target.
+/// silence. Silence says nothing about whether tasks fail on the target.
 constexpr std::uint32_t successes_after_failures = 3;
 constexpr std::uint32_t successes_after_silence = 1;
 
--- a/systems/target_health.hpp
+++ b/systems/target_health.hpp
@@ -71,7 +71,7 @@
 public:
     /// @return whether the availability budget of the pool allows this target
     ///   to be unavailable too. It is called before a target is quarantined,
-    ///   and in each tick for a silent target that could not be.
+    ///   and in each tick for a silent target that it has kept from quarantine.
     using availability_check = std::function<bool(const instance_id&)>;
 
     /// Adds a target unless it is known. A new target is healthy.
--- a/systems/team_grants.cpp
+++ b/systems/team_grants.cpp
@@ -79,11 +79,11 @@
     fair_cap.reset();
     if (!is_current() || waiting == 0 || peers.empty())
         return;
-    std::vector<peer_allocation> claims;
-    claims.reserve(peers.size());
+    std::vector<peer_allocation> waiting_peers;
+    waiting_peers.reserve(peers.size());
     for (const auto& [peer, demand] : peers)
-        claims.push_back({row_value.get(peer), demand.waiting});
-    fair_cap = choose_grant_cap(limit->get(), get_peer_grants(), claims);
+        waiting_peers.push_back({row_value.get(peer), demand.waiting});
+    fair_cap = choose_grant_cap(limit->get(), get_peer_grants(), waiting_peers);
 }
 
 std::vector<adoption_outcome> team_grants::resolve_transfers()
--- a/systems/team_grants.hpp
+++ b/systems/team_grants.hpp
@@ -71,8 +71,9 @@
     milliseconds backoff{0}; ///< Extra delay before the next transfer.
     bool needs_read = true;
     bool is_reading = false;
-    /// The row was received since the last `plan_transfers`, which sets
-    /// `row_seen_at`: replies of a distant platform may be old on arrival.
+    /// The row was received since the last `plan_transfers`. The next one sets
+    /// `row_seen_at`, so that the age of the row counts from its arrival: the
+    /// reply of a distant platform may already be old then.
     bool has_new_row = false;
     std::optional<monotonic_time> row_seen_at;
     std::optional<monotonic_time> last_transfer;
--- a/tests/systems/grant_growth_test.cpp
+++ b/tests/systems/grant_growth_test.cpp
@@ -24,7 +24,7 @@
 struct load
 {
     const char* name;
-    double peak_fraction; ///< Mean demand of all sessions / limit.
+    double mean_demand; ///< Mean demand of all sessions / limit.
     int burst_ticks;
     double burst_share; ///< Fraction of time in bursts.
 };
@@ -33,7 +33,7 @@
 struct figures
 {
     double mean_wait_ms = 0;
-    double late_wait_ms = 0; ///< 99th percentile.
+    double p99_wait_ms = 0; ///< 99th percentile.
     double writes_per_second = 0;
     double conflicts_per_second = 0;
     double reads_per_second = 0;
@@ -111,12 +111,13 @@
 
     void arrive(session& it, int n)
     {
-        double leave = 1.0 / shape_.burst_ticks;
-        double join = leave * shape_.burst_share / (1 - shape_.burst_share);
+        double end_burst = 1.0 / shape_.burst_ticks;
+        double begin_burst =
+            end_burst * shape_.burst_share / (1 - shape_.burst_share);
         double draw = std::uniform_real_distribution<>(0, 1)(it.random);
-        if (draw < (it.is_in_burst ? leave : join))
+        if (draw < (it.is_in_burst ? end_burst : begin_burst))
             it.is_in_burst = !it.is_in_burst;
-        double rate = shape_.peak_fraction * limit / mean_run_ticks /
+        double rate = shape_.mean_demand * limit / mean_run_ticks /
                       (session_count * shape_.burst_share);
         std::poisson_distribution<> count(it.is_in_burst ? rate : rate / 100);
         std::exponential_distribution<> run(1.0 / mean_run_ticks);
@@ -190,8 +191,8 @@
         double worst = 0;
         for (const auto& it : sessions_)
             worst = std::max(worst, it.wait_sum / it.started);
-        auto late = waits_[waits_.size() * 99 / 100];
-        return {sum * 10 / static_cast<double>(waits_.size()), late * 10.0,
+        auto p99 = waits_[waits_.size() * 99 / 100];
+        return {sum * 10 / static_cast<double>(waits_.size()), p99 * 10.0,
             writes_ / seconds, conflicts_ / seconds, reads_ / seconds,
             worst * 10, static_cast<double>(used_) / ticks / limit};
     }
@@ -231,7 +232,7 @@
                         "worst session, "
                         "%5.1f writes/s %5.1f conflicts/s %5.1f reads/s, "
                         "%3.0f%% used\n",
-                shape.name, name, it.mean_wait_ms, it.late_wait_ms,
+                shape.name, name, it.mean_wait_ms, it.p99_wait_ms,
                 it.worst_wait_ms, it.writes_per_second, it.conflicts_per_second,
                 it.reads_per_second, it.used * 100);
             EXPECT_GT(it.used, 0.1);
--- a/tests/systems/grant_model.hpp
+++ b/tests/systems/grant_model.hpp
@@ -18,8 +18,7 @@
     explicit grant_model(grant_rules rules) : grant_model_state(rules) {}
 
     /// @param checks_idle_state whether to check after the steps that all
-    /// grants
-    ///   are returned and can be granted again.
+    ///   grants are returned and can be granted again.
     /// @return a description of the first violation.
     std::optional<std::string> run(
         const std::vector<grant_step>& steps, bool checks_idle_state = true)
@@ -217,7 +216,8 @@
         }
     }
 
-    // One round of everything a session does, without delays or losses.
+    // The session catches up, reads the row and changes it, without delays or
+    // lost replies.
     void run_without_faults(const grant_step& step)
     {
         catch_up(step);
--- a/tests/systems/grant_model_state.hpp
+++ b/tests/systems/grant_model_state.hpp
@@ -42,26 +42,26 @@
     end,   ///< Ends a task.
     renew, ///< Renews the leases of the session's own tasks.
     change_limit,
-    catch_up,          ///< Applies the fleet log up to its newest version.
-    set_waiting_count, ///< Sets the number of tasks that wait for a grant.
-    send_peer_waiting, ///< Delivers the summary of a peer.
-    send_reads,
-    execute_read, ///< The platform reads the row.
-    deliver_read, ///< The reply reaches the session.
-    exchange_rows,
-    send_transfers,
-    apply_request, ///< The platform executes a transaction.
-    deliver_reply, ///< The reply reaches the session.
-    lose_reply,
-    apply_and_answer,
-    run_without_faults,
+    catch_up,           ///< Applies the fleet log up to its newest version.
+    set_waiting_count,  ///< Sets the number of tasks that wait for a grant.
+    send_peer_waiting,  ///< Delivers the summary of a peer.
+    send_reads,         ///< Sends the reads that are due.
+    execute_read,       ///< The platform reads the row.
+    deliver_read,       ///< The reply reaches the session.
+    exchange_rows,      ///< Sends reads; executes and delivers all open ones.
+    send_transfers,     ///< Sends the transactions that are due.
+    apply_request,      ///< The platform executes a transaction.
+    deliver_reply,      ///< The reply reaches the session.
+    lose_reply,         ///< The session never learns the outcome.
+    apply_and_answer,   ///< Sends, executes and answers transactions at once.
+    run_without_faults, ///< Reads and writes without delays or lost replies.
     inject_fault, ///< Crashes a session, or toggles its pause or partition.
     end_unreachable_session, ///< Commits `session_ended`.
     release,                 ///< Releases grants of an ended session.
     adopt,                   ///< Adopts a task of an ended session.
-    renew_for_other,
+    renew_for_other,         ///< Renews the leases of another session's tasks.
     start_session,
-    run_all_sessions
+    run_all_sessions ///< All sessions run for some seconds without delays.
 };
 
 /// A step of the model.
--- a/tests/systems/routing_test.cpp
+++ b/tests/systems/routing_test.cpp
@@ -23,7 +23,7 @@
 } // namespace
 
 // Guards against needless hops between data centres.
-TEST(routing, prefers_the_own_data_centre_while_it_has_room)
+TEST(routing, prefers_the_local_data_centre_while_it_has_room)
 {
     auto out = choose_route({make("a", true, 1, 0), make("b", false, 90, 0)});
     EXPECT_EQ(out.rule, route_rule::local);
--- a/tests/systems/target_health_test.cpp
+++ b/tests/systems/target_health_test.cpp
@@ -62,7 +62,7 @@
 
 // Guards against healthy targets that are quarantined because many bad tasks
 // fail on them.
-TEST_F(target_health_test, a_wave_of_bad_tasks_quarantines_no_target)
+TEST_F(target_health_test, many_bad_tasks_quarantine_no_target)
 {
     std::size_t bad = 0;
     for (int i = 0; i < 400; ++i)
@@ -95,7 +95,7 @@
 // Guards against a quarantined target that gets all kinds of tasks again
 // without a probation, and against one that keeps failing and returning at the
 // same rate because its quarantine does not get longer.
-TEST_F(target_health_test, returns_on_probation_with_longer_pauses)
+TEST_F(target_health_test, returns_on_probation_after_longer_quarantines)
 {
     for (int i = 0; i < 3; ++i)
         end("a" + std::to_string(i), 0, false);
