Name counts, delays and series after what they hold

In the grant ledger a count of grants was called target, which elsewhere is an instance that runs tasks. The comment on may_be_committed left out that status 503 counts as not committed. No behaviour changes.

Checked: clang-format on the changed files; g++ -fsyntax-only on grant_ledger.cpp, log.cpp, acceptor.cpp and metrics.cpp. Nothing was run.

--- a/drivers/acceptor.cpp
+++ b/drivers/acceptor.cpp
@@ -47,9 +47,9 @@
         co_return std::nullopt;
     // Running out of file descriptors must neither end the accept loop nor
     // make it spin.
-    asio::steady_timer pause(acceptor.get_executor());
-    pause.expires_after(accept_retry_delay);
-    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    asio::steady_timer delay(acceptor.get_executor());
+    delay.expires_after(accept_retry_delay);
+    co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ec));
     co_return std::nullopt;
 }
 
--- a/drivers/command_client.cpp
+++ b/drivers/command_client.cpp
@@ -42,8 +42,9 @@
 }
 
 /// @return whether the change may have been committed in spite of this error
-///   response. A 5xx status counts as such unless the entry states that the
-///   command did not run, because the error may have followed the commit.
+///   response. A 5xx status other than 503 counts as such unless the entry
+///   states that the command did not run, because the error may have followed
+///   the commit.
 bool may_be_committed(unsigned status, const json& error)
 {
     std::string run = get_text(error, "run");
--- a/drivers/log.cpp
+++ b/drivers/log.cpp
@@ -185,11 +185,11 @@
     const std::string& message, const log_fields& fields)
 {
     auto out = log4cxx::Logger::getLogger(logger);
-    auto at = get_level(level);
-    if (!out->isEnabledFor(at))
+    auto native_level = get_level(level);
+    if (!out->isEnabledFor(native_level))
         return;
     current_fields_scope scope(fields);
-    out->forcedLog(at, message);
+    out->forcedLog(native_level, message);
 }
 
 bool is_log_enabled(log_level level, const std::string& logger)
--- a/drivers/metrics.cpp
+++ b/drivers/metrics.cpp
@@ -80,7 +80,7 @@
 struct family
 {
     metric_description description;
-    std::map<metric_labels, series> all;
+    std::map<metric_labels, series> series_by_labels;
 };
 
 std::string format_number(double value)
@@ -207,7 +207,7 @@
         auto it = families.find(name);
         if (it == families.end())
             throw platform_error("unknown_metric", name + " is not declared");
-        auto& all = it->second.all;
+        auto& all = it->second.series_by_labels;
         auto found = all.find(labels);
         if (found == all.end())
             found =
@@ -263,7 +263,7 @@
         out +=
             "# HELP " + name + ' ' + escape(it.description.help, false) + '\n';
         out += "# TYPE " + name + ' ' + get_type(it.description.kind) + '\n';
-        for (const auto& [labels, value] : it.all)
+        for (const auto& [labels, value] : it.series_by_labels)
             std::visit(series_formatter{name, labels, out}, value);
     }
     return out;
--- a/drivers/peer_message.cpp
+++ b/drivers/peer_message.cpp
@@ -46,7 +46,7 @@
         wire::body::hello, wire::Createhello(out, body.session.get()).Union()};
 }
 
-/// @return the vector; a null offset for an empty one, which saves its space.
+/// @return the vector; a null offset, which takes no space, for an empty one.
 template <class Item>
 flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<Item>>>
 write_vector(builder& out, const std::vector<flatbuffers::Offset<Item>>& items)
--- a/systems/grant_ledger.cpp
+++ b/systems/grant_ledger.cpp
@@ -135,11 +135,12 @@
             grants.row_seen_at = now;
         if (!is_transfer_due(grants, now))
             continue;
-        auto target = choose_held_count(grants, now);
+        auto new_count = choose_held_count(grants, now);
         // With a transfer of unknown outcome, the row is written even if the
         // count stays: the new row version rules out that the old transfer is
         // committed later.
-        if (target == grants.get_own_grants() && grants.open_transfers.empty())
+        if (new_count == grants.get_own_grants() &&
+            grants.open_transfers.empty())
             continue;
         if (now - *grants.row_seen_at > settings_.max_row_age)
         {
@@ -151,7 +152,7 @@
         grants.last_transfer = now;
         grants.idle_since.reset();
         last_written_team_ = team;
-        result.push_back(begin_own_transfer(team, grants, target));
+        result.push_back(begin_own_transfer(team, grants, new_count));
     }
     return result;
 }
@@ -350,9 +351,9 @@
     if (sum > limit)
     {
         auto share = static_cast<std::uint64_t>(held) * limit / sum;
-        auto target =
+        auto new_count =
             std::max(grants.in_use, static_cast<std::uint32_t>(share));
-        return std::min(held, target);
+        return std::min(held, new_count);
     }
     if (grants.get_demand() <= held)
         return choose_count_after_return(grants, now);
@@ -389,18 +390,18 @@
     grants.peak_demand = std::max(grants.peak_demand, need);
     if (now - *grants.idle_since < settings_.idle_timeout)
         return held;
-    auto target = std::min(held, grants.peak_demand);
-    if (target == held)
+    auto new_count = std::min(held, grants.peak_demand);
+    if (new_count == held)
         grants.idle_since.reset();
-    return target;
+    return new_count;
 }
 
 grant_transfer grant_ledger::begin_own_transfer(
-    const team_id& team, team_grants& grants, std::uint32_t target)
+    const team_id& team, team_grants& grants, std::uint32_t new_count)
 {
     auto written = grants.row_value;
-    written.set(own_session_, target);
-    bool is_growth = target > grants.get_held();
+    written.set(own_session_, new_count);
+    bool is_growth = new_count > grants.get_held();
     return begin_transfer(team, grants, std::move(written), 0, is_growth);
 }
 
--- a/systems/grant_ledger.hpp
+++ b/systems/grant_ledger.hpp
@@ -195,9 +195,9 @@
     /// @return grants to keep when fewer are needed than held.
     std::uint32_t choose_count_after_return(
         team_grants& grants, monotonic_time now) const;
-    /// Opens a transfer that sets the grants of this session to `target`.
+    /// Opens a transfer that sets the grants of this session to `new_count`.
     grant_transfer begin_own_transfer(
-        const team_id& team, team_grants& grants, std::uint32_t target);
+        const team_id& team, team_grants& grants, std::uint32_t new_count);
     /// Opens a transfer that writes the row `written`.
     grant_transfer begin_transfer(const team_id& team, team_grants& grants,
         grant_row written, std::uint32_t adopted, bool is_growth);
