Name the clients of the users' platform by the usual terms

Some names of the platform folder were vague or private to the project: runner_client, look, follow, publication, history_gone.

runner_client is target_protocol_client and its look is poll; machine_client is instance_client; publication is published_rows with apply_published_row; store_rows is rows_result; follow is wait_for_changes. The stand-in for the users' platform and the tests follow. No behaviour, literal or assertion changes apart from names.

--- a/main/entryd/config_watcher.cpp
+++ b/main/entryd/config_watcher.cpp
@@ -31,7 +31,7 @@
     {
         try
         {
-            is_changed |= apply_publication(it, state_);
+            is_changed |= apply_published_row(it, state_);
         }
         catch (const platform_error& e)
         {
@@ -54,7 +54,7 @@
 {
     boot_time sent = boot_clock::now();
     row_range range{published_table::operators, "", "", ""};
-    store_rows rows = co_await store_.read_all_rows(range, read_timeout);
+    rows_result rows = co_await store_.read_all_rows(range, read_timeout);
     if (rows.failure != store_failure::none)
         co_return false;
     // The answer does not list the rows that were removed while the feed was
@@ -72,9 +72,9 @@
 asio::awaitable<bool> config_watcher::read_feed()
 {
     boot_time sent = boot_clock::now();
-    store_rows rows = co_await store_.follow(
+    rows_result rows = co_await store_.wait_for_changes(
         published_table::operators, version_, feed_wait, feed_timeout);
-    if (rows.failure == store_failure::history_gone)
+    if (rows.failure == store_failure::history_expired)
     {
         write_log(log_level::warn, "configuration",
             "the store no longer has the feed's history; all rows are read "
--- a/main/entryd/config_watcher.hpp
+++ b/main/entryd/config_watcher.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/publication.hpp"
+#include "platform/published_rows.hpp"
 
 #include <functional>
 
--- a/main/entryd/coordinator_role.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -160,7 +160,7 @@
     boot_time sent = boot_clock::now();
     row_range range{
         ledger_table::control, ledger_table::part, ledger_table::head_key, ""};
-    store_rows rows = co_await store_.read_rows(range, read_timeout);
+    rows_result rows = co_await store_.read_rows(range, read_timeout);
     if (rows.failure != store_failure::none)
         co_return;
     std::optional<ledger_head> head;
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -181,15 +181,15 @@
 {
     auto self = shared_from_this();
     row_range jobs{ledger_table::jobs, ledger_table::part, "", ""};
-    store_rows specs = co_await store_.read_all_rows(jobs, read_timeout);
+    rows_result specs = co_await store_.read_all_rows(jobs, read_timeout);
     if (specs.failure != store_failure::none)
         co_return false;
     row_range progress{ledger_table::progress, ledger_table::part, "", ""};
-    store_rows states = co_await store_.read_all_rows(progress, read_timeout);
+    rows_result states = co_await store_.read_all_rows(progress, read_timeout);
     if (states.failure != store_failure::none)
         co_return false;
     row_range waves{ledger_table::waves, ledger_table::part, "", ""};
-    store_rows begun = co_await store_.read_all_rows(waves, read_timeout);
+    rows_result begun = co_await store_.read_all_rows(waves, read_timeout);
     if (begun.failure != store_failure::none)
         co_return false;
     wave_rows_ = std::move(begun.rows);
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -3,8 +3,8 @@
 #include "drivers/peer_message.hpp"
 #include "main/entryd/entry_settings.hpp"
 #include "main/entryd/pool_plan_executor.hpp"
-#include "platform/publication.hpp"
-#include "platform/runner_client.hpp"
+#include "platform/published_rows.hpp"
+#include "platform/target_protocol_client.hpp"
 #include "systems/coordination/ledger.hpp"
 #include "systems/scheduling/coordinator.hpp"
 
--- a/main/entryd/coordinator_runner_internal.hpp
+++ b/main/entryd/coordinator_runner_internal.hpp
@@ -32,7 +32,7 @@
 
     target_id target;
     std::string address;
-    runner_client client;
+    target_protocol_client client;
     asio::steady_timer timer;
     bool is_closed = false;
     /// The target's clock in its last status. At `clock_received_at`, the clock
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -137,7 +137,7 @@
 asio::awaitable<bool> coordinator_runner::read_targets()
 {
     row_range range{published_table::targets, "", "", ""};
-    store_rows rows = co_await store_.read_all_rows(range, read_timeout);
+    rows_result rows = co_await store_.read_all_rows(range, read_timeout);
     if (rows.failure != store_failure::none)
         co_return false;
     targets_version_ = rows.newest;
@@ -163,11 +163,12 @@
     auto self = shared_from_this();
     while (!is_over_)
     {
-        store_rows rows = co_await store_.follow(published_table::targets,
-            targets_version_, feed_wait, feed_timeout);
+        rows_result rows =
+            co_await store_.wait_for_changes(published_table::targets,
+                targets_version_, feed_wait, feed_timeout);
         if (is_over_)
             break;
-        if (rows.failure == store_failure::history_gone)
+        if (rows.failure == store_failure::history_expired)
         {
             write_log(log_level::warn, "targets",
                 "the store no longer has the feed's history; the list of "
@@ -269,7 +270,7 @@
             target.consecutive_failures == 0 && !has_unseen)
             request.wait = poll_wait;
         boot_time sent_at = boot_clock::now();
-        poll_reply reply = co_await link->client.look(request, poll_timeout);
+        poll_reply reply = co_await link->client.poll(request, poll_timeout);
         if (is_over_ || link->is_closed)
             break;
         boot_time now = boot_clock::now();
--- a/main/entryd/job_api.cpp
+++ b/main/entryd/job_api.cpp
@@ -115,11 +115,11 @@
         return out;
     }
     std::string key = request.get_header("Authorization");
-    bool has_key = key.starts_with(key_scheme);
+    bool has_key = key.starts_with(bearer_prefix);
     if (!has_key && out.queue->allows_anonymous_callers)
         return out;
     const team_config* team =
-        has_key ? config->find_team_by_key(key.substr(key_scheme.size()))
+        has_key ? config->find_team_by_key(key.substr(bearer_prefix.size()))
                 : nullptr;
     if (team && can_check_keys())
     {
@@ -203,7 +203,7 @@
     if (result.reply->result == coordinator_result::unknown_job)
         co_return make_error(410, "unknown_job", "there is no such job");
     co_return make_json(
-        encode_state(static_cast<job_phase>(result.reply->phase)));
+        encode_job_state(static_cast<job_phase>(result.reply->phase)));
 }
 
 asio::awaitable<http_response> job_api::get_waiting_count(
@@ -214,7 +214,7 @@
         co_await coordinator_role_.call(call, deadline);
     if (!result.reply)
         co_return make_unavailable("no_coordinator", "no coordinator answered");
-    co_return make_json(encode_waiting_count(result.reply->count));
+    co_return make_json(encode_pending_job_count(result.reply->count));
 }
 
 asio::awaitable<http_response> job_api::dispatch(http_request request)
--- a/main/entryd/pool_plan_executor.cpp
+++ b/main/entryd/pool_plan_executor.cpp
@@ -133,7 +133,7 @@
 {
     auto self = shared_from_this();
     while (!waiting_orders_.empty() &&
-           orders_in_flight_ < machine_client::max_orders_at_once)
+           orders_in_flight_ < instance_client::max_concurrent_orders)
     {
         instance_order order = std::move(waiting_orders_.front());
         waiting_orders_.pop_front();
--- a/main/entryd/pool_plan_executor.hpp
+++ b/main/entryd/pool_plan_executor.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "main/entryd/entry_settings.hpp"
-#include "platform/machine_client.hpp"
-#include "platform/publication.hpp"
+#include "platform/instance_client.hpp"
+#include "platform/published_rows.hpp"
 #include "systems/coordination/ledger.hpp"
 #include "systems/pools/pool_planner.hpp"
 
@@ -70,7 +70,7 @@
     store_client& store_;
     metrics_registry& metrics_;
     term term_;
-    machine_client client_;
+    instance_client client_;
     pool_planner planner_;
     /// Number of begun instances of each wave, as in the ledger.
     std::map<std::uint64_t, std::size_t> saved_begun_counts_;
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -41,8 +41,8 @@
         out.entry = entry_id("e");
         out.data_centre = data_centre_id("z");
         out.peer_listen = parse_endpoint(peer_address);
-        out.store = platform.get_store();
-        out.machines = platform.get_store();
+        out.store = platform.get_store_endpoint();
+        out.machines = platform.get_store_endpoint();
         return out;
     }
 
@@ -142,8 +142,8 @@
             it = co_await send("POST", "/q/" + job_1, two_steps);
             EXPECT_EQ(it.status, 200U);
             EXPECT_TRUE(co_await wait_for(job_1, "completed"));
-            EXPECT_EQ(platform.get_starts().size(), 4U);
-            for (const auto& [task, n] : platform.get_starts())
+            EXPECT_EQ(platform.get_start_counts().size(), 4U);
+            for (const auto& [task, n] : platform.get_start_counts())
                 EXPECT_EQ(n, 1) << task;
             it = co_await send("GET", "/q/" + job_2);
             EXPECT_EQ(it.status, 410U);
@@ -194,7 +194,7 @@
             node = std::make_unique<entry>(io, platform, "127.0.0.1:2");
             co_await wait_until_ready();
             EXPECT_TRUE(co_await wait_for(job_1, "completed"));
-            EXPECT_EQ(platform.get_starts().at(job_1 + ".0.0.0"), 1);
+            EXPECT_EQ(platform.get_start_counts().at(job_1 + ".0.0.0"), 1);
             lost.release();
         });
 }
@@ -209,10 +209,10 @@
         [this]() -> asio::awaitable<void>
         {
             co_await wait_until_ready();
-            platform.set_refusing(true);
+            platform.set_store_unavailable(true);
             http_response it = co_await send("POST", "/q/" + job_1, one_task);
             EXPECT_EQ(it.status, 504U);
-            platform.set_refusing(false);
+            platform.set_store_unavailable(false);
             co_await wait_until_ready();
             it = co_await send("POST", "/q/" + job_1, one_task);
             EXPECT_EQ(it.status, 200U);
@@ -228,24 +228,24 @@
     platform.add_instance("m1");
     platform.add_instance("m2");
     platform.publish_wave(1, 1);
-    platform.set_holding(true);
+    platform.set_holding_order_replies(true);
     run(
         [this]() -> asio::awaitable<void>
         {
             co_await wait_until_ready();
-            while (platform.get_maintained().empty())
+            while (platform.get_maintained_instances().empty())
                 co_await sleep(milliseconds(20));
             node->role.resign();
             co_await sleep(milliseconds(600));
             EXPECT_TRUE(node->role.is_coordinator());
-            platform.set_holding(false);
+            platform.set_holding_order_replies(false);
             for (int i = 0; i < 50 && node->role.is_coordinator(); ++i)
                 co_await sleep(milliseconds(20));
             EXPECT_FALSE(node->role.is_coordinator());
             // A successor reads from the ledger which instances have begun
             // their maintenance.
             EXPECT_FALSE(platform.get_row("waves", "1").empty());
-            EXPECT_EQ(platform.get_maintained().size(), 1U);
+            EXPECT_EQ(platform.get_maintained_instances().size(), 1U);
         });
 }
 
--- a/tests/platform/publication_test.cpp
+++ b/tests/platform/published_rows_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/publication.hpp"
+#include "platform/published_rows.hpp"
 
 #include <gtest/gtest.h>
 
@@ -28,10 +28,10 @@
 } // namespace
 
 // Guards against a published field that reaches the wrong member.
-TEST(publication, reads_a_configuration)
+TEST(published_rows, decodes_a_configuration)
 {
     published_state state;
-    ASSERT_TRUE(apply_publication(make_row("config", config_text), state));
+    ASSERT_TRUE(apply_published_row(make_row("config", config_text), state));
     const fleet_config& it = *state.config;
     EXPECT_EQ(it.version, config_version(7));
     const queue_config* queue = it.find_queue_by_route("a.example", "/x/1");
@@ -55,26 +55,26 @@
 }
 
 // Guards against a configuration that goes back when rows arrive out of order.
-TEST(publication, never_goes_back)
+TEST(published_rows, never_applies_an_older_configuration)
 {
     published_state state;
-    ASSERT_TRUE(apply_publication(make_row("config", config_text), state));
+    ASSERT_TRUE(apply_published_row(make_row("config", config_text), state));
     std::string older = config_text;
     older.replace(older.find(":7"), 2, ":6");
-    EXPECT_FALSE(apply_publication(make_row("config", older), state));
+    EXPECT_FALSE(apply_published_row(make_row("config", older), state));
     EXPECT_EQ(state.config->version, config_version(7));
 }
 
-TEST(publication, follows_evacuations_and_waves)
+TEST(published_rows, applies_evacuations_and_waves)
 {
     published_state state;
-    EXPECT_TRUE(apply_publication(make_row("evacuate/z1", "{}"), state));
+    EXPECT_TRUE(apply_published_row(make_row("evacuate/z1", "{}"), state));
     EXPECT_TRUE(state.evacuated.contains(data_centre_id("z1")));
     stored_row gone = make_row("evacuate/z1", "");
     gone.is_deleted = true;
-    EXPECT_TRUE(apply_publication(gone, state));
+    EXPECT_TRUE(apply_published_row(gone, state));
     EXPECT_TRUE(state.evacuated.empty());
-    EXPECT_TRUE(apply_publication(
+    EXPECT_TRUE(apply_published_row(
         make_row("wave/3",
             R"({"wave":3,"machines":["m1"],"deadlineS":20,"maxCount":2})"),
         state));
@@ -85,20 +85,20 @@
 }
 
 // Guards against a row that stops an entry, or one that is half applied.
-TEST(publication, refuses_rows_that_it_cannot_read)
+TEST(published_rows, rejects_malformed_rows)
 {
     published_state state;
     for (const char* text : {"", "[]", "{\"version\":1}", "x"})
-        EXPECT_THROW(
-            apply_publication(make_row("config", text), state), platform_error);
+        EXPECT_THROW(apply_published_row(make_row("config", text), state),
+            platform_error);
     EXPECT_FALSE(state.config);
     EXPECT_THROW(
-        apply_publication(make_row("wave/x", "{}"), state), platform_error);
-    EXPECT_FALSE(apply_publication(make_row("other", "{}"), state));
+        apply_published_row(make_row("wave/x", "{}"), state), platform_error);
+    EXPECT_FALSE(apply_published_row(make_row("other", "{}"), state));
 }
 
 // Guards against targets of another writer: fields missing or of another type.
-TEST(publication, names_only_targets_that_are_whole)
+TEST(published_rows, rejects_incomplete_target_reports)
 {
     stored_row row{published_table::targets, "i-1",
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v",
--- a/tests/platform/submission_codec_test.cpp
+++ b/tests/platform/submission_codec_test.cpp
@@ -8,7 +8,7 @@
 {
 
 // Guards against a field of a submission that reaches the wrong member.
-TEST(submission_codec, reads_every_field)
+TEST(submission_codec, decodes_every_field)
 {
     job_spec it = decode_submission(
         R"({"spec":"p","steps":[{"count":4,"cpu":500,"memMb":256,"gpus":1,
@@ -39,7 +39,7 @@
 }
 
 // Guards against bad input that ends a process or becomes a job.
-TEST(submission_codec, refuses_bad_bodies)
+TEST(submission_codec, rejects_invalid_submissions)
 {
     for (const char* text :
         {"", "{", "[]", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
@@ -48,7 +48,7 @@
         EXPECT_THROW(decode_submission(text), platform_error) << text;
 }
 
-TEST(submission_codec, takes_only_identifiers_of_jobs)
+TEST(submission_codec, parses_only_job_identifiers)
 {
     EXPECT_EQ(parse_job_id("5c0e7a21d94b36f8"), job_id("5c0e7a21d94b36f8"));
     for (const char* text : {"", "5c0e7a21d94b36f", "5c0e7a21d94b36f8a",
@@ -56,11 +56,13 @@
         EXPECT_FALSE(parse_job_id(text)) << text;
 }
 
-TEST(submission_codec, spells_states_as_callers_do)
+TEST(submission_codec, encodes_replies_to_callers)
 {
-    EXPECT_EQ(encode_state(job_phase::cancelled), R"({"state":"canceled"})");
-    EXPECT_EQ(encode_state(job_phase::completed), R"({"state":"completed"})");
-    EXPECT_EQ(encode_waiting_count(12), R"({"pending":12})");
+    EXPECT_EQ(
+        encode_job_state(job_phase::cancelled), R"({"state":"canceled"})");
+    EXPECT_EQ(
+        encode_job_state(job_phase::completed), R"({"state":"completed"})");
+    EXPECT_EQ(encode_pending_job_count(12), R"({"pending":12})");
 }
 
 } // namespace cowslippass
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -34,14 +34,14 @@
     return out;
 }
 
-std::int64_t get_clock()
+std::int64_t get_clock_ms()
 {
     return std::chrono::duration_cast<milliseconds>(
         std::chrono::steady_clock::now().time_since_epoch())
         .count();
 }
 
-http_response make_answer(unsigned status, const json& body)
+http_response make_response(unsigned status, const json& body)
 {
     http_response out;
     out.status = status;
@@ -61,17 +61,17 @@
 struct users_platform::target
 {
     std::string id;
-    milliseconds work{0};
-    bool is_cut = false;
+    milliseconds task_duration{0};
+    bool is_unreachable = false;
     std::uint64_t fence = 0;
     std::map<std::string, std::pair<std::uint64_t, std::int64_t>> running;
     std::vector<json> ended;
-    std::uint64_t last_end = 0;
+    std::uint64_t last_end_number = 0;
     std::unique_ptr<http_server> server;
 
-    void end_finished()
+    void end_finished_tasks()
     {
-        std::int64_t now = get_clock();
+        std::int64_t now = get_clock_ms();
         for (auto it = running.begin(); it != running.end();)
         {
             if (it->second.second > now)
@@ -80,22 +80,22 @@
                 continue;
             }
             ended.push_back(json::array(
-                {++last_end, it->first, it->second.first, "done", ""}));
+                {++last_end_number, it->first, it->second.first, "done", ""}));
             it = running.erase(it);
         }
     }
 };
 
 users_platform::users_platform(asio::io_context& io)
-    : io_(io),
-      store_(std::make_unique<http_server>(io, make_options(),
-          [this](http_request it) { return answer_store(std::move(it)); }))
+    : io_(io), store_(std::make_unique<http_server>(io, make_options(),
+                   [this](http_request it)
+                   { return handle_store_request(std::move(it)); }))
 {
 }
 
 users_platform::~users_platform() = default;
 
-tcp::endpoint users_platform::get_store() const
+tcp::endpoint users_platform::get_store_endpoint() const
 {
     return parse_endpoint("127.0.0.1:" + std::to_string(store_->get_port()));
 }
@@ -132,14 +132,15 @@
         "services":[{"name":"p"}],"tenants":[],"limits":{}})");
 }
 
-void users_platform::add_target(const std::string& id, milliseconds work)
+void users_platform::add_target(
+    const std::string& id, milliseconds task_duration)
 {
     auto it = std::make_shared<target>();
     it->id = id;
-    it->work = work;
+    it->task_duration = task_duration;
     it->server = std::make_unique<http_server>(io_, make_options(),
         [this, it](http_request request)
-        { return answer_target(it, std::move(request)); });
+        { return handle_target_request(it, std::move(request)); });
     targets_[id] = it;
     list_target(id);
 }
@@ -160,9 +161,9 @@
     rows_[{"servers", id}] = {"", ++version_, true};
 }
 
-void users_platform::set_cut(const std::string& id, bool is_cut)
+void users_platform::set_unreachable(const std::string& id, bool is_unreachable)
 {
-    targets_[id]->is_cut = is_cut;
+    targets_[id]->is_unreachable = is_unreachable;
 }
 
 void users_platform::add_instance(const std::string& id)
@@ -178,7 +179,7 @@
     put("op", "wave/" + std::to_string(number), wave.dump());
 }
 
-asio::awaitable<http_response> users_platform::answer_machines(
+asio::awaitable<http_response> users_platform::handle_instance_request(
     http_request request)
 {
     if (request.path == "/-/machines")
@@ -186,17 +187,17 @@
         json list = json::array();
         for (const std::string& it : instances_)
             list.push_back({{"hostId", it}, {"pool", "p"},
-                {"state", maintained_.contains(it) ? "upkeep" : "up"},
+                {"state", maintained_instances_.contains(it) ? "upkeep" : "up"},
                 {"zone", "z"}, {"labels", {"a", "r1"}},
                 {"capacity", {{"cpu", 4'000}, {"memMb", 4'000}, {"gpus", 0}}},
                 {"id", nullptr}});
-        co_return make_answer(200, {{"machines", list}});
+        co_return make_response(200, {{"machines", list}});
     }
     json body = json::parse(request.body);
-    maintained_.insert(body.at("hostId").get<std::string>());
-    while (is_holding_)
+    maintained_instances_.insert(body.at("hostId").get<std::string>());
+    while (is_holding_order_replies_)
         co_await sleep(poll_interval);
-    co_return make_answer(200, json::object());
+    co_return make_response(200, json::object());
 }
 
 json users_platform::encode_row(const row_key& key, const row& it) const
@@ -225,14 +226,14 @@
             current.push_back(encode_row(key, found->second));
     }
     if (!is_met)
-        return make_answer(412, {{"rows", current}, {"ver", version_}});
+        return make_response(412, {{"rows", current}, {"ver", version_}});
     ++version_;
     for (const json& it : body.at("upserts"))
         rows_[{it.at("table"), it.at("key")}] = {
             it.at("value").get<std::string>(), version_, false};
     for (const json& it : body.at("deletes"))
         rows_[{it.at("table"), it.at("key")}] = {"", version_, true};
-    return make_answer(200, {{"ver", version_}, {"nowMs", get_clock()}});
+    return make_response(200, {{"ver", version_}, {"nowMs", get_clock_ms()}});
 }
 
 http_response users_platform::read(const http_request& request) const
@@ -242,16 +243,17 @@
         if (key.first == request.get_query("table") && !it.is_deleted &&
             key.second >= request.get_query("from"))
             rows.push_back(encode_row(key, it));
-    return make_answer(
+    return make_response(
         200, {{"rows", rows}, {"hasMore", false}, {"ver", version_}});
 }
 
-asio::awaitable<http_response> users_platform::answer_feed(http_request request)
+asio::awaitable<http_response> users_platform::handle_feed_request(
+    http_request request)
 {
     std::uint64_t after = std::stoull(request.get_query("after"));
-    std::int64_t end = get_clock() + std::stoll(request.get_query("waitMs"));
+    std::int64_t end = get_clock_ms() + std::stoll(request.get_query("waitMs"));
     json rows = json::array();
-    while (rows.empty() && get_clock() < end)
+    while (rows.empty() && get_clock_ms() < end)
     {
         for (const auto& [key, it] : rows_)
             if (key.first == request.get_query("table") && it.version > after)
@@ -259,61 +261,62 @@
         if (rows.empty())
             co_await sleep(poll_interval);
     }
-    co_return make_answer(200, {{"rows", rows}, {"ver", version_}});
+    co_return make_response(200, {{"rows", rows}, {"ver", version_}});
 }
 
-asio::awaitable<http_response> users_platform::answer_store(
+asio::awaitable<http_response> users_platform::handle_store_request(
     http_request request)
 {
     if (request.path.starts_with("/-/machine"))
-        co_return co_await answer_machines(std::move(request));
-    if (is_refusing_)
-        co_return make_answer(503, json::object());
+        co_return co_await handle_instance_request(std::move(request));
+    if (is_store_unavailable_)
+        co_return make_response(503, json::object());
     if (request.path == "/-/rows-tx")
         co_return commit(json::parse(request.body));
     if (request.path == "/-/rows-get")
         co_return read(request);
     if (request.path == "/-/rows-feed")
-        co_return co_await answer_feed(std::move(request));
-    co_return make_answer(404, json::object());
+        co_return co_await handle_feed_request(std::move(request));
+    co_return make_response(404, json::object());
 }
 
-asio::awaitable<http_response> users_platform::answer_target(
+asio::awaitable<http_response> users_platform::handle_target_request(
     std::shared_ptr<target> it, http_request request)
 {
-    while (it->is_cut)
+    while (it->is_unreachable)
         co_await sleep(poll_interval);
     json body = json::parse(request.body);
     auto fence = body.at("fenceToken").get<std::uint64_t>();
     if (fence < it->fence)
-        co_return make_answer(
-            409, {{"clockMs", get_clock()}, {"reason", "fence"}});
+        co_return make_response(
+            409, {{"clockMs", get_clock_ms()}, {"reason", "fence"}});
     it->fence = fence;
     if (request.path == "/-/run-start")
     {
         auto task = body.at("task").get<std::string>();
         if (!it->running.contains(task))
         {
-            ++starts_[task];
+            ++start_counts_[task];
             it->running[task] = {body.at("runId").get<std::uint64_t>(),
-                get_clock() + it->work.count()};
+                get_clock_ms() + it->task_duration.count()};
         }
-        co_return make_answer(200, {{"clockMs", get_clock()}});
+        co_return make_response(200, {{"clockMs", get_clock_ms()}});
     }
     if (request.path == "/-/run-stop")
-        co_return make_answer(200, {{"clockMs", get_clock()}});
+        co_return make_response(200, {{"clockMs", get_clock_ms()}});
     auto seen = body.value("seenUpto", std::uint64_t{0});
     std::erase_if(it->ended,
         [&](const json& end) { return end[0].get<std::uint64_t>() <= seen; });
-    std::int64_t end = get_clock() + body.value("waitMs", std::int64_t{0});
-    for (it->end_finished(); it->ended.empty() && get_clock() < end;
-         it->end_finished())
+    std::int64_t end = get_clock_ms() + body.value("waitMs", std::int64_t{0});
+    for (it->end_finished_tasks(); it->ended.empty() && get_clock_ms() < end;
+         it->end_finished_tasks())
         co_await sleep(poll_interval);
     json running = json::array();
     for (const auto& [task, run] : it->running)
         running.push_back(json::array({task, run.first, "", 50, 0}));
-    co_return make_answer(200, {{"clockMs", get_clock()}, {"born", 1},
-                                   {"running", running}, {"ended", it->ended}});
+    co_return make_response(
+        200, {{"clockMs", get_clock_ms()}, {"born", 1}, {"running", running},
+                 {"ended", it->ended}});
 }
 
 } // namespace cowslippass
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -21,24 +21,27 @@
     explicit users_platform(asio::io_context& io);
     ~users_platform();
 
-    tcp::endpoint get_store() const;
+    tcp::endpoint get_store_endpoint() const;
 
     /// Publishes a configuration with one queue `/q/` of host `h`, open to
     /// all, on the pool `p`.
     void publish_config();
 
     /// Starts a target and lists it.
-    /// @param work how long each task takes.
-    void add_target(const std::string& id, milliseconds work);
+    /// @param task_duration how long each task takes.
+    void add_target(const std::string& id, milliseconds task_duration);
 
     void list_target(const std::string& id);
     void unlist_target(const std::string& id);
 
     /// A cut target is asked in vain; it runs on.
-    void set_cut(const std::string& id, bool is_cut);
+    void set_unreachable(const std::string& id, bool is_unreachable);
 
     /// The store answers nothing but refusals.
-    void set_refusing(bool is_refusing) { is_refusing_ = is_refusing; }
+    void set_store_unavailable(bool is_unavailable)
+    {
+        is_store_unavailable_ = is_unavailable;
+    }
 
     /// Lists an instance that is up, in no pool that needs it.
     void add_instance(const std::string& id);
@@ -48,13 +51,22 @@
         std::uint64_t number, std::uint32_t max_unavailable_instances);
 
     /// Orders to instances wait for their answers until this is undone.
-    void set_holding(bool is_holding) { is_holding_ = is_holding; }
+    void set_holding_order_replies(bool is_holding)
+    {
+        is_holding_order_replies_ = is_holding;
+    }
 
     /// @return instances whose maintenance was ordered.
-    const std::set<std::string>& get_maintained() const { return maintained_; }
+    const std::set<std::string>& get_maintained_instances() const
+    {
+        return maintained_instances_;
+    }
 
     /// @return how often each task was started anew, by its name.
-    const std::map<std::string, int>& get_starts() const { return starts_; }
+    const std::map<std::string, int>& get_start_counts() const
+    {
+        return start_counts_;
+    }
 
     std::string get_row(const std::string& table, const std::string& key) const;
 
@@ -69,10 +81,11 @@
     };
     struct target;
 
-    asio::awaitable<http_response> answer_store(http_request request);
-    asio::awaitable<http_response> answer_feed(http_request request);
-    asio::awaitable<http_response> answer_machines(http_request request);
-    asio::awaitable<http_response> answer_target(
+    asio::awaitable<http_response> handle_store_request(http_request request);
+    asio::awaitable<http_response> handle_feed_request(http_request request);
+    asio::awaitable<http_response> handle_instance_request(
+        http_request request);
+    asio::awaitable<http_response> handle_target_request(
         std::shared_ptr<target> it, http_request request);
     http_response commit(const json& body);
     http_response read(const http_request& request) const;
@@ -86,11 +99,11 @@
     std::map<row_key, row> rows_;
     std::uint64_t version_ = 0;
     std::map<std::string, std::shared_ptr<target>> targets_;
-    std::map<std::string, int> starts_;
-    bool is_refusing_ = false;
-    bool is_holding_ = false;
+    std::map<std::string, int> start_counts_;
+    bool is_store_unavailable_ = false;
+    bool is_holding_order_replies_ = false;
     std::set<std::string> instances_;
-    std::set<std::string> maintained_;
+    std::set<std::string> maintained_instances_;
 };
 
 } // namespace cowslippass
