Reword comments of the platform folder and its stand-in plainly

Comments and test heads used figurative words (look, life, cut, goes back) or left functions undocumented. Three tests without a head say which failure they guard against. Only comments change.

--- a/tests/platform/published_rows_test.cpp
+++ b/tests/platform/published_rows_test.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-// Guards against a published field that reaches the wrong member.
+// Guards against a published field that is decoded into the wrong member.
 TEST(published_rows, decodes_a_configuration)
 {
     published_state state;
@@ -54,7 +54,8 @@
     EXPECT_EQ(it.max_body_bytes, 1'000U);
 }
 
-// Guards against a configuration that goes back when rows arrive out of order.
+// Guards against a configuration that reverts to an older version when rows
+// arrive out of order.
 TEST(published_rows, never_applies_an_older_configuration)
 {
     published_state state;
@@ -65,6 +66,8 @@
     EXPECT_EQ(state.config->version, config_version(7));
 }
 
+// Guards against an evacuation that does not start with its row or outlives it,
+// and against wrong units or fields of a maintenance wave.
 TEST(published_rows, applies_evacuations_and_waves)
 {
     published_state state;
@@ -84,7 +87,8 @@
     EXPECT_EQ(encode_wave_status(true), R"({"state":"completed"})");
 }
 
-// Guards against a row that stops an entry, or one that is half applied.
+// Guards against a malformed row that ends an entry with an unexpected
+// exception or that is applied in part.
 TEST(published_rows, rejects_malformed_rows)
 {
     published_state state;
@@ -97,7 +101,8 @@
     EXPECT_FALSE(apply_published_row(make_row("other", "{}"), state));
 }
 
-// Guards against targets of another writer: fields missing or of another type.
+// Guards against using a target whose row an unknown writer left: fields are
+// missing, have another type or hold an unknown state.
 TEST(published_rows, rejects_incomplete_target_reports)
 {
     stored_row row{published_table::targets, "i-1",
--- a/tests/platform/submission_codec_test.cpp
+++ b/tests/platform/submission_codec_test.cpp
@@ -7,7 +7,7 @@
 namespace cowslippass
 {
 
-// Guards against a field of a submission that reaches the wrong member.
+// Guards against a field of a submission that is decoded into the wrong member.
 TEST(submission_codec, decodes_every_field)
 {
     job_spec it = decode_submission(
@@ -38,7 +38,8 @@
     EXPECT_EQ(it.interval, milliseconds(8));
 }
 
-// Guards against bad input that ends a process or becomes a job.
+// Guards against an invalid submission that ends the process with an unexpected
+// exception or is accepted as a job.
 TEST(submission_codec, rejects_invalid_submissions)
 {
     for (const char* text :
@@ -48,6 +49,8 @@
         EXPECT_THROW(decode_submission(text), platform_error) << text;
 }
 
+// Guards against a path that is taken for a job although the rest of it is no
+// identifier: too short, too long or with a character that is no digit.
 TEST(submission_codec, parses_only_job_identifiers)
 {
     EXPECT_EQ(parse_job_id("5c0e7a21d94b36f8"), job_id("5c0e7a21d94b36f8"));
@@ -56,6 +59,8 @@
         EXPECT_FALSE(parse_job_id(text)) << text;
 }
 
+// Guards against answers whose spelling callers do not know: their protocol
+// writes "canceled" with one l, unlike the code.
 TEST(submission_codec, encodes_replies_to_callers)
 {
     EXPECT_EQ(
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -63,12 +63,15 @@
     std::string id;
     milliseconds task_duration{0};
     bool is_unreachable = false;
-    std::uint64_t fence = 0;
+    std::uint64_t fence = 0; ///< Highest fencing token seen.
+    /// By task name: the run's number and the time at which it ends, in
+    /// milliseconds.
     std::map<std::string, std::pair<std::uint64_t, std::int64_t>> running;
-    std::vector<json> ended;
+    std::vector<json> ended; ///< Ends not acknowledged yet, as on the wire.
     std::uint64_t last_end_number = 0;
     std::unique_ptr<http_server> server;
 
+    /// Turns runs whose time has passed into ends.
     void end_finished_tasks()
     {
         std::int64_t now = get_clock_ms();
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -13,8 +13,9 @@
 namespace cowslippass
 {
 
-/// A store and targets that speak the users' protocol, on loopback in the
-/// test's own process. Small: one part, no limits, no delays.
+/// Stand-in for the users' platform: a store, an instance service and targets
+/// that speak its protocol on loopback within the test's process. Simplified:
+/// partitions are ignored, and there are no limits and no delays.
 class users_platform
 {
 public:
@@ -23,51 +24,56 @@
 
     tcp::endpoint get_store_endpoint() const;
 
-    /// Publishes a configuration with one queue `/q/` of host `h`, open to
-    /// all, on the pool `p`.
+    /// Publishes a configuration with one queue at the path `/q/` of host `h`,
+    /// which is open to all callers and runs its jobs in pool `p`.
     void publish_config();
 
-    /// Starts a target and lists it.
-    /// @param task_duration how long each task takes.
+    /// Starts a target and publishes its row.
+    /// @param task_duration how long each task runs.
     void add_target(const std::string& id, milliseconds task_duration);
 
+    /// Publishes the target's row.
     void list_target(const std::string& id);
+    /// Deletes the target's row; the target itself keeps running.
     void unlist_target(const std::string& id);
 
-    /// A cut target is asked in vain; it runs on.
+    /// Simulates a network partition: an unreachable target answers no request,
+    /// while its tasks keep running.
     void set_unreachable(const std::string& id, bool is_unreachable);
 
-    /// The store answers nothing but refusals.
+    /// While unavailable, the store answers each request with status 503.
     void set_store_unavailable(bool is_unavailable)
     {
         is_store_unavailable_ = is_unavailable;
     }
 
-    /// Lists an instance that is up, in no pool that needs it.
+    /// Lists an instance in pool `p` that is up and runs no target.
     void add_instance(const std::string& id);
 
-    /// Publishes a wave of maintenance over all instances.
+    /// Publishes a maintenance wave that covers all instances.
     void publish_wave(
         std::uint64_t number, std::uint32_t max_unavailable_instances);
 
-    /// Orders to instances wait for their answers until this is undone.
+    /// While set, orders to instances take effect but are not answered.
     void set_holding_order_replies(bool is_holding)
     {
         is_holding_order_replies_ = is_holding;
     }
 
-    /// @return instances whose maintenance was ordered.
+    /// @return the instances whose maintenance was ordered.
     const std::set<std::string>& get_maintained_instances() const
     {
         return maintained_instances_;
     }
 
-    /// @return how often each task was started anew, by its name.
+    /// @return how often targets started each task, by task name. A request to
+    ///   start a task that is running at the target does not count.
     const std::map<std::string, int>& get_start_counts() const
     {
         return start_counts_;
     }
 
+    /// @return the decoded value of a row; empty if there is none.
     std::string get_row(const std::string& table, const std::string& key) const;
 
 private:
@@ -79,7 +85,7 @@
         std::uint64_t version = 0;
         bool is_deleted = false;
     };
-    struct target;
+    struct target; ///< One target with its server and its runs.
 
     asio::awaitable<http_response> handle_store_request(http_request request);
     asio::awaitable<http_response> handle_feed_request(http_request request);
