--- a/scripts/measure_maintenance.sh
+++ b/scripts/measure_maintenance.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures the maintenance strategies and rewrites
 # docs/measurements-maintenance.md. Time is simulated and the seeds are fixed:
-# only the last two columns depend on the machine.
+# only the last two columns depend on the machine. Does not build the benchmark.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
