--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -183,6 +183,32 @@
         return [it for it in self.events
                 if it[2] == what and it[3].startswith(job + ".")]
 
+    def find_repeated_tasks(self):
+        """Returns the tasks that started after a run of them had ended `done`,
+        as (task, runner and run of that end, runner and run of the start),
+        with whether that end was taken note of, and its runner's lease had not
+        lapsed between the two."""
+        done, repeated, counted = {}, [], {}
+        lapses = []
+        for at, runner, what, task, number, how in self.events:
+            if what == "end" and how == "done":
+                done.setdefault(task, (runner, number))
+                counted[runner, task, number] = [at, None]
+            elif what == "start" and task in done:
+                repeated.append((task, done[task], (runner, number)))
+            elif what == "lease lapsed":
+                lapses.append((runner, at))
+            elif what == "taken note of" and how.startswith("done"):
+                counted[runner, task, number][1] = at
+
+        def is_noted(runner, task, number):
+            ended, noted = counted[runner, task, number]
+            return noted is not None and not any(
+                where == runner and ended <= at <= noted
+                for where, at in lapses)
+
+        return [(it, is_noted(it[1][0], it[0], it[1][1])) for it in repeated]
+
     async def submit(self, entries, target, value, limit_s=20):
         """Hands a submission in as a consumer does: tries again, at any
         entry, until it is accepted.
--- a/review/stand_ins/runner.py
+++ b/review/stand_ins/runner.py
@@ -93,10 +93,14 @@
             await self.report()
 
     async def watch(self):
+        was_lapsed = True
         while True:
             await asyncio.sleep(0.005)
             now = time.monotonic()
             is_lapsed = self.clock_ms() >= self.lease_end_ms
+            if is_lapsed and not was_lapsed:
+                self.note("lease lapsed", "-", 0, "")
+            was_lapsed = is_lapsed
             for task, run in list(self.running.items()):
                 if now - run.started >= run.duration:
                     await self.end(task, "failed" if run.number <=
