--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -199,7 +199,11 @@
         await asyncio.sleep(ANSWER_S)
         if request.path != "/-/machines":
             return 400, {}
-        return 200, {"machines": [
-            {"hostId": "m-" + it.id[2:], "pool": it.service,
-             "state": "up" if it.is_up else "down", "zone": it.zone, "labels": it.labels, "capacity": it.capacity,
-             "id": it.id if it.is_up else None} for it in self.runners], "nextToken": None}
+        rows = []
+        for it in self.runners:
+            rows.append({
+                "hostId": "m-" + it.id[2:], "pool": it.service,
+                "state": "up" if it.is_up else "down", "zone": it.zone,
+                "labels": it.labels, "capacity": it.capacity,
+                "id": it.id if it.is_up else None})
+        return 200, {"machines": rows, "nextToken": None}
