--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,7 +5,7 @@
 import json
 import time
 
-from stand_ins.fleet import main, make_config, make_route
+from stand_in_fleet import main, make_config, make_route
 
 LARGE = "1a00000000000001"
 LARGE_TASKS = 3000
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,7 +4,7 @@
 import asyncio
 import json
 
-from stand_ins.fleet import main, make_config, make_route
+from stand_in_fleet import main, make_config, make_route
 
 FAILING = "5c0e7a21d94b36f8"
 STEPS = "5c0e7a21d94b36f9"
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -4,7 +4,7 @@
 import asyncio
 import json
 
-from stand_ins.fleet import main, make_config, make_route
+from stand_in_fleet import main, make_config, make_route
 
 VISIBLE_S = 3
 GANGS = 4
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,4 +6,4 @@
 export PYTHONPYCACHEPREFIX
 PYTHONPYCACHEPREFIX=$(mktemp -d)
 trap 'rm -rf "$PYTHONPYCACHEPREFIX"' EXIT
-python3 -m compileall -q stand_ins */case.py
+python3 -m compileall -q stand_in_*.py */case.py
--- a/review/stand_ins/fleet.py
+++ b/review/stand_in_fleet.py
@@ -15,12 +15,12 @@
 import time
 import tomllib
 
-from stand_ins import http
-from stand_ins.platform import Machines, Store
-from stand_ins.runner import Runner
+import stand_in_http as http
+from stand_in_platform import Machines, Store
+from stand_in_runner import Runner
 
-ROOT = os.path.dirname(os.path.dirname(os.path.dirname(
-    os.path.abspath(__file__))))
+ROOT = os.path.dirname(os.path.dirname(
+    os.path.abspath(__file__)))
 HOST = "pule25.example"
 KEY = "jbvk9m68k7b2ex5wa5xw"
 LIMIT_S = 110
--- a/review/stand_ins/platform.py
+++ b/review/stand_in_platform.py
@@ -5,7 +5,7 @@
 import json
 import time
 
-from stand_ins import http
+import stand_in_http as http
 
 ROW_BYTES = 65536
 MAX_ENTRIES = 100
--- a/review/stand_ins/runner.py
+++ b/review/stand_in_runner.py
@@ -4,7 +4,7 @@
 import json
 import time
 
-from stand_ins import http
+import stand_in_http as http
 
 HOLD_LIMIT_MS = 6000
 STOP_S = 0.1
