Ledger: rows no longer grow with the size of a job

Cause: the progress of a job was one row. With 3,000 running tasks it has 78,000 bytes, and the store holds 65,536. The coordinator repeats a refused transaction unchanged, everything waits behind it, and each successor plans the same starts again. The record of a job with some 700 steps did the same.

Change: the progress of jobs of more than 64 tasks (for rows of 65,536 bytes) is stored in segments of so many tasks; only changed ones are written. Long records are distributed over numbered rows. Rows of one job may be in different transactions, so each segment has the job's phase, the main row of a record is stored last, and segments are deleted only after the row that tells the result is durable. Jobs of up to 64 tasks have the same rows as before.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -199,6 +199,39 @@
 
 // Decisions and the ledger.
 
+void coordinator_runner::erase_parts(
+    const char* table, const job_id& id, const std::set<std::uint32_t>& parts)
+{
+    for (std::uint32_t part : parts)
+        ledger_.erase(table, encode_job_row_key({id, part}));
+}
+
+void coordinator_runner::put_progress(const job& it)
+{
+    const job_id& id = it.get_id();
+    auto segments = coordinator_.take_changed_segments(id);
+    // The main row of a settled job replaces all segments.
+    if (!it.is_settled())
+        for (std::uint32_t segment : segments)
+            ledger_.put(ledger_table::progress,
+                encode_job_row_key({id, segment}), it.encode_segment(segment));
+    ledger_.put(ledger_table::progress, id.get(), it.encode_progress());
+}
+
+void coordinator_runner::erase_rows_of_settled_job(const job& it)
+{
+    const job_id& id = it.get_id();
+    ledger_.erase(ledger_table::jobs, id.get());
+    if (auto parts = record_parts_.extract(id))
+        erase_parts(ledger_table::jobs, id, parts.mapped());
+    // A successor that finds neither the segments nor the settled job's row
+    // would run the tasks again.
+    if (it.has_segments())
+        ledger_.when_durable(
+            [self = shared_from_this(), id, parts = it.list_used_segments()]
+            { self->erase_parts(ledger_table::progress, id, parts); });
+}
+
 void coordinator_runner::put_changed_rows()
 {
     for (const job_id& id : coordinator_.take_changed_jobs())
@@ -206,9 +239,9 @@
         const job* it = coordinator_.find_job(id);
         if (!it)
             continue;
-        ledger_.put(ledger_table::progress, id.get(), it->encode_progress());
+        put_progress(*it);
         if (it->is_settled())
-            ledger_.erase(ledger_table::jobs, id.get());
+            erase_rows_of_settled_job(*it);
         if (it->is_ended() && !durably_ended_jobs_.contains(id))
             ledger_.when_durable([self = shared_from_this(), id]
                 { self->durably_ended_jobs_.insert(id); });
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -7,6 +7,7 @@
 #include "platform/published_rows.hpp"
 #include "systems/coordination/ledger.hpp"
 #include "systems/scheduling/coordinator.hpp"
+#include "systems/workload/job_rows.hpp"
 
 #include <deque>
 #include <functional>
@@ -105,17 +106,31 @@
     /// Lets the write loop run its next round at once.
     void wake();
 
+    /// The rows of one table of the ledger, by job.
+    using job_row_table = std::map<job_id, job_row_values>;
+
+    static job_row_table group_by_job(std::vector<stored_row> rows);
     /// Restores an accepted job.
-    /// @param progress value of its progress row; empty if there is none.
-    void load_job(
-        const stored_row& row, const std::string& progress, boot_time now);
-    /// @param row progress row of a job.
+    /// @param record rows of its record.
+    /// @param progress rows of its progress; all empty if there are none.
+    void load_job(const job_id& id, const job_row_values& record,
+        const job_row_values& progress, boot_time now);
+    /// @param progress progress row of a job.
     /// @return whether the job is settled.
-    bool load_settled_job(const stored_row& row, boot_time now);
-    /// @param specs rows of accepted jobs.
-    /// @param states progress rows of jobs.
+    bool load_settled_job(
+        const job_id& id, const std::string& progress, boot_time now);
+    /// @param records rows of accepted jobs.
+    /// @param progress progress rows of jobs.
     asio::awaitable<void> load_jobs(
-        std::vector<stored_row> specs, std::vector<stored_row> states);
+        job_row_table records, job_row_table progress);
+    /// Deletes a job's rows in one table, other than its main row, with the
+    /// next batches.
+    void erase_parts(const char* table, const job_id& id,
+        const std::set<std::uint32_t>& parts);
+    /// Writes the job's changed progress with the next batches.
+    void put_progress(const job& it);
+    /// Removes the rows that a settled job no longer needs.
+    void erase_rows_of_settled_job(const job& it);
     /// Makes decisions and commits them in batches. Commits an empty batch to
     /// renew the term when nothing has changed.
     asio::awaitable<void> write_loop();
@@ -236,7 +251,10 @@
     /// Number of targets with runs, as of the last round of decisions.
     std::size_t busy_target_count_ = 0;
     std::set<job_id> durably_ended_jobs_; ///< Jobs whose end the ledger holds.
-    row_version targets_version_;         ///< Version of the list of targets.
+    /// Numbers of the parts over which the records of large jobs are
+    /// distributed.
+    std::map<job_id, std::set<std::uint32_t>> record_parts_;
+    row_version targets_version_; ///< Version of the list of targets.
     /// Timers of the calls that wait until their rows are durable.
     std::set<std::shared_ptr<asio::steady_timer>> durability_waits_;
     bool is_recovered_ = false; ///< Until then the term is only renewed.
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -26,12 +26,21 @@
         reply.result = coordinator_result::invalid;
         co_return reply;
     }
-    std::string text = encode_job_record(record);
+    record.tasks_per_segment =
+        choose_tasks_per_segment(record.spec, settings_.store_row_bytes);
+    job_row_values rows =
+        split_job_record(encode_job_record(record), settings_.store_row_bytes);
     auto outcome =
         coordinator_.submit(call.job, std::move(record), boot_clock::now());
     if (outcome == submit_outcome::added)
     {
-        ledger_.put(ledger_table::jobs, call.job.get(), std::move(text));
+        for (auto& [part, value] : rows.parts)
+        {
+            record_parts_[call.job].insert(part);
+            ledger_.put(ledger_table::jobs,
+                encode_job_row_key({call.job, part}), std::move(value));
+        }
+        ledger_.put(ledger_table::jobs, call.job.get(), std::move(rows.main));
         wake();
     }
     bool is_durable = co_await wait_until_durable(deadline);
--- a/main/entryd/coordinator_runner_recovery.cpp
+++ b/main/entryd/coordinator_runner_recovery.cpp
@@ -11,31 +11,53 @@
 
 } // namespace
 
-void coordinator_runner::load_job(
-    const stored_row& row, const std::string& progress, boot_time now)
+coordinator_runner::job_row_table coordinator_runner::group_by_job(
+    std::vector<stored_row> rows)
+{
+    job_row_table out;
+    for (stored_row& it : rows)
+    {
+        auto key = decode_job_row_key(it.key);
+        if (!key)
+        {
+            write_log(log_level::error, "coordinator",
+                "a row of the ledger has an unknown key",
+                {{"table", it.table}, {"key", it.key}});
+            continue;
+        }
+        job_row_values& values = out[key->job];
+        (key->part ? values.parts[*key->part] : values.main) =
+            std::move(it.value);
+    }
+    return out;
+}
+
+void coordinator_runner::load_job(const job_id& id,
+    const job_row_values& record, const job_row_values& progress, boot_time now)
 {
     try
     {
-        job_id id(row.key);
-        coordinator_.load_job(
-            id, decode_job_record(row.value), progress, now, get_wall_time());
+        coordinator_.load_job(id, decode_job_record(join_job_record(record)),
+            progress.main, now, get_wall_time(), progress.parts);
         if (coordinator_.find_job(id)->is_ended())
             durably_ended_jobs_.insert(id);
+        for (const auto& [part, value] : record.parts)
+            record_parts_[id].insert(part);
     }
     catch (const systems_error& e)
     {
         write_log(log_level::error, "coordinator",
-            "cannot decode the row of a job",
-            {{"job", row.key}, {"version", row.version}, {"why", e.what()}});
+            "cannot decode the rows of a job",
+            {{"job", id}, {"why", e.what()}});
     }
 }
 
-bool coordinator_runner::load_settled_job(const stored_row& row, boot_time now)
+bool coordinator_runner::load_settled_job(
+    const job_id& id, const std::string& progress, boot_time now)
 {
     try
     {
-        job_id id(row.key);
-        auto settled = job::decode_settled(id, row.value);
+        auto settled = job::decode_settled(id, progress);
         if (!settled)
             return false;
         coordinator_.load_settled_job(std::move(*settled), now);
@@ -46,36 +68,59 @@
     {
         write_log(log_level::error, "coordinator",
             "cannot decode the progress row of a job",
-            {{"job", row.key}, {"version", row.version}, {"why", e.what()}});
+            {{"job", id}, {"why", e.what()}});
         return false;
     }
 }
 
 asio::awaitable<void> coordinator_runner::load_jobs(
-    std::vector<stored_row> specs, std::vector<stored_row> states)
+    job_row_table records, job_row_table progress)
 {
     boot_time now = boot_clock::now();
-    std::map<std::string, std::string> progress;
     std::size_t n = 0;
     // The term has to be renewed while a slow processor reads many rows.
     auto is_pause_due = [&] { return ++n % rows_between_pauses == 0; };
-    for (stored_row& it : states)
+    auto list_parts = [](const job_row_values& values)
+    {
+        std::set<std::uint32_t> out;
+        for (const auto& [part, value] : values.parts)
+            out.insert(part);
+        return out;
+    };
+    for (const auto& [id, values] : progress)
     {
         if (is_pause_due())
             co_await sleep(milliseconds(1));
-        if (!load_settled_job(it, now))
-            progress[it.key] = std::move(it.value);
+        if (!values.main.empty() && load_settled_job(id, values.main, now))
+            erase_parts(ledger_table::progress, id, list_parts(values));
     }
-    for (const stored_row& it : specs)
+    for (const auto& [id, values] : records)
     {
         if (is_pause_due())
             co_await sleep(milliseconds(1));
-        if (!coordinator_.find_job(job_id(it.key)))
-            load_job(it, progress[it.key], now);
-        else
-            // The job is settled, but the predecessor's term ended before it
-            // removed the row.
-            ledger_.erase(ledger_table::jobs, it.key);
+        // Without its main row, a job was not accepted.
+        bool is_needed = !values.main.empty() && !coordinator_.find_job(id);
+        if (is_needed)
+        {
+            load_job(id, values, progress[id], now);
+            continue;
+        }
+        // The predecessor's term ended before it removed the rows of a settled
+        // job, or before it had stored all rows of a new one.
+        if (!values.main.empty())
+            ledger_.erase(ledger_table::jobs, id.get());
+        erase_parts(ledger_table::jobs, id, list_parts(values));
+    }
+    // Progress of a job that was not accepted.
+    for (const auto& [id, values] : progress)
+    {
+        auto record = records.find(id);
+        bool is_accepted =
+            record != records.end() && !record->second.main.empty();
+        if (is_accepted || coordinator_.find_job(id))
+            continue;
+        ledger_.erase(ledger_table::progress, id.get());
+        erase_parts(ledger_table::progress, id, list_parts(values));
     }
 }
 
@@ -97,7 +142,8 @@
     wave_rows_ = std::move(begun.rows);
     if (!co_await read_targets())
         co_return false;
-    co_await load_jobs(std::move(specs.rows), std::move(states.rows));
+    co_await load_jobs(group_by_job(std::move(specs.rows)),
+        group_by_job(std::move(states.rows)));
     if (is_over_)
         co_return false;
     milliseconds left =
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -14,10 +14,10 @@
 {
 
 /// Pointer to a member of the settings.
-using member =
-    std::variant<entry_id entry_settings::*, data_centre_id entry_settings::*,
-        tcp::endpoint entry_settings::*, std::string entry_settings::*,
-        milliseconds entry_settings::*, double entry_settings::*>;
+using member = std::variant<entry_id entry_settings::*,
+    data_centre_id entry_settings::*, tcp::endpoint entry_settings::*,
+    std::string entry_settings::*, milliseconds entry_settings::*,
+    double entry_settings::*, std::size_t entry_settings::*>;
 
 /// One setting: its key in the file and the rule for its value.
 struct setting_description
@@ -40,6 +40,11 @@
 constexpr std::string_view address_rule = "IP:port";
 constexpr std::string_view number_rule = "a number above 0 and up to 10000";
 constexpr std::string_view time_rule = "a number above 0 and up to 3600000";
+/// The smallest rows hold the progress of a few tasks.
+constexpr std::int64_t min_row_bytes = 4'096;
+constexpr std::int64_t max_row_bytes = 1'000'000'000;
+constexpr std::string_view row_size_rule =
+    "a whole number from 4096 to 1000000000";
 
 const auto& get_descriptions()
 {
@@ -63,6 +68,8 @@
             orders_forms},
         setting_description{"store_form", &s::store_form, false,
             "table; other forms of the store are not served", store_forms},
+        setting_description{
+            "store_row_bytes", &s::store_row_bytes, false, row_size_rule},
         setting_description{
             "processor_share", &s::processor_share, false, number_rule},
         setting_description{"instance_orders_per_s", &s::instance_orders_per_s,
@@ -192,6 +199,16 @@
         return true;
     }
 
+    bool read_value(
+        const setting_description&, const toml::node& node, std::size_t& value)
+    {
+        auto number = node.value_exact<std::int64_t>();
+        if (!number || *number < min_row_bytes || *number > max_row_bytes)
+            return false;
+        value = static_cast<std::size_t>(*number);
+        return true;
+    }
+
     void add_error(std::string_view name, const toml::node& node,
         const std::string& message)
     {
--- a/main/entryd/entry_settings.hpp
+++ b/main/entryd/entry_settings.hpp
@@ -27,6 +27,8 @@
     /// are served; with others, jobs would be accepted and never run.
     std::string orders = "rpc";
     std::string store_form = "table";
+    /// Largest value of a row that the store accepts, in bytes.
+    std::size_t store_row_bytes = 65'536;
 
     /// Processor share of this entry in cores. Entries with a larger share
     /// take over the coordinator role first.
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -37,13 +37,15 @@
 }
 
 void coordinator::load_job(const job_id& id, job_record record,
-    const std::string& progress, boot_time now, platform_time wall_time)
+    const std::string& progress, boot_time now, platform_time wall_time,
+    const std::map<std::uint32_t, std::string>& segments)
 {
-    job value(id, record.queue, record.team, std::move(record.spec));
+    job value(id, record.queue, record.team, std::move(record.spec),
+        record.tasks_per_segment);
     milliseconds age(std::max<std::int64_t>(
         0, wall_time.get() - record.acceptance_time.get()));
-    if (!progress.empty())
-        value.decode_progress(progress);
+    if (!progress.empty() || !segments.empty())
+        value.decode_progress(progress, segments);
     job_entry entry{std::move(value), now - age, ++last_acceptance_number_};
     auto& added = jobs_.emplace(id, std::move(entry)).first->second;
     for (const task_key& key : added.value.list_running())
@@ -76,7 +78,8 @@
     if (jobs_.contains(id))
         return submit_outcome::already_known;
     record_arrival(record, now);
-    job value(id, record.queue, record.team, std::move(record.spec));
+    job value(id, record.queue, record.team, std::move(record.spec),
+        record.tasks_per_segment);
     job_entry entry{std::move(value), now, ++last_acceptance_number_};
     auto& added = jobs_.emplace(id, std::move(entry)).first->second;
     const team_config* team =
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -120,8 +120,10 @@
     /// Restores a job at a takeover. Its runs count as running until their
     /// targets report otherwise.
     /// @param wall_time determines how long ago the job was accepted.
+    /// @param segments of the job's progress, if it is stored in segments.
     void load_job(const job_id& id, job_record record,
-        const std::string& progress, boot_time now, platform_time wall_time);
+        const std::string& progress, boot_time now, platform_time wall_time,
+        const std::map<std::uint32_t, std::string>& segments = {});
 
     submit_outcome submit(const job_id& id, job_record record, boot_time now);
 
@@ -228,6 +230,9 @@
     /// @return jobs whose progress changed since the last call.
     std::vector<job_id> take_changed_jobs();
 
+    /// @return segments of the job's progress that changed since the last call.
+    std::set<std::uint32_t> take_changed_segments(const job_id& id);
+
     /// Removes ended jobs whose retention time has passed.
     /// @return the removed jobs.
     std::vector<job_id> take_expired_jobs(boot_time now);
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -280,6 +280,13 @@
     return std::exchange(changed_jobs_, {});
 }
 
+std::set<std::uint32_t> coordinator::take_changed_segments(const job_id& id)
+{
+    job_entry* entry = find_entry(id);
+    return entry ? entry->value.take_changed_segments()
+                 : std::set<std::uint32_t>();
+}
+
 std::vector<job_id> coordinator::take_expired_jobs(boot_time now)
 {
     std::vector<job_id> out;
--- a/systems/workload/job.cpp
+++ b/systems/workload/job.cpp
@@ -39,13 +39,18 @@
     return outcome_names.at(static_cast<std::size_t>(outcome));
 }
 
-job::job(job_id id, queue_id queue, team_id team, job_spec spec)
+job::job(job_id id, queue_id queue, team_id team, job_spec spec,
+    std::uint32_t tasks_per_segment)
     : id_(std::move(id)), queue_(std::move(queue)), team_(std::move(team)),
-      spec_(std::move(spec))
+      spec_(std::move(spec)), tasks_per_segment_(tasks_per_segment)
 {
+    step_offsets_.reserve(spec_.steps.size());
     for (const step_spec& it : spec_.steps)
-        task_count_ += it.task_count;
-    task_count_ *= spec_.get_occurrence_count();
+    {
+        step_offsets_.push_back(tasks_per_occurrence_);
+        tasks_per_occurrence_ += it.task_count;
+    }
+    task_count_ = tasks_per_occurrence_ * spec_.get_occurrence_count();
 }
 
 bool job::is_ended() const
@@ -142,13 +147,62 @@
     run_number next = number ? *number : run_number(task.last_number.get() + 1);
     task.last_number = next;
     task.run = task_run{next, std::move(target)};
+    mark_segment_changed(key);
     if (phase_ == job_phase::queued)
         phase_ = job_phase::running;
     return next;
 }
 
+std::uint64_t job::get_ordinal(const task_key& key) const
+{
+    return key.occurrence * tasks_per_occurrence_ + step_offsets_.at(key.step) +
+           key.index;
+}
+
+std::uint32_t job::get_segment(const task_key& key) const
+{
+    return static_cast<std::uint32_t>(get_ordinal(key) / tasks_per_segment_);
+}
+
+job::index_range job::get_segment_indices(
+    const step_key& step, std::uint32_t segment) const
+{
+    std::uint64_t first = get_ordinal({step.first, step.second, 0});
+    std::uint64_t count = spec_.steps.at(step.second).task_count;
+    std::uint64_t begin = std::uint64_t{segment} * tasks_per_segment_;
+    auto to_index = [&](std::uint64_t ordinal)
+    {
+        return static_cast<std::uint32_t>(
+            std::clamp(ordinal, first, first + count) - first);
+    };
+    return {to_index(begin), to_index(begin + tasks_per_segment_)};
+}
+
+void job::mark_segment_changed(const task_key& key)
+{
+    if (has_segments())
+        changed_segments_.insert(get_segment(key));
+}
+
+std::set<std::uint32_t> job::take_changed_segments()
+{
+    return std::exchange(changed_segments_, {});
+}
+
+std::set<std::uint32_t> job::list_used_segments() const
+{
+    std::set<std::uint32_t> out;
+    if (!has_segments())
+        return out;
+    for (const auto& [at, step] : steps_)
+        for (const auto& [index, task] : step.tasks)
+            out.insert(get_segment({at.first, at.second, index}));
+    return out;
+}
+
 void job::mark_done(const task_key& key)
 {
+    mark_segment_changed(key);
     if (steps_[{key.occurrence, key.step}].done.insert(key.index).second)
         ++done_count_;
     if (done_count_ == task_count_ && !is_ended())
@@ -174,8 +228,9 @@
         return false;
     task_progress& task = it->second;
     task.run.reset();
+    mark_segment_changed(key);
     const step_spec& spec = get_step(key);
-    if (!saved.empty())
+    if (!saved.empty() && get_json_string_size(saved) <= max_checkpoint_bytes)
         task.saved = saved;
     if (outcome == run_outcome::done && !spec.is_long_running)
     {
@@ -211,19 +266,23 @@
     return true;
 }
 
-void job::append_progress(std::string& out, const step_progress& step)
+void job::append_progress(
+    std::string& out, const step_progress& step, index_range indices)
 {
     out += '[';
     const char* separator = "";
-    for (std::uint32_t index : step.done)
+    for (auto it = step.done.lower_bound(indices.begin);
+         it != step.done.end() && *it < indices.end; ++it)
     {
-        out += separator + std::to_string(index);
+        out += separator + std::to_string(*it);
         separator = ",";
     }
     out += "],[";
     separator = "";
-    for (const auto& [index, task] : step.tasks)
+    for (auto it = step.tasks.lower_bound(indices.begin);
+         it != step.tasks.end() && it->first < indices.end; ++it)
     {
+        const auto& [index, task] = *it;
         // A task that is done never runs again, so its last run number is not
         // needed.
         if (step.done.contains(index) && !task.run)
@@ -255,6 +314,8 @@
         append_json_string(out, team_.get());
         return out + '}';
     }
+    if (has_segments())
+        return out + '}';
     out += ",\"steps\":[";
     const char* separator = "";
     for (const auto& [at, step] : steps_)
@@ -263,7 +324,30 @@
         separator = ",";
         out += '[' + std::to_string(at.first) + ',' +
                std::to_string(at.second) + ',';
-        append_progress(out, step);
+        append_progress(out, step, {0, spec_.steps.at(at.second).task_count});
+        out += ']';
+    }
+    return out + "]}";
+}
+
+std::string job::encode_segment(std::uint32_t segment) const
+{
+    // With the phase in each segment, the end of a job is stored together with
+    // the end of the run that caused it.
+    std::string out = "{\"state\":\"";
+    out += to_string(phase_);
+    out += "\",\"steps\":[";
+    const char* separator = "";
+    for (const auto& [at, step] : steps_)
+    {
+        index_range indices = get_segment_indices(at, segment);
+        if (indices.begin == indices.end)
+            continue;
+        out += separator;
+        separator = ",";
+        out += '[' + std::to_string(at.first) + ',' +
+               std::to_string(at.second) + ',';
+        append_progress(out, step, indices);
         out += ']';
     }
     return out + "]}";
@@ -293,22 +377,53 @@
     }
 }
 
-void job::decode_progress(const std::string& text)
+void job::decode_progress(const std::string& text,
+    const std::map<std::uint32_t, std::string>& segments)
+{
+    steps_.clear();
+    done_count_ = 0;
+    phase_ = job_phase::queued;
+    if (!text.empty())
+        decode_steps(text);
+    for (const auto& [number, segment] : segments)
+        decode_steps(segment);
+    if (has_segments())
+        complete_done_gangs();
+    changed_segments_.clear();
+}
+
+void job::complete_done_gangs()
+{
+    for (auto& [at, step] : steps_)
+    {
+        const step_spec& spec = spec_.steps.at(at.second);
+        if (!spec.is_gang || step.done.empty())
+            continue;
+        for (std::uint32_t i = 0; i < spec.task_count; ++i)
+        {
+            step.tasks[i].run.reset();
+            done_count_ += step.done.insert(i).second ? 1 : 0;
+        }
+    }
+}
+
+void job::decode_steps(const std::string& text)
 {
     try
     {
         json in = json::parse(text);
-        phase_ = parse_phase(in.at("state").get<std::string>());
-        steps_.clear();
-        done_count_ = 0;
+        // An older text has the same or an earlier phase.
+        phase_ =
+            std::max(phase_, parse_phase(in.at("state").get<std::string>()));
         // The text of a settled job has no steps.
         for (const json& it : in.value("steps", json::array()))
         {
             step_key at{
                 it.at(0).get<std::uint32_t>(), it.at(1).get<std::uint32_t>()};
             step_progress& step = steps_[at];
-            it.at(2).get_to(step.done);
-            done_count_ += step.done.size();
+            for (const json& index : it.at(2))
+                if (step.done.insert(index.get<std::uint32_t>()).second)
+                    ++done_count_;
             for (const json& row : it.at(3))
             {
                 task_progress& task =
--- a/systems/workload/job.hpp
+++ b/systems/workload/job.hpp
@@ -42,13 +42,22 @@
     target_id target;
 };
 
+/// Longest checkpoint that is kept, in bytes of its JSON text. A longer one is
+/// discarded, so that the task resumes from its previous checkpoint.
+inline constexpr std::size_t max_checkpoint_bytes = 640;
+
+/// Upper bound on the bytes of one task in encoded progress, with a target's
+/// name of the length that the store allows.
+inline constexpr std::size_t max_task_progress_bytes = 1'024;
+
 /// Progress of one task.
 struct task_progress
 {
     std::optional<task_run> run; ///< Set while a target may be executing it.
     run_number last_number;      ///< Highest run number assigned so far.
     std::uint32_t failures = 0;  ///< Runs with the outcome `failed`.
-    std::string saved;           ///< Last checkpoint; empty for none.
+    /// Last checkpoint, of at most `max_checkpoint_bytes`; empty for none.
+    std::string saved;
 };
 
 /// Progress of the tasks of one step in one occurrence.
@@ -65,7 +74,10 @@
 class job
 {
 public:
-    job(job_id id, queue_id queue, team_id team, job_spec spec);
+    /// @param tasks_per_segment the progress of at most this many tasks is
+    ///   encoded as one text; 0 for the progress of all tasks.
+    job(job_id id, queue_id queue, team_id team, job_spec spec,
+        std::uint32_t tasks_per_segment = 0);
 
     const job_id& get_id() const { return id_; }
     const queue_id& get_queue() const { return queue_; }
@@ -133,14 +145,30 @@
     /// @return the number of tasks, over all occurrences.
     std::uint64_t count_tasks() const { return task_count_; }
 
-    /// @return JSON text of the phase and of the progress of all steps; for a
-    ///   settled job only its queue, team and phase, as nothing else is needed
-    ///   any more.
+    /// @return whether the progress of the tasks is encoded in segments.
+    bool has_segments() const { return tasks_per_segment_ > 0; }
+
+    /// @return the segments that changed since the last call.
+    std::set<std::uint32_t> take_changed_segments();
+
+    /// @return the segments that contain tasks that were ever assigned.
+    std::set<std::uint32_t> list_used_segments() const;
+
+    /// @return JSON text of the phase and, without segments, of the progress
+    ///   of all steps; for a settled job only its queue, team and phase, as
+    ///   nothing else is needed any more.
     std::string encode_progress() const;
 
-    /// Replaces the progress by the encoded one.
-    /// @throws systems_error (`bad_job`) when the text is not encoded progress.
-    void decode_progress(const std::string& text);
+    /// @return JSON text of the phase and of the progress of the segment's
+    ///   tasks.
+    std::string encode_segment(std::uint32_t segment) const;
+
+    /// Replaces the progress by the encoded one. The texts need not all have
+    /// been encoded at the same time.
+    /// @param text empty if only segments have been stored.
+    /// @throws systems_error (`bad_job`) when a text is not encoded progress.
+    void decode_progress(const std::string& text,
+        const std::map<std::uint32_t, std::string>& segments = {});
 
     /// Restores a settled job from its encoded progress, without its spec.
     /// @return nothing when the text is that of a job that is not settled.
@@ -152,8 +180,29 @@
     /// Occurrence and index of the step.
     using step_key = std::pair<std::uint32_t, std::uint32_t>;
 
+    /// Half-open range of the indices of a step's tasks.
+    struct index_range
+    {
+        std::uint32_t begin;
+        std::uint32_t end;
+    };
+
     /// Appends the lists of the step's done tasks and of its other tasks.
-    static void append_progress(std::string& out, const step_progress& step);
+    static void append_progress(
+        std::string& out, const step_progress& step, index_range indices);
+    /// Adds the phase and the steps that one text describes.
+    void decode_steps(const std::string& text);
+    /// Completes gangs of which only some members were stored as done.
+    void complete_done_gangs();
+    /// @return the number of the task in the order of occurrence, step and
+    ///   index.
+    std::uint64_t get_ordinal(const task_key& key) const;
+    /// @return the tasks of a step that belong to the segment.
+    index_range get_segment_indices(
+        const step_key& step, std::uint32_t segment) const;
+    std::uint32_t get_segment(const task_key& key) const;
+    /// Records that the segment of the task changed.
+    void mark_segment_changed(const task_key& key);
     void mark_done(const task_key& key);
     void count_failure(task_progress& task, std::uint32_t max_attempts);
 
@@ -165,6 +214,11 @@
     std::map<step_key, step_progress> steps_;
     std::uint64_t done_count_ = 0;
     std::uint64_t task_count_ = 0;
+    std::uint32_t tasks_per_segment_ = 0;
+    /// Number of tasks in the steps before each step.
+    std::vector<std::uint64_t> step_offsets_;
+    std::uint64_t tasks_per_occurrence_ = 0;
+    std::set<std::uint32_t> changed_segments_;
 };
 
 } // namespace cowslippass
--- a/systems/workload/job_record.hpp
+++ b/systems/workload/job_record.hpp
@@ -13,6 +13,9 @@
     team_id team;
     platform_time acceptance_time; ///< When the coordinator accepted it.
     job_spec spec;
+    /// Size of the segments in which the progress is stored; 0 for a single
+    /// text.
+    std::uint32_t tasks_per_segment = 0;
 };
 
 /// @return JSON text for the ledger's row.
--- a/systems/workload/job_spec.cpp
+++ b/systems/workload/job_spec.cpp
@@ -10,8 +10,8 @@
 
 using json = nlohmann::json;
 
-/// Upper bound on the tasks of one job over all its occurrences. It keeps the
-/// job's progress within what one ledger row can describe.
+/// Upper bound on the tasks of one job over all its occurrences, and thereby on
+/// the work of a planning round and on the rows of the ledger.
 constexpr std::uint32_t max_tasks = 10'000;
 
 /// Encodes a step as an array with a fixed order of columns, as the names of
--- a/systems/workload/job_spec.hpp
+++ b/systems/workload/job_spec.hpp
@@ -102,8 +102,7 @@
 /// @throws systems_error (`bad_job`) when the text is not an encoded job spec.
 job_spec decode_job_spec(const std::string& text);
 
-/// Rejects a job that could never complete, or whose progress would not fit
-/// into a ledger row.
+/// Rejects a job that could never complete, or that has too many tasks.
 /// @throws systems_error (`bad_job`) with a message that names the fault and,
 ///   when it lies in one step, the step.
 void check_job_spec(const job_spec& spec);
--- a/systems/workload/json_writer.cpp
+++ b/systems/workload/json_writer.cpp
@@ -25,4 +25,11 @@
     out += '"';
 }
 
+std::size_t get_json_string_size(std::string_view text)
+{
+    std::string out;
+    append_json_string(out, text);
+    return out.size();
+}
+
 } // namespace cowslippass
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -52,6 +52,25 @@
 const std::string job_1 = "0000000000000001";
 const std::string job_2 = "0000000000000002";
 
+/// @return a submission of one step with many small tasks.
+std::string make_wide_job(int tasks)
+{
+    return R"({"spec":"s","steps":[{"count":)" + std::to_string(tasks) +
+           R"(,"cpu":1,"memMb":1,"estimateMs":50}]})";
+}
+
+/// @return a submission of steps of one task, each after the one before.
+std::string make_long_job(int steps)
+{
+    std::string out = R"({"spec":"s","steps":[)";
+    for (int i = 0; i < steps; ++i)
+        out += std::string(i > 0 ? "," : "") +
+               R"({"count":1,"cpu":1,"memMb":1,"estimateMs":1,"dataRack":)" +
+               R"("rack-with-a-long-name-)" + std::to_string(i) + '"' +
+               (i > 0 ? R"(,"after":[)" + std::to_string(i - 1) + "]}" : "}");
+    return out + "]}";
+}
+
 } // namespace
 
 // Guards against faults between the parts of an entry. A job is accepted, its
@@ -211,4 +230,80 @@
         });
 }
 
+// Guards against a job whose running tasks need more bytes than one row of the
+// store holds: the refused transaction was repeated for ever, and nothing of
+// anybody was accepted or cancelled. A successor must not run its tasks again.
+TEST_F(entry_end_to_end_test, serves_others_beside_a_job_of_many_running_tasks)
+{
+    constexpr int task_count = 1'500;
+    platform.add_target("target-" + std::string(60, 't'), milliseconds(6'000));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            http_response it =
+                co_await send("POST", "/q/" + job_1, make_wide_job(task_count));
+            EXPECT_EQ(it.status, 200U);
+            while (platform.get_start_counts().size() < task_count)
+                co_await sleep(milliseconds(20));
+            it = co_await send("POST", "/q/" + job_2, one_task);
+            EXPECT_EQ(it.status, 200U);
+            it = co_await send("DELETE", "/q/" + job_2);
+            EXPECT_EQ(it.status, 200U);
+            EXPECT_EQ(platform.get_refused_size_count(), 0);
+            auto lost = std::move(node);
+            lost->role.resign();
+            node = std::make_unique<test_entry>(io, platform, "127.0.0.1:2");
+            co_await wait_until_ready();
+            bool is_completed = false;
+            for (int i = 0; i < 5 && !is_completed; ++i)
+                is_completed = co_await wait_for(job_1, "completed");
+            EXPECT_TRUE(is_completed);
+            for (const auto& [task, n] : platform.get_start_counts())
+                EXPECT_EQ(n, 1) << task;
+            // Only the rows that tell the results are left.
+            const std::vector<std::string> results{job_1, job_2};
+            for (int i = 0; i < 100; ++i)
+                if (platform.list_keys("progress") != results)
+                    co_await sleep(milliseconds(20));
+            EXPECT_EQ(platform.list_keys("progress"), results);
+            EXPECT_TRUE(platform.list_keys("jobs").empty());
+            lost.release();
+        },
+        std::chrono::seconds(60));
+}
+
+// Guards against a submission whose own row exceeds the store's limit: it was
+// neither accepted nor refused, and blocked all others.
+TEST_F(entry_end_to_end_test, accepts_a_job_that_exceeds_one_row)
+{
+    platform.add_target("t1", milliseconds(1));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            http_response it =
+                co_await send("POST", "/q/" + job_1, make_long_job(1'000));
+            EXPECT_EQ(it.status, 200U);
+            EXPECT_EQ(platform.get_refused_size_count(), 0);
+            EXPECT_GT(platform.list_keys("jobs").size(), 1U);
+            it = co_await send("POST", "/q/" + job_2, one_task);
+            EXPECT_EQ(it.status, 200U);
+            // A successor restores the whole job and goes on with it.
+            auto lost = std::move(node);
+            lost->role.resign();
+            auto before = platform.get_start_counts().size();
+            node = std::make_unique<test_entry>(io, platform, "127.0.0.1:2");
+            co_await wait_until_ready();
+            for (int i = 0; i < 500; ++i)
+                if (platform.get_start_counts().size() <= before + 2)
+                    co_await sleep(milliseconds(20));
+            EXPECT_GT(platform.get_start_counts().size(), before + 2);
+            it = co_await send("DELETE", "/q/" + job_1);
+            EXPECT_EQ(it.status, 200U);
+            lost.release();
+        },
+        std::chrono::seconds(40));
+}
+
 } // namespace cowslippass
--- a/tests/main/entryd/entry_settings_test.cpp
+++ b/tests/main/entryd/entry_settings_test.cpp
@@ -93,4 +93,19 @@
     EXPECT_NE(text.find("'store_form' must be table"), std::string::npos);
 }
 
+// Guards against rows that exceed the limit of the deployment's store, or that
+// are too small for the progress of a single task.
+TEST_F(entry_settings_test, reads_the_store_limit_on_rows)
+{
+    EXPECT_EQ(load(required_settings).store_row_bytes, 65'536U);
+    EXPECT_EQ(
+        load(required_settings + "store_row_bytes = 8192\n").store_row_bytes,
+        8'192U);
+    for (const char* value : {"4095", "-1", "65536.5", "\"65536\""})
+        EXPECT_NE(get_error(required_settings + "store_row_bytes = " + value)
+                      .find("'store_row_bytes' must be a whole number"),
+            std::string::npos)
+            << value;
+}
+
 } // namespace cowslippass
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -1,5 +1,6 @@
 #include "tests/stand_ins/users_platform.hpp"
 
+#include <algorithm>
 #include <openssl/evp.h>
 
 namespace cowslippass
@@ -11,6 +12,9 @@
 using json = nlohmann::json;
 
 constexpr milliseconds poll_interval{5};
+constexpr std::size_t max_row_bytes = 65'536;
+constexpr std::size_t max_transaction_rows = 100;
+constexpr std::size_t max_transaction_bytes = 1'000'000;
 
 std::string to_base64(const std::string& text)
 {
@@ -214,8 +218,35 @@
     return out;
 }
 
+std::vector<std::string> users_platform::list_keys(
+    const std::string& table) const
+{
+    std::vector<std::string> out;
+    for (const auto& [key, it] : rows_)
+        if (key.first == table && !it.is_deleted)
+            out.push_back(key.second);
+    return out;
+}
+
 http_response users_platform::commit(const json& body)
 {
+    std::size_t row_count = body.at("expected").size() +
+                            body.at("upserts").size() +
+                            body.at("deletes").size();
+    bool is_too_large =
+        std::ranges::any_of(body.at("upserts"),
+            [](const json& it)
+            {
+                return from_base64(it.at("value").get<std::string>()).size() >
+                       max_row_bytes;
+            }) ||
+        row_count > max_transaction_rows ||
+        body.dump().size() > max_transaction_bytes;
+    if (is_too_large)
+    {
+        ++refused_size_count_;
+        return make_response(400, json::object());
+    }
     json current = json::array();
     bool is_met = true;
     for (const json& it : body.at("expected"))
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -16,7 +16,7 @@
 /// Stand-in for the users' platform: a store, an instance service and targets
 /// that speak its protocol on loopback within the test's process. Simplified:
 /// partitions are ignored, a request to stop a run is accepted without effect,
-/// and there are no limits and no delays.
+/// and there are no delays and no limits but those on a transaction.
 class users_platform
 {
 public:
@@ -76,6 +76,13 @@
         return start_counts_;
     }
 
+    /// @return the number of transactions that were refused because a row or
+    ///   the whole transaction was too large.
+    int get_refused_size_count() const { return refused_size_count_; }
+
+    /// @return the keys of the table's rows.
+    std::vector<std::string> list_keys(const std::string& table) const;
+
     /// @return the decoded value of a row; empty if there is none.
     std::string get_row(const std::string& table, const std::string& key) const;
 
@@ -107,6 +114,7 @@
     std::unique_ptr<http_server> store_;
     std::map<row_key, row> rows_;
     std::uint64_t version_ = 0;
+    int refused_size_count_ = 0;
     std::map<std::string, std::shared_ptr<target>> targets_;
     std::map<std::string, int> start_counts_;
     bool is_store_unavailable_ = false;
--- a/tests/systems/workload/job_test.cpp
+++ b/tests/systems/workload/job_test.cpp
@@ -1,4 +1,4 @@
-#include "systems/workload/job_record.hpp"
+#include "systems/workload/job_rows.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -175,6 +175,105 @@
     }
 }
 
+// Guards against progress that exceeds a row of the store, and against progress
+// that is lost or made up when only some of a large job's rows were stored
+// before a takeover. A task that was stored as done must stay done, and a job
+// that was stored as ended must stay ended.
+RC_GTEST_PROP(job, restores_segmented_progress_from_rows_of_different_ages, ())
+{
+    constexpr std::size_t max_row_bytes = 4'096;
+    auto choices =
+        *rc::gen::container<std::vector<int>>(120, rc::gen::inRange(0, 10'000));
+    step_spec gang = make_step(7, {1});
+    gang.is_gang = true;
+    job_spec spec = make_spec({make_step(9), make_step(6, {0}), gang});
+    std::uint32_t size = choose_tasks_per_segment(spec, max_row_bytes);
+    RC_ASSERT(size > 0U);
+    auto make = [&]
+    { return job(job_id("j"), queue_id("q"), team_id("t"), spec, size); };
+    const target_id target(std::string(200, 't'));
+    const std::string saved(max_checkpoint_bytes - 2, 's');
+    job it = make();
+    job_row_values stored;
+    std::set<task_key> stored_as_done;
+    auto store = [&](int limit)
+    {
+        // A batch that ends between the rows of one job.
+        for (std::uint32_t segment : it.take_changed_segments())
+        {
+            if (limit-- == 0)
+                return;
+            stored.parts[segment] = it.encode_segment(segment);
+            RC_ASSERT(stored.parts[segment].size() <= max_row_bytes);
+        }
+        stored.main = it.encode_progress();
+    };
+    for (int n : choices)
+    {
+        auto waiting = it.list_waiting(platform_time(0));
+        auto running = it.list_running();
+        if (!waiting.empty() && waiting.front().step == 2)
+            for (const task_key& key : waiting)
+                it.assign(key, target, run_number(50));
+        else if (n % 2 == 0 && !waiting.empty())
+            it.assign(waiting[n / 2 % waiting.size()], target);
+        else if (!running.empty())
+        {
+            task_key key = running[n / 2 % running.size()];
+            it.record_run_end(key, it.find_task(key)->run->number,
+                n % 5 == 0 ? run_outcome::stopped : run_outcome::done, saved,
+                5);
+        }
+        if (n % 3 == 0)
+            store(100);
+    }
+    store(100);
+    job before = make();
+    before.decode_progress(stored.main, stored.parts);
+    for (const task_key& key : it.list_running())
+        it.record_run_end(
+            key, it.find_task(key)->run->number, run_outcome::done, "", 5);
+    store(choices[0] % 4);
+    job copy = make();
+    copy.decode_progress(stored.main, stored.parts);
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step)
+        for (std::uint32_t i = 0; i < spec.steps[step].task_count; ++i)
+        {
+            task_key key{0, step, i};
+            RC_ASSERT(!before.is_done(key) || copy.is_done(key));
+            RC_ASSERT(!copy.is_done(key) || it.is_done(key));
+            const task_progress* a = it.find_task(key);
+            const task_progress* b = copy.find_task(key);
+            if (a && b)
+                RC_ASSERT(b->last_number <= a->last_number);
+        }
+    if (copy.count_done() == copy.count_tasks())
+        RC_ASSERT(copy.get_phase() == job_phase::completed);
+    RC_ASSERT(!copy.is_ended() || copy.get_phase() == it.get_phase());
+}
+
+// Guards against a job that is accepted but cannot be restored, because its
+// record is longer than a row of the store.
+TEST(job_rows, distributes_a_long_record_over_rows)
+{
+    std::string text = "[" + std::string(10'000, '1') + "]";
+    job_row_values rows = split_job_record(text, 4'096);
+    EXPECT_EQ(rows.parts.size(), 3U);
+    for (const auto& [number, part] : rows.parts)
+        EXPECT_LE(part.size(), 4'096U);
+    EXPECT_EQ(join_job_record(rows), text);
+    rows.parts.erase(1);
+    EXPECT_THROW(join_job_record(rows), systems_error);
+    rows = split_job_record("[1]", 4'096);
+    EXPECT_TRUE(rows.parts.empty());
+    EXPECT_EQ(rows.main, "[1]");
+    for (const job_row_key& key :
+        {job_row_key{job_id("ab"), std::nullopt}, job_row_key{job_id("ab"), 7}})
+        EXPECT_EQ(decode_job_row_key(encode_job_row_key(key)), key);
+    for (const char* text : {"ab/", "ab/x", "ab/7x", "ab/-1"})
+        EXPECT_FALSE(decode_job_row_key(text));
+}
+
 // Guards against a field of a spec that gets lost in the ledger's row or in a
 // message between entries.
 TEST(job_spec, keeps_every_field_when_encoded)
