Ledger: keep the configuration of queues with jobs

Later steps of other jobs of the queue did not start.

Cause: a removed queue's configuration, which its jobs go on with, was in the memory of one coordinator. The next one found no queue: no pool to start in, and 1 as the number of attempts.

The new test entry_end_to_end_test.continues_jobs_of_a_removed_queue_after_a_takeover failed on: the second step was not started.

Change: a row in the table queues for each queue with jobs that have not ended, written before the first of them, rewritten when operators change the queue, deleted when a removed queue has no such jobs. One row for each queue in use, not one for each job. While a queue is unknown, attempts are not limited.

Ruled out: the configuration in each job's row, which costs bytes for each job and would fix the attempts at the value of the submission; no limit of attempts alone, with which such jobs would still not be continued.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -206,6 +206,16 @@
         ledger_.erase(table, encode_job_row_key({id, part}));
 }
 
+void coordinator_runner::put_changed_queues()
+{
+    for (auto& it : coordinator_.take_queue_changes())
+        if (it.value)
+            ledger_.put(
+                ledger_table::queues, it.queue.get(), std::move(*it.value));
+        else
+            ledger_.erase(ledger_table::queues, it.queue.get());
+}
+
 void coordinator_runner::put_progress(const job& it)
 {
     const job_id& id = it.get_id();
@@ -246,6 +256,8 @@
             ledger_.when_durable([self = shared_from_this(), id]
                 { self->durably_ended_jobs_.insert(id); });
     }
+    // A queue's row is deleted after the ends of its jobs.
+    put_changed_queues();
 }
 
 void coordinator_runner::erase_expired_rows()
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -127,6 +127,10 @@
     /// next batches.
     void erase_parts(const char* table, const job_id& id,
         const std::set<std::uint32_t>& parts);
+    /// Writes the changed records of queues with the next batches.
+    void put_changed_queues();
+    /// @param rows of queues that jobs in the ledger may need.
+    void load_queues(const std::vector<stored_row>& rows);
     /// Writes the job's changed progress with the next batches.
     void put_progress(const job& it);
     /// Removes the rows that a settled job no longer needs.
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -34,6 +34,7 @@
         coordinator_.submit(call.job, std::move(record), boot_clock::now());
     if (outcome == submit_outcome::added)
     {
+        put_changed_queues();
         for (auto& [part, value] : rows.parts)
         {
             record_parts_[call.job].insert(part);
--- a/main/entryd/coordinator_runner_recovery.cpp
+++ b/main/entryd/coordinator_runner_recovery.cpp
@@ -124,9 +124,29 @@
     }
 }
 
+void coordinator_runner::load_queues(const std::vector<stored_row>& rows)
+{
+    for (const stored_row& it : rows)
+        try
+        {
+            coordinator_.load_queue(queue_id(it.key), it.value);
+        }
+        catch (const systems_error& e)
+        {
+            write_log(log_level::error, "coordinator",
+                "cannot decode the row of a queue",
+                {{"queue", it.key}, {"version", it.version},
+                    {"why", e.what()}});
+        }
+}
+
 asio::awaitable<bool> coordinator_runner::recover()
 {
     auto self = shared_from_this();
+    row_range queues{ledger_table::queues, ledger_table::part, "", ""};
+    rows_result known = co_await store_.read_all_rows(queues, read_timeout);
+    if (known.failure != store_failure::none)
+        co_return false;
     row_range jobs{ledger_table::jobs, ledger_table::part, "", ""};
     rows_result specs = co_await store_.read_all_rows(jobs, read_timeout);
     if (specs.failure != store_failure::none)
@@ -142,6 +162,7 @@
     wave_rows_ = std::move(begun.rows);
     if (!co_await read_targets())
         co_return false;
+    load_queues(known.rows);
     co_await load_jobs(group_by_job(std::move(specs.rows)),
         group_by_job(std::move(states.rows)));
     if (is_over_)
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -60,10 +60,17 @@
         record_job_end(added, now);
         return;
     }
+    queues_.add_job(added.value.get_queue());
     update_queued_count(added);
     plan_later(added);
 }
 
+void coordinator::load_queue(const queue_id& queue, const std::string& record)
+{
+    queues_.load(queue, record);
+    ++config_number_;
+}
+
 void coordinator::load_settled_job(job settled_job, boot_time now)
 {
     job_id id = settled_job.get_id();
@@ -86,6 +93,7 @@
         published_state_.config
             ? published_state_.config->find_team(record.team)
             : nullptr;
+    queues_.add_job(record.queue);
     added.exceeds_share =
         team && !share_limiter_.take(record.team, team->weight, now);
     update_queued_count(added);
@@ -106,7 +114,7 @@
     if (entry.config_number == config_number_)
         return;
     entry.config_number = config_number_;
-    entry.queue = find_queue(entry.value.get_queue());
+    entry.queue = queues_.find(entry.value.get_queue());
     if (entry.queue)
         entry.time_allowed =
             get_time_allowed(entry.value.get_spec(), *entry.queue);
@@ -135,7 +143,7 @@
 
 void coordinator::record_arrival(const job_record& record, boot_time now)
 {
-    const queue_config* queue = find_queue(record.queue);
+    const queue_config* queue = queues_.find(record.queue);
     // Scheduled occurrences start later, and long-running tasks do not end, so
     // that neither belongs to an arrival rate.
     if (!queue || record.spec.repeat_count > 0)
@@ -294,6 +302,7 @@
     plan_later(entry);
     if (!entry.value.is_ended() || entry.ended_at)
         return;
+    queues_.remove_job(entry.value.get_queue());
     entry.waiting.clear();
     record_job_end(entry, now);
 }
@@ -323,23 +332,18 @@
 {
     published_state_ = state;
     if (state.config)
-        for (const auto& [id, it] : state.config->queues)
-            queues_[id] = it;
+        queues_.set_published(state.config->queues);
     ++config_number_;
     for (auto& [id, it] : targets_)
         it.is_evacuated = state.evacuated.contains(it.report.data_centre);
 }
 
-const queue_config* coordinator::find_queue(const queue_id& queue) const
-{
-    auto it = queues_.find(queue);
-    return it == queues_.end() ? nullptr : &it->second;
-}
-
 std::uint32_t coordinator::get_max_attempts(const queue_id& queue) const
 {
-    const queue_config* it = find_queue(queue);
-    return it ? it->max_attempts : 1;
+    // Attempts are not limited while the queue is unknown: a job that failed
+    // could not be resumed once the queue becomes known.
+    const queue_config* it = queues_.find(queue);
+    return it ? it->max_attempts : std::numeric_limits<std::uint32_t>::max();
 }
 
 void coordinator::handle_target_change(const target_change& change, boot_time)
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -4,6 +4,7 @@
 #include "systems/pools/arrival_rate_meter.hpp"
 #include "systems/pools/arrival_trend.hpp"
 #include "systems/scheduling/job_urgency.hpp"
+#include "systems/scheduling/queue_registry.hpp"
 #include "systems/scheduling/target_table.hpp"
 #include "systems/workload/job_record.hpp"
 
@@ -113,6 +114,11 @@
 
     // Jobs.
 
+    /// Restores the configuration of a queue that may have been removed, from
+    /// its stored record.
+    /// @throws systems_error (`bad_queue`) if the record is malformed.
+    void load_queue(const queue_id& queue, const std::string& record);
+
     /// Restores a job that has ended and of which nothing runs any more. Such
     /// a job has no steps.
     void load_settled_job(job settled_job, boot_time now);
@@ -230,6 +236,13 @@
     /// @return jobs whose progress changed since the last call.
     std::vector<job_id> take_changed_jobs();
 
+    /// @return records of queues that changed since the last call; to be stored
+    ///   before the rows of jobs.
+    std::vector<queue_registry::record_change> take_queue_changes()
+    {
+        return queues_.take_record_changes();
+    }
+
     /// @return segments of the job's progress that changed since the last call.
     std::set<std::uint32_t> take_changed_segments(const job_id& id);
 
@@ -348,14 +361,11 @@
     target_entry* choose_target(const job& owner, const task_key& key,
         const pool_id& pool, capacity_index& capacity);
     bool fits_team_limit(const team_id& team, const resources& need) const;
-    const queue_config* find_queue(const queue_id& queue) const;
     std::uint32_t get_max_attempts(const queue_id& queue) const;
 
     coordinator_options options_;
     published_state published_state_;
-    /// Includes queues that were removed from the configuration, because their
-    /// jobs continue.
-    std::map<queue_id, queue_config> queues_;
+    queue_registry queues_;
     std::unordered_map<job_id, job_entry> jobs_;
     /// Jobs with waiting tasks or a schedule, and those that have changed since
     /// the last planning round.
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -306,4 +306,41 @@
         std::chrono::seconds(40));
 }
 
+// Guards against a job that is never continued because its queue was removed
+// from the configuration before the coordinator was lost: only the lost one
+// knew the queue.
+TEST_F(
+    entry_end_to_end_test, continues_jobs_of_a_removed_queue_after_a_takeover)
+{
+    platform.add_target("t1", milliseconds(1'500));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            co_await send("POST", "/q/" + job_1, two_steps);
+            EXPECT_TRUE(co_await wait_for(job_1, "running"));
+            platform.publish_config(2, false);
+            while ((co_await send("GET", "/q/" + job_1)).status != 404)
+                co_await sleep(milliseconds(10));
+            auto lost = std::move(node);
+            lost->role.resign();
+            node = std::make_unique<test_entry>(io, platform, "127.0.0.1:2");
+            const std::string second_step = job_1 + ".0.1.0";
+            for (int i = 0; i < 400; ++i)
+                if (!platform.get_start_counts().contains(second_step))
+                    co_await sleep(milliseconds(20));
+            EXPECT_TRUE(platform.get_start_counts().contains(second_step));
+            platform.publish_config(3, true);
+            co_await wait_until_ready();
+            EXPECT_TRUE(co_await wait_for(job_1, "completed"));
+            platform.publish_config(4, false);
+            // Nothing is kept of a removed queue without jobs.
+            for (int i = 0; i < 200 && !platform.list_keys("queues").empty();
+                 ++i)
+                co_await sleep(milliseconds(20));
+            EXPECT_TRUE(platform.list_keys("queues").empty());
+            lost.release();
+        });
+}
+
 } // namespace cowslippass
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -130,13 +130,17 @@
     return from_base64(it->second.value);
 }
 
-void users_platform::publish_config()
+void users_platform::publish_config(int version, bool has_queue)
 {
-    put("op", "config",
-        R"({"version":1,"routes":[{"name":"q","host":"h","prefix":"/q/",
-        "priority":0,"service":"p","maxAttempts":2,"stretch":2,
-        "targetDurationMs":500,"allowAnonymous":true}],
-        "services":[{"name":"p"}],"tenants":[],"limits":{}})");
+    json config{{"version", version}, {"routes", json::array()},
+        {"services", {{{"name", "p"}}}}, {"tenants", json::array()},
+        {"limits", json::object()}};
+    if (has_queue)
+        config["routes"].push_back(
+            {{"name", "q"}, {"host", "h"}, {"prefix", "/q/"}, {"priority", 0},
+                {"service", "p"}, {"maxAttempts", 2}, {"stretch", 2},
+                {"targetDurationMs", 500}, {"allowAnonymous", true}});
+    put("op", "config", config.dump());
 }
 
 void users_platform::add_target(
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -27,7 +27,8 @@
 
     /// Publishes a configuration with one queue at the path `/q/` of host `h`,
     /// which is open to all callers and runs its jobs in pool `p`.
-    void publish_config();
+    /// @param has_queue whether the configuration has the queue, or none.
+    void publish_config(int version = 1, bool has_queue = true);
 
     /// Starts a target and publishes its row.
     /// @param task_duration how long each task runs.
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -1,3 +1,4 @@
+#include "systems/configuration/queue_record.hpp"
 #include "tests/systems/scheduling/coordinator_fixture.hpp"
 
 #include <gtest/gtest.h>
@@ -315,6 +316,97 @@
     EXPECT_EQ(starts[0].run.get(), 2U);
 }
 
+// Guards against a job that fails before its attempts are used up, or never
+// goes on: its queue was removed, and the coordinator that knew it was lost.
+TEST_F(coordinator_test, keeps_removed_queues_with_jobs_over_a_takeover)
+{
+    step_spec last = make_step(1);
+    last.after = {0};
+    const job_record record = make_record({make_step(1), last});
+    add_target(make_report("t1"));
+    it.submit(job_1, record, at(0));
+    auto stored = it.take_queue_changes();
+    ASSERT_EQ(stored.size(), 1U);
+    EXPECT_EQ(stored[0].queue, queue_a);
+    auto starts = plan();
+    ASSERT_EQ(starts.size(), 1U);
+    auto without_queue = make_published_state();
+    without_queue.config->version = config_version(2);
+    without_queue.config->queues.clear();
+    it.set_published_state(without_queue);
+    EXPECT_TRUE(it.take_queue_changes().empty());
+    coordinator next{coordinator_options{}};
+    next.load_queue(queue_a, stored[0].value.value());
+    next.load_job(job_1, record, it.find_job(job_1)->encode_progress(), at(0),
+        platform_time(0));
+    next.set_published_state(without_queue);
+    next.handle_target_change({target_1, make_report("t1")}, at(0));
+    std::uint64_t end_number = 0;
+    auto end_run = [&](run_number run, std::uint32_t step, run_outcome outcome)
+    {
+        target_status status;
+        status.ended.push_back(
+            {++end_number, {job_1, {0, step, 0}}, run, outcome, ""});
+        next.handle_status(target_1, status, at(10), at(11));
+    };
+    end_run(starts[0].run, 0, run_outcome::failed);
+    EXPECT_EQ(next.find_job(job_1)->get_phase(), job_phase::running);
+    auto again = next.plan(at(20), platform_time(20));
+    ASSERT_EQ(again.size(), 1U);
+    end_run(again[0].run, 0, run_outcome::done);
+    auto second_step = next.plan(at(30), platform_time(30));
+    ASSERT_EQ(second_step.size(), 1U);
+    EXPECT_TRUE(next.take_queue_changes().empty());
+    end_run(second_step[0].run, 1, run_outcome::done);
+    EXPECT_EQ(next.find_job(job_1)->get_phase(), job_phase::completed);
+    auto removed = next.take_queue_changes();
+    ASSERT_EQ(removed.size(), 1U);
+    EXPECT_FALSE(removed[0].value);
+}
+
+// Guards against a job that fails because its queue is not known yet.
+TEST_F(coordinator_test, fails_no_job_while_its_queue_is_unknown)
+{
+    coordinator next{coordinator_options{}};
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    auto starts = plan();
+    ASSERT_EQ(starts.size(), 1U);
+    next.load_job(job_1, make_record({make_step(1)}),
+        it.find_job(job_1)->encode_progress(), at(0), platform_time(0));
+    next.handle_target_change({target_1, make_report("t1")}, at(0));
+    target_status status;
+    status.ended.push_back(
+        {1, starts[0].task, starts[0].run, run_outcome::failed, ""});
+    next.handle_status(target_1, status, at(10), at(11));
+    EXPECT_EQ(next.find_job(job_1)->get_phase(), job_phase::running);
+    next.set_published_state(make_published_state());
+    EXPECT_EQ(next.plan(at(20), platform_time(20)).size(), 1U);
+}
+
+// Guards against a field of a queue that is lost over a takeover.
+TEST(queue_record, keeps_every_field_when_encoded)
+{
+    queue_config queue{queue_id("q"), "h", "/q/", pool_id("p"), 3, 4, 1.25,
+        milliseconds(5), true,
+        advice_config{milliseconds(6), milliseconds(7), milliseconds(8)}};
+    const std::string text = encode_queue_config(queue);
+    queue_config copy = decode_queue_config(text);
+    EXPECT_EQ(encode_queue_config(copy), text);
+    EXPECT_EQ(copy.queue, queue.queue);
+    EXPECT_EQ(copy.host, "h");
+    EXPECT_EQ(copy.path_prefix, "/q/");
+    EXPECT_EQ(copy.pool, queue.pool);
+    EXPECT_EQ(copy.priority, 3U);
+    EXPECT_EQ(copy.max_attempts, 4U);
+    EXPECT_EQ(copy.stretch_factor, 1.25);
+    EXPECT_EQ(copy.deadline_allowance, milliseconds(5));
+    EXPECT_TRUE(copy.allows_anonymous_callers);
+    EXPECT_EQ(copy.advice->ticket_validity, milliseconds(8));
+    EXPECT_THROW(decode_queue_config("{}"), systems_error);
+    EXPECT_THROW(decode_queue_config("x"), systems_error);
+}
+
 // Guards against ended jobs that are kept for ever, or removed while callers
 // may still ask for them.
 TEST_F(coordinator_test, removes_ended_jobs_after_the_retention_time)
