Coordinator: a gang that does not fit leaves no trace

Every entry answered 0 pending jobs and showed them as running.

Cause: place_gang() assigned members one by one and took them back when one did not fit. The first assignment makes a job running; nothing reverted that. Each round did so anew: run numbers rose and the job's row was written again. The need of a member that did not fit beside the others was also remembered as fitting no target, so that in the same round no task of that size started, of any job, beside idle capacity.

Failed on: entry_end_to_end_test. counts_a_waiting_gang_as_pending ("pending":0), coordinator_test. leaves_no_trace_of_a_gang_that_does_not_fit (changed row, run number 5, no start for a job of two tasks beside three idle cores). coordinator_test. places_a_gang_within_the_limits_of_each_target passed there and guards what the assignments did for capacity and for the limit on tasks of a target.

Change: targets are chosen for all members in a gang_placement that counts what the members before would use; only a complete one is applied.

Ruled out: setting the phase back after a failed attempt, which leaves the run numbers, the writes and the tasks of other jobs as they were.

--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -357,9 +357,30 @@
     bool place_gang(job_entry& entry, std::size_t& at, capacity_index& capacity,
         const queue_config& queue, boot_time now,
         std::vector<start_decision>& starts);
+    /// Targets chosen for the first members of a gang. They are assigned once
+    /// all members have a target, so that an attempt leaves no trace.
+    struct gang_placement
+    {
+        struct reservation
+        {
+            resources used;
+            std::uint32_t member_count = 0;
+        };
+
+        std::vector<std::pair<task_key, target_entry*>> members;
+        std::map<const target_entry*, reservation> reservations;
+
+        void add(
+            const task_key& key, target_entry& target, const resources& need);
+        /// @return null if no member has this target.
+        const reservation* find(const target_entry& target) const;
+    };
+
+    /// @param placement other members of the task's gang; may be null.
     /// @return null if the task fits no eligible target.
     target_entry* choose_target(const job& owner, const task_key& key,
-        const pool_id& pool, capacity_index& capacity);
+        const pool_id& pool, capacity_index& capacity,
+        const gang_placement* placement = nullptr);
     bool fits_team_limit(const team_id& team, const resources& need) const;
     std::uint32_t get_max_attempts(const queue_id& queue) const;
 
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -138,8 +138,25 @@
     return out;
 }
 
+void coordinator::gang_placement::add(
+    const task_key& key, target_entry& target, const resources& need)
+{
+    members.emplace_back(key, &target);
+    reservation& it = reservations[&target];
+    it.used += need;
+    ++it.member_count;
+}
+
+const coordinator::gang_placement::reservation*
+coordinator::gang_placement::find(const target_entry& target) const
+{
+    auto it = reservations.find(&target);
+    return it == reservations.end() ? nullptr : &it->second;
+}
+
 target_entry* coordinator::choose_target(const job& owner, const task_key& key,
-    const pool_id& pool, capacity_index& capacity)
+    const pool_id& pool, capacity_index& capacity,
+    const gang_placement* placement)
 {
     const step_spec& step = owner.get_step(key);
     resources need = step.get_counted_need();
@@ -147,12 +164,19 @@
         return nullptr;
     auto count_here = [&](const target_entry& it)
     {
-        return std::ranges::count_if(it.runs,
+        auto n = std::ranges::count_if(it.runs,
             [&](const task_name& run)
             {
                 return run.job == owner.get_id() && run.key.step == key.step &&
                        run.key.occurrence == key.occurrence;
             });
+        const auto* reserved = placement ? placement->find(it) : nullptr;
+        return n + (reserved ? reserved->member_count : 0);
+    };
+    auto get_free = [&](const target_entry& it)
+    {
+        const auto* reserved = placement ? placement->find(it) : nullptr;
+        return reserved ? it.get_free() - reserved->used : it.get_free();
     };
     target_entry* best = nullptr;
     auto rank = [&](const target_entry& it)
@@ -161,11 +185,11 @@
             step.data_rack.get().empty() || it.has_label(step.data_rack.get());
         // Filling the fullest target that has capacity keeps other targets
         // free for large tasks and for leaving the pool.
-        return std::pair(!is_near_data, it.get_free().processor);
+        return std::pair(!is_near_data, get_free(it).processor);
     };
     for (target_entry* it : capacity.eligible[pool])
     {
-        if (!it->get_free().holds(need))
+        if (!get_free(*it).holds(need))
             continue;
         if (!step.required_label.empty() && !it->has_label(step.required_label))
             continue;
@@ -174,8 +198,10 @@
         if (!best || rank(*it) < rank(*best))
             best = it;
     }
-    bool is_unconstrained =
-        step.required_label.empty() && step.max_per_target == 0;
+    // What does not fit beside other members of its gang may fit alone.
+    bool is_unconstrained = step.required_label.empty() &&
+                            step.max_per_target == 0 &&
+                            (!placement || placement->members.empty());
     if (!best && is_unconstrained)
         capacity.too_large[pool].push_back(need);
     return best;
@@ -264,34 +290,29 @@
         return false;
     if (!fits_team_limit(owner.get_team(), step.need * step.task_count))
         return false;
+    gang_placement placement;
+    for (const task_key& it : members)
+    {
+        target_entry* target =
+            choose_target(owner, it, queue.pool, capacity, &placement);
+        if (!target)
+            return false;
+        placement.add(it, *target, step.get_counted_need());
+    }
     std::uint64_t number = 0;
     for (const task_key& it : members)
         if (const task_progress* task = owner.find_task(it))
             number = std::max(number, task->last_number.get());
-    std::vector<start_decision> placed;
-    for (const task_key& it : members)
+    for (const auto& [key, target] : placement.members)
     {
-        target_entry* target = choose_target(owner, it, queue.pool, capacity);
-        if (!target)
-            break;
-        task_name name{owner.get_id(), it};
+        task_name name{owner.get_id(), key};
         target_id id = target->report.target;
-        run_number run = owner.assign(it, id, run_number(number + 1));
+        run_number run = owner.assign(key, id, run_number(number + 1));
         add_run(name, owner, id, run, now);
-        placed.push_back({name, run, id});
+        starts.push_back({name, run, id});
     }
     mark_changed(entry);
-    if (placed.size() == members.size())
-    {
-        starts.insert(starts.end(), placed.begin(), placed.end());
-        return true;
-    }
-    for (const start_decision& it : placed)
-    {
-        remove_run(it.task);
-        owner.record_run_end(it.task.key, it.run, run_outcome::stopped, {}, 1);
-    }
-    return false;
+    return true;
 }
 
 } // namespace cowslippass
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -15,6 +15,10 @@
     R"({"spec":"s","steps":[{"count":3,"cpu":1000,"memMb":100,
     "estimateMs":50},{"count":1,"cpu":1000,"memMb":100,"estimateMs":50,
     "after":[0]}]})";
+/// More tasks than one target can run, all at the same time.
+constexpr const char* wide_gang =
+    R"({"spec":"s","steps":[{"count":6,"cpu":1000,"memMb":100,
+    "estimateMs":50,"gang":true}]})";
 
 class entry_end_to_end_test : public entry_test
 {
@@ -343,4 +347,27 @@
         });
 }
 
+// Guards against a gang that waits for capacity and is neither shown as queued
+// nor counted as pending.
+TEST_F(entry_end_to_end_test, counts_a_waiting_gang_as_pending)
+{
+    platform.add_target("t1", milliseconds(50));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            http_response it = co_await send("POST", "/q/" + job_1, wide_gang);
+            EXPECT_EQ(it.status, 200U);
+            co_await sleep(milliseconds(500));
+            it = co_await send("GET", "/q/");
+            EXPECT_EQ(it.body, "{\"pending\":1}");
+            it = co_await send("GET", "/q/" + job_1);
+            EXPECT_EQ(it.body, "{\"state\":\"queued\"}");
+            platform.add_target("t2", milliseconds(50));
+            EXPECT_TRUE(co_await wait_for(job_1, "completed"));
+            it = co_await send("GET", "/q/");
+            EXPECT_EQ(it.body, "{\"pending\":0}");
+        });
+}
+
 } // namespace cowslippass
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -268,6 +268,51 @@
         EXPECT_EQ(start.run, starts[0].run);
 }
 
+// Guards against a gang that counts as running, raises its run numbers or
+// writes its row while it waits, and against tasks of other jobs that wait
+// because a member did not fit beside the others.
+TEST_F(coordinator_test, leaves_no_trace_of_a_gang_that_does_not_fit)
+{
+    add_target(make_report("t1", 3));
+    step_spec step = make_step(4);
+    step.is_gang = true;
+    it.submit(job_1, make_record({step}), at(0));
+    const std::string before = it.find_job(job_1)->encode_progress();
+    it.take_changed_jobs();
+    for (std::int64_t ms = 0; ms < 5; ++ms)
+        EXPECT_TRUE(plan(ms).empty());
+    EXPECT_TRUE(it.take_changed_jobs().empty());
+    EXPECT_EQ(it.find_job(job_1)->encode_progress(), before);
+    EXPECT_EQ(it.find_job(job_1)->get_phase(), job_phase::queued);
+    EXPECT_EQ(it.count_queued(queue_a), 1U);
+    it.submit(job_id("2"), make_record({make_step(2)}), at(10));
+    EXPECT_EQ(plan(10).size(), 2U);
+    it.submit(job_id("3"), make_record({make_step(5)}), at(20));
+    EXPECT_EQ(plan(20).size(), 1U);
+    EXPECT_EQ(it.count_queued(queue_a), 1U);
+}
+
+// Guards against members of a gang that exceed the capacity of a target, or the
+// number that it may have, because they are placed in the same round.
+TEST_F(coordinator_test, places_a_gang_within_the_limits_of_each_target)
+{
+    add_target(make_report("t1", 2));
+    step_spec step = make_step(4);
+    step.is_gang = true;
+    step.max_per_target = 2;
+    it.submit(job_1, make_record({step}), at(0));
+    EXPECT_TRUE(plan().empty());
+    add_target(make_report("t2", 1));
+    EXPECT_TRUE(plan(1).empty());
+    add_target(make_report("t3", 16));
+    EXPECT_EQ(plan(2).size(), 4U);
+    for (const auto& [id, target] : it.get_targets())
+    {
+        EXPECT_TRUE(target.report.capacity.holds(target.used));
+        EXPECT_LE(target.runs.size(), 2U);
+    }
+}
+
 // Guards against maintenance that interrupts a second task of a step while
 // another one is on a silent target, whose last report is out of date.
 TEST_F(coordinator_test, counts_tasks_on_silent_targets_as_unavailable)
