Coordinator: a job runs once a start is confirmed

Callers would see: a job shown as running, and not counted as pending, although targets have refused every start of it.

Cause: job::assign() made the job running, before any target was asked. A start that a target refuses (429, 503, no room) takes the assignment back, not the phase.

Evidence: coordinator_test.counts_a_job_as_queued_until_a_task_starts and coordinator_test.counts_jobs_of_a_predecessor_by_what_targets_run failed on: 0 pending after a refused start.

Change: job::record_start(), called when a target confirms a start, lists a run or reports the end of a run. It writes no row: after a takeover the targets' lists tell it again. The order of planning depends on assignments as before (job::has_assignments), so that decisions do not change.

--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -259,7 +259,7 @@
     job_urgency out;
     out.priority = entry.queue ? entry.queue->priority : 0;
     out.acceptance_number = entry.acceptance_number;
-    out.is_new = it.get_phase() == job_phase::queued;
+    out.is_new = !it.has_assignments();
     out.exceeds_share = entry.exceeds_share;
     if (entry.queue)
         out.deadline = entry.accepted_at + entry.time_allowed;
@@ -367,6 +367,17 @@
         it->second.is_cordoned = is_cordoned;
 }
 
+void coordinator::confirm_start(
+    const task_name& task, active_run& run, boot_time now)
+{
+    if (!run.confirmed_at)
+        run.confirmed_at = now;
+    // The row is not written for this: the targets tell a successor what runs.
+    if (job_entry* entry = find_entry(task.job);
+        entry && entry->value.record_start())
+        update_queued_count(*entry);
+}
+
 void coordinator::add_run(const task_name& task, const job& owner,
     const target_id& target, run_number number, boot_time now)
 {
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -302,6 +302,8 @@
     /// Handles a change of a job's progress, which may have ended it.
     void record_change(job_entry& entry, boot_time now);
     void stop_runs_of(const job& owner);
+    /// Records that a target has begun to execute the run.
+    void confirm_start(const task_name& task, active_run& run, boot_time now);
     void add_run(const task_name& task, const job& owner,
         const target_id& target, run_number number, boot_time now);
     void request_stop(const task_name& task, active_run& run);
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -73,8 +73,7 @@
     switch (outcome)
     {
     case request_outcome::accepted:
-        if (!run->second.confirmed_at)
-            run->second.confirmed_at = now;
+        confirm_start(decision.task, run->second, now);
         return;
     case request_outcome::superseded:
         // The next status reports how the run ended.
@@ -135,8 +134,7 @@
         return;
     run->second.percent = report.percent;
     run->second.measured_value = report.measured_value;
-    if (!run->second.confirmed_at)
-        run->second.confirmed_at = now;
+    confirm_start(report.task, run->second, now);
 }
 
 void coordinator::handle_end_report(
@@ -149,6 +147,7 @@
     if (run == runs_.end() || run->second.number != report.run ||
         run->second.target != target.report.target)
         return;
+    confirm_start(report.task, run->second, now);
     end_run(report.task, report.end, report.saved, now);
 }
 
--- a/systems/workload/job.cpp
+++ b/systems/workload/job.cpp
@@ -148,11 +148,17 @@
     task.last_number = next;
     task.run = task_run{next, std::move(target)};
     mark_segment_changed(key);
-    if (phase_ == job_phase::queued)
-        phase_ = job_phase::running;
     return next;
 }
 
+bool job::record_start()
+{
+    if (phase_ != job_phase::queued)
+        return false;
+    phase_ = job_phase::running;
+    return true;
+}
+
 std::uint64_t job::get_ordinal(const task_key& key) const
 {
     return key.occurrence * tasks_per_occurrence_ + step_offsets_.at(key.step) +
@@ -229,6 +235,10 @@
     task_progress& task = it->second;
     task.run.reset();
     mark_segment_changed(key);
+    // A run that was stopped, or whose lease expired, may never have started.
+    if (outcome != run_outcome::stopped &&
+        outcome != run_outcome::lease_expired)
+        record_start();
     const step_spec& spec = get_step(key);
     if (!saved.empty() && get_json_string_size(saved) <= max_checkpoint_bytes)
         task.saved = saved;
--- a/systems/workload/job.hpp
+++ b/systems/workload/job.hpp
@@ -124,6 +124,14 @@
     run_number assign(const task_key& key, target_id target,
         std::optional<run_number> number = std::nullopt);
 
+    /// Records that a task has started.
+    /// @return whether it is the first one of the job.
+    bool record_start();
+
+    /// @return whether a task was ever assigned to a target; it need not have
+    ///   started there.
+    bool has_assignments() const { return !steps_.empty(); }
+
     /// Records the end of a run. The end of any run but the one in progress
     /// changes nothing.
     /// @param saved checkpoint that the run left; empty for none.
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -268,6 +268,51 @@
         EXPECT_EQ(start.run, starts[0].run);
 }
 
+// Guards against a job that is not counted as waiting although each target has
+// refused to start its task.
+TEST_F(coordinator_test, counts_a_job_as_queued_until_a_task_starts)
+{
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    for (std::int64_t ms : {0, 2'000, 4'000})
+    {
+        auto starts = it.plan(at(ms), platform_time(ms));
+        ASSERT_EQ(starts.size(), 1U);
+        it.make_start_request(starts[0]);
+        EXPECT_EQ(it.count_queued(queue_a), 1U);
+        it.handle_start_reply(
+            starts[0], request_outcome::unavailable, at(ms + 10));
+        EXPECT_EQ(it.count_queued(queue_a), 1U);
+        EXPECT_EQ(it.find_job(job_1)->get_phase(), job_phase::queued);
+    }
+    EXPECT_EQ(plan(6'000).size(), 1U);
+    EXPECT_EQ(it.count_queued(queue_a), 0U);
+    EXPECT_EQ(it.find_job(job_1)->get_phase(), job_phase::running);
+}
+
+// Guards against a successor that counts jobs as running, or as waiting, by the
+// assignments of its predecessor instead of what the targets run.
+TEST_F(coordinator_test, counts_jobs_of_a_predecessor_by_what_targets_run)
+{
+    const job_id job_2("2");
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    it.submit(job_2, make_record({make_step(1)}), at(0));
+    ASSERT_EQ(it.plan(at(0), platform_time(0)).size(), 2U);
+    coordinator_fixture next;
+    for (const job_id& id : {job_1, job_2})
+        next.it.load_job(id, make_record({make_step(1)}),
+            it.find_job(id)->encode_progress(), at(0), platform_time(0));
+    next.it.handle_target_change({target_1, make_report("t1")}, at(0));
+    target_status status = make_status(target_1);
+    std::erase_if(status.running,
+        [&](const running_report& run) { return run.task.job == job_2; });
+    next.it.handle_status(target_1, status, at(10), at(11));
+    EXPECT_EQ(next.it.count_queued(queue_a), 1U);
+    EXPECT_EQ(next.it.find_job(job_1)->get_phase(), job_phase::running);
+    EXPECT_EQ(next.it.find_job(job_2)->get_phase(), job_phase::queued);
+}
+
 // Guards against a gang that counts as running, raises its run numbers or
 // writes its row while it waits, and against tasks of other jobs that wait
 // because a member did not fit beside the others.
