Ledger: rows no longer grow with the size of a wave

Callers would see: nothing accepted or cancelled beside a maintenance wave of some 1,400 instances or more.

Cause: as with large jobs, one row held the progress of the whole wave, the store refused it, and the transaction was repeated.

Evidence: entry_end_to_end_test.maintains_a_wave_that_exceeds_one_row (300 instances with names of 180 characters) failed on: 504 for a submission.

Change: wave_record distributes the instances over rows by a hash of their names. Small waves have the same row as before. Times are passed in, so that the rows have tests without a clock.

--- a/main/entryd/pool_plan_executor.cpp
+++ b/main/entryd/pool_plan_executor.cpp
@@ -5,16 +5,12 @@
 #include "drivers/task_supervisor.hpp"
 #include "main/entryd/wall_clock.hpp"
 
-#include <nlohmann/json.hpp>
-
 namespace cowslippass
 {
 
 namespace
 {
 
-using json = nlohmann::json;
-
 constexpr milliseconds planning_interval{100};
 /// Time between reads of the instance list, which shows the target of each
 /// instance.
@@ -38,67 +34,13 @@
     return out;
 }
 
-/// Rows keep times on the system clock, which other entries can read. Theirs
-/// may differ by about this time.
-constexpr milliseconds max_clock_difference{500};
-
-std::int64_t to_stored_time(boot_time time)
-{
-    auto age =
-        std::chrono::duration_cast<milliseconds>(boot_clock::now() - time);
-    return get_wall_time().get() - age.count();
-}
-
-boot_time from_stored_time(std::int64_t time)
-{
-    return boot_clock::now() - milliseconds(std::max<std::int64_t>(
-                                   0, get_wall_time().get() - time));
-}
-
-std::string encode_wave_progress(const wave_progress& progress)
-{
-    json out{{"begun", json::array()}, {"begun_at", json::object()},
-        {"ordered", json::array()},
-        {"seen", to_stored_time(progress.first_seen)}};
-    for (const auto& [id, since] : progress.begun)
-    {
-        out["begun"].push_back(id.get());
-        if (since != boot_time{})
-            out["begun_at"][id.get()] = to_stored_time(since);
-    }
-    for (const instance_id& it : progress.ordered)
-        out["ordered"].push_back(it.get());
-    return out.dump();
-}
-
-/// @throws std::exception for a malformed row.
-wave_progress decode_wave_progress(const std::string& text)
-{
-    json in = json::parse(text);
-    wave_progress out;
-    out.first_seen = from_stored_time(in.at("seen").get<std::int64_t>());
-    json times = in.value("begun_at", json::object());
-    for (const json& id : in.at("begun"))
-    {
-        auto since = times.find(id.get<std::string>());
-        out.begun[instance_id(id.get<std::string>())] =
-            since == times.end()
-                ? boot_time{}
-                : from_stored_time(since->get<std::int64_t>() +
-                                   max_clock_difference.count());
-    }
-    for (const json& id : in.value("ordered", json::array()))
-        out.ordered.emplace(id.get<std::string>());
-    return out;
-}
-
 } // namespace
 
 pool_plan_executor::pool_plan_executor(asio::io_context& io,
     const entry_settings& settings, store_client& store,
     metrics_registry& metrics, const task_supervisor& tasks, term owner)
     : io_(io), store_(store), metrics_(metrics), tasks_(tasks),
-      term_(std::move(owner)),
+      term_(std::move(owner)), store_row_bytes_(settings.store_row_bytes),
       client_(io, settings.machines, settings.entry.get()),
       planner_(make_options(settings))
 {
@@ -106,22 +48,51 @@
 
 void pool_plan_executor::load(const std::vector<stored_row>& rows)
 {
+    boot_time now = boot_clock::now();
+    std::map<std::uint64_t, wave_progress> waves;
     for (const stored_row& it : rows)
     {
         try
         {
-            std::uint64_t wave = std::stoull(it.key);
-            wave_progress progress = decode_wave_progress(it.value);
-            planner_.restore_wave(wave, progress, boot_clock::now());
-            saved_waves_[wave] = std::move(progress);
+            wave_row_key key = decode_wave_row_key(it.key);
+            wave_progress part =
+                decode_wave_progress(it.value, now, get_wall_time());
+            saved_waves_[key] = part;
+            merge_wave_progress(waves[key.wave], std::move(part));
         }
-        catch (const std::exception& e)
+        catch (const systems_error& e)
         {
             write_log(log_level::error, "pools",
                 "cannot decode the row of a wave",
                 {{"key", it.key}, {"why", e.what()}});
         }
     }
+    for (const auto& [number, progress] : waves)
+        planner_.restore_wave(number, progress, now);
+}
+
+void pool_plan_executor::save_wave(const maintenance_wave& wave)
+{
+    auto progress = planner_.get_wave_progress(wave.number);
+    if (!progress)
+        return;
+    std::uint32_t part_count =
+        count_wave_parts(wave.instances.size(), store_row_bytes_);
+    auto parts = split_wave_progress(*progress, part_count);
+    // A part whose instances have no orders any more.
+    for (const auto& [key, saved] : saved_waves_)
+        if (key.wave == wave.number && !parts.contains(key.part))
+            parts[key.part].first_seen = progress->first_seen;
+    for (auto& [number, part] : parts)
+    {
+        wave_row_key key{wave.number, number};
+        auto saved = saved_waves_.find(key);
+        if (saved != saved_waves_.end() && saved->second == part)
+            continue;
+        term_.term_ledger.put(ledger_table::waves, encode_wave_row_key(key),
+            encode_wave_progress(part, boot_clock::now(), get_wall_time()));
+        saved_waves_[key] = std::move(part);
+    }
 }
 
 asio::awaitable<void> pool_plan_executor::list_instances()
@@ -227,13 +198,7 @@
     for (const auto& [number, wave] :
         term_.term_coordinator.get_published_state().waves)
     {
-        auto progress = planner_.get_wave_progress(number);
-        if (progress && *progress != saved_waves_[number])
-        {
-            term_.term_ledger.put(ledger_table::waves, std::to_string(number),
-                encode_wave_progress(*progress));
-            saved_waves_[number] = std::move(*progress);
-        }
+        save_wave(wave);
         bool is_completed = planner_.is_wave_completed(wave);
         auto written = written_statuses_.find(number);
         if (written != written_statuses_.end() &&
--- a/main/entryd/pool_plan_executor.hpp
+++ b/main/entryd/pool_plan_executor.hpp
@@ -4,7 +4,7 @@
 #include "platform/instance_client.hpp"
 #include "platform/published_rows.hpp"
 #include "systems/coordination/ledger.hpp"
-#include "systems/pools/pool_planner.hpp"
+#include "systems/pools/wave_record.hpp"
 
 #include <deque>
 #include <functional>
@@ -68,6 +68,8 @@
     void decide();
     /// Sends an order as soon as a connection is free.
     void queue_order(const instance_order& order);
+    /// Puts the changed rows of the wave into the ledger.
+    void save_wave(const maintenance_wave& wave);
     /// Puts the progress of each wave that has advanced into the ledger, and
     /// publishes the changed statuses.
     void update_waves();
@@ -79,10 +81,11 @@
     metrics_registry& metrics_;
     const task_supervisor& tasks_;
     term term_;
+    std::size_t store_row_bytes_;
     instance_client client_;
     pool_planner planner_;
-    /// Progress of each wave, as it was put into the ledger last.
-    std::map<std::uint64_t, wave_progress> saved_waves_;
+    /// Progress of the waves by row, as it was put into the ledger last.
+    std::map<wave_row_key, wave_progress> saved_waves_;
     /// Whether each wave is completed, as published for operators or as being
     /// written.
     std::map<std::uint64_t, bool> written_statuses_;
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -370,4 +370,28 @@
         });
 }
 
+// Guards against a maintenance wave whose row exceeds the store's limit: the
+// refused transaction blocked everything else, and the wave never ended.
+TEST_F(entry_end_to_end_test, maintains_a_wave_that_exceeds_one_row)
+{
+    constexpr int instance_count = 300;
+    for (int i = 0; i < instance_count; ++i)
+        platform.add_instance(std::string(180, 'm') + std::to_string(i));
+    platform.publish_wave(1, instance_count);
+    node->settings.instance_orders_per_s = 1'000;
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            for (int i = 0; i < 700; ++i)
+                if (platform.get_maintained_instances().size() < instance_count)
+                    co_await sleep(milliseconds(20));
+            EXPECT_EQ(platform.get_maintained_instances().size(),
+                std::size_t{instance_count});
+            EXPECT_EQ(platform.get_refused_size_count(), 0);
+            http_response it = co_await send("POST", "/q/" + job_1, one_task);
+            EXPECT_EQ(it.status, 200U);
+        });
+}
+
 } // namespace cowslippass
