Ledger: a row that the store rejects no longer stops all others

Cause: the ledger repeats its one transaction in flight unchanged until it is applied, also when the store rejects its content, which no repetition changes. The logs did not tell a busy store from a rejected row.

Change: answers that the store would repeat are told apart. A rejected batch is sent again in smaller parts, until the change that is to blame is rejected alone, just after the store has accepted a batch without changes; only then it is set aside. A submission is refused with 400 and forgotten; a job whose progress is rejected starts nothing more and its cancellation is not confirmed. One log line for each reason, one for each row, and a counter.

Ruled out: to end the term, which the successor repeats; to drop the row after a number of attempts, which loses rows while a store rejects everything.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -206,6 +206,37 @@
         ledger_.erase(table, encode_job_row_key({id, part}));
 }
 
+void coordinator_runner::handle_rejected_rows(const std::string& why)
+{
+    for (const ledger_change& it : ledger_.take_rejected_changes())
+    {
+        metrics_.add("cowslippass_ledger_rejected_rows_total");
+        write_log(log_level::error, "ledger", "the store rejects a row",
+            {{"table", it.table}, {"key", it.key},
+                {"bytes", it.value ? it.value->size() : 0}, {"why", why}});
+        auto key = decode_job_row_key(it.key);
+        if (!key || !it.value)
+            continue;
+        if (it.table == ledger_table::progress)
+        {
+            held_jobs_.insert(key->job);
+            coordinator_.hold_job(key->job);
+            continue;
+        }
+        const job* owner = coordinator_.find_job(key->job);
+        if (it.table != ledger_table::jobs || !owner)
+            continue;
+        rejected_jobs_.insert(key->job);
+        erase_parts(
+            ledger_table::progress, key->job, owner->list_used_segments());
+        ledger_.erase(ledger_table::progress, key->job.get());
+        ledger_.erase(ledger_table::jobs, key->job.get());
+        if (auto parts = record_parts_.extract(key->job))
+            erase_parts(ledger_table::jobs, key->job, parts.mapped());
+        coordinator_.withdraw_job(key->job);
+    }
+}
+
 void coordinator_runner::put_changed_queues()
 {
     for (auto& it : coordinator_.take_queue_changes())
@@ -247,7 +278,7 @@
     for (const job_id& id : coordinator_.take_changed_jobs())
     {
         const job* it = coordinator_.find_job(id);
-        if (!it)
+        if (!it || held_jobs_.contains(id))
             continue;
         put_progress(*it);
         if (it->is_settled())
@@ -269,6 +300,7 @@
     for (const job_id& id : coordinator_.take_expired_jobs(now))
     {
         durably_ended_jobs_.erase(id);
+        held_jobs_.erase(id);
         ledger_.erase(ledger_table::progress, id.get());
     }
 }
@@ -406,7 +438,16 @@
             end_term("another coordinator has taken over the ledger");
             co_return;
         }
-        if (!ledger_.is_in_flight())
+        if (result.outcome != batch_result::kind::committed &&
+            last_commit_failure_ != result.message)
+            write_log(log_level::warn, "ledger",
+                "the store did not apply a transaction",
+                {{"term", head_.term}, {"rows", batch.changes.size()},
+                    {"why", result.message}});
+        last_commit_failure_ = result.message;
+        if (result.outcome == batch_result::kind::rejected)
+            handle_rejected_rows(result.message);
+        else if (!ledger_.is_in_flight())
         {
             // The store may have applied an earlier copy of this batch, before
             // `sent`.
@@ -421,10 +462,10 @@
             co_return;
         }
         metrics_.add("cowslippass_ledger_retries_total");
-        if (result.outcome == batch_result::kind::refused)
-            co_await sleep(pause_after_refusal);
-        else
+        if (result.outcome == batch_result::kind::unknown)
             timeout = std::min(timeout * 2, max_commit_timeout);
+        else if (ledger_.is_in_flight())
+            co_await sleep(pause_after_refusal);
     }
 }
 
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -127,6 +127,9 @@
     /// next batches.
     void erase_parts(const char* table, const job_id& id,
         const std::set<std::uint32_t>& parts);
+    /// Refuses submissions that the store rejects, and holds jobs whose
+    /// progress it rejects.
+    void handle_rejected_rows(const std::string& why);
     /// Writes the changed records of queues with the next batches.
     void put_changed_queues();
     /// @param rows of queues that jobs in the ledger may need.
@@ -250,11 +253,18 @@
     boot_time next_load_report_at_{};
     std::uint64_t commit_count_ = 0; ///< Since the last load report.
     milliseconds longest_commit_{0}; ///< Since the last load report.
+    /// Why the store did not apply the last transaction; empty if it did.
+    std::string last_commit_failure_;
     std::string ends_to_log_;
     std::size_t ends_to_log_count_ = 0;
     /// Number of targets with runs, as of the last round of decisions.
     std::size_t busy_target_count_ = 0;
     std::set<job_id> durably_ended_jobs_; ///< Jobs whose end the ledger holds.
+    /// Jobs that could not be accepted because the store rejects their rows.
+    std::set<job_id> rejected_jobs_;
+    /// Jobs whose progress the store rejects; nothing of them is written any
+    /// more in this term.
+    std::set<job_id> held_jobs_;
     /// Numbers of the parts over which the records of large jobs are
     /// distributed.
     std::map<job_id, std::set<std::uint32_t>> record_parts_;
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -19,6 +19,12 @@
     {
         decode_error = e.what();
     }
+    // The store would reject the job's rows again.
+    if (rejected_jobs_.contains(call.job))
+    {
+        reply.result = coordinator_result::invalid;
+        co_return reply;
+    }
     if (decode_error)
     {
         write_log(log_level::warn, "coordinator", "cannot decode a submission",
@@ -51,6 +57,11 @@
         reply.result = coordinator_result::not_coordinator;
         co_return reply;
     }
+    if (rejected_jobs_.contains(call.job))
+    {
+        reply.result = coordinator_result::invalid;
+        co_return reply;
+    }
     coordinator_log.write("accept",
         outcome == submit_outcome::added ? "new" : "submitted_before",
         {{"job", call.job}, {"queue", call.queue}, {"team", call.team},
@@ -71,7 +82,8 @@
     }
     put_changed_rows();
     wake();
-    bool is_durable = co_await wait_until_durable(deadline);
+    bool is_durable =
+        co_await wait_until_durable(deadline) && !held_jobs_.contains(call.job);
     coordinator_log.write("cancel", "asked_by_caller",
         {{"job", call.job}, {"durable", is_durable}});
     reply.result = is_durable && !is_over_
@@ -108,7 +120,8 @@
             put_changed_rows();
             auto phase = static_cast<std::uint8_t>(it->get_phase());
             if (it->is_ended() && !durably_ended_jobs_.contains(call.job) &&
-                !co_await wait_until_durable(deadline))
+                (!co_await wait_until_durable(deadline) ||
+                    held_jobs_.contains(call.job)))
                 phase = static_cast<std::uint8_t>(job_phase::running);
             reply.phase = phase;
             break;
--- a/main/entryd/job_api.cpp
+++ b/main/entryd/job_api.cpp
@@ -174,7 +174,8 @@
         co_return out;
     }
     default:
-        co_return make_error(400, "bad_request", "the job cannot be read");
+        co_return make_error(400, "bad_request",
+            "the job cannot be read or stored; it was not accepted");
     }
 }
 
--- a/systems/coordination/ledger.cpp
+++ b/systems/coordination/ledger.cpp
@@ -1,5 +1,7 @@
 #include "systems/coordination/ledger.hpp"
 
+#include <algorithm>
+
 namespace cowslippass
 {
 
@@ -63,7 +65,8 @@
     ++batch.head.batch;
     std::size_t bytes = 0;
     last_in_flight_number_ = last_durable_number_;
-    while (!pending_changes_.empty() && batch.changes.size() < max_batch_rows)
+    in_flight_numbers_.clear();
+    while (!pending_changes_.empty() && batch.changes.size() < batch_limit_)
     {
         auto it = pending_changes_.begin();
         std::size_t size = it->second.value ? it->second.value->size() : 0;
@@ -71,6 +74,7 @@
             break;
         bytes += size;
         last_in_flight_number_ = it->first;
+        in_flight_numbers_.push_back(it->first);
         pending_numbers_.erase({it->second.table, it->second.key});
         batch.changes.push_back(std::move(it->second));
         pending_changes_.erase(it);
@@ -90,6 +94,8 @@
     head_ = in_flight_->head;
     is_released_ = head_.is_released;
     last_durable_number_ = last_in_flight_number_;
+    is_store_accepting_ = batch_limit_ == 0;
+    batch_limit_ = std::clamp<std::size_t>(batch_limit_ * 2, 1, max_batch_rows);
     in_flight_.reset();
     while (!durability_callbacks_.empty() &&
            durability_callbacks_.front().required_change_number <=
@@ -101,6 +107,45 @@
     }
 }
 
+void ledger::return_change(std::uint64_t number, ledger_change change)
+{
+    row_key id{change.table, change.key};
+    if (auto newer = pending_numbers_.find(id); newer != pending_numbers_.end())
+    {
+        // The newer value of the row takes the earlier place, on which
+        // callbacks wait.
+        auto it = pending_changes_.find(newer->second);
+        change = std::move(it->second);
+        pending_changes_.erase(it);
+    }
+    pending_numbers_[id] = number;
+    pending_changes_[number] = std::move(change);
+}
+
+void ledger::handle_rejection()
+{
+    // The store rejects every batch, so that no change is to blame.
+    if (in_flight_->changes.empty())
+        return;
+    ledger_batch batch = std::move(*in_flight_);
+    in_flight_.reset();
+    // If a copy of this batch applies after all, the head row shows it.
+    head_.batch = batch.head.batch;
+    std::size_t n = batch.changes.size();
+    if (n == 1 && is_store_accepting_)
+    {
+        rejected_changes_.push_back(std::move(batch.changes.front()));
+        batch_limit_ = max_batch_rows;
+    }
+    else
+    {
+        for (std::size_t i = 0; i < n; ++i)
+            return_change(in_flight_numbers_[i], std::move(batch.changes[i]));
+        batch_limit_ = n / 2;
+    }
+    is_store_accepting_ = false;
+}
+
 void ledger::handle_result(const batch_result& result)
 {
     using kind = batch_result::kind;
@@ -114,6 +159,9 @@
     case kind::refused:
     case kind::unknown:
         return;
+    case kind::rejected:
+        handle_rejection();
+        return;
     case kind::conflict:
         break;
     }
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cowslippass
@@ -49,17 +50,22 @@
     {
         committed,
         conflict, ///< The head row has another version.
-        refused,  ///< The batch had no effect.
+        refused,  ///< The batch had no effect; it may be sent again.
+        rejected, ///< The batch had no effect, and never will have.
         unknown   ///< No reply; the batch may have applied, or may do so later.
     };
     kind outcome = kind::unknown;
     row_version version; ///< Of the head row; not set for `unknown`.
     std::optional<ledger_head> head; ///< Current head row, after a conflict.
+    std::string message;             ///< Describes a failure, for logs.
 };
 
 /// Collects the coordinator's changes and writes them in batches, with one
 /// transaction in flight at a time. A batch without a reply is sent again
-/// unchanged: the expected version lets at most one of the copies apply.
+/// unchanged: the expected version lets at most one of the copies apply. A
+/// batch that the store rejects is sent again in smaller parts, until the
+/// change that it does not accept is found and set aside; all others are
+/// written.
 class ledger
 {
 public:
@@ -102,6 +108,15 @@
         return pending_changes_.size();
     }
 
+    /// @return the changes that were set aside since the last call, because the
+    ///   store rejects them and accepts batches without them. Callbacks that
+    ///   waited for them run nevertheless; the caller has to take the changes
+    ///   after each rejected batch, before it sends the next one.
+    std::vector<ledger_change> take_rejected_changes()
+    {
+        return std::exchange(rejected_changes_, {});
+    }
+
     /// @return the batch to send: the one that is in flight, or a new one with
     ///   the pending changes, even if there are none.
     const ledger_batch& make_batch();
@@ -122,6 +137,11 @@
     void add(
         const char* table, std::string key, std::optional<std::string> value);
     void commit(row_version version);
+    /// Makes the changes of the rejected batch pending again, except for one
+    /// that is rejected alone.
+    void handle_rejection();
+    /// Makes a change of the batch in flight pending again, under its number.
+    void return_change(std::uint64_t number, ledger_change change);
 
     ledger_head head_;
     row_version version_;
@@ -135,6 +155,15 @@
     std::uint64_t last_in_flight_number_ = 0;
     std::uint64_t last_durable_number_ = 0;
     std::optional<ledger_batch> in_flight_;
+    /// Numbers of the changes of the batch in flight.
+    std::vector<std::uint64_t> in_flight_numbers_;
+    /// Maximum number of changes in the next batch. After a rejected batch it
+    /// is smaller; after one with a single change, the next batch has none and
+    /// shows whether the store accepts any.
+    std::size_t batch_limit_ = max_batch_rows;
+    /// The last batch was one without changes, and the store accepted it.
+    bool is_store_accepting_ = false;
+    std::vector<ledger_change> rejected_changes_;
     std::deque<durability_callback> durability_callbacks_;
     bool is_lost_ = false;
     bool is_release_requested_ = false;
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -288,6 +288,33 @@
     return true;
 }
 
+void coordinator::withdraw_job(const job_id& id)
+{
+    job_entry* entry = find_entry(id);
+    if (!entry)
+        return;
+    for (const task_key& key : entry->value.list_running())
+        remove_run({id, key});
+    if (entry->is_to_be_planned)
+        std::erase(jobs_to_plan_, entry);
+    if (entry->is_counted_as_queued)
+        --queued_counts_[entry->value.get_queue()];
+    if (entry->ended_at)
+        std::erase_if(ended_jobs_by_expiry_,
+            [&](const auto& it) { return it.second == id; });
+    else
+        queues_.remove_job(entry->value.get_queue());
+    if (entry->is_changed)
+        std::erase(changed_jobs_, id);
+    jobs_.erase(id);
+}
+
+void coordinator::hold_job(const job_id& id)
+{
+    if (job_entry* entry = find_entry(id))
+        entry->is_held = true;
+}
+
 std::uint64_t coordinator::count_queued(const queue_id& queue) const
 {
     auto it = queued_counts_.find(queue);
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -137,6 +137,14 @@
     /// @return whether the job is known.
     bool cancel(const job_id& id, boot_time now);
 
+    /// Forgets a job that could not be accepted. None of its starts may have
+    /// been sent.
+    void withdraw_job(const job_id& id);
+
+    /// Starts no further tasks of a job whose progress cannot be stored. Starts
+    /// that were not sent are withdrawn.
+    void hold_job(const job_id& id);
+
     /// @return null for an unknown job.
     const job* find_job(const job_id& id) const;
 
@@ -260,6 +268,7 @@
         /// In the last planning round, the team's limit held back some tasks.
         bool is_over_limit = false;
         bool needs_scan = true; ///< `waiting` has to be computed again.
+        bool is_held = false;   ///< No further tasks start.
         std::optional<boot_time> ended_at = {};
         /// Since when tasks have waited for capacity.
         std::optional<boot_time> waiting_since = {};
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -38,7 +38,7 @@
     for (job_entry* it : jobs)
     {
         it->is_to_be_planned = false;
-        if (it->value.is_ended())
+        if (it->value.is_ended() || it->is_held)
             continue;
         bool has_schedule = it->value.get_spec().repeat_count > 0;
         if (it->needs_scan || has_schedule)
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -37,7 +37,10 @@
     if (run == runs_.end() || run->second.number != decision.run ||
         run->second.must_stop)
         return std::nullopt;
-    const job& owner = jobs_.at(decision.task.job).value;
+    const job_entry& entry = jobs_.at(decision.task.job);
+    if (entry.is_held && !run->second.is_sent)
+        return std::nullopt;
+    const job& owner = entry.value;
     run->second.is_sent = true;
     run_start_request request;
     request.task = decision.task;
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -394,4 +394,52 @@
         });
 }
 
+// Guards against one job that stops all others: the store rejects its row, and
+// the transaction was repeated for ever. Its caller gets a clear answer.
+TEST_F(entry_end_to_end_test, refuses_a_job_whose_row_the_store_rejects)
+{
+    platform.add_target("t1", milliseconds(20));
+    platform.reject_row("jobs", job_1);
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            http_response it = co_await send("POST", "/q/" + job_1, one_task);
+            EXPECT_EQ(it.status, 400U);
+            it = co_await send("POST", "/q/" + job_2, one_task);
+            EXPECT_EQ(it.status, 200U);
+            EXPECT_TRUE(co_await wait_for(job_2, "completed"));
+            it = co_await send("GET", "/q/" + job_1);
+            EXPECT_EQ(it.status, 410U);
+            it = co_await send("GET", "/q/");
+            EXPECT_EQ(it.body, "{\"pending\":0}");
+            EXPECT_FALSE(
+                platform.get_start_counts().contains(job_1 + ".0.0.0"));
+            EXPECT_TRUE(platform.get_row("progress", job_1).empty());
+        });
+}
+
+// Guards against one accepted job that stops all others because the store
+// rejects its progress. Its tasks must not start, as a successor would not know
+// of them, and a cancellation that is not stored must not be confirmed.
+TEST_F(entry_end_to_end_test, holds_a_job_whose_progress_the_store_rejects)
+{
+    platform.add_target("t1", milliseconds(20));
+    platform.reject_row("progress", job_1);
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            http_response it = co_await send("POST", "/q/" + job_1, one_task);
+            EXPECT_EQ(it.status, 200U);
+            it = co_await send("POST", "/q/" + job_2, one_task);
+            EXPECT_EQ(it.status, 200U);
+            EXPECT_TRUE(co_await wait_for(job_2, "completed"));
+            EXPECT_FALSE(
+                platform.get_start_counts().contains(job_1 + ".0.0.0"));
+            it = co_await send("DELETE", "/q/" + job_1);
+            EXPECT_EQ(it.status, 504U);
+        });
+}
+
 } // namespace cowslippass
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -251,6 +251,14 @@
         ++refused_size_count_;
         return make_response(400, json::object());
     }
+    auto is_rejected = [&](const json& it)
+    {
+        return rejected_rows_.contains(
+            row_key(it.at("table").get<std::string>(),
+                it.at("key").get<std::string>()));
+    };
+    if (std::ranges::any_of(body.at("upserts"), is_rejected))
+        return make_response(400, json::object());
     json current = json::array();
     bool is_met = true;
     for (const json& it : body.at("expected"))
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -50,6 +50,12 @@
         is_store_unavailable_ = is_unavailable;
     }
 
+    /// The store answers each transaction that writes this row with status 400.
+    void reject_row(const std::string& table, const std::string& key)
+    {
+        rejected_rows_.insert({table, key});
+    }
+
     /// Lists an instance in pool `p` that is up and runs no target.
     void add_instance(const std::string& id);
 
@@ -116,6 +122,7 @@
     std::map<row_key, row> rows_;
     std::uint64_t version_ = 0;
     int refused_size_count_ = 0;
+    std::set<row_key> rejected_rows_;
     std::map<std::string, std::shared_ptr<target>> targets_;
     std::map<std::string, int> start_counts_;
     bool is_store_unavailable_ = false;
--- a/tests/systems/coordination/ledger_test.cpp
+++ b/tests/systems/coordination/ledger_test.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <deque>
+#include <set>
 
 namespace cowslippass
 {
@@ -128,6 +130,64 @@
     RC_ASSERT(store.rows == expected_rows);
 }
 
+// Guards against rows that are never written because the store rejects another
+// row of their batch, and against a row that is set aside although the store
+// would have accepted it.
+RC_GTEST_PROP(ledger, writes_all_rows_but_those_that_the_store_rejects, ())
+{
+    auto keys =
+        *rc::gen::container<std::vector<int>>(150, rc::gen::inRange(0, 200));
+    auto poison =
+        *rc::gen::container<std::set<int>>(3, rc::gen::inRange(0, 200));
+    int outage = *rc::gen::inRange(0, 40);
+    store_model store;
+    ledger it = start_term(store, 1, "a");
+    std::map<std::string, std::string> expected_rows;
+    std::set<std::string> rejected;
+    int callbacks = 0;
+    int n = 0;
+    auto send = [&]
+    {
+        const ledger_batch& batch = it.make_batch();
+        // During the outage, the store rejects every batch.
+        bool is_rejected =
+            (--outage < 0 && outage > -20) ||
+            std::ranges::any_of(batch.changes, [&](const ledger_change& change)
+                { return poison.contains(std::stoi(change.key)); });
+        if (is_rejected)
+        {
+            batch_result out;
+            out.outcome = batch_result::kind::rejected;
+            it.handle_result(out);
+        }
+        else
+            it.handle_result(store.apply(batch));
+        for (const ledger_change& change : it.take_rejected_changes())
+        {
+            RC_ASSERT(poison.contains(std::stoi(change.key)));
+            rejected.insert(change.key);
+        }
+    };
+    for (int key : keys)
+    {
+        std::string value = std::to_string(++n);
+        it.put(ledger_table::progress, std::to_string(key), value);
+        if (!poison.contains(key))
+            expected_rows[std::to_string(key)] = value;
+        it.when_durable([&] { ++callbacks; });
+        if (key % 4 == 0)
+            send();
+    }
+    for (int i = 0; i < 2'000 && (it.has_changes() || callbacks < n); ++i)
+        send();
+    RC_ASSERT(callbacks == n);
+    RC_ASSERT(!it.is_lost());
+    RC_ASSERT(store.rows == expected_rows);
+    for (int key : poison)
+        RC_ASSERT(rejected.contains(std::to_string(key)) ==
+                  (std::ranges::find(keys, key) != keys.end()));
+}
+
 // Guards against a write by a former coordinator after another one has taken
 // the ledger over.
 TEST(ledger, is_lost_after_a_takeover_by_another_holder)
