--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -399,6 +399,9 @@
 {
     if (!run.confirmed_at)
         run.confirmed_at = now;
+    if (run.has_started)
+        return;
+    run.has_started = true;
     // The row is not written for this: the targets tell a successor what runs.
     if (job_entry* entry = find_entry(task.job);
         entry && entry->value.record_start())
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -44,7 +44,8 @@
     /// can no longer take effect. The run has ended if a status that was polled
     /// later does not list it.
     std::optional<boot_time> confirmed_at;
-    bool is_sent = false; ///< A start request has been sent.
+    bool is_sent = false;     ///< A start request has been sent.
+    bool has_started = false; ///< As far as the target has told.
     /// A start request without an answer may still reach the target.
     bool may_arrive_late = false;
     bool must_stop = false;
