--- a/systems/workload/job.cpp
+++ b/systems/workload/job.cpp
@@ -311,6 +311,28 @@
     out += ']';
 }
 
+void job::append_steps(
+    std::string& out, std::optional<std::uint32_t> segment) const
+{
+    out += '[';
+    const char* separator = "";
+    for (const auto& [at, step] : steps_)
+    {
+        index_range indices =
+            segment ? get_segment_indices(at, *segment)
+                    : index_range{0, spec_.steps.at(at.second).task_count};
+        if (indices.begin == indices.end)
+            continue;
+        out += separator;
+        separator = ",";
+        out += '[' + std::to_string(at.first) + ',' +
+               std::to_string(at.second) + ',';
+        append_progress(out, step, indices);
+        out += ']';
+    }
+    out += ']';
+}
+
 std::string job::encode_progress() const
 {
     std::string out = "{\"state\":\"";
@@ -326,18 +348,9 @@
     }
     if (has_segments())
         return out + '}';
-    out += ",\"steps\":[";
-    const char* separator = "";
-    for (const auto& [at, step] : steps_)
-    {
-        out += separator;
-        separator = ",";
-        out += '[' + std::to_string(at.first) + ',' +
-               std::to_string(at.second) + ',';
-        append_progress(out, step, {0, spec_.steps.at(at.second).task_count});
-        out += ']';
-    }
-    return out + "]}";
+    out += ",\"steps\":";
+    append_steps(out, std::nullopt);
+    return out + '}';
 }
 
 std::string job::encode_segment(std::uint32_t segment) const
@@ -346,21 +359,9 @@
     // the end of the run that caused it.
     std::string out = "{\"state\":\"";
     out += to_string(phase_);
-    out += "\",\"steps\":[";
-    const char* separator = "";
-    for (const auto& [at, step] : steps_)
-    {
-        index_range indices = get_segment_indices(at, segment);
-        if (indices.begin == indices.end)
-            continue;
-        out += separator;
-        separator = ",";
-        out += '[' + std::to_string(at.first) + ',' +
-               std::to_string(at.second) + ',';
-        append_progress(out, step, indices);
-        out += ']';
-    }
-    return out + "]}";
+    out += "\",\"steps\":";
+    append_steps(out, segment);
+    return out + '}';
 }
 
 bool job::is_settled() const
--- a/systems/workload/job.hpp
+++ b/systems/workload/job.hpp
@@ -198,6 +198,9 @@
     /// Appends the lists of the step's done tasks and of its other tasks.
     static void append_progress(
         std::string& out, const step_progress& step, index_range indices);
+    /// Appends the progress of all steps, or of the segment's part of them.
+    void append_steps(
+        std::string& out, std::optional<std::uint32_t> segment) const;
     /// Adds the phase and the steps that one text describes.
     void decode_steps(const std::string& text);
     /// Completes gangs of which only some members were stored as done.
