--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -36,6 +36,24 @@
 constexpr milliseconds max_commit_timeout{1'200};
 constexpr milliseconds pause_after_refusal{60};
 
+/// Callers may ask for an ended job a little longer than the deployment states,
+/// because their clocks differ.
+constexpr milliseconds status_time_margin{30'000};
+/// Time between the writes of what was learned of run times. A successor that
+/// misses the last samples forecasts nearly the same.
+constexpr milliseconds run_time_record_interval{5'000};
+
+coordinator_options make_coordinator_options(const entry_settings& settings)
+{
+    coordinator_options out;
+    out.ended_job_retention = settings.status_time + status_time_margin;
+    out.learns_run_times = settings.learn_run_times;
+    out.sheds_overload = settings.shed_overload;
+    out.packs_by_shape = settings.pack_by_shape;
+    out.judges_targets = settings.judge_targets;
+    return out;
+}
+
 /// A term may be released only if this is true: the successor of a released
 /// term relies on it that no earlier coordinator can extend leases any more.
 /// @return whether the predecessor can no longer extend leases.
@@ -54,8 +72,7 @@
     row_version version, boot_time renewed_at, bool was_previous_term_released)
     : io_(io), settings_(settings), store_(store), metrics_(metrics),
       tasks_(tasks), head_(head), ledger_(head, version),
-      coordinator_(
-          {milliseconds(1'000), settings.status_time + milliseconds(30'000)}),
+      coordinator_(make_coordinator_options(settings)),
       was_previous_term_released_(was_previous_term_released),
       taken_over_at_(boot_clock::now()), renewed_at_(renewed_at),
       wake_timer_(io), relays_(io, tasks, settings.peer_listen)
@@ -291,6 +308,17 @@
     put_changed_queues();
 }
 
+void coordinator_runner::put_run_times()
+{
+    boot_time now = boot_clock::now();
+    if (now < next_run_time_record_at_)
+        return;
+    next_run_time_record_at_ = now + run_time_record_interval;
+    for (auto& it : coordinator_.take_run_time_changes())
+        ledger_.put(
+            ledger_table::run_times, it.queue.get(), std::move(it.value));
+}
+
 void coordinator_runner::erase_expired_rows()
 {
     boot_time now = boot_clock::now();
@@ -410,6 +438,7 @@
     put_changed_rows();
     acknowledge_ends_when_durable();
     erase_expired_rows();
+    put_run_times();
     log_ends();
     log_load();
     update_relays();
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -134,6 +134,8 @@
     void put_changed_queues();
     /// @param rows of queues that jobs in the ledger may need.
     void load_queues(const std::vector<stored_row>& rows);
+    /// @param rows what predecessors have learned of run times.
+    void load_run_times(const std::vector<stored_row>& rows);
     /// Writes the job's changed progress with the next batches.
     void put_progress(const job& it);
     /// Removes the rows that a settled job no longer needs.
@@ -182,6 +184,8 @@
     void log_load();
     /// Puts the progress rows of changed jobs into the ledger.
     void put_changed_rows();
+    /// Writes what was learned of run times, if that is due.
+    void put_run_times();
     /// Removes the rows of jobs whose retention time has passed.
     void erase_expired_rows();
     /// Acknowledges the received ends to their targets once the next
@@ -249,6 +253,7 @@
     /// rows are not in the ledger's next batch yet.
     std::map<link_ptr, std::uint64_t> received_end_numbers_;
     boot_time next_erase_at_{};
+    boot_time next_run_time_record_at_{};
     boot_time next_relay_update_at_{};
     boot_time next_load_report_at_{};
     std::uint64_t commit_count_ = 0; ///< Since the last load report.
--- a/main/entryd/coordinator_runner_recovery.cpp
+++ b/main/entryd/coordinator_runner_recovery.cpp
@@ -140,6 +140,22 @@
         }
 }
 
+void coordinator_runner::load_run_times(const std::vector<stored_row>& rows)
+{
+    for (const stored_row& it : rows)
+        try
+        {
+            coordinator_.load_run_times(queue_id(it.key), it.value);
+        }
+        catch (const systems_error& e)
+        {
+            write_log(log_level::error, "coordinator",
+                "cannot decode the run times of a queue; they are learned anew",
+                {{"queue", it.key}, {"version", it.version},
+                    {"why", e.what()}});
+        }
+}
+
 asio::awaitable<bool> coordinator_runner::recover()
 {
     auto self = shared_from_this();
@@ -160,6 +176,14 @@
     if (begun.failure != store_failure::none)
         co_return false;
     wave_rows_ = std::move(begun.rows);
+    if (settings_.learn_run_times)
+    {
+        row_range range{ledger_table::run_times, ledger_table::part, "", ""};
+        rows_result rows = co_await store_.read_all_rows(range, read_timeout);
+        // Without them, the coordinator learns anew.
+        if (rows.failure == store_failure::none)
+            load_run_times(rows.rows);
+    }
     if (!co_await read_targets())
         co_return false;
     load_queues(known.rows);
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -14,10 +14,11 @@
 {
 
 /// Pointer to a member of the settings.
-using member = std::variant<entry_id entry_settings::*,
-    data_centre_id entry_settings::*, tcp::endpoint entry_settings::*,
-    std::string entry_settings::*, milliseconds entry_settings::*,
-    double entry_settings::*, std::size_t entry_settings::*>;
+using member =
+    std::variant<entry_id entry_settings::*, data_centre_id entry_settings::*,
+        tcp::endpoint entry_settings::*, std::string entry_settings::*,
+        milliseconds entry_settings::*, double entry_settings::*,
+        std::size_t entry_settings::*, bool entry_settings::*>;
 
 /// One setting: its key in the file and the rule for its value.
 struct setting_description
@@ -45,6 +46,7 @@
 constexpr std::int64_t max_row_bytes = 1'000'000'000;
 constexpr std::string_view row_size_rule =
     "a whole number from 4096 to 1000000000";
+constexpr std::string_view switch_rule = "true or false";
 
 const auto& get_descriptions()
 {
@@ -85,6 +87,14 @@
             "maintenance_time_s", &s::maintenance_time, false, time_rule},
         setting_description{
             "notice_time_ms", &s::notice_time, false, time_rule},
+        setting_description{
+            "learn_run_times", &s::learn_run_times, false, switch_rule},
+        setting_description{
+            "shed_overload", &s::shed_overload, false, switch_rule},
+        setting_description{
+            "pack_by_shape", &s::pack_by_shape, false, switch_rule},
+        setting_description{
+            "judge_targets", &s::judge_targets, false, switch_rule},
     };
     return all;
 }
@@ -209,6 +219,15 @@
         return true;
     }
 
+    bool read_value(
+        const setting_description&, const toml::node& node, bool& value)
+    {
+        auto read = node.value_exact<bool>();
+        if (read)
+            value = *read;
+        return read.has_value();
+    }
+
     void add_error(std::string_view name, const toml::node& node,
         const std::string& message)
     {
--- a/main/entryd/entry_settings.hpp
+++ b/main/entryd/entry_settings.hpp
@@ -49,6 +49,20 @@
     milliseconds maintenance_time{2'000};
     /// A task that is unavailable for this long counts against its budget.
     milliseconds notice_time{4'500};
+
+    // Decisions under load that are off unless the deployment asks for them.
+
+    /// Run times are learned from finished runs and replace the callers'
+    /// estimates.
+    bool learn_run_times = false;
+    /// When a pool cannot serve all waiting jobs in time, the jobs that it can
+    /// serve go first, and submissions that it cannot serve at all are refused.
+    bool shed_overload = false;
+    /// Tasks are placed and pools are sized by the shapes of tasks and targets
+    /// instead of the sums of their resources.
+    bool pack_by_shape = false;
+    /// Targets that are slower or fail more often than others get less work.
+    bool judge_targets = false;
 };
 
 /// Reads a TOML file and checks all of its settings.
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -22,6 +22,7 @@
 inline constexpr const char* progress = "progress";
 inline constexpr const char* waves = "waves";
 inline constexpr const char* queues = "queues";
+inline constexpr const char* run_times = "run_times";
 inline constexpr const char* part = "ledger";
 inline constexpr const char* head_key = "head";
 } // namespace ledger_table
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -10,11 +10,15 @@
 namespace
 {
 
-/// @return the estimated work of one task, in core-milliseconds.
-double get_work(const step_spec& step)
+/// Forecasts of a waiting job are renewed after this time, because runs that
+/// ended meanwhile may have changed them.
+constexpr milliseconds run_time_update_interval{500};
+
+/// @return the expected work of one task, in core-milliseconds.
+double get_work(const step_spec& step, milliseconds run_time)
 {
     return static_cast<double>(step.get_counted_need().processor) / 1'000.0 *
-           static_cast<double>(step.estimate.count());
+           static_cast<double>(run_time.count());
 }
 
 } // namespace
@@ -84,11 +88,12 @@
 {
     if (jobs_.contains(id))
         return submit_outcome::already_known;
-    record_arrival(record, now);
     job value(id, record.queue, record.team, std::move(record.spec),
         record.tasks_per_segment);
     job_entry entry{std::move(value), now, ++last_acceptance_number_};
     auto& added = jobs_.emplace(id, std::move(entry)).first->second;
+    update_run_times(added, now);
+    record_arrival(added, now);
     const team_config* team =
         published_state_.config
             ? published_state_.config->find_team(record.team)
@@ -116,8 +121,28 @@
     entry.config_number = config_number_;
     entry.queue = queues_.find(entry.value.get_queue());
     if (entry.queue)
-        entry.time_allowed =
-            get_time_allowed(entry.value.get_spec(), *entry.queue);
+        entry.time_allowed = get_time_allowed(
+            entry.value.get_spec(), entry.run_times, *entry.queue);
+}
+
+bool coordinator::update_run_times(job_entry& entry, boot_time now)
+{
+    bool is_first = entry.run_times.empty();
+    // What a job is allowed to take does not change once it has started.
+    bool is_due = options_.learns_run_times && !entry.value.has_assignments() &&
+                  now - entry.run_times_updated_at >= run_time_update_interval;
+    if (!is_first && !is_due)
+        return false;
+    entry.run_times_updated_at = now;
+    entry.run_times.clear();
+    for (const step_spec& it : entry.value.get_spec().steps)
+        entry.run_times.push_back(
+            options_.learns_run_times
+                ? run_times_.predict(entry.value.get_queue(), it).median
+                : it.estimate);
+    // The time allowed depends on the run times.
+    entry.config_number = 0;
+    return true;
 }
 
 void coordinator::update_queued_count(job_entry& entry)
@@ -141,17 +166,19 @@
     changed_jobs_.push_back(entry.value.get_id());
 }
 
-void coordinator::record_arrival(const job_record& record, boot_time now)
+void coordinator::record_arrival(const job_entry& entry, boot_time now)
 {
-    const queue_config* queue = queues_.find(record.queue);
+    const queue_config* queue = queues_.find(entry.value.get_queue());
+    const job_spec& spec = entry.value.get_spec();
     // Scheduled occurrences start later, and long-running tasks do not end, so
     // that neither belongs to an arrival rate.
-    if (!queue || record.spec.repeat_count > 0)
+    if (!queue || spec.repeat_count > 0)
         return;
     double work = 0;
-    for (const step_spec& it : record.spec.steps)
-        if (!it.is_long_running)
-            work += static_cast<double>(it.task_count) * get_work(it);
+    for (std::size_t i = 0; i < spec.steps.size(); ++i)
+        if (!spec.steps[i].is_long_running)
+            work += static_cast<double>(spec.steps[i].task_count) *
+                    get_work(spec.steps[i], entry.run_times[i]);
     arrival_load_.add(queue->pool, work, now);
     arrival_trend_.add(queue->pool, work, now);
 }
@@ -185,7 +212,8 @@
     if (entry.is_overdue)
     {
         for (const task_key& key : entry.waiting)
-            demand.overdue_core_ms += get_work(entry.value.get_step(key));
+            demand.overdue_core_ms +=
+                get_work(entry.value.get_step(key), entry.run_times[key.step]);
         return;
     }
     if (entry.waiting_since)
@@ -212,7 +240,7 @@
         if (step.is_long_running)
             demand.long_running_need += need;
         else
-            demand.waiting_core_ms += get_work(step);
+            demand.waiting_core_ms += get_work(step, entry.run_times[key.step]);
         add_to_spread(key);
     }
     if (!entry.waiting.empty())
@@ -454,14 +482,22 @@
         return;
     run_number number = it->second.number;
     boot_time assigned_at = it->second.assigned_at;
+    // Not set, or earlier, for runs that a predecessor started.
+    boot_time started_at = it->second.confirmed_at.value_or(boot_time{});
     remove_run(task);
     job_entry* entry = find_entry(task.job);
     if (!entry)
         return;
     const step_spec& step = entry->value.get_step(task.key);
-    if (end == run_outcome::done && saved.empty())
+    const task_progress* progress = entry->value.find_task(task.key);
+    bool is_whole_run = end == run_outcome::done && saved.empty() &&
+                        (!progress || progress->saved.empty());
+    if (is_whole_run)
         estimate_calibrator_.add(entry->value.get_queue(), step.estimate,
             std::chrono::duration_cast<milliseconds>(now - assigned_at));
+    if (is_whole_run && options_.learns_run_times && started_at >= assigned_at)
+        run_times_.add(entry->value.get_queue(), step,
+            std::chrono::duration_cast<milliseconds>(now - started_at));
     if (step.is_gang && end == run_outcome::done)
         for (std::uint32_t i = 0; i < step.task_count; ++i)
         {
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -5,6 +5,7 @@
 #include "systems/pools/arrival_trend.hpp"
 #include "systems/scheduling/job_urgency.hpp"
 #include "systems/scheduling/queue_registry.hpp"
+#include "systems/scheduling/run_time_model.hpp"
 #include "systems/scheduling/target_table.hpp"
 #include "systems/workload/job_record.hpp"
 
@@ -28,6 +29,15 @@
     /// Averaging time of the arrival rate: long enough that single jobs do not
     /// look like a burst, short against a burst of some seconds.
     milliseconds load_averaging_time{1'000};
+    /// Run times come from run_time_model instead of the callers' estimates.
+    bool learns_run_times = false;
+    /// When a pool cannot serve all waiting jobs in time, the jobs that it can
+    /// serve go first, and submissions that it cannot serve at all are refused.
+    bool sheds_overload = false;
+    /// Targets are chosen by the shape of the capacity that stays free.
+    bool packs_by_shape = false;
+    /// Targets that are slower or fail more often than others get less work.
+    bool judges_targets = false;
 };
 
 /// A run that a target may be executing.
@@ -240,6 +250,24 @@
     /// removes targets that are no longer listed and have no runs.
     void end_runs_without_lease(boot_time now);
 
+    // Run times.
+
+    /// Restores what a predecessor has learned of a queue's run times.
+    /// @throws systems_error (`bad_run_times`) if the record is malformed.
+    void load_run_times(const queue_id& queue, const std::string& record)
+    {
+        run_times_.load(queue, record);
+    }
+
+    const run_time_model& get_run_times() const { return run_times_; }
+
+    /// @return records to store of queues whose tasks have ended since the last
+    ///   call; none unless run times are learned.
+    std::vector<run_time_model::record_change> take_run_time_changes()
+    {
+        return run_times_.take_changed_records();
+    }
+
     // Rows to store.
 
     /// @return jobs whose progress changed since the last call.
@@ -274,8 +302,13 @@
         /// Since when tasks have waited for capacity.
         std::optional<boot_time> waiting_since = {};
         milliseconds remaining_critical_path{0}; ///< Estimated critical path.
-        bool exceeds_share = false;              ///< Beyond its team's share.
-        bool is_overdue = false; ///< In the last planning round.
+        /// Expected run time of a task of each step.
+        std::vector<milliseconds> run_times = {};
+        boot_time run_times_updated_at{};
+        /// Targets at which runs of a task have failed.
+        std::map<task_key, std::set<target_id>> failed_at = {};
+        bool exceeds_share = false; ///< Beyond its team's share.
+        bool is_overdue = false;    ///< In the last planning round.
         /// Null until the queue is known.
         const queue_config* queue = nullptr;
         /// How long after its submission the job counts as in time, by the
@@ -287,6 +320,9 @@
         bool is_changed = false;           ///< `changed_jobs_` contains it.
     };
 
+    /// Forecasts the run times of the job's steps, if that is due.
+    /// @return whether they may have changed.
+    bool update_run_times(job_entry& entry, boot_time now);
     /// Adds the waiting tasks of a job to the demand of its pool.
     static void add_waiting(
         const job_entry& entry, pool_demand& demand, boot_time now);
@@ -308,7 +344,7 @@
     /// Marks a job's row to be stored.
     void mark_changed(job_entry& entry);
     /// Adds a new job to the arrival rate of its pool.
-    void record_arrival(const job_record& record, boot_time now);
+    void record_arrival(const job_entry& entry, boot_time now);
     /// Handles a change of a job's progress, which may have ended it.
     void record_change(job_entry& entry, boot_time now);
     void stop_runs_of(const job& owner);
@@ -328,6 +364,14 @@
         target_entry& target, const running_report& report, boot_time now);
     void handle_end_report(
         target_entry& target, const end_report& report, boot_time now);
+    /// Records in the target's evidence how a run ended.
+    void judge_end(
+        target_entry& target, const end_report& report, boot_time now);
+    /// Records in the target's evidence how fast its tasks progress.
+    void judge_progress(
+        target_entry& target, const target_status& status, boot_time now);
+    /// @return whether one more target of the pool may be suspended.
+    bool may_suspend_target(const pool_id& pool, boot_time now) const;
     /// Ends confirmed runs that the target's status does not list.
     void end_missing_runs(target_entry& target, const target_status& status,
         boot_time sent_at, boot_time now);
@@ -340,6 +384,7 @@
     /// index, each waiting task of a burst would scan every target again.
     struct capacity_index
     {
+        boot_time now{};
         std::map<pool_id, std::vector<target_entry*>> eligible;
         /// Needs that fit no target; larger ones fit none either.
         std::map<pool_id, std::vector<resources>> too_large;
@@ -390,7 +435,7 @@
 
     /// @param placement other members of the task's gang; may be null.
     /// @return null if the task fits no eligible target.
-    target_entry* choose_target(const job& owner, const task_key& key,
+    target_entry* choose_target(const job_entry& entry, const task_key& key,
         const pool_id& pool, capacity_index& capacity,
         const gang_placement* placement = nullptr);
     bool fits_team_limit(const team_id& team, const resources& need) const;
@@ -418,6 +463,8 @@
     arrival_trend arrival_trend_;
     team_share_limiter share_limiter_;
     estimate_calibrator estimate_calibrator_;
+    run_time_model run_times_;
+    std::map<pool_id, failure_baseline> failure_baselines_;
     std::uint64_t last_acceptance_number_ = 0;
 };
 
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <tuple>
 
 namespace cowslippass
 {
@@ -41,11 +42,11 @@
         if (it->value.is_ended() || it->is_held)
             continue;
         bool has_schedule = it->value.get_spec().repeat_count > 0;
-        if (it->needs_scan || has_schedule)
+        if (update_run_times(*it, now) || it->needs_scan || has_schedule)
         {
             it->waiting = it->value.list_waiting(wall_time);
             it->remaining_critical_path =
-                estimate_remaining_critical_path(it->value);
+                estimate_remaining_critical_path(it->value, it->run_times);
         }
         it->needs_scan = false;
         // A change of the job puts it back into the list.
@@ -125,9 +126,12 @@
 coordinator::capacity_index coordinator::build_capacity_index(boot_time now)
 {
     capacity_index out;
+    out.now = now;
     for (auto& [id, it] : targets_)
     {
-        if (it.is_eligible(now))
+        bool is_suspended =
+            options_.judges_targets && it.evidence.is_suspended(now);
+        if (it.is_eligible(now) && !is_suspended)
             out.eligible[it.report.pool].push_back(&it);
         if (!it.is_listed)
             continue;
@@ -154,10 +158,11 @@
     return it == reservations.end() ? nullptr : &it->second;
 }
 
-target_entry* coordinator::choose_target(const job& owner, const task_key& key,
-    const pool_id& pool, capacity_index& capacity,
+target_entry* coordinator::choose_target(const job_entry& entry,
+    const task_key& key, const pool_id& pool, capacity_index& capacity,
     const gang_placement* placement)
 {
+    const job& owner = entry.value;
     const step_spec& step = owner.get_step(key);
     resources need = step.get_counted_need();
     if (capacity.is_known_too_large(pool, need))
@@ -178,14 +183,20 @@
         const auto* reserved = placement ? placement->find(it) : nullptr;
         return reserved ? it.get_free() - reserved->used : it.get_free();
     };
+    auto failed_at = entry.failed_at.find(key);
     target_entry* best = nullptr;
     auto rank = [&](const target_entry& it)
     {
+        bool has_failed_here = failed_at != entry.failed_at.end() &&
+                               failed_at->second.contains(it.report.target);
+        bool is_slow =
+            options_.judges_targets && it.evidence.is_slow(capacity.now);
         bool is_near_data =
             step.data_rack.get().empty() || it.has_label(step.data_rack.get());
         // Filling the fullest target that has capacity keeps other targets
         // free for large tasks and for leaving the pool.
-        return std::pair(!is_near_data, get_free(it).processor);
+        return std::tuple(
+            has_failed_here, is_slow, !is_near_data, get_free(it).processor);
     };
     for (target_entry* it : capacity.eligible[pool])
     {
@@ -195,6 +206,9 @@
             continue;
         if (step.max_per_target > 0 && count_here(*it) >= step.max_per_target)
             continue;
+        if (options_.judges_targets && !it->runs.empty() &&
+            it->evidence.is_on_probation(capacity.now))
+            continue;
         if (!best || rank(*it) < rank(*best))
             best = it;
     }
@@ -245,7 +259,7 @@
         }
         target_entry* target = nullptr;
         if (fits_team_limit(owner.get_team(), step.need))
-            target = choose_target(owner, key, queue->pool, capacity);
+            target = choose_target(entry, key, queue->pool, capacity);
         else
             entry.is_over_limit = true;
         if (!target)
@@ -294,7 +308,7 @@
     for (const task_key& it : members)
     {
         target_entry* target =
-            choose_target(owner, it, queue.pool, capacity, &placement);
+            choose_target(entry, it, queue.pool, capacity, &placement);
         if (!target)
             return false;
         placement.add(it, *target, step.get_counted_need());
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -1,6 +1,7 @@
 #include "systems/scheduling/coordinator.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cowslippass
@@ -12,6 +13,10 @@
 /// A target reports at most this many ends at once; a status with fewer ends
 /// contains all of them.
 constexpr std::size_t max_ends_per_status = 500;
+/// At most this share of a pool's targets is suspended at a time.
+constexpr double max_suspended_share = 0.25;
+/// The progress of a younger run is reported too roughly to tell its speed.
+constexpr milliseconds min_time_for_speed{400};
 
 } // namespace
 
@@ -151,9 +156,79 @@
         run->second.target != target.report.target)
         return;
     confirm_start(report.task, run->second, now);
+    if (options_.judges_targets)
+        judge_end(target, report, now);
     end_run(report.task, report.end, report.saved, now);
 }
 
+bool coordinator::may_suspend_target(const pool_id& pool, boot_time now) const
+{
+    std::size_t listed = 0;
+    std::size_t suspended = 0;
+    for (const auto& [id, it] : targets_)
+        if (it.is_listed && it.report.pool == pool)
+        {
+            ++listed;
+            suspended += it.evidence.is_suspended(now) ? 1 : 0;
+        }
+    return static_cast<double>(suspended + 1) <=
+           static_cast<double>(listed) * max_suspended_share;
+}
+
+void coordinator::judge_end(
+    target_entry& target, const end_report& report, boot_time now)
+{
+    bool is_failure = report.end == run_outcome::failed;
+    job_entry* entry = find_entry(report.task.job);
+    // Tasks of long-running steps end by faults of their own at any time.
+    if (!entry || (!is_failure && report.end != run_outcome::done) ||
+        entry->value.get_step(report.task.key).is_long_running)
+        return;
+    if (is_failure)
+        entry->failed_at[report.task.key].insert(target.report.target);
+    failure_baseline& baseline = failure_baselines_[target.report.pool];
+    baseline.add(is_failure);
+    bool may_suspend =
+        is_failure && may_suspend_target(target.report.pool, now);
+    target.evidence.add_end(
+        report.task.job, is_failure, baseline.get_share(), may_suspend, now);
+}
+
+void coordinator::judge_progress(
+    target_entry& target, const target_status& status, boot_time now)
+{
+    double sum = 0;
+    std::size_t n = 0;
+    for (const running_report& it : status.running)
+    {
+        auto run = runs_.find(it.task);
+        if (run == runs_.end() || run->second.number != it.run ||
+            run->second.target != target.report.target ||
+            run->second.is_long_running || !run->second.confirmed_at ||
+            *run->second.confirmed_at < run->second.assigned_at)
+            continue;
+        const job_entry& entry = jobs_.at(it.task.job);
+        const step_spec& step = entry.value.get_step(it.task.key);
+        bool is_far_from_data = !step.data_rack.get().empty() &&
+                                !target.has_label(step.data_rack.get());
+        bool is_resumed = !entry.value.find_task(it.task.key)->saved.empty();
+        auto elapsed = std::chrono::duration_cast<milliseconds>(
+            now - *run->second.confirmed_at);
+        if (step.is_best_effort || is_far_from_data || is_resumed ||
+            elapsed < min_time_for_speed ||
+            entry.run_times.size() <= it.task.key.step ||
+            entry.run_times[it.task.key.step] <= milliseconds(0))
+            continue;
+        double expected = std::min(1.0,
+            static_cast<double>(elapsed.count()) /
+                static_cast<double>(entry.run_times[it.task.key.step].count()));
+        sum += std::log(std::max(1, it.percent) / 100.0 / expected);
+        ++n;
+    }
+    if (n > 0)
+        target.evidence.set_speed(std::exp(sum / static_cast<double>(n)), now);
+}
+
 void coordinator::end_missing_runs(target_entry& target,
     const target_status& status, boot_time sent_at, boot_time now)
 {
@@ -200,13 +275,18 @@
     // whether it has a run: a start may have reached it before this poll.
     if (target.has_reported &&
         status.incarnation_start != target.incarnation_start)
+    {
         target.last_end_number = 0;
+        target.evidence = {};
+    }
     target.has_reported = true;
     target.incarnation_start = status.incarnation_start;
     for (const end_report& it : status.ended)
         handle_end_report(target, it, now);
     for (const running_report& it : status.running)
         handle_running_report(target, it, now);
+    if (options_.judges_targets)
+        judge_progress(target, status, now);
     end_missing_runs(target, status, sent_at, now);
 }
 
--- a/systems/scheduling/job_urgency.cpp
+++ b/systems/scheduling/job_urgency.cpp
@@ -21,11 +21,11 @@
 /// estimate, so that the quotient deviates by about a third.
 constexpr double max_trusted_deviation = 0.3;
 
-/// @param is_remaining tells for each step whether its estimate counts.
-/// @return the estimated time on the critical path through the steps.
+/// @param is_remaining tells for each step whether its run time counts.
+/// @return the expected time on the critical path through the steps.
 template <class Predicate>
-milliseconds estimate_critical_path(
-    const job_spec& spec, const Predicate& is_remaining)
+milliseconds estimate_critical_path(const job_spec& spec,
+    std::span<const milliseconds> run_times, const Predicate& is_remaining)
 {
     std::vector<milliseconds> ends;
     ends.reserve(spec.steps.size());
@@ -37,7 +37,7 @@
         for (std::uint32_t before : step.after)
             start = std::max(start, ends[before]);
         if (!step.is_long_running && is_remaining(i))
-            start += step.estimate;
+            start += run_times[i];
         ends.push_back(start);
         out = std::max(out, start);
     }
@@ -46,21 +46,23 @@
 
 } // namespace
 
-milliseconds estimate_remaining_critical_path(const job& it)
+milliseconds estimate_remaining_critical_path(
+    const job& it, std::span<const milliseconds> run_times)
 {
     milliseconds out{0};
     std::uint32_t n = it.get_spec().get_occurrence_count();
     for (std::uint32_t k = 0; k < n; ++k)
         out = std::max(out,
-            estimate_critical_path(it.get_spec(),
+            estimate_critical_path(it.get_spec(), run_times,
                 [&](std::uint32_t step) { return !it.is_step_done(k, step); }));
     return out;
 }
 
-milliseconds get_time_allowed(const job_spec& spec, const queue_config& queue)
+milliseconds get_time_allowed(const job_spec& spec,
+    std::span<const milliseconds> run_times, const queue_config& queue)
 {
-    milliseconds critical_path =
-        estimate_critical_path(spec, [](std::uint32_t) { return true; });
+    milliseconds critical_path = estimate_critical_path(
+        spec, run_times, [](std::uint32_t) { return true; });
     return milliseconds(static_cast<std::int64_t>(
                static_cast<double>(critical_path.count()) *
                queue.stretch_factor)) +
--- a/systems/scheduling/job_urgency.hpp
+++ b/systems/scheduling/job_urgency.hpp
@@ -5,18 +5,23 @@
 
 #include <map>
 #include <optional>
+#include <span>
 
 namespace cowslippass
 {
 
-/// @return the estimated time on the critical path through the steps that are
+/// @param run_times expected run time of a task of each step.
+/// @return the expected time on the critical path through the steps that are
 ///   not done; the maximum over the job's occurrences.
-milliseconds estimate_remaining_critical_path(const job& it);
+milliseconds estimate_remaining_critical_path(
+    const job& it, std::span<const milliseconds> run_times);
 
+/// @param run_times expected run time of a task of each step.
 /// @return how long after its submission a job still counts as in time: the
-///   estimated time on its critical path times the queue's stretch factor, plus
+///   expected time on its critical path times the queue's stretch factor, plus
 ///   the queue's deadline allowance.
-milliseconds get_time_allowed(const job_spec& spec, const queue_config& queue);
+milliseconds get_time_allowed(const job_spec& spec,
+    std::span<const milliseconds> run_times, const queue_config& queue);
 
 /// Callers still profit from a late job up to this multiple of the time
 /// allowed; after that, the job is overdue.
--- a/systems/scheduling/target_table.hpp
+++ b/systems/scheduling/target_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "systems/configuration/target_report.hpp"
+#include "systems/scheduling/target_evidence.hpp"
 #include "systems/scheduling/target_protocol.hpp"
 
 #include <map>
@@ -41,6 +42,8 @@
     /// target have expired.
     boot_time last_lease_end{};
     unsigned consecutive_failures = 0; ///< Polls in a row without an answer.
+    /// What the runs of this incarnation tell of it.
+    target_evidence evidence;
 
     bool is_idle() const { return runs.empty(); }
 
--- a/tests/systems/scheduling/job_urgency_test.cpp
+++ b/tests/systems/scheduling/job_urgency_test.cpp
@@ -41,15 +41,21 @@
     longer.estimate = milliseconds(1'500);
     job it(job_id("j"), queue_a, team_a,
         make_record({make_step(2), longer, last}).spec);
-    EXPECT_EQ(estimate_remaining_critical_path(it), milliseconds(2'500));
+    std::vector<milliseconds> run_times;
+    for (const step_spec& step : it.get_spec().steps)
+        run_times.push_back(step.estimate);
+    EXPECT_EQ(
+        estimate_remaining_critical_path(it, run_times), milliseconds(2'500));
     for (std::uint32_t i = 0; i < 4; ++i)
         it.record_run_end({0, 1, i}, it.assign({0, 1, i}, target_id("t")),
             run_outcome::done, "", 1);
-    EXPECT_EQ(estimate_remaining_critical_path(it), milliseconds(2'000));
+    EXPECT_EQ(
+        estimate_remaining_critical_path(it, run_times), milliseconds(2'000));
     queue_config queue;
     queue.stretch_factor = 2;
     queue.deadline_allowance = milliseconds(100);
-    EXPECT_EQ(get_time_allowed(it.get_spec(), queue), milliseconds(5'100));
+    EXPECT_EQ(
+        get_time_allowed(it.get_spec(), run_times, queue), milliseconds(5'100));
 }
 
 // Guards against a burst beyond the pool's capacity that makes all jobs late:
