--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -171,8 +171,11 @@
             ++listed;
             suspended += it.evidence.is_suspended(now) ? 1 : 0;
         }
-    return static_cast<double>(suspended + 1) <=
-           static_cast<double>(listed) * max_suspended_share;
+    // Small pools can do without one target.
+    std::size_t limit = std::max<std::size_t>(listed > 1 ? 1 : 0,
+        static_cast<std::size_t>(
+            static_cast<double>(listed) * max_suspended_share));
+    return suspended < limit;
 }
 
 void coordinator::judge_end(
--- a/tests/systems/scheduling/coordinator_fixture.hpp
+++ b/tests/systems/scheduling/coordinator_fixture.hpp
@@ -68,7 +68,10 @@
 /// poll.
 struct coordinator_fixture
 {
-    coordinator_fixture() { it.set_published_state(make_published_state()); }
+    explicit coordinator_fixture(coordinator_options options = {}) : it(options)
+    {
+        it.set_published_state(make_published_state());
+    }
 
     /// Adds a listed target that has answered a poll with an empty status.
     void add_target(const target_report& report)
@@ -100,7 +103,7 @@
         return out;
     }
 
-    coordinator it{coordinator_options{}};
+    coordinator it;
 };
 
 } // namespace cowslippass
