Entries: refuse truly during an outage of the store or the coordinator

Cause: submissions were held until their callers' time was nearly over and then got 504. Change: with refuse_in_outage, what certainly was not stored is taken back and refused after a second, or at once while the store is known to be away.

--- a/drivers/peer_message.cpp
+++ b/drivers/peer_message.cpp
@@ -186,7 +186,7 @@
         wire::Createcoordinator_reply(out,
             static_cast<wire::coordinator_result>(body.result), body.phase,
             body.count, to_u32(body.retry_after), to_u32(body.renewal_age),
-            boot, body.top_processor_share)
+            boot, body.top_processor_share, body.was_not_executed)
             .Union()};
 }
 
@@ -377,7 +377,7 @@
     return {static_cast<coordinator_result>(body.result()), body.phase(),
         body.count(), milliseconds(body.retry_after_ms()),
         milliseconds(body.renewed_age_ms()), read_text(body.boot()),
-        body.top_processor_share()};
+        body.top_processor_share(), body.was_not_executed()};
 }
 
 peer_summary read_summary(const wire::summary& body)
--- a/drivers/peer_message.hpp
+++ b/drivers/peer_message.hpp
@@ -164,6 +164,9 @@
     /// Largest processor share among the entries that called, in thousandths of
     /// a core.
     std::uint32_t top_processor_share = 0;
+    /// With `not_coordinator`: the call had no effect in the replying process
+    /// and will have none later.
+    bool was_not_executed = false;
 };
 
 enum class target_operation
--- a/main/entryd/coordinator_role.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -34,6 +34,9 @@
 /// before it releases it to an entry with a larger share.
 constexpr milliseconds min_term_time{3'000};
 constexpr milliseconds pause_between_calls{50};
+/// A coordinator that has answered neither calls nor three probes in a row has
+/// probably failed.
+constexpr milliseconds max_silence{900};
 /// A reply that is older than this does not show that the coordinator still
 /// works.
 constexpr milliseconds max_reply_age{2'500};
@@ -335,7 +338,7 @@
 }
 
 asio::awaitable<coordinator_call_result> coordinator_role::call(
-    peer_coordinator_call call, boot_time deadline)
+    peer_coordinator_call call, boot_time deadline, boot_time give_up_at)
 {
     coordinator_call_result out;
     for (;;)
@@ -343,7 +346,6 @@
         if (is_coordinator())
         {
             auto runner = runner_;
-            out.may_be_applied = true;
             peer_coordinator_reply reply =
                 co_await runner->handle(call, deadline);
             if (reply.result != coordinator_result::not_coordinator)
@@ -351,14 +353,28 @@
                 out.reply = reply;
                 co_return out;
             }
+            if (!reply.was_not_executed)
+                out.may_be_applied = true;
         }
         else
         {
+            // A call to a coordinator that does not answer cannot be refused
+            // afterwards.
+            bool is_silent =
+                give_up_at != boot_time::max() && last_coordinator_reply_at_ &&
+                boot_clock::now() - *last_coordinator_reply_at_ > max_silence;
             // The call waits until the deadline: a busy coordinator replies
             // late, and a retry would add to its load. After a takeover the old
             // connection is closed, which ends the calls that wait on it.
-            auto reply = co_await call_remote_coordinator(
-                call, get_time_left(deadline), out.may_be_applied);
+            bool was_sent = false;
+            std::optional<peer_coordinator_reply> reply;
+            if (!is_silent)
+                reply = co_await call_remote_coordinator(
+                    call, get_time_left(deadline), was_sent);
+            if (was_sent && !(reply && reply->was_not_executed))
+                out.may_be_applied =
+                    out.may_be_applied || !reply ||
+                    reply->result == coordinator_result::not_coordinator;
             if (reply && reply->result != coordinator_result::not_coordinator)
             {
                 last_coordinator_reply_at_ = boot_clock::now();
@@ -367,7 +383,9 @@
             }
             suspect_coordinator();
         }
-        if (get_time_left(deadline) <= pause_between_calls)
+        bool is_given_up =
+            !out.may_be_applied && boot_clock::now() >= give_up_at;
+        if (is_given_up || get_time_left(deadline) <= pause_between_calls)
             co_return out;
         asio::steady_timer pause(io_);
         co_await wait_on(pause, pause_between_calls);
@@ -378,6 +396,7 @@
     peer_coordinator_call call)
 {
     peer_coordinator_reply reply;
+    reply.was_not_executed = true;
     std::uint32_t share = call.processor_share;
     auto runner = runner_;
     if (auto& active = is_coordinator() ? runner_ : recovering_runner_;
--- a/main/entryd/coordinator_role.hpp
+++ b/main/entryd/coordinator_role.hpp
@@ -12,8 +12,8 @@
 struct coordinator_call_result
 {
     std::optional<peer_coordinator_reply> reply; ///< Not set without a reply.
-    /// Whether the operation was sent to a coordinator, which may have executed
-    /// it even if no reply came.
+    /// Whether the operation was sent to a coordinator that has not said what
+    /// became of it, and may have executed it.
     bool may_be_applied = false;
 };
 
@@ -33,8 +33,10 @@
 
     /// Passes an operation to the coordinator. Retries until the deadline,
     /// because operations are idempotent.
-    asio::awaitable<coordinator_call_result> call(
-        peer_coordinator_call call, boot_time deadline);
+    /// @param give_up_at without a reply by then, it returns as soon as it is
+    ///   certain that no coordinator has executed the operation.
+    asio::awaitable<coordinator_call_result> call(peer_coordinator_call call,
+        boot_time deadline, boot_time give_up_at = boot_time::max());
 
     /// Executes an operation that a peer passed on, if this process is the
     /// coordinator.
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -460,7 +460,9 @@
     {
         ledger_batch batch = ledger_.make_batch();
         boot_time sent = boot_clock::now();
+        is_request_under_way_ = true;
         batch_result result = co_await store_.commit(batch, timeout);
+        is_request_under_way_ = false;
         ledger_.handle_result(result);
         if (ledger_.is_lost())
         {
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -164,6 +164,13 @@
         peer_coordinator_call call, boot_time deadline);
     asio::awaitable<peer_coordinator_reply> cancel(
         peer_coordinator_call call, boot_time deadline);
+    /// @return whether the store has accepted nothing for a while.
+    bool is_store_away() const;
+    /// @return the refusal of a submission of which nothing is stored.
+    peer_coordinator_reply refuse_in_outage(const job_id& id);
+    /// Takes back a submission whose rows are not stored yet.
+    /// @return whether none of them can take effect any more.
+    bool withdraw_submission(const job_id& id);
     /// @return whether all rows put so far became durable by the deadline.
     asio::awaitable<bool> wait_until_durable(boot_time deadline);
     /// Reads the whole list of targets.
@@ -237,6 +244,8 @@
     /// Time just before the last durable transaction was sent.
     boot_time renewed_at_;
     boot_time last_batch_at_{};
+    /// A transaction was sent and has no reply yet.
+    bool is_request_under_way_ = false;
     /// Largest processor share of this entry and of those that sent calls, in
     /// thousandths of a core.
     std::uint32_t max_processor_share_ = 0;
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -1,8 +1,69 @@
+#include "drivers/metrics.hpp"
 #include "main/entryd/coordinator_runner_internal.hpp"
 
 namespace cowslippass
 {
 
+namespace
+{
+
+/// With `refuse_in_outage`: how long a submission waits for a store that does
+/// not answer. It covers slow transactions and single lost answers.
+constexpr milliseconds max_storing_time{1'000};
+/// A store that has accepted nothing for this long is away. The term is renewed
+/// more than twice in this time while the store works.
+constexpr milliseconds outage_age{1'000};
+/// Time between attempts to take back a submission that is being sent.
+constexpr milliseconds withdrawal_retry_interval{40};
+/// Bounds on the delay after which refused callers return. An outage usually
+/// lasts about as long again as it has lasted so far.
+constexpr milliseconds min_outage_retry_delay{1'000};
+constexpr milliseconds max_outage_retry_delay{4'000};
+
+} // namespace
+
+bool coordinator_runner::is_store_away() const
+{
+    return get_renewal_age() >= outage_age;
+}
+
+peer_coordinator_reply coordinator_runner::refuse_in_outage(const job_id& id)
+{
+    peer_coordinator_reply reply;
+    reply.result = coordinator_result::refused;
+    reply.retry_after = std::clamp(
+        get_renewal_age(), min_outage_retry_delay, max_outage_retry_delay);
+    metrics_.add("cowslippass_outage_refusals_total");
+    coordinator_log.write("refuse", "store_away",
+        {{"job", id}, {"renewed_age_ms", get_renewal_age().count()},
+            {"retry_after_ms", reply.retry_after.count()}});
+    return reply;
+}
+
+bool coordinator_runner::withdraw_submission(const job_id& id)
+{
+    if (!is_request_under_way_)
+        ledger_.recall_batch();
+    if (!ledger_.withdraw(ledger_table::jobs, id.get()))
+        return false;
+    // Rows of progress are put after the job's main row, so that none of them
+    // has been sent either.
+    if (const job* owner = coordinator_.find_job(id))
+        for (std::uint32_t it : owner->list_used_segments())
+            ledger_.withdraw(
+                ledger_table::progress, encode_job_row_key({id, it}));
+    ledger_.withdraw(ledger_table::progress, id.get());
+    // Parts come first and may have been written. Without the main row they
+    // mean nothing.
+    if (auto parts = record_parts_.extract(id))
+        for (std::uint32_t it : parts.mapped())
+            if (!ledger_.withdraw(
+                    ledger_table::jobs, encode_job_row_key({id, it})))
+                ledger_.erase(ledger_table::jobs, encode_job_row_key({id, it}));
+    coordinator_.withdraw_job(id);
+    return true;
+}
+
 asio::awaitable<peer_coordinator_reply> coordinator_runner::submit(
     peer_coordinator_call call, boot_time deadline)
 {
@@ -32,6 +93,9 @@
         reply.result = coordinator_result::invalid;
         co_return reply;
     }
+    bool is_known = coordinator_.find_job(call.job) != nullptr;
+    if (settings_.refuse_in_outage && !is_known && is_store_away())
+        co_return refuse_in_outage(call.job);
     record.tasks_per_segment =
         choose_tasks_per_segment(record.spec, settings_.store_row_bytes);
     job_row_values rows =
@@ -50,7 +114,20 @@
         ledger_.put(ledger_table::jobs, call.job.get(), std::move(rows.main));
         wake();
     }
-    bool is_durable = co_await wait_until_durable(deadline);
+    bool may_withdraw =
+        settings_.refuse_in_outage && outcome == submit_outcome::added;
+    bool is_durable = co_await wait_until_durable(
+        may_withdraw ? std::min(deadline, boot_clock::now() + max_storing_time)
+                     : deadline);
+    while (!is_durable && !is_over_ && may_withdraw &&
+           boot_clock::now() < deadline)
+    {
+        if (withdraw_submission(call.job))
+            co_return refuse_in_outage(call.job);
+        // The store may refuse the transaction that contains the rows.
+        is_durable = co_await wait_until_durable(
+            std::min(deadline, boot_clock::now() + withdrawal_retry_interval));
+    }
     if (!is_durable || is_over_)
     {
         // Only the next coordinator will know whether the row was written.
@@ -97,6 +174,7 @@
 {
     auto self = shared_from_this();
     peer_coordinator_reply reply;
+    reply.was_not_executed = is_over_;
     if (!is_over_)
     {
         switch (call.operation)
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -95,6 +95,8 @@
             "pack_by_shape", &s::pack_by_shape, false, switch_rule},
         setting_description{
             "judge_targets", &s::judge_targets, false, switch_rule},
+        setting_description{
+            "refuse_in_outage", &s::refuse_in_outage, false, switch_rule},
     };
     return all;
 }
--- a/main/entryd/entry_settings.hpp
+++ b/main/entryd/entry_settings.hpp
@@ -63,6 +63,10 @@
     bool pack_by_shape = false;
     /// Targets that are slower or fail more often than others get less work.
     bool judge_targets = false;
+    /// Submissions that cannot be stored because the store or the coordinator
+    /// is away are refused after a short wait, instead of being held until
+    /// their callers give up.
+    bool refuse_in_outage = false;
 };
 
 /// Reads a TOML file and checks all of its settings.
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -239,6 +239,8 @@
             "Seconds from a caller's whole call to its answer."},
         {"cowslippass_ledger_commit_seconds", distribution,
             "Seconds of the ledger's transactions."},
+        {"cowslippass_outage_refusals_total", counter,
+            "Submissions refused because the store accepts nothing."},
         {"cowslippass_ledger_rejected_rows_total", counter,
             "Rows that the store rejects; their jobs are refused or held."},
         {"cowslippass_ledger_retries_total", counter,
--- a/main/entryd/job_api.cpp
+++ b/main/entryd/job_api.cpp
@@ -19,6 +19,9 @@
 /// response.
 constexpr milliseconds response_margin{150};
 constexpr milliseconds min_call_time{50};
+/// With `refuse_in_outage`: how long a submission that no coordinator has
+/// received waits for one. A planned change of the coordinator takes less.
+constexpr milliseconds max_coordinator_wait{1'000};
 /// Retry-After in whole seconds while there is no coordinator. A takeover takes
 /// about two seconds.
 constexpr const char* takeover_retry_after_s = "2";
@@ -150,8 +153,11 @@
     if (refusal)
         co_return *refusal;
     call.operation = coordinator_operation::submit;
+    boot_time give_up_at = settings_.refuse_in_outage
+                               ? boot_clock::now() + max_coordinator_wait
+                               : boot_time::max();
     coordinator_call_result result =
-        co_await coordinator_role_.call(call, deadline);
+        co_await coordinator_role_.call(call, deadline, give_up_at);
     if (!result.reply)
     {
         if (!result.may_be_applied)
@@ -167,6 +173,10 @@
         co_return make_json("{}");
     case coordinator_result::refused:
     {
+        // An earlier coordinator may have accepted it.
+        if (result.may_be_applied)
+            co_return make_error(504, "no_answer",
+                "it is not known whether the job was accepted");
         http_response out = make_error(
             429, "refused", "the job was not accepted and will not run");
         auto seconds = (result.reply->retry_after.count() + 999) / 1'000;
--- a/systems/coordination/ledger.cpp
+++ b/systems/coordination/ledger.cpp
@@ -36,6 +36,28 @@
         table, std::move(key), std::move(value)};
 }
 
+bool ledger::recall_batch()
+{
+    if (in_flight_ && !may_have_applied_)
+        return_batch();
+    return !in_flight_;
+}
+
+bool ledger::withdraw(const char* table, const std::string& key)
+{
+    auto it = pending_numbers_.find({table, key});
+    bool is_in_flight =
+        in_flight_ && std::ranges::any_of(in_flight_->changes,
+                          [&](const ledger_change& change) {
+                              return change.table == table && change.key == key;
+                          });
+    if (it == pending_numbers_.end() || is_in_flight)
+        return false;
+    pending_changes_.erase(it->second);
+    pending_numbers_.erase(it);
+    return true;
+}
+
 void ledger::when_durable(std::function<void()> done)
 {
     if (last_durable_number_ >= last_change_number_ && !in_flight_)
@@ -85,6 +107,7 @@
         batch.head.is_released = is_release_requested_;
     }
     in_flight_ = std::move(batch);
+    may_have_applied_ = false;
     return *in_flight_;
 }
 
@@ -125,27 +148,31 @@
 void ledger::handle_rejection()
 {
     // The store rejects every batch, so that no change is to blame.
-    if (in_flight_->changes.empty())
+    std::size_t n = in_flight_->changes.size();
+    if (n == 0)
         return;
-    ledger_batch batch = std::move(*in_flight_);
-    in_flight_.reset();
-    // If a copy of this batch applies after all, the head row shows it.
-    head_.batch = batch.head.batch;
-    std::size_t n = batch.changes.size();
     if (n == 1 && is_store_accepting_)
     {
-        rejected_changes_.push_back(std::move(batch.changes.front()));
+        rejected_changes_.push_back(std::move(in_flight_->changes.front()));
+        in_flight_->changes.clear();
         batch_limit_ = max_batch_rows;
     }
     else
-    {
-        for (std::size_t i = 0; i < n; ++i)
-            return_change(in_flight_numbers_[i], std::move(batch.changes[i]));
         batch_limit_ = n / 2;
-    }
+    return_batch();
     is_store_accepting_ = false;
 }
 
+void ledger::return_batch()
+{
+    ledger_batch batch = std::move(*in_flight_);
+    in_flight_.reset();
+    // If a copy of this batch applies after all, the head row shows it.
+    head_.batch = batch.head.batch;
+    for (std::size_t i = 0; i < batch.changes.size(); ++i)
+        return_change(in_flight_numbers_[i], std::move(batch.changes[i]));
+}
+
 void ledger::handle_result(const batch_result& result)
 {
     using kind = batch_result::kind;
@@ -157,7 +184,9 @@
         commit(result.version);
         return;
     case kind::refused:
+        return;
     case kind::unknown:
+        may_have_applied_ = true;
         return;
     case kind::rejected:
         handle_rejection();
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -84,6 +84,16 @@
     /// Deletes a row with one of the next batches.
     void erase(const char* table, std::string key);
 
+    /// Makes the changes of the batch in flight pending again, if the store has
+    /// refused every copy of it, so that none can apply later. The caller has
+    /// no request with the batch under way.
+    /// @return whether no batch is in flight.
+    bool recall_batch();
+
+    /// Takes a pending change of a row back, so that it is never written.
+    /// @return whether it was pending and no batch in flight contains the row.
+    bool withdraw(const char* table, const std::string& key);
+
     /// Calls `done` once all changes so far are durable. It is never called if
     /// the ledger is lost.
     void when_durable(std::function<void()> done);
@@ -141,6 +151,8 @@
     /// Makes the changes of the rejected batch pending again, except for one
     /// that is rejected alone.
     void handle_rejection();
+    /// Makes the changes of the batch in flight pending again.
+    void return_batch();
     /// Makes a change of the batch in flight pending again, under its number.
     void return_change(std::uint64_t number, ledger_change change);
 
@@ -156,6 +168,8 @@
     std::uint64_t last_in_flight_number_ = 0;
     std::uint64_t last_durable_number_ = 0;
     std::optional<ledger_batch> in_flight_;
+    /// A copy of the batch in flight got no reply.
+    bool may_have_applied_ = false;
     /// Numbers of the changes of the batch in flight.
     std::vector<std::uint64_t> in_flight_numbers_;
     /// Maximum number of changes in the next batch. After a rejected batch it
--- a/tests/systems/coordination/ledger_test.cpp
+++ b/tests/systems/coordination/ledger_test.cpp
@@ -224,6 +224,53 @@
     EXPECT_EQ(store.rows.size(), ledger::max_batch_rows + 5);
 }
 
+// Failure: an outage of the store. A submission that waits for it is taken
+// back, so that its refusal is true.
+TEST(ledger, never_writes_a_withdrawn_change)
+{
+    store_model store;
+    ledger it = start_term(store, 1, "a");
+    it.put("jobs", "first", "1");
+    it.make_batch();
+    it.put("jobs", "second", "2");
+    it.put("jobs", "third", "3");
+    bool is_durable = false;
+    it.when_durable([&] { is_durable = true; });
+    EXPECT_FALSE(it.withdraw("jobs", "first"));
+    EXPECT_TRUE(it.withdraw("jobs", "third"));
+    EXPECT_FALSE(it.withdraw("jobs", "third"));
+    while (it.has_changes() || it.is_in_flight())
+        it.handle_result(store.apply(it.make_batch()));
+    EXPECT_TRUE(is_durable);
+    EXPECT_EQ(store.rows.size(), 2U);
+    EXPECT_FALSE(store.rows.contains("third"));
+}
+
+// Failure: a store that refuses every transaction. What it has certainly not
+// applied can be taken back; what may have been applied cannot.
+TEST(ledger, recalls_only_a_batch_that_cannot_apply)
+{
+    store_model store;
+    ledger it = start_term(store, 1, "a");
+    it.put("jobs", "first", "1");
+    it.make_batch();
+    batch_result refused;
+    refused.outcome = batch_result::kind::refused;
+    it.handle_result(refused);
+    EXPECT_TRUE(it.recall_batch());
+    EXPECT_TRUE(it.withdraw("jobs", "first"));
+    it.put("jobs", "second", "2");
+    ledger_batch late = it.make_batch();
+    it.handle_result(make_unknown_result());
+    EXPECT_FALSE(it.recall_batch());
+    EXPECT_FALSE(it.withdraw("jobs", "second"));
+    store.apply(late);
+    it.handle_result(store.apply(it.make_batch()));
+    EXPECT_FALSE(it.is_lost());
+    EXPECT_FALSE(store.rows.contains("first"));
+    EXPECT_TRUE(store.rows.contains("second"));
+}
+
 // Guards against a transaction that the store refuses because its rows exceed
 // the limit in bytes.
 TEST(ledger, splits_large_batches)
