Outages: callers with little time are held, others return in time

Cause: callers wait 3 s over all their attempts; a fixed hold and Retry-After sent some away for longer than they had left.

--- a/drivers/peer_message.cpp
+++ b/drivers/peer_message.cpp
@@ -175,7 +175,7 @@
         wire::Createcoordinator_call(out,
             static_cast<wire::coordinator_operation>(body.operation), job,
             queue, team, spec, body.processor_share, entry, address,
-            data_centre, body.is_leaving)
+            data_centre, body.is_leaving, to_u32(body.wait))
             .Union()};
 }
 
@@ -274,7 +274,8 @@
         team_id(read_text(body.team())), read_bytes(body.spec()),
         body.processor_share(), entry_id(read_text(body.entry())),
         read_text(body.address()),
-        data_centre_id(read_text(body.data_centre())), body.is_leaving()};
+        data_centre_id(read_text(body.data_centre())), body.is_leaving(),
+        milliseconds(body.wait_ms())};
 }
 
 task_name read_task(const wire::run_name& name)
--- a/drivers/peer_message.hpp
+++ b/drivers/peer_message.hpp
@@ -140,6 +140,8 @@
     data_centre_id data_centre;
     /// The sender is about to stop and takes no further relayed requests.
     bool is_leaving = false;
+    /// How long the caller still waits for the reply; 0 if it is not known.
+    milliseconds wait{0};
 };
 
 enum class coordinator_result
--- a/main/entryd/coordinator_role.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -343,6 +343,7 @@
     coordinator_call_result out;
     for (;;)
     {
+        call.wait = std::max(get_time_left(deadline), milliseconds(1));
         if (is_coordinator())
         {
             auto runner = runner_;
@@ -403,8 +404,13 @@
         active && call.operation == coordinator_operation::probe)
         active->record_probe(call);
     if (is_coordinator())
-        reply = co_await runner->handle(
-            std::move(call), boot_clock::now() + max_peer_call_time);
+    {
+        milliseconds wait = call.wait > milliseconds(0)
+                                ? std::min(call.wait, max_peer_call_time)
+                                : max_peer_call_time;
+        reply =
+            co_await runner->handle(std::move(call), boot_clock::now() + wait);
+    }
     else if (recovering_runner_ &&
              call.operation == coordinator_operation::probe)
     {
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -167,7 +167,8 @@
     /// @return whether the store has accepted nothing for a while.
     bool is_store_away() const;
     /// @return the refusal of a submission of which nothing is stored.
-    peer_coordinator_reply refuse_in_outage(const job_id& id);
+    peer_coordinator_reply refuse_in_outage(
+        const job_id& id, boot_time deadline);
     /// Takes back a submission whose rows are not stored yet.
     /// @return whether none of them can take effect any more.
     bool withdraw_submission(const job_id& id);
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -1,5 +1,6 @@
 #include "drivers/metrics.hpp"
 #include "main/entryd/coordinator_runner_internal.hpp"
+#include "systems/coordination/outage_policy.hpp"
 
 namespace cowslippass
 {
@@ -7,18 +8,15 @@
 namespace
 {
 
-/// With `refuse_in_outage`: how long a submission waits for a store that does
-/// not answer. It covers slow transactions and single lost answers.
-constexpr milliseconds max_storing_time{1'000};
-/// A store that has accepted nothing for this long is away. The term is renewed
-/// more than twice in this time while the store works.
-constexpr milliseconds outage_age{1'000};
 /// Time between attempts to take back a submission that is being sent.
 constexpr milliseconds withdrawal_retry_interval{40};
-/// Bounds on the delay after which refused callers return. An outage usually
-/// lasts about as long again as it has lasted so far.
-constexpr milliseconds min_outage_retry_delay{1'000};
-constexpr milliseconds max_outage_retry_delay{4'000};
+
+/// @return 0 if the deadline has passed.
+milliseconds get_time_left(boot_time deadline)
+{
+    return std::max(
+        milliseconds(0), to_milliseconds(deadline - boot_clock::now()));
+}
 
 } // namespace
 
@@ -27,12 +25,13 @@
     return get_renewal_age() >= outage_age;
 }
 
-peer_coordinator_reply coordinator_runner::refuse_in_outage(const job_id& id)
+peer_coordinator_reply coordinator_runner::refuse_in_outage(
+    const job_id& id, boot_time deadline)
 {
     peer_coordinator_reply reply;
     reply.result = coordinator_result::refused;
-    reply.retry_after = std::clamp(
-        get_renewal_age(), min_outage_retry_delay, max_outage_retry_delay);
+    reply.retry_after =
+        get_outage_retry_delay(get_time_left(deadline), get_renewal_age());
     metrics_.add("cowslippass_outage_refusals_total");
     coordinator_log.write("refuse", "store_away",
         {{"job", id}, {"renewed_age_ms", get_renewal_age().count()},
@@ -94,8 +93,9 @@
         co_return reply;
     }
     bool is_known = coordinator_.find_job(call.job) != nullptr;
-    if (settings_.refuse_in_outage && !is_known && is_store_away())
-        co_return refuse_in_outage(call.job);
+    if (settings_.refuse_in_outage && !is_known && is_store_away() &&
+        may_return_in_time(get_time_left(deadline)))
+        co_return refuse_in_outage(call.job, deadline);
     record.tasks_per_segment =
         choose_tasks_per_segment(record.spec, settings_.store_row_bytes);
     job_row_values rows =
@@ -117,13 +117,14 @@
     bool may_withdraw =
         settings_.refuse_in_outage && outcome == submit_outcome::added;
     bool is_durable = co_await wait_until_durable(
-        may_withdraw ? std::min(deadline, boot_clock::now() + max_storing_time)
+        may_withdraw ? boot_clock::now() +
+                           get_outage_holding_time(get_time_left(deadline))
                      : deadline);
     while (!is_durable && !is_over_ && may_withdraw &&
            boot_clock::now() < deadline)
     {
         if (withdraw_submission(call.job))
-            co_return refuse_in_outage(call.job);
+            co_return refuse_in_outage(call.job, deadline);
         // The store may refuse the transaction that contains the rows.
         is_durable = co_await wait_until_durable(
             std::min(deadline, boot_clock::now() + withdrawal_retry_interval));
--- a/main/entryd/job_api.cpp
+++ b/main/entryd/job_api.cpp
@@ -3,6 +3,7 @@
 #include "drivers/log.hpp"
 #include "drivers/metrics.hpp"
 #include "platform/submission_codec.hpp"
+#include "systems/coordination/outage_policy.hpp"
 
 #include <charconv>
 
@@ -19,9 +20,6 @@
 /// response.
 constexpr milliseconds response_margin{150};
 constexpr milliseconds min_call_time{50};
-/// With `refuse_in_outage`: how long a submission that no coordinator has
-/// received waits for one. A planned change of the coordinator takes less.
-constexpr milliseconds max_coordinator_wait{1'000};
 /// Retry-After in whole seconds while there is no coordinator. A takeover takes
 /// about two seconds.
 constexpr const char* takeover_retry_after_s = "2";
@@ -59,6 +57,13 @@
     return out;
 }
 
+/// @param delay rounded up to the seconds of the header.
+void set_retry_after(http_response& response, milliseconds delay)
+{
+    response.headers["Retry-After"] =
+        std::to_string((delay.count() + 999) / 1'000);
+}
+
 milliseconds parse_wait_limit(const http_request& request)
 {
     std::string text = request.get_header(wait_limit_header);
@@ -153,16 +158,31 @@
     if (refusal)
         co_return *refusal;
     call.operation = coordinator_operation::submit;
-    boot_time give_up_at = settings_.refuse_in_outage
-                               ? boot_clock::now() + max_coordinator_wait
-                               : boot_time::max();
+    auto get_time_left = [&]
+    {
+        return std::chrono::duration_cast<milliseconds>(
+            deadline - boot_clock::now());
+    };
+    boot_time asked_at = boot_clock::now();
+    boot_time give_up_at =
+        settings_.refuse_in_outage
+            ? asked_at + get_outage_holding_time(get_time_left())
+            : boot_time::max();
     coordinator_call_result result =
         co_await coordinator_role_.call(call, deadline, give_up_at);
     if (!result.reply)
     {
         if (!result.may_be_applied)
-            co_return make_unavailable("no_coordinator",
+        {
+            http_response refused = make_unavailable("no_coordinator",
                 "no coordinator can be reached; the job was not accepted");
+            if (settings_.refuse_in_outage)
+                set_retry_after(
+                    refused, get_outage_retry_delay(get_time_left(),
+                                 std::chrono::duration_cast<milliseconds>(
+                                     boot_clock::now() - asked_at)));
+            co_return refused;
+        }
         // The job may or may not have been accepted; the caller has to retry.
         co_return make_error(
             504, "no_answer", "it is not known whether the job was accepted");
@@ -179,8 +199,7 @@
                 "it is not known whether the job was accepted");
         http_response out = make_error(
             429, "refused", "the job was not accepted and will not run");
-        auto seconds = (result.reply->retry_after.count() + 999) / 1'000;
-        out.headers["Retry-After"] = std::to_string(seconds);
+        set_retry_after(out, result.reply->retry_after);
         co_return out;
     }
     default:
