Pools: hold orders of a predecessor back while tasks are at work

Cause: a coordinator that takes over sent its predecessor's unanswered maintenance orders again at once, also to instances with tasks, and started new tasks there before that. Own orders without an answer did the same for an instance that came back with another target. A run that a target had listed was stopped when a repeated start was not sent, and a successor counted runs as available that its predecessor had ordered to stop.

Change: unanswered orders cordon each listed incarnation of their instance and are repeated only without runs; instances with runs are drained within budgets. Tasks that an order on its way may end, and runs that a predecessor may be stopping, count as unavailable. A listed run is not stopped for the reply to a repeated start.

Ruled out: sending the orders again to settle them at once, as the platform carries out what it had not received.

--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -103,32 +103,97 @@
                                   : options_.move_time;
 }
 
+bool pool_planner::has_work(
+    const open_order& open, const coordinator& decisions) const
+{
+    const platform_instance* found = find_instance(open.order.instance);
+    if (!found || found->condition != instance_condition::up)
+        return false;
+    // A target that has not answered yet has the runs that the ledger names.
+    auto target = decisions.get_targets().find(found->target);
+    return target != decisions.get_targets().end() &&
+           !target->second.runs.empty();
+}
+
+bool pool_planner::may_be_on_its_way(
+    const open_order& open, boot_time now) const
+{
+    return now - open.last_sent_at <
+           get_duration(open.order) + list_update_margin;
+}
+
+bool pool_planner::is_unanswered_order_over(
+    const open_order& open, const coordinator& decisions, boot_time now) const
+{
+    if (list_requested_at_ <= open.sent_at)
+        return false;
+    const platform_instance* found = find_instance(open.order.instance);
+    if (!found)
+        return open.is_inherited;
+    bool is_maintenance = open.order.is_maintenance();
+    // A repeated move to the pool that the instance is in has no effect.
+    if (!is_maintenance && found->condition == instance_condition::up &&
+        found->pool == open.order.pool)
+        return true;
+    // The order is never repeated unless the instance is drained for it.
+    bool is_wanted =
+        is_maintenance &&
+        decisions.get_published_state().waves.contains(open.order.wave);
+    return !is_wanted && has_work(open, decisions) &&
+           !may_be_on_its_way(open, now);
+}
+
+bool pool_planner::is_accepted_order_over(
+    const open_order& open, boot_time now) const
+{
+    const platform_instance* found = find_instance(open.order.instance);
+    bool is_listed_later = list_requested_at_ > *open.accepted_at;
+    milliseconds takes = get_duration(open.order);
+    bool is_removed = !found && is_listed_later;
+    // The instance's new incarnation is another target; in standby it has none.
+    bool is_done =
+        is_listed_later && found &&
+        found->condition == instance_condition::up &&
+        (found->target != open.target ||
+            (found->target.get().empty() && now - *open.accepted_at >= takes));
+    bool has_timed_out = now - *open.accepted_at > takes + list_update_margin;
+    return is_done || is_removed || has_timed_out;
+}
+
 void pool_planner::close_orders(coordinator& decisions, boot_time now)
 {
     for (auto it = open_orders_.begin(); it != open_orders_.end();)
+        if (it->second.accepted_at
+                ? is_accepted_order_over(it->second, now)
+                : is_unanswered_order_over(it->second, decisions, now))
+            it = close_order(it, decisions);
+        else
+            ++it;
+}
+
+pool_planner::open_order_table::iterator pool_planner::close_order(
+    open_order_table::iterator it, coordinator& decisions)
+{
+    for (const target_id& target : it->second.cordoned)
     {
-        const open_order& open = it->second;
-        const platform_instance* found = find_instance(it->first);
-        bool is_listed_later =
-            open.accepted_at && list_requested_at_ > *open.accepted_at;
-        milliseconds takes = get_duration(open.order);
-        bool is_removed = !found && is_listed_later;
-        // The instance's new incarnation is another target; in standby it has
-        // none.
-        bool is_done = is_listed_later && found &&
-                       found->condition == instance_condition::up &&
-                       (found->target != open.target ||
-                           (found->target.get().empty() &&
-                               now - *open.accepted_at >= takes));
-        bool has_timed_out = open.accepted_at && now - *open.accepted_at >
-                                                     takes + list_update_margin;
-        if (is_done || is_removed || has_timed_out)
+        decisions.set_cordon(target, false);
+        decisions.set_may_end(target, false);
+    }
+    return open_orders_.erase(it);
+}
+
+void pool_planner::cordon_ordered_targets(coordinator& decisions, boot_time now)
+{
+    for (auto& [id, open] : open_orders_)
+    {
+        const platform_instance* found = find_instance(id);
+        if (found && !found->target.get().empty())
+            open.cordoned.insert(found->target);
+        for (const target_id& target : open.cordoned)
         {
-            decisions.set_cordon(open.target, false);
-            it = open_orders_.erase(it);
+            decisions.set_cordon(target, true);
+            decisions.set_may_end(target, may_be_on_its_way(open, now));
         }
-        else
-            ++it;
     }
 }
 
@@ -225,7 +290,9 @@
     open_order open;
     open.order = order;
     open.target = instance.target;
+    open.cordoned = {instance.target};
     open.sent_at = now;
+    open.last_sent_at = now;
     open.resend_at = now + resend_interval;
     open_orders_[instance.instance] = std::move(open);
     out.orders.push_back(std::move(order));
@@ -318,15 +385,25 @@
     tokens_refilled_at_ = now;
 }
 
-void pool_planner::resend_orders(boot_time now, pool_decisions& out)
+void pool_planner::resend_orders(
+    coordinator& decisions, boot_time now, pool_decisions& out)
 {
+    const auto& waves = decisions.get_published_state().waves;
     for (auto& [id, it] : open_orders_)
     {
-        if (it.accepted_at || it.resend_at > now || order_tokens_ < 1)
+        if (it.accepted_at)
+            continue;
+        bool is_held_back = has_work(it, decisions);
+        if (is_held_back && it.order.is_maintenance() &&
+            waves.contains(it.order.wave))
+            drain(*find_instance(id), decisions, out);
+        if (is_held_back || it.resend_at > now || order_tokens_ < 1)
             continue;
         --order_tokens_;
         it.resend_at = now + resend_interval;
+        it.last_sent_at = now;
         it.was_resent = true;
+        it.is_inherited = false;
         out.orders.push_back(it.order);
     }
 }
@@ -340,7 +417,8 @@
     track_idle_targets(decisions, now);
     close_orders(decisions, now);
     measure_pools(decisions, now);
-    resend_orders(now, out);
+    cordon_ordered_targets(decisions, now);
+    resend_orders(decisions, now, out);
     plan_maintenance(decisions, now, out);
     plan_scale_up(decisions, now, out);
     plan_scale_down(decisions, now, out);
@@ -386,8 +464,7 @@
         break;
     }
     order_backoff_until_[order.instance] = now + order_backoff;
-    decisions.set_cordon(it->second.target, false);
-    open_orders_.erase(it);
+    close_order(it, decisions);
 }
 
 } // namespace cowslippass
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -134,7 +134,9 @@
         instance_order_outcome outcome, coordinator& decisions, boot_time now);
 
     /// Restores the progress of a wave that an earlier coordinator has saved.
-    /// Its unanswered orders are sent again and count until then.
+    /// Its unanswered orders may still be carried out: they count against the
+    /// wave's limit and keep their instances free of new work until they are
+    /// settled, and are sent again once the instances are idle.
     void restore_wave(
         std::uint64_t wave, const wave_progress& progress, boot_time now);
 
@@ -164,15 +166,22 @@
     struct open_order
     {
         instance_order order;
-        target_id target; ///< The incarnation that the order ends.
+        /// The incarnation that the order ends; empty if a predecessor ordered.
+        target_id target;
+        /// Cordoned because of the order: `target`, or a later incarnation.
+        std::set<target_id> cordoned;
         boot_time sent_at{};
+        boot_time last_sent_at{}; ///< The takeover if a predecessor sent it.
         std::optional<boot_time> accepted_at;
         /// An order without a reply is sent again from this time on.
         boot_time resend_at{};
         /// The order was sent more than once, so that the platform may have
         /// carried out an earlier copy whose reply was lost.
         bool was_resent = false;
+        /// A predecessor sent it, this coordinator has not.
+        bool is_inherited = false;
     };
+    using open_order_table = std::map<instance_id, open_order>;
 
     /// Records since when each target has had no tasks.
     void track_idle_targets(const coordinator& decisions, boot_time now);
@@ -191,8 +200,22 @@
     void plan_scale_down(
         coordinator& decisions, boot_time now, pool_decisions& out);
     void refill_tokens(boot_time now);
-    /// Repeats orders that the platform has not accepted yet.
-    void resend_orders(boot_time now, pool_decisions& out);
+    /// Repeats orders that the platform has not accepted yet, where no task is
+    /// at work, and drains the instances of the others.
+    void resend_orders(
+        coordinator& decisions, boot_time now, pool_decisions& out);
+    /// Keeps the targets that open orders may end free of new work.
+    void cordon_ordered_targets(coordinator& decisions, boot_time now);
+    /// Forgets the order and lifts the cordon of its targets.
+    open_order_table::iterator close_order(
+        open_order_table::iterator it, coordinator& decisions);
+    bool is_accepted_order_over(const open_order& open, boot_time now) const;
+    bool is_unanswered_order_over(const open_order& open,
+        const coordinator& decisions, boot_time now) const;
+    /// @return whether the order's instance has runs now.
+    bool has_work(const open_order& open, const coordinator& decisions) const;
+    /// @return whether the platform may still carry out a copy of the order.
+    bool may_be_on_its_way(const open_order& open, boot_time now) const;
     milliseconds get_duration(const instance_order& order) const;
     /// Cordons the instance's target and adds the order to the round.
     void issue_order(const platform_instance& instance, instance_order order,
@@ -224,7 +247,7 @@
     std::map<target_id, boot_time> unlisted_since_;
     boot_time list_requested_at_{};
     std::optional<pool_id> standby_pool_;
-    std::map<instance_id, open_order> open_orders_;
+    open_order_table open_orders_;
     /// After the platform has rejected an order, the instance gets no other one
     /// until this time.
     std::map<instance_id, boot_time> order_backoff_until_;
--- a/systems/pools/pool_planner_waves.cpp
+++ b/systems/pools/pool_planner_waves.cpp
@@ -24,8 +24,10 @@
         open_order open;
         open.order = {it, {}, wave};
         open.sent_at = now;
+        open.last_sent_at = now;
         open.resend_at = now;
         open.was_resent = true;
+        open.is_inherited = true;
         open_orders_.emplace(it, std::move(open));
     }
 }
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -58,6 +58,7 @@
         task_name name{id, key};
         add_run(name, added.value, run.target, run.number, now);
         runs_[name].is_sent = true;
+        runs_[name].may_be_stopping = true;
     }
     if (added.value.is_ended())
     {
@@ -250,12 +251,13 @@
 
 bool coordinator::is_serving_users(const active_run& run) const
 {
-    if (run.percent < 100 || run.must_stop)
+    if (run.percent < 100 || run.must_stop || run.may_be_stopping)
         return false;
     // The last report of a silent target is out of date.
     auto it = targets_.find(run.target);
     return it != targets_.end() && it->second.has_reported &&
-           it->second.is_listed && it->second.consecutive_failures == 0;
+           it->second.is_listed && it->second.consecutive_failures == 0 &&
+           !it->second.may_end;
 }
 
 bool coordinator::may_interrupt(const task_name& task) const
@@ -422,6 +424,12 @@
         it->second.is_cordoned = is_cordoned;
 }
 
+void coordinator::set_may_end(const target_id& target, bool may_end)
+{
+    if (auto it = targets_.find(target); it != targets_.end())
+        it->second.may_end = may_end;
+}
+
 void coordinator::confirm_start(
     const task_name& task, active_run& run, boot_time now)
 {
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -26,6 +26,9 @@
     milliseconds target_back_off{1'000};
     /// How long callers can ask for an ended job.
     milliseconds ended_job_retention{150'000};
+    /// Longest time that a target takes to carry out a stop. Until then, it
+    /// lists the run as running.
+    milliseconds max_stop_time{1'000};
     /// Averaging time of the arrival rate: long enough that single jobs do not
     /// look like a burst, short against a burst of some seconds.
     milliseconds load_averaging_time{1'000};
@@ -59,6 +62,9 @@
     /// A start request without an answer may still reach the target.
     bool may_arrive_late = false;
     bool must_stop = false;
+    /// A predecessor started the run, and may have sent a stop that the target
+    /// has not carried out yet.
+    bool may_be_stopping = false;
     int percent = 0; ///< As last reported.
     /// As last reported, see running_report::measured_value.
     double measured_value = 0;
@@ -178,6 +184,10 @@
     ///   instance is about to leave its pool.
     void set_cordon(const target_id& target, bool is_cordoned);
 
+    /// @param may_end whether an order that is on its way to the platform may
+    ///   end the target at any time. Its tasks then count as unavailable.
+    void set_may_end(const target_id& target, bool may_end);
+
     const target_table& get_targets() const { return targets_; }
     const run_table& get_runs() const { return runs_; }
 
@@ -327,7 +337,8 @@
     static void add_waiting(
         const job_entry& entry, pool_demand& demand, boot_time now);
     /// @return whether the run of a long-running task is available: it has
-    ///   started up, need not stop, and its target answers polls.
+    ///   started up, need not stop, and its target answers polls. Not if that
+    ///   is not known.
     bool is_serving_users(const active_run& run) const;
     job_entry* find_entry(const job_id& id);
     /// @param estimate_factor multiplies the estimates of the job's queue; 0 if
@@ -360,8 +371,8 @@
     /// Removes an active run and records its end in its job.
     void end_run(const task_name& task, run_outcome end,
         const std::string& saved, boot_time now);
-    void handle_running_report(
-        target_entry& target, const running_report& report, boot_time now);
+    void handle_running_report(target_entry& target,
+        const running_report& report, target_time clock, boot_time now);
     void handle_end_report(
         target_entry& target, const end_report& report, boot_time now);
     /// Records in the target's evidence how a run ended.
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -58,7 +58,9 @@
 void coordinator::abandon_start(const start_decision& decision, boot_time now)
 {
     auto run = runs_.find(decision.task);
-    if (run == runs_.end() || run->second.number != decision.run)
+    // The fate of a run that its target has listed is known.
+    if (run == runs_.end() || run->second.number != decision.run ||
+        run->second.has_started)
         return;
     if (run->second.is_sent)
         request_stop(decision.task, run->second);
@@ -105,6 +107,10 @@
     case request_outcome::wrong_incarnation:
         break;
     }
+    // An earlier request has started the run, as its target has told. What the
+    // target says to a repeated one does not end it.
+    if (run->second.has_started)
+        return;
     if (run->second.may_arrive_late)
     {
         // The earlier request may still start the run; only a confirmed stop
@@ -133,8 +139,8 @@
     }
 }
 
-void coordinator::handle_running_report(
-    target_entry& target, const running_report& report, boot_time now)
+void coordinator::handle_running_report(target_entry& target,
+    const running_report& report, target_time clock, boot_time now)
 {
     auto run = runs_.find(report.task);
     if (run == runs_.end() || run->second.number != report.run ||
@@ -142,6 +148,9 @@
         return;
     run->second.percent = report.percent;
     run->second.measured_value = report.measured_value;
+    if (clock.get() - target.first_clock.get() >=
+        options_.max_stop_time.count())
+        run->second.may_be_stopping = false;
     confirm_start(report.task, run->second, now);
 }
 
@@ -273,6 +282,7 @@
         for (const task_name& it : target.runs)
             if (active_run& run = runs_.at(it); run.is_sent)
                 run.confirmed_at = run.confirmed_at.value_or(boot_time{});
+        target.first_clock = status.clock;
     }
     // A new incarnation numbers its ends from the start. Only its lists tell
     // whether it has a run: a start may have reached it before this poll.
@@ -280,6 +290,7 @@
         status.incarnation_start != target.incarnation_start)
     {
         target.last_end_number = 0;
+        target.first_clock = status.clock;
         target.evidence = {};
     }
     target.has_reported = true;
@@ -287,7 +298,7 @@
     for (const end_report& it : status.ended)
         handle_end_report(target, it, now);
     for (const running_report& it : status.running)
-        handle_running_report(target, it, now);
+        handle_running_report(target, it, status.clock, now);
     if (options_.judges_targets)
         judge_progress(target, status, now);
     end_missing_runs(target, status, sent_at, now);
--- a/systems/scheduling/target_table.hpp
+++ b/systems/scheduling/target_table.hpp
@@ -27,6 +27,8 @@
     std::optional<boot_time> unanswered_at;
     /// Gets no work, because its instance is about to leave its pool.
     bool is_cordoned = false;
+    /// An order to its instance that is on its way may end it at any time.
+    bool may_end = false;
     /// Gets no work, because operators have evacuated its data centre.
     bool is_evacuated = false;
 
@@ -36,6 +38,9 @@
 
     /// Start of the incarnation that answered last.
     platform_time incarnation_start;
+    /// The target's clock in its first answer, from which on it refuses the
+    /// requests of former coordinators.
+    target_time first_clock;
     /// Number of the last end report of this incarnation that was processed.
     std::uint64_t last_end_number = 0;
     /// From this time on, all leases that any coordinator granted at the
