Pools: a wave's row names the targets of open orders

Cause: a successor knew the instances of its predecessor's unanswered orders, but not their targets before its first list of instances, and started tasks there meanwhile.

Change: the row holds the target with each ordered instance; rows of earlier versions are still read. Ordered targets are cordoned as soon as the rows are loaded.

Two tests give the ordered instances a target, as the type of wave_progress::ordered has changed; what they check is the same.

--- a/main/entryd/pool_plan_executor.cpp
+++ b/main/entryd/pool_plan_executor.cpp
@@ -69,6 +69,8 @@
     }
     for (const auto& [number, progress] : waves)
         planner_.restore_wave(number, progress, now);
+    // Before the first list of instances, tasks may start.
+    planner_.cordon_ordered_targets(term_.term_coordinator, now);
 }
 
 void pool_plan_executor::save_wave(const maintenance_wave& wave)
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -411,13 +411,13 @@
 pool_decisions pool_planner::plan(coordinator& decisions, boot_time now)
 {
     pool_decisions out;
+    cordon_ordered_targets(decisions, now);
     if (instances_.empty())
         return out;
     refill_tokens(now);
     track_idle_targets(decisions, now);
     close_orders(decisions, now);
     measure_pools(decisions, now);
-    cordon_ordered_targets(decisions, now);
     resend_orders(decisions, now, out);
     plan_maintenance(decisions, now, out);
     plan_scale_up(decisions, now, out);
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -67,9 +67,10 @@
     /// at which the platform accepted the order; the clock's zero for the
     /// latter.
     std::map<instance_id, boot_time> begun;
-    /// Instances with an order that the platform has not answered yet. It may
-    /// have carried the order out, or may do so later.
-    std::set<instance_id> ordered;
+    /// Instances with an order that the platform has not answered yet, with the
+    /// target that the order ends. The platform may have carried it out, or may
+    /// do so later.
+    std::map<instance_id, target_id> ordered;
     /// When a coordinator first saw the wave.
     boot_time first_seen{};
 
@@ -140,6 +141,9 @@
     void restore_wave(
         std::uint64_t wave, const wave_progress& progress, boot_time now);
 
+    /// Keeps the targets that open orders may end free of new work.
+    void cordon_ordered_targets(coordinator& decisions, boot_time now);
+
     /// @return the progress to save; nothing for a wave that was never planned.
     std::optional<wave_progress> get_wave_progress(std::uint64_t wave) const;
 
@@ -204,8 +208,6 @@
     /// at work, and drains the instances of the others.
     void resend_orders(
         coordinator& decisions, boot_time now, pool_decisions& out);
-    /// Keeps the targets that open orders may end free of new work.
-    void cordon_ordered_targets(coordinator& decisions, boot_time now);
     /// Forgets the order and lifts the cordon of its targets.
     open_order_table::iterator close_order(
         open_order_table::iterator it, coordinator& decisions);
--- a/systems/pools/pool_planner_waves.cpp
+++ b/systems/pools/pool_planner_waves.cpp
@@ -19,16 +19,18 @@
 {
     begun_instances_[wave].insert(progress.begun.begin(), progress.begun.end());
     wave_first_seen_.emplace(wave, progress.first_seen);
-    for (const instance_id& it : progress.ordered)
+    for (const auto& [id, target] : progress.ordered)
     {
         open_order open;
-        open.order = {it, {}, wave};
+        open.order = {id, {}, wave};
+        if (!target.get().empty())
+            open.cordoned.insert(target);
         open.sent_at = now;
         open.last_sent_at = now;
         open.resend_at = now;
         open.was_resent = true;
         open.is_inherited = true;
-        open_orders_.emplace(it, std::move(open));
+        open_orders_.emplace(id, std::move(open));
     }
 }
 
@@ -42,7 +44,7 @@
     for (const auto& [id, it] : open_orders_)
         if (it.order.is_maintenance() && it.order.wave == wave &&
             !it.accepted_at)
-            out.ordered.insert(id);
+            out.ordered.emplace(id, it.target);
     return out;
 }
 
--- a/systems/pools/wave_record.cpp
+++ b/systems/pools/wave_record.cpp
@@ -53,8 +53,8 @@
     out[0];
     for (const auto& [id, since] : progress.begun)
         get_part(id).begun.emplace(id, since);
-    for (const instance_id& id : progress.ordered)
-        get_part(id).ordered.insert(id);
+    for (const auto& [id, target] : progress.ordered)
+        get_part(id).ordered.emplace(id, target);
     for (auto& [number, part] : out)
         part.first_seen = progress.first_seen;
     return out;
@@ -66,7 +66,7 @@
     into.ordered.merge(part.ordered);
     // A row that was written for another number of parts may be older.
     std::erase_if(into.ordered,
-        [&](const instance_id& it) { return into.begun.contains(it); });
+        [&](const auto& it) { return into.begun.contains(it.first); });
     into.first_seen = part.first_seen;
 }
 
@@ -106,8 +106,8 @@
         if (since != boot_time{})
             out["begun_at"][id.get()] = to_stored_time(since);
     }
-    for (const instance_id& it : progress.ordered)
-        out["ordered"].push_back(it.get());
+    for (const auto& [id, target] : progress.ordered)
+        out["ordered"].push_back({id.get(), target.get()});
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -134,8 +134,11 @@
                     : from_stored_time(since->get<std::int64_t>() +
                                        max_clock_difference.count());
         }
-        for (const json& id : in.value("ordered", json::array()))
-            out.ordered.emplace(id.get<std::string>());
+        for (const json& it : in.value("ordered", json::array()))
+            // Rows of earlier versions have no target.
+            out.ordered.emplace(it.is_string() ? it.get<std::string>()
+                                               : it.at(0).get<std::string>(),
+                it.is_string() ? "" : it.at(1).get<std::string>());
         return out;
     }
     catch (const json::exception& e)
--- a/tests/systems/pools/orders_at_a_takeover_test.cpp
+++ b/tests/systems/pools/orders_at_a_takeover_test.cpp
@@ -106,8 +106,9 @@
 {
     set_up(3);
     start_tasks(3);
-    planner.restore_wave(
-        1, {{}, {instance_id("m0"), instance_id("m1")}, at(0)}, at(100));
+    planner.restore_wave(1,
+        {{}, {{instance_id("m0"), {}}, {instance_id("m1"), {}}}, at(0)},
+        at(100));
     for (std::int64_t ms = 100; ms <= 8'000; ms += 100)
     {
         auto out = plan_pools(ms);
@@ -129,7 +130,7 @@
 TEST_F(orders_at_a_takeover_test, keeps_new_work_off_until_the_order_is_settled)
 {
     set_up(1);
-    planner.restore_wave(1, {{}, {instance_id("m0")}, at(0)}, at(100));
+    planner.restore_wave(1, {{}, {{instance_id("m0"), {}}}, at(0)}, at(100));
     for (std::int64_t ms = 100; ms <= 3'000; ms += 100)
     {
         for (const instance_order& order : plan_pools(ms).orders)
@@ -152,6 +153,21 @@
     EXPECT_TRUE(planner.get_begun_instances(1).contains(instance_id("m0")));
 }
 
+// Guards against tasks that start on an ordered instance before the successor
+// has read the list of instances, which names its target.
+TEST_F(orders_at_a_takeover_test, keeps_new_work_off_before_the_first_list)
+{
+    set_up(1);
+    auto out = plan_pools(0);
+    ASSERT_EQ(out.orders.size(), 1U);
+    wave_progress saved = *planner.get_wave_progress(1);
+    planner = make_planner();
+    it.set_cordon(instances[0].target, false);
+    planner.restore_wave(1, saved, at(100));
+    EXPECT_TRUE(planner.plan(it, at(100)).orders.empty());
+    EXPECT_TRUE(is_cordoned(0));
+}
+
 // Guards against a second task of a step that is interrupted while an order of
 // a predecessor may still end the first one.
 TEST_F(orders_at_a_takeover_test, counts_tasks_that_an_order_may_end)
@@ -163,7 +179,7 @@
     const task_name second =
         *it.get_targets().at(target_id("t-m1")).runs.begin();
     EXPECT_TRUE(it.may_interrupt(second));
-    planner.restore_wave(1, {{}, {instance_id("m0")}, at(0)}, at(100));
+    planner.restore_wave(1, {{}, {{instance_id("m0"), {}}}, at(0)}, at(100));
     plan_pools(100);
     EXPECT_FALSE(it.may_interrupt(second));
     EXPECT_TRUE(it.get_runs().at(first).must_stop || it.may_interrupt(first));
@@ -192,7 +208,7 @@
 TEST_F(orders_at_a_takeover_test, drops_the_order_of_an_instance_that_is_gone)
 {
     set_up(1);
-    planner.restore_wave(1, {{}, {instance_id("gone")}, at(0)}, at(100));
+    planner.restore_wave(1, {{}, {{instance_id("gone"), {}}}, at(0)}, at(100));
     plan_pools(200);
     EXPECT_TRUE(
         planner.get_wave_progress(1)->ordered.count(instance_id("gone")) == 0);
--- a/tests/systems/pools/wave_record_test.cpp
+++ b/tests/systems/pools/wave_record_test.cpp
@@ -22,7 +22,7 @@
     {
         instance_id id(std::string(150, 'i') + std::to_string(i));
         if (i % 3 == 0)
-            out.ordered.insert(id);
+            out.ordered.emplace(id, std::string(150, 't') + std::to_string(i));
         else
             out.begun[id] =
                 i % 3 == 1 ? boot_time{} : now - milliseconds(1'000);
@@ -64,7 +64,7 @@
 {
     const instance_id id("i");
     wave_progress ordered;
-    ordered.ordered.insert(id);
+    ordered.ordered.emplace(id, "t");
     wave_progress begun;
     begun.begun[id] = now;
     for (bool is_reversed : {false, true})
@@ -77,6 +77,16 @@
     }
 }
 
+// Guards against an update of the system during a wave: rows that name no
+// targets.
+TEST(wave_record, reads_orders_without_targets)
+{
+    auto wave = decode_wave_progress(
+        R"({"begun":[],"ordered":["a","b"],"seen":0})", now, wall_time);
+    EXPECT_EQ(wave.ordered.size(), 2U);
+    EXPECT_EQ(wave.ordered.at(instance_id("a")), target_id());
+}
+
 // Guards against a row of another kind that is read as the row of a wave.
 TEST(wave_record, rejects_malformed_rows)
 {
