Pools: where the cores are; placement beside long-running tasks

Short tasks at the end of a turn, and the tasks of a second long-running job, went to the fullest target and kept it in the pool although targets with long-running tasks stay there anyway. The backlog of a turn's beginning was added in full to the arrival rate that counts the same tasks.

Change: balance lines tell worked, lasting, stranded, beside, idle and closed cores and the targets that only long-running tasks keep. With pack_by_shape, targets with long-running tasks go first, then the one that keeps the least of its scarcest resource (target_fit); a backlog adds at most what the running and waiting short tasks use at once beyond the arrival rate. Off by default.

--- a/main/entryd/pool_plan_executor.cpp
+++ b/main/entryd/pool_plan_executor.cpp
@@ -23,11 +23,17 @@
 
 const decision_log decisions_log("pools");
 
+double to_cores(std::int64_t millicores)
+{
+    return static_cast<double>(millicores) / 1'000.0;
+}
+
 pool_planner_options make_options(const entry_settings& settings)
 {
     pool_planner_options out;
     out.move_time = settings.move_time;
     out.maintenance_time = settings.maintenance_time;
+    out.packs_by_shape = settings.pack_by_shape;
     // The rest of the platform's limit is reserved for a successor's first
     // orders.
     out.orders_per_second = settings.instance_orders_per_s * 0.8;
@@ -216,13 +222,26 @@
 
 void pool_plan_executor::log_pool_sizings()
 {
+    const auto& usages = planner_.get_pool_usages();
     for (const auto& [pool, it] : planner_.get_pool_sizings())
+    {
+        auto found = usages.find(pool);
+        pool_usage usage = found == usages.end() ? pool_usage{} : found->second;
         decisions_log.write("balance", "demand",
             {{"pool", pool}, {"present", it.available_instances},
                 {"needed", it.required_instances},
+                {"retained", it.retained_instances},
                 {"used_cores", it.used_cores},
                 {"waiting_cores", it.waiting_cores},
-                {"offered_cores", it.offered_cores}, {"spread", it.spread}});
+                {"offered_cores", it.offered_cores}, {"spread", it.spread},
+                {"worked", to_cores(usage.worked)},
+                {"lasting", to_cores(usage.lasting)},
+                {"stranded", to_cores(usage.stranded)},
+                {"beside", to_cores(usage.beside)},
+                {"idle", to_cores(usage.idle)},
+                {"closed", to_cores(usage.closed)},
+                {"lasting_targets", usage.lasting_targets}});
+    }
 }
 
 void pool_plan_executor::decide()
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -19,6 +19,17 @@
 /// order's duration.
 constexpr milliseconds list_update_margin{3'000};
 
+/// @return the part of the concurrent need that the arrival rate does not
+///   explain, in cores: a backlog of short tasks cannot use more than this at
+///   once.
+double measure_unserved_cores(const pool_demand& demand)
+{
+    std::int64_t concurrent = demand.used.processor + demand.waiting.processor -
+                              demand.long_running_need.processor;
+    return std::max(
+        0.0, static_cast<double>(concurrent) / 1'000.0 - demand.offered_cores);
+}
+
 } // namespace
 
 pool_planner::pool_planner(pool_planner_options options) : options_(options) {}
@@ -170,6 +181,7 @@
                         : 0U;
     };
     auto demands = decisions.measure_demand(now);
+    usages_ = measure_usage(decisions.get_targets(), demands, now);
     for (const auto& [pool, it] : config->pools)
     {
         const pool_demand& demand = demands[pool];
@@ -180,6 +192,9 @@
         double backlog_cores =
             demand.waiting_core_ms /
             static_cast<double>(options_.backlog_clearing_time.count());
+        if (options_.packs_by_shape)
+            backlog_cores =
+                std::min(backlog_cores, measure_unserved_cores(demand));
         std::chrono::duration<double> lead =
             options_.move_time + options_.scale_up_lead;
         double expected_rise =
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -2,6 +2,7 @@
 
 #include "systems/configuration/fleet_config.hpp"
 #include "systems/pools/platform_instance.hpp"
+#include "systems/pools/pool_usage.hpp"
 #include "systems/scheduling/coordinator.hpp"
 
 #include <map>
@@ -40,6 +41,9 @@
     /// Fraction of an instance's CPU and memory that tasks can use; the rest is
     /// lost because task sizes do not fit.
     double packing_efficiency = 0.85;
+    /// A pool gets no more instances for its backlog than the waiting tasks can
+    /// use at once.
+    bool packs_by_shape = false;
     /// Idle instances that a pool retains as headroom for a burst.
     std::uint32_t idle_reserve = 1;
     /// Rate limit of the platform for the orders of all its clients.
@@ -159,6 +163,12 @@
         return sizings_;
     }
 
+    /// @return where the processors of each pool are, as of the last round.
+    const std::map<pool_id, pool_usage>& get_pool_usages() const
+    {
+        return usages_;
+    }
+
 private:
     /// An order whose effect does not show in the instance list yet.
     struct open_order
@@ -234,6 +244,7 @@
     /// Cordoned for maintenance by `drain`.
     std::set<target_id> draining_targets_;
     std::map<pool_id, pool_sizing> sizings_;
+    std::map<pool_id, pool_usage> usages_;
     /// When a pool with fragmented capacity may get the next instance for it.
     std::map<pool_id, boot_time> next_fragmentation_growth_;
     double order_tokens_ = 0; ///< Orders that the rate limit allows now.
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -232,6 +232,7 @@
         demand.spread = std::max(
             demand.spread, (n + step.max_per_target - 1) / step.max_per_target);
     };
+    const task_key* last = nullptr;
     for (const task_key& key : entry.waiting)
     {
         const step_spec& step = entry.value.get_step(key);
@@ -242,6 +243,13 @@
         else
             demand.waiting_core_ms += get_work(step, entry.run_times[key.step]);
         add_to_spread(key);
+        // The tasks of a step wait side by side.
+        if (!last || last->step != key.step ||
+            last->occurrence != key.occurrence)
+            demand.waiting_shapes.push_back(
+                {need, 0, step.max_per_target, step.is_long_running});
+        ++demand.waiting_shapes.back().count;
+        last = &key;
     }
     if (!entry.waiting.empty())
         for (const task_key& key : entry.value.list_running())
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -82,6 +82,15 @@
     target_id target;
 };
 
+/// Waiting tasks of one step, which have the same need.
+struct waiting_shape
+{
+    resources need; ///< Of each task.
+    std::uint32_t count = 0;
+    std::uint32_t max_per_target = 0; ///< As in the step.
+    bool is_long_running = false;
+};
+
 /// What the jobs in a pool's queues use and need of the pool now.
 struct pool_demand
 {
@@ -106,6 +115,9 @@
     /// Minimum number of targets for the tasks of one step, where the step
     /// limits its tasks per target; the maximum over all steps.
     std::uint32_t spread = 0;
+    /// Tasks that could start if there were capacity, without those of overdue
+    /// jobs.
+    std::vector<waiting_shape> waiting_shapes;
 };
 
 enum class submit_outcome
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -1,4 +1,5 @@
 #include "systems/scheduling/coordinator.hpp"
+#include "systems/scheduling/target_fit.hpp"
 
 #include <algorithm>
 #include <ranges>
@@ -195,8 +196,11 @@
             step.data_rack.get().empty() || it.has_label(step.data_rack.get());
         // Filling the fullest target that has capacity keeps other targets
         // free for large tasks and for leaving the pool.
-        return std::tuple(
-            has_failed_here, is_slow, !is_near_data, get_free(it).processor);
+        resources free = get_free(it);
+        target_fit fit{false, free.processor};
+        if (options_.packs_by_shape)
+            fit = measure_fit(it, free, need);
+        return std::tuple(has_failed_here, is_slow, !is_near_data, fit);
     };
     for (target_entry* it : capacity.eligible[pool])
     {
--- a/tests/systems/pools/pool_planner_test.cpp
+++ b/tests/systems/pools/pool_planner_test.cpp
@@ -493,4 +493,36 @@
     EXPECT_LT(meter.get_rate(pool_b, at(5'000)), 10.5);
 }
 
+// Load pattern: long tasks wait because every instance was in use when they
+// arrived. The pool gets no more instances than they can use at once: 128 tasks
+// of one core fill 10 instances, as an instance is used to 85 %.
+TEST_F(pool_planner_test, sizes_a_pool_by_what_waiting_tasks_use_at_once)
+{
+    auto count_after_backlog = [&](bool packs_by_shape)
+    {
+        pool_planner_options options;
+        options.packs_by_shape = packs_by_shape;
+        planner = pool_planner(options);
+        instances.clear();
+        it = coordinator(coordinator_options{});
+        it.set_published_state(state);
+        add_instance("m0", pool_a);
+        for (int i = 0; i < 8; ++i)
+        {
+            auto record = make_record({make_step(16)});
+            record.spec.steps[0].estimate = milliseconds(4'000);
+            it.submit(job_id(std::to_string(i)), record, at(0));
+        }
+        run_rounds(0, 3'000);
+        for (int i = 1; i < 40; ++i)
+            add_instance("m" + std::to_string(i), pool_off);
+        run_rounds(3'000, 3'400);
+        return count(pool_a);
+    };
+    EXPECT_GT(count_after_backlog(false), 16U);
+    std::size_t packed = count_after_backlog(true);
+    EXPECT_GE(packed, 8U);
+    EXPECT_LE(packed, 11U);
+}
+
 } // namespace cowslippass
