--- a/tests/systems/scheduling/packing_test.cpp
+++ b/tests/systems/scheduling/packing_test.cpp
@@ -183,7 +183,9 @@
     {
         if (it.get_runs().empty())
             return;
-        auto [task, run] = choose_run(n);
+        std::pair<task_name, active_run> chosen = choose_run(n);
+        const task_name& task = chosen.first;
+        const active_run& run = chosen.second;
         target_status status = make_status(run.target);
         std::erase_if(status.running,
             [&](const auto& report) { return report.task == task; });
