Coordinator: acknowledge ends only to the life that reported them

Cause: a target numbers its ends from 1 in each life, and the coordinator kept the acknowledged number with the link to the id.

Change: what a life has told is one object, replaced as a whole; an acknowledgement names its life and is sent only over a connection that was established before the last poll that this life answered. A row of the list that names another life drops the state as well.

Seen failing before: entry_end_to_end_test. acknowledges_no_end_to_another_life_of_a_target (tasks started twice). The stand-in ends due runs before it applies an acknowledgement, as a real target does, and reports its incarnation.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -30,6 +30,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buf;
     monotonic_time idle_since{};
+    /// Not earlier than the connection was established.
+    boot_time connected_at{};
 };
 
 using connection_ptr = std::unique_ptr<connection>;
@@ -73,8 +75,8 @@
     /// Waits until fewer than `max_connections` requests are in progress.
     /// @return false when the deadline passed first.
     asio::awaitable<bool> acquire_slot(monotonic_time deadline);
-    /// @return null when no idle connection is young enough.
-    connection_ptr take_idle_connection();
+    /// @return null when no idle connection is fit for use.
+    connection_ptr take_idle_connection(boot_time connected_before);
     /// @param conn is kept for reuse; null when it was closed.
     void release_slot(connection_ptr conn);
     /// Opens the connection, unless it is open.
@@ -113,15 +115,20 @@
     co_return true;
 }
 
-connection_ptr http_client::state::take_idle_connection()
+connection_ptr http_client::state::take_idle_connection(
+    boot_time connected_before)
 {
     auto now = std::chrono::steady_clock::now();
-    while (!idle_connections.empty())
+    std::erase_if(idle_connections, [&](const connection_ptr& it)
+        { return now - it->idle_since > max_idle_time; });
+    for (std::size_t i = idle_connections.size(); i-- > 0;)
     {
-        connection_ptr conn = std::move(idle_connections.back());
-        idle_connections.pop_back();
-        if (now - conn->idle_since <= max_idle_time)
-            return conn;
+        if (idle_connections[i]->connected_at >= connected_before)
+            continue;
+        connection_ptr conn = std::move(idle_connections[i]);
+        idle_connections.erase(
+            idle_connections.begin() + static_cast<std::ptrdiff_t>(i));
+        return conn;
     }
     return nullptr;
 }
@@ -153,6 +160,7 @@
     beast::error_code ignored;
     if (!ec)
         conn.stream.socket().set_option(tcp::no_delay(true), ignored);
+    conn.connected_at = boot_clock::now();
     conn.stream.expires_never();
     co_return ec;
 }
@@ -189,16 +197,26 @@
 
 http_client::~http_client() = default;
 
-asio::awaitable<http_result> http_client::send(
-    http_request request, milliseconds timeout, boot_time valid_until)
+asio::awaitable<http_result> http_client::send(http_request request,
+    milliseconds timeout, boot_time valid_until, boot_time connected_before)
 {
     // Keeps the state alive if the client is destroyed during the request.
     auto self = state_;
     auto deadline = std::chrono::steady_clock::now() + timeout;
+    bool needs_old_connection = connected_before != boot_time::max();
+    if (needs_old_connection && self->slots_in_use >= self->max_connections)
+        co_return http_result{
+            {}, http_failure::not_sent, "all connections are in use"};
     if (!co_await self->acquire_slot(deadline))
         co_return http_result{{}, http_failure::not_sent,
             "no connection became free before the deadline"};
-    connection_ptr conn = self->take_idle_connection();
+    connection_ptr conn = self->take_idle_connection(connected_before);
+    if (!conn && needs_old_connection)
+    {
+        self->release_slot(nullptr);
+        co_return http_result{{}, http_failure::not_sent,
+            "no connection was established early enough"};
+    }
     if (!conn)
         conn = std::make_unique<connection>(self->io);
     http_result result;
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -44,11 +44,15 @@
     ///   with the boot clock immediately before the write, after the wait for a
     ///   connection, so that a process that was paused meanwhile does not act
     ///   on a permission that has expired.
+    /// @param connected_before if set, the request uses only an idle connection
+    ///   that was established before this time. A server that was replaced
+    ///   since then does not get it. Without such a connection it is not sent.
     /// @return the complete response, or how the request failed. A reused
     ///   connection that was closed before the first byte of a response counts
     ///   as `no_reply`.
     asio::awaitable<http_result> send(http_request request,
-        milliseconds timeout, boot_time valid_until = boot_time::max());
+        milliseconds timeout, boot_time valid_until = boot_time::max(),
+        boot_time connected_before = boot_time::max());
 
     const tcp::endpoint& get_endpoint() const;
 
--- a/drivers/peer_message.cpp
+++ b/drivers/peer_message.cpp
@@ -221,7 +221,8 @@
             static_cast<wire::target_operation>(body.operation), boot, target,
             address, body.fence.get(), body.valid_until.get(),
             to_u32(body.timeout), run, payload, saved, ticket, has_lease, lease,
-            body.poll.acknowledged_up_to, to_u32(body.poll.wait))
+            body.poll.acknowledged.up_to, to_u32(body.poll.wait),
+            body.poll.acknowledged.incarnation_start.get())
             .Union()};
 }
 
@@ -312,7 +313,8 @@
     out.start.lease_end = target_time(body.lease_end());
     if (body.has_lease_end())
         out.poll.lease_end = target_time(body.lease_end());
-    out.poll.acknowledged_up_to = body.acknowledged_up_to();
+    out.poll.acknowledged = {platform_time(body.acknowledged_incarnation()),
+        body.acknowledged_up_to()};
     out.poll.wait = milliseconds(body.wait_ms());
     return out;
 }
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -335,19 +335,18 @@
 
 void coordinator_runner::acknowledge_ends_when_durable()
 {
-    if (received_end_numbers_.empty())
+    if (received_ends_.empty())
         return;
-    for (const auto& [link, number] : received_end_numbers_)
+    for (const auto& [link, ends] : received_ends_)
         ledger_.when_durable(
-            [link = link, number = number,
-                incarnation_start = link->incarnation_start]
+            [link = link, ends = ends]
             {
-                // Another incarnation numbers its ends from the start.
-                if (link->incarnation_start == incarnation_start)
-                    link->acknowledged_up_to =
-                        std::max(link->acknowledged_up_to, number);
+                auto& life = link->life;
+                if (life && life->incarnation_start == ends.incarnation_start)
+                    life->acknowledged_up_to =
+                        std::max(life->acknowledged_up_to, ends.up_to);
             });
-    received_end_numbers_.clear();
+    received_ends_.clear();
 }
 
 void coordinator_runner::log_starts(const std::vector<start_decision>& starts)
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -249,9 +249,9 @@
     std::deque<start_decision> starts_to_send_; ///< All are durable.
     bool is_sending_starts_ = false;
     std::set<task_name> stops_in_flight_;
-    /// Number of the last end received from each target, for the ends whose
-    /// rows are not in the ledger's next batch yet.
-    std::map<link_ptr, std::uint64_t> received_end_numbers_;
+    /// The ends received from each target whose rows are not in the ledger's
+    /// next batch yet.
+    std::map<link_ptr, end_acknowledgement> received_ends_;
     boot_time next_erase_at_{};
     boot_time next_run_time_record_at_{};
     boot_time next_relay_update_at_{};
--- a/main/entryd/coordinator_runner_internal.hpp
+++ b/main/entryd/coordinator_runner_internal.hpp
@@ -23,6 +23,17 @@
 
 inline const decision_log coordinator_log("coordinator");
 
+/// What one life of a target has reported. A new life starts without it.
+struct target_life
+{
+    platform_time incarnation_start;
+    /// The target's clock in its last status. At `clock_received_at`, the clock
+    /// had at least this value.
+    target_time clock;
+    boot_time clock_received_at{};
+    std::uint64_t acknowledged_up_to = 0; ///< Ends up to it are durable.
+};
+
 /// The connection to one target, with the state of its last poll.
 struct coordinator_runner::target_link
 {
@@ -38,14 +49,9 @@
     target_channel channel;
     asio::steady_timer timer;
     bool is_closed = false;
-    /// The target's clock in its last status. At `clock_received_at`, the clock
-    /// had at least this value.
-    std::optional<target_time> clock;
-    boot_time clock_received_at{};
-    /// Start of the incarnation that sent the last status.
-    platform_time incarnation_start;
-    /// Ends of this incarnation up to this number are durable.
-    std::uint64_t acknowledged_up_to = 0;
+    /// The life that sent the last status; empty before the first one, and
+    /// once the list of targets names another life.
+    std::optional<target_life> life;
     bool is_reachable = true; ///< Whether the last poll was answered.
 };
 
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -92,7 +92,16 @@
     // is closed then.
     if (it != links_.end() && !it->second->is_closed &&
         it->second->address == report.address)
+    {
+        auto& life = it->second->life;
+        if (life && report.incarnation_start != platform_time() &&
+            report.incarnation_start != life->incarnation_start)
+        {
+            life.reset();
+            it->second->timer.cancel();
+        }
         return;
+    }
     if (it != links_.end())
         it->second->is_closed = true;
     link_ptr link;
@@ -225,25 +234,23 @@
 {
     coordinator_.record_lease(
         link.target, boot_clock::now() + get_max_lease_time());
-    auto passed = to_milliseconds(boot_clock::now() - link.clock_received_at);
+    auto passed =
+        to_milliseconds(boot_clock::now() - link.life->clock_received_at);
     auto lease = static_cast<std::int64_t>(
         static_cast<double>(settings_.lease_limit.count()) * lease_share);
-    return target_time(link.clock->get() + passed.count() + lease);
+    return target_time(link.life->clock.get() + passed.count() + lease);
 }
 
 void coordinator_runner::process_status(const link_ptr& link,
     const target_status& status, boot_time sent_at, boot_time received_at)
 {
-    if (status.incarnation_start != link->incarnation_start)
-    {
-        link->incarnation_start = status.incarnation_start;
-        link->acknowledged_up_to = 0;
-        received_end_numbers_.erase(link);
-    }
+    if (!link->life ||
+        link->life->incarnation_start != status.incarnation_start)
+        link->life = target_life{status.incarnation_start, {}, {}, 0};
     // The target read its clock before its answer was received, so an estimate
     // that counts from the time of receipt is never ahead of a correct clock.
-    link->clock = status.clock;
-    link->clock_received_at = received_at;
+    link->life->clock = status.clock;
+    link->life->clock_received_at = received_at;
     std::uint64_t before = 0;
     if (auto it = coordinator_.get_targets().find(link->target);
         it != coordinator_.get_targets().end())
@@ -256,7 +263,7 @@
     std::uint64_t after = it->second.last_end_number;
     if (after == before && status.ended.empty())
         return;
-    received_end_numbers_[link] = after;
+    received_ends_[link] = {status.incarnation_start, after};
     wake();
 }
 
@@ -271,11 +278,13 @@
         const target_entry& target = it->second;
         bool is_busy = !target.runs.empty();
         bool has_short_runs = target.used != target.long_running;
-        bool has_unacknowledged_ends =
-            target.last_end_number > link->acknowledged_up_to;
         poll_request request;
-        request.acknowledged_up_to = link->acknowledged_up_to;
-        if (coordinator_.should_renew_leases(link->target) && link->clock &&
+        if (link->life)
+            request.acknowledged = {
+                link->life->incarnation_start, link->life->acknowledged_up_to};
+        bool has_unacknowledged_ends =
+            target.last_end_number > request.acknowledged.up_to;
+        if (coordinator_.should_renew_leases(link->target) && link->life &&
             has_valid_term())
             request.lease_end = grant_lease(*link);
         if (is_busy && target.has_reported &&
@@ -308,14 +317,14 @@
             process_status(link, *reply.status, sent_at, now);
             if (is_over_ || link->is_closed)
                 break;
+            // Ends that occur during the pause share the next poll.
+            bool has_ends = !reply.status->ended.empty();
             // An idle target is polled at once when it gets a run.
             it = coordinator_.get_targets().find(link->target);
             bool is_idle =
                 it != coordinator_.get_targets().end() &&
-                it->second.runs.empty() &&
-                it->second.last_end_number <= link->acknowledged_up_to;
-            // Ends that occur during the pause share the next poll.
-            bool has_ends = !reply.status->ended.empty();
+                it->second.runs.empty() && !has_ends && link->life &&
+                it->second.last_end_number <= link->life->acknowledged_up_to;
             if (!is_idle && !has_ends)
                 continue;
             link->timer.expires_after(
@@ -391,7 +400,7 @@
     while (!is_over_)
     {
         link_ptr link = find_link(decision.target);
-        if (!link || !link->clock || !has_valid_term())
+        if (!link || !link->life || !has_valid_term())
         {
             coordinator_.abandon_start(decision, boot_clock::now());
             co_return;
--- a/systems/scheduling/target_protocol.hpp
+++ b/systems/scheduling/target_protocol.hpp
@@ -102,14 +102,23 @@
     std::string ticket;
 };
 
+/// Ends that are durable in the ledger. Each life of a target numbers its ends
+/// from the start, so that a number says nothing without the life.
+struct end_acknowledgement
+{
+    /// Start of the incarnation that reported the ends.
+    platform_time incarnation_start;
+    std::uint64_t up_to = 0; ///< Number of the last one; 0 for none.
+};
+
 /// Request for a target's status, which renews its leases as well.
 struct poll_request
 {
     /// Extends the leases of all runs at the target; not set to leave
     /// them unchanged.
     std::optional<target_time> lease_end;
-    /// Acknowledges the ends up to this number, which the target may drop.
-    std::uint64_t acknowledged_up_to = 0;
+    /// Ends that the target may drop. No other incarnation receives this.
+    end_acknowledgement acknowledged;
     /// How long the target may delay its answer until a run ends.
     milliseconds wait{0};
 };
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -127,6 +127,70 @@
         });
 }
 
+// Guards against a target that crashes and is back under its id before any poll
+// or row tells of it: a poll with the acknowledgement of the former life made
+// it forget the end of a task that nobody had seen, and the task ran again.
+TEST_F(entry_end_to_end_test, acknowledges_no_end_to_another_life_of_a_target)
+{
+    platform.add_target("t1", milliseconds(0));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            for (int i = 0; i < 5; ++i)
+            {
+                // The acknowledgement of its end waits for the next poll.
+                std::string first = "000000000000000" + std::to_string(2 * i);
+                co_await send("POST", "/q/" + first, one_task);
+                EXPECT_TRUE(co_await wait_for(first, "completed"));
+                co_await sleep(milliseconds(400));
+                platform.restart_target("t1", milliseconds(0));
+                std::string next =
+                    "000000000000000" + std::to_string(2 * i + 1);
+                co_await send("POST", "/q/" + next, one_task);
+                EXPECT_TRUE(co_await wait_for(next, "completed"));
+            }
+            for (const auto& [task, n] : platform.get_start_counts())
+                EXPECT_EQ(n, 1) << task;
+        });
+}
+
+// Guards against a replaced coordinator that does not know of its end yet: it
+// told callers from memory that there was no such job, or none pending, and
+// they gave up, although its successor had the job.
+TEST_F(entry_end_to_end_test, denies_no_job_without_a_confirmed_term)
+{
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            platform.set_store_unavailable(true);
+            // A transaction that was applied before is answered.
+            co_await sleep(milliseconds(50));
+            int answers = 0;
+            auto ask = [&](std::string method,
+                           std::string path) -> asio::awaitable<void>
+            {
+                http_response it = co_await send(method, path);
+                EXPECT_GE(it.status, 500U) << method << ' ' << path;
+                ++answers;
+            };
+            asio::co_spawn(io, ask("DELETE", "/q/" + job_1), asio::detached);
+            asio::co_spawn(io, ask("GET", "/q/" + job_1), asio::detached);
+            co_await ask("GET", "/q/");
+            while (answers < 3)
+                co_await sleep(milliseconds(10));
+            platform.set_store_unavailable(false);
+            co_await wait_until_ready();
+            http_response it = co_await send("DELETE", "/q/" + job_1);
+            EXPECT_EQ(it.status, 410U);
+            it = co_await send("GET", "/q/" + job_1);
+            EXPECT_EQ(it.status, 410U);
+            it = co_await send("GET", "/q/");
+            EXPECT_EQ(it.body, "{\"pending\":0}");
+        });
+}
+
 // Guards against a job that is lost with its coordinator, and against a task
 // that the successor starts again although it is still running.
 TEST_F(entry_end_to_end_test, resumes_the_jobs_of_a_lost_coordinator)
--- a/tests/main/entryd/target_relay_test.cpp
+++ b/tests/main/entryd/target_relay_test.cpp
@@ -154,6 +154,7 @@
     call.timeout = milliseconds(600);
     call.start = {{job_id("j"), {1, 2, 3}}, run_number(4), "payload",
         target_time(99), "saved", "ticket"};
+    call.poll.acknowledged = {platform_time(8), 5};
     auto out = std::get<peer_target_call>(
         decode_peer_message(encode_peer_message({1, false, call})).body);
     EXPECT_EQ(out.relay_boot, "b");
@@ -167,6 +168,8 @@
     EXPECT_EQ(out.start.lease_end, target_time(99));
     EXPECT_EQ(out.start.saved, "saved");
     EXPECT_EQ(out.start.ticket, "ticket");
+    EXPECT_EQ(out.poll.acknowledged.incarnation_start, platform_time(8));
+    EXPECT_EQ(out.poll.acknowledged.up_to, 5U);
     peer_target_reply reply;
     reply.outcome = request_outcome::superseded;
     reply.clock = target_time(0);
--- a/tests/platform/target_protocol_client_test.cpp
+++ b/tests/platform/target_protocol_client_test.cpp
@@ -4,6 +4,7 @@
 #include "drivers/http_server.hpp"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
 
 namespace cowslippass
@@ -103,6 +104,64 @@
             << row;
 }
 
+// Guards against a target that is back under its id and gets the
+// acknowledgement of its former life: it would forget ends that nobody has
+// seen. Only a connection of the life that is acknowledged may carry it.
+TEST(target_protocol_client, acknowledges_only_to_the_life_that_reported)
+{
+    asio::io_context io;
+    std::vector<int> received; // What each poll acknowledges.
+    int born = 7;
+    http_server_options options;
+    options.endpoint = parse_endpoint("127.0.0.1:0");
+    auto make_server = [&]
+    {
+        return std::make_unique<http_server>(io, options,
+            [&](http_request it) -> asio::awaitable<http_response>
+            {
+                received.push_back(
+                    nlohmann::json::parse(it.body).at("seenUpto").get<int>());
+                co_return http_response{200, {},
+                    R"({"clockMs":5,"running":[],"ended":[],"born":)" +
+                        std::to_string(born) + "}"};
+            });
+    };
+    auto server = make_server();
+    options.endpoint.port(server->get_port());
+    target_protocol_client client(
+        io, options.endpoint, target_id("t"), fencing_token(1));
+    auto poll = [&]() -> asio::awaitable<void>
+    {
+        poll_request order;
+        order.acknowledged = {platform_time(7), 3};
+        co_await client.poll(order, milliseconds(1'000), boot_time::max());
+    };
+    bool is_done = false;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            // The second answer shows that the connection leads to life 7.
+            for (int i = 0; i < 3; ++i)
+                co_await poll();
+            EXPECT_EQ(received, (std::vector<int>{0, 0, 3}));
+            received.clear();
+            server->stop();
+            ++born;
+            server = make_server();
+            for (int i = 0; i < 4; ++i)
+                co_await poll();
+            EXPECT_EQ(received, std::vector<int>(received.size(), 0));
+            EXPECT_GE(received.size(), 3U);
+            is_done = true;
+            server->stop();
+            io.stop();
+        },
+        asio::detached);
+    io.run_for(std::chrono::seconds(10));
+    EXPECT_TRUE(is_done);
+}
+
 // Guards against any exception for a status in which some bytes were replaced.
 RC_GTEST_PROP(target_protocol_client, never_throws_for_a_corrupted_status, ())
 {
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -53,10 +53,10 @@
     return out;
 }
 
-http_server_options make_options()
+http_server_options make_options(unsigned short port = 0)
 {
     http_server_options out;
-    out.endpoint = parse_endpoint("127.0.0.1:0");
+    out.endpoint = parse_endpoint("127.0.0.1:" + std::to_string(port));
     return out;
 }
 
@@ -66,6 +66,7 @@
 {
     std::string id;
     milliseconds task_duration{0};
+    std::int64_t incarnation_start = 1;
     bool is_unreachable = false;
     std::uint64_t fence = 0; ///< Highest fencing token seen.
     /// By task name: the run's number and the time at which it ends, in
@@ -143,19 +144,38 @@
     put("op", "config", config.dump());
 }
 
-void users_platform::add_target(
-    const std::string& id, milliseconds task_duration)
+void users_platform::start_target(const std::string& id,
+    milliseconds task_duration, std::int64_t incarnation_start,
+    unsigned short port)
 {
     auto it = std::make_shared<target>();
     it->id = id;
     it->task_duration = task_duration;
-    it->server = std::make_unique<http_server>(io_, make_options(),
+    it->incarnation_start = incarnation_start;
+    it->server = std::make_unique<http_server>(io_, make_options(port),
         [this, it](http_request request)
         { return handle_target_request(it, std::move(request)); });
     targets_[id] = it;
+}
+
+void users_platform::add_target(
+    const std::string& id, milliseconds task_duration)
+{
+    start_target(id, task_duration, 1, 0);
     list_target(id);
 }
 
+void users_platform::restart_target(
+    const std::string& id, milliseconds task_duration)
+{
+    target& former = *targets_.at(id);
+    unsigned short port = former.server->get_port();
+    // Its requests in progress get no answer.
+    former.is_unreachable = true;
+    former.server->stop();
+    start_target(id, task_duration, former.incarnation_start + 1, port);
+}
+
 void users_platform::list_target(const std::string& id)
 {
     json report{{"service", "p"},
@@ -163,7 +183,8 @@
             "127.0.0.1:" + std::to_string(targets_[id]->server->get_port())},
         {"zone", "z"}, {"state", "ready"},
         {"capacity", {{"cpu", 4'000}, {"memMb", 4'000}, {"gpus", 0}}},
-        {"labels", {"a", "r1"}}, {"seq", 1}, {"born", 1}};
+        {"labels", {"a", "r1"}}, {"seq", 1},
+        {"born", targets_[id]->incarnation_start}};
     put("servers", id, report.dump());
 }
 
@@ -350,6 +371,7 @@
     }
     if (request.path == "/-/run-stop")
         co_return make_response(200, {{"clockMs", get_clock_ms()}});
+    it->end_finished_tasks();
     auto seen = body.value("seenUpto", std::uint64_t{0});
     std::erase_if(it->ended,
         [&](const json& end) { return end[0].get<std::uint64_t>() <= seen; });
@@ -361,8 +383,8 @@
     for (const auto& [task, run] : it->running)
         running.push_back(json::array({task, run.first, "", 50, 0}));
     co_return make_response(
-        200, {{"clockMs", get_clock_ms()}, {"born", 1}, {"running", running},
-                 {"ended", it->ended}});
+        200, {{"clockMs", get_clock_ms()}, {"born", it->incarnation_start},
+                 {"running", running}, {"ended", it->ended}});
 }
 
 } // namespace cowslippass
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -34,6 +34,11 @@
     /// @param task_duration how long each task runs.
     void add_target(const std::string& id, milliseconds task_duration);
 
+    /// The target crashes and starts again under its id and address. It knows
+    /// nothing of before, and connections of before are closed. Its row is not
+    /// published again.
+    void restart_target(const std::string& id, milliseconds task_duration);
+
     /// Publishes the target's row.
     void list_target(const std::string& id);
     /// Deletes the target's row; the target itself keeps running.
@@ -104,6 +109,10 @@
     };
     struct target; ///< One target with its server and its runs.
 
+    /// @param port 0 for a free one.
+    void start_target(const std::string& id, milliseconds task_duration,
+        std::int64_t incarnation_start, unsigned short port);
+
     asio::awaitable<http_response> handle_store_request(http_request request);
     asio::awaitable<http_response> handle_feed_request(http_request request);
     asio::awaitable<http_response> handle_instance_request(
