Coordinator: deny jobs only under a term confirmed after the call

Change: such answers wait for a transaction made after the call arrived; the next batch confirms all waiting calls, and no transaction is made for them.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -142,7 +142,7 @@
     relays_.close();
     // Only the next coordinator will know whether the rows that these calls
     // wait for became durable.
-    for (const auto& it : durability_waits_)
+    for (const auto& it : ledger_waits_)
         it->cancel();
     wake();
 }
@@ -532,24 +532,40 @@
 }
 
 asio::awaitable<bool> coordinator_runner::wait_until_durable(boot_time deadline)
+{
+    return wait_for_ledger([this](std::function<void()> done)
+        { ledger_.when_durable(std::move(done)); },
+        deadline);
+}
+
+asio::awaitable<bool> coordinator_runner::wait_until_confirmed(
+    boot_time deadline)
+{
+    return wait_for_ledger([this](std::function<void()> done)
+        { ledger_.when_confirmed(std::move(done)); },
+        deadline);
+}
+
+asio::awaitable<bool> coordinator_runner::wait_for_ledger(
+    std::function<void(std::function<void()>)> request, boot_time deadline)
 {
     auto self = shared_from_this();
     auto timer = std::make_shared<asio::steady_timer>(io_);
     timer->expires_after(to_milliseconds(deadline - boot_clock::now()));
-    auto is_durable = std::make_shared<bool>(false);
-    ledger_.when_durable(
-        [timer, is_durable]
+    auto is_called = std::make_shared<bool>(false);
+    request(
+        [timer, is_called]
         {
-            *is_durable = true;
+            *is_called = true;
             timer->cancel();
         });
-    if (*is_durable || is_over_)
-        co_return *is_durable;
-    durability_waits_.insert(timer);
+    if (*is_called || is_over_)
+        co_return *is_called;
+    ledger_waits_.insert(timer);
     boost::system::error_code ec;
     co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
-    durability_waits_.erase(timer);
-    co_return *is_durable;
+    ledger_waits_.erase(timer);
+    co_return *is_called;
 }
 
 } // namespace cowslippass
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -166,6 +166,23 @@
         peer_coordinator_call call, boot_time deadline);
     /// @return whether all rows put so far became durable by the deadline.
     asio::awaitable<bool> wait_until_durable(boot_time deadline);
+    /// Waits until the store has confirmed the term anew. Any answer that ends
+    /// a caller's effort needs this, because a coordinator that was replaced
+    /// does not know what its successor has accepted. The next batch, at the
+    /// latest the next renewal, confirms all calls that wait.
+    /// @return whether the term was confirmed by the deadline.
+    asio::awaitable<bool> wait_until_confirmed(boot_time deadline);
+    /// Waits for a callback of the ledger.
+    /// @param request passes a callback to the ledger.
+    /// @return whether it was called by the deadline.
+    asio::awaitable<bool> wait_for_ledger(
+        std::function<void(std::function<void()>)> request, boot_time deadline);
+    /// @return the state of a job, or that there is none.
+    asio::awaitable<peer_coordinator_reply> get_status(
+        peer_coordinator_call call, boot_time deadline);
+    /// @return the number of jobs that have not begun.
+    asio::awaitable<peer_coordinator_reply> count(
+        peer_coordinator_call call, boot_time deadline);
     /// Reads the whole list of targets.
     asio::awaitable<bool> read_targets();
     asio::awaitable<void> sleep(milliseconds time);
@@ -274,8 +291,8 @@
     /// distributed.
     std::map<job_id, std::set<std::uint32_t>> record_parts_;
     row_version targets_version_; ///< Version of the list of targets.
-    /// Timers of the calls that wait until their rows are durable.
-    std::set<std::shared_ptr<asio::steady_timer>> durability_waits_;
+    /// Timers of the calls that wait for the ledger.
+    std::set<std::shared_ptr<asio::steady_timer>> ledger_waits_;
     bool is_recovered_ = false; ///< Until then the term is only renewed.
     bool is_over_ = false;
     bool is_releasing_ = false; ///< A release was requested.
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -22,7 +22,9 @@
     // The store would reject the job's rows again.
     if (rejected_jobs_.contains(call.job))
     {
-        reply.result = coordinator_result::invalid;
+        reply.result = co_await wait_until_confirmed(deadline)
+                           ? coordinator_result::invalid
+                           : coordinator_result::not_coordinator;
         co_return reply;
     }
     if (decode_error)
@@ -75,6 +77,12 @@
 {
     auto self = shared_from_this();
     peer_coordinator_reply reply;
+    if (!coordinator_.find_job(call.job) &&
+        !co_await wait_until_confirmed(deadline))
+    {
+        reply.result = coordinator_result::not_coordinator;
+        co_return reply;
+    }
     if (!coordinator_.cancel(call.job, boot_clock::now()))
     {
         reply.result = coordinator_result::unknown_job;
@@ -92,6 +100,50 @@
     co_return reply;
 }
 
+asio::awaitable<peer_coordinator_reply> coordinator_runner::get_status(
+    peer_coordinator_call call, boot_time deadline)
+{
+    auto self = shared_from_this();
+    peer_coordinator_reply reply;
+    auto find = [&]
+    {
+        const job* it = coordinator_.find_job(call.job);
+        return it && it->get_queue() == call.queue ? it : nullptr;
+    };
+    if (!find() && !co_await wait_until_confirmed(deadline))
+    {
+        reply.result = coordinator_result::not_coordinator;
+        co_return reply;
+    }
+    const job* it = find();
+    reply.result =
+        it ? coordinator_result::done : coordinator_result::unknown_job;
+    if (!it)
+        co_return reply;
+    // The end of a job is reported only once it is durable; until then the job
+    // counts as running.
+    put_changed_rows();
+    auto phase = static_cast<std::uint8_t>(it->get_phase());
+    if (it->is_ended() && !durably_ended_jobs_.contains(call.job) &&
+        (!co_await wait_until_durable(deadline) ||
+            held_jobs_.contains(call.job)))
+        phase = static_cast<std::uint8_t>(job_phase::running);
+    reply.phase = phase;
+    co_return reply;
+}
+
+asio::awaitable<peer_coordinator_reply> coordinator_runner::count(
+    peer_coordinator_call call, boot_time deadline)
+{
+    auto self = shared_from_this();
+    peer_coordinator_reply reply;
+    bool is_confirmed = co_await wait_until_confirmed(deadline);
+    reply.result = is_confirmed ? coordinator_result::done
+                                : coordinator_result::not_coordinator;
+    reply.count = coordinator_.count_queued(call.queue);
+    co_return reply;
+}
+
 asio::awaitable<peer_coordinator_reply> coordinator_runner::handle(
     peer_coordinator_call call, boot_time deadline)
 {
@@ -108,27 +160,10 @@
             reply = co_await cancel(std::move(call), deadline);
             break;
         case coordinator_operation::status:
-        {
-            const job* it = coordinator_.find_job(call.job);
-            reply.result = it && it->get_queue() == call.queue
-                               ? coordinator_result::done
-                               : coordinator_result::unknown_job;
-            // The end of a job is reported only once it is durable; until then
-            // the job counts as running.
-            if (reply.result != coordinator_result::done)
-                break;
-            put_changed_rows();
-            auto phase = static_cast<std::uint8_t>(it->get_phase());
-            if (it->is_ended() && !durably_ended_jobs_.contains(call.job) &&
-                (!co_await wait_until_durable(deadline) ||
-                    held_jobs_.contains(call.job)))
-                phase = static_cast<std::uint8_t>(job_phase::running);
-            reply.phase = phase;
+            reply = co_await get_status(std::move(call), deadline);
             break;
-        }
         case coordinator_operation::count:
-            reply.result = coordinator_result::done;
-            reply.count = coordinator_.count_queued(call.queue);
+            reply = co_await count(std::move(call), deadline);
             break;
         case coordinator_operation::probe:
             reply.result = coordinator_result::done;
--- a/systems/coordination/ledger.cpp
+++ b/systems/coordination/ledger.cpp
@@ -46,6 +46,13 @@
     durability_callbacks_.push_back({last_change_number_, std::move(done)});
 }
 
+void ledger::when_confirmed(std::function<void()> done)
+{
+    // A copy of the batch in flight may have been applied before this call.
+    std::uint64_t last = in_flight_ ? in_flight_->head.batch : head_.batch;
+    confirmation_callbacks_.push_back({last + 1, std::move(done)});
+}
+
 void ledger::release()
 {
     is_release_requested_ = true;
@@ -105,6 +112,13 @@
         durability_callbacks_.pop_front();
         done();
     }
+    while (!confirmation_callbacks_.empty() &&
+           confirmation_callbacks_.front().required_batch <= head_.batch)
+    {
+        auto done = std::move(confirmation_callbacks_.front().done);
+        confirmation_callbacks_.pop_front();
+        done();
+    }
 }
 
 void ledger::return_change(std::uint64_t number, ledger_change change)
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -88,6 +88,12 @@
     /// the ledger is lost.
     void when_durable(std::function<void()> done);
 
+    /// Calls `done` once the store has applied a batch that is made after this
+    /// call, and so has confirmed the term after it. Requests no batch: the
+    /// next one confirms all calls that wait. Never calls it if the ledger is
+    /// lost.
+    void when_confirmed(std::function<void()> done);
+
     /// Ends the coordinator's term with the batch that writes the last pending
     /// change.
     void release();
@@ -135,6 +141,13 @@
         std::function<void()> done;
     };
 
+    struct confirmation_callback
+    {
+        std::uint64_t
+            required_batch; ///< Number of the first batch that counts.
+        std::function<void()> done;
+    };
+
     void add(
         const char* table, std::string key, std::optional<std::string> value);
     void commit(row_version version);
@@ -166,6 +179,7 @@
     bool is_store_accepting_ = false;
     std::vector<ledger_change> rejected_changes_;
     std::deque<durability_callback> durability_callbacks_;
+    std::deque<confirmation_callback> confirmation_callbacks_;
     bool is_lost_ = false;
     bool is_release_requested_ = false;
     bool is_released_ = false;
--- a/tests/systems/coordination/ledger_test.cpp
+++ b/tests/systems/coordination/ledger_test.cpp
@@ -130,6 +130,31 @@
     RC_ASSERT(store.rows == expected_rows);
 }
 
+// Guards against an answer on the strength of a transaction that the store may
+// have applied before the call arrived, or of none at all.
+TEST(ledger, confirms_the_term_only_with_a_later_batch)
+{
+    store_model store;
+    ledger it = start_term(store, 1, "a");
+    int confirmed = 0;
+    // The store applies this batch, and the reply is lost.
+    store.apply(it.make_batch());
+    it.handle_result(make_unknown_result());
+    it.when_confirmed([&] { ++confirmed; });
+    it.handle_result(store.apply(it.make_batch()));
+    EXPECT_FALSE(it.is_in_flight());
+    EXPECT_EQ(confirmed, 0);
+    it.when_confirmed([&] { ++confirmed; });
+    EXPECT_FALSE(it.has_changes());
+    it.handle_result(store.apply(it.make_batch()));
+    EXPECT_EQ(confirmed, 2);
+    it.when_confirmed([&] { ++confirmed; });
+    start_term(store, 2, "b");
+    it.handle_result(store.apply(it.make_batch()));
+    EXPECT_TRUE(it.is_lost());
+    EXPECT_EQ(confirmed, 2);
+}
+
 // Guards against rows that are never written because the store rejects another
 // row of their batch, and against a row that is set aside although the store
 // would have accepted it.
