Coordinator: drop a former life's state when the list names another

Cause: the list of targets often tells of a new life before its first status. Until that status, starts and leases were computed from the former life's clock.

Change: when the life that the list names changes, and is not the one that answers, the link forgets the former one and asks the target at once. A row that lags, or that differs from the status for good, does so once.

Seen failing with the reset left out: entry_end_to_end_test. asks_a_new_life_of_a_target_at_once (0 polls of the new life in 1.5 s).

--- a/main/entryd/coordinator_runner_internal.hpp
+++ b/main/entryd/coordinator_runner_internal.hpp
@@ -40,12 +40,28 @@
     target_link(asio::io_context& io, const relay_set& relays,
         const target_report& report, fencing_token fence)
         : target(report.target), address(report.address),
+          listed_incarnation(report.incarnation_start),
           channel(io, relays, report, fence), timer(io)
     {
     }
 
+    /// Drops what the former life has told when the list of targets shows that
+    /// another one has begun, and polls the target at once.
+    void handle_listed_incarnation(platform_time start)
+    {
+        // The list may lag behind a status, or repeat an older row.
+        if (start == listed_incarnation)
+            return;
+        listed_incarnation = start;
+        if (!life || life->incarnation_start == start)
+            return;
+        life.reset();
+        timer.cancel();
+    }
+
     target_id target;
     std::string address;
+    platform_time listed_incarnation; ///< As the list of targets names it.
     target_channel channel;
     asio::steady_timer timer;
     bool is_closed = false;
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -93,13 +93,7 @@
     if (it != links_.end() && !it->second->is_closed &&
         it->second->address == report.address)
     {
-        auto& life = it->second->life;
-        if (life && report.incarnation_start != platform_time() &&
-            report.incarnation_start != life->incarnation_start)
-        {
-            life.reset();
-            it->second->timer.cancel();
-        }
+        it->second->handle_listed_incarnation(report.incarnation_start);
         return;
     }
     if (it != links_.end())
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -155,6 +155,27 @@
         });
 }
 
+// Guards against starts and leases that are computed from the clock of a former
+// life: the list of targets tells of a new one before the next poll, which an
+// idle target gets seconds later.
+TEST_F(entry_end_to_end_test, asks_a_new_life_of_a_target_at_once)
+{
+    platform.add_target("t1", milliseconds(0));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            co_await send("POST", "/q/" + job_1, one_task);
+            EXPECT_TRUE(co_await wait_for(job_1, "completed"));
+            // Until the target counts as idle.
+            co_await sleep(milliseconds(1'000));
+            platform.restart_target("t1", milliseconds(0));
+            platform.list_target("t1");
+            co_await sleep(milliseconds(1'500));
+            EXPECT_GE(platform.get_poll_count("t1"), 1);
+        });
+}
+
 // Guards against a replaced coordinator that does not know of its end yet: it
 // told callers from memory that there was no such job, or none pending, and
 // they gave up, although its successor had the job.
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -67,6 +67,7 @@
     std::string id;
     milliseconds task_duration{0};
     std::int64_t incarnation_start = 1;
+    int poll_count = 0;
     bool is_unreachable = false;
     std::uint64_t fence = 0; ///< Highest fencing token seen.
     /// By task name: the run's number and the time at which it ends, in
@@ -198,6 +199,11 @@
     targets_[id]->is_unreachable = is_unreachable;
 }
 
+int users_platform::get_poll_count(const std::string& id) const
+{
+    return targets_.at(id)->poll_count;
+}
+
 void users_platform::add_instance(const std::string& id)
 {
     instances_.insert(id);
@@ -379,6 +385,7 @@
     for (it->end_finished_tasks(); it->ended.empty() && get_clock_ms() < end;
          it->end_finished_tasks())
         co_await sleep(poll_interval);
+    ++it->poll_count;
     json running = json::array();
     for (const auto& [task, run] : it->running)
         running.push_back(json::array({task, run.first, "", 50, 0}));
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -88,6 +88,9 @@
         return start_counts_;
     }
 
+    /// @return the number of polls that the target's current life has answered.
+    int get_poll_count(const std::string& id) const;
+
     /// @return the number of transactions that were refused because a row or
     ///   the whole transaction was too large.
     int get_refused_size_count() const { return refused_size_count_; }
