Scheduler: feasible set and door in an overload (setting shed_overload)

Cause: in a burst jobs start by deadline alone, which makes nearly all of them a little late; nothing tells which ones the room can still serve.

Off unless shed_overload is set.

Ruled out: a door that believes the forecast of its own pool alone; giving jobs up by their own path in pools that are only growing.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -27,6 +27,8 @@
 /// While this many starts are still to be sent, no further ones are planned.
 constexpr std::size_t max_queued_starts = 100;
 constexpr milliseconds load_report_interval{1'000};
+/// A change of a pool's overload is logged if the former state held this long.
+constexpr milliseconds min_logged_overload{500};
 constexpr milliseconds relay_update_interval{250};
 /// Time between the removals of expired jobs.
 constexpr milliseconds erase_interval{1'000};
@@ -420,6 +422,27 @@
             {"term", head_.term}});
     commit_count_ = 0;
     longest_commit_ = milliseconds(0);
+    for (const auto& [from, count] : std::exchange(refused_jobs_to_log_, {}))
+        coordinator_log.write("refuse", "no_room_in_late_time",
+            {{"queue", from.first}, {"team", from.second}, {"count", count},
+                {"term", head_.term}});
+}
+
+void coordinator_runner::log_overloads()
+{
+    for (const overload_change& it : coordinator_.take_overload_changes())
+    {
+        // A pool at its limit enters and leaves several times a second.
+        if (it.lasted < min_logged_overload)
+            continue;
+        coordinator_log.write("overload",
+            it.state.is_overloaded ? "not_all_can_be_in_time" : "all_fit",
+            {{"pool", it.pool}, {"can_be_in_time", it.state.selected},
+                {"left_out", it.state.left_out},
+                {"core_ms_within_shares", it.state.core_ms_within_shares},
+                {"core_ms_beyond_shares", it.state.core_ms_beyond_shares},
+                {"former_state_ms", it.lasted.count()}, {"term", head_.term}});
+    }
 }
 
 void coordinator_runner::decide()
@@ -441,6 +464,7 @@
     put_run_times();
     log_ends();
     log_load();
+    log_overloads();
     update_relays();
     busy_target_count_ = static_cast<std::size_t>(
         std::ranges::count_if(coordinator_.get_targets(),
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -162,6 +162,10 @@
     asio::awaitable<void> commit_batch(bool& is_committed);
     asio::awaitable<peer_coordinator_reply> submit(
         peer_coordinator_call call, boot_time deadline);
+    /// Decides at the door. Nothing of a refused job is kept.
+    /// @return when its caller can return; nothing if it can be accepted.
+    std::optional<milliseconds> refuse_submission(
+        const job_id& id, const job_record& record);
     asio::awaitable<peer_coordinator_reply> cancel(
         peer_coordinator_call call, boot_time deadline);
     /// @return whether all rows put so far became durable by the deadline.
@@ -182,6 +186,7 @@
     void log_ends();
     /// Logs the backlog and the commit times once a second.
     void log_load();
+    void log_overloads();
     /// Puts the progress rows of changed jobs into the ledger.
     void put_changed_rows();
     /// Writes what was learned of run times, if that is due.
@@ -258,6 +263,8 @@
     boot_time next_load_report_at_{};
     std::uint64_t commit_count_ = 0; ///< Since the last load report.
     milliseconds longest_commit_{0}; ///< Since the last load report.
+    /// Since the last load report.
+    std::map<std::pair<queue_id, team_id>, std::uint64_t> refused_jobs_to_log_;
     /// Why the store did not apply the last transaction; empty if it did.
     std::string last_commit_failure_;
     std::string ends_to_log_;
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -1,3 +1,4 @@
+#include "drivers/metrics.hpp"
 #include "main/entryd/coordinator_runner_internal.hpp"
 
 namespace cowslippass
@@ -32,6 +33,12 @@
         reply.result = coordinator_result::invalid;
         co_return reply;
     }
+    if (auto retry_after = refuse_submission(call.job, record))
+    {
+        reply.result = coordinator_result::refused;
+        reply.retry_after = *retry_after;
+        co_return reply;
+    }
     record.tasks_per_segment =
         choose_tasks_per_segment(record.spec, settings_.store_row_bytes);
     job_row_values rows =
@@ -70,6 +77,22 @@
     co_return reply;
 }
 
+std::optional<milliseconds> coordinator_runner::refuse_submission(
+    const job_id& id, const job_record& record)
+{
+    // Only under a valid term is it certain that no other coordinator has
+    // accepted the job.
+    if (!has_valid_term())
+        return std::nullopt;
+    auto out = coordinator_.decide_refusal(id, record, boot_clock::now());
+    if (!out)
+        return out;
+    metrics_.add("cowslippass_refused_jobs_total",
+        {{"queue", record.queue.get()}, {"team", record.team.get()}});
+    ++refused_jobs_to_log_[{record.queue, record.team}];
+    return out;
+}
+
 asio::awaitable<peer_coordinator_reply> coordinator_runner::cancel(
     peer_coordinator_call call, boot_time deadline)
 {
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -3,7 +3,9 @@
 #include "systems/configuration/fleet_config.hpp"
 #include "systems/pools/arrival_rate_meter.hpp"
 #include "systems/pools/arrival_trend.hpp"
+#include "systems/scheduling/feasible_set.hpp"
 #include "systems/scheduling/job_urgency.hpp"
+#include "systems/scheduling/overload_state.hpp"
 #include "systems/scheduling/queue_registry.hpp"
 #include "systems/scheduling/run_time_model.hpp"
 #include "systems/scheduling/target_table.hpp"
@@ -14,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cowslippass
@@ -144,6 +147,12 @@
 
     submit_outcome submit(const job_id& id, job_record record, boot_time now);
 
+    /// Decides about a submission that is not stored yet. Changes nothing.
+    /// @return nothing if it can be accepted; else it is refused, and a
+    ///   submission can be in time after this delay.
+    std::optional<milliseconds> decide_refusal(
+        const job_id& id, const job_record& record, boot_time now) const;
+
     /// Cancels a job; list_stops() then contains its runs.
     /// @return whether the job is known.
     bool cancel(const job_id& id, boot_time now);
@@ -217,6 +226,12 @@
     /// still arrive, so that the run has to be stopped.
     void abandon_start(const start_decision& decision, boot_time now);
 
+    /// @return pools that have entered or left an overload since the last call.
+    std::vector<overload_change> take_overload_changes()
+    {
+        return std::exchange(overload_changes_, {});
+    }
+
     // Answers of targets.
 
     void handle_start_reply(
@@ -309,6 +324,13 @@
         std::map<task_key, std::set<target_id>> failed_at = {};
         bool exceeds_share = false; ///< Beyond its team's share.
         bool is_overdue = false;    ///< In the last planning round.
+        /// Cannot be in time together with others; see feasible_set.
+        bool is_left_out = false;
+        /// In an overload: cannot be in time even if it had all the room.
+        bool is_hopeless = false;
+        bool is_selected = false; ///< Was added to the last feasible set.
+        /// Last evaluation of its pool that took it into account.
+        boot_time evaluated_at{};
         /// Null until the queue is known.
         const queue_config* queue = nullptr;
         /// How long after its submission the job counts as in time, by the
@@ -380,6 +402,19 @@
     std::vector<job_entry*> list_waiting_jobs(
         boot_time now, platform_time wall_time);
 
+    /// Decides which of the waiting jobs can be in time together.
+    void select_feasible_jobs(
+        const std::vector<job_entry*>& waiting, boot_time now);
+    /// Evaluates one pool; `waiting` are its jobs.
+    void evaluate_pool(const pool_id& pool, overload_state& state,
+        const std::vector<job_entry*>& waiting, boot_time now);
+    /// Forecasts the pool's room for the waiting tasks' mean need.
+    /// @param started set to the jobs that have runs in the pool.
+    room_forecast forecast_room(const pool_id& pool, const resources& need,
+        boot_time now, std::vector<job_entry*>& started);
+    /// @return the work of the steps that are not done and not running.
+    std::vector<work_demand> list_demands(const job_entry& entry) const;
+
     /// Free capacity by pool, as one planning round finds it. Without this
     /// index, each waiting task of a burst would scan every target again.
     struct capacity_index
@@ -465,6 +500,8 @@
     estimate_calibrator estimate_calibrator_;
     run_time_model run_times_;
     std::map<pool_id, failure_baseline> failure_baselines_;
+    std::map<pool_id, overload_state> overloads_;
+    std::vector<overload_change> overload_changes_;
     std::uint64_t last_acceptance_number_ = 0;
 };
 
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -34,6 +34,7 @@
         factors.emplace_back(entry.queue, factor);
         return factor;
     };
+    std::vector<job_entry*> waiting;
     std::vector<job_entry*> jobs = std::move(jobs_to_plan_);
     jobs_to_plan_.clear();
     for (job_entry* it : jobs)
@@ -57,6 +58,12 @@
         if (it->waiting.empty())
             continue;
         update_queue(*it);
+        waiting.push_back(it);
+    }
+    if (options_.sheds_overload)
+        select_feasible_jobs(waiting, now);
+    for (job_entry* it : waiting)
+    {
         job_urgency urgency = get_urgency(*it, get_factor(*it), now);
         it->is_overdue = urgency.is_overdue;
         found.emplace_back(urgency, it);
--- a/systems/scheduling/job_urgency.cpp
+++ b/systems/scheduling/job_urgency.cpp
@@ -94,13 +94,27 @@
     return std::exp(it->second.mean + it->second.deviation);
 }
 
+double team_share_limiter::refill(
+    const bucket& own, double weight, boot_time now)
+{
+    std::chrono::duration<double> passed = now - own.refilled_at;
+    return std::min(
+        weight * burst_seconds, own.tokens + passed.count() * weight);
+}
+
+bool team_share_limiter::has_room(
+    const team_id& team, double weight, boot_time now) const
+{
+    auto it = buckets_.find(team);
+    return it == buckets_.end() || refill(it->second, weight, now) >= 1;
+}
+
 bool team_share_limiter::take(const team_id& team, double weight, boot_time now)
 {
     double max_tokens = weight * burst_seconds;
     auto [it, is_new] = buckets_.try_emplace(team, bucket{max_tokens, now});
     bucket& own = it->second;
-    std::chrono::duration<double> passed = now - own.refilled_at;
-    own.tokens = std::min(max_tokens, own.tokens + passed.count() * weight);
+    own.tokens = refill(own, weight, now);
     own.refilled_at = now;
     if (own.tokens < 1)
         return false;
--- a/systems/scheduling/job_urgency.hpp
+++ b/systems/scheduling/job_urgency.hpp
@@ -38,6 +38,9 @@
     /// @return whether the submission is within the share.
     bool take(const team_id& team, double weight, boot_time now);
 
+    /// @return whether a submission now would be within the share.
+    bool has_room(const team_id& team, double weight, boot_time now) const;
+
 private:
     struct bucket
     {
@@ -45,6 +48,8 @@
         boot_time refilled_at{};
     };
 
+    static double refill(const bucket& own, double weight, boot_time now);
+
     std::map<team_id, bucket> buckets_;
 };
 
@@ -86,6 +91,7 @@
     std::uint32_t priority = 0; ///< Priority of the queue; 0 goes first.
     /// The deadline has passed, or will have passed when the last step ends.
     bool is_late = false;
+    bool is_left_out = false;   ///< Of its pool's feasible set.
     bool exceeds_share = false; ///< Beyond its team's share of submissions.
     bool is_new = true;         ///< None of its tasks has started.
     boot_time deadline{};
