--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -51,6 +51,7 @@
     out.ended_job_retention = settings.status_time + status_time_margin;
     out.learns_run_times = settings.learn_run_times;
     out.sheds_overload = settings.shed_overload;
+    out.refuses_overload = settings.refuse_overload;
     out.packs_by_shape = settings.pack_by_shape;
     out.judges_targets = settings.judge_targets;
     return out;
@@ -439,8 +440,6 @@
             it.state.is_overloaded ? "not_all_can_be_in_time" : "all_fit",
             {{"pool", it.pool}, {"can_be_in_time", it.state.selected},
                 {"left_out", it.state.left_out},
-                {"core_ms_within_shares", it.state.core_ms_within_shares},
-                {"core_ms_beyond_shares", it.state.core_ms_beyond_shares},
                 {"former_state_ms", it.lasted.count()}, {"term", head_.term}});
     }
 }
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -91,6 +91,8 @@
             "learn_run_times", &s::learn_run_times, false, switch_rule},
         setting_description{
             "shed_overload", &s::shed_overload, false, switch_rule},
+        setting_description{
+            "refuse_overload", &s::refuse_overload, false, switch_rule},
         setting_description{
             "pack_by_shape", &s::pack_by_shape, false, switch_rule},
         setting_description{
--- a/main/entryd/entry_settings.hpp
+++ b/main/entryd/entry_settings.hpp
@@ -56,8 +56,11 @@
     /// estimates.
     bool learn_run_times = false;
     /// When a pool cannot serve all waiting jobs in time, the jobs that it can
-    /// serve go first, and submissions that it cannot serve at all are refused.
+    /// serve go first.
     bool shed_overload = false;
+    /// Refuses submissions that an overloaded pool cannot even serve late, as
+    /// far as is known. Needs `shed_overload`.
+    bool refuse_overload = false;
     /// Tasks are placed and pools are sized by the shapes of tasks and targets
     /// instead of the sums of their resources.
     bool pack_by_shape = false;
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -298,9 +298,9 @@
     milliseconds estimated_time(static_cast<std::int64_t>(
         static_cast<double>(entry.remaining_critical_path.count()) *
         estimate_factor));
-    out.is_late =
-        is_timed && (entry.is_hopeless || now + estimated_time > out.deadline);
-    out.is_left_out = entry.is_left_out;
+    out.is_late = is_timed && (entry.feasibility.is_hopeless ||
+                                  now + estimated_time > out.deadline);
+    out.is_left_out = entry.feasibility.is_left_out;
     milliseconds allowed = std::chrono::duration_cast<milliseconds>(
         out.deadline - entry.accepted_at);
     out.is_overdue =
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -35,8 +35,11 @@
     /// Run times come from run_time_model instead of the callers' estimates.
     bool learns_run_times = false;
     /// When a pool cannot serve all waiting jobs in time, the jobs that it can
-    /// serve go first, and submissions that it cannot serve at all are refused.
+    /// serve go first.
     bool sheds_overload = false;
+    /// Refuses submissions that an overloaded pool cannot even serve late, as
+    /// far as is known. Needs `sheds_overload`.
+    bool refuses_overload = false;
     /// Targets are chosen by the shape of the capacity that stays free.
     bool packs_by_shape = false;
     /// Targets that are slower or fail more often than others get less work.
@@ -324,13 +327,7 @@
         std::map<task_key, std::set<target_id>> failed_at = {};
         bool exceeds_share = false; ///< Beyond its team's share.
         bool is_overdue = false;    ///< In the last planning round.
-        /// Cannot be in time together with others; see feasible_set.
-        bool is_left_out = false;
-        /// In an overload: cannot be in time even if it had all the room.
-        bool is_hopeless = false;
-        bool is_selected = false; ///< Was added to the last feasible set.
-        /// Last evaluation of its pool that took it into account.
-        boot_time evaluated_at{};
+        job_feasibility feasibility = {};
         /// Null until the queue is known.
         const queue_config* queue = nullptr;
         /// How long after its submission the job counts as in time, by the
@@ -402,18 +399,20 @@
     std::vector<job_entry*> list_waiting_jobs(
         boot_time now, platform_time wall_time);
 
-    /// Decides which of the waiting jobs can be in time together.
+    /// Decides which of the waiting jobs can be in time together, for each pool
+    /// that cannot start them all now.
     void select_feasible_jobs(
         const std::vector<job_entry*>& waiting, boot_time now);
-    /// Evaluates one pool; `waiting` are its jobs.
-    void evaluate_pool(const pool_id& pool, overload_state& state,
-        const std::vector<job_entry*>& waiting, boot_time now);
-    /// Forecasts the pool's room for the waiting tasks' mean need.
-    /// @param started set to the jobs that have runs in the pool.
-    room_forecast forecast_room(const pool_id& pool, const resources& need,
-        boot_time now, std::vector<job_entry*>& started);
-    /// @return the work of the steps that are not done and not running.
-    std::vector<work_demand> list_demands(const job_entry& entry) const;
+    class pool_evaluation;
+    struct pool_room
+    {
+        std::int64_t free = 0; ///< In thousandths of a core.
+        std::size_t listed = 0;
+        std::size_t reported = 0;
+    };
+    std::map<pool_id, pool_room> measure_room(boot_time now) const;
+    void set_overloaded(const pool_id& pool, overload_state& state,
+        bool is_overloaded, boot_time now);
 
     /// Free capacity by pool, as one planning round finds it. Without this
     /// index, each waiting task of a burst would scan every target again.
--- a/systems/scheduling/coordinator_overload.cpp
+++ b/systems/scheduling/coordinator_overload.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <span>
 
 namespace cowslippass
 {
@@ -35,12 +36,11 @@
     return static_cast<double>(need.processor) / 1'000.0;
 }
 
-double sum_work(std::span<const work_demand> demands)
+/// @return the expected work of one task, in core-milliseconds.
+double get_work(const step_spec& step, milliseconds run_time)
 {
-    double out = 0;
-    for (const work_demand& it : demands)
-        out += it.core_ms;
-    return out;
+    return get_cores(step.get_counted_need()) *
+           static_cast<double>(run_time.count());
 }
 
 /// @return cores of the target that tasks of this need can use.
@@ -59,242 +59,302 @@
 
 } // namespace
 
-std::vector<work_demand> coordinator::list_demands(const job_entry& entry) const
+/// Decides which of a pool's waiting jobs can be in time together.
+class coordinator::pool_evaluation
 {
-    const job_spec& spec = entry.value.get_spec();
-    boot_time deadline = entry.accepted_at + entry.time_allowed;
-    std::vector<boot_time> due(spec.steps.size(), deadline);
-    std::vector<std::uint32_t> waiting(spec.steps.size(), 0);
-    for (const task_key& key : entry.waiting)
-        ++waiting[key.step];
-    std::vector<work_demand> out;
-    for (std::size_t i = spec.steps.size(); i-- > 0;)
+public:
+    /// @param state of the pool; receives what was found.
+    pool_evaluation(coordinator& owner, const pool_id& pool,
+        overload_state& state, boot_time now)
+        : owner_(owner), pool_(pool), state_(state), now_(now)
     {
-        const step_spec& step = spec.steps[i];
-        if (entry.value.is_step_done(0, static_cast<std::uint32_t>(i)))
-            continue;
-        boot_time start = due[i] - entry.run_times[i] - start_time;
-        for (std::uint32_t before : step.after)
-            due[before] = std::min(due[before], start);
-        bool is_open = std::ranges::all_of(step.after,
-            [&](std::uint32_t it) { return entry.value.is_step_done(0, it); });
-        std::uint32_t tasks = is_open ? waiting[i] : step.task_count;
-        if (tasks > 0)
-            out.push_back({get_cores(step.get_counted_need()) * tasks *
-                               static_cast<double>(entry.run_times[i].count()),
-                start, due[i]});
     }
-    return out;
-}
 
-room_forecast coordinator::forecast_room(const pool_id& pool,
-    const resources& need, boot_time now, std::vector<job_entry*>& started)
-{
-    room_forecast out(now);
-    for (const auto& [id, target] : targets_)
+    /// @param waiting all jobs of the pool with waiting tasks.
+    void run(const std::vector<job_entry*>& waiting)
     {
-        if (target.report.pool != pool || !target.is_eligible(now))
-            continue;
-        out.add(get_usable_cores(target.get_free(), need), now);
-        job_entry* owner = nullptr;
-        for (const task_name& name : target.runs)
+        forecast_room(get_mean_need(waiting));
+        state_.backlogs.clear();
+        for (job_entry* it : waiting)
         {
-            if (!owner || owner->value.get_id() != name.job)
-                owner = find_entry(name.job);
-            auto run = runs_.find(name);
-            if (!owner || run == runs_.end() || run->second.is_long_running)
+            it->feasibility.evaluated_at = now_;
+            if (it->is_over_limit)
                 continue;
-            const step_spec& step = owner->value.get_step(name.key);
-            milliseconds run_time = owner->run_times.empty()
-                                        ? step.estimate
-                                        : owner->run_times[name.key.step];
-            boot_time end =
-                run->second.confirmed_at.value_or(run->second.assigned_at) +
-                run_time;
-            out.add(get_cores(run->second.need),
-                std::max(end, now + run_time / scatter_divisor));
-            if (owner->evaluated_at == now)
-                continue;
-            owner->evaluated_at = now;
-            started.push_back(owner);
+            if (is_timed(it->value.get_spec()))
+                add_candidate(*it);
+            else
+                add_untimed(*it);
         }
+        add_started();
+        select();
     }
-    return out;
-}
 
-void coordinator::evaluate_pool(const pool_id& pool, overload_state& state,
-    const std::vector<job_entry*>& waiting, boot_time now)
-{
-    resources sum;
-    std::int64_t tasks = 0;
-    for (const job_entry* it : waiting)
-        for (const task_key& key : it->waiting)
-        {
-            sum += it->value.get_step(key).get_counted_need();
-            ++tasks;
-        }
-    tasks = std::max<std::int64_t>(tasks, 1);
-    resources mean{
-        sum.processor / tasks, sum.memory / tasks, sum.accelerators / tasks};
-    std::vector<job_entry*> started;
-    state.room = forecast_room(pool, mean, now, started);
-    state.core_ms_within_shares = 0;
-    state.core_ms_beyond_shares = 0;
-    auto add_work = [&](const job_entry& it, double core_ms)
+private:
+    static resources get_mean_need(const std::vector<job_entry*>& waiting)
     {
-        (it.exceeds_share ? state.core_ms_beyond_shares
-                          : state.core_ms_within_shares) += core_ms;
-    };
+        resources sum;
+        std::int64_t n = 0;
+        for (const job_entry* it : waiting)
+            for (const task_key& key : it->waiting)
+            {
+                sum += it->value.get_step(key).get_counted_need();
+                ++n;
+            }
+        n = std::max<std::int64_t>(n, 1);
+        return {sum.processor / n, sum.memory / n, sum.accelerators / n};
+    }
 
-    std::vector<feasibility_candidate> candidates;
-    std::vector<job_entry*> entries;
-    std::vector<work_demand> committed;
-    for (job_entry* it : waiting)
+    /// Also lists the jobs that have runs in the pool.
+    void forecast_room(const resources& need)
     {
-        it->evaluated_at = now;
-        if (it->is_over_limit)
-            continue;
-        if (!is_timed(it->value.get_spec()))
+        state_.room = room_forecast(now_);
+        for (const auto& [id, target] : owner_.targets_)
         {
-            for (const task_key& key : it->waiting)
+            if (target.report.pool != pool_ || !target.is_eligible(now_))
+                continue;
+            state_.room.add(get_usable_cores(target.get_free(), need), now_);
+            job_entry* entry = nullptr;
+            for (const task_name& name : target.runs)
             {
-                const step_spec& step = it->value.get_step(key);
-                double cores = get_cores(step.get_counted_need());
-                milliseconds run_time = it->run_times[key.step];
-                if (step.is_long_running)
-                    state.room.add(-cores, now);
-                else
-                    committed.push_back(
-                        {cores * static_cast<double>(run_time.count()), now,
-                            now + run_time});
+                if (!entry || entry->value.get_id() != name.job)
+                    entry = owner_.find_entry(name.job);
+                auto run = owner_.runs_.find(name);
+                if (entry && run != owner_.runs_.end())
+                    add_run(*entry, name.key, run->second);
             }
-            continue;
         }
-        if (now > it->accepted_at + it->time_allowed * overdue_factor)
-            continue;
-        feasibility_candidate candidate;
-        bool is_new = !it->value.has_assignments();
-        candidate.preference = {it->queue->priority, is_new, it->exceeds_share,
-            !it->is_selected, hash_64(it->value.get_id().get())};
-        candidate.demands = list_demands(*it);
-        add_work(*it, sum_work(candidate.demands));
-        if (!is_new)
-            for (work_demand& demand : candidate.demands)
-                if (demand.start < now)
-                {
-                    milliseconds scatter =
-                        std::chrono::duration_cast<milliseconds>(
-                            demand.due - demand.start) /
-                        scatter_divisor;
-                    demand.due += scatter;
-                    demand.start = std::max(
-                        demand.start, std::min(now, demand.start + scatter));
-                }
-        candidates.push_back(std::move(candidate));
-        entries.push_back(it);
     }
-    // Started jobs of which nothing waits go on with their next step.
-    for (job_entry* it : started)
+
+    void add_run(job_entry& entry, const task_key& key, const active_run& run)
     {
-        if (!it->waiting.empty() || it->value.is_ended() ||
-            it->run_times.empty() || !is_timed(it->value.get_spec()))
-            continue;
-        std::vector<work_demand> demands = list_demands(*it);
-        add_work(*it, sum_work(demands));
-        committed.insert(committed.end(), demands.begin(), demands.end());
+        if (run.is_long_running)
+            return;
+        milliseconds run_time = entry.run_times.empty()
+                                    ? entry.value.get_step(key).estimate
+                                    : entry.run_times[key.step];
+        boot_time end = run.confirmed_at.value_or(run.assigned_at) + run_time;
+        state_.room.add(get_cores(run.need),
+            std::max(end, now_ + run_time / scatter_divisor));
+        if (entry.feasibility.evaluated_at == now_)
+            return;
+        entry.feasibility.evaluated_at = now_;
+        started_.push_back(&entry);
     }
 
-    feasible_set set(state.room);
-    set.commit(committed);
-    std::vector<bool> is_selected = select_feasible(set, candidates);
-    state.selected = 0;
-    for (std::size_t i = 0; i < entries.size(); ++i)
+    /// @return the work of the steps that are neither done nor running.
+    static std::vector<work_demand> list_demands(const job_entry& entry)
     {
-        entries[i]->is_selected = is_selected[i];
-        entries[i]->is_left_out = !is_selected[i];
-        entries[i]->is_hopeless = std::ranges::any_of(candidates[i].demands,
-            [&](const work_demand& it) { return it.start < now; });
-        state.selected += is_selected[i];
+        const job_spec& spec = entry.value.get_spec();
+        std::vector<boot_time> due(
+            spec.steps.size(), entry.accepted_at + entry.time_allowed);
+        std::vector<std::uint32_t> waiting(spec.steps.size(), 0);
+        for (const task_key& key : entry.waiting)
+            ++waiting[key.step];
+        auto is_done = [&](std::size_t step) {
+            return entry.value.is_step_done(
+                0, static_cast<std::uint32_t>(step));
+        };
+        std::vector<work_demand> out;
+        for (std::size_t i = spec.steps.size(); i-- > 0;)
+        {
+            const step_spec& step = spec.steps[i];
+            if (is_done(i))
+                continue;
+            boot_time start = due[i] - entry.run_times[i] - start_time;
+            for (std::uint32_t before : step.after)
+                due[before] = std::min(due[before], start);
+            bool is_open = std::ranges::all_of(step.after, is_done);
+            std::uint32_t tasks = is_open ? waiting[i] : step.task_count;
+            if (tasks > 0)
+                out.push_back({get_work(step, entry.run_times[i]) * tasks,
+                    start, due[i]});
+        }
+        return out;
     }
-    state.left_out = entries.size() - state.selected;
-}
 
-void coordinator::select_feasible_jobs(
-    const std::vector<job_entry*>& waiting, boot_time now)
-{
-    std::map<pool_id, std::vector<job_entry*>> by_pool;
-    std::map<pool_id, std::int64_t> needed;
-    for (job_entry* it : waiting)
+    void add_to_backlog(
+        const job_entry& entry, std::span<const work_demand> demands)
     {
-        if (!it->queue)
-            continue;
-        by_pool[it->queue->pool].push_back(it);
-        for (const task_key& key : it->waiting)
-            needed[it->queue->pool] +=
-                it->value.get_step(key).get_counted_need().processor;
+        overload_state::backlog& it =
+            state_.backlogs[entry.queue ? entry.queue->priority : 0];
+        for (const work_demand& demand : demands)
+            (entry.exceeds_share ? it.beyond_shares : it.within_shares) +=
+                demand.core_ms;
     }
-    auto set_overloaded =
-        [&](const pool_id& pool, overload_state& state, bool is_overloaded)
+
+    void add_candidate(job_entry& entry)
     {
-        if (state.is_overloaded == is_overloaded)
+        if (now_ > entry.accepted_at + entry.time_allowed * overdue_factor)
             return;
-        state.is_overloaded = is_overloaded;
-        overload_changes_.push_back({pool, state,
-            std::chrono::duration_cast<milliseconds>(now - state.changed_at)});
-        state.changed_at = now;
-    };
-    for (auto& [pool, state] : overloads_)
-        if (state.is_overloaded && !by_pool.contains(pool))
-            set_overloaded(pool, state, false);
-    std::map<pool_id, std::int64_t> free;
-    std::int64_t total_free = 0;
-    std::map<pool_id, std::pair<std::size_t, std::size_t>> reported;
-    for (const auto& [id, it] : targets_)
+        bool is_new = !entry.value.has_assignments();
+        feasibility_candidate it;
+        it.preference = {entry.queue->priority, is_new, entry.exceeds_share,
+            !entry.feasibility.is_selected,
+            hash_64(entry.value.get_id().get())};
+        it.demands = list_demands(entry);
+        add_to_backlog(entry, it.demands);
+        if (!is_new)
+            std::ranges::for_each(
+                it.demands, [&](work_demand& demand) { tolerate(demand); });
+        candidates_.push_back(std::move(it));
+        entries_.push_back(&entry);
+    }
+
+    /// Lets work that is late by less than the scatter of run times start now.
+    void tolerate(work_demand& demand) const
     {
-        if (!it.is_listed)
-            continue;
-        auto& [known, listed] = reported[it.report.pool];
-        ++listed;
-        known += it.has_reported;
-        if (!it.is_eligible(now))
-            continue;
-        free[it.report.pool] += it.get_free().processor;
-        total_free += it.get_free().processor;
+        if (demand.start >= now_)
+            return;
+        milliseconds scatter = std::chrono::duration_cast<milliseconds>(
+                                   demand.due - demand.start) /
+                               scatter_divisor;
+        demand.due += scatter;
+        demand.start = std::min(now_, demand.start + scatter);
     }
-    for (auto& [pool, jobs] : by_pool)
+
+    /// Adds the waiting tasks of a job without a deadline, which start in any
+    /// case.
+    void add_untimed(const job_entry& entry)
     {
-        overload_state& state = overloads_[pool];
-        if (needed[pool] <= free[pool])
+        for (const task_key& key : entry.waiting)
         {
-            for (job_entry* it : jobs)
-                it->is_left_out = it->is_selected = it->is_hopeless = false;
-            set_overloaded(pool, state, false);
-            continue;
+            const step_spec& step = entry.value.get_step(key);
+            milliseconds run_time = entry.run_times[key.step];
+            if (step.is_long_running)
+                state_.room.add(-get_cores(step.get_counted_need()), now_);
+            else
+                committed_.push_back(
+                    {get_work(step, run_time), now_, now_ + run_time});
+        }
+    }
+
+    /// Adds the next steps of started jobs of which nothing waits.
+    void add_started()
+    {
+        for (const job_entry* it : started_)
+        {
+            if (!it->waiting.empty() || it->value.is_ended() ||
+                it->run_times.empty() || !is_timed(it->value.get_spec()))
+                continue;
+            std::vector<work_demand> demands = list_demands(*it);
+            add_to_backlog(*it, demands);
+            committed_.insert(committed_.end(), demands.begin(), demands.end());
         }
-        if (now - state.evaluated_at < evaluation_interval)
+    }
+
+    void select()
+    {
+        feasible_set set(state_.room);
+        set.commit(committed_);
+        std::vector<bool> is_selected = select_feasible(set, candidates_);
+        state_.selected = 0;
+        for (std::size_t i = 0; i < entries_.size(); ++i)
+        {
+            job_feasibility& it = entries_[i]->feasibility;
+            it.is_selected = is_selected[i];
+            it.is_left_out = !is_selected[i];
+            it.is_hopeless = std::ranges::any_of(candidates_[i].demands,
+                [&](const work_demand& demand) { return demand.start < now_; });
+            state_.selected += is_selected[i];
+        }
+        state_.left_out = entries_.size() - state_.selected;
+    }
+
+    coordinator& owner_;
+    const pool_id& pool_;
+    overload_state& state_;
+    boot_time now_;
+    std::vector<job_entry*> started_;
+    std::vector<feasibility_candidate> candidates_;
+    std::vector<job_entry*> entries_; ///< Of the candidates.
+    /// Work that will be done in any case.
+    std::vector<work_demand> committed_;
+};
+
+void coordinator::select_feasible_jobs(
+    const std::vector<job_entry*>& waiting, boot_time now)
+{
+    std::map<pool_id, std::vector<job_entry*>> by_pool;
+    for (job_entry* it : waiting)
+        if (it->queue)
+            by_pool[it->queue->pool].push_back(it);
+    for (auto& [pool, state] : overloads_)
+        if (!by_pool.contains(pool))
+            set_overloaded(pool, state, false, now);
+    std::map<pool_id, pool_room> rooms;
+    for (auto& [pool, jobs] : by_pool)
+    {
+        auto [it, is_first] = overloads_.try_emplace(pool);
+        overload_state& state = it->second;
+        if (!is_first && now - state.evaluated_at < evaluation_interval)
         {
             // New jobs wait for the next evaluation, so that they take nothing
             // from jobs that can be in time.
-            for (job_entry* it : jobs)
-                if (it->evaluated_at == boot_time{})
-                    it->is_left_out = state.is_overloaded;
+            for (job_entry* entry : jobs)
+                if (entry->feasibility.evaluated_at == boot_time{})
+                    entry->feasibility.is_left_out = state.is_overloaded;
             continue;
         }
+        if (rooms.empty())
+            rooms = measure_room(now);
         state.evaluated_at = now;
-        state.free_elsewhere =
-            static_cast<double>(total_free - free[pool]) / 1'000.0;
-        const auto& [known, listed] = reported[pool];
-        state.is_room_known = listed > 0 && known * 10 >= listed * 9;
-        evaluate_pool(pool, state, jobs, now);
-        set_overloaded(pool, state, state.left_out > 0);
+        std::int64_t needed = 0;
+        for (const job_entry* entry : jobs)
+            for (const task_key& key : entry->waiting)
+                needed +=
+                    entry->value.get_step(key).get_counted_need().processor;
+        const pool_room& room = rooms[pool];
+        if (needed <= room.free)
+        {
+            for (job_entry* entry : jobs)
+                entry->feasibility = {};
+            set_overloaded(pool, state, false, now);
+            continue;
+        }
+        state.is_room_known =
+            room.listed > 0 && room.reported * 10 >= room.listed * 9;
+        std::int64_t elsewhere = -room.free;
+        for (const auto& [id, other] : rooms)
+            elsewhere += other.free;
+        state.free_elsewhere = static_cast<double>(elsewhere) / 1'000.0;
+        pool_evaluation(*this, pool, state, now).run(jobs);
+        set_overloaded(pool, state, state.left_out > 0, now);
+    }
+}
+
+std::map<pool_id, coordinator::pool_room> coordinator::measure_room(
+    boot_time now) const
+{
+    std::map<pool_id, pool_room> out;
+    for (const auto& [id, it] : targets_)
+    {
+        if (!it.is_listed)
+            continue;
+        pool_room& room = out[it.report.pool];
+        ++room.listed;
+        room.reported += it.has_reported;
+        if (it.is_eligible(now))
+            room.free += it.get_free().processor;
     }
+    return out;
+}
+
+void coordinator::set_overloaded(const pool_id& pool, overload_state& state,
+    bool is_overloaded, boot_time now)
+{
+    if (state.is_overloaded == is_overloaded)
+        return;
+    state.is_overloaded = is_overloaded;
+    overload_changes_.push_back({pool, state,
+        std::chrono::duration_cast<milliseconds>(now - state.changed_at)});
+    state.changed_at = now;
 }
 
 std::optional<milliseconds> coordinator::decide_refusal(
     const job_id& id, const job_record& record, boot_time now) const
 {
     const queue_config* queue = queues_.find(record.queue);
-    if (!options_.sheds_overload || jobs_.contains(id) || !queue ||
+    if (!options_.refuses_overload || jobs_.contains(id) || !queue ||
         !published_state_.config || !is_timed(record.spec))
         return std::nullopt;
     auto it = overloads_.find(queue->pool);
@@ -310,16 +370,15 @@
         run_times.push_back(options_.learns_run_times
                                 ? run_times_.predict(record.queue, step).median
                                 : step.estimate);
-        prospect.core_ms += get_cores(step.get_counted_need()) *
-                            step.task_count *
-                            static_cast<double>(run_times.back().count());
+        prospect.core_ms += get_work(step, run_times.back()) * step.task_count;
     }
     const team_config* team = published_state_.config->find_team(record.team);
     bool exceeds_share =
         team && !share_limiter_.has_room(record.team, team->weight, now);
-    prospect.core_ms_ahead =
-        state.core_ms_within_shares +
-        (exceeds_share ? state.core_ms_beyond_shares : 0.0);
+    for (const auto& [priority, ahead] : state.backlogs)
+        if (priority <= queue->priority)
+            prospect.core_ms_ahead +=
+                ahead.within_shares + (exceeds_share ? ahead.beyond_shares : 0);
     prospect.time_allowed = get_time_allowed(record.spec, run_times, *queue);
     prospect.lot = hash_64(id.get());
     // Instances may come from any pool: a refusal has to be true even then.
--- a/systems/scheduling/overload_state.hpp
+++ b/systems/scheduling/overload_state.hpp
@@ -3,6 +3,8 @@
 #include "systems/configuration/fleet_config.hpp"
 #include "systems/scheduling/room_forecast.hpp"
 
+#include <map>
+
 namespace cowslippass
 {
 
@@ -21,11 +23,27 @@
     std::size_t selected = 0; ///< Jobs that can be in time together.
     std::size_t left_out = 0;
     /// Remaining work of jobs that are not overdue, in core-milliseconds.
-    double core_ms_within_shares = 0;
-    double core_ms_beyond_shares = 0;
+    struct backlog
+    {
+        double within_shares = 0;
+        double beyond_shares = 0;
+    };
+    std::map<std::uint32_t, backlog> backlogs; ///< By priority of the queue.
     boot_time changed_at{}; ///< When `is_overloaded` changed.
 };
 
+/// What the last evaluation of a job's pool found about the job.
+struct job_feasibility
+{
+    /// Cannot be in time together with others; see feasible_set.
+    bool is_left_out = false;
+    /// Cannot be in time even if it had all the room.
+    bool is_hopeless = false;
+    bool is_selected = false; ///< Was added to the feasible set.
+    /// Not set before the first evaluation of an overload.
+    boot_time evaluated_at{};
+};
+
 /// A pool has become unable to serve all waiting jobs in time, or able again.
 struct overload_change
 {
--- a/tests/systems/scheduling/overload_test.cpp
+++ b/tests/systems/scheduling/overload_test.cpp
@@ -16,6 +16,7 @@
 {
     coordinator_options out;
     out.sheds_overload = sheds_overload;
+    out.refuses_overload = sheds_overload;
     return out;
 }
 
