--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -3,7 +3,9 @@
 #include "systems/configuration/fleet_config.hpp"
 #include "systems/pools/arrival_rate_meter.hpp"
 #include "systems/pools/arrival_trend.hpp"
+#include "systems/scheduling/feasible_set.hpp"
 #include "systems/scheduling/job_urgency.hpp"
+#include "systems/scheduling/overload_state.hpp"
 #include "systems/scheduling/queue_registry.hpp"
 #include "systems/scheduling/run_time_model.hpp"
 #include "systems/scheduling/target_table.hpp"
@@ -14,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cowslippass
@@ -35,8 +38,11 @@
     /// Run times come from run_time_model instead of the callers' estimates.
     bool learns_run_times = false;
     /// When a pool cannot serve all waiting jobs in time, the jobs that it can
-    /// serve go first, and submissions that it cannot serve at all are refused.
+    /// serve go first.
     bool sheds_overload = false;
+    /// Refuses submissions that an overloaded pool cannot even serve late, as
+    /// far as is known. Needs `sheds_overload`.
+    bool refuses_overload = false;
     /// Targets are chosen by the shape of the capacity that stays free.
     bool packs_by_shape = false;
     /// Targets that are slower or fail more often than others get less work.
@@ -162,6 +168,12 @@
 
     submit_outcome submit(const job_id& id, job_record record, boot_time now);
 
+    /// Decides about a submission that is not stored yet. Changes nothing.
+    /// @return nothing if it can be accepted; else it is refused, and a
+    ///   submission can be in time after this delay.
+    std::optional<milliseconds> decide_refusal(
+        const job_id& id, const job_record& record, boot_time now) const;
+
     /// Cancels a job; list_stops() then contains its runs.
     /// @return whether the job is known.
     bool cancel(const job_id& id, boot_time now);
@@ -239,6 +251,12 @@
     /// still arrive, so that the run has to be stopped.
     void abandon_start(const start_decision& decision, boot_time now);
 
+    /// @return pools that have entered or left an overload since the last call.
+    std::vector<overload_change> take_overload_changes()
+    {
+        return std::exchange(overload_changes_, {});
+    }
+
     // Answers of targets.
 
     void handle_start_reply(
@@ -331,6 +349,7 @@
         std::map<task_key, std::set<target_id>> failed_at = {};
         bool exceeds_share = false; ///< Beyond its team's share.
         bool is_overdue = false;    ///< In the last planning round.
+        job_feasibility feasibility = {};
         /// Null until the queue is known.
         const queue_config* queue = nullptr;
         /// How long after its submission the job counts as in time, by the
@@ -403,6 +422,21 @@
     std::vector<job_entry*> list_waiting_jobs(
         boot_time now, platform_time wall_time);
 
+    /// Decides which of the waiting jobs can be in time together, for each pool
+    /// that cannot start them all now.
+    void select_feasible_jobs(
+        const std::vector<job_entry*>& waiting, boot_time now);
+    class pool_evaluation;
+    struct pool_room
+    {
+        std::int64_t free = 0; ///< In thousandths of a core.
+        std::size_t listed = 0;
+        std::size_t reported = 0;
+    };
+    std::map<pool_id, pool_room> measure_room(boot_time now) const;
+    void set_overloaded(const pool_id& pool, overload_state& state,
+        bool is_overloaded, boot_time now);
+
     /// Free capacity by pool, as one planning round finds it. Without this
     /// index, each waiting task of a burst would scan every target again.
     struct capacity_index
@@ -488,6 +522,8 @@
     estimate_calibrator estimate_calibrator_;
     run_time_model run_times_;
     std::map<pool_id, failure_baseline> failure_baselines_;
+    std::map<pool_id, overload_state> overloads_;
+    std::vector<overload_change> overload_changes_;
     std::uint64_t last_acceptance_number_ = 0;
 };
 
