--- a/drivers/settings.hpp
+++ b/drivers/settings.hpp
@@ -22,6 +22,12 @@
     std::string http_advertise;
     std::string peer_advertise;
     std::size_t max_body_bytes = 4 * 1024 * 1024;
+    /// Open connections of callers, operators and scrapers.
+    std::size_t max_connections = 4'096;
+    /// Bound on the bytes of all requests and responses that this entry holds.
+    std::size_t max_buffered_bytes = 64 * 1024 * 1024;
+    /// A request that has begun to arrive is complete within this time.
+    milliseconds message_time{60'000};
     /// Bound on the bytes of all work that waits in this entry.
     std::size_t max_waiting_bytes = 2 * 1024 * 1024;
     milliseconds freshness_limit{4'000};
--- a/drivers/settings_table.cpp
+++ b/drivers/settings_table.cpp
@@ -98,6 +98,21 @@
         "Largest request body. A forwarded request must fit into one frame of "
         "16 MiB.",
         1, max_body_bytes},
+    setting_description{"max_connections", &settings::max_connections, false,
+        "connections", "16 to 65536",
+        "Open connections of callers, operators and scrapers. The process "
+        "needs further descriptors for its peers, the platform and targets. "
+        "Beyond it, idle connections are closed first.",
+        16, 65'536},
+    setting_description{"max_buffered_bytes", &settings::max_buffered_bytes,
+        false, "bytes", "1048576 to 1073741824",
+        "Bound on the bytes of all requests and responses in this entry's "
+        "connections. Beyond it, the slowest of them are closed first.",
+        1024 * 1024, 1024 * 1024 * 1024},
+    setting_description{"message_time_ms", &settings::message_time, false, "ms",
+        "100 to 600000",
+        "Longest time between the first and the last byte of a request.", 100,
+        600'000},
     setting_description{"max_waiting_bytes", &settings::max_waiting_bytes,
         false, "bytes", "65536 to 1073741824",
         "Bound on the payloads and rows of all work that waits in this entry; "
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -29,6 +29,9 @@
     std::string_view allowed_values; ///< Completes "must be ...".
     /// For a text: the words that it may be.
     std::span<const std::string_view> words = {};
+    /// For a whole number: the least and the greatest value.
+    std::int64_t min_value = 0;
+    std::int64_t max_value = 0;
 };
 
 constexpr std::array<std::string_view, 4> log_levels{
@@ -46,6 +49,11 @@
 constexpr std::int64_t max_row_bytes = 1'000'000'000;
 constexpr std::string_view row_size_rule =
     "a whole number from 4096 to 1000000000";
+constexpr std::string_view memory_rule = "a whole number from 16 to 1048576";
+constexpr std::string_view descriptors_rule =
+    "a whole number from 64 to 1048576";
+constexpr std::string_view body_size_rule =
+    "a whole number from 4096 to 16777216";
 constexpr std::string_view switch_rule = "true or false";
 
 const auto& get_descriptions()
@@ -70,8 +78,16 @@
             orders_forms},
         setting_description{"store_form", &s::store_form, false,
             "table; other forms of the store are not served", store_forms},
+        setting_description{"store_row_bytes", &s::store_row_bytes, false,
+            row_size_rule, {}, min_row_bytes, max_row_bytes},
         setting_description{
-            "store_row_bytes", &s::store_row_bytes, false, row_size_rule},
+            "memory_mb", &s::memory_mb, false, memory_rule, {}, 16, 1'048'576},
+        setting_description{"max_descriptors", &s::max_descriptors, false,
+            descriptors_rule, {}, 64, 1'048'576},
+        setting_description{"max_body_bytes", &s::max_body_bytes, false,
+            body_size_rule, {}, 4'096, 16'777'216},
+        setting_description{
+            "message_time_ms", &s::message_time, false, time_rule},
         setting_description{
             "processor_share", &s::processor_share, false, number_rule},
         setting_description{"instance_orders_per_s", &s::instance_orders_per_s,
@@ -209,11 +225,11 @@
         return true;
     }
 
-    bool read_value(
-        const setting_description&, const toml::node& node, std::size_t& value)
+    bool read_value(const setting_description& it, const toml::node& node,
+        std::size_t& value)
     {
         auto number = node.value_exact<std::int64_t>();
-        if (!number || *number < min_row_bytes || *number > max_row_bytes)
+        if (!number || *number < it.min_value || *number > it.max_value)
             return false;
         value = static_cast<std::size_t>(*number);
         return true;
--- a/main/entryd/entry_settings.hpp
+++ b/main/entryd/entry_settings.hpp
@@ -30,6 +30,15 @@
     /// Largest value of a row that the store accepts, in bytes.
     std::size_t store_row_bytes = 65'536;
 
+    /// What the machine allows this process: memory in MiB and descriptors.
+    /// With 0, the deployment states no limit.
+    std::size_t memory_mb = 0;
+    std::size_t max_descriptors = 0;
+    /// Largest body of a request.
+    std::size_t max_body_bytes = 1024 * 1024;
+    /// A request that has begun to arrive is complete within this time.
+    milliseconds message_time{15'000};
+
     /// Processor share of this entry in cores. Entries with a larger share
     /// take over the coordinator role first.
     double processor_share = 0.25;
