Tests of hostile callers measure when the daemon has read everything

Cause: unfinished_bodies and silent_connections passed on the unchanged code at first, because the memory was read while most bytes were still in the kernel. Change: the tests wait until memory and descriptors stay the same for half a second. Crowd and bounds are unchanged.

--- a/tests/callers/entry_process.cpp
+++ b/tests/callers/entry_process.cpp
@@ -4,7 +4,9 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <stdexcept>
+#include <utility>
 
 namespace cowslippass
 {
@@ -14,6 +16,9 @@
 
 constexpr milliseconds start_timeout{30'000};
 constexpr milliseconds answer_timeout{10'000};
+/// `wait_until` polls every 10 ms.
+constexpr int settled_polls = 50;
+constexpr milliseconds settle_timeout{10'000};
 constexpr milliseconds task_duration{50};
 constexpr const char* ordinary_job =
     R"({"spec":"s","steps":[{"count":1,"cpu":100,"memMb":10,
@@ -41,6 +46,25 @@
     return static_cast<std::size_t>(std::distance(begin(it), end(it)));
 }
 
+void wait_until_settled(pid_t pid)
+{
+    std::size_t peak_kib = 0;
+    std::size_t descriptors = 0;
+    int unchanged = 0;
+    auto is_settled = [&]
+    {
+        std::size_t last_peak_kib =
+            std::exchange(peak_kib, get_peak_memory_kib(pid));
+        std::size_t last_descriptors =
+            std::exchange(descriptors, count_descriptors(pid));
+        bool is_same =
+            last_peak_kib == peak_kib && last_descriptors == descriptors;
+        unchanged = is_same ? unchanged + 1 : 0;
+        return unchanged >= settled_polls;
+    };
+    wait_until(is_settled, settle_timeout);
+}
+
 entry_process::entry_process()
 {
     platform_.publish_config();
@@ -88,6 +112,7 @@
 void entry_process::expect_in_service()
 {
     ASSERT_FALSE(process_->wait(milliseconds(0)));
+    wait_until_settled(process_->get_pid());
     std::size_t peak_kib = get_peak_memory_kib(process_->get_pid());
     std::size_t descriptors = count_descriptors(process_->get_pid());
     std::cout << "peak memory " << peak_kib << " KiB, " << descriptors
--- a/tests/callers/entry_process.hpp
+++ b/tests/callers/entry_process.hpp
@@ -14,6 +14,10 @@
 
 std::size_t count_descriptors(pid_t pid);
 
+/// Waits until the process has read what its callers sent: its memory and its
+/// descriptors stay the same for half a second.
+void wait_until_settled(pid_t pid);
+
 /// One `cowslippass_entryd` as a process, and its platform with one target in a
 /// thread of the test. The entry's settings state a small machine.
 class entry_process
--- a/tests/callers/hostile_callers_fleet_test.cpp
+++ b/tests/callers/hostile_callers_fleet_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <iostream>
 #include <vector>
 
 namespace cowslippass
@@ -43,6 +44,7 @@
     {
         child_process& process = *get_entry().process;
         ASSERT_FALSE(process.wait(milliseconds(0)));
+        wait_until_settled(process.get_pid());
         std::size_t peak_kib = get_peak_memory_kib(process.get_pid());
         std::size_t descriptors = count_descriptors(process.get_pid());
         std::cout << "peak memory " << peak_kib << " KiB, " << descriptors
