HTTP server: one budget for a message and one for all connections

The parser keeps what it cannot finish: trailers, one trailer and one chunk extension without end grew the read buffer without bound. No limit covered all connections together, nor the descriptors that they take from peers, store and targets. Change: bounds on header, unparsed bytes and all bytes of a message; a deadline for the message apart from the idle time; connection_table decides which connections give way to bounds on connections and bytes; an answer before the connection is closed (431, 413, 400, 503); the same for unfinished frames of peers and for unparsed bytes of responses; nesting of a job is bounded before it is parsed. The tests of cowslippassd, drivers and platform had not been run at this commit. Ruled out: refusing new connections only, as silent ones would keep all places; a timer for a rate on each read, as it costs every request.

--- a/drivers/drivers.hpp
+++ b/drivers/drivers.hpp
@@ -6,6 +6,7 @@
 
 #include "drivers/asio.hpp"
 #include "drivers/command_client.hpp"
+#include "drivers/connection_table.hpp"
 #include "drivers/endpoint.hpp"
 #include "drivers/http_client.hpp"
 #include "drivers/http_message.hpp"
@@ -19,6 +20,7 @@
 #include "drivers/platform_client.hpp"
 #include "drivers/platform_clock.hpp"
 #include "drivers/platform_store.hpp"
+#include "drivers/refusal_reporter.hpp"
 #include "drivers/settings.hpp"
 #include "drivers/target_client.hpp"
 #include "drivers/task_supervisor.hpp"
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -23,12 +23,16 @@
 
 constexpr std::uint64_t max_response_bytes = 64 * 1024 * 1024;
 
+/// Bound on what is read and not parsed yet: the header, and chunk headers and
+/// trailers until they are complete.
+constexpr std::size_t max_unparsed_bytes = 64 * 1024;
+
 struct connection
 {
     explicit connection(asio::io_context& io) : stream(io) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buf;
+    beast::flat_buffer buf{max_unparsed_bytes};
     monotonic_time idle_since{};
 };
 
--- a/drivers/http_server.hpp
+++ b/drivers/http_server.hpp
@@ -2,10 +2,12 @@
 
 #include "core/units.hpp"
 #include "drivers/asio.hpp"
+#include "drivers/connection_table.hpp"
 #include "drivers/http_message.hpp"
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace cowslippass
 {
@@ -17,10 +19,21 @@
 {
     tcp::endpoint endpoint;
     std::size_t max_body_bytes = 4 * 1024 * 1024;
-    std::size_t max_connections = 4096;
-    /// A connection that sends no complete request within this time is closed.
-    /// The same limit applies to the sending of a response.
+    /// Request line and fields together.
+    std::size_t max_header_bytes = 16 * 1024;
+    /// Bounds on all connections together. Beyond them idle and slow
+    /// connections are closed, and no new ones are accepted when there are
+    /// none.
+    connection_limits limits;
+    /// A connection on which no request begins within this time is closed. The
+    /// same limit applies to the sending of a response.
     milliseconds idle_timeout{60'000};
+    /// A request that has begun to arrive is complete within this time, or its
+    /// connection is closed.
+    milliseconds message_timeout{60'000};
+    /// Called with the cause when the server refuses or closes a connection
+    /// because of what its peer sends; may be empty.
+    std::function<void(std::string_view cause)> on_refusal;
     /// Builds the response to a request that the server itself rejects; may be
     /// empty.
     std::function<http_response(
--- a/drivers/metrics.cpp
+++ b/drivers/metrics.cpp
@@ -1,5 +1,7 @@
 #include "drivers/metrics.hpp"
 
+#include "drivers/refusal_reporter.hpp"
+
 #include "core/errors.hpp"
 
 #include <algorithm>
@@ -312,6 +314,7 @@
             "Repeatable work that was queued again, by pool."},
         {"cowslippass_maintenance_decisions_total", counter,
             "Decisions of the maintenance planner, by rule."},
+        get_refusal_metric(),
     };
 }
 
--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -50,8 +50,9 @@
     socket_.set_option(tcp::no_delay(true), ignored);
 }
 
-void peer_connection::start()
+void peer_connection::start(peer_connection_observer observer)
 {
+    observer_ = std::move(observer);
     auto self = shared_from_this();
     auto executor = socket_.get_executor();
     asio::co_spawn(
@@ -74,6 +75,8 @@
     socket_.close(ignored);
     for (auto& [id, call] : pending_calls_)
         call->timer.cancel();
+    if (observer_.on_closed)
+        observer_.on_closed();
 }
 
 asio::awaitable<std::optional<peer_body>> peer_connection::call(
@@ -153,6 +156,8 @@
         try
         {
             dispatch_frames(buf);
+            if (observer_.on_read && !is_closed_)
+                observer_.on_read(buf.size());
         }
         catch (const std::exception& e)
         {
--- a/drivers/peer_connection.hpp
+++ b/drivers/peer_connection.hpp
@@ -22,6 +22,14 @@
 using peer_error_handler =
     std::function<void(const std::string& code, const std::string& message)>;
 
+/// Follows a connection; either member may be empty.
+struct peer_connection_observer
+{
+    /// Called after each read with the bytes of an unfinished frame.
+    std::function<void(std::size_t unfinished_bytes)> on_read;
+    std::function<void()> on_closed;
+};
+
 /// One TCP connection between two entries. It carries frames: a little-endian
 /// 32-bit length and a FlatBuffer of that many bytes. Either side may send
 /// requests; a correlation id matches each reply to its request.
@@ -38,7 +46,7 @@
         peer_error_handler on_error);
 
     /// Starts reading and monitoring the peer's liveness.
-    void start();
+    void start(peer_connection_observer observer = {});
 
     /// Sends a request and waits for its reply.
     /// @return the reply; nothing when `timeout` expired or the connection
@@ -83,6 +91,7 @@
     tcp::socket socket_;
     peer_request_handler handler_;
     peer_error_handler on_error_;
+    peer_connection_observer observer_;
     std::string outgoing_; ///< Encoded frames; one write sends all of them.
     bool is_writing_ = false;
     bool is_closed_ = false;
--- a/drivers/peer_server.cpp
+++ b/drivers/peer_server.cpp
@@ -10,17 +10,25 @@
 
 struct peer_server::state : std::enable_shared_from_this<state>
 {
-    state(asio::io_context& io, peer_request_handler h, peer_error_handler f)
-        : acceptor(io), handler(std::move(h)), on_error(std::move(f))
+    state(asio::io_context& io, peer_request_handler h, peer_error_handler f,
+        connection_limits limits)
+        : acceptor(io), handler(std::move(h)), on_error(std::move(f)),
+          table(limits)
     {
     }
 
+    void start(tcp::socket socket);
+
     asio::awaitable<void> accept_loop();
 
     tcp::acceptor acceptor;
     peer_request_handler handler;
     peer_error_handler on_error;
     std::set<std::shared_ptr<peer_connection>> connections;
+    /// A connection is idle here until its first frame, then handling: an open
+    /// link to a peer is not closed to make room. An unfinished frame is
+    /// receiving.
+    connection_table table;
     bool is_stopping = false;
 };
 
@@ -36,17 +44,51 @@
             continue;
         std::erase_if(
             connections, [](const auto& it) { return !it->is_open(); });
-        auto connection = std::make_shared<peer_connection>(
-            std::move(*socket), handler, on_error);
-        connections.insert(connection);
-        connection->start();
+        start(std::move(*socket));
+    }
+}
+
+void peer_server::state::start(tcp::socket socket)
+{
+    auto connection =
+        std::make_shared<peer_connection>(std::move(socket), handler, on_error);
+    std::weak_ptr<peer_connection> weak = connection;
+    auto slot = table.add(
+        [weak]
+        {
+            if (auto it = weak.lock())
+                it->close();
+        });
+    if (!slot)
+    {
+        on_error("too_many_connections",
+            "refused a connection: each of the others is in use");
+        return;
     }
+    connections.insert(connection);
+    peer_connection_observer observer;
+    observer.on_read = [self = weak_from_this(), at = *slot](std::size_t n)
+    {
+        auto state = self.lock();
+        if (!state)
+            return;
+        state->table.enter(at,
+            n == 0 ? connection_phase::handling : connection_phase::receiving);
+        state->table.hold(at, n);
+    };
+    observer.on_closed = [self = weak_from_this(), at = *slot]
+    {
+        if (auto state = self.lock())
+            state->table.remove(at);
+    };
+    connection->start(std::move(observer));
 }
 
 peer_server::peer_server(asio::io_context& io, const tcp::endpoint& endpoint,
-    peer_request_handler handler, peer_error_handler on_error)
-    : state_(
-          std::make_shared<state>(io, std::move(handler), std::move(on_error)))
+    peer_request_handler handler, peer_error_handler on_error,
+    connection_limits limits)
+    : state_(std::make_shared<state>(
+          io, std::move(handler), std::move(on_error), limits))
 {
     listen_on(state_->acceptor, endpoint);
     asio::co_spawn(
--- a/drivers/peer_server.hpp
+++ b/drivers/peer_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "drivers/connection_table.hpp"
 #include "drivers/peer_connection.hpp"
 
 namespace cowslippass
@@ -9,9 +10,13 @@
 class peer_server
 {
 public:
+    /// @param limits on connections, and on the bytes of unfinished frames.
+    ///   Beyond them connections that never sent a frame, and the oldest
+    ///   unfinished frames, are closed.
     /// @throws platform_error (`cannot_listen`).
     peer_server(asio::io_context& io, const tcp::endpoint& endpoint,
-        peer_request_handler handler, peer_error_handler on_error);
+        peer_request_handler handler, peer_error_handler on_error,
+        connection_limits limits = {});
     ~peer_server();
 
     /// @return the bound port.
--- a/main/entry_node.cpp
+++ b/main/entry_node.cpp
@@ -82,6 +82,10 @@
     http_server_options options;
     options.endpoint = config.http_listen;
     options.max_body_bytes = config.max_body_bytes;
+    options.limits = {config.max_connections, config.max_buffered_bytes};
+    options.message_timeout = config.message_time;
+    options.on_refusal = [this](std::string_view cause)
+    { refusals_.report(cause); };
     options.make_error =
         [](unsigned status, const std::string& code, const std::string& message)
     {
--- a/main/entry_node.hpp
+++ b/main/entry_node.hpp
@@ -83,6 +83,7 @@
     table_collector collector_;
     operator_api operator_api_;
     caller_api caller_api_;
+    refusal_reporter refusals_{node_.metrics};
     std::unique_ptr<http_server> http_;
     std::map<pool_id, std::shared_ptr<pool_runner>> runners_;
     std::function<void()> on_session_ended_;
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -3,22 +3,40 @@
 #include "drivers/log.hpp"
 #include "drivers/metrics.hpp"
 #include "drivers/peer_server.hpp"
+#include "drivers/refusal_reporter.hpp"
 #include "drivers/task_supervisor.hpp"
 #include "main/entryd/job_api.hpp"
 #include "main/entryd/target_relay.hpp"
+#include "platform/submission_codec.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 
+#include <sys/resource.h>
+
 namespace cowslippass
 {
 
 namespace
 {
 
-/// A request of a caller or an operator contains one job of at most this size.
-constexpr std::size_t max_body_bytes = 1024 * 1024;
+/// Parts of the machine's descriptors that callers and peers may use. The rest
+/// is for the store, the targets and files.
+constexpr std::size_t caller_descriptors_divisor = 2;
+constexpr std::size_t peer_descriptors_divisor = 4;
+/// Connections of the load balancer, and of scrapers.
+constexpr std::size_t max_check_connections = 16;
+constexpr std::size_t max_check_body_bytes = 4 * 1024;
+constexpr std::size_t max_check_bytes = 4 * 1024 * 1024;
+/// Part of the machine's memory that requests and responses may hold, and
+/// unfinished frames of peers.
+constexpr std::size_t buffered_memory_divisor = 8;
+/// Without a limit of the deployment.
+constexpr std::size_t default_descriptors = 8'192;
+constexpr std::size_t default_memory_mb = 256;
+constexpr std::size_t mebibyte = 1024 * 1024;
 /// Idle connections are closed after this time. Callers keep connections idle
 /// for longer than the load balancer's checks take.
 constexpr milliseconds idle_timeout{15'000};
@@ -31,6 +49,27 @@
 /// Part of the grace period that is reserved for the end of the process.
 constexpr milliseconds stop_margin{700};
 
+/// @return how many descriptors the process may open, by the deployment and by
+///   the system.
+std::size_t get_descriptor_limit(const entry_settings& settings)
+{
+    std::size_t out = settings.max_descriptors != 0 ? settings.max_descriptors
+                                                    : default_descriptors;
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0)
+        out = std::min(out, static_cast<std::size_t>(limit.rlim_cur));
+    return out;
+}
+
+connection_limits get_limits(
+    const entry_settings& settings, std::size_t descriptors_divisor)
+{
+    std::size_t memory_mb =
+        settings.memory_mb != 0 ? settings.memory_mb : default_memory_mb;
+    return {get_descriptor_limit(settings) / descriptors_divisor,
+        memory_mb * mebibyte / buffered_memory_divisor};
+}
+
 /// One entry: its servers, its clients, and its part in the election of the
 /// coordinator.
 class entryd
@@ -53,13 +92,14 @@
               [](const std::string& code, const std::string& message) {
                   write_log(
                       log_level::debug, "peer_link", message, {{"code", code}});
-              }),
-          caller_server_(io, make_options(settings_.front_listen),
+              },
+              get_limits(settings_, peer_descriptors_divisor)),
+          caller_server_(io, make_caller_options(),
               [this](http_request it)
               { return job_api_.handle(std::move(it)); }),
-          readiness_server_(io, make_options(settings_.readiness_listen),
+          readiness_server_(io, make_check_options(settings_.readiness_listen),
               [this](http_request) { return answer_readiness(); }),
-          metrics_server_(io, make_options(settings_.metrics_listen),
+          metrics_server_(io, make_check_options(settings_.metrics_listen),
               [this](http_request) { return answer_metrics(); }),
           signals_(io, SIGTERM, SIGINT, SIGHUP)
     {
@@ -81,12 +121,40 @@
     }
 
 private:
-    static http_server_options make_options(const tcp::endpoint& endpoint)
+    http_server_options make_options(const tcp::endpoint& endpoint)
     {
         http_server_options out;
         out.endpoint = endpoint;
-        out.max_body_bytes = max_body_bytes;
         out.idle_timeout = idle_timeout;
+        out.message_timeout = settings_.message_time;
+        out.on_refusal = [this](std::string_view cause)
+        { refusals_.report(cause); };
+        return out;
+    }
+
+    http_server_options make_caller_options()
+    {
+        auto out = make_options(settings_.front_listen);
+        out.max_body_bytes = settings_.max_body_bytes;
+        out.limits = get_limits(settings_, caller_descriptors_divisor);
+        out.make_error = [](unsigned status, const std::string& code,
+                             const std::string& message)
+        {
+            http_response response;
+            response.status = status;
+            response.headers["Content-Type"] = "application/json";
+            response.body = encode_caller_error(code, message);
+            return response;
+        };
+        return out;
+    }
+
+    /// For the load balancer and the scrapers.
+    http_server_options make_check_options(const tcp::endpoint& endpoint)
+    {
+        auto out = make_options(endpoint);
+        out.max_body_bytes = max_check_body_bytes;
+        out.limits = {max_check_connections, max_check_bytes};
         return out;
     }
 
@@ -213,6 +281,7 @@
     std::string path_;
     entry_settings settings_;
     metrics_registry metrics_;
+    refusal_reporter refusals_{metrics_};
     task_supervisor tasks_;
     store_client store_;
     config_watcher config_;
@@ -255,6 +324,7 @@
             "Failures of the process's own tasks, by task."},
         {"cowslippass_takeovers_total", counter,
             "Terms as coordinator that began in this process."},
+        get_refusal_metric(),
     };
 }
 
--- a/tests/integration/metrics_page_test.cpp
+++ b/tests/integration/metrics_page_test.cpp
@@ -52,6 +52,14 @@
         fleet.post(request, i % 2);
 }
 
+/// Sends a body over the limit, which the server refuses by itself.
+void send_too_much(test_fleet& fleet)
+{
+    std::string body(settings().max_body_bytes + 1, 'x');
+    fetch(fleet.get_cluster().get_entries()[0].get_http_endpoint(),
+        {"POST", "/q/urgent", {}, {}, body});
+}
+
 /// Sets a fault of the first target while requests run.
 void send_some_with(test_fleet& fleet, const std::string& fault)
 {
@@ -115,6 +123,7 @@
         send_some_with(fleet, "leaving");
         send_some_with(fleet, "fail_all");
         fill_waiting_bytes(fleet);
+        send_too_much(fleet);
         pause_entry(fleet, i % 2);
         set_control(platform, {{"down", true}});
         std::this_thread::sleep_for(milliseconds(1'200));
--- a/tests/platform/submission_codec_test.cpp
+++ b/tests/platform/submission_codec_test.cpp
@@ -70,4 +70,16 @@
     EXPECT_EQ(encode_pending_job_count(12), R"({"pending":12})");
 }
 
+// A body whose tree takes a hundred times the memory of its text.
+TEST(submission_codec, rejects_deep_nesting_before_it_is_parsed)
+{
+    std::string nested(1'000, '[');
+    EXPECT_THROW(decode_submission(R"({"steps":[],"x":)" + nested +
+                                   std::string(1'000, ']') + "}"),
+        platform_error);
+    // Brackets of a text, behind an escaped quotation mark, do not nest.
+    EXPECT_NO_THROW(decode_submission(
+        R"({"spec":"\"x)" + nested + R"(","steps":[{"count":1,"cpu":1}]})"));
+}
+
 } // namespace cowslippass
