Largest requests in calm; settings that leave room for them

Cause: the capacity that a body's string grows to was counted, up to twice the limit on bodies, so that with small settings a caller inside the limits could have been closed. Settings allowed a body larger than all that may be held. Change: capacity above the limit on bodies is not counted, as it is never written to; max_buffered_bytes is at least 2 x max_body_bytes, max_body_bytes at most a sixteenth of memory_mb. Two tests send the largest request, and single-byte chunks, in calm. The two tests in calm were not run on the unchanged code.

--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -180,9 +180,12 @@
             connections.enter(conn.slot, connection_phase::receiving);
             conn.stream.expires_after(options.message_timeout);
         }
-        // The capacity of the body includes what the header announces.
-        if (has_begun && !connections.hold(conn.slot,
-                             buf.capacity() + parser.get().body().capacity()))
+        // Includes what the header announces. Capacity above the limit on
+        // bodies is never written to.
+        std::size_t body_bytes =
+            std::min(parser.get().body().capacity(), options.max_body_bytes);
+        if (has_begun &&
+            !connections.hold(conn.slot, buf.capacity() + body_bytes))
             co_return asio::error::no_memory;
         if (conn.slot->is_closed)
             co_return asio::error::operation_aborted;
--- a/drivers/settings_table.cpp
+++ b/drivers/settings_table.cpp
@@ -190,6 +190,11 @@
         "wait finds the outcome",
         [](const settings& all)
         { return all.urgent_deadline * 2 <= all.request_lifetime; }},
+    setting_relation{"max_buffered_bytes",
+        "at least 2 x max_body_bytes, so that the largest request fits beside "
+        "others",
+        [](const settings& all)
+        { return all.max_body_bytes * 2 <= all.max_buffered_bytes; }},
 };
 
 struct default_formatter
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -49,6 +49,10 @@
 constexpr std::int64_t max_row_bytes = 1'000'000'000;
 constexpr std::string_view row_size_rule =
     "a whole number from 4096 to 1000000000";
+/// Requests and responses hold an eighth of the memory at most; the largest
+/// body fits into that beside others.
+constexpr std::size_t body_memory_divisor = 16;
+constexpr std::size_t mebibyte = 1024 * 1024;
 constexpr std::string_view memory_rule = "a whole number from 16 to 1048576";
 constexpr std::string_view descriptors_rule =
     "a whole number from 64 to 1048576";
@@ -137,6 +141,10 @@
         }
         for (const setting_description& it : get_descriptions())
             read_member(it);
+        if (out_.memory_mb != 0 && out_.max_body_bytes * body_memory_divisor >
+                                       out_.memory_mb * mebibyte)
+            add_error("max_body_bytes", table_,
+                "must be at most a sixteenth of memory_mb");
         if (!errors_.empty())
             throw platform_error("bad_settings", errors_);
         return out_;
--- a/tests/callers/hostile_callers_test.cpp
+++ b/tests/callers/hostile_callers_test.cpp
@@ -221,4 +221,43 @@
     entry.expect_in_service();
 }
 
+// A caller inside the limits, in calm: a job of 700 steps in a body of exactly
+// the allowed size, with trailers.
+TEST_F(hostile_callers, the_largest_request_is_served_in_calm)
+{
+    std::string body = R"({"spec":"s","steps":[)";
+    for (int i = 0; i < 700; ++i)
+        body += std::string(i == 0 ? "" : ",") +
+                R"({"count":1,"cpu":100,"memMb":10,"estimateMs":50})";
+    body += "]}";
+    body.append(mebibyte - body.size(), ' ');
+    std::string request = request_line +
+                          "Connection: close\r\nTransfer-Encoding: chunked\r\n"
+                          "X-Header: " +
+                          std::string(8'000, 'a') + "\r\n\r\n100000\r\n" +
+                          body + "\r\n0\r\nX-Trailer: a\r\n\r\n";
+    auto& it = open(entry.get_front());
+    EXPECT_TRUE(it.send(request));
+    std::string answer = it.receive();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    entry.expect_in_service();
+}
+
+// The same with each byte of a job in a chunk of its own.
+TEST_F(hostile_callers, single_byte_chunks_are_served_in_calm)
+{
+    std::string body = R"({"spec":")" + std::string(4'000, 's') +
+                       R"(","steps":[{"count":1,"cpu":100,"memMb":10,
+        "estimateMs":50}]})";
+    std::string request = request_line + "Connection: close\r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n";
+    for (char c : body)
+        request += std::string("1\r\n") + c + "\r\n";
+    auto& it = open(entry.get_front());
+    EXPECT_TRUE(it.send(request + "0\r\n\r\n"));
+    std::string answer = it.receive();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    entry.expect_in_service();
+}
+
 } // namespace cowslippass
--- a/tests/main/entryd/entry_settings_test.cpp
+++ b/tests/main/entryd/entry_settings_test.cpp
@@ -123,6 +123,9 @@
     EXPECT_NE(get_error(required_settings + "memory_mb = 15\n"), "");
     EXPECT_NE(get_error(required_settings + "max_descriptors = 63\n"), "");
     EXPECT_NE(get_error(required_settings + "max_body_bytes = 4095\n"), "");
+    EXPECT_NE(get_error(required_settings +
+                        "memory_mb = 64\nmax_body_bytes = 4194305\n"),
+        "");
 }
 
 } // namespace cowslippass
