--- /dev/null
+++ b/tests/systems/pools/budget_model_test.cpp
@@ -0,0 +1,548 @@
+#include "systems/pools/pool_planner.hpp"
+#include "tests/systems/scheduling/coordinator_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+
+namespace cowslippass
+{
+
+namespace
+{
+
+constexpr std::int64_t step_ms = 50;
+constexpr std::int64_t run_ms = 60'000;
+constexpr std::int64_t takeovers_end_ms = 25'000;
+/// How long a task takes to start up.
+constexpr std::int64_t start_up_ms = 700;
+constexpr std::int64_t maintenance_ms = 2'000;
+/// A task that was unavailable for this long counts against the budget.
+constexpr std::int64_t notice_ms = 4'500;
+constexpr std::int64_t lease_ms = 6'000;
+constexpr std::uint32_t task_count = 10;
+constexpr int instance_count = 8;
+const job_id job_1("1");
+
+/// Model of a target with long-running tasks.
+struct target_model
+{
+    struct run
+    {
+        std::uint64_t number = 0;
+        std::int64_t started_at = 0;
+        std::optional<std::int64_t> stops_at;
+    };
+
+    std::uint64_t fence = 0;
+    std::map<task_name, run> runs;
+    std::map<task_name, std::uint64_t> highest_ended;
+    std::vector<end_report> ended;
+    std::uint64_t last_end = 0;
+};
+
+/// Model of an instance at the platform.
+struct instance_model
+{
+    target_id target;
+    std::uint64_t fence = 0;
+    bool is_maintained = false;
+    std::optional<std::int64_t> back_at;
+};
+
+/// Runs coordinators one after the other against models of targets and of the
+/// platform. Answers are lost or late, and targets crash. Counts the tasks that
+/// an order ends at work while as many others of the step are unavailable as
+/// its budget allows.
+class budget_model
+{
+public:
+    explicit budget_model(unsigned seed, std::uint32_t budget)
+        : random_(seed), budget_(budget)
+    {
+        step_ = make_step(task_count);
+        step_.is_long_running = true;
+        step_.max_per_target = 2;
+        step_.max_unavailable = budget;
+        wave_.number = 1;
+        wave_.time_limit = milliseconds(24'000);
+        wave_.max_unavailable_instances = 3;
+        for (int i = 0; i < instance_count; ++i)
+        {
+            instance_id id("m" + std::to_string(i));
+            wave_.instances.push_back(id);
+            start_target(instances_[id]);
+        }
+        take_over();
+    }
+
+    void run()
+    {
+        for (now_ = 0; now_ < run_ms; now_ += step_ms)
+        {
+            move_time();
+            if (is_chance(0.004))
+                crash_target();
+            if (now_ < takeovers_end_ms && is_chance(0.03))
+                take_over();
+            act();
+        }
+    }
+
+    int get_violations() const { return violations_; }
+    bool is_wave_done() const
+    {
+        return std::ranges::all_of(
+            instances_, [](const auto& it) { return it.second.is_maintained; });
+    }
+
+private:
+    struct event
+    {
+        std::int64_t due;
+        std::uint64_t term; ///< 0: takes effect in any term.
+        std::function<void()> action;
+    };
+
+    bool is_chance(double share)
+    {
+        return std::uniform_real_distribution<>(0, 1)(random_) < share;
+    }
+
+    std::int64_t draw(std::int64_t from, std::int64_t to)
+    {
+        return std::uniform_int_distribution<std::int64_t>(from, to)(random_);
+    }
+
+    void after(std::int64_t ms, std::uint64_t term, std::function<void()> what)
+    {
+        events_.push_back({now_ + ms, term, std::move(what)});
+    }
+
+    // Platform and targets.
+
+    void start_target(instance_model& it)
+    {
+        it.target = target_id("t" + std::to_string(++last_target_));
+        targets_[it.target];
+        if (decisions_)
+            list_target(it.target);
+    }
+
+    void list_target(const target_id& id)
+    {
+        decisions_->handle_target_change(
+            {id, make_report(id.get(), 4)}, at(now_));
+    }
+
+    void end_target(instance_model& it)
+    {
+        decisions_->handle_target_change({it.target, std::nullopt}, at(now_));
+        targets_.erase(it.target);
+        it.target = target_id();
+    }
+
+    void crash_target()
+    {
+        auto it = std::next(instances_.begin(),
+            static_cast<std::ptrdiff_t>(draw(0, instance_count - 1)));
+        if (it->second.back_at || it->second.target.get().empty())
+            return;
+        end_target(it->second);
+        it->second.back_at = now_ + 1'000;
+    }
+
+    bool is_at_work(const target_model::run& run) const
+    {
+        return now_ - run.started_at >= start_up_ms;
+    }
+
+    /// An order is about to end the run.
+    void judge(const task_name& task, const target_model::run& run)
+    {
+        if (!is_at_work(run) || run.stops_at)
+            return;
+        std::uint32_t away = 0;
+        for (std::uint32_t i = 0; i < task_count; ++i)
+            if (i != task.key.index &&
+                (ordered_away_.contains(i) || now_ - at_work_[i] >= notice_ms))
+                ++away;
+        if (away >= budget_)
+            ++violations_;
+        ordered_away_.insert(task.key.index);
+    }
+
+    void move_time()
+    {
+        for (auto& [id, target] : targets_)
+            for (auto it = target.runs.begin(); it != target.runs.end();)
+            {
+                auto& [task, run] = *it;
+                bool fails = is_chance(0.002);
+                if (!fails && (!run.stops_at || *run.stops_at > now_))
+                {
+                    if (is_at_work(run) && !run.stops_at)
+                    {
+                        at_work_[task.key.index] = now_;
+                        ordered_away_.erase(task.key.index);
+                    }
+                    ++it;
+                    continue;
+                }
+                target.highest_ended[task] = run.number;
+                target.ended.push_back({++target.last_end, task,
+                    run_number(run.number),
+                    run.stops_at ? run_outcome::stopped : run_outcome::failed,
+                    ""});
+                it = target.runs.erase(it);
+            }
+        for (auto& [id, it] : instances_)
+            if (it.back_at && *it.back_at <= now_)
+            {
+                it.back_at.reset();
+                start_target(it);
+            }
+        std::vector<event> due;
+        std::erase_if(events_,
+            [&](event& it)
+            {
+                if (it.due > now_)
+                    return false;
+                due.push_back(std::move(it));
+                return true;
+            });
+        for (event& it : due)
+            if (it.term == 0 || it.term == term_)
+                it.action();
+    }
+
+    instance_order_outcome carry_out(
+        const instance_id& id, std::uint64_t term, bool is_late)
+    {
+        instance_model& it = instances_.at(id);
+        if (term < it.fence)
+            return instance_order_outcome::stale_fence;
+        it.fence = term;
+        if (it.is_maintained)
+            return instance_order_outcome::accepted;
+        if (it.back_at || it.target.get().empty())
+            return instance_order_outcome::busy;
+        // Late orders end tasks whatever this system does.
+        if (!is_late)
+            for (const auto& [task, run] : targets_.at(it.target).runs)
+                judge(task, run);
+        end_target(it);
+        it.is_maintained = true;
+        it.back_at = now_ + maintenance_ms;
+        return instance_order_outcome::accepted;
+    }
+
+    request_outcome start(const start_decision& decision, std::uint64_t term)
+    {
+        auto found = targets_.find(decision.target);
+        if (found == targets_.end())
+            return request_outcome::no_answer;
+        target_model& target = found->second;
+        if (term < target.fence)
+            return request_outcome::stale_fence;
+        target.fence = term;
+        std::uint64_t number = decision.run.get();
+        if (auto it = target.runs.find(decision.task);
+            it != target.runs.end() && it->second.number == number)
+            return request_outcome::accepted;
+        if (target.highest_ended[decision.task] >= number)
+            return request_outcome::superseded;
+        target.runs[decision.task] = {number, now_, std::nullopt};
+        return request_outcome::accepted;
+    }
+
+    request_outcome stop(const stop_decision& decision, std::uint64_t term)
+    {
+        auto found = targets_.find(decision.target);
+        if (found == targets_.end())
+            return request_outcome::no_answer;
+        target_model& target = found->second;
+        if (term < target.fence)
+            return request_outcome::stale_fence;
+        target.fence = term;
+        std::uint64_t number = decision.run.get();
+        auto it = target.runs.find(decision.task);
+        if (it == target.runs.end() || it->second.number != number)
+        {
+            target.highest_ended[decision.task] =
+                std::max(target.highest_ended[decision.task], number);
+            return request_outcome::accepted;
+        }
+        judge(decision.task, it->second);
+        if (!it->second.stops_at)
+            it->second.stops_at = now_ + draw(50, 400);
+        return request_outcome::accepted;
+    }
+
+    // Coordinators.
+
+    void take_over()
+    {
+        ++term_;
+        decisions_ = std::make_unique<coordinator>(coordinator_options{});
+        auto state = make_published_state();
+        state.waves[1] = wave_;
+        decisions_->set_published_state(state);
+        pool_planner_options options;
+        options.standby_delay = milliseconds(3'600'000);
+        options.move_time = milliseconds(3'600'000);
+        planner_ = std::make_unique<pool_planner>(options);
+        for (const auto& [id, target] : targets_)
+            list_target(id);
+        if (is_submitted_)
+            decisions_->load_job(job_1, make_record({step_}), progress_,
+                at(now_), platform_time(now_));
+        else
+            decisions_->submit(job_1, make_record({step_}), at(now_));
+        is_submitted_ = true;
+        for (const auto& [id, target] : decisions_->get_targets())
+            decisions_->record_lease(id, at(now_ + lease_ms));
+        if (saved_wave_)
+            planner_->restore_wave(1, *saved_wave_, at(now_));
+        planner_->cordon_ordered_targets(*decisions_, at(now_));
+        for (const auto& [id, target] : targets_)
+            poll(id);
+        next_list_ = now_ + draw(0, 300);
+        pending_.clear();
+        stops_.clear();
+    }
+
+    void poll(const target_id& id)
+    {
+        boot_time sent = at(now_);
+        std::uint64_t term = term_;
+        bool is_lost = is_chance(0.03);
+        // Targets answer again before their leases expire.
+        if (decisions_->should_renew_leases(id))
+            decisions_->record_lease(id, at(now_ + lease_ms));
+        after(draw(0, 300), term,
+            [this, id, sent, term, is_lost]
+            {
+                auto found = targets_.find(id);
+                if (found == targets_.end() || is_lost)
+                {
+                    after(600, term,
+                        [this, id]
+                        {
+                            decisions_->handle_poll_failure(id, at(now_));
+                            if (targets_.contains(id))
+                                poll(id);
+                        });
+                    return;
+                }
+                found->second.fence = std::max(found->second.fence, term);
+                target_status status;
+                status.clock = target_time(now_);
+                for (const auto& [task, run] : found->second.runs)
+                    status.running.push_back({task, run_number(run.number), "",
+                        static_cast<int>(std::min<std::int64_t>(
+                            100, (now_ - run.started_at) * 100 / start_up_ms)),
+                        0});
+                status.ended = found->second.ended;
+                after(draw(0, 200), term,
+                    [this, id, status, sent]
+                    {
+                        decisions_->handle_status(id, status, sent, at(now_));
+                        poll(id);
+                    });
+            });
+    }
+
+    void send_start(const start_decision& decision, bool is_first)
+    {
+        if (!decisions_->make_start_request(decision))
+        {
+            decisions_->abandon_start(decision, at(now_));
+            return;
+        }
+        decisions_->record_lease(decision.target, at(now_ + lease_ms));
+        std::uint64_t term = term_;
+        double luck = std::uniform_real_distribution<>(0, 1)(random_);
+        auto reply = [this, decision](request_outcome outcome)
+        {
+            decisions_->handle_start_reply(decision, outcome, at(now_));
+            if (outcome == request_outcome::no_answer)
+                send_start(decision, false);
+        };
+        if (!is_first && luck < 0.2)
+        {
+            after(50, term, [reply] { reply(request_outcome::not_sent); });
+            return;
+        }
+        if (luck < 0.85)
+            after(0, 0, [this, decision, term] { start(decision, term); });
+        if (luck < 0.7)
+            after(step_ms, term,
+                [this, decision, term, reply]
+                { reply(start(decision, term)); });
+        else
+            after(250, term, [reply] { reply(request_outcome::no_answer); });
+    }
+
+    void send_stops()
+    {
+        std::uint64_t term = term_;
+        for (const stop_decision& it : decisions_->list_stops())
+        {
+            if (!stops_.insert(it.task).second)
+                continue;
+            bool is_answered = is_chance(0.7);
+            after(draw(0, 100), 0,
+                [this, it, term, is_answered]
+                {
+                    auto outcome = stop(it, term);
+                    if (term == term_ && is_answered)
+                        decisions_->handle_stop_reply(it, outcome, at(now_));
+                });
+            after(400, term, [this, it] { stops_.erase(it.task); });
+        }
+    }
+
+    void send_order(const instance_order& order)
+    {
+        if (!pending_.insert(order.instance).second)
+            return;
+        std::uint64_t term = term_;
+        double luck = std::uniform_real_distribution<>(0, 1)(random_);
+        auto reply = [this, order](instance_order_outcome outcome)
+        {
+            pending_.erase(order.instance);
+            planner_->handle_order_reply(order, outcome, *decisions_, at(now_));
+            save();
+        };
+        if (luck < 0.4)
+        {
+            after(step_ms, 0,
+                [this, order, term, reply]
+                {
+                    auto outcome = carry_out(order.instance, term, false);
+                    if (term == term_)
+                        reply(outcome);
+                });
+            return;
+        }
+        if (luck < 0.55)
+            after(step_ms, 0,
+                [this, order, term]
+                { carry_out(order.instance, term, false); });
+        else if (luck < 0.7)
+            after(draw(2'000, 12'000), 0,
+                [this, order, term] { carry_out(order.instance, term, true); });
+        after(
+            1'500, term, [reply] { reply(instance_order_outcome::no_answer); });
+    }
+
+    void list_instances()
+    {
+        next_list_ = now_ + 400;
+        std::vector<platform_instance> list;
+        for (const auto& [id, it] : instances_)
+        {
+            platform_instance entry;
+            entry.instance = id;
+            entry.pool = pool_a;
+            entry.condition = it.back_at ? instance_condition::in_maintenance
+                                         : instance_condition::up;
+            entry.data_centre = data_centre_id("z");
+            entry.capacity = {4'000, 32'768, 0};
+            entry.target = it.target;
+            list.push_back(entry);
+        }
+        boot_time sent = at(now_);
+        after(draw(0, 200), term_,
+            [this, list, sent]
+            {
+                planner_->set_instances(list, sent);
+                for (const target_id& it :
+                    planner_->find_ended_incarnations(*decisions_, at(now_)))
+                    decisions_->handle_incarnation_end(it, sent, at(now_));
+            });
+    }
+
+    void save()
+    {
+        progress_ = decisions_->find_job(job_1)->encode_progress();
+        if (auto wave = planner_->get_wave_progress(1))
+            saved_wave_ = wave;
+    }
+
+    void act()
+    {
+        for (const auto& [id, target] : targets_)
+            if (!polled_[id].contains(term_))
+            {
+                polled_[id].insert(term_);
+                if (!decisions_->get_targets().at(id).has_reported)
+                    poll(id);
+            }
+        if (now_ >= next_list_)
+            list_instances();
+        decisions_->end_runs_without_lease(at(now_));
+        auto starts = decisions_->plan(at(now_), platform_time(now_));
+        pool_decisions pools;
+        if (now_ % 100 == 0)
+            pools = planner_->plan(*decisions_, at(now_));
+        save();
+        for (const start_decision& it : starts)
+            send_start(it, true);
+        for (const instance_order& it : pools.orders)
+            send_order(it);
+        send_stops();
+    }
+
+    std::mt19937 random_;
+    std::uint32_t budget_;
+    step_spec step_;
+    maintenance_wave wave_;
+    std::int64_t now_ = 0;
+    std::vector<event> events_;
+    std::map<target_id, target_model> targets_;
+    std::map<instance_id, instance_model> instances_;
+    int last_target_ = 0;
+    /// When each task was last at work.
+    std::map<std::uint32_t, std::int64_t> at_work_;
+    std::set<std::uint32_t> ordered_away_; ///< Ended by an order, not back yet.
+    int violations_ = 0;
+
+    std::uint64_t term_ = 0;
+    std::unique_ptr<coordinator> decisions_;
+    std::unique_ptr<pool_planner> planner_;
+    bool is_submitted_ = false;
+    std::string progress_;
+    std::optional<wave_progress> saved_wave_;
+    std::int64_t next_list_ = 0;
+    std::set<instance_id> pending_;
+    std::set<task_name> stops_;
+    std::map<target_id, std::set<std::uint64_t>> polled_;
+};
+
+} // namespace
+
+// Load pattern: a maintenance wave with many takeovers, lost and late answers
+// of the platform and of targets, and crashes. Guards against tasks that are
+// ended beyond the budget of their step, and against a wave that stops.
+TEST(budget_model, keeps_the_budget_of_a_step_over_takeovers)
+{
+    int violations = 0;
+    int done = 0;
+    constexpr int runs = 300;
+    for (unsigned seed = 1; seed <= runs; ++seed)
+    {
+        budget_model model(seed, 1 + seed % 3);
+        model.run();
+        violations += model.get_violations();
+        done += model.is_wave_done() ? 1 : 0;
+        EXPECT_EQ(model.get_violations(), 0) << "seed " << seed;
+    }
+    RecordProperty("violations", violations);
+    EXPECT_EQ(done, runs);
+}
+
+} // namespace cowslippass
