--- a/tests/systems/pools/budget_model_test.cpp
+++ b/tests/systems/pools/budget_model_test.cpp
@@ -1,11 +1,10 @@
 #include "systems/pools/pool_planner.hpp"
-#include "tests/systems/scheduling/coordinator_fixture.hpp"
+#include "tests/systems/pools/lossy_fleet_model.hpp"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <memory>
-#include <random>
 
 namespace cowslippass
 {
@@ -16,65 +15,26 @@
 constexpr std::int64_t step_ms = 50;
 constexpr std::int64_t run_ms = 60'000;
 constexpr std::int64_t takeovers_end_ms = 25'000;
-/// How long a task takes to start up.
-constexpr std::int64_t start_up_ms = 700;
-constexpr std::int64_t maintenance_ms = 2'000;
-/// A task that was unavailable for this long counts against the budget.
-constexpr std::int64_t notice_ms = 4'500;
 constexpr std::int64_t lease_ms = 6'000;
-constexpr std::uint32_t task_count = 10;
-constexpr int instance_count = 8;
 const job_id job_1("1");
 
-/// Model of a target with long-running tasks.
-struct target_model
-{
-    struct run
-    {
-        std::uint64_t number = 0;
-        std::int64_t started_at = 0;
-        std::optional<std::int64_t> stops_at;
-    };
-
-    std::uint64_t fence = 0;
-    std::map<task_name, run> runs;
-    std::map<task_name, std::uint64_t> highest_ended;
-    std::vector<end_report> ended;
-    std::uint64_t last_end = 0;
-};
-
-/// Model of an instance at the platform.
-struct instance_model
-{
-    target_id target;
-    std::uint64_t fence = 0;
-    bool is_maintained = false;
-    std::optional<std::int64_t> back_at;
-};
-
-/// Runs coordinators one after the other against models of targets and of the
-/// platform. Answers are lost or late, and targets crash. Counts the tasks that
-/// an order ends at work while as many others of the step are unavailable as
-/// its budget allows.
-class budget_model
+/// Runs coordinators one after the other against a fleet. Answers are lost or
+/// late.
+class budget_model : private lossy_fleet_model
 {
 public:
     explicit budget_model(unsigned seed, std::uint32_t budget)
-        : random_(seed), budget_(budget)
+        : lossy_fleet_model(seed, budget)
     {
-        step_ = make_step(task_count);
+        step_ = make_step(modelled_task_count);
         step_.is_long_running = true;
         step_.max_per_target = 2;
         step_.max_unavailable = budget;
         wave_.number = 1;
         wave_.time_limit = milliseconds(24'000);
         wave_.max_unavailable_instances = 3;
-        for (int i = 0; i < instance_count; ++i)
-        {
-            instance_id id("m" + std::to_string(i));
+        for (const auto& [id, it] : instances_)
             wave_.instances.push_back(id);
-            start_target(instances_[id]);
-        }
         take_over();
     }
 
@@ -99,190 +59,6 @@
     }
 
 private:
-    struct event
-    {
-        std::int64_t due;
-        std::uint64_t term; ///< 0: takes effect in any term.
-        std::function<void()> action;
-    };
-
-    bool is_chance(double share)
-    {
-        return std::uniform_real_distribution<>(0, 1)(random_) < share;
-    }
-
-    std::int64_t draw(std::int64_t from, std::int64_t to)
-    {
-        return std::uniform_int_distribution<std::int64_t>(from, to)(random_);
-    }
-
-    void after(std::int64_t ms, std::uint64_t term, std::function<void()> what)
-    {
-        events_.push_back({now_ + ms, term, std::move(what)});
-    }
-
-    // Platform and targets.
-
-    void start_target(instance_model& it)
-    {
-        it.target = target_id("t" + std::to_string(++last_target_));
-        targets_[it.target];
-        if (decisions_)
-            list_target(it.target);
-    }
-
-    void list_target(const target_id& id)
-    {
-        decisions_->handle_target_change(
-            {id, make_report(id.get(), 4)}, at(now_));
-    }
-
-    void end_target(instance_model& it)
-    {
-        decisions_->handle_target_change({it.target, std::nullopt}, at(now_));
-        targets_.erase(it.target);
-        it.target = target_id();
-    }
-
-    void crash_target()
-    {
-        auto it = std::next(instances_.begin(),
-            static_cast<std::ptrdiff_t>(draw(0, instance_count - 1)));
-        if (it->second.back_at || it->second.target.get().empty())
-            return;
-        end_target(it->second);
-        it->second.back_at = now_ + 1'000;
-    }
-
-    bool is_at_work(const target_model::run& run) const
-    {
-        return now_ - run.started_at >= start_up_ms;
-    }
-
-    /// An order is about to end the run.
-    void judge(const task_name& task, const target_model::run& run)
-    {
-        if (!is_at_work(run) || run.stops_at)
-            return;
-        std::uint32_t away = 0;
-        for (std::uint32_t i = 0; i < task_count; ++i)
-            if (i != task.key.index &&
-                (ordered_away_.contains(i) || now_ - at_work_[i] >= notice_ms))
-                ++away;
-        if (away >= budget_)
-            ++violations_;
-        ordered_away_.insert(task.key.index);
-    }
-
-    void move_time()
-    {
-        for (auto& [id, target] : targets_)
-            for (auto it = target.runs.begin(); it != target.runs.end();)
-            {
-                auto& [task, run] = *it;
-                bool fails = is_chance(0.002);
-                if (!fails && (!run.stops_at || *run.stops_at > now_))
-                {
-                    if (is_at_work(run) && !run.stops_at)
-                    {
-                        at_work_[task.key.index] = now_;
-                        ordered_away_.erase(task.key.index);
-                    }
-                    ++it;
-                    continue;
-                }
-                target.highest_ended[task] = run.number;
-                target.ended.push_back({++target.last_end, task,
-                    run_number(run.number),
-                    run.stops_at ? run_outcome::stopped : run_outcome::failed,
-                    ""});
-                it = target.runs.erase(it);
-            }
-        for (auto& [id, it] : instances_)
-            if (it.back_at && *it.back_at <= now_)
-            {
-                it.back_at.reset();
-                start_target(it);
-            }
-        std::vector<event> due;
-        std::erase_if(events_,
-            [&](event& it)
-            {
-                if (it.due > now_)
-                    return false;
-                due.push_back(std::move(it));
-                return true;
-            });
-        for (event& it : due)
-            if (it.term == 0 || it.term == term_)
-                it.action();
-    }
-
-    instance_order_outcome carry_out(
-        const instance_id& id, std::uint64_t term, bool is_late)
-    {
-        instance_model& it = instances_.at(id);
-        if (term < it.fence)
-            return instance_order_outcome::stale_fence;
-        it.fence = term;
-        if (it.is_maintained)
-            return instance_order_outcome::accepted;
-        if (it.back_at || it.target.get().empty())
-            return instance_order_outcome::busy;
-        // Late orders end tasks whatever this system does.
-        if (!is_late)
-            for (const auto& [task, run] : targets_.at(it.target).runs)
-                judge(task, run);
-        end_target(it);
-        it.is_maintained = true;
-        it.back_at = now_ + maintenance_ms;
-        return instance_order_outcome::accepted;
-    }
-
-    request_outcome start(const start_decision& decision, std::uint64_t term)
-    {
-        auto found = targets_.find(decision.target);
-        if (found == targets_.end())
-            return request_outcome::no_answer;
-        target_model& target = found->second;
-        if (term < target.fence)
-            return request_outcome::stale_fence;
-        target.fence = term;
-        std::uint64_t number = decision.run.get();
-        if (auto it = target.runs.find(decision.task);
-            it != target.runs.end() && it->second.number == number)
-            return request_outcome::accepted;
-        if (target.highest_ended[decision.task] >= number)
-            return request_outcome::superseded;
-        target.runs[decision.task] = {number, now_, std::nullopt};
-        return request_outcome::accepted;
-    }
-
-    request_outcome stop(const stop_decision& decision, std::uint64_t term)
-    {
-        auto found = targets_.find(decision.target);
-        if (found == targets_.end())
-            return request_outcome::no_answer;
-        target_model& target = found->second;
-        if (term < target.fence)
-            return request_outcome::stale_fence;
-        target.fence = term;
-        std::uint64_t number = decision.run.get();
-        auto it = target.runs.find(decision.task);
-        if (it == target.runs.end() || it->second.number != number)
-        {
-            target.highest_ended[decision.task] =
-                std::max(target.highest_ended[decision.task], number);
-            return request_outcome::accepted;
-        }
-        judge(decision.task, it->second);
-        if (!it->second.stops_at)
-            it->second.stops_at = now_ + draw(50, 400);
-        return request_outcome::accepted;
-    }
-
-    // Coordinators.
-
     void take_over()
     {
         ++term_;
@@ -497,22 +273,8 @@
         send_stops();
     }
 
-    std::mt19937 random_;
-    std::uint32_t budget_;
     step_spec step_;
     maintenance_wave wave_;
-    std::int64_t now_ = 0;
-    std::vector<event> events_;
-    std::map<target_id, target_model> targets_;
-    std::map<instance_id, instance_model> instances_;
-    int last_target_ = 0;
-    /// When each task was last at work.
-    std::map<std::uint32_t, std::int64_t> at_work_;
-    std::set<std::uint32_t> ordered_away_; ///< Ended by an order, not back yet.
-    int violations_ = 0;
-
-    std::uint64_t term_ = 0;
-    std::unique_ptr<coordinator> decisions_;
     std::unique_ptr<pool_planner> planner_;
     bool is_submitted_ = false;
     std::string progress_;
