--- a/tests/systems/pools/budget_model_test.cpp
+++ b/tests/systems/pools/budget_model_test.cpp
@@ -33,99 +33,99 @@
         wave_.number = 1;
         wave_.time_limit = milliseconds(24'000);
         wave_.max_unavailable_instances = 3;
-        for (const auto& [id, it] : instances_)
+        for (const auto& [id, it] : instances)
             wave_.instances.push_back(id);
         take_over();
     }
 
     void run()
     {
-        for (now_ = 0; now_ < run_ms; now_ += step_ms)
+        for (now_ms = 0; now_ms < run_ms; now_ms += step_ms)
         {
             move_time();
             if (is_chance(0.004))
                 crash_target();
-            if (now_ < takeovers_end_ms && is_chance(0.03))
+            if (now_ms < takeovers_end_ms && is_chance(0.03))
                 take_over();
             act();
         }
     }
 
-    int get_violations() const { return violations_; }
+    int get_violations() const { return violations; }
     bool is_wave_done() const
     {
         return std::ranges::all_of(
-            instances_, [](const auto& it) { return it.second.is_maintained; });
+            instances, [](const auto& it) { return it.second.is_maintained; });
     }
 
 private:
     void take_over()
     {
-        ++term_;
-        decisions_ = std::make_unique<coordinator>(coordinator_options{});
+        ++current_term;
+        decisions = std::make_unique<coordinator>(coordinator_options{});
         auto state = make_published_state();
         state.waves[1] = wave_;
-        decisions_->set_published_state(state);
+        decisions->set_published_state(state);
         pool_planner_options options;
         options.standby_delay = milliseconds(3'600'000);
         options.move_time = milliseconds(3'600'000);
         planner_ = std::make_unique<pool_planner>(options);
-        for (const auto& [id, target] : targets_)
+        for (const auto& [id, target] : targets)
             list_target(id);
         if (is_submitted_)
-            decisions_->load_job(job_1, make_record({step_}), progress_,
-                at(now_), platform_time(now_));
+            decisions->load_job(job_1, make_record({step_}), progress_,
+                at(now_ms), platform_time(now_ms));
         else
-            decisions_->submit(job_1, make_record({step_}), at(now_));
+            decisions->submit(job_1, make_record({step_}), at(now_ms));
         is_submitted_ = true;
-        for (const auto& [id, target] : decisions_->get_targets())
-            decisions_->record_lease(id, at(now_ + lease_ms));
+        for (const auto& [id, target] : decisions->get_targets())
+            decisions->record_lease(id, at(now_ms + lease_ms));
         if (saved_wave_)
-            planner_->restore_wave(1, *saved_wave_, at(now_));
-        planner_->cordon_ordered_targets(*decisions_, at(now_));
-        for (const auto& [id, target] : targets_)
+            planner_->restore_wave(1, *saved_wave_, at(now_ms));
+        planner_->cordon_ordered_targets(*decisions, at(now_ms));
+        for (const auto& [id, target] : targets)
             poll(id);
-        next_list_ = now_ + draw(0, 300);
+        next_list_ = now_ms + draw(0, 300);
         pending_.clear();
         stops_.clear();
     }
 
     void poll(const target_id& id)
     {
-        boot_time sent = at(now_);
-        std::uint64_t term = term_;
+        boot_time sent = at(now_ms);
+        std::uint64_t term = current_term;
         bool is_lost = is_chance(0.03);
         // Targets answer again before their leases expire.
-        if (decisions_->should_renew_leases(id))
-            decisions_->record_lease(id, at(now_ + lease_ms));
+        if (decisions->should_renew_leases(id))
+            decisions->record_lease(id, at(now_ms + lease_ms));
         after(draw(0, 300), term,
             [this, id, sent, term, is_lost]
             {
-                auto found = targets_.find(id);
-                if (found == targets_.end() || is_lost)
+                auto found = targets.find(id);
+                if (found == targets.end() || is_lost)
                 {
                     after(600, term,
                         [this, id]
                         {
-                            decisions_->handle_poll_failure(id, at(now_));
-                            if (targets_.contains(id))
+                            decisions->handle_poll_failure(id, at(now_ms));
+                            if (targets.contains(id))
                                 poll(id);
                         });
                     return;
                 }
                 found->second.fence = std::max(found->second.fence, term);
                 target_status status;
-                status.clock = target_time(now_);
+                status.clock = target_time(now_ms);
                 for (const auto& [task, run] : found->second.runs)
                     status.running.push_back({task, run_number(run.number), "",
-                        static_cast<int>(std::min<std::int64_t>(
-                            100, (now_ - run.started_at) * 100 / start_up_ms)),
+                        static_cast<int>(std::min<std::int64_t>(100,
+                            (now_ms - run.started_at) * 100 / start_up_ms)),
                         0});
                 status.ended = found->second.ended;
                 after(draw(0, 200), term,
                     [this, id, status, sent]
                     {
-                        decisions_->handle_status(id, status, sent, at(now_));
+                        decisions->handle_status(id, status, sent, at(now_ms));
                         poll(id);
                     });
             });
@@ -133,17 +133,17 @@
 
     void send_start(const start_decision& decision, bool is_first)
     {
-        if (!decisions_->make_start_request(decision))
+        if (!decisions->make_start_request(decision))
         {
-            decisions_->abandon_start(decision, at(now_));
+            decisions->abandon_start(decision, at(now_ms));
             return;
         }
-        decisions_->record_lease(decision.target, at(now_ + lease_ms));
-        std::uint64_t term = term_;
-        double luck = std::uniform_real_distribution<>(0, 1)(random_);
+        decisions->record_lease(decision.target, at(now_ms + lease_ms));
+        std::uint64_t term = current_term;
+        double luck = std::uniform_real_distribution<>(0, 1)(random);
         auto reply = [this, decision](request_outcome outcome)
         {
-            decisions_->handle_start_reply(decision, outcome, at(now_));
+            decisions->handle_start_reply(decision, outcome, at(now_ms));
             if (outcome == request_outcome::no_answer)
                 send_start(decision, false);
         };
@@ -164,8 +164,8 @@
 
     void send_stops()
     {
-        std::uint64_t term = term_;
-        for (const stop_decision& it : decisions_->list_stops())
+        std::uint64_t term = current_term;
+        for (const stop_decision& it : decisions->list_stops())
         {
             if (!stops_.insert(it.task).second)
                 continue;
@@ -174,8 +174,8 @@
                 [this, it, term, is_answered]
                 {
                     auto outcome = stop(it, term);
-                    if (term == term_ && is_answered)
-                        decisions_->handle_stop_reply(it, outcome, at(now_));
+                    if (term == current_term && is_answered)
+                        decisions->handle_stop_reply(it, outcome, at(now_ms));
                 });
             after(400, term, [this, it] { stops_.erase(it.task); });
         }
@@ -185,12 +185,13 @@
     {
         if (!pending_.insert(order.instance).second)
             return;
-        std::uint64_t term = term_;
-        double luck = std::uniform_real_distribution<>(0, 1)(random_);
+        std::uint64_t term = current_term;
+        double luck = std::uniform_real_distribution<>(0, 1)(random);
         auto reply = [this, order](instance_order_outcome outcome)
         {
             pending_.erase(order.instance);
-            planner_->handle_order_reply(order, outcome, *decisions_, at(now_));
+            planner_->handle_order_reply(
+                order, outcome, *decisions, at(now_ms));
             save();
         };
         if (luck < 0.4)
@@ -199,7 +200,7 @@
                 [this, order, term, reply]
                 {
                     auto outcome = carry_out(order.instance, term, false);
-                    if (term == term_)
+                    if (term == current_term)
                         reply(outcome);
                 });
             return;
@@ -217,9 +218,9 @@
 
     void list_instances()
     {
-        next_list_ = now_ + 400;
+        next_list_ = now_ms + 400;
         std::vector<platform_instance> list;
-        for (const auto& [id, it] : instances_)
+        for (const auto& [id, it] : instances)
         {
             platform_instance entry;
             entry.instance = id;
@@ -231,40 +232,40 @@
             entry.target = it.target;
             list.push_back(entry);
         }
-        boot_time sent = at(now_);
-        after(draw(0, 200), term_,
+        boot_time sent = at(now_ms);
+        after(draw(0, 200), current_term,
             [this, list, sent]
             {
                 planner_->set_instances(list, sent);
                 for (const target_id& it :
-                    planner_->find_ended_incarnations(*decisions_, at(now_)))
-                    decisions_->handle_incarnation_end(it, sent, at(now_));
+                    planner_->find_ended_incarnations(*decisions, at(now_ms)))
+                    decisions->handle_incarnation_end(it, sent, at(now_ms));
             });
     }
 
     void save()
     {
-        progress_ = decisions_->find_job(job_1)->encode_progress();
+        progress_ = decisions->find_job(job_1)->encode_progress();
         if (auto wave = planner_->get_wave_progress(1))
             saved_wave_ = wave;
     }
 
     void act()
     {
-        for (const auto& [id, target] : targets_)
-            if (!polled_[id].contains(term_))
+        for (const auto& [id, target] : targets)
+            if (!polled_[id].contains(current_term))
             {
-                polled_[id].insert(term_);
-                if (!decisions_->get_targets().at(id).has_reported)
+                polled_[id].insert(current_term);
+                if (!decisions->get_targets().at(id).has_reported)
                     poll(id);
             }
-        if (now_ >= next_list_)
+        if (now_ms >= next_list_)
             list_instances();
-        decisions_->end_runs_without_lease(at(now_));
-        auto starts = decisions_->plan(at(now_), platform_time(now_));
+        decisions->end_runs_without_lease(at(now_ms));
+        auto starts = decisions->plan(at(now_ms), platform_time(now_ms));
         pool_decisions pools;
-        if (now_ % 100 == 0)
-            pools = planner_->plan(*decisions_, at(now_));
+        if (now_ms % 100 == 0)
+            pools = planner_->plan(*decisions, at(now_ms));
         save();
         for (const start_decision& it : starts)
             send_start(it, true);
--- a/tests/systems/pools/lossy_fleet_model.hpp
+++ b/tests/systems/pools/lossy_fleet_model.hpp
@@ -50,11 +50,11 @@
 class lossy_fleet_model
 {
 protected:
-    lossy_fleet_model(unsigned seed, std::uint32_t budget)
-        : random_(seed), budget_(budget)
+    lossy_fleet_model(unsigned seed, std::uint32_t step_budget)
+        : random(seed), budget(step_budget)
     {
         for (int i = 0; i < instance_count; ++i)
-            start_target(instances_[instance_id("m" + std::to_string(i))]);
+            start_target(instances[instance_id("m" + std::to_string(i))]);
     }
 
     struct event
@@ -66,53 +66,53 @@
 
     bool is_chance(double share)
     {
-        return std::uniform_real_distribution<>(0, 1)(random_) < share;
+        return std::uniform_real_distribution<>(0, 1)(random) < share;
     }
 
     std::int64_t draw(std::int64_t from, std::int64_t to)
     {
-        return std::uniform_int_distribution<std::int64_t>(from, to)(random_);
+        return std::uniform_int_distribution<std::int64_t>(from, to)(random);
     }
 
     void after(std::int64_t ms, std::uint64_t term, std::function<void()> what)
     {
-        events_.push_back({now_ + ms, term, std::move(what)});
+        events.push_back({now_ms + ms, term, std::move(what)});
     }
 
     void start_target(instance_model& it)
     {
-        it.target = target_id("t" + std::to_string(++last_target_));
-        targets_[it.target];
-        if (decisions_)
+        it.target = target_id("t" + std::to_string(++last_target));
+        targets[it.target];
+        if (decisions)
             list_target(it.target);
     }
 
     void list_target(const target_id& id)
     {
-        decisions_->handle_target_change(
-            {id, make_report(id.get(), 4)}, at(now_));
+        decisions->handle_target_change(
+            {id, make_report(id.get(), 4)}, at(now_ms));
     }
 
     void end_target(instance_model& it)
     {
-        decisions_->handle_target_change({it.target, std::nullopt}, at(now_));
-        targets_.erase(it.target);
+        decisions->handle_target_change({it.target, std::nullopt}, at(now_ms));
+        targets.erase(it.target);
         it.target = target_id();
     }
 
     void crash_target()
     {
-        auto it = std::next(instances_.begin(),
+        auto it = std::next(instances.begin(),
             static_cast<std::ptrdiff_t>(draw(0, instance_count - 1)));
         if (it->second.back_at || it->second.target.get().empty())
             return;
         end_target(it->second);
-        it->second.back_at = now_ + 1'000;
+        it->second.back_at = now_ms + 1'000;
     }
 
     bool is_at_work(const lossy_target_model::run& run) const
     {
-        return now_ - run.started_at >= start_up_ms;
+        return now_ms - run.started_at >= start_up_ms;
     }
 
     /// An order is about to end the run.
@@ -123,26 +123,27 @@
         std::uint32_t away = 0;
         for (std::uint32_t i = 0; i < modelled_task_count; ++i)
             if (i != task.key.index &&
-                (ordered_away_.contains(i) || now_ - at_work_[i] >= notice_ms))
+                (ordered_away.contains(i) ||
+                    now_ms - last_at_work[i] >= notice_ms))
                 ++away;
-        if (away >= budget_)
-            ++violations_;
-        ordered_away_.insert(task.key.index);
+        if (away >= budget)
+            ++violations;
+        ordered_away.insert(task.key.index);
     }
 
     void move_time()
     {
-        for (auto& [id, target] : targets_)
+        for (auto& [id, target] : targets)
             for (auto it = target.runs.begin(); it != target.runs.end();)
             {
                 auto& [task, run] = *it;
                 bool fails = is_chance(0.002);
-                if (!fails && (!run.stops_at || *run.stops_at > now_))
+                if (!fails && (!run.stops_at || *run.stops_at > now_ms))
                 {
                     if (is_at_work(run) && !run.stops_at)
                     {
-                        at_work_[task.key.index] = now_;
-                        ordered_away_.erase(task.key.index);
+                        last_at_work[task.key.index] = now_ms;
+                        ordered_away.erase(task.key.index);
                     }
                     ++it;
                     continue;
@@ -154,30 +155,30 @@
                     ""});
                 it = target.runs.erase(it);
             }
-        for (auto& [id, it] : instances_)
-            if (it.back_at && *it.back_at <= now_)
+        for (auto& [id, it] : instances)
+            if (it.back_at && *it.back_at <= now_ms)
             {
                 it.back_at.reset();
                 start_target(it);
             }
         std::vector<event> due;
-        std::erase_if(events_,
+        std::erase_if(events,
             [&](event& it)
             {
-                if (it.due > now_)
+                if (it.due > now_ms)
                     return false;
                 due.push_back(std::move(it));
                 return true;
             });
         for (event& it : due)
-            if (it.term == 0 || it.term == term_)
+            if (it.term == 0 || it.term == current_term)
                 it.action();
     }
 
     instance_order_outcome carry_out(
         const instance_id& id, std::uint64_t term, bool is_late)
     {
-        instance_model& it = instances_.at(id);
+        instance_model& it = instances.at(id);
         if (term < it.fence)
             return instance_order_outcome::stale_fence;
         it.fence = term;
@@ -187,18 +188,18 @@
             return instance_order_outcome::busy;
         // Late orders end tasks whatever this system does.
         if (!is_late)
-            for (const auto& [task, run] : targets_.at(it.target).runs)
+            for (const auto& [task, run] : targets.at(it.target).runs)
                 judge(task, run);
         end_target(it);
         it.is_maintained = true;
-        it.back_at = now_ + maintenance_ms;
+        it.back_at = now_ms + maintenance_ms;
         return instance_order_outcome::accepted;
     }
 
     request_outcome start(const start_decision& decision, std::uint64_t term)
     {
-        auto found = targets_.find(decision.target);
-        if (found == targets_.end())
+        auto found = targets.find(decision.target);
+        if (found == targets.end())
             return request_outcome::no_answer;
         lossy_target_model& target = found->second;
         if (term < target.fence)
@@ -210,14 +211,14 @@
             return request_outcome::accepted;
         if (target.highest_ended[decision.task] >= number)
             return request_outcome::superseded;
-        target.runs[decision.task] = {number, now_, std::nullopt};
+        target.runs[decision.task] = {number, now_ms, std::nullopt};
         return request_outcome::accepted;
     }
 
     request_outcome stop(const stop_decision& decision, std::uint64_t term)
     {
-        auto found = targets_.find(decision.target);
-        if (found == targets_.end())
+        auto found = targets.find(decision.target);
+        if (found == targets.end())
             return request_outcome::no_answer;
         lossy_target_model& target = found->second;
         if (term < target.fence)
@@ -233,24 +234,24 @@
         }
         judge(decision.task, it->second);
         if (!it->second.stops_at)
-            it->second.stops_at = now_ + draw(50, 400);
+            it->second.stops_at = now_ms + draw(50, 400);
         return request_outcome::accepted;
     }
 
-    std::mt19937 random_;
-    std::uint32_t budget_;
-    std::int64_t now_ = 0;
-    std::vector<event> events_;
-    std::map<target_id, lossy_target_model> targets_;
-    std::map<instance_id, instance_model> instances_;
-    int last_target_ = 0;
+    std::mt19937 random;
+    std::uint32_t budget;
+    std::int64_t now_ms = 0;
+    std::vector<event> events;
+    std::map<target_id, lossy_target_model> targets;
+    std::map<instance_id, instance_model> instances;
+    int last_target = 0;
     /// When each task was last at work.
-    std::map<std::uint32_t, std::int64_t> at_work_;
-    std::set<std::uint32_t> ordered_away_; ///< Ended by an order, not back yet.
-    int violations_ = 0;
+    std::map<std::uint32_t, std::int64_t> last_at_work;
+    std::set<std::uint32_t> ordered_away; ///< Ended by an order, not back yet.
+    int violations = 0;
 
-    std::uint64_t term_ = 0;
-    std::unique_ptr<coordinator> decisions_; ///< Of the current term.
+    std::uint64_t current_term = 0;
+    std::unique_ptr<coordinator> decisions; ///< Of the current term.
 };
 
 } // namespace cowslippass
