Submissions: a refused one has never run

Cause: a held submission waited for durability anew every 40 ms and so for the rows of all later ones; it took back the pending deletion of its row after the job was done, and was refused. Change: the rows' durability is observed once; only values are taken back; each assignment has a number that a start has to name; a call whose job another one has withdrawn counts as not executed.

--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -122,21 +122,26 @@
         ledger_.put(ledger_table::jobs, call.job.get(), std::move(rows.main));
         wake();
     }
+    std::uint64_t acceptance = coordinator_.get_acceptance_number(call.job);
     bool may_withdraw =
         settings_.refuse_in_outage && outcome == submit_outcome::added;
+    // Observed once: a later wait would be for the rows that others have put
+    // since then, too.
+    auto is_stored = std::make_shared<bool>(false);
+    ledger_.when_durable([is_stored] { *is_stored = true; });
     bool is_durable = co_await wait_until_durable(
         may_withdraw ? boot_clock::now() +
                            get_outage_holding_time(get_time_left(deadline))
                      : deadline);
-    while (!is_durable && !is_over_ && may_withdraw &&
+    while (!*is_stored && !is_over_ && may_withdraw &&
            boot_clock::now() < deadline)
     {
         if (withdraw_submission(call.job))
             co_return refuse_in_outage(call.job, deadline);
         // The store may refuse the transaction that contains the rows.
-        is_durable = co_await wait_until_durable(
-            std::min(deadline, boot_clock::now() + withdrawal_retry_interval));
+        co_await sleep(withdrawal_retry_interval);
     }
+    is_durable = is_durable || *is_stored;
     if (!is_durable || is_over_)
     {
         // Only the next coordinator will know whether the row was written.
@@ -148,6 +153,14 @@
         reply.result = coordinator_result::invalid;
         co_return reply;
     }
+    // The same submission came twice, and the call that added it has withdrawn
+    // it meanwhile. This one did nothing, and may add it anew.
+    if (coordinator_.get_acceptance_number(call.job) != acceptance)
+    {
+        reply.result = coordinator_result::not_coordinator;
+        reply.was_not_executed = true;
+        co_return reply;
+    }
     coordinator_log.write("accept",
         outcome == submit_outcome::added ? "new" : "submitted_before",
         {{"job", call.job}, {"queue", call.queue}, {"team", call.team},
--- a/systems/coordination/ledger.cpp
+++ b/systems/coordination/ledger.cpp
@@ -51,7 +51,8 @@
                           [&](const ledger_change& change) {
                               return change.table == table && change.key == key;
                           });
-    if (it == pending_numbers_.end() || is_in_flight)
+    if (it == pending_numbers_.end() || is_in_flight ||
+        !pending_changes_.at(it->second).value)
         return false;
     pending_changes_.erase(it->second);
     pending_numbers_.erase(it);
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -90,7 +90,8 @@
     /// @return whether no batch is in flight.
     bool recall_batch();
 
-    /// Takes a pending change of a row back, so that it is never written.
+    /// Takes a pending value of a row back, so that it is never written. A
+    /// pending deletion stays: the row has been written before.
     /// @return whether it was pending and no batch in flight contains the row.
     bool withdraw(const char* table, const std::string& key);
 
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -40,6 +40,12 @@
     return it == jobs_.end() ? nullptr : &it->second.value;
 }
 
+std::uint64_t coordinator::get_acceptance_number(const job_id& id) const
+{
+    auto it = jobs_.find(id);
+    return it == jobs_.end() ? 0 : it->second.acceptance_number;
+}
+
 void coordinator::load_job(const job_id& id, job_record record,
     const std::string& progress, boot_time now, platform_time wall_time,
     const std::map<std::uint32_t, std::string>& segments)
@@ -454,13 +460,14 @@
         update_queued_count(*entry);
 }
 
-void coordinator::add_run(const task_name& task, const job& owner,
+std::uint64_t coordinator::add_run(const task_name& task, const job& owner,
     const target_id& target, run_number number, boot_time now)
 {
     const step_spec& step = owner.get_step(task.key);
     active_run run;
     run.target = target;
     run.number = number;
+    run.assignment = ++last_assignment_;
     run.need = step.get_counted_need();
     run.is_long_running = step.is_long_running;
     run.team_charge = step.need;
@@ -474,6 +481,15 @@
     entry.runs.insert(task);
     team_usage_[run.team] += run.team_charge;
     runs_.insert_or_assign(task, std::move(run));
+    return last_assignment_;
+}
+
+active_run* coordinator::find_run(const start_decision& decision)
+{
+    auto it = runs_.find(decision.task);
+    bool is_same = it != runs_.end() && it->second.number == decision.run &&
+                   it->second.assignment == decision.assignment;
+    return is_same ? &it->second : nullptr;
 }
 
 void coordinator::remove_run(const task_name& task)
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -54,6 +54,9 @@
 {
     target_id target;
     run_number number;
+    /// Tells this run from one of the same task, with the same number, that was
+    /// planned before its job was withdrawn and submitted again.
+    std::uint64_t assignment = 0;
     resources need; ///< Counts against the target's capacity.
     bool is_long_running = false;
     resources team_charge; ///< Counts against the team's limit.
@@ -84,6 +87,8 @@
     task_name task;
     run_number run;
     target_id target;
+    /// See active_run::assignment.
+    std::uint64_t assignment = 0;
 };
 
 /// A run to stop at a target.
@@ -189,6 +194,10 @@
     /// @return null for an unknown job.
     const job* find_job(const job_id& id) const;
 
+    /// @return a number that differs for each acceptance of a job, also of one
+    ///   that was withdrawn and submitted again; 0 for an unknown job.
+    std::uint64_t get_acceptance_number(const job_id& id) const;
+
     /// @return number of jobs of the queue of which no task has started.
     std::uint64_t count_queued(const queue_id& queue) const;
 
@@ -392,8 +401,11 @@
     void stop_runs_of(const job& owner);
     /// Records that a target has begun to execute the run.
     void confirm_start(const task_name& task, active_run& run, boot_time now);
-    void add_run(const task_name& task, const job& owner,
+    /// @return the run's assignment.
+    std::uint64_t add_run(const task_name& task, const job& owner,
         const target_id& target, run_number number, boot_time now);
+    /// @return null if the decision is about an earlier run of the task.
+    active_run* find_run(const start_decision& decision);
     void request_stop(const task_name& task, active_run& run);
     /// Stops the runs of an ended job and starts its retention time.
     void record_job_end(job_entry& entry, boot_time now);
@@ -525,6 +537,7 @@
     std::map<pool_id, overload_state> overloads_;
     std::vector<overload_change> overload_changes_;
     std::uint64_t last_acceptance_number_ = 0;
+    std::uint64_t last_assignment_ = 0;
 };
 
 } // namespace cowslippass
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -282,9 +282,9 @@
         task_name name{owner.get_id(), key};
         target_id id = target->report.target;
         run_number number = owner.assign(key, id);
-        add_run(name, owner, id, number, now);
+        std::uint64_t assignment = add_run(name, owner, id, number, now);
         mark_changed(entry);
-        starts.push_back({name, number, id});
+        starts.push_back({name, number, id, assignment});
         capacity.usage[queue->pool].used += step.get_counted_need().processor;
     }
     entry.waiting = std::move(left);
@@ -333,8 +333,8 @@
         task_name name{owner.get_id(), key};
         target_id id = target->report.target;
         run_number run = owner.assign(key, id, run_number(number + 1));
-        add_run(name, owner, id, run, now);
-        starts.push_back({name, run, id});
+        std::uint64_t assignment = add_run(name, owner, id, run, now);
+        starts.push_back({name, run, id, assignment});
     }
     mark_changed(entry);
     return true;
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -38,15 +38,14 @@
 std::optional<run_start_request> coordinator::make_start_request(
     const start_decision& decision)
 {
-    auto run = runs_.find(decision.task);
-    if (run == runs_.end() || run->second.number != decision.run ||
-        run->second.must_stop)
+    active_run* run = find_run(decision);
+    if (!run || run->must_stop)
         return std::nullopt;
     const job_entry& entry = jobs_.at(decision.task.job);
-    if (entry.is_held && !run->second.is_sent)
+    if (entry.is_held && !run->is_sent)
         return std::nullopt;
     const job& owner = entry.value;
-    run->second.is_sent = true;
+    run->is_sent = true;
     run_start_request request;
     request.task = decision.task;
     request.run = decision.run;
@@ -57,13 +56,12 @@
 
 void coordinator::abandon_start(const start_decision& decision, boot_time now)
 {
-    auto run = runs_.find(decision.task);
+    active_run* run = find_run(decision);
     // The fate of a run that its target has listed is known.
-    if (run == runs_.end() || run->second.number != decision.run ||
-        run->second.has_started)
+    if (!run || run->has_started)
         return;
-    if (run->second.is_sent)
-        request_stop(decision.task, run->second);
+    if (run->is_sent)
+        request_stop(decision.task, *run);
     else
         end_run(decision.task, run_outcome::stopped, {}, now);
 }
@@ -71,8 +69,8 @@
 void coordinator::handle_start_reply(
     const start_decision& decision, request_outcome outcome, boot_time now)
 {
-    auto run = runs_.find(decision.task);
-    if (run == runs_.end() || run->second.number != decision.run)
+    active_run* run = find_run(decision);
+    if (!run)
         return;
     target_entry& target = targets_[decision.target];
     auto back_off = [&]
@@ -83,14 +81,14 @@
     switch (outcome)
     {
     case request_outcome::accepted:
-        confirm_start(decision.task, run->second, now);
+        confirm_start(decision.task, *run, now);
         return;
     case request_outcome::superseded:
         // The next status reports how the run ended.
-        run->second.confirmed_at = now;
+        run->confirmed_at = now;
         return;
     case request_outcome::no_answer:
-        run->second.may_arrive_late = true;
+        run->may_arrive_late = true;
         back_off();
         target.unanswered_at = now;
         return;
@@ -109,13 +107,13 @@
     }
     // An earlier request has started the run, as its target has told. What the
     // target says to a repeated one does not end it.
-    if (run->second.has_started)
+    if (run->has_started)
         return;
-    if (run->second.may_arrive_late)
+    if (run->may_arrive_late)
     {
         // The earlier request may still start the run; only a confirmed stop
         // prevents that.
-        request_stop(decision.task, run->second);
+        request_stop(decision.task, *run);
         return;
     }
     end_run(decision.task, run_outcome::stopped, {}, now);
--- a/tests/main/entryd/outage_test.cpp
+++ b/tests/main/entryd/outage_test.cpp
@@ -106,6 +106,81 @@
         });
 }
 
+// Failure: an outage in which a caller's second attempt comes while the first
+// one is still held. Guards against an answer "accepted" for a submission that
+// the first attempt has taken back.
+TEST_F(outage_test, accepts_nothing_that_another_attempt_has_taken_back)
+{
+    platform.add_target("t1", milliseconds(20));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            platform.set_store_unavailable(true);
+            std::vector<unsigned> answers;
+            for (int i = 0; i < 2; ++i)
+                asio::co_spawn(
+                    io,
+                    [this, &answers]() -> asio::awaitable<void>
+                    {
+                        std::string path = "/q/" + job_1;
+                        auto it = co_await send("POST", path, one_task);
+                        answers.push_back(it.status);
+                    },
+                    asio::detached);
+            while (answers.size() < 2)
+                co_await sleep(milliseconds(20));
+            for (unsigned status : answers)
+                EXPECT_NE(status, 200U);
+            platform.set_store_unavailable(false);
+            co_await wait_until_ready();
+            co_await sleep(milliseconds(500));
+            EXPECT_TRUE(platform.get_start_counts().empty());
+        });
+}
+
+// Failure: a slow store, with new submissions all the time. Guards against a
+// submission that is refused after it was stored and has run, because the rows
+// of later ones were waited for.
+TEST_F(outage_test, refuses_nothing_that_has_run_while_the_store_is_slow)
+{
+    platform.add_target("t1", milliseconds(20));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            platform.set_transaction_time(milliseconds(700));
+            std::map<std::string, unsigned> answers;
+            constexpr int n = 80;
+            for (int i = 0; i < n; ++i)
+            {
+                asio::co_spawn(
+                    io,
+                    [this, &answers, i]() -> asio::awaitable<void>
+                    {
+                        std::string job =
+                            "00000000000001" + std::to_string(10 + i);
+                        std::string path = "/q/" + job;
+                        auto it = co_await send("POST", path, one_task);
+                        answers[job] = it.status;
+                    },
+                    asio::detached);
+                co_await sleep(milliseconds(50));
+            }
+            while (answers.size() < n)
+                co_await sleep(milliseconds(50));
+            platform.set_transaction_time(milliseconds(0));
+            co_await sleep(milliseconds(1'000));
+            for (const auto& [job, status] : answers)
+            {
+                bool has_run =
+                    platform.get_start_counts().contains(job + ".0.0.0");
+                bool is_refused = status == 429U || status == 503U;
+                EXPECT_FALSE(is_refused && has_run) << job << ' ' << status;
+            }
+        });
+}
+
 // Failure: no coordinator takes the role. Guards against a submission that
 // nobody has received and that is held until its caller gives up.
 TEST_F(outage_test, refuses_while_there_is_no_coordinator)
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -345,7 +345,11 @@
     if (is_store_unavailable_)
         co_return make_response(503, json::object());
     if (request.path == "/-/rows-tx")
+    {
+        if (transaction_time_ > milliseconds(0))
+            co_await sleep(transaction_time_);
         co_return commit(json::parse(request.body));
+    }
     if (request.path == "/-/rows-get")
         co_return read(request);
     if (request.path == "/-/rows-feed")
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -55,6 +55,9 @@
         is_store_unavailable_ = is_unavailable;
     }
 
+    /// The store carries out each transaction after this time.
+    void set_transaction_time(milliseconds time) { transaction_time_ = time; }
+
     /// The store answers each transaction that writes this row with status 400.
     void reject_row(const std::string& table, const std::string& key)
     {
@@ -138,6 +141,7 @@
     std::map<std::string, std::shared_ptr<target>> targets_;
     std::map<std::string, int> start_counts_;
     bool is_store_unavailable_ = false;
+    milliseconds transaction_time_{0};
     bool is_holding_order_replies_ = false;
     std::set<std::string> instances_;
     std::set<std::string> maintained_instances_;
--- a/tests/systems/coordination/ledger_test.cpp
+++ b/tests/systems/coordination/ledger_test.cpp
@@ -264,6 +264,8 @@
     EXPECT_FALSE(it.withdraw("jobs", "first"));
     EXPECT_TRUE(it.withdraw("jobs", "third"));
     EXPECT_FALSE(it.withdraw("jobs", "third"));
+    it.erase("jobs", "fourth");
+    EXPECT_FALSE(it.withdraw("jobs", "fourth"));
     while (it.has_changes() || it.is_in_flight())
         it.handle_result(store.apply(it.make_batch()));
     EXPECT_TRUE(is_durable);
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -85,6 +85,29 @@
     EXPECT_EQ(starts[0].target, target_2);
 }
 
+// Failure: an outage of the store, in which a submission is withdrawn and comes
+// again. Guards against a start of the withdrawn job that waited for the store
+// and is sent for the new one, which is not stored yet.
+TEST_F(coordinator_test, sends_no_start_of_a_withdrawn_job)
+{
+    add_target(make_report("t1"));
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    auto withdrawn = it.plan(at(0), platform_time(0));
+    ASSERT_EQ(withdrawn.size(), 1U);
+    auto acceptance = it.get_acceptance_number(job_1);
+    it.withdraw_job(job_1);
+    EXPECT_EQ(it.get_acceptance_number(job_1), 0U);
+    it.submit(job_1, make_record({make_step(1)}), at(2'000));
+    EXPECT_NE(it.get_acceptance_number(job_1), acceptance);
+    auto planned = it.plan(at(2'000), platform_time(2'000));
+    ASSERT_EQ(planned.size(), 1U);
+    EXPECT_EQ(planned[0].run, withdrawn[0].run);
+    EXPECT_FALSE(it.make_start_request(withdrawn[0]));
+    it.abandon_start(withdrawn[0], at(2'000));
+    EXPECT_EQ(it.get_runs().size(), 1U);
+    EXPECT_TRUE(it.make_start_request(planned[0]));
+}
+
 // Guards against leases of a silent target that are renewed with every poll,
 // so that its tasks never start elsewhere.
 TEST_F(coordinator_test, lets_leases_of_a_silent_target_expire)
