--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -479,7 +479,8 @@
     def memory_mb(self):
         try:
             with open(f"/proc/{self.process.pid}/statm") as f:
-                return int(f.read().split()[1]) * 4096 / 1e6
+                pages = int(f.read().split()[1])
+                return pages * resource.getpagesize() / 1e6
         except (OSError, IndexError):
             return 0
 
@@ -537,7 +538,7 @@
         for it in self.entries:
             await it.start()
             self.tasks.append(asyncio.create_task(it.watch()))
-        for _ in range(300):
+        for _ in range(100):
             await asyncio.sleep(0.1)
             if all([await it.is_ready() for it in self.entries]):
                 self.note("ready")
@@ -639,7 +640,7 @@
                       **options)
         try:
             await fleet.start()
-            return await asyncio.wait_for(play(fleet, trouble), 110)
+            return await asyncio.wait_for(play(fleet, trouble), 100)
         finally:
             await fleet.stop()
     try:
