--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -289,7 +289,9 @@
     async def handle(self, method, path, query, body, headers):
         if headers.get("x-cowslippass-target-instance", self.id) != self.id:
             return 421, {}
-        self.expire()
+        # The record then shows a lapse before a start that comes later.
+        for it in self.fleet.runners:
+            it.expire()
         fence = body.get("fenceToken", 0)
         if fence < self.fence:
             return 409, {"clockMs": self.clock(), "reason": "fence"}
@@ -420,6 +422,7 @@
         self.front = free_port()
         self.readiness = free_port()
         self.peer = free_port()
+        self.store_port = None  # Of a proxy in front of the store.
         self.process = None
         self.ends = []
         self.path = os.path.join(fleet.folder, self.name + ".toml")
@@ -437,7 +440,8 @@
             "listen": {"front": f"127.0.0.1:{self.front}",
                        "readiness": f"127.0.0.1:{self.readiness}"},
             "portRange": [self.peer, self.peer + 1],
-            "platform": {"address": f"127.0.0.1:{self.fleet.store.port}",
+            "platform": {"address": "127.0.0.1:" + str(
+                self.store_port or self.fleet.store.port),
                          "form": "table", "rowBytes": 65536},
             "orders": "rpc",
             "cloudApi": {"address": f"127.0.0.1:{self.fleet.machines.port}",
@@ -538,6 +542,9 @@
         for it in self.entries:
             await it.start()
             self.tasks.append(asyncio.create_task(it.watch()))
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self):
         for _ in range(100):
             await asyncio.sleep(0.1)
             if all([await it.is_ready() for it in self.entries]):
@@ -545,6 +552,13 @@
                 return
         raise RuntimeError("the entries do not turn ready")
 
+    async def restart_entries(self):
+        """Ends all entries; watch() starts them again, with new settings."""
+        for it in self.entries:
+            it.process.kill()
+        await asyncio.sleep(1)
+        await self.wait_until_ready()
+
     async def beat(self, runner):
         """Liveness reports; after three that are missing the row goes."""
         while runner.is_up:
