--- a/review/10/case.py
+++ b/review/10/case.py
@@ -41,10 +41,10 @@
         if trouble:
             entry.process.send_signal(signal.SIGSTOP)
         status, _ = await fleet_2.Http.call(
-            entry.front, "POST", "/work/" + job,
+            entry.front, "POST", "/queue/" + job,
             {"spec": "two steps", "steps": steps}, HEADERS, LEAVE_S)
         cancelled, answer = await fleet_2.Http.call(
-            other.front, "DELETE", "/work/" + job, None, HEADERS, 3.0)
+            other.front, "DELETE", "/queue/" + job, None, HEADERS, 3.0)
         cancelled_at = time.monotonic()
         fleet.note("consumer", job=job, frozen=entry.name if trouble else "",
                    coordinator=coordinator.name, submitted=status,
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -527,7 +527,7 @@
             await it.start()
         await self.store.put("op", "config", {
             "version": 3, "limits": {"maxBodyBytes": 262144},
-            "routes": [{"name": "r-work", "host": HOST, "prefix": "/work/",
+            "routes": [{"name": "r-work", "host": HOST, "prefix": "/queue/",
                         "kind": "non_idempotent", "timeoutMs": 3000,
                         "targetDurationMs": 600, "priority": 0,
                         "service": "work", "maxAttempts": 4, "stretch": 1.6,
@@ -603,7 +603,7 @@
             nodes = ready or self.entries
             entry = nodes[(hash(job) + i) % len(nodes)]
             status, out = await Http.call(
-                entry.front, method, "/work/" + job, body,
+                entry.front, method, "/queue/" + job, body,
                 {"Authorization": "Bearer key-1",
                  "X-Cowslippass-Deadline-Ms": int(limit * 1000)}, limit)
             seen.append(status)
