Entries: nothing is done under a term whose release was sent

Cause: the coordinator extended leases and sent starts until the reply to the release arrived, for up to 4 s after its last confirmed transaction. The successor trusts a released head row and does not wait for these 4 s.

Change: ledger::may_be_released() is true from the making of a batch with the release until the store has refused every copy of it, or a later batch shows that it did not apply. The term is not valid then, and callers' operations are answered as by a process that is not the coordinator. The release waits until the durable starts have been sent.

It works because every lease was computed before the release was sent, and the successor waits for the longest lease from its takeover on. Requests delivered late extend nothing, leases being absolute times of the target.

Ruled out: a wrong time from which the successor counts (its log shows released: true). Weighed: a successor that waits as after a crash, which costs 4 s in each planned stop for targets that it cannot reach.

The stand-in of the users' platform gets leases, several accesses to the store and partitions by fencing token.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -84,12 +84,15 @@
 
 bool coordinator_runner::has_valid_term() const
 {
-    return !is_over_ && boot_clock::now() - renewed_at_ < max_renewal_age;
+    return boot_clock::now() < get_term_end();
 }
 
 boot_time coordinator_runner::get_term_end() const
 {
-    return is_over_ ? boot_time{} : renewed_at_ + max_renewal_age;
+    // The successor of a released term does not wait for this one's validity.
+    if (is_over_ || ledger_.may_be_released())
+        return boot_time{};
+    return renewed_at_ + max_renewal_age;
 }
 
 void coordinator_runner::record_probe(const peer_coordinator_call& probe)
@@ -208,11 +211,12 @@
     wake();
 }
 
-void coordinator_runner::release_when_no_order_in_flight()
+void coordinator_runner::release_when_nothing_to_send()
 {
     bool has_orders =
         pool_plan_executor_ && pool_plan_executor_->has_orders_in_flight();
-    if (is_releasing_ && !has_orders &&
+    // Starts that are left over would wait for the successor's polls.
+    if (is_releasing_ && !has_orders && !is_sending_starts_ &&
         is_previous_term_over(was_previous_term_released_, taken_over_at_))
         ledger_.release();
 }
@@ -529,7 +533,7 @@
     {
         if (is_recovered_)
             decide();
-        release_when_no_order_in_flight();
+        release_when_nothing_to_send();
         boot_time now = boot_clock::now();
         bool is_due = now - last_batch_at_ >= renewal_interval;
         if (ledger_.has_changes() || is_due)
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -54,7 +54,8 @@
     void set_published_state(const published_state& state);
 
     /// Requests the release of the term, so that a successor need not wait.
-    /// The term ends when the ledger holds the release.
+    /// Nothing is done under the term once the store may hold the release; the
+    /// term ends when the store confirms it.
     void release();
 
     /// @return whether the term has ended.
@@ -90,9 +91,10 @@
     using link_ptr = std::shared_ptr<target_link>;
 
     /// @return whether the last renewal is recent enough to start and stop runs
-    ///   and to extend leases.
+    ///   and to extend leases, and no successor can have read a release.
     bool has_valid_term() const;
-    /// @return when the term loses its validity unless it is renewed.
+    /// @return when the term loses its validity unless it is renewed; the epoch
+    ///   if it has none any more.
     boot_time get_term_end() const;
     /// @return when a request to start or stop a run, issued now, must no
     /// longer
@@ -246,9 +248,10 @@
     target_time grant_lease(const target_link& link);
     void start_pool_plan_executor();
     /// Releases the term in the ledger if that is requested, no earlier
-    /// coordinator can extend leases any more, and no instance order is in
-    /// flight, because the successor sends orders at once.
-    void release_when_no_order_in_flight();
+    /// coordinator can extend leases any more, all durable starts have been
+    /// sent, and no instance order is in flight, because the successor sends
+    /// orders at once.
+    void release_when_nothing_to_send();
     /// @return null if there is no link to the target.
     link_ptr find_link(const target_id& target) const;
 
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -262,8 +262,11 @@
 {
     auto self = shared_from_this();
     peer_coordinator_reply reply;
-    reply.was_not_executed = is_over_;
-    if (!is_over_)
+    // A successor may answer callers already.
+    bool is_probe = call.operation == coordinator_operation::probe;
+    bool is_ended = is_over_ || (ledger_.may_be_released() && !is_probe);
+    reply.was_not_executed = is_ended;
+    if (!is_ended)
     {
         switch (call.operation)
         {
--- a/systems/coordination/ledger.cpp
+++ b/systems/coordination/ledger.cpp
@@ -89,8 +89,14 @@
 
 const ledger_batch& ledger::make_batch()
 {
-    if (in_flight_)
-        return *in_flight_;
+    if (!in_flight_)
+        take_pending_changes();
+    may_be_released_ = may_be_released_ || in_flight_->head.is_released;
+    return *in_flight_;
+}
+
+void ledger::take_pending_changes()
+{
     ledger_batch batch{version_, head_, {}};
     ++batch.head.batch;
     std::size_t bytes = 0;
@@ -116,7 +122,6 @@
     }
     in_flight_ = std::move(batch);
     may_have_applied_ = false;
-    return *in_flight_;
 }
 
 void ledger::commit(row_version version)
@@ -124,6 +129,9 @@
     version_ = version;
     head_ = in_flight_->head;
     is_released_ = head_.is_released;
+    // An earlier release that has not applied expects an older version.
+    may_be_released_ = is_released_;
+    has_unanswered_release_ = false;
     last_durable_number_ = last_in_flight_number_;
     is_store_accepting_ = batch_limit_ == 0;
     batch_limit_ = std::clamp<std::size_t>(batch_limit_ * 2, 1, max_batch_rows);
@@ -199,11 +207,15 @@
         commit(result.version);
         return;
     case kind::refused:
+        may_be_released_ = has_unanswered_release_;
         return;
     case kind::unknown:
         may_have_applied_ = true;
+        has_unanswered_release_ =
+            has_unanswered_release_ || in_flight_->head.is_released;
         return;
     case kind::rejected:
+        may_be_released_ = has_unanswered_release_;
         handle_rejection();
         return;
     case kind::conflict:
--- a/systems/coordination/ledger.hpp
+++ b/systems/coordination/ledger.hpp
@@ -121,6 +121,11 @@
     /// @return whether another coordinator has taken the ledger over.
     bool is_lost() const { return is_lost_; }
     bool is_released() const { return is_released_; }
+
+    /// @return whether another coordinator may already have read the release:
+    ///   a batch with it was made, and neither the store has refused it nor a
+    ///   later batch has shown that it did not apply.
+    bool may_be_released() const { return may_be_released_; }
     std::size_t count_pending_changes() const
     {
         return pending_changes_.size();
@@ -161,6 +166,8 @@
 
     void add(
         const char* table, std::string key, std::optional<std::string> value);
+    /// Makes a batch of pending changes the one in flight.
+    void take_pending_changes();
     void commit(row_version version);
     /// Makes the changes of the rejected batch pending again, except for one
     /// that is rejected alone.
@@ -198,6 +205,9 @@
     bool is_lost_ = false;
     bool is_release_requested_ = false;
     bool is_released_ = false;
+    bool may_be_released_ = false;
+    /// A copy of a batch with the release got no reply.
+    bool has_unanswered_release_ = false;
 };
 
 } // namespace cowslippass
--- a/tests/main/entryd/test_entry.hpp
+++ b/tests/main/entryd/test_entry.hpp
@@ -18,9 +18,12 @@
 {
     /// @param peer_address with a port that is not listened at; port 0 for a
     ///   free port, at which the entry serves its peers.
+    /// @param access the entry's way to the store; null for the one that all
+    ///   entries share.
     test_entry(asio::io_context& context, users_platform& platform,
-        const std::string& peer_address)
-        : io(context), settings(make_settings(platform, peer_address)),
+        const std::string& peer_address,
+        const users_platform::store_access* access = nullptr)
+        : io(context), settings(make_settings(platform, peer_address, access)),
           metrics(get_entryd_metrics()),
           tasks(io, [this](const std::string&, const std::string& why)
               { failures.push_back(why); }),
@@ -36,8 +39,9 @@
         asio::co_spawn(io, role.run(), asio::detached);
     }
 
-    static entry_settings make_settings(
-        users_platform& platform, const std::string& peer_address)
+    static entry_settings make_settings(users_platform& platform,
+        const std::string& peer_address,
+        const users_platform::store_access* access)
     {
         entry_settings out;
         out.entry = entry_id("e");
@@ -46,6 +50,8 @@
         if (out.peer_listen.port() == 0)
             out.peer_listen.port(find_free_port());
         out.store = platform.get_store_endpoint();
+        if (access)
+            out.store.port(access->server->get_port());
         out.machines = platform.get_store_endpoint();
         return out;
     }
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -1,7 +1,9 @@
 #include "tests/stand_ins/users_platform.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <openssl/evp.h>
+#include <utility>
 
 namespace cowslippass
 {
@@ -12,6 +14,8 @@
 using json = nlohmann::json;
 
 constexpr milliseconds poll_interval{5};
+/// Longer than callers wait for a reply.
+constexpr milliseconds lost_reply_time{5'000};
 constexpr std::size_t max_row_bytes = 65'536;
 constexpr std::size_t max_transaction_rows = 100;
 constexpr std::size_t max_transaction_bytes = 1'000'000;
@@ -64,49 +68,84 @@
 
 struct users_platform::target
 {
+    struct run
+    {
+        std::uint64_t number = 0;
+        std::int64_t done_at = 0;   ///< In milliseconds.
+        std::int64_t lease_end = 0; ///< In milliseconds.
+    };
+
     std::string id;
     milliseconds task_duration{0};
     std::int64_t incarnation_start = 1;
     int poll_count = 0;
     bool is_unreachable = false;
-    std::uint64_t fence = 0; ///< Highest fencing token seen.
-    /// By task name: the run's number and the time at which it ends, in
-    /// milliseconds.
-    std::map<std::string, std::pair<std::uint64_t, std::int64_t>> running;
+    std::uint64_t min_fence = 0;
+    std::uint64_t max_fence = std::numeric_limits<std::uint64_t>::max();
+    std::uint64_t fence = 0;            ///< Highest fencing token seen.
+    std::map<std::string, run> running; ///< By task name.
     std::vector<json> ended; ///< Ends not acknowledged yet, as on the wire.
     std::uint64_t last_end_number = 0;
     std::unique_ptr<http_server> server;
 
+    bool is_reachable_for(std::uint64_t caller) const
+    {
+        return !is_unreachable && caller >= min_fence && caller <= max_fence;
+    }
+
     /// Moves the runs that are due to end from `running` to `ended`.
     void end_finished_tasks()
     {
         std::int64_t now = get_clock_ms();
         for (auto it = running.begin(); it != running.end();)
         {
-            if (it->second.second > now)
+            const run& ending = it->second;
+            if (std::min(ending.done_at, ending.lease_end) > now)
             {
                 ++it;
                 continue;
             }
-            ended.push_back(json::array(
-                {++last_end_number, it->first, it->second.first, "done", ""}));
+            bool is_done = ending.done_at <= ending.lease_end;
+            ended.push_back(json::array({++last_end_number, it->first,
+                ending.number, is_done ? "done" : "lapsed", ""}));
             it = running.erase(it);
         }
     }
+
+    /// @param limit longest lease; nothing if leases do not expire.
+    /// @return the end of a lease that is requested now.
+    static std::int64_t get_lease_end(
+        const json& request, std::optional<milliseconds> limit)
+    {
+        if (!limit)
+            return std::numeric_limits<std::int64_t>::max();
+        return std::min(request.value("deadlineMs", std::int64_t{0}),
+            get_clock_ms() + limit->count());
+    }
 };
 
-users_platform::users_platform(asio::io_context& io)
-    : io_(io), store_(std::make_unique<http_server>(io, make_options(),
-                   [this](http_request it)
-                   { return handle_store_request(std::move(it)); }))
+users_platform::users_platform(asio::io_context& io) : io_(io)
 {
+    add_store_access();
 }
 
 users_platform::~users_platform() = default;
 
 tcp::endpoint users_platform::get_store_endpoint() const
 {
-    return parse_endpoint("127.0.0.1:" + std::to_string(store_->get_port()));
+    return parse_endpoint(
+        "127.0.0.1:" +
+        std::to_string(store_accesses_.front()->server->get_port()));
+}
+
+users_platform::store_access& users_platform::add_store_access()
+{
+    auto access = std::make_unique<store_access>();
+    access->server = std::make_unique<http_server>(io_, make_options(),
+        [this, it = access.get()](http_request request)
+        { return handle_store_request(*it, std::move(request)); });
+    store_accesses_.push_back(std::move(access));
+    return *store_accesses_.back();
 }
 
 asio::awaitable<void> users_platform::sleep(milliseconds time)
@@ -199,6 +238,26 @@
     targets_[id]->is_unreachable = is_unreachable;
 }
 
+void users_platform::set_reachable_for(
+    const std::string& id, std::uint64_t min_fence, std::uint64_t max_fence)
+{
+    targets_[id]->min_fence = min_fence;
+    targets_[id]->max_fence = max_fence;
+}
+
+std::vector<std::string> users_platform::list_running_targets(
+    const std::string& task)
+{
+    std::vector<std::string> out;
+    for (const auto& [id, it] : targets_)
+    {
+        it->end_finished_tasks();
+        if (it->running.contains(task))
+            out.push_back(id);
+    }
+    return out;
+}
+
 int users_platform::get_poll_count(const std::string& id) const
 {
     return targets_.at(id)->poll_count;
@@ -337,19 +396,58 @@
     co_return make_response(200, {{"rows", rows}, {"ver", version_}});
 }
 
+asio::awaitable<http_response> users_platform::handle_transaction(
+    store_access& access, http_request request)
+{
+    if (transaction_time_ > milliseconds(0))
+        co_await sleep(transaction_time_);
+    json body = json::parse(request.body);
+    bool is_release = std::ranges::any_of(body.at("upserts"),
+        [](const json& it)
+        {
+            return it.at("table") == "control" &&
+                   json::parse(from_base64(it.at("value").get<std::string>()))
+                       .at("released")
+                       .get<bool>();
+        });
+    auto fault = is_release ? std::exchange(access.fault, release_fault::none)
+                            : release_fault::none;
+    auto report = [&]
+    {
+        if (is_release && access.on_release)
+            std::exchange(access.on_release, {})();
+    };
+    if (fault == release_fault::refused)
+    {
+        report();
+        co_return make_response(503, json::object());
+    }
+    if (fault == release_fault::applied_late)
+    {
+        report();
+        co_await sleep(release_delay);
+    }
+    http_response out = fault == release_fault::not_received
+                            ? make_response(503, json::object())
+                            : commit(body);
+    report();
+    // The caller closes the connection when its time-out expires.
+    if (fault != release_fault::none)
+        co_await sleep(lost_reply_time);
+    co_return out;
+}
+
 asio::awaitable<http_response> users_platform::handle_store_request(
-    http_request request)
+    store_access& access, http_request request)
 {
     if (request.path.starts_with("/-/machine"))
         co_return co_await handle_instance_request(std::move(request));
+    while (access.is_cut_off)
+        co_await sleep(poll_interval);
     if (is_store_unavailable_)
         co_return make_response(503, json::object());
     if (request.path == "/-/rows-tx")
-    {
-        if (transaction_time_ > milliseconds(0))
-            co_await sleep(transaction_time_);
-        co_return commit(json::parse(request.body));
-    }
+        co_return co_await handle_transaction(access, std::move(request));
     if (request.path == "/-/rows-get")
         co_return read(request);
     if (request.path == "/-/rows-feed")
@@ -360,10 +458,10 @@
 asio::awaitable<http_response> users_platform::handle_target_request(
     std::shared_ptr<target> it, http_request request)
 {
-    while (it->is_unreachable)
-        co_await sleep(poll_interval);
     json body = json::parse(request.body);
     auto fence = body.at("fenceToken").get<std::uint64_t>();
+    while (!it->is_reachable_for(fence))
+        co_await sleep(poll_interval);
     if (fence < it->fence)
         co_return make_response(
             409, {{"clockMs", get_clock_ms()}, {"reason", "fence"}});
@@ -371,17 +469,24 @@
     if (request.path == "/-/run-start")
     {
         auto task = body.at("task").get<std::string>();
+        it->end_finished_tasks();
         if (!it->running.contains(task))
         {
+            if (!list_running_targets(task).empty())
+                overlapping_starts_.push_back(task);
             ++start_counts_[task];
             it->running[task] = {body.at("runId").get<std::uint64_t>(),
-                get_clock_ms() + it->task_duration.count()};
+                get_clock_ms() + it->task_duration.count(),
+                target::get_lease_end(body, lease_limit_)};
         }
         co_return make_response(200, {{"clockMs", get_clock_ms()}});
     }
     if (request.path == "/-/run-stop")
         co_return make_response(200, {{"clockMs", get_clock_ms()}});
     it->end_finished_tasks();
+    for (auto& [task, run] : it->running)
+        run.lease_end =
+            std::max(run.lease_end, target::get_lease_end(body, lease_limit_));
     auto seen = body.value("seenUpto", std::uint64_t{0});
     std::erase_if(it->ended,
         [&](const json& end) { return end[0].get<std::uint64_t>() <= seen; });
@@ -389,10 +494,12 @@
     for (it->end_finished_tasks(); it->ended.empty() && get_clock_ms() < end;
          it->end_finished_tasks())
         co_await sleep(poll_interval);
+    if (!it->is_reachable_for(fence))
+        co_await sleep(lost_reply_time);
     ++it->poll_count;
     json running = json::array();
     for (const auto& [task, run] : it->running)
-        running.push_back(json::array({task, run.first, "", 50, 0}));
+        running.push_back(json::array({task, run.number, "", 50, 0}));
     co_return make_response(
         200, {{"clockMs", get_clock_ms()}, {"born", it->incarnation_start},
                  {"running", running}, {"ended", it->ended}});
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -4,8 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,15 +18,42 @@
 /// Stand-in for the users' platform: a store, an instance service and targets
 /// that speak its protocol on loopback within the test's process. Simplified:
 /// partitions are ignored, a request to stop a run is accepted without effect,
-/// and there are no delays and no limits but those on a transaction.
+/// and there are no delays and no limits but those on a transaction. Leases
+/// expire only with set_lease_limit().
 class users_platform
 {
 public:
+    /// What happens to the first transaction that releases a term through an
+    /// access.
+    enum class release_fault
+    {
+        none,
+        not_received, ///< It is lost on its way to the store.
+        refused,      ///< The store answers 503 and does not apply it.
+        applied_late, ///< It is on its way for `release_delay`; no reply.
+        reply_lost    ///< The store applies it, and the reply is lost.
+    };
+    static constexpr milliseconds release_delay{400};
+
+    /// One address of the store. It can be cut off alone.
+    struct store_access
+    {
+        std::unique_ptr<http_server> server;
+        /// While set, requests through it get no reply and have no effect.
+        bool is_cut_off = false;
+        release_fault fault = release_fault::none;
+        /// Called when a release arrives, or is lost on its way.
+        std::function<void()> on_release;
+    };
+
     explicit users_platform(asio::io_context& io);
     ~users_platform();
 
     tcp::endpoint get_store_endpoint() const;
 
+    /// Opens another address of the store.
+    store_access& add_store_access();
+
     /// Publishes a configuration with one queue at the path `/q/` of host `h`,
     /// which is open to all callers and runs its jobs in pool `p`.
     /// @param has_queue whether the configuration has the queue, or none.
@@ -48,6 +77,15 @@
     /// while its tasks keep running.
     void set_unreachable(const std::string& id, bool is_unreachable);
 
+    /// Simulates a network partition between the target and some coordinators:
+    /// it answers only requests with a fencing token in this range.
+    void set_reachable_for(const std::string& id, std::uint64_t min_fence,
+        std::uint64_t max_fence);
+
+    /// From now on, runs end when their lease expires.
+    /// @param limit longest lease that a target grants.
+    void set_lease_limit(milliseconds limit) { lease_limit_ = limit; }
+
     /// While unavailable, the store answers each request with status 503. The
     /// instance service keeps working.
     void set_store_unavailable(bool is_unavailable)
@@ -91,6 +129,15 @@
         return start_counts_;
     }
 
+    /// @return the starts that came while another target was running the task.
+    const std::vector<std::string>& get_overlapping_starts() const
+    {
+        return overlapping_starts_;
+    }
+
+    /// @return the targets that are running the task.
+    std::vector<std::string> list_running_targets(const std::string& task);
+
     /// @return the number of polls that the target's current life has answered.
     int get_poll_count(const std::string& id) const;
 
@@ -119,7 +166,10 @@
     void start_target(const std::string& id, milliseconds task_duration,
         std::int64_t incarnation_start, unsigned short port);
 
-    asio::awaitable<http_response> handle_store_request(http_request request);
+    asio::awaitable<http_response> handle_store_request(
+        store_access& access, http_request request);
+    asio::awaitable<http_response> handle_transaction(
+        store_access& access, http_request request);
     asio::awaitable<http_response> handle_feed_request(http_request request);
     asio::awaitable<http_response> handle_instance_request(
         http_request request);
@@ -133,13 +183,15 @@
     asio::awaitable<void> sleep(milliseconds time);
 
     asio::io_context& io_;
-    std::unique_ptr<http_server> store_;
+    std::vector<std::unique_ptr<store_access>> store_accesses_;
     std::map<row_key, row> rows_;
     std::uint64_t version_ = 0;
     int refused_size_count_ = 0;
     std::set<row_key> rejected_rows_;
     std::map<std::string, std::shared_ptr<target>> targets_;
     std::map<std::string, int> start_counts_;
+    std::vector<std::string> overlapping_starts_;
+    std::optional<milliseconds> lease_limit_;
     bool is_store_unavailable_ = false;
     milliseconds transaction_time_{0};
     bool is_holding_order_replies_ = false;
--- a/tests/systems/coordination/ledger_test.cpp
+++ b/tests/systems/coordination/ledger_test.cpp
@@ -249,6 +249,96 @@
     EXPECT_EQ(store.rows.size(), ledger::max_batch_rows + 5);
 }
 
+// Guards against a coordinator that acts under a term whose release its
+// successor has read already. Replies are lost, copies of batches are delayed,
+// refused and rejected at random.
+RC_GTEST_PROP(ledger, knows_when_a_successor_can_have_read_the_release, ())
+{
+    auto choices =
+        *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 1'000));
+    store_model store;
+    ledger it = start_term(store, 1, "a");
+    std::deque<ledger_batch> delayed;
+    bool is_requested = false;
+    int n = 0;
+    auto answer = [&](batch_result::kind outcome)
+    {
+        batch_result out;
+        out.outcome = outcome;
+        it.handle_result(out);
+    };
+    for (int choice : choices)
+    {
+        switch (choice % 9)
+        {
+        case 0:
+            it.put(ledger_table::progress, "k", std::to_string(++n));
+            break;
+        case 1:
+            it.release();
+            is_requested = true;
+            break;
+        case 2:
+            it.handle_result(store.apply(it.make_batch()));
+            break;
+        case 3:
+            store.apply(it.make_batch());
+            it.handle_result(make_unknown_result());
+            break;
+        case 4:
+            delayed.push_back(it.make_batch());
+            it.handle_result(make_unknown_result());
+            break;
+        case 5:
+            it.make_batch();
+            answer(batch_result::kind::refused);
+            break;
+        case 6:
+            it.make_batch();
+            answer(batch_result::kind::rejected);
+            break;
+        default:
+            if (!delayed.empty())
+            {
+                store.apply(delayed.front());
+                delayed.pop_front();
+            }
+            break;
+        }
+        // A successor that reads the head row now trusts the release.
+        if (store.head->is_released)
+            RC_ASSERT(it.may_be_released());
+        if (!is_requested)
+            RC_ASSERT(!it.may_be_released());
+        if (it.is_released() || it.is_lost())
+            break;
+    }
+}
+
+// Guards against a term that stays without effect after the store has refused
+// its release: the leases of all tasks would expire in an outage.
+TEST(ledger, keeps_the_term_when_the_release_is_refused)
+{
+    store_model store;
+    ledger it = start_term(store, 1, "a");
+    it.release();
+    EXPECT_FALSE(it.may_be_released());
+    it.make_batch();
+    EXPECT_TRUE(it.may_be_released());
+    batch_result refusal;
+    refusal.outcome = batch_result::kind::refused;
+    it.handle_result(refusal);
+    EXPECT_FALSE(it.may_be_released());
+    it.make_batch();
+    it.handle_result(make_unknown_result());
+    it.make_batch();
+    // The copy without a reply may still apply.
+    it.handle_result(refusal);
+    EXPECT_TRUE(it.may_be_released());
+    it.handle_result(store.apply(it.make_batch()));
+    EXPECT_TRUE(it.is_released());
+}
+
 // Failure: an outage of the store. A submission that waits for it is taken
 // back, so that its refusal is true.
 TEST(ledger, never_writes_a_withdrawn_change)
