Entries: a cancellation of an unknown job binds later submissions

Cause: a cancellation of an unknown id was acknowledged and left no trace, while a submission sent before it can still be in the socket of a paused entry, held up between entries, or on its way to a successor.

Change: the cancellation writes a tombstone into the ledger and is acknowledged once that is durable. A submission with a tombstone is answered with 410; all successors read the tombstones. A job that is withdrawn in an outage while its cancellation waits gets a tombstone too.

It works because the coordinator decides on submission and cancellation in one order, and that order is the ledger's: whichever comes second finds the first.

Ruled out or weighed: whether the caller is still connected (it may half-close, and the end may come later than the request); the age of the submission alone (the freeze is shorter than the caller's limit); memory without a row (lost in a takeover).

--- a/drivers/peer_message.hpp
+++ b/drivers/peer_message.hpp
@@ -150,7 +150,8 @@
     unknown_job,
     refused, ///< Not accepted; this call will have no effect later either.
     not_coordinator,
-    invalid
+    invalid,
+    cancelled ///< Not accepted: its caller has cancelled it before it arrived.
 };
 
 struct peer_coordinator_reply
--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -338,6 +338,8 @@
         held_jobs_.erase(id);
         ledger_.erase(ledger_table::progress, id.get());
     }
+    for (const job_id& id : coordinator_.get_tombstones().take_expired(now))
+        ledger_.erase(ledger_table::progress, id.get());
 }
 
 void coordinator_runner::acknowledge_ends_when_durable()
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -121,6 +121,10 @@
     /// @return whether the job is settled.
     bool load_settled_job(
         const job_id& id, const std::string& progress, boot_time now);
+    /// @param progress progress row of a job.
+    /// @return whether the row is a tombstone.
+    bool load_tombstone(
+        const job_id& id, const std::string& progress, boot_time now);
     /// @param records rows of accepted jobs.
     /// @param progress progress rows of jobs.
     asio::awaitable<void> load_jobs(
@@ -168,8 +172,13 @@
     /// @return when its caller can return; nothing if it can be accepted.
     std::optional<milliseconds> refuse_submission(
         const job_id& id, const job_record& record);
+    /// Cancels a job. One that is not known gets a tombstone, so that a
+    /// submission that was sent before is not accepted afterwards.
     asio::awaitable<peer_coordinator_reply> cancel(
         peer_coordinator_call call, boot_time deadline);
+    /// Writes the tombstone of an unknown job with the next batches.
+    /// @return false if there are too many.
+    bool put_tombstone(const job_id& id, const team_id& team);
     /// @return whether the store has accepted nothing for a while.
     bool is_store_away() const;
     /// @return the refusal of a submission of which nothing is stored.
@@ -218,7 +227,7 @@
     void put_changed_rows();
     /// Writes what was learned of run times, if that is due.
     void put_run_times();
-    /// Removes the rows of jobs whose retention time has passed.
+    /// Removes the rows of jobs and tombstones whose retention time has passed.
     void erase_expired_rows();
     /// Acknowledges the received ends to their targets once the next
     /// transaction, which contains them, is durable.
--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -79,6 +79,14 @@
     {
         decode_error = e.what();
     }
+    if (coordinator_.get_tombstones().contains(call.job))
+    {
+        // A successor accepts the submission unless it finds the tombstone.
+        reply.result = co_await wait_until_durable(deadline)
+                           ? coordinator_result::cancelled
+                           : coordinator_result::not_coordinator;
+        co_return reply;
+    }
     // The store would reject the job's rows again.
     if (rejected_jobs_.contains(call.job))
     {
@@ -190,29 +198,48 @@
 {
     auto self = shared_from_this();
     peer_coordinator_reply reply;
-    if (!coordinator_.find_job(call.job) &&
-        !co_await wait_until_confirmed(deadline))
+    bool is_known = false;
+    bool is_durable = false;
+    bool is_withdrawn = false;
+    do
     {
-        reply.result = coordinator_result::not_coordinator;
-        co_return reply;
-    }
-    if (!coordinator_.cancel(call.job, boot_clock::now()))
-    {
-        reply.result = coordinator_result::unknown_job;
-        co_return reply;
-    }
-    put_changed_rows();
-    wake();
-    bool is_durable =
-        co_await wait_until_durable(deadline) && !held_jobs_.contains(call.job);
-    coordinator_log.write("cancel", "asked_by_caller",
+        boot_time now = boot_clock::now();
+        is_known = coordinator_.cancel(call.job, now);
+        if (is_known)
+            put_changed_rows();
+        else if (!put_tombstone(call.job, call.team))
+        {
+            reply.result = coordinator_result::refused;
+            reply.retry_after =
+                coordinator_.get_tombstones().get_retry_delay(now);
+            co_return reply;
+        }
+        wake();
+        is_durable = co_await wait_until_durable(deadline) &&
+                     !held_jobs_.contains(call.job);
+        // A submission that could not be stored may have been withdrawn, and
+        // its cancellation with it.
+        is_withdrawn = is_known && !coordinator_.find_job(call.job);
+    } while (is_durable && is_withdrawn && !is_over_);
+    coordinator_log.write("cancel", is_known ? "asked_by_caller" : "unknown",
         {{"job", call.job}, {"durable", is_durable}});
-    reply.result = is_durable && !is_over_
-                       ? coordinator_result::done
-                       : coordinator_result::not_coordinator;
+    reply.result = !is_durable || is_over_ ? coordinator_result::not_coordinator
+                   : is_known              ? coordinator_result::done
+                                           : coordinator_result::unknown_job;
     co_return reply;
 }
 
+bool coordinator_runner::put_tombstone(const job_id& id, const team_id& team)
+{
+    if (!coordinator_.get_tombstones().add(id, team, boot_clock::now()))
+    {
+        metrics_.add("cowslippass_refused_cancellations_total");
+        return false;
+    }
+    ledger_.put(ledger_table::progress, id.get(), encode_tombstone(team));
+    return true;
+}
+
 asio::awaitable<peer_coordinator_reply> coordinator_runner::get_status(
     peer_coordinator_call call, boot_time deadline)
 {
--- a/main/entryd/coordinator_runner_recovery.cpp
+++ b/main/entryd/coordinator_runner_recovery.cpp
@@ -73,6 +73,15 @@
     }
 }
 
+bool coordinator_runner::load_tombstone(
+    const job_id& id, const std::string& progress, boot_time now)
+{
+    auto team = decode_tombstone(progress);
+    if (team)
+        coordinator_.get_tombstones().restore(id, *team, now);
+    return team.has_value();
+}
+
 asio::awaitable<void> coordinator_runner::load_jobs(
     job_row_table records, job_row_table progress)
 {
@@ -91,6 +100,8 @@
     {
         if (is_pause_due())
             co_await sleep(milliseconds(1));
+        if (load_tombstone(id, values.main, now))
+            continue;
         if (!values.main.empty() && load_settled_job(id, values.main, now))
             erase_parts(ledger_table::progress, id, list_parts(values));
     }
@@ -117,7 +128,8 @@
         auto record = records.find(id);
         bool is_accepted =
             record != records.end() && !record->second.main.empty();
-        if (is_accepted || coordinator_.find_job(id))
+        if (is_accepted || coordinator_.find_job(id) ||
+            coordinator_.get_tombstones().contains(id))
             continue;
         ledger_.erase(ledger_table::progress, id.get());
         erase_parts(ledger_table::progress, id, list_parts(values));
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -314,6 +314,9 @@
             "Rows that the store rejects; their jobs are refused or held."},
         {"cowslippass_ledger_retries_total", counter,
             "Transactions that were sent again."},
+        {"cowslippass_refused_cancellations_total", counter,
+            "Cancellations of unknown jobs that were refused, as there were "
+            "too many."},
         {"cowslippass_refused_jobs_total", counter,
             "Jobs refused for want of room, by queue and team."},
         {"cowslippass_starts_total", counter,
--- a/main/entryd/job_api.cpp
+++ b/main/entryd/job_api.cpp
@@ -202,6 +202,9 @@
         set_retry_after(out, result.reply->retry_after);
         co_return out;
     }
+    case coordinator_result::cancelled:
+        co_return make_error(410, "cancelled",
+            "the job was cancelled before it arrived; it will not run");
     default:
         co_return make_error(400, "bad_request",
             "the job cannot be read or stored; it was not accepted");
@@ -216,6 +219,13 @@
         co_await coordinator_role_.call(call, deadline);
     if (!result.reply)
         co_return make_error(504, "no_answer", "no coordinator answered");
+    if (result.reply->result == coordinator_result::refused)
+    {
+        http_response out = make_unavailable("too_many_cancellations",
+            "too many unknown jobs were cancelled; nothing was done");
+        set_retry_after(out, result.reply->retry_after);
+        co_return out;
+    }
     if (result.reply->result == coordinator_result::unknown_job)
         co_return make_error(410, "unknown_job", "there is no such job");
     co_return make_json("{}");
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -24,7 +24,8 @@
 } // namespace
 
 coordinator::coordinator(coordinator_options options)
-    : options_(options), arrival_load_(options.load_averaging_time)
+    : options_(options), arrival_load_(options.load_averaging_time),
+      tombstones_({.retention = options.ended_job_retention})
 {
 }
 
@@ -95,6 +96,8 @@
 {
     if (jobs_.contains(id))
         return submit_outcome::already_known;
+    if (tombstones_.contains(id))
+        return submit_outcome::cancelled;
     job value(id, record.queue, record.team, std::move(record.spec),
         record.tasks_per_segment);
     job_entry entry{std::move(value), now, ++last_acceptance_number_};
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -9,6 +9,7 @@
 #include "systems/scheduling/queue_registry.hpp"
 #include "systems/scheduling/run_time_model.hpp"
 #include "systems/scheduling/target_table.hpp"
+#include "systems/scheduling/tombstone_table.hpp"
 #include "systems/workload/job_record.hpp"
 
 #include <limits>
@@ -140,7 +141,8 @@
 enum class submit_outcome
 {
     added,
-    already_known ///< A repeated submission, which adds no second job.
+    already_known, ///< A repeated submission, which adds no second job.
+    cancelled      ///< It was cancelled before it arrived; nothing was added.
 };
 
 /// Schedules all jobs on all targets: decides which task starts where and which
@@ -171,6 +173,7 @@
         const std::string& progress, boot_time now, platform_time wall_time,
         const std::map<std::uint32_t, std::string>& segments = {});
 
+    /// Adds a job, unless it is known or has a tombstone.
     submit_outcome submit(const job_id& id, job_record record, boot_time now);
 
     /// Decides about a submission that is not stored yet. Changes nothing.
@@ -183,6 +186,9 @@
     /// @return whether the job is known.
     bool cancel(const job_id& id, boot_time now);
 
+    /// Ids that were cancelled before their submission arrived.
+    tombstone_table& get_tombstones() { return tombstones_; }
+
     /// Forgets a job that could not be accepted. None of its starts may have
     /// been sent.
     void withdraw_job(const job_id& id);
@@ -533,6 +539,7 @@
     team_share_limiter share_limiter_;
     estimate_calibrator estimate_calibrator_;
     run_time_model run_times_;
+    tombstone_table tombstones_;
     std::map<pool_id, failure_baseline> failure_baselines_;
     std::map<pool_id, overload_state> overloads_;
     std::vector<overload_change> overload_changes_;
