Entries: a caller's time runs while the process is paused

Callers could see: a submission that waited in the socket of a paused or suspended entry was handed in with a whole new wait limit, however long ago it was sent, also after its caller had given up; and an operation that waited for a coordinator or a connection was sent on after its deadline.

Change: loop_delay_meter measures, on the clock that counts suspension, for how long the event loop did not run; the deadline of a request counts from before that. An expired request is answered with 503. The deadline is compared before each call to a coordinator and again after the wait for a connection.

It works because a request that is read now was either not there at the last run of the loop, or is as old as that at most.

Evidence: early_cancel_test.hands_in_nothing_whose_time_ran_out_in_a_pause and early_cancel_test.passes_nothing_on_after_the_deadline failed before and pass; peer_connection.a_request_is_not_sent_after_the_end_of_its_validity.

Not covered: requests that a caller pipelines behind slow ones.

--- a/drivers/drivers.hpp
+++ b/drivers/drivers.hpp
@@ -12,6 +12,7 @@
 #include "drivers/http_message.hpp"
 #include "drivers/http_server.hpp"
 #include "drivers/log.hpp"
+#include "drivers/loop_delay_meter.hpp"
 #include "drivers/metrics.hpp"
 #include "drivers/peer_client.hpp"
 #include "drivers/peer_connection.hpp"
--- a/drivers/peer_client.cpp
+++ b/drivers/peer_client.cpp
@@ -79,11 +79,11 @@
 }
 
 asio::awaitable<std::optional<peer_body>> peer_client::call(
-    peer_body body, milliseconds timeout, bool& was_sent)
+    peer_body body, milliseconds timeout, bool& was_sent, boot_time valid_until)
 {
     was_sent = false;
     auto connection = co_await connect();
-    if (!connection)
+    if (!connection || boot_clock::now() >= valid_until)
         co_return std::nullopt;
     was_sent = true;
     co_return co_await connection->call(std::move(body), timeout);
--- a/drivers/peer_client.hpp
+++ b/drivers/peer_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/boot_clock.hpp"
 #include "drivers/peer_connection.hpp"
 
 namespace cowslippass
@@ -26,10 +27,13 @@
     /// Sends a request and waits for its reply; connects first if necessary.
     /// @param was_sent is set to false if the request cannot have reached the
     ///   peer, else to true.
+    /// @param valid_until from then on it is not sent. It is compared with the
+    ///   boot clock after the wait for a connection.
     /// @return the reply; nothing when there was no connection or no reply
     ///   within `timeout`.
-    asio::awaitable<std::optional<peer_body>> call(
-        peer_body body, milliseconds timeout, bool& was_sent);
+    asio::awaitable<std::optional<peer_body>> call(peer_body body,
+        milliseconds timeout, bool& was_sent,
+        boot_time valid_until = boot_time::max());
 
     /// Closes the connection and ends the calls that wait on it.
     void close();
--- a/main/entryd/coordinator_role.cpp
+++ b/main/entryd/coordinator_role.cpp
@@ -130,15 +130,16 @@
 }
 
 asio::awaitable<std::optional<peer_coordinator_reply>>
-coordinator_role::call_remote_coordinator(
-    peer_coordinator_call call, milliseconds timeout, bool& was_sent)
+coordinator_role::call_remote_coordinator(peer_coordinator_call call,
+    milliseconds timeout, bool& was_sent, boot_time valid_until)
 {
     auto peer = remote_coordinator_;
     if (!peer)
         co_return std::nullopt;
     bool was_sent_now = false;
     peer_body body = std::move(call);
-    auto answer = co_await peer->call(std::move(body), timeout, was_sent_now);
+    auto answer = co_await peer->call(
+        std::move(body), timeout, was_sent_now, valid_until);
     was_sent = was_sent || was_sent_now;
     if (!answer)
         co_return std::nullopt;
@@ -343,7 +344,10 @@
     coordinator_call_result out;
     for (;;)
     {
-        call.wait = std::max(get_time_left(deadline), milliseconds(1));
+        // The process may have been paused since the call arrived.
+        call.wait = get_time_left(deadline);
+        if (call.wait <= milliseconds(0))
+            co_return out;
         if (is_coordinator())
         {
             auto runner = runner_;
@@ -371,7 +375,7 @@
             std::optional<peer_coordinator_reply> reply;
             if (!is_silent)
                 reply = co_await call_remote_coordinator(
-                    call, get_time_left(deadline), was_sent);
+                    call, get_time_left(deadline), was_sent, deadline);
             if (was_sent && !(reply && reply->was_not_executed))
                 out.may_be_applied =
                     out.may_be_applied || !reply ||
--- a/main/entryd/coordinator_role.hpp
+++ b/main/entryd/coordinator_role.hpp
@@ -74,10 +74,11 @@
     /// coordinator's state.
     asio::awaitable<void> take_over();
     /// @param was_sent set if the call may have reached the coordinator.
+    /// @param valid_until from then on it is not sent.
     /// @return nothing without a reply.
     asio::awaitable<std::optional<peer_coordinator_reply>>
-    call_remote_coordinator(
-        peer_coordinator_call call, milliseconds timeout, bool& was_sent);
+    call_remote_coordinator(peer_coordinator_call call, milliseconds timeout,
+        bool& was_sent, boot_time valid_until = boot_time::max());
     /// Makes run() read the head row at once.
     void suspect_coordinator();
 
--- a/main/entryd/entryd_process.cpp
+++ b/main/entryd/entryd_process.cpp
@@ -1,6 +1,7 @@
 #include "main/entryd/entryd_process.hpp"
 
 #include "drivers/log.hpp"
+#include "drivers/loop_delay_meter.hpp"
 #include "drivers/metrics.hpp"
 #include "drivers/peer_server.hpp"
 #include "drivers/refusal_reporter.hpp"
@@ -85,7 +86,8 @@
               [this] { coordinator_role_.handle_published_change(); }),
           coordinator_role_(io, settings_, store_, metrics_, tasks_, config_),
           relay_(io, metrics_, coordinator_role_.get_boot_id()),
-          job_api_(settings_, config_, coordinator_role_, metrics_),
+          loop_delay_(io), job_api_(settings_, config_, coordinator_role_,
+                               metrics_, loop_delay_),
           peer_server_(
               io, settings_.peer_listen,
               [this](peer_body body) { return answer_peer(std::move(body)); },
@@ -111,6 +113,8 @@
             {{"entry", settings_.entry},
                 {"data_centre", settings_.data_centre}});
         auto never = [] { return false; };
+        tasks_.run_loop(
+            "loop_delay", [this] { return loop_delay_.run(); }, never);
         tasks_.run_loop(
             "configuration", [this] { return config_.run(); }, never);
         tasks_.run_loop(
@@ -287,6 +291,7 @@
     config_watcher config_;
     coordinator_role coordinator_role_;
     target_relay relay_;
+    loop_delay_meter loop_delay_;
     job_api job_api_;
     peer_server peer_server_;
     http_server caller_server_;
--- a/main/entryd/job_api.cpp
+++ b/main/entryd/job_api.cpp
@@ -84,9 +84,10 @@
 } // namespace
 
 job_api::job_api(const entry_settings& settings, const config_watcher& config,
-    coordinator_role& role, metrics_registry& metrics)
+    coordinator_role& role, metrics_registry& metrics,
+    const loop_delay_meter& loop_delay)
     : settings_(settings), config_(config), coordinator_role_(role),
-      metrics_(metrics)
+      metrics_(metrics), loop_delay_(loop_delay)
 {
 }
 
@@ -258,9 +259,15 @@
 
 asio::awaitable<http_response> job_api::dispatch(http_request request)
 {
+    // The caller's time has run while the process was paused.
+    boot_time now = boot_clock::now();
     boot_time deadline =
-        boot_clock::now() +
+        now - loop_delay_.get_delay(now) +
         std::max(parse_wait_limit(request) - response_margin, min_call_time);
+    if (deadline <= now)
+        co_return make_unavailable("too_late",
+            "the request came too late to be answered in time; nothing was "
+            "done");
     if (drain_deadline_)
         deadline = std::min(deadline, *drain_deadline_);
     admission allowed = admit(request);
--- a/main/entryd/job_api.hpp
+++ b/main/entryd/job_api.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "drivers/http_server.hpp"
+#include "drivers/loop_delay_meter.hpp"
 #include "main/entryd/coordinator_role.hpp"
 
 namespace cowslippass
@@ -11,8 +12,10 @@
 class job_api
 {
 public:
+    /// @param loop_delay delay of the event loop that reads the requests.
     job_api(const entry_settings& settings, const config_watcher& config,
-        coordinator_role& role, metrics_registry& metrics);
+        coordinator_role& role, metrics_registry& metrics,
+        const loop_delay_meter& loop_delay);
 
     /// Executes a caller's request. Failures are reported in the response.
     asio::awaitable<http_response> handle(http_request request);
@@ -57,6 +60,7 @@
     const config_watcher& config_;
     coordinator_role& coordinator_role_;
     metrics_registry& metrics_;
+    const loop_delay_meter& loop_delay_;
     std::optional<boot_time> drain_deadline_; ///< Set while draining.
 };
 
--- a/tests/drivers/peer_connection_test.cpp
+++ b/tests/drivers/peer_connection_test.cpp
@@ -244,6 +244,72 @@
     EXPECT_TRUE(call_after_peer_stops_answering(pauses).back());
 }
 
+// Guards against a request that a partition holds back and that takes effect
+// when the partition ends, long after its caller has given up.
+TEST(peer_connection, a_silent_connection_drops_what_was_not_delivered)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    peer_client client(
+        io, acceptor.local_endpoint(), {},
+        [](peer_body) -> asio::awaitable<std::optional<peer_body>>
+        { co_return std::nullopt; },
+        [](const std::string&, const std::string&) {});
+    boost::system::error_code end;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            tcp::socket socket =
+                co_await acceptor.async_accept(asio::use_awaitable);
+            std::array<char, 256> buf{};
+            while (!end)
+                co_await socket.async_read_some(asio::buffer(buf),
+                    asio::redirect_error(asio::use_awaitable, end));
+        },
+        asio::detached);
+    bool was_sent = false;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            peer_body body = peer_hello{};
+            co_await client.call(std::move(body), milliseconds(100), was_sent);
+        },
+        asio::detached);
+    io.run_for(peer_connection::liveness_timeout + std::chrono::seconds(2));
+    EXPECT_TRUE(was_sent);
+    EXPECT_EQ(end, asio::error::connection_reset);
+}
+
+// Guards against a request that is sent after a pause in which its permission
+// has expired.
+TEST(peer_connection, a_request_is_not_sent_after_the_end_of_its_validity)
+{
+    asio::io_context io;
+    echo_peer peer(io);
+    peer_client client(
+        io, peer.get_endpoint(), {},
+        [](peer_body) -> asio::awaitable<std::optional<peer_body>>
+        { co_return std::nullopt; },
+        [](const std::string&, const std::string&) {});
+    bool was_sent = true;
+    bool is_answered = true;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            peer_body body = peer_hello{};
+            auto reply = co_await client.call(std::move(body),
+                milliseconds(1'000), was_sent, boot_clock::now());
+            is_answered = reply.has_value();
+        },
+        asio::detached);
+    io.run_for(std::chrono::milliseconds(200));
+    EXPECT_FALSE(was_sent);
+    EXPECT_FALSE(is_answered);
+}
+
 // Guards against a lost request on a connection that the network dropped while
 // it was idle; the outcome of a non-idempotent request would then be unknown.
 TEST(peer_connection, a_call_after_a_long_pause_uses_a_new_connection)
--- a/tests/main/entryd/early_cancel_test.cpp
+++ b/tests/main/entryd/early_cancel_test.cpp
@@ -1,7 +1,10 @@
 #include "tests/main/entryd/test_entry.hpp"
 
+#include "platform/submission_codec.hpp"
+
 #include <algorithm>
 #include <deque>
+#include <thread>
 
 namespace cowslippass
 {
@@ -280,4 +283,54 @@
         });
 }
 
+// Failure: the process was paused for longer than a caller waits. Guards
+// against a submission that is handed in for a caller that has given up.
+TEST_F(early_cancel_test, hands_in_nothing_whose_time_ran_out_in_a_pause)
+{
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            http_request request;
+            request.method = "POST";
+            request.path = path_1;
+            request.headers["Host"] = "h:80";
+            request.headers[wait_limit_header] = "1000";
+            request.body = two_steps;
+            std::this_thread::sleep_for(milliseconds(1'200));
+            auto it = co_await first->api.handle(request);
+            EXPECT_EQ(it.status, 503U);
+            EXPECT_FALSE(it.get_header("Retry-After").empty());
+            EXPECT_TRUE(platform.list_keys("jobs").empty());
+            co_await sleep(milliseconds(700));
+            it = co_await first->api.handle(request);
+            EXPECT_EQ(it.status, 200U);
+        });
+}
+
+// Guards against an operation that a process passes on after a pause in which
+// its caller's time ran out.
+TEST_F(early_cancel_test, passes_nothing_on_after_the_deadline)
+{
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            for (test_entry* it : {first, second})
+            {
+                peer_coordinator_call call;
+                call.operation = coordinator_operation::submit;
+                call.job = job_id(job_1);
+                call.queue = queue_id("q");
+                call.spec = encode_job_spec(decode_submission(two_steps));
+                auto result = co_await it->role.call(
+                    call, boot_clock::now() - milliseconds(1));
+                EXPECT_FALSE(result.reply);
+                EXPECT_FALSE(result.may_be_applied);
+            }
+            co_await sleep(milliseconds(300));
+            EXPECT_TRUE(platform.list_keys("jobs").empty());
+        });
+}
+
 } // namespace cowslippass
--- a/tests/main/entryd/test_entry.hpp
+++ b/tests/main/entryd/test_entry.hpp
@@ -30,11 +30,12 @@
           store(io, settings.store),
           config(io, store, [this] { role.handle_published_change(); }),
           role(io, settings, store, metrics, tasks, config),
-          relay(io, metrics, role.get_boot_id()),
-          api(settings, config, role, metrics)
+          relay(io, metrics, role.get_boot_id()), loop_delay(io),
+          api(settings, config, role, metrics, loop_delay)
     {
         if (parse_endpoint(peer_address).port() == 0)
             serve_peers();
+        asio::co_spawn(io, loop_delay.run(), asio::detached);
         asio::co_spawn(io, config.run(), asio::detached);
         asio::co_spawn(io, role.run(), asio::detached);
     }
@@ -103,6 +104,7 @@
     config_watcher config;
     coordinator_role role;
     target_relay relay;
+    loop_delay_meter loop_delay;
     job_api api;
     std::unique_ptr<peer_server> peers;
     bool is_frozen = false;
