Peers: a silent connection is reset

A connection between entries on which nothing had arrived for 2 s was closed, and the network went on to deliver what it still held: a submission could reach a coordinator long after its caller had given up and cancelled.

Change: such a connection is reset, which drops the bytes that were not delivered. Connections that end for other reasons are closed as before.

--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -79,6 +79,13 @@
         observer_.on_closed();
 }
 
+void peer_connection::reset()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 asio::awaitable<std::optional<peer_body>> peer_connection::call(
     peer_body body, milliseconds timeout)
 {
@@ -259,7 +266,7 @@
                 "closed a connection on which nothing arrived within " +
                     std::to_string(liveness_timeout.count()) +
                     " ms after a request");
-            close();
+            reset();
             continue;
         }
         // No frames arrive while the peer works on a long request. Its reply
--- a/drivers/peer_connection.hpp
+++ b/drivers/peer_connection.hpp
@@ -39,7 +39,7 @@
     /// Bounds the memory that the receiver allocates for one frame.
     static constexpr std::uint32_t max_frame_bytes = 16 * 1024 * 1024;
     /// A connection on which a request is unanswered and no frame has arrived
-    /// for this long is closed, even if its calls timed out earlier.
+    /// for this long is reset, even if its calls timed out earlier.
     static constexpr milliseconds liveness_timeout{2'000};
 
     peer_connection(tcp::socket socket, peer_request_handler handler,
@@ -78,6 +78,10 @@
     asio::awaitable<void> read_loop();
     asio::awaitable<void> write_loop();
     asio::awaitable<void> monitor_liveness();
+    /// Closes the socket and drops what the network has not delivered: the
+    /// callers of these requests no longer wait, and a request that arrived
+    /// after a long partition would still take effect.
+    void reset();
     asio::awaitable<void> handle_request(peer_message request);
     /// Dispatches the complete frames at the start of `buf` and removes them.
     /// @throws platform_error (`malformed_frame`) for a frame that is too long
--- a/tests/drivers/peer_connection_test.cpp
+++ b/tests/drivers/peer_connection_test.cpp
@@ -10,6 +10,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
+
 namespace cowslippass
 {
 
