Jobs: the check of a job's size cannot overflow

Cause: the number of tasks over all occurrences was computed in 64 bits. 2^69 is 0 there, which is not above the limit of 10,000. The next planning round then went over 2^31 occurrences.

Change: the tasks of one occurrence are compared with the limit divided by the number of occurrences, after each step. The coordinator checks what entries hand in as well.

It works because no sum or product above 34 bits is left in the check, and a job that passes has at most 10,000 tasks and as many occurrences.

Ruled out: the computation of the critical path as such; it takes one step for each occurrence, of which the limit allows few.

--- a/main/entryd/coordinator_runner_callers.cpp
+++ b/main/entryd/coordinator_runner_callers.cpp
@@ -74,6 +74,8 @@
     {
         record = {
             call.queue, call.team, get_wall_time(), decode_job_spec(call.spec)};
+        // The entry that handed it in may be of another version.
+        check_job_spec(record.spec);
     }
     catch (const systems_error& e)
     {
--- a/systems/workload/job_spec.cpp
+++ b/systems/workload/job_spec.cpp
@@ -149,6 +149,8 @@
     { throw systems_error("bad_job", message); };
     if (spec.steps.empty())
         fail("the job has no steps");
+    const std::uint64_t max_tasks_per_occurrence =
+        max_tasks / spec.get_occurrence_count();
     std::uint64_t tasks = 0;
     for (std::size_t i = 0; i < spec.steps.size(); ++i)
     {
@@ -162,10 +164,12 @@
         for (std::uint32_t before : it.after)
             if (before >= i)
                 fail(name + " waits for a step that is not before it");
+        // Neither the sum nor a product with the occurrences can overflow.
         tasks += it.task_count;
+        if (tasks > max_tasks_per_occurrence)
+            fail("the job has more than " + std::to_string(max_tasks) +
+                 " tasks");
     }
-    if (tasks * spec.get_occurrence_count() > max_tasks)
-        fail("the job has more than " + std::to_string(max_tasks) + " tasks");
 }
 
 } // namespace cowslippass
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace cowslippass
 {
 
@@ -319,6 +321,44 @@
         });
 }
 
+// Guards against a submission whose number of tasks wraps in the check of its
+// size: planning it occupied one coordinator after the other for ever. Entries
+// of another version may pass it on without their own check.
+TEST_F(entry_end_to_end_test, refuses_a_job_whose_size_overflows)
+{
+    platform.add_target("t1", milliseconds(20));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            std::string steps;
+            for (int i = 0; i < 64; ++i)
+                steps += R"({"count":4294967295},)";
+            http_response it = co_await send("POST", "/q/" + job_1,
+                R"({"spec":"s","repeatCount":2147483648,"intervalMs":60000,)"
+                R"("startTimeMs":4000000000000,"steps":[)" +
+                    steps + R"({"count":64}]})");
+            EXPECT_EQ(it.status, 400U);
+            job_spec spec;
+            spec.steps.resize(64);
+            for (step_spec& step : spec.steps)
+                step.task_count = std::numeric_limits<std::uint32_t>::max();
+            spec.steps.emplace_back().task_count = 64;
+            spec.repeat_count = 1U << 31;
+            peer_coordinator_call call;
+            call.operation = coordinator_operation::submit;
+            call.job = job_id(job_1);
+            call.queue = queue_id("q");
+            call.spec = encode_job_spec(spec);
+            auto reply = co_await node->role.handle_peer_call(call);
+            EXPECT_EQ(reply.result, coordinator_result::invalid);
+            EXPECT_TRUE(platform.list_keys("jobs").empty());
+            it = co_await send("POST", "/q/" + job_2, one_task);
+            EXPECT_EQ(it.status, 200U);
+            EXPECT_TRUE(co_await wait_for(job_2, "completed"));
+        });
+}
+
 // Guards against a job whose running tasks need more bytes than one row of the
 // store holds: the refused transaction was repeated for ever, and nothing of
 // anybody was accepted or cancelled. A successor must not run its tasks again.
--- a/tests/systems/workload/job_test.cpp
+++ b/tests/systems/workload/job_test.cpp
@@ -1,6 +1,7 @@
 #include "systems/workload/job_rows.hpp"
 
 #include <gtest/gtest.h>
+#include <limits>
 #include <rapidcheck/gtest.h>
 
 namespace cowslippass
@@ -326,4 +327,55 @@
     EXPECT_THROW(decode_job_record("{"), systems_error);
 }
 
+// Guards against a job whose number of tasks wraps in the check of its size, so
+// that it is accepted: planning it occupied the coordinator for ever.
+TEST(job_spec, rejects_a_size_that_exceeds_the_width_of_a_number)
+{
+    constexpr std::uint32_t most = std::numeric_limits<std::uint32_t>::max();
+    // 2^38 tasks, 2^31 times.
+    std::vector<step_spec> steps(64, make_step(most));
+    steps.push_back(make_step(64));
+    job_spec spec = make_spec(steps);
+    spec.repeat_count = 1U << 31;
+    EXPECT_THROW(check_job_spec(spec), systems_error);
+    // 2^32 tasks, 2^32 - 2^16 times and so on: each product has a multiple of
+    // 2^64 as its largest part.
+    for (std::uint32_t occurrences : {1U << 31, 1U << 30, most, most - 65'535})
+    {
+        spec = make_spec({make_step(most), make_step(1)});
+        spec.repeat_count = occurrences;
+        EXPECT_THROW(check_job_spec(spec), systems_error) << occurrences;
+    }
+}
+
+// Guards against a check of the size that differs from the exact number of
+// tasks, at and around the limit and the widths of numbers.
+RC_GTEST_PROP(job_spec, bounds_the_exact_number_of_tasks, ())
+{
+    constexpr unsigned __int128 limit = 10'000;
+    auto any_count = rc::gen::element<std::uint32_t>(1, 2, 99, 100, 101, 5'000,
+        9'999, 10'000, 10'001, 65'536, (1U << 31) + 1,
+        std::numeric_limits<std::uint32_t>::max());
+    // Powers of two reach multiples of 2^64.
+    auto count = rc::gen::weightedOneOf<std::uint32_t>(
+        {{1, any_count}, {8, rc::gen::just(1U << 31)}});
+    auto counts = *rc::gen::nonEmpty(
+        rc::gen::container<std::vector<std::uint32_t>>(count));
+    std::vector<step_spec> steps;
+    unsigned __int128 tasks = 0;
+    for (std::uint32_t it : counts)
+    {
+        steps.push_back(make_step(it));
+        tasks += it;
+    }
+    job_spec spec = make_spec(steps);
+    spec.repeat_count = *rc::gen::weightedOneOf<std::uint32_t>(
+        {{1, rc::gen::just(0U)}, {3, count}});
+    tasks *= spec.get_occurrence_count();
+    if (tasks <= limit)
+        check_job_spec(spec);
+    else
+        RC_ASSERT_THROWS_AS(check_job_spec(spec), systems_error);
+}
+
 } // namespace cowslippass
