Jobs: bounds on sizes and times

A deadline that wraps makes a job the most urgent or an overdue one; a pool's demand that wraps moves instances away; an occurrence's due time that wraps starts it early. Clock times are counted in nanoseconds, so that an estimate of 300 years is enough.

Change: check_job_spec() refuses needs above a million cores, estimates above a year, and negative or absurd times of the schedule, with the name of the field. The time that a job is allowed and its remaining critical path are bounded to five years, as they add up over steps and are multiplied by a queue's factor.

--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -314,9 +314,8 @@
     // deadline.
     bool is_timed = it.get_spec().repeat_count == 0 &&
                     entry.remaining_critical_path > milliseconds(0);
-    milliseconds estimated_time(static_cast<std::int64_t>(
-        static_cast<double>(entry.remaining_critical_path.count()) *
-        estimate_factor));
+    milliseconds estimated_time =
+        correct_estimate(entry.remaining_critical_path, estimate_factor);
     out.is_late = is_timed && (entry.feasibility.is_hopeless ||
                                   now + estimated_time > out.deadline);
     out.is_left_out = entry.feasibility.is_left_out;
--- a/systems/scheduling/job_urgency.cpp
+++ b/systems/scheduling/job_urgency.cpp
@@ -21,6 +21,16 @@
 /// estimate, so that the quotient deviates by about a third.
 constexpr double max_trusted_deviation = 0.3;
 
+/// Upper bound on the times of a job, so that sums with times of the clock do
+/// not overflow.
+constexpr milliseconds max_job_time = std::chrono::hours(24 * 366 * 5);
+
+milliseconds bound_job_time(double ms)
+{
+    return milliseconds(static_cast<std::int64_t>(
+        std::min(ms, static_cast<double>(max_job_time.count()))));
+}
+
 /// @param is_remaining tells for each step whether its run time counts.
 /// @return the expected time on the critical path through the steps.
 template <class Predicate>
@@ -55,7 +65,7 @@
         out = std::max(out,
             estimate_critical_path(it.get_spec(), run_times,
                 [&](std::uint32_t step) { return !it.is_step_done(k, step); }));
-    return out;
+    return std::min(out, max_job_time);
 }
 
 milliseconds get_time_allowed(const job_spec& spec,
@@ -63,10 +73,14 @@
 {
     milliseconds critical_path = estimate_critical_path(
         spec, run_times, [](std::uint32_t) { return true; });
-    return milliseconds(static_cast<std::int64_t>(
-               static_cast<double>(critical_path.count()) *
-               queue.stretch_factor)) +
-           queue.deadline_allowance;
+    return bound_job_time(
+        static_cast<double>(critical_path.count()) * queue.stretch_factor +
+        static_cast<double>(queue.deadline_allowance.count()));
+}
+
+milliseconds correct_estimate(milliseconds estimate, double factor)
+{
+    return bound_job_time(static_cast<double>(estimate.count()) * factor);
 }
 
 void estimate_calibrator::add(
--- a/systems/scheduling/job_urgency.hpp
+++ b/systems/scheduling/job_urgency.hpp
@@ -23,6 +23,10 @@
 milliseconds get_time_allowed(const job_spec& spec,
     std::span<const milliseconds> run_times, const queue_config& queue);
 
+/// @param factor of estimate_calibrator.
+/// @return the estimate with the factor, bounded like all times of a job.
+milliseconds correct_estimate(milliseconds estimate, double factor);
+
 /// Callers still profit from a late job up to this multiple of the time
 /// allowed; after that, the job is overdue.
 constexpr int overdue_factor = 3;
--- a/systems/workload/job_spec.cpp
+++ b/systems/workload/job_spec.cpp
@@ -13,6 +13,14 @@
 /// Upper bound on the tasks of one job over all its occurrences, and thereby on
 /// the work of a planning round and on the rows of the ledger.
 constexpr std::uint32_t max_tasks = 10'000;
+/// Upper bound on each resource of a task: a million cores. Sums over the tasks
+/// of all jobs that fit into memory do not overflow.
+constexpr std::int64_t max_need = 1'000'000'000;
+/// Upper bound on estimates and other durations of a task: about a year.
+constexpr milliseconds max_duration = std::chrono::hours(24 * 366);
+/// Upper bound on times of the schedule, in milliseconds since 1970 or between
+/// two occurrences. The time of the last occurrence does not overflow.
+constexpr std::int64_t max_schedule_time = std::int64_t{1} << 48;
 
 /// Encodes a step as an array with a fixed order of columns, as the names of
 /// the fields would take most of the bytes.
@@ -147,8 +155,18 @@
 {
     auto fail = [](const std::string& message)
     { throw systems_error("bad_job", message); };
+    auto check_range =
+        [&](const std::string& name, std::int64_t value, std::int64_t max)
+    {
+        if (value < 0 || value > max)
+            fail(name + " is not from 0 to " + std::to_string(max));
+    };
     if (spec.steps.empty())
         fail("the job has no steps");
+    check_range("the time of the first occurrence", spec.first_start.get(),
+        max_schedule_time);
+    check_range("the time between occurrences", spec.interval.count(),
+        max_schedule_time);
     const std::uint64_t max_tasks_per_occurrence =
         max_tasks / spec.get_occurrence_count();
     std::uint64_t tasks = 0;
@@ -158,9 +176,13 @@
         std::string name = "step " + std::to_string(i);
         if (it.task_count == 0)
             fail(name + " has no tasks");
-        if (it.need.processor < 0 || it.need.memory < 0 ||
-            it.need.accelerators < 0)
-            fail(name + " has a negative size");
+        check_range(name + ": processor", it.need.processor, max_need);
+        check_range(name + ": memory", it.need.memory, max_need);
+        check_range(name + ": accelerators", it.need.accelerators, max_need);
+        check_range(
+            name + ": estimate", it.estimate.count(), max_duration.count());
+        check_range(name + ": latency limit", it.tail_latency_limit.count(),
+            max_duration.count());
         for (std::uint32_t before : it.after)
             if (before >= i)
                 fail(name + " waits for a step that is not before it");
--- a/systems/workload/job_spec.hpp
+++ b/systems/workload/job_spec.hpp
@@ -102,7 +102,8 @@
 /// @throws systems_error (`bad_job`) when the text is not an encoded job spec.
 job_spec decode_job_spec(const std::string& text);
 
-/// Rejects a job that could never complete, or that has too many tasks.
+/// Rejects a job that could never complete, that has too many tasks, or whose
+/// sizes and times are beyond what any fleet serves.
 /// @throws systems_error (`bad_job`) with a message that names the fault and,
 ///   when it lies in one step, the step.
 void check_job_spec(const job_spec& spec);
--- a/tests/systems/scheduling/job_urgency_test.cpp
+++ b/tests/systems/scheduling/job_urgency_test.cpp
@@ -190,4 +190,35 @@
     EXPECT_FALSE(it.take(team_a, 2, at(500)));
 }
 
+// Guards against a deadline that overflows, so that the job counts as overdue
+// or as the most urgent one.
+TEST(job_urgency, bounds_the_time_allowed)
+{
+    job_spec spec;
+    constexpr std::uint32_t step_count = 10'000;
+    for (std::uint32_t i = 0; i < step_count; ++i)
+    {
+        step_spec step;
+        if (i > 0)
+            step.after = {i - 1};
+        spec.steps.push_back(step);
+    }
+    std::vector<milliseconds> run_times(
+        step_count, std::chrono::hours(24 * 365 * 30));
+    queue_config queue;
+    queue.stretch_factor = 1'000;
+    queue.deadline_allowance = milliseconds(1);
+    milliseconds allowed = get_time_allowed(spec, run_times, queue);
+    EXPECT_GT(allowed, std::chrono::hours(24 * 365));
+    // Times of the scheduler are counted in nanoseconds.
+    using nanoseconds = std::chrono::duration<double, std::nano>;
+    EXPECT_LT(nanoseconds(allowed) * overdue_factor,
+        nanoseconds(boot_clock::duration::max()) / 10);
+    job owner(job_id("j"), queue_id("q"), team_id("t"), spec);
+    milliseconds remaining = estimate_remaining_critical_path(owner, run_times);
+    EXPECT_GT(remaining, std::chrono::hours(24 * 365));
+    EXPECT_LT(
+        nanoseconds(remaining), nanoseconds(boot_clock::duration::max()) / 10);
+}
+
 } // namespace cowslippass
--- a/tests/systems/workload/job_test.cpp
+++ b/tests/systems/workload/job_test.cpp
@@ -348,6 +348,56 @@
     }
 }
 
+// Guards against sizes and times whose sums over jobs and occurrences overflow:
+// a job whose deadline wraps is planned before all others, and a pool whose
+// demand wraps gets no instances.
+TEST(job_spec, rejects_sizes_and_times_beyond_all_fleets)
+{
+    constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max();
+    auto is_accepted = [](const auto& change)
+    {
+        job_spec spec = make_spec({make_step(1)});
+        spec.repeat_count = 2;
+        change(spec);
+        try
+        {
+            check_job_spec(spec);
+            return true;
+        }
+        catch (const systems_error&)
+        {
+            return false;
+        }
+    };
+    for (std::int64_t n : {most, most / 2, most / 10'000, std::int64_t{-1},
+             std::numeric_limits<std::int64_t>::min()})
+    {
+        EXPECT_FALSE(
+            is_accepted([n](job_spec& it) { it.steps[0].need.processor = n; }));
+        EXPECT_FALSE(
+            is_accepted([n](job_spec& it) { it.steps[0].need.memory = n; }));
+        EXPECT_FALSE(is_accepted(
+            [n](job_spec& it) { it.steps[0].need.accelerators = n; }));
+        EXPECT_FALSE(is_accepted(
+            [n](job_spec& it) { it.steps[0].estimate = milliseconds(n); }));
+        EXPECT_FALSE(is_accepted([n](job_spec& it)
+            { it.steps[0].tail_latency_limit = milliseconds(n); }));
+        EXPECT_FALSE(is_accepted(
+            [n](job_spec& it) { it.first_start = platform_time(n); }));
+        EXPECT_FALSE(
+            is_accepted([n](job_spec& it) { it.interval = milliseconds(n); }));
+    }
+    // A year, a machine of 10,000 cores, a date after the year 3000.
+    EXPECT_TRUE(is_accepted(
+        [](job_spec& it)
+        {
+            it.steps[0].need = {10'000'000, 100'000'000, 10'000};
+            it.steps[0].estimate = std::chrono::hours(24 * 365);
+            it.first_start = platform_time(32'503'680'000'000);
+            it.interval = std::chrono::hours(24 * 365);
+        }));
+}
+
 // Guards against a check of the size that differs from the exact number of
 // tasks, at and around the limit and the widths of numbers.
 RC_GTEST_PROP(job_spec, bounds_the_exact_number_of_tasks, ())
