--- a/tests/platform/submission_codec_test.cpp
+++ b/tests/platform/submission_codec_test.cpp
@@ -2,6 +2,8 @@
 
 #include "core/errors.hpp"
 
+#include <cmath>
+#include <functional>
 #include <gtest/gtest.h>
 
 namespace cowslippass
@@ -49,6 +51,113 @@
         EXPECT_THROW(decode_submission(text), platform_error) << text;
 }
 
+// Guards against a number that is narrowed in silence: of 2^32 + 2 tasks two
+// were run, and the job was shown as completed. Each field that holds a number
+// is read exactly, or refused with an error that names it.
+TEST(submission_codec, reads_numbers_exactly_or_refuses_them)
+{
+    struct number_field
+    {
+        std::string name;
+        std::function<std::int64_t(const job_spec&)> get;
+        /// The other members of the document that the value needs.
+        std::string beside;
+        bool is_of_step = true;
+    };
+    const std::vector<number_field> fields{
+        {"count",
+            [](const job_spec& it) -> std::int64_t
+            { return it.steps.at(0).task_count; },
+            {}},
+        {"cpu",
+            [](const job_spec& it) { return it.steps.at(0).need.processor; },
+            {}},
+        {"memMb", [](const job_spec& it) { return it.steps.at(0).need.memory; },
+            {}},
+        {"gpus",
+            [](const job_spec& it) { return it.steps.at(0).need.accelerators; },
+            {}},
+        {"estimateMs",
+            [](const job_spec& it) -> std::int64_t
+            { return it.steps.at(0).estimate.count(); },
+            {}},
+        {"maxPerServer",
+            [](const job_spec& it) -> std::int64_t
+            { return it.steps.at(0).max_per_target; },
+            {}},
+        {"targetMs",
+            [](const job_spec& it) -> std::int64_t
+            { return it.steps.at(0).tail_latency_limit.count(); },
+            {}},
+        {"mayMiss",
+            [](const job_spec& it) -> std::int64_t
+            { return it.steps.at(0).max_unavailable; },
+            {}},
+        {"repeatCount",
+            [](const job_spec& it) -> std::int64_t { return it.repeat_count; },
+            {}, false},
+        {"startTimeMs", [](const job_spec& it) { return it.first_start.get(); },
+            R"("repeatCount":2,)", false},
+        {"intervalMs",
+            [](const job_spec& it) -> std::int64_t
+            { return it.interval.count(); },
+            R"("repeatCount":2,)", false}};
+    const std::vector<std::pair<std::string, long double>> values{{"-1", -1.0L},
+        {"1", 1.0L}, {"7", 7.0L}, {"2147483648", 0x1p31L},
+        {"4294967295", 0x1p32L - 1}, {"4294967298", 0x1p32L + 2},
+        {"9007199254740992", 0x1p53L}, {"9223372036854775807", 0x1p63L - 1},
+        {"9223372036854775808", 0x1p63L}, {"18446744073709551615", 0x1p64L - 1},
+        {"18446744073709551618", 0x1p64L + 2}, {"1e30", 1e30L},
+        {"-1e30", -1e30L}, {"4294967298.0", 0x1p32L + 2}};
+    for (const number_field& field : fields)
+        for (const auto& [text, value] : values)
+        {
+            std::string member = '"' + field.name + "\":" + text;
+            std::string document =
+                field.is_of_step ? R"({"spec":"s","steps":[{)" + member + "}]}"
+                                 : R"({"spec":"s",)" + field.beside + member +
+                                       R"(,"steps":[{"count":1}]})";
+            try
+            {
+                job_spec it = decode_submission(document);
+                EXPECT_EQ(static_cast<long double>(field.get(it)), value)
+                    << document;
+            }
+            catch (const platform_error& e)
+            {
+                EXPECT_GT(std::abs(value - 4.0L), 3.0L) << document;
+            }
+        }
+    for (const number_field& field : fields)
+        for (const char* text : {"\"3\"", "null", "true", "[1]", "{}"})
+        {
+            std::string member = '"' + field.name + "\":" + text;
+            std::string document =
+                field.is_of_step ? R"({"steps":[{)" + member + "}]}"
+                                 : R"({"steps":[{"count":1}],)" + member + '}';
+            try
+            {
+                decode_submission(document);
+                ADD_FAILURE() << document;
+            }
+            catch (const platform_error& e)
+            {
+                EXPECT_NE(
+                    std::string(e.what()).find(field.name), std::string::npos)
+                    << e.what();
+            }
+        }
+    // 2^32 is taken as step 0, and 2^32 + 1 as step 1.
+    for (const char* before :
+        {"[4294967296]", "[-1]", "[0.5]", "[\"0\"]", "0", "{\"0\":0}"})
+        EXPECT_THROW(
+            decode_submission(
+                std::string(R"({"steps":[{"count":1},{"count":1,"after":)") +
+                before + "}]}"),
+            platform_error)
+            << before;
+}
+
 // Guards against a path that is taken for a job although the rest of it is no
 // job id: too short, too long or with a character that is no hexadecimal digit.
 TEST(submission_codec, parses_only_job_identifiers)
