Entries: the delay of the event loop is measured once a second

Four measurements a second woke each process four times as often. A pause is now overestimated by up to a second, for requests that are read within 250 ms after it.

Tests: loop_delay_meter.*; early_cancel_test.hands_in_nothing_* passes.

--- a/drivers/loop_delay_meter.cpp
+++ b/drivers/loop_delay_meter.cpp
@@ -54,7 +54,7 @@
         return to_milliseconds(passed);
     // Not everything that waited has been read by the time of the first
     // measurement after a delay.
-    if (last_delay_ > milliseconds(0) && now - last_delay_end_ <= interval)
+    if (last_delay_ > milliseconds(0) && now - last_delay_end_ <= catch_up_time)
         return last_delay_ + to_milliseconds(now - last_delay_end_);
     return milliseconds(0);
 }
--- a/drivers/loop_delay_meter.hpp
+++ b/drivers/loop_delay_meter.hpp
@@ -13,11 +13,15 @@
 class loop_delay_meter
 {
 public:
-    /// Time between two measurements. Shorter delays may go unnoticed.
-    static constexpr milliseconds interval{250};
+    /// Time between two measurements, each of which wakes the process. Shorter
+    /// delays may go unnoticed, and a delay is overestimated by this at most.
+    static constexpr milliseconds interval{1'000};
     /// Delays up to this count as none.
     static constexpr milliseconds tolerance{100};
 
+    /// After a delay, what waited meanwhile is read within this time.
+    static constexpr milliseconds catch_up_time{250};
+
     explicit loop_delay_meter(asio::io_context& io);
 
     /// Measures until the process ends.
