Gangs: all members resume from one checkpoint

Cause: a checkpoint belonged to the task whose end had named it. A member whose target crashed had none or an older one.

Change: when a gang is placed, all members get the checkpoint of the latest run that left one; rows keep that run beside the checkpoint.

It works because a gang is placed only when no member runs, so that no value can change between its starts.

--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -328,6 +328,7 @@
     for (const task_key& it : members)
         if (const task_progress* task = owner.find_task(it))
             number = std::max(number, task->last_number.get());
+    owner.share_checkpoint(first.occurrence, first.step);
     for (const auto& [key, target] : placement.members)
     {
         task_name name{owner.get_id(), key};
--- a/systems/workload/job.cpp
+++ b/systems/workload/job.cpp
@@ -151,6 +151,27 @@
     return next;
 }
 
+void job::share_checkpoint(std::uint32_t occurrence, std::uint32_t step)
+{
+    std::map<std::uint32_t, task_progress>& tasks =
+        steps_[{occurrence, step}].tasks;
+    const task_progress* latest = nullptr;
+    for (const auto& [index, it] : tasks)
+        if (!it.saved.empty() && (!latest || it.saved_by > latest->saved_by))
+            latest = &it;
+    if (!latest)
+        return;
+    std::string saved = latest->saved;
+    run_number saved_by = latest->saved_by;
+    for (std::uint32_t i = 0; i < spec_.steps.at(step).task_count; ++i)
+    {
+        task_progress& it = tasks[i];
+        it.saved = saved;
+        it.saved_by = saved_by;
+        mark_segment_changed({occurrence, step, i});
+    }
+}
+
 bool job::record_start()
 {
     if (phase_ != job_phase::queued)
@@ -241,7 +262,11 @@
         record_start();
     const step_spec& spec = get_step(key);
     if (!saved.empty() && get_json_string_size(saved) <= max_checkpoint_bytes)
+    {
         task.saved = saved;
+        if (spec.is_gang)
+            task.saved_by = number;
+    }
     if (outcome == run_outcome::done && !spec.is_long_running)
     {
         task.saved.clear();
@@ -306,6 +331,8 @@
         out += ',';
         append_json_string(
             out, task.run ? task.run->target.get() : std::string());
+        if (task.saved_by.get() != 0)
+            out += ',' + std::to_string(task.saved_by.get());
         out += ']';
     }
     out += ']';
@@ -442,6 +469,8 @@
                 task.last_number = run_number(row.at(1).get<std::uint64_t>());
                 row.at(2).get_to(task.failures);
                 row.at(3).get_to(task.saved);
+                if (row.size() > 5)
+                    task.saved_by = run_number(row.at(5).get<std::uint64_t>());
                 auto target = row.at(4).get<std::string>();
                 if (!target.empty())
                     task.run = task_run{task.last_number, target_id(target)};
--- a/systems/workload/job.hpp
+++ b/systems/workload/job.hpp
@@ -58,6 +58,8 @@
     std::uint32_t failures = 0;  ///< Runs with the outcome `failed`.
     /// Last checkpoint, of at most `max_checkpoint_bytes`; empty for none.
     std::string saved;
+    /// For a member of a gang: the run that left the checkpoint.
+    run_number saved_by;
 };
 
 /// Progress of the tasks of one step in one occurrence.
@@ -124,6 +126,11 @@
     run_number assign(const task_key& key, target_id target,
         std::optional<run_number> number = std::nullopt);
 
+    /// Gives all members of a gang the checkpoint of the latest run that left
+    /// one, as they can only resume from the same point. To be called before
+    /// they are assigned; what former runs report afterwards does not count.
+    void share_checkpoint(std::uint32_t occurrence, std::uint32_t step);
+
     /// Records that a task has started.
     /// @return whether it is the first one of the job.
     bool record_start();
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -336,6 +336,68 @@
     EXPECT_EQ(next.it.find_job(job_2)->get_phase(), job_phase::queued);
 }
 
+// Failure: a target crashes while a gang that saves works on it. Guards against
+// members that are started with different checkpoints: the one whose target
+// crashed has none, and the gang never works again. Also after a takeover, when
+// a start is repeated, and when a former run reports late.
+TEST_F(coordinator_test, resumes_a_gang_from_one_checkpoint)
+{
+    add_target(make_report("t1", 1));
+    add_target(make_report("t2", 1));
+    step_spec step = make_step(2);
+    step.is_gang = true;
+    step.saves_checkpoints = true;
+    job_record record = make_record({step});
+    it.submit(job_1, record, at(0));
+    auto first = plan(0);
+    ASSERT_EQ(first.size(), 2U);
+    auto report_end = [](coordinator& to, const start_decision& start,
+                          std::uint64_t number, const std::string& saved,
+                          std::int64_t ms)
+    {
+        target_status status;
+        status.ended.push_back(
+            {number, start.task, start.run, run_outcome::gang_broken, saved});
+        to.handle_status(start.target, status, at(ms), at(ms));
+    };
+    auto expect_checkpoint = [](coordinator& from,
+                                 const std::vector<start_decision>& starts,
+                                 const std::string& saved)
+    {
+        ASSERT_EQ(starts.size(), 2U);
+        EXPECT_EQ(starts[0].run, starts[1].run);
+        for (int i = 0; i < 2; ++i)
+            for (const start_decision& start : starts)
+                EXPECT_EQ(from.make_start_request(start)->saved, saved);
+    };
+    // The first member's target crashes, the second one reports its checkpoint.
+    it.handle_status(first[0].target, {}, at(100), at(100));
+    report_end(it, first[1], 1, "v1", 100);
+    auto second = it.plan(at(200), platform_time(200));
+    expect_checkpoint(it, second, "v1");
+    for (const start_decision& start : second)
+        it.handle_start_reply(start, request_outcome::accepted, at(200));
+    // A successor takes over, learns the next checkpoint from one member alone
+    // and that the other target has lost its run.
+    std::string row = it.find_job(job_1)->encode_progress();
+    coordinator successor({});
+    successor.set_published_state(make_published_state());
+    for (const char* id : {"t1", "t2"})
+    {
+        target_report report = make_report(id, 1);
+        successor.handle_target_change({report.target, report}, at(300));
+    }
+    successor.load_job(job_1, record, row, at(300), platform_time(300));
+    report_end(successor, second[0], 7, "v2", 400);
+    successor.handle_status(second[1].target, {}, at(400), at(400));
+    auto third = successor.plan(at(500), platform_time(500));
+    expect_checkpoint(successor, third, "v2");
+    // An end of the former run comes late.
+    report_end(successor, second[1], 8, "v1", 600);
+    expect_checkpoint(successor, third, "v2");
+    EXPECT_GT(third[0].run, second[0].run);
+}
+
 // Guards against a gang that counts as running, raises its run numbers or
 // writes its row while it waits, and against tasks of other jobs that wait
 // because a member did not fit beside the others.
