Starts: few in flight for each target, and a gang that cannot join is stopped

Cause: the time-out of a start included the wait for one of the target's four connections. Starts that waited too long counted as failed, each for its member alone; the members that had started waited in vain.

Change: at most three starts of one target are in flight, the others wait at its link, and the time-out counts from the sending. After two starts in a row without an answer those that wait are planned again. When a member of a gang cannot join the run, the others are stopped at once. The release of a term waits for starts that wait.

Not covered: gangs that cannot be started within the time that their members wait, and starts over relays.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -216,7 +216,7 @@
     bool has_orders =
         pool_plan_executor_ && pool_plan_executor_->has_orders_in_flight();
     // Starts that are left over would wait for the successor's polls.
-    if (is_releasing_ && !has_orders && !is_sending_starts_ &&
+    if (is_releasing_ && !has_orders && unsent_start_count_ == 0 &&
         is_previous_term_over(was_previous_term_released_, taken_over_at_))
         ledger_.release();
 }
@@ -419,7 +419,7 @@
     next_load_report_at_ = now + load_report_interval;
     coordinator_log.write("load", "each_second",
         {{"rows_waiting", ledger_.count_pending_changes()},
-            {"starts_to_send", starts_to_send_.size()},
+            {"starts_to_send", unsent_start_count_},
             {"relays", relays_.count_ready()},
             {"busy_targets", busy_target_count_},
             {"runs", coordinator_.get_runs().size()},
--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -156,6 +156,17 @@
     asio::awaitable<void> poll_loop(link_ptr link);
     /// Sends a start until the target replies or the start is abandoned.
     asio::awaitable<void> send_start(start_decision decision);
+    /// Begins to send a start, or lets it wait at its link while as many are in
+    /// flight as the target's connections carry: the time-out of a start must
+    /// not run out before it is sent.
+    void begin_start(const start_decision& decision);
+    /// Sends the next start that waits at the link.
+    void begin_next_start(const link_ptr& link);
+    /// Abandons the starts that wait at a link, so that their tasks start
+    /// elsewhere.
+    void abandon_waiting_starts(const link_ptr& link);
+    /// The caller will not send the start, or not again.
+    void abandon_start(const start_decision& decision);
     /// Sends the queued starts in groups and yields between them, so that other
     /// work, callers' operations above all, is not delayed.
     asio::awaitable<void> send_queued_starts();
@@ -292,6 +303,8 @@
     std::vector<stored_row> wave_rows_;
     std::deque<start_decision> starts_to_send_; ///< All are durable.
     bool is_sending_starts_ = false;
+    /// Durable starts of which no request has been sent yet.
+    std::size_t unsent_start_count_ = 0;
     std::set<task_name> stops_in_flight_;
     /// The ends received from each target whose rows are not in the ledger's
     /// next batch yet.
--- a/main/entryd/coordinator_runner_internal.hpp
+++ b/main/entryd/coordinator_runner_internal.hpp
@@ -65,6 +65,10 @@
     target_channel channel;
     asio::steady_timer timer;
     bool is_closed = false;
+    /// Starts that wait until fewer are in flight. They have not been sent.
+    std::deque<start_decision> waiting_starts;
+    std::size_t starts_in_flight = 0;
+    std::size_t unanswered_starts = 0; ///< Since the last answered one.
     /// The life that sent the last status; empty before the first one, and
     /// once the list of targets names another life.
     std::optional<target_life> life;
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -12,6 +12,12 @@
 /// Timeout of the first request to start a run. It may be sent again safely,
 /// and a target that does not answer it usually answers the next one.
 constexpr milliseconds first_start_timeout{250};
+/// Starts of one target that are in flight at a time: its connections but the
+/// one of the poll.
+constexpr std::size_t max_starts_in_flight = 3;
+/// After this many starts in a row without an answer, those that wait for the
+/// same target are planned again.
+constexpr std::size_t max_unanswered_starts = 2;
 /// Number of starts that are sent before other work gets a turn.
 constexpr std::size_t starts_per_turn = 16;
 /// Timeout of a poll, beyond the time for which it asks the target to wait.
@@ -351,6 +357,7 @@
 {
     starts_to_send_.insert(
         starts_to_send_.end(), decisions.begin(), decisions.end());
+    unsent_start_count_ += decisions.size();
     if (is_sending_starts_)
         return;
     is_sending_starts_ = true;
@@ -370,15 +377,7 @@
         {
             start_decision it = std::move(starts_to_send_.front());
             starts_to_send_.pop_front();
-            // It is not known whether a start that failed was sent.
-            tasks_.run_once(
-                "start", [self, it] { return self->send_start(it); },
-                [self, it]
-                {
-                    self->coordinator_.handle_start_reply(
-                        it, request_outcome::no_answer, boot_clock::now());
-                    self->coordinator_.abandon_start(it, boot_clock::now());
-                });
+            begin_start(it);
         }
         co_await asio::post(io_, asio::use_awaitable);
     }
@@ -386,6 +385,72 @@
     wake();
 }
 
+void coordinator_runner::begin_start(const start_decision& decision)
+{
+    link_ptr link = find_link(decision.target);
+    if (!link)
+    {
+        --unsent_start_count_;
+        abandon_start(decision);
+        return;
+    }
+    if (link->starts_in_flight >= max_starts_in_flight)
+    {
+        link->waiting_starts.push_back(decision);
+        return;
+    }
+    --unsent_start_count_;
+    ++link->starts_in_flight;
+    auto self = shared_from_this();
+    auto on_end = [self, link]
+    {
+        --link->starts_in_flight;
+        self->begin_next_start(link);
+    };
+    // It is not known whether a start that failed was sent.
+    tasks_.run_once(
+        "start",
+        [self, decision, on_end]() -> asio::awaitable<void>
+        {
+            co_await self->send_start(decision);
+            on_end();
+        },
+        [self, decision, on_end]
+        {
+            self->coordinator_.handle_start_reply(
+                decision, request_outcome::no_answer, boot_clock::now());
+            self->abandon_start(decision);
+            on_end();
+        });
+}
+
+void coordinator_runner::begin_next_start(const link_ptr& link)
+{
+    // None of them is in flight at this link when the target has another link
+    // by now, or none.
+    while (!is_over_ && !link->waiting_starts.empty() &&
+           link->starts_in_flight < max_starts_in_flight)
+    {
+        start_decision next = std::move(link->waiting_starts.front());
+        link->waiting_starts.pop_front();
+        begin_start(next);
+    }
+}
+
+void coordinator_runner::abandon_waiting_starts(const link_ptr& link)
+{
+    auto starts = std::exchange(link->waiting_starts, {});
+    unsent_start_count_ -= starts.size();
+    for (const start_decision& it : starts)
+        abandon_start(it);
+}
+
+void coordinator_runner::abandon_start(const start_decision& decision)
+{
+    coordinator_.abandon_start(decision, boot_clock::now());
+    wake();
+}
+
 asio::awaitable<void> coordinator_runner::send_start(start_decision decision)
 {
     auto self = shared_from_this();
@@ -396,14 +461,13 @@
         link_ptr link = find_link(decision.target);
         if (!link || !link->life || !has_valid_term())
         {
-            coordinator_.abandon_start(decision, boot_clock::now());
+            abandon_start(decision);
             co_return;
         }
         auto request = coordinator_.make_start_request(decision);
         if (!request)
         {
-            coordinator_.abandon_start(decision, boot_clock::now());
-            wake();
+            abandon_start(decision);
             co_return;
         }
         // A retry keeps the first lease, so that the lease expires at a target
@@ -429,6 +493,11 @@
         }
         coordinator_.handle_start_reply(
             decision, reply.outcome, boot_clock::now());
+        bool is_answered = reply.outcome != request_outcome::no_answer &&
+                           reply.outcome != request_outcome::not_sent;
+        link->unanswered_starts = is_answered ? 0 : link->unanswered_starts + 1;
+        if (link->unanswered_starts >= max_unanswered_starts)
+            abandon_waiting_starts(link);
         if (reply.outcome != request_outcome::accepted)
             write_log(log_level::info, "decision.coordinator",
                 "a start was not confirmed",
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -403,6 +403,23 @@
     stopping_.insert(task);
 }
 
+void coordinator::stop_gang(const task_name& task, run_number number)
+{
+    const job_entry* entry = find_entry(task.job);
+    if (!entry || !entry->value.get_step(task.key).is_gang)
+        return;
+    task_name member = task;
+    std::uint32_t count = entry->value.get_step(task.key).task_count;
+    for (std::uint32_t i = 0; i < count; ++i)
+    {
+        member.key.index = i;
+        auto it = runs_.find(member);
+        if (i != task.key.index && it != runs_.end() &&
+            it->second.number == number && !it->second.must_stop)
+            request_stop(it->first, it->second);
+    }
+}
+
 void coordinator::set_published_state(const published_state& state)
 {
     published_state_ = state;
@@ -542,6 +559,9 @@
             if (other != runs_.end() && other->second.number == number)
                 remove_run(member);
         }
+    // Ends of other kinds are ends of the whole gang.
+    if (end == run_outcome::stopped || end == run_outcome::lease_expired)
+        stop_gang(task, number);
     if (entry->value.record_run_end(task.key, number, end, saved,
             get_max_attempts(entry->value.get_queue())))
         record_change(*entry, now);
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -413,6 +413,9 @@
     /// @return null if the decision is about an earlier run of the task.
     active_run* find_run(const start_decision& decision);
     void request_stop(const task_name& task, active_run& run);
+    /// Stops the other members of a gang of which one cannot join the run, so
+    /// that they do not wait for it.
+    void stop_gang(const task_name& task, run_number number);
     /// Stops the runs of an ended job and starts its retention time.
     void record_job_end(job_entry& entry, boot_time now);
     /// Removes a run and frees the capacity and team limit that it used.
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -31,8 +31,11 @@
 
 void coordinator::stop_run(const task_name& task)
 {
-    if (auto it = runs_.find(task); it != runs_.end())
-        request_stop(task, it->second);
+    auto it = runs_.find(task);
+    if (it == runs_.end())
+        return;
+    request_stop(task, it->second);
+    stop_gang(task, it->second.number);
 }
 
 std::optional<run_start_request> coordinator::make_start_request(
@@ -61,7 +64,10 @@
     if (!run || run->has_started)
         return;
     if (run->is_sent)
+    {
         request_stop(decision.task, *run);
+        stop_gang(decision.task, decision.run);
+    }
     else
         end_run(decision.task, run_outcome::stopped, {}, now);
 }
@@ -114,6 +120,7 @@
         // The earlier request may still start the run; only a confirmed stop
         // prevents that.
         request_stop(decision.task, *run);
+        stop_gang(decision.task, decision.run);
         return;
     }
     end_run(decision.task, run_outcome::stopped, {}, now);
--- a/tests/main/entryd/entry_end_to_end_test.cpp
+++ b/tests/main/entryd/entry_end_to_end_test.cpp
@@ -359,6 +359,67 @@
         });
 }
 
+// Failure: a gang with more members than requests can be sent to a target
+// within the time-out of one. Guards against members that count as failed
+// because they waited for one of our own connections: the others were started
+// and waited in vain, round after round.
+TEST_F(entry_end_to_end_test, starts_each_member_of_a_large_gang_once)
+{
+    platform.add_target("t1", std::chrono::seconds(10));
+    platform.set_target_delay(milliseconds(3));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            constexpr std::size_t member_count = 640;
+            constexpr milliseconds gang_wait{3'000};
+            http_response it = co_await send("POST", "/q/" + job_1,
+                R"({"spec":"s","steps":[{"count":640,"cpu":1,"memMb":1,)"
+                R"("estimateMs":50,"gang":true}]})");
+            EXPECT_EQ(it.status, 200U);
+            while (platform.get_start_counts().size() < member_count)
+                co_await sleep(milliseconds(10));
+            co_await sleep(milliseconds(500));
+            for (const auto& [task, n] : platform.get_start_counts())
+                EXPECT_EQ(n, 1) << task;
+            EXPECT_LT(platform.get_start_span(), gang_wait);
+        });
+}
+
+// Failure: a target that is silent has many starts waiting for it. Guards
+// against tasks that wait for its time-outs one after the other, and against
+// ones that run twice because of it.
+TEST_F(entry_end_to_end_test, starts_elsewhere_what_waits_for_a_silent_target)
+{
+    platform.add_target("t1", std::chrono::seconds(10));
+    run(
+        [this]() -> asio::awaitable<void>
+        {
+            co_await wait_until_ready();
+            http_response it =
+                co_await send("POST", "/q/" + job_1, make_wide_job(1));
+            while (platform.get_start_counts().empty())
+                co_await sleep(milliseconds(10));
+            platform.add_target("t2", std::chrono::seconds(10));
+            while (platform.get_poll_count("t2") == 0)
+                co_await sleep(milliseconds(10));
+            // The fuller target is chosen first.
+            platform.set_unreachable("t1", true);
+            boot_time from = boot_clock::now();
+            it = co_await send("POST", "/q/" + job_2, make_wide_job(60));
+            EXPECT_EQ(it.status, 200U);
+            // All but those that were sent and may have started.
+            while (platform.get_start_counts().size() < 50)
+                co_await sleep(milliseconds(10));
+            EXPECT_LT(boot_clock::now() - from, milliseconds(3'000));
+            platform.set_unreachable("t1", false);
+            while (platform.get_start_counts().size() < 61)
+                co_await sleep(milliseconds(10));
+            for (const auto& [task, n] : platform.get_start_counts())
+                EXPECT_EQ(n, 1) << task;
+        });
+}
+
 // Guards against a job whose running tasks need more bytes than one row of the
 // store holds: the refused transaction was repeated for ever, and nothing of
 // anybody was accepted or cancelled. A successor must not run its tasks again.
--- a/tests/stand_ins/users_platform.cpp
+++ b/tests/stand_ins/users_platform.cpp
@@ -258,6 +258,11 @@
     return out;
 }
 
+milliseconds users_platform::get_start_span() const
+{
+    return milliseconds(last_start_ms_ - first_start_ms_);
+}
+
 int users_platform::get_poll_count(const std::string& id) const
 {
     return targets_.at(id)->poll_count;
@@ -462,6 +467,8 @@
     auto fence = body.at("fenceToken").get<std::uint64_t>();
     while (!it->is_reachable_for(fence))
         co_await sleep(poll_interval);
+    if (target_delay_ > milliseconds(0))
+        co_await sleep(target_delay_);
     if (fence < it->fence)
         co_return make_response(
             409, {{"clockMs", get_clock_ms()}, {"reason", "fence"}});
@@ -474,6 +481,9 @@
         {
             if (!list_running_targets(task).empty())
                 overlapping_starts_.push_back(task);
+            last_start_ms_ = get_clock_ms();
+            if (start_counts_.empty())
+                first_start_ms_ = last_start_ms_;
             ++start_counts_[task];
             it->running[task] = {body.at("runId").get<std::uint64_t>(),
                 get_clock_ms() + it->task_duration.count(),
--- a/tests/stand_ins/users_platform.hpp
+++ b/tests/stand_ins/users_platform.hpp
@@ -82,6 +82,13 @@
     void set_reachable_for(const std::string& id, std::uint64_t min_fence,
         std::uint64_t max_fence);
 
+    /// Simulates the way to the targets: each answer takes this much longer.
+    void set_target_delay(milliseconds time) { target_delay_ = time; }
+
+    /// @return time between the first and the last start of a task by any
+    ///   target.
+    milliseconds get_start_span() const;
+
     /// From now on, runs end when their lease expires.
     /// @param limit longest lease that a target grants.
     void set_lease_limit(milliseconds limit) { lease_limit_ = limit; }
@@ -192,6 +199,9 @@
     std::map<std::string, int> start_counts_;
     std::vector<std::string> overlapping_starts_;
     std::optional<milliseconds> lease_limit_;
+    milliseconds target_delay_{0};
+    std::int64_t first_start_ms_ = 0;
+    std::int64_t last_start_ms_ = 0;
     bool is_store_unavailable_ = false;
     milliseconds transaction_time_{0};
     bool is_holding_order_replies_ = false;
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -398,6 +398,42 @@
     EXPECT_GT(third[0].run, second[0].run);
 }
 
+// Guards against members of a gang that wait for one that cannot join them: its
+// start was not sent, or got no answer and was given up.
+TEST_F(coordinator_test, stops_the_members_that_a_gang_waits_with)
+{
+    add_target(make_report("t1", 1));
+    add_target(make_report("t2", 1));
+    add_target(make_report("t3", 1));
+    step_spec step = make_step(3);
+    step.is_gang = true;
+    it.submit(job_1, make_record({step}), at(0));
+    auto starts = it.plan(at(0), platform_time(0));
+    ASSERT_EQ(starts.size(), 3U);
+    it.make_start_request(starts[0]);
+    it.handle_start_reply(starts[0], request_outcome::accepted, at(10));
+    it.make_start_request(starts[1]);
+    EXPECT_TRUE(it.list_stops().empty());
+    it.handle_start_reply(starts[1], request_outcome::not_sent, at(20));
+    // The first member runs and is stopped; the third one is not sent any more.
+    auto stops = it.list_stops();
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops[0].task, starts[0].task);
+    EXPECT_FALSE(it.make_start_request(starts[2]));
+    it.abandon_start(starts[2], at(20));
+    // The gang starts again once all of it has ended.
+    EXPECT_TRUE(it.plan(at(30), platform_time(30)).empty());
+    target_status status;
+    status.ended.push_back(
+        {1, starts[0].task, starts[0].run, run_outcome::stopped, ""});
+    it.handle_status(starts[0].target, status, at(40), at(40));
+    it.handle_status(starts[1].target, {}, at(2'000), at(2'000));
+    auto again = it.plan(at(2'000), platform_time(2'000));
+    ASSERT_EQ(again.size(), 3U);
+    EXPECT_GT(again[0].run, starts[0].run);
+    EXPECT_EQ(again[0].run, again[2].run);
+}
+
 // Guards against a gang that counts as running, raises its run numbers or
 // writes its row while it waits, and against tasks of other jobs that wait
 // because a member did not fit beside the others.
