Coordinator: runs that must not be at a target are stopped

Cause: a report of an unexpected run was ignored, while each poll extends the leases of all that runs at the target; the protocol has no lease for one run.

Change: a listed run whose job is not known or settled, or whose task has no run or another one, is stopped by its number until the target no longer lists it, under a valid term. Runs with a number that this coordinator has not given out, and those of jobs whose rows cannot be decoded, are left alone.

Tests: coordinator_test.stops_runs_that_must_not_be_there, coordinator_test.leaves_runs_of_unreadable_jobs_alone.

--- a/main/entryd/coordinator_runner.hpp
+++ b/main/entryd/coordinator_runner.hpp
@@ -305,7 +305,7 @@
     bool is_sending_starts_ = false;
     /// Durable starts of which no request has been sent yet.
     std::size_t unsent_start_count_ = 0;
-    std::set<task_name> stops_in_flight_;
+    std::set<stop_decision> stops_in_flight_;
     /// The ends received from each target whose rows are not in the ledger's
     /// next batch yet.
     std::map<link_ptr, end_acknowledgement> received_ends_;
--- a/main/entryd/coordinator_runner_recovery.cpp
+++ b/main/entryd/coordinator_runner_recovery.cpp
@@ -49,6 +49,7 @@
         write_log(log_level::error, "coordinator",
             "cannot decode the rows of a job",
             {{"job", id}, {"why", e.what()}});
+        coordinator_.add_unreadable_job(id);
     }
 }
 
@@ -69,6 +70,7 @@
         write_log(log_level::error, "coordinator",
             "cannot decode the progress row of a job",
             {{"job", id}, {"why", e.what()}});
+        coordinator_.add_unreadable_job(id);
         return false;
     }
 }
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -518,10 +518,10 @@
     if (!has_valid_term())
         return;
     for (const stop_decision& it : coordinator_.list_stops())
-        if (stops_in_flight_.insert(it.task).second)
+        if (stops_in_flight_.insert(it).second)
             tasks_.run_once(
                 "stop", [self, it] { return self->send_stop(it); },
-                [self, it] { self->stops_in_flight_.erase(it.task); });
+                [self, it] { self->stops_in_flight_.erase(it); });
 }
 
 asio::awaitable<void> coordinator_runner::send_stop(stop_decision decision)
@@ -547,7 +547,7 @@
     // The run counts as stopped only once a status shows that it has ended.
     // Until then each round of decisions sends the stop again.
     co_await sleep(stop_retry_interval);
-    stops_in_flight_.erase(decision.task);
+    stops_in_flight_.erase(decision);
 }
 
 } // namespace cowslippass
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -98,6 +98,8 @@
     task_name task;
     run_number run;
     target_id target;
+
+    auto operator<=>(const stop_decision&) const = default;
 };
 
 /// Waiting tasks of one step, which have the same need.
@@ -173,6 +175,10 @@
         const std::string& progress, boot_time now, platform_time wall_time,
         const std::map<std::uint32_t, std::string>& segments = {});
 
+    /// The rows of a job cannot be decoded. What runs of it is left alone, as a
+    /// later coordinator may read them.
+    void add_unreadable_job(const job_id& id) { unreadable_jobs_.insert(id); }
+
     /// Adds a job, unless it is known or has a tombstone.
     submit_outcome submit(const job_id& id, job_record record, boot_time now);
 
@@ -251,7 +257,8 @@
         std::size_t max_starts = std::numeric_limits<std::size_t>::max());
 
     /// @return runs that must stop, whose end no target has reported yet and
-    ///   that may have been sent to a target.
+    ///   that may have been sent to a target, and runs that targets have listed
+    ///   last and that must not be there.
     std::vector<stop_decision> list_stops() const;
 
     /// Marks the task's run to be stopped; the task starts again elsewhere.
@@ -540,6 +547,10 @@
     std::uint64_t config_number_ = 1;
     run_table runs_;
     std::set<task_name> stopping_; ///< Runs that must stop.
+    /// Stray runs, as targets have listed them last.
+    std::map<target_id, std::vector<stop_decision>> strays_;
+    /// Jobs whose rows could not be decoded.
+    std::set<job_id> unreadable_jobs_;
     std::map<team_id, resources> team_usage_;
     target_table targets_;
     std::vector<job_id> changed_jobs_;
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -26,6 +26,8 @@
     for (const task_name& it : stopping_)
         if (const active_run& run = runs_.at(it); run.is_sent)
             out.push_back({it, run.number, run.target});
+    for (const auto& [target, runs] : strays_)
+        out.insert(out.end(), runs.begin(), runs.end());
     return out;
 }
 
@@ -159,6 +161,24 @@
     confirm_start(report.task, run->second, now);
 }
 
+bool coordinator::is_stray(
+    const target_entry& target, const running_report& report) const
+{
+    if (unreadable_jobs_.contains(report.task.job))
+        return false;
+    auto run = runs_.find(report.task);
+    if (run != runs_.end())
+        return run->second.number > report.run ||
+               (run->second.number == report.run &&
+                   run->second.target != target.report.target);
+    const job* owner = find_job(report.task.job);
+    const task_progress* task = owner && !owner->is_settled()
+                                    ? owner->find_task(report.task.key)
+                                    : nullptr;
+    // A later coordinator has assigned a run with a higher number.
+    return !task || task->last_number >= report.run;
+}
+
 void coordinator::handle_end_report(
     target_entry& target, const end_report& report, boot_time now)
 {
@@ -317,8 +337,17 @@
     target.incarnation_start = status.incarnation_start;
     for (const end_report& it : status.ended)
         handle_end_report(target, it, now);
+    std::vector<stop_decision> strays;
     for (const running_report& it : status.running)
+    {
         handle_running_report(target, it, status.clock, now);
+        if (is_stray(target, it))
+            strays.push_back({it.task, it.run, id});
+    }
+    if (strays.empty())
+        strays_.erase(id);
+    else
+        strays_[id] = std::move(strays);
     if (options_.judges_targets)
         judge_progress(target, status, now);
     end_missing_runs(target, status, sent_at, now);
@@ -382,7 +411,10 @@
                 end_run(run, run_outcome::lease_expired, {}, now);
         }
         if (!target.is_listed && target.runs.empty())
+        {
+            strays_.erase(it->first);
             it = targets_.erase(it);
+        }
         else
             ++it;
     }
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -480,6 +480,74 @@
     EXPECT_TRUE(it.find_job(job_1)->is_settled());
 }
 
+// Guards against runs that nobody stops and whose leases each poll extends with
+// those of the others: of a job that is not known or has ended, and an earlier
+// run of a task. What a later coordinator has started is left alone.
+TEST_F(coordinator_test, stops_runs_that_must_not_be_there)
+{
+    add_target(make_report("t1"));
+    add_target(make_report("t2"));
+    const job_id job_2("2");
+    it.submit(job_1, make_record({make_step(1)}), at(0));
+    it.submit(job_2, make_record({make_step(1)}), at(0));
+    auto starts = plan(0);
+    ASSERT_EQ(starts.size(), 2U);
+    if (starts[0].task.job == job_2)
+        std::swap(starts[0], starts[1]);
+    it.cancel(job_2, at(10));
+    const start_decision& own = starts[0];
+    target_status status;
+    status.ended.push_back(
+        {1, starts[1].task, starts[1].run, run_outcome::stopped, ""});
+    if (own.target == starts[1].target)
+        status.running.push_back({own.task, own.run, "", 50, 0});
+    it.handle_status(starts[1].target, status, at(20), at(20));
+    EXPECT_TRUE(it.list_stops().empty());
+
+    auto list = [&](const char* target, std::vector<running_report> running)
+    {
+        target_status out;
+        out.running = std::move(running);
+        it.handle_status(target_id(target), out, at(30), at(30));
+        return it.list_stops();
+    };
+    const std::string elsewhere = own.target == target_id("t1") ? "t2" : "t1";
+    // Its own run is no stray.
+    EXPECT_TRUE(list(own.target.get().c_str(),
+        {{own.task, own.run, "", 50,
+            0}}).empty());
+    const task_name unknown{job_id("9"), {0, 0, 0}};
+    auto stops = list(elsewhere.c_str(),
+        {{unknown, run_number(3), "", 50, 0},
+            {starts[1].task, starts[1].run, "", 50, 0},
+            {own.task, own.run, "", 50, 0},
+            {own.task, run_number(own.run.get() + 1), "", 50, 0}});
+    ASSERT_EQ(stops.size(), 3U);
+    EXPECT_EQ(stops[0].task, unknown);
+    EXPECT_EQ(stops[0].run, run_number(3));
+    EXPECT_EQ(stops[0].target, target_id(elsewhere));
+    EXPECT_EQ(stops[1].task, starts[1].task);
+    // The same run number at another target.
+    EXPECT_EQ(stops[2].task, own.task);
+    EXPECT_EQ(stops[2].run, own.run);
+    // The target has stopped them; the job's own run is not affected.
+    EXPECT_TRUE(list(elsewhere.c_str(), {}).empty());
+    EXPECT_EQ(it.get_runs().size(), 1U);
+}
+
+// Guards against runs that a rollback ends: a later version has written rows
+// that this one cannot decode.
+TEST_F(coordinator_test, leaves_runs_of_unreadable_jobs_alone)
+{
+    add_target(make_report("t1"));
+    it.add_unreadable_job(job_id("9"));
+    target_status status;
+    status.running.push_back(
+        {{job_id("9"), {0, 0, 0}}, run_number(3), "", 50, 0});
+    it.handle_status(target_id("t1"), status, at(30), at(30));
+    EXPECT_TRUE(it.list_stops().empty());
+}
+
 // Guards against a gang that counts as running, raises its run numbers or
 // writes its row while it waits, and against tasks of other jobs that wait
 // because a member did not fit beside the others.
