Gangs: placed only where all members can be started in time

Change: a target takes as many members of a gang as can be started in half of gang_wait_ms, by a moving average of its answers to starts; the rest goes to other targets. A gang that cannot be placed so waits, and the log names its job each second.

Not covered: the processor time of all starts together; relays; a measurement of starts a second.

--- a/main/entryd/coordinator_runner.cpp
+++ b/main/entryd/coordinator_runner.cpp
@@ -48,6 +48,8 @@
 coordinator_options make_coordinator_options(const entry_settings& settings)
 {
     coordinator_options out;
+    out.gang_wait = settings.gang_wait;
+    out.starts_in_flight = max_starts_in_flight;
     out.ended_job_retention = settings.status_time + status_time_margin;
     out.learns_run_times = settings.learn_run_times;
     out.sheds_overload = settings.shed_overload;
@@ -426,6 +428,10 @@
             {"commits", commit_count_},
             {"longest_commit_ms", longest_commit_.count()},
             {"term", head_.term}});
+    for (const job_id& it : coordinator_.take_gangs_beyond_start_rate())
+        coordinator_log.write("wait", "gang_cannot_be_started_in_time",
+            {{"job", it}, {"gang_wait_ms", settings_.gang_wait.count()},
+                {"term", head_.term}});
     commit_count_ = 0;
     longest_commit_ = milliseconds(0);
     for (const auto& [from, count] : std::exchange(refused_jobs_to_log_, {}))
--- a/main/entryd/coordinator_runner_internal.hpp
+++ b/main/entryd/coordinator_runner_internal.hpp
@@ -16,6 +16,10 @@
 /// sent. A successor relies on it for targets that it cannot reach.
 inline constexpr milliseconds max_renewal_age{4'000};
 
+/// Starts of one target that are in flight at a time: its connections but the
+/// one of the poll.
+inline constexpr std::size_t max_starts_in_flight = 3;
+
 inline milliseconds to_milliseconds(boot_clock::duration time)
 {
     return std::chrono::duration_cast<milliseconds>(time);
--- a/main/entryd/coordinator_runner_targets.cpp
+++ b/main/entryd/coordinator_runner_targets.cpp
@@ -12,9 +12,6 @@
 /// Timeout of the first request to start a run. It may be sent again safely,
 /// and a target that does not answer it usually answers the next one.
 constexpr milliseconds first_start_timeout{250};
-/// Starts of one target that are in flight at a time: its connections but the
-/// one of the poll.
-constexpr std::size_t max_starts_in_flight = 3;
 /// After this many starts in a row without an answer, those that wait for the
 /// same target are planned again.
 constexpr std::size_t max_unanswered_starts = 2;
@@ -479,6 +476,7 @@
         // is noticed.
         link->timer.cancel();
         boot_time valid_until = get_request_end();
+        boot_time sent_at = boot_clock::now();
         request_reply reply =
             co_await link->channel.start(*request, timeout, valid_until);
         timeout = request_timeout;
@@ -493,6 +491,9 @@
         }
         coordinator_.handle_start_reply(
             decision, reply.outcome, boot_clock::now());
+        if (reply.outcome == request_outcome::accepted)
+            coordinator_.record_start_time(
+                decision.target, to_milliseconds(boot_clock::now() - sent_at));
         bool is_answered = reply.outcome != request_outcome::no_answer &&
                            reply.outcome != request_outcome::not_sent;
         link->unanswered_starts = is_answered ? 0 : link->unanswered_starts + 1;
--- a/main/entryd/entry_settings.cpp
+++ b/main/entryd/entry_settings.cpp
@@ -107,6 +107,7 @@
             "maintenance_time_s", &s::maintenance_time, false, time_rule},
         setting_description{
             "notice_time_ms", &s::notice_time, false, time_rule},
+        setting_description{"gang_wait_ms", &s::gang_wait, false, time_rule},
         setting_description{
             "learn_run_times", &s::learn_run_times, false, switch_rule},
         setting_description{
--- a/main/entryd/entry_settings.hpp
+++ b/main/entryd/entry_settings.hpp
@@ -58,6 +58,8 @@
     milliseconds maintenance_time{2'000};
     /// A task that is unavailable for this long counts against its budget.
     milliseconds notice_time{4'500};
+    /// How long the members of a gang wait for each other at their targets.
+    milliseconds gang_wait{3'000};
 
     // Decisions under load that are off unless the deployment asks for them.
 
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -33,6 +33,10 @@
     /// Longest time that a target takes to carry out a stop. Until then, it
     /// lists the run as running.
     milliseconds max_stop_time{1'000};
+    /// How long the members of a gang wait for each other at their targets.
+    milliseconds gang_wait{3'000};
+    /// Starts of one target that are in flight at a time.
+    std::uint32_t starts_in_flight = 3;
     /// Averaging time of the arrival rate: long enough that single jobs do not
     /// look like a burst, short against a burst of some seconds.
     milliseconds load_averaging_time{1'000};
@@ -283,6 +287,18 @@
 
     void handle_start_reply(
         const start_decision& decision, request_outcome outcome, boot_time now);
+
+    /// Records how long a target took to answer a start.
+    void record_start_time(const target_id& target, milliseconds took);
+
+    /// @return jobs with a gang that waited in a planning round since the last
+    ///   call because its members cannot all be started while they wait for
+    ///   each other.
+    std::set<job_id> take_gangs_beyond_start_rate()
+    {
+        return std::exchange(gangs_beyond_start_rate_, {});
+    }
+
     void handle_stop_reply(
         const stop_decision& decision, request_outcome outcome, boot_time now);
 
@@ -519,6 +535,8 @@
 
         std::vector<std::pair<task_key, target_entry*>> members;
         std::map<const target_entry*, reservation> reservations;
+        /// A target has capacity for more members than can be started in time.
+        bool is_limited_by_starts = false;
 
         void add(
             const task_key& key, target_entry& target, const resources& need);
@@ -530,7 +548,10 @@
     /// @return null if the task fits no eligible target.
     target_entry* choose_target(const job_entry& entry, const task_key& key,
         const pool_id& pool, capacity_index& capacity,
-        const gang_placement* placement = nullptr);
+        gang_placement* placement = nullptr);
+    /// @return how many members of a gang the target can start while they wait
+    ///   for each other.
+    std::uint32_t get_max_gang_members(const target_entry& target) const;
     bool fits_team_limit(const team_id& team, const resources& need) const;
     std::uint32_t get_max_attempts(const queue_id& queue) const;
 
@@ -565,6 +586,7 @@
     std::map<pool_id, failure_baseline> failure_baselines_;
     std::map<pool_id, overload_state> overloads_;
     std::vector<overload_change> overload_changes_;
+    std::set<job_id> gangs_beyond_start_rate_;
     std::uint64_t last_acceptance_number_ = 0;
     std::uint64_t last_assignment_ = 0;
 };
--- a/systems/scheduling/coordinator_planning.cpp
+++ b/systems/scheduling/coordinator_planning.cpp
@@ -16,6 +16,14 @@
 /// other pools need become idle.
 constexpr double overdue_utilisation_limit = 0.6;
 
+/// Part of the time for which members of a gang wait that their starts may
+/// take.
+constexpr double gang_start_share = 0.5;
+/// Assumed time of a start, in milliseconds, before one was measured: that of a
+/// target in another data centre. A gang that is started on a wrong assumption
+/// fails once, and one that is held would never be measured.
+constexpr double default_start_ms = 4;
+
 } // namespace
 
 std::vector<coordinator::job_entry*> coordinator::list_waiting_jobs(
@@ -166,9 +174,18 @@
     return it == reservations.end() ? nullptr : &it->second;
 }
 
+std::uint32_t coordinator::get_max_gang_members(
+    const target_entry& target) const
+{
+    double start_ms = target.start_ms > 0 ? target.start_ms : default_start_ms;
+    double most = static_cast<double>(options_.gang_wait.count()) *
+                  gang_start_share / start_ms * options_.starts_in_flight;
+    return static_cast<std::uint32_t>(std::clamp(most, 1.0, 1e6));
+}
+
 target_entry* coordinator::choose_target(const job_entry& entry,
     const task_key& key, const pool_id& pool, capacity_index& capacity,
-    const gang_placement* placement)
+    gang_placement* placement)
 {
     const job& owner = entry.value;
     const step_spec& step = owner.get_step(key);
@@ -217,6 +234,12 @@
             continue;
         if (step.max_per_target > 0 && count_here(*it) >= step.max_per_target)
             continue;
+        const auto* reserved = placement ? placement->find(*it) : nullptr;
+        if (reserved && reserved->member_count >= get_max_gang_members(*it))
+        {
+            placement->is_limited_by_starts = true;
+            continue;
+        }
         if (options_.judges_targets && !it->runs.empty() &&
             it->evidence.is_on_probation(capacity.now))
             continue;
@@ -321,7 +344,11 @@
         target_entry* target =
             choose_target(entry, it, queue.pool, capacity, &placement);
         if (!target)
+        {
+            if (placement.is_limited_by_starts)
+                gangs_beyond_start_rate_.insert(owner.get_id());
             return false;
+        }
         placement.add(it, *target, step.get_counted_need());
     }
     std::uint64_t number = 0;
--- a/systems/scheduling/coordinator_replies.cpp
+++ b/systems/scheduling/coordinator_replies.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t max_ends_per_status = 500;
 /// At most this share of a pool's targets is suspended at a time.
 constexpr double max_suspended_share = 0.25;
+/// Weight of the newest start in the moving average of their times.
+constexpr double start_time_weight = 0.1;
 /// The progress of a younger run is reported too roughly to tell its speed.
 constexpr milliseconds min_time_for_speed{400};
 
@@ -128,6 +130,17 @@
     end_run(decision.task, run_outcome::stopped, {}, now);
 }
 
+void coordinator::record_start_time(const target_id& id, milliseconds took)
+{
+    auto it = targets_.find(id);
+    if (it == targets_.end())
+        return;
+    double& average = it->second.start_ms;
+    auto ms = static_cast<double>(took.count());
+    average = average == 0 ? std::max(1.0, ms)
+                           : average + (ms - average) * start_time_weight;
+}
+
 void coordinator::handle_stop_reply(
     const stop_decision& decision, request_outcome outcome, boot_time now)
 {
--- a/systems/scheduling/target_table.hpp
+++ b/systems/scheduling/target_table.hpp
@@ -47,6 +47,9 @@
     /// target have expired.
     boot_time last_lease_end{};
     unsigned consecutive_failures = 0; ///< Polls in a row without an answer.
+    /// Moving average of the time that it takes to answer a start, in
+    /// milliseconds; 0 before the first one.
+    double start_ms = 0;
     /// What the runs of this incarnation tell of it.
     target_evidence evidence;
 
--- a/tests/systems/scheduling/coordinator_test.cpp
+++ b/tests/systems/scheduling/coordinator_test.cpp
@@ -548,6 +548,42 @@
     EXPECT_TRUE(it.list_stops().empty());
 }
 
+// Guards against a gang that is started although its members cannot all be
+// started while the first ones wait: its work is thrown away round after round.
+TEST_F(coordinator_test, holds_a_gang_that_cannot_be_started_in_time)
+{
+    add_target(make_report("t1", 1'000));
+    step_spec step = make_step(1'200, 1);
+    step.need.memory = 1;
+    step.is_gang = true;
+    it.submit(job_1, make_record({step}), at(0));
+    // Three starts in flight, 4 ms each, in half of the 3 s that members wait.
+    EXPECT_TRUE(it.plan(at(0), platform_time(0)).empty());
+    EXPECT_EQ(it.take_gangs_beyond_start_rate(), std::set{job_1});
+    EXPECT_TRUE(it.take_gangs_beyond_start_rate().empty());
+    // A fast target takes them all.
+    it.record_start_time(target_id("t1"), milliseconds(3));
+    EXPECT_EQ(it.plan(at(100), platform_time(100)).size(), 1'200U);
+}
+
+// The same on a slow target, and with a second one that takes the rest.
+TEST_F(coordinator_test, spreads_a_gang_over_targets_that_start_it_in_time)
+{
+    add_target(make_report("t1", 1'000));
+    it.record_start_time(target_id("t1"), milliseconds(45));
+    step_spec step = make_step(150, 1);
+    step.need.memory = 1;
+    step.is_gang = true;
+    it.submit(job_1, make_record({step}), at(0));
+    EXPECT_TRUE(it.plan(at(0), platform_time(0)).empty());
+    add_target(make_report("t2", 1'000));
+    auto starts = it.plan(at(100), platform_time(100));
+    ASSERT_EQ(starts.size(), 150U);
+    EXPECT_EQ(
+        std::ranges::count(starts, target_id("t1"), &start_decision::target),
+        100);
+}
+
 // Guards against a gang that counts as running, raises its run numbers or
 // writes its row while it waits, and against tasks of other jobs that wait
 // because a member did not fit beside the others.
