--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -27,6 +27,7 @@
 HEARTBEAT_S = 1.5
 MOVE_S = 1.5
 UPKEEP_S = 2.0
+WORK_S = float(os.environ.get("WORK_S", "0.005"))
 
 
 class CannotRun(Exception):
@@ -348,6 +349,8 @@
         self.has_ended = asyncio.Event()
         self.is_up = False
         self.before = None  # hook: (path, body) -> "lost", "hang" or None
+        self.start_s = 0  # Time that it takes to start a task.
+        self.slowness = 1  # Everything takes this many times as long.
 
     def clock(self):
         return int((time.monotonic() - self.begin) * 1000) + 1000
@@ -396,9 +399,10 @@
                 for task in list(self.running):
                     self.end(task, "lapsed")
             for task, run in list(self.running.items()):
-                if run["end"] is not None and now >= run["end"]:
+                if run["end"] is not None and now >= run["end"] and \
+                        self.running.get(task) is run:
                     self.end(task, run["how"])
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(WORK_S)
 
     def end(self, task, how):
         run = self.running.pop(task)
@@ -411,7 +415,11 @@
             (self.fleet.record.now(), self.name, task, run["run"], how))
         self.has_ended.set()
         self.has_ended = asyncio.Event()
-        if "gang" in run and how not in ("done", "alone"):
+        if "gang" in run and how == "done":
+            # The end of one ends the next one, until none is left.
+            for other, it in self.fleet.list_gang(task, run["run"])[:1]:
+                other.end(it["task"], "done")
+        elif "gang" in run and how != "alone":
             self.fleet.break_gang(task, run["run"])
 
     async def handle(self, conn, method, path, query, headers, body):
@@ -428,6 +436,8 @@
             return 200, {}
         if path not in ("/-/run-start", "/-/run-stop", "/-/hold"):
             return 404, {}
+        if path == "/-/run-start" and self.start_s:
+            await asyncio.sleep(self.start_s * self.slowness)
         fence = order.get("fenceToken", 0)
         if fence < self.fence:
             return self.refuse("fence")
@@ -460,11 +470,14 @@
         self.extend(order)
         spec = json.loads(order["spec"])
         lasts = spec.get("ms")
+        if lasts is not None:
+            lasts *= self.slowness
         # Only runs up to this number end by themselves.
         if number > spec.get("last_run_to_end", number):
             lasts = None
         how = spec.get("how", "done")
-        run = {"run": number, "begin": self.clock(), "how": how, "end": None}
+        run = {"task": task, "run": number, "begin": self.clock(),
+               "how": how, "end": None}
         self.running[task] = run
         if "gang" in spec:
             # They work from when all are present, and end together.
@@ -491,7 +504,7 @@
         self.floors[task] = max(self.floors.get(task, 0), number)
         run = self.running.get(task)
         if run and run["run"] <= number:
-            run["end"] = min(run["end"] or 1 << 62, self.clock() + 50)
+            run["end"] = min(run["end"] or 1 << 62, self.clock() + self.fleet.stop_ms)
             run["how"] = "stopped"
         return 200, {"clockMs": self.clock()}
 
@@ -685,6 +698,7 @@
     """A small deployment on stand-ins."""
 
     capacity = {"cpu": 16000, "memMb": 32768, "gpus": 0}
+    stop_ms = 50  # Time that a stop takes.
 
     def __init__(self, record, entries=3):
         if not DAEMON.exists():
