--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -34,10 +35,22 @@
     """The case could not be set up."""
 
 
+USED_PORTS = set()
+
+
 def free_port():
-    with socket.socket() as it:
-        it.bind((LOOPBACK, 0))
-        return it.getsockname()[1]
+    """A port that no outgoing connection takes by chance."""
+    while True:
+        port = random.randrange(12000, 30000)
+        if port in USED_PORTS:
+            continue
+        with socket.socket() as it:
+            try:
+                it.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        USED_PORTS.add(port)
+        return port
 
 
 class Record:
@@ -857,6 +870,13 @@
         fleet = Fleet(record, entries)
         try:
             return await asyncio.wait_for(case(fleet, has_trouble), limit_s)
+        except CannotRun:
+            for it in fleet.entries:
+                lines = it.log.read_text(encoding="utf-8").splitlines() \
+                    if it.log.exists() else []
+                code = it.process.returncode if it.process else None
+                record.write(f"{it.name} exit {code}, last lines: {lines[-3:]}")
+            raise
         finally:
             await fleet.stop()
             if os.environ.get("KEEP_LOGS"):
