--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -35,22 +35,48 @@
     """The case could not be set up."""
 
 
-USED_PORTS = set()
+class PortBlock:
+    """Ports of this script alone. Scripts that run side by side have other
+    blocks: the first port of a block stays bound as long as its script runs.
+    No outgoing connection takes ports of this range by chance."""
 
+    first, last, size = 12000, 30000, 60
 
-def free_port():
-    """A port that no outgoing connection takes by chance."""
-    while True:
-        port = random.randrange(12000, 30000)
-        if port in USED_PORTS:
-            continue
-        with socket.socket() as it:
+    def __init__(self):
+        self.guard = None
+        self.next = 0
+
+    def take_block(self):
+        while not self.guard:
+            begin = random.randrange(self.first, self.last, self.size)
+            it = socket.socket()
             try:
-                it.bind((LOOPBACK, port))
+                it.bind((LOOPBACK, begin))
             except OSError:
+                it.close()
                 continue
-        USED_PORTS.add(port)
-        return port
+            self.guard, self.next = it, begin + 1
+
+    def take_port(self):
+        self.take_block()
+        while True:
+            port = self.next
+            self.next += 1
+            if port % self.size == 0:
+                raise CannotRun("no free ports are left")
+            with socket.socket() as it:
+                try:
+                    it.bind((LOOPBACK, port))
+                    return port
+                except OSError:
+                    continue
+
+
+PORTS = PortBlock()
+
+
+def free_port():
+    return PORTS.take_port()
 
 
 class Record:
@@ -517,7 +543,8 @@
         self.floors[task] = max(self.floors.get(task, 0), number)
         run = self.running.get(task)
         if run and run["run"] <= number:
-            run["end"] = min(run["end"] or 1 << 62, self.clock() + self.fleet.stop_ms)
+            end = self.clock() + self.fleet.stop_ms
+            run["end"] = min(run["end"] or end, end)
             run["how"] = "stopped"
         return 200, {"clockMs": self.clock()}
 
@@ -875,7 +902,8 @@
                 lines = it.log.read_text(encoding="utf-8").splitlines() \
                     if it.log.exists() else []
                 code = it.process.returncode if it.process else None
-                record.write(f"{it.name} exit {code}, last lines: {lines[-3:]}")
+                record.write(
+                    f"{it.name} exit {code}, last lines: {lines[-3:]}")
             raise
         finally:
             await fleet.stop()
