Pools: the begin of a drain is logged

No line told why a target with free capacity got no work: the pool's balance counts it as free beside other runs, and a drain left no trace.

Change: a line "drain" with the instance, its target, the wave and the number of runs.

--- a/main/entryd/pool_plan_executor.cpp
+++ b/main/entryd/pool_plan_executor.cpp
@@ -265,6 +265,10 @@
         next_report_at_ = now + sizing_log_interval;
         log_pool_sizings();
     }
+    for (const begun_drain& it : out.begun_drains)
+        decisions_log.write("drain", "begun",
+            {{"instance", it.instance}, {"target", it.target},
+                {"wave", it.wave}, {"runs", it.run_count}});
     update_waves();
     for (const instance_order& it : out.orders)
     {
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -411,7 +411,7 @@
         bool is_held_back = has_work(it, decisions);
         if (is_held_back && it.order.is_maintenance() &&
             waves.contains(it.order.wave))
-            drain(*find_instance(id), decisions, out);
+            drain(*find_instance(id), it.order.wave, decisions, out);
         if (is_held_back || it.resend_at > now || order_tokens_ < 1)
             continue;
         --order_tokens_;
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -81,10 +81,21 @@
     bool operator==(const wave_progress&) const = default;
 };
 
+/// An instance that gets no new work from now on, so that it can be maintained
+/// once its runs have ended.
+struct begun_drain
+{
+    instance_id instance;
+    target_id target;
+    std::uint64_t wave = 0;
+    std::size_t run_count = 0; ///< Runs at its target.
+};
+
 /// Result of one planning round.
 struct pool_decisions
 {
     std::vector<instance_order> orders;
+    std::vector<begun_drain> begun_drains; ///< For logs.
     /// Long-running tasks on drained instances; they start again elsewhere.
     std::vector<task_name> tasks_to_stop;
 };
@@ -234,8 +245,8 @@
         coordinator& decisions, boot_time now, pool_decisions& out);
     /// Cordons the instance's target and interrupts its tasks, as far as their
     /// steps allow it.
-    void drain(const platform_instance& instance, coordinator& decisions,
-        pool_decisions& out);
+    void drain(const platform_instance& instance, std::uint64_t wave,
+        coordinator& decisions, pool_decisions& out);
     /// @return null if the instance is not listed.
     const platform_instance* find_instance(const instance_id& id) const;
     /// @return whether the instance is up and has no open order.
--- a/systems/pools/pool_planner_waves.cpp
+++ b/systems/pools/pool_planner_waves.cpp
@@ -97,13 +97,16 @@
     return n;
 }
 
-void pool_planner::drain(const platform_instance& instance,
+void pool_planner::drain(const platform_instance& instance, std::uint64_t wave,
     coordinator& decisions, pool_decisions& out)
 {
     decisions.set_cordon(instance.target, true);
-    draining_targets_.insert(instance.target);
     auto target = decisions.get_targets().find(instance.target);
-    if (target == decisions.get_targets().end())
+    bool is_known = target != decisions.get_targets().end();
+    if (draining_targets_.insert(instance.target).second)
+        out.begun_drains.push_back({instance.instance, instance.target, wave,
+            is_known ? target->second.runs.size() : 0});
+    if (!is_known)
         return;
     for (const task_name& it : target->second.runs)
         if (decisions.may_interrupt(it))
@@ -156,7 +159,7 @@
             }
             if (!is_drain_due && !draining_targets_.contains(it->target))
                 continue;
-            drain(*it, decisions, out);
+            drain(*it, number, decisions, out);
             ++open_drains;
         }
     }
