Pools: a drain binds later rounds, and a cordon ends with its cause

Cause: each round sorted the instances that were due by their runs and drained the first ones, counting only what it chose in that round. An instance that was drained before stayed cordoned, as only an order lifted the cordon. Once the second instance had fewer runs than the first, both were closed; the stopped task had no place, so that its siblings could not be interrupted, so that neither instance became idle. The same deadlock without a second choice: a drain whose tasks have no room elsewhere (one instance, a limit of 2, a step that cannot be whole), an instance with an inherited order, and a wave that was withdrawn or replaced, whose cordons stayed.

Change: drains are kept in a table (drain_table) and count against the wave's limit until maintenance is ordered, the drain is no longer due, or it is given up. One begins only if the budgets allow the instance to be emptied into the room that lasts at open targets and standby instances (long_running_room), without what other drains need of it. A drain that cannot advance for 2 s is given up while tasks or other instances of the wave wait, and tried again later. In each round the cordons of all targets are set from the open orders and drains, so that none outlives its cause. Changes of drains are logged.

Evidence: maintenance_drain_test runs planner and coordinator in simulated time with a second event (short job, takeover, withdrawn or replaced wave, crash, cancelled job) at each 200 ms of the wave.

The planner of cowslippassd (maintenance_planner) keeps drains in the record and counts them: not affected, by reading.

Not covered: a task that ends by itself but stands still keeps its drained instance closed until it ends; a wave that no budget allows stays incomplete.

--- a/main/entryd/pool_plan_executor.cpp
+++ b/main/entryd/pool_plan_executor.cpp
@@ -233,6 +233,7 @@
             {{"pool", pool}, {"present", it.available_instances},
                 {"needed", it.required_instances},
                 {"retained", it.retained_instances},
+                {"drained", it.drained_instances},
                 {"used_cores", it.used_cores},
                 {"waiting_cores", it.waiting_cores},
                 {"offered_cores", it.offered_cores}, {"spread", it.spread},
@@ -265,10 +266,10 @@
         next_report_at_ = now + sizing_log_interval;
         log_pool_sizings();
     }
-    for (const begun_drain& it : out.begun_drains)
-        decisions_log.write("drain", "begun",
-            {{"instance", it.instance}, {"target", it.target},
-                {"wave", it.wave}, {"runs", it.run_count}});
+    for (const drain_change& it : out.drain_changes)
+        decisions_log.write("drain", to_string(it.event),
+            {{"instance", it.instance}, {"target", it.drain.target},
+                {"wave", it.drain.wave}, {"runs", it.run_count}});
     update_waves();
     for (const instance_order& it : out.orders)
     {
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -171,40 +171,47 @@
     return is_done || is_removed || has_timed_out;
 }
 
-void pool_planner::close_orders(coordinator& decisions, boot_time now)
+void pool_planner::close_orders(const coordinator& decisions, boot_time now)
 {
-    for (auto it = open_orders_.begin(); it != open_orders_.end();)
-        if (it->second.accepted_at
-                ? is_accepted_order_over(it->second, now)
-                : is_unanswered_order_over(it->second, decisions, now))
-            it = close_order(it, decisions);
-        else
-            ++it;
+    std::erase_if(open_orders_,
+        [&](const auto& it)
+        {
+            return it.second.accepted_at
+                       ? is_accepted_order_over(it.second, now)
+                       : is_unanswered_order_over(it.second, decisions, now);
+        });
 }
 
-pool_planner::open_order_table::iterator pool_planner::close_order(
-    open_order_table::iterator it, coordinator& decisions)
+bool pool_planner::is_closed_for_order(
+    const open_order& open, const coordinator& decisions, boot_time now) const
 {
-    for (const target_id& target : it->second.cordoned)
-    {
-        decisions.set_cordon(target, false);
-        decisions.set_may_end(target, false);
-    }
-    return open_orders_.erase(it);
+    const instance_id& id = open.order.instance;
+    bool is_given_up = drains_.was_given_up(id) && has_work(open, decisions);
+    return open.accepted_at || may_be_on_its_way(open, now) || !is_given_up;
 }
 
 void pool_planner::cordon_ordered_targets(coordinator& decisions, boot_time now)
 {
+    std::set<target_id> closed;
+    std::set<target_id> may_end;
     for (auto& [id, open] : open_orders_)
     {
         const platform_instance* found = find_instance(id);
         if (found && !found->target.get().empty())
-            open.cordoned.insert(found->target);
-        for (const target_id& target : open.cordoned)
-        {
-            decisions.set_cordon(target, true);
-            decisions.set_may_end(target, may_be_on_its_way(open, now));
-        }
+            open.targets.insert(found->target);
+        if (is_closed_for_order(open, decisions, now))
+            closed.insert(open.targets.begin(), open.targets.end());
+        if (may_be_on_its_way(open, now))
+            may_end.insert(open.targets.begin(), open.targets.end());
+    }
+    for (const auto& [id, it] : drains_.get_drains())
+        closed.insert(it.target);
+    for (const auto& [id, it] : decisions.get_targets())
+    {
+        if (it.is_cordoned != closed.contains(id))
+            decisions.set_cordon(id, !it.is_cordoned);
+        if (it.may_end != may_end.contains(id))
+            decisions.set_may_end(id, !it.may_end);
     }
 }
 
@@ -233,6 +240,8 @@
                                   target->second.consecutive_failures > 0);
         if (is_usable && !is_unavailable && !evacuated.contains(it.data_centre))
             ++sizings_[pool].available_instances;
+        if (drains_.contains(it.instance))
+            ++sizings_[pool].drained_instances;
         total += it.capacity;
         ++counted;
     }
@@ -283,6 +292,9 @@
             static_cast<double>(options_.overdue_backlog_clearing_time.count());
         sizing.retained_instances =
             count_instances(processor + overdue * 1'000.0, total.processor);
+        sizing.has_waiting_tasks =
+            demand.longest_wait >= options_.fragmentation_delay ||
+            demand.overdue_core_ms > 0;
         boot_time& next = next_fragmentation_growth_[pool];
         if (demand.longest_wait >= options_.fragmentation_delay && now >= next)
         {
@@ -301,11 +313,15 @@
     pool_decisions& out)
 {
     --order_tokens_;
+    drains_.end(instance.instance,
+        order.is_maintenance() ? drain_event::finished
+                               : drain_event::no_longer_due,
+        decisions);
     decisions.set_cordon(instance.target, true);
     open_order open;
     open.order = order;
     open.target = instance.target;
-    open.cordoned = {instance.target};
+    open.targets = {instance.target};
     open.sent_at = now;
     open.last_sent_at = now;
     open.resend_at = now + resend_interval;
@@ -411,7 +427,7 @@
         bool is_held_back = has_work(it, decisions);
         if (is_held_back && it.order.is_maintenance() &&
             waves.contains(it.order.wave))
-            drain(*find_instance(id), it.order.wave, decisions, out);
+            drain_for_order(it, decisions, now, out);
         if (is_held_back || it.resend_at > now || order_tokens_ < 1)
             continue;
         --order_tokens_;
@@ -432,11 +448,14 @@
     refill_tokens(now);
     track_idle_targets(decisions, now);
     close_orders(decisions, now);
+    end_undue_drains(decisions);
     measure_pools(decisions, now);
     resend_orders(decisions, now, out);
     plan_maintenance(decisions, now, out);
     plan_scale_up(decisions, now, out);
     plan_scale_down(decisions, now, out);
+    cordon_ordered_targets(decisions, now);
+    out.drain_changes = drains_.take_changes();
     return out;
 }
 
@@ -479,7 +498,8 @@
         break;
     }
     order_backoff_until_[order.instance] = now + order_backoff;
-    close_order(it, decisions);
+    open_orders_.erase(it);
+    cordon_ordered_targets(decisions, now);
 }
 
 } // namespace cowslippass
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "systems/configuration/fleet_config.hpp"
+#include "systems/pools/drain_table.hpp"
+#include "systems/pools/long_running_room.hpp"
 #include "systems/pools/platform_instance.hpp"
 #include "systems/pools/pool_usage.hpp"
 #include "systems/scheduling/coordinator.hpp"
@@ -81,23 +83,14 @@
     bool operator==(const wave_progress&) const = default;
 };
 
-/// An instance that gets no new work from now on, so that it can be maintained
-/// once its runs have ended.
-struct begun_drain
-{
-    instance_id instance;
-    target_id target;
-    std::uint64_t wave = 0;
-    std::size_t run_count = 0; ///< Runs at its target.
-};
-
 /// Result of one planning round.
 struct pool_decisions
 {
     std::vector<instance_order> orders;
-    std::vector<begun_drain> begun_drains; ///< For logs.
     /// Long-running tasks on drained instances; they start again elsewhere.
     std::vector<task_name> tasks_to_stop;
+    /// Drains that began or ended, for logs.
+    std::vector<drain_change> drain_changes;
 };
 
 /// Demand of a pool, and the number of instances that it has and needs.
@@ -115,14 +108,20 @@
     /// and those that clear the backlog of overdue jobs.
     std::uint32_t retained_instances = 0;
     std::uint32_t available_instances = 0; ///< Up or moving to the pool.
+    std::uint32_t drained_instances = 0;   ///< For maintenance.
+    bool has_waiting_tasks = false;        ///< For capacity, and not just now.
     bool is_falling = false;               ///< The arrival rate falls steadily.
 };
 
 /// Scales pools and schedules maintenance. Pools with high demand get instances
 /// from standby or from pools with a surplus, and idle instances move to
 /// standby. Instances of a maintenance wave are maintained while they are idle;
-/// those with tasks are drained once part of the wave's time has passed. Only
-/// instances without running tasks leave a pool.
+/// those with tasks are drained once part of the wave's time has passed, no
+/// more at a time than the wave's limit. Only instances without running tasks
+/// leave a pool.
+///
+/// Whether a target is cordoned follows in each round from the open orders and
+/// the drains, so that no cordon outlives its cause.
 class pool_planner
 {
 public:
@@ -156,7 +155,8 @@
     void restore_wave(
         std::uint64_t wave, const wave_progress& progress, boot_time now);
 
-    /// Keeps the targets that open orders may end free of new work.
+    /// Cordons the targets that open orders may end and those of drained
+    /// instances, and lifts the cordon of all others.
     void cordon_ordered_targets(coordinator& decisions, boot_time now);
 
     /// @return the progress to save; nothing for a wave that was never planned.
@@ -193,8 +193,8 @@
         instance_order order;
         /// The incarnation that the order ends; empty if a predecessor ordered.
         target_id target;
-        /// Cordoned because of the order: `target`, or a later incarnation.
-        std::set<target_id> cordoned;
+        /// Targets that the order may end: `target`, or a later incarnation.
+        std::set<target_id> targets;
         boot_time sent_at{};
         boot_time last_sent_at{}; ///< The takeover if a predecessor sent it.
         std::optional<boot_time> accepted_at;
@@ -210,14 +210,50 @@
 
     /// Records since when each target has had no tasks.
     void track_idle_targets(const coordinator& decisions, boot_time now);
-    /// Closes the orders whose effect is listed, or should have been by now,
-    /// and lifts the cordon of their targets.
-    void close_orders(coordinator& decisions, boot_time now);
+    /// Closes the orders whose effect is listed, or should have been by now.
+    void close_orders(const coordinator& decisions, boot_time now);
     /// Computes `sizings_` from the demand and the instance list.
     void measure_pools(const coordinator& decisions, boot_time now);
     /// Orders maintenance for idle instances of waves, and drains others.
     void plan_maintenance(
         coordinator& decisions, boot_time now, pool_decisions& out);
+    /// @return the instances of the wave that can take its order now, those
+    ///   first whose maintenance interrupts least.
+    std::vector<const platform_instance*> list_due_instances(
+        const maintenance_wave& wave, const coordinator& decisions,
+        boot_time now) const;
+    /// Goes on with the drains for the wave, and gives up those that are
+    /// blocked while others need their capacity or their place in the wave.
+    void advance_drains(const maintenance_wave& wave,
+        const std::vector<const platform_instance*>& due,
+        coordinator& decisions, boot_time now, pool_decisions& out);
+    /// Drains further instances, as many as the wave's limit allows.
+    /// @param unavailable instances of the wave that count against the limit,
+    ///   without those that are drained.
+    void begin_drains(const maintenance_wave& wave,
+        const std::vector<const platform_instance*>& due,
+        std::size_t unavailable, coordinator& decisions, boot_time now,
+        pool_decisions& out);
+    /// Ends the drains of instances whose wave, order or target has changed.
+    void end_undue_drains(const coordinator& decisions);
+    /// Drains an instance whose open order has to wait for its runs to end.
+    void drain_for_order(const open_order& open, coordinator& decisions,
+        boot_time now, pool_decisions& out);
+    /// Cordons the instance's target and interrupts its tasks, as far as their
+    /// steps allow it.
+    void begin_drain(const platform_instance& instance, std::uint64_t wave,
+        coordinator& decisions, boot_time now, pool_decisions& out);
+    /// @return whether the budgets of all steps allow the instance to be
+    ///   emptied, with the room that the pool has or can get.
+    bool can_be_emptied(const platform_instance& instance,
+        const coordinator& decisions, boot_time now) const;
+    /// @return room at the open targets of the instance's pool, without what
+    ///   other drains need of it.
+    long_running_room measure_room(const platform_instance& instance,
+        const coordinator& decisions, boot_time now) const;
+    /// @return whether tasks wait for capacity in the pool, and no instance is
+    ///   on its way there.
+    bool is_short_of_capacity(const pool_id& pool) const;
     /// Moves instances to the pools that have fewer than they require.
     void plan_scale_up(
         coordinator& decisions, boot_time now, pool_decisions& out);
@@ -229,9 +265,10 @@
     /// at work, and drains the instances of the others.
     void resend_orders(
         coordinator& decisions, boot_time now, pool_decisions& out);
-    /// Forgets the order and lifts the cordon of its targets.
-    open_order_table::iterator close_order(
-        open_order_table::iterator it, coordinator& decisions);
+    /// @return whether the target of the order may get no work. It may if a
+    ///   drain for the order was given up and no copy of it is on its way.
+    bool is_closed_for_order(const open_order& open,
+        const coordinator& decisions, boot_time now) const;
     bool is_accepted_order_over(const open_order& open, boot_time now) const;
     bool is_unanswered_order_over(const open_order& open,
         const coordinator& decisions, boot_time now) const;
@@ -243,10 +280,6 @@
     /// Cordons the instance's target and adds the order to the round.
     void issue_order(const platform_instance& instance, instance_order order,
         coordinator& decisions, boot_time now, pool_decisions& out);
-    /// Cordons the instance's target and interrupts its tasks, as far as their
-    /// steps allow it.
-    void drain(const platform_instance& instance, std::uint64_t wave,
-        coordinator& decisions, pool_decisions& out);
     /// @return null if the instance is not listed.
     const platform_instance* find_instance(const instance_id& id) const;
     /// @return whether the instance is up and has no open order.
@@ -277,8 +310,7 @@
     /// Moves that the platform has rejected as invalid.
     std::set<std::pair<instance_id, pool_id>> incompatible_moves_;
     std::map<target_id, boot_time> idle_since_;
-    /// Cordoned for maintenance by `drain`.
-    std::set<target_id> draining_targets_;
+    drain_table drains_;
     std::map<pool_id, pool_sizing> sizings_;
     std::map<pool_id, pool_usage> usages_;
     /// When a pool with fragmented capacity may get the next instance for it.
--- a/systems/pools/pool_planner_waves.cpp
+++ b/systems/pools/pool_planner_waves.cpp
@@ -1,6 +1,7 @@
 #include "systems/pools/pool_planner.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cowslippass
 {
@@ -24,7 +25,7 @@
         open_order open;
         open.order = {id, {}, wave};
         if (!target.get().empty())
-            open.cordoned.insert(target);
+            open.targets.insert(target);
         open.sent_at = now;
         open.last_sent_at = now;
         open.resend_at = now;
@@ -73,6 +74,36 @@
         { return begun.contains(it) || !find_instance(it); });
 }
 
+std::vector<const platform_instance*> pool_planner::list_due_instances(
+    const maintenance_wave& wave, const coordinator& decisions,
+    boot_time now) const
+{
+    const auto& begun = get_begun_instances(wave.number);
+    std::vector<const platform_instance*> due;
+    for (const instance_id& id : wave.instances)
+    {
+        const platform_instance* it = find_instance(id);
+        auto backoff = order_backoff_until_.find(id);
+        if (it && !begun.contains(id) && can_take_order(*it) &&
+            (backoff == order_backoff_until_.end() || backoff->second <= now))
+            due.push_back(it);
+    }
+    // Maintenance of instances without running tasks costs nothing, so they
+    // come first: before all others those that were drained for it, and then
+    // those without a target.
+    auto rank = [&](const platform_instance* it)
+    {
+        auto target = decisions.get_targets().find(it->target);
+        std::size_t runs = target == decisions.get_targets().end()
+                               ? 0
+                               : target->second.runs.size();
+        bool is_drained = runs == 0 && drains_.contains(it->instance);
+        return std::tuple(!is_drained, !it->target.get().empty(), runs);
+    };
+    std::ranges::sort(due, {}, rank);
+    return due;
+}
+
 std::size_t pool_planner::count_in_maintenance(
     const maintenance_wave& wave, boot_time now) const
 {
@@ -97,71 +128,29 @@
     return n;
 }
 
-void pool_planner::drain(const platform_instance& instance, std::uint64_t wave,
-    coordinator& decisions, pool_decisions& out)
-{
-    decisions.set_cordon(instance.target, true);
-    auto target = decisions.get_targets().find(instance.target);
-    bool is_known = target != decisions.get_targets().end();
-    if (draining_targets_.insert(instance.target).second)
-        out.begun_drains.push_back({instance.instance, instance.target, wave,
-            is_known ? target->second.runs.size() : 0});
-    if (!is_known)
-        return;
-    for (const task_name& it : target->second.runs)
-        if (decisions.may_interrupt(it))
-        {
-            decisions.stop_run(it);
-            out.tasks_to_stop.push_back(it);
-        }
-}
-
 void pool_planner::plan_maintenance(
     coordinator& decisions, boot_time now, pool_decisions& out)
 {
     for (const auto& [number, wave] : decisions.get_published_state().waves)
     {
         boot_time seen = wave_first_seen_.emplace(number, now).first->second;
-        bool is_drain_due = now - seen >= wave.time_limit * drain_start_ratio;
-        std::size_t down = count_in_maintenance(wave, now);
-        const auto& begun = begun_instances_[number];
-        std::vector<const platform_instance*> due;
-        for (const instance_id& id : wave.instances)
-            if (const platform_instance* it = find_instance(id);
-                it && !begun.contains(id) && can_take_order(*it) &&
-                order_backoff_until_[id] <= now)
-                due.push_back(it);
-        // Maintenance of instances without running tasks costs nothing, so they
-        // come first, and of these the ones without a target.
-        auto rank = [&](const platform_instance* it)
+        std::size_t unavailable = count_in_maintenance(wave, now);
+        auto due = list_due_instances(wave, decisions, now);
+        for (const platform_instance*& it : due)
         {
-            bool has_target = !it->target.get().empty();
-            auto target = decisions.get_targets().find(it->target);
-            std::size_t runs = target == decisions.get_targets().end()
-                                   ? 0
-                                   : target->second.runs.size();
-            return std::pair(has_target, runs);
-        };
-        std::ranges::sort(due, {}, rank);
-        std::size_t open_drains = 0;
-        for (const platform_instance* it : due)
-        {
-            if (down + open_drains >= wave.max_unavailable_instances)
+            if (unavailable >= wave.max_unavailable_instances ||
+                order_tokens_ < 1)
                 break;
-            if (order_tokens_ >= 1 &&
-                (it->target.get().empty() || is_idle(*it, now, {})))
-            {
-                draining_targets_.erase(it->target);
-                issue_order(
-                    *it, {it->instance, {}, number}, decisions, now, out);
-                ++down;
-                continue;
-            }
-            if (!is_drain_due && !draining_targets_.contains(it->target))
+            if (!it->target.get().empty() && !is_idle(*it, now, {}))
                 continue;
-            drain(*it, number, decisions, out);
-            ++open_drains;
+            issue_order(*it, {it->instance, {}, number}, decisions, now, out);
+            ++unavailable;
+            it = nullptr;
         }
+        std::erase(due, nullptr);
+        advance_drains(wave, due, decisions, now, out);
+        if (now - seen >= wave.time_limit * drain_start_ratio)
+            begin_drains(wave, due, unavailable, decisions, now, out);
     }
 }
 
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -295,8 +295,7 @@
         if (it == runs_.end() || !is_serving_users(it->second))
             ++unavailable;
     }
-    // Without a budget, one task of a step may be unavailable at a time.
-    return unavailable < std::max(1U, step.max_unavailable);
+    return unavailable < step.get_interruption_budget();
 }
 
 job_urgency coordinator::get_urgency(
--- a/systems/workload/job_spec.cpp
+++ b/systems/workload/job_spec.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace cowslippass
 {
 
@@ -111,6 +113,11 @@
     return out;
 }
 
+std::uint32_t step_spec::get_interruption_budget() const
+{
+    return std::max(1U, max_unavailable);
+}
+
 std::uint32_t job_spec::get_occurrence_count() const
 {
     return repeat_count == 0 ? 1 : repeat_count;
--- a/systems/workload/job_spec.hpp
+++ b/systems/workload/job_spec.hpp
@@ -65,6 +65,8 @@
 
     /// @return the need that counts against a target's capacity.
     resources get_counted_need() const;
+    /// @return how many tasks may be unavailable for the system's own orders.
+    std::uint32_t get_interruption_budget() const;
 };
 
 /// A job as its caller submitted it. It never changes.
