Pools: a drained instance holds back no tasks for long

Cause: tasks were interrupted as soon as their budget allowed it, and a drain was given up only when none of its runs was about to end.

Change: a long-running task is interrupted only if there is room elsewhere beside what waits or is being stopped, or together with the last runs of the instance while its maintenance can be ordered. A drain is given up, and tried again 4 s later, if a task that could start at the instance has waited: 3 s for a long-running one, 1.5 s for others while less than half of the pool is in use, none of this while an instance is on its way to the pool. Shapes of waiting tasks name their job, and those of overdue jobs are listed as well.

--- a/systems/pools/drain_table.cpp
+++ b/systems/pools/drain_table.cpp
@@ -1,5 +1,6 @@
 #include "systems/pools/drain_table.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cowslippass
@@ -89,26 +90,20 @@
     record_change(id, drain, drain_event::begun, decisions);
 }
 
-void drain_table::advance(const instance_id& id, coordinator& decisions,
-    boot_time now, std::vector<task_name>& stopped)
+void drain_table::update_progress(
+    const instance_id& id, const coordinator& decisions, boot_time now)
 {
     instance_drain& drain = drains_.at(id);
     const target_entry* target = find_target(decisions, drain.target);
     if (!target)
         return;
-    bool advances = target->runs.empty();
-    for (const task_name& it : target->runs)
+    auto advances = [&](const task_name& it)
     {
         const active_run& run = decisions.get_runs().at(it);
-        if (!run.must_stop && decisions.may_interrupt(it))
-        {
-            decisions.stop_run(it);
-            stopped.push_back(it);
-        }
-        advances = advances || run.must_stop || !run.is_long_running ||
-                   has_starting_sibling(decisions, it, now);
-    }
-    if (advances)
+        return run.must_stop || !run.is_long_running ||
+               has_starting_sibling(decisions, it, now);
+    };
+    if (target->runs.empty() || std::ranges::any_of(target->runs, advances))
         drain.advanced_at = now;
 }
 
--- a/systems/pools/drain_table.hpp
+++ b/systems/pools/drain_table.hpp
@@ -67,10 +67,9 @@
 
     void begin(const instance_id& id, const instance_drain& drain,
         const coordinator& decisions);
-    /// Interrupts the tasks of the instance as far as their steps allow it.
-    /// @param stopped the interrupted tasks are added to it.
-    void advance(const instance_id& id, coordinator& decisions, boot_time now,
-        std::vector<task_name>& stopped);
+    /// Records whether some runs of the instance are about to end.
+    void update_progress(
+        const instance_id& id, const coordinator& decisions, boot_time now);
     /// @return whether none of its runs has been about to end for some time.
     bool is_blocked(const instance_id& id, boot_time now) const;
     /// Opens the instance, which is not drained again for some time.
--- a/systems/pools/long_running_room.cpp
+++ b/systems/pools/long_running_room.cpp
@@ -67,6 +67,15 @@
     return out;
 }
 
+bool may_run_beside(
+    const target_entry& target, const task_name& task, const step_spec& step)
+{
+    return may_run(target, step) &&
+           target.get_free().holds(step.get_counted_need()) &&
+           (step.max_per_target == 0 ||
+               count_tasks(target, task) < step.max_per_target);
+}
+
 void long_running_room::add_target(const target_entry& target)
 {
     places_.push_back({&target, target.report.capacity - target.long_running});
@@ -98,6 +107,11 @@
     return left == 0;
 }
 
+void long_running_room::reserve_some(const displaced_tasks& tasks)
+{
+    reserve_at(places_, tasks);
+}
+
 bool long_running_room::reserve(const std::vector<displaced_tasks>& tasks)
 {
     std::vector<place> places = places_;
--- a/systems/pools/long_running_room.hpp
+++ b/systems/pools/long_running_room.hpp
@@ -20,6 +20,11 @@
 std::vector<displaced_tasks> list_displaced_tasks(
     const coordinator& decisions, const target_entry& target);
 
+/// @return whether the target has capacity for the task beside its runs, and
+///   the step's label and limit allow it.
+bool may_run_beside(
+    const target_entry& target, const task_name& task, const step_spec& step);
+
 /// Room for long-running tasks on targets of one pool: what remains beside the
 /// long-running tasks there, once all other tasks have ended.
 class long_running_room
@@ -33,6 +38,9 @@
     /// @return whether there is one for each; if not, nothing is reserved.
     bool reserve(const std::vector<displaced_tasks>& tasks);
 
+    /// Reserves places for as many of the tasks as there are.
+    void reserve_some(const displaced_tasks& tasks);
+
 private:
     struct place
     {
--- a/systems/pools/pool_planner.cpp
+++ b/systems/pools/pool_planner.cpp
@@ -182,39 +182,6 @@
         });
 }
 
-bool pool_planner::is_closed_for_order(
-    const open_order& open, const coordinator& decisions, boot_time now) const
-{
-    const instance_id& id = open.order.instance;
-    bool is_given_up = drains_.was_given_up(id) && has_work(open, decisions);
-    return open.accepted_at || may_be_on_its_way(open, now) || !is_given_up;
-}
-
-void pool_planner::cordon_ordered_targets(coordinator& decisions, boot_time now)
-{
-    std::set<target_id> closed;
-    std::set<target_id> may_end;
-    for (auto& [id, open] : open_orders_)
-    {
-        const platform_instance* found = find_instance(id);
-        if (found && !found->target.get().empty())
-            open.targets.insert(found->target);
-        if (is_closed_for_order(open, decisions, now))
-            closed.insert(open.targets.begin(), open.targets.end());
-        if (may_be_on_its_way(open, now))
-            may_end.insert(open.targets.begin(), open.targets.end());
-    }
-    for (const auto& [id, it] : drains_.get_drains())
-        closed.insert(it.target);
-    for (const auto& [id, it] : decisions.get_targets())
-    {
-        if (it.is_cordoned != closed.contains(id))
-            decisions.set_cordon(id, !it.is_cordoned);
-        if (it.may_end != may_end.contains(id))
-            decisions.set_may_end(id, !it.may_end);
-    }
-}
-
 void pool_planner::measure_pools(const coordinator& decisions, boot_time now)
 {
     sizings_.clear();
@@ -254,11 +221,11 @@
         return each > 0 ? static_cast<std::uint32_t>(std::ceil(need / each))
                         : 0U;
     };
-    auto demands = decisions.measure_demand(now);
-    usages_ = measure_usage(decisions.get_targets(), demands, now);
+    demands_ = decisions.measure_demand(now);
+    usages_ = measure_usage(decisions.get_targets(), demands_, now);
     for (const auto& [pool, it] : config->pools)
     {
-        const pool_demand& demand = demands[pool];
+        const pool_demand& demand = demands_[pool];
         pool_sizing& sizing = sizings_[pool];
         resources held = demand.used + demand.waiting;
         // New instances become available after the running tasks have ended:
@@ -456,6 +423,7 @@
     plan_scale_down(decisions, now, out);
     cordon_ordered_targets(decisions, now);
     out.drain_changes = drains_.take_changes();
+    demands_.clear();
     return out;
 }
 
--- a/systems/pools/pool_planner.hpp
+++ b/systems/pools/pool_planner.hpp
@@ -224,36 +224,55 @@
         boot_time now) const;
     /// Goes on with the drains for the wave, and gives up those that are
     /// blocked while others need their capacity or their place in the wave.
+    /// @param unavailable instances of the wave that count against the limit,
+    ///   without those that are drained.
     void advance_drains(const maintenance_wave& wave,
         const std::vector<const platform_instance*>& due,
-        coordinator& decisions, boot_time now, pool_decisions& out);
+        std::size_t unavailable, coordinator& decisions, boot_time now,
+        pool_decisions& out);
     /// Drains further instances, as many as the wave's limit allows.
     /// @param unavailable instances of the wave that count against the limit,
     ///   without those that are drained.
     void begin_drains(const maintenance_wave& wave,
         const std::vector<const platform_instance*>& due,
-        std::size_t unavailable, coordinator& decisions, boot_time now,
-        pool_decisions& out);
+        std::size_t unavailable, coordinator& decisions, boot_time now);
     /// Ends the drains of instances whose wave, order or target has changed.
     void end_undue_drains(const coordinator& decisions);
     /// Drains an instance whose open order has to wait for its runs to end.
     void drain_for_order(const open_order& open, coordinator& decisions,
         boot_time now, pool_decisions& out);
-    /// Cordons the instance's target and interrupts its tasks, as far as their
-    /// steps allow it.
+    /// Cordons the instance's target.
     void begin_drain(const platform_instance& instance, std::uint64_t wave,
+        coordinator& decisions, boot_time now);
+    /// Interrupts tasks of a drained instance as far as their steps allow it
+    /// and there is room for them elsewhere; the last ones all at once.
+    /// @param can_be_ordered whether its maintenance can be ordered as soon as
+    ///   it has no runs.
+    void interrupt_tasks(const platform_instance& instance, bool can_be_ordered,
         coordinator& decisions, boot_time now, pool_decisions& out);
     /// @return whether the budgets of all steps allow the instance to be
     ///   emptied, with the room that the pool has or can get.
     bool can_be_emptied(const platform_instance& instance,
         const coordinator& decisions, boot_time now) const;
-    /// @return room at the open targets of the instance's pool, without what
-    ///   other drains need of it.
+    /// @return room at the open targets of the instance's pool, and at
+    ///   instances that can join it.
     long_running_room measure_room(const platform_instance& instance,
         const coordinator& decisions, boot_time now) const;
+    /// Reserves room for the long-running tasks of the pool that wait, or will
+    /// once they have been stopped.
+    void reserve_for_waiting_tasks(long_running_room& room, const pool_id& pool,
+        const coordinator& decisions) const;
     /// @return whether tasks wait for capacity in the pool, and no instance is
     ///   on its way there.
     bool is_short_of_capacity(const pool_id& pool) const;
+    /// @return whether tasks have waited for long that could start at the
+    ///   instance, if it were not drained.
+    bool holds_back_tasks(
+        const platform_instance& instance, const coordinator& decisions) const;
+    /// @return whether a drain should be given up, as it costs callers more
+    ///   than it brings the wave on.
+    bool is_drain_too_costly(const platform_instance& instance,
+        bool has_other_due, const coordinator& decisions, boot_time now) const;
     /// Moves instances to the pools that have fewer than they require.
     void plan_scale_up(
         coordinator& decisions, boot_time now, pool_decisions& out);
@@ -313,6 +332,7 @@
     drain_table drains_;
     std::map<pool_id, pool_sizing> sizings_;
     std::map<pool_id, pool_usage> usages_;
+    std::map<pool_id, pool_demand> demands_; ///< Of the current round.
     /// When a pool with fragmented capacity may get the next instance for it.
     std::map<pool_id, boot_time> next_fragmentation_growth_;
     double order_tokens_ = 0; ///< Orders that the rate limit allows now.
--- a/systems/pools/pool_planner_waves.cpp
+++ b/systems/pools/pool_planner_waves.cpp
@@ -148,9 +148,9 @@
             it = nullptr;
         }
         std::erase(due, nullptr);
-        advance_drains(wave, due, decisions, now, out);
         if (now - seen >= wave.time_limit * drain_start_ratio)
-            begin_drains(wave, due, unavailable, decisions, now, out);
+            begin_drains(wave, due, unavailable, decisions, now);
+        advance_drains(wave, due, unavailable, decisions, now, out);
     }
 }
 
--- a/systems/pools/pool_usage.hpp
+++ b/systems/pools/pool_usage.hpp
@@ -22,6 +22,9 @@
     std::int64_t closed = 0;
     /// Number of targets that nothing but long-running tasks keep.
     std::uint32_t lasting_targets = 0;
+
+    std::int64_t get_used() const { return worked + lasting; }
+    std::int64_t get_free() const { return stranded + beside + idle + closed; }
 };
 
 /// @param demands as coordinator::measure_demand() returns them.
--- a/systems/scheduling/coordinator.cpp
+++ b/systems/scheduling/coordinator.cpp
@@ -219,17 +219,34 @@
 void coordinator::add_waiting(
     const job_entry& entry, pool_demand& demand, boot_time now)
 {
+    const task_key* last = nullptr;
+    // The tasks of a step wait side by side.
+    auto add_shape = [&](std::vector<waiting_shape>& shapes,
+                         const task_key& key, milliseconds waited)
+    {
+        const step_spec& step = entry.value.get_step(key);
+        if (!last || last->step != key.step ||
+            last->occurrence != key.occurrence)
+            shapes.push_back({step.get_counted_need(), 0, step.max_per_target,
+                step.is_long_running, &entry.value, key, waited});
+        ++shapes.back().count;
+        last = &key;
+    };
     if (entry.is_overdue)
     {
         for (const task_key& key : entry.waiting)
+        {
             demand.overdue_core_ms +=
                 get_work(entry.value.get_step(key), entry.run_times[key.step]);
+            add_shape(demand.overdue_shapes, key, {});
+        }
         return;
     }
+    milliseconds waited{0};
     if (entry.waiting_since)
-        demand.longest_wait = std::max(
-            demand.longest_wait, std::chrono::duration_cast<milliseconds>(
-                                     now - *entry.waiting_since));
+        waited = std::chrono::duration_cast<milliseconds>(
+            now - *entry.waiting_since);
+    demand.longest_wait = std::max(demand.longest_wait, waited);
     // Number of tasks with a limit per target, by occurrence and step.
     std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> limited;
     auto add_to_spread = [&](const task_key& key)
@@ -242,7 +259,6 @@
         demand.spread = std::max(
             demand.spread, (n + step.max_per_target - 1) / step.max_per_target);
     };
-    const task_key* last = nullptr;
     for (const task_key& key : entry.waiting)
     {
         const step_spec& step = entry.value.get_step(key);
@@ -253,13 +269,7 @@
         else
             demand.waiting_core_ms += get_work(step, entry.run_times[key.step]);
         add_to_spread(key);
-        // The tasks of a step wait side by side.
-        if (!last || last->step != key.step ||
-            last->occurrence != key.occurrence)
-            demand.waiting_shapes.push_back(
-                {need, 0, step.max_per_target, step.is_long_running});
-        ++demand.waiting_shapes.back().count;
-        last = &key;
+        add_shape(demand.waiting_shapes, key, waited);
     }
     if (!entry.waiting.empty())
         for (const task_key& key : entry.value.list_running())
--- a/systems/scheduling/coordinator.hpp
+++ b/systems/scheduling/coordinator.hpp
@@ -113,6 +113,11 @@
     std::uint32_t count = 0;
     std::uint32_t max_per_target = 0; ///< As in the step.
     bool is_long_running = false;
+    /// Job and one of the tasks; valid until the coordinator changes.
+    const job* owner = nullptr;
+    task_key key;
+    /// How long tasks of the job have waited for capacity.
+    milliseconds waited{0};
 };
 
 /// What the jobs in a pool's queues use and need of the pool now.
@@ -142,6 +147,8 @@
     /// Tasks that could start if there were capacity, without those of overdue
     /// jobs.
     std::vector<waiting_shape> waiting_shapes;
+    /// Waiting tasks of overdue jobs.
+    std::vector<waiting_shape> overdue_shapes;
 };
 
 enum class submit_outcome
--- a/tests/systems/pools/drain_model.hpp
+++ b/tests/systems/pools/drain_model.hpp
@@ -15,6 +15,7 @@
 {
     none,
     short_job,      ///< Two short tasks, each as large as a long-running one.
+    long_task,      ///< A small task that ends after 12 s.
     takeover,       ///< A successor loads the ledger.
     withdraw_wave,  ///< Operators remove the wave.
     replace_wave,   ///< Another wave of the same instances replaces it.
@@ -22,6 +23,12 @@
     cancel_and_next ///< The first long-running job is replaced by another one.
 };
 
+struct timed_event
+{
+    std::int64_t at_ms = 0;
+    fleet_event event = fleet_event::none;
+};
+
 /// A fleet of one pool with long-running tasks, and its maintenance wave.
 struct fleet_layout
 {
@@ -46,8 +53,9 @@
     static constexpr std::int64_t end_ms = 60'000;
     static constexpr std::int64_t task_cores = 5'400;
 
-    drain_model(fleet_layout layout, fleet_event event, std::int64_t event_at)
-        : layout_(std::move(layout)), event_(event), event_at_(event_at)
+    /// @param events in the order of their times.
+    drain_model(fleet_layout layout, std::vector<timed_event> events)
+        : layout_(std::move(layout)), events_(std::move(events))
     {
         state_ = make_published_state();
         for (int i = 0; i < layout_.instances + layout_.spares; ++i)
@@ -242,8 +250,10 @@
         now_ += step_ms;
         if (now_ == wave_at_ms)
             publish({{1, wave_}});
-        if (now_ >= event_at_ && !is_event_done_)
-            start_event();
+        for (;
+             next_event_ < events_.size() && events_[next_event_].at_ms <= now_;
+             ++next_event_)
+            start_event(events_[next_event_].event);
         move_runs();
         for (auto& [id, it] : instances_)
             if (it.back_at && *it.back_at <= now_)
@@ -268,15 +278,18 @@
         check_waits();
     }
 
-    void start_event()
+    void start_event(fleet_event event)
     {
-        is_event_done_ = true;
-        switch (event_)
+        std::string name = "event-" + std::to_string(next_event_);
+        switch (event)
         {
         case fleet_event::none:
             break;
         case fleet_event::short_job:
-            submit_short("short", 2, task_cores - 150, 700);
+            submit_short(name, 2, task_cores - 150, 700);
+            break;
+        case fleet_event::long_task:
+            submit_short(name, 1, 1'000, 12'000);
             break;
         case fleet_event::takeover:
             take_over();
@@ -286,23 +299,30 @@
             publish({});
             break;
         case fleet_event::replace_wave:
-            wave_.number = 2;
-            publish({{2, wave_}});
+            if (state_.waves.empty())
+                break;
+            ++wave_.number;
+            publish({{wave_.number, wave_}});
             break;
         case fleet_event::crash:
             crash();
             break;
         case fleet_event::cancel_and_next:
-        {
-            job_id first("lasting-0");
-            decisions_->cancel(first, at(now_));
-            jobs_.erase(first);
-            std::erase_if(last_at_work_,
-                [&](const auto& it) { return it.first.job == first; });
-            submit_lasting("next", layout_.lasting[0]);
+            cancel_and_submit(name);
             break;
         }
-        }
+    }
+
+    void cancel_and_submit(const std::string& next)
+    {
+        if (layout_.lasting.empty())
+            return;
+        decisions_->cancel(first_, at(now_));
+        jobs_.erase(first_);
+        std::erase_if(last_at_work_,
+            [&](const auto& it) { return it.first.job == first_; });
+        first_ = job_id(next);
+        submit_lasting(next, layout_.lasting[0]);
     }
 
     void crash()
@@ -552,9 +572,9 @@
     }
 
     fleet_layout layout_;
-    fleet_event event_;
-    std::int64_t event_at_;
-    bool is_event_done_ = false;
+    std::vector<timed_event> events_;
+    std::size_t next_event_ = 0;
+    job_id first_{"lasting-0"}; ///< The job that the next one replaces.
     published_state state_;
     maintenance_wave wave_;
     std::unique_ptr<coordinator> decisions_;
--- a/tests/systems/pools/maintenance_drain_test.cpp
+++ b/tests/systems/pools/maintenance_drain_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/systems/pools/drain_model.hpp"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <string>
 #include <tuple>
@@ -23,7 +24,7 @@
     for (std::int64_t ms = drain_at - 1'000; ms <= drain_at + 12'000; ms += 200)
     {
         SCOPED_TRACE("event at " + std::to_string(ms) + " ms");
-        drain_model model(layout, event, ms);
+        drain_model model(layout, {{ms, event}});
         model.run_until(ms + 4'000);
         model.submit_short("late", 1, 1'000, 300);
         model.run();
@@ -57,6 +58,8 @@
     {"with_a_spare",
         {.spares = 1, .lasting = {4}, .max_unavailable_instances = 2}, 2},
     // The budget allows no instance to be emptied.
+    {"without_lasting", {.lasting = {}}, 2},
+    {"one_instance_without_lasting", {.instances = 1, .lasting = {}}, 1},
     {"one_instance", {.instances = 1, .lasting = {2}}, 0},
     {"two_full_instances", {.lasting = {4}, .max_unavailable_instances = 2}, 0},
     // A step that cannot be whole has no budget left.
@@ -67,6 +70,7 @@
 const std::pair<const char*, fleet_event> events[] = {
     {"alone", fleet_event::none},
     {"short_job", fleet_event::short_job},
+    {"long_task", fleet_event::long_task},
     {"takeover", fleet_event::takeover},
     {"withdrawn", fleet_event::withdraw_wave},
     {"replaced", fleet_event::replace_wave},
@@ -86,7 +90,7 @@
 // (review/12).
 TEST(maintenance_drain, closes_no_more_instances_than_the_wave_allows)
 {
-    drain_model model({}, fleet_event::short_job, drain_at - 600);
+    drain_model model({}, {{drain_at - 600, fleet_event::short_job}});
     model.run_until(drain_at + 8'000);
     model.submit_short("late", 1, 1'000, 300);
     model.run();
@@ -95,6 +99,19 @@
     EXPECT_EQ(model.count_maintained(), 2U);
 }
 
+// Guards against jobs that wait for a drained instance while its pool is nearly
+// empty: a long task keeps the only instance from being maintained.
+TEST(maintenance_drain, holds_no_job_back_in_a_pool_that_is_hardly_used)
+{
+    drain_model model({.instances = 1, .lasting = {}},
+        {{drain_model::wave_at_ms - 500, fleet_event::long_task}});
+    model.run_until(drain_at + 500);
+    model.submit_short("late", 1, 1'000, 300);
+    model.run();
+    EXPECT_EQ(model.get_faults(), std::vector<std::string>{});
+    EXPECT_EQ(model.count_maintained(), 1U);
+}
+
 // Guards against the same with a second event at any moment of the wave, and
 // against tasks that wait beside free capacity.
 TEST_P(maintenance_drain_test, leaves_no_instance_closed)
@@ -113,4 +130,36 @@
                events[std::get<1>(it.param)].first;
     });
 
+// Guards against the same in fleets, and with series of events, that nobody has
+// chosen. RC_PARAMS sets the number of plans.
+RC_GTEST_PROP(maintenance_drain, leaves_no_instance_closed_in_random_fleets, ())
+{
+    auto draw = [](int from, int to, const char* name)
+    { return *rc::gen::inRange(from, to + 1).as(name); };
+    fleet_layout layout;
+    layout.instances = draw(1, 5, "instances");
+    layout.spares = draw(0, 2, "spares");
+    layout.lasting.assign(static_cast<std::size_t>(draw(0, 4, "jobs")), 0);
+    for (std::uint32_t& tasks : layout.lasting)
+        tasks = static_cast<std::uint32_t>(draw(1, 5, "tasks"));
+    layout.max_per_target =
+        static_cast<std::uint32_t>(draw(0, 2, "max_per_target"));
+    layout.budget = static_cast<std::uint32_t>(draw(0, 3, "budget"));
+    layout.max_unavailable_instances =
+        static_cast<std::uint32_t>(draw(1, layout.instances, "limit"));
+    std::vector<timed_event> plan(static_cast<std::size_t>(draw(0, 6, "n")));
+    std::int64_t ms = drain_model::step_ms;
+    for (timed_event& it : plan)
+    {
+        ms += drain_model::step_ms * draw(0, 120, "delay");
+        it = {ms, events[static_cast<std::size_t>(draw(0,
+                             static_cast<int>(std::size(events)) - 1, "event"))]
+                      .second};
+    }
+    drain_model model(layout, plan);
+    model.run();
+    RC_ASSERT(model.get_faults() == std::vector<std::string>{});
+    RC_ASSERT(model.count_cordoned() == 0U);
+}
+
 } // namespace cowslippass
