Pools: room beside stopping tasks is found by the stops

The room for an interrupted task was measured over all runs of all targets, for each drained instance in each round. The list of stops has the same runs. The name was_put_off says that a postponed drain counts as well.

--- a/systems/pools/drain_table.hpp
+++ b/systems/pools/drain_table.hpp
@@ -43,8 +43,7 @@
 };
 
 /// The instances that are drained for maintenance. A drain lasts until its
-/// maintenance is ordered, until it is no longer due, or until it is given up
-/// because none of its runs can be made to end.
+/// maintenance is ordered, until it is no longer due, or until it is given up.
 class drain_table
 {
 public:
@@ -53,8 +52,8 @@
     const table& get_drains() const { return drains_; }
     bool contains(const instance_id& id) const { return drains_.contains(id); }
 
-    /// @return whether the instance was drained before and the drain given up.
-    bool was_given_up(const instance_id& id) const
+    /// @return whether a drain of the instance was given up or postponed.
+    bool was_put_off(const instance_id& id) const
     {
         return retry_at_.contains(id);
     }
@@ -98,7 +97,7 @@
         drain_event event, const coordinator& decisions);
 
     table drains_;
-    /// When an instance may be drained after a drain was given up or postponed.
+    /// When an instance may be drained whose drain was put off.
     std::map<instance_id, boot_time> retry_at_;
     std::vector<drain_change> changes_;
 };
--- a/systems/pools/pool_planner_drains.cpp
+++ b/systems/pools/pool_planner_drains.cpp
@@ -19,8 +19,8 @@
     const open_order& open, const coordinator& decisions, boot_time now) const
 {
     const instance_id& id = open.order.instance;
-    bool is_given_up = drains_.was_given_up(id) && has_work(open, decisions);
-    return open.accepted_at || may_be_on_its_way(open, now) || !is_given_up;
+    bool is_put_off = drains_.was_put_off(id) && has_work(open, decisions);
+    return open.accepted_at || may_be_on_its_way(open, now) || !is_put_off;
 }
 
 void pool_planner::cordon_ordered_targets(coordinator& decisions, boot_time now)
@@ -129,15 +129,16 @@
             if (it.is_long_running)
                 room.reserve_some({{it.owner->get_id(), it.key},
                     &it.owner->get_step(it.key), it.count});
-    for (const auto& [id, target] : decisions.get_targets())
-        for (const task_name& task : target.runs)
-        {
-            const active_run& run = decisions.get_runs().at(task);
-            const job* owner = decisions.find_job(task.job);
-            if (target.report.pool == pool && run.is_long_running &&
-                run.must_stop && owner && !owner->is_ended())
-                room.reserve_some({task, &owner->get_step(task.key), 1});
-        }
+    for (const stop_decision& it : decisions.list_stops())
+    {
+        const job* owner = decisions.find_job(it.task.job);
+        auto target = decisions.get_targets().find(it.target);
+        bool is_needed_here = owner && !owner->is_ended() &&
+                              target != decisions.get_targets().end() &&
+                              target->second.report.pool == pool;
+        if (is_needed_here && owner->get_step(it.task.key).is_long_running)
+            room.reserve_some({it.task, &owner->get_step(it.task.key), 1});
+    }
 }
 
 void pool_planner::drain_for_order(const open_order& open,
@@ -149,7 +150,7 @@
     {
         if (!drains_.may_retry(id, now))
             return;
-        if (drains_.was_given_up(id) &&
+        if (drains_.was_put_off(id) &&
             !can_be_emptied(instance, decisions, now))
         {
             drains_.postpone(
