--- a/tests/systems/pools/drain_model.hpp
+++ b/tests/systems/pools/drain_model.hpp
@@ -98,6 +98,9 @@
             [](const auto& it) { return !it.second.maintained.empty(); }));
     }
 
+    /// @return number of long-running tasks that were stopped at work.
+    std::size_t count_interruptions() const { return interruptions_; }
+
     std::size_t count_cordoned() const
     {
         return static_cast<std::size_t>(
@@ -317,8 +320,8 @@
     {
         if (layout_.lasting.empty())
             return;
+        // Its row stays in the ledger, as some of its runs have not ended yet.
         decisions_->cancel(first_, at(now_));
-        jobs_.erase(first_);
         std::erase_if(last_at_work_,
             [&](const auto& it) { return it.first.job == first_; });
         first_ = job_id(next);
@@ -463,6 +466,7 @@
             add_fault("interrupted beyond the budget: task " +
                       std::to_string(task.key.index));
         ordered_away_.insert(task);
+        ++interruptions_;
     }
 
     void plan_pools()
@@ -594,6 +598,7 @@
     std::map<task_name, std::int64_t> room_since_;
     std::optional<std::int64_t> disturbed_at_;
     std::vector<std::string> faults_;
+    std::size_t interruptions_ = 0;
 };
 
 } // namespace cowslippass
--- a/tests/systems/pools/maintenance_drain_test.cpp
+++ b/tests/systems/pools/maintenance_drain_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <set>
 #include <string>
 #include <tuple>
 
@@ -112,6 +113,59 @@
     EXPECT_EQ(model.count_maintained(), 1U);
 }
 
+// Guards against long-running tasks that are stopped without a place to go
+// while another task keeps their instance from being maintained.
+TEST(maintenance_drain, stops_a_task_without_room_elsewhere_only_at_the_end)
+{
+    drain_model model({.lasting = {2}, .max_per_target = 1},
+        {{drain_at - 500, fleet_event::long_task}});
+    model.run();
+    EXPECT_EQ(model.get_faults(), std::vector<std::string>{});
+    EXPECT_EQ(model.count_maintained(), 2U);
+    EXPECT_EQ(model.count_interruptions(), 2U);
+}
+
+// Guards against a drain that cannot go on and takes another instance's place
+// in the wave: its task may not be interrupted, as a sibling never starts up.
+TEST(maintenance_drain, gives_up_a_drain_that_cannot_go_on)
+{
+    coordinator_fixture fleet;
+    published_state state = make_published_state();
+    maintenance_wave& wave = state.waves[1];
+    wave.number = 1;
+    wave.time_limit = milliseconds(4'000);
+    std::vector<platform_instance> instances;
+    for (const char* id : {"t0", "t1"})
+    {
+        fleet.add_target(make_report(id));
+        instances.push_back({instance_id(id), pool_a, instance_condition::up,
+            data_centre_id("z"), {}, {16'000, 32'768, 0}, target_id(id)});
+        wave.instances.emplace_back(id);
+    }
+    step_spec step = make_step(2);
+    step.is_long_running = true;
+    step.max_per_target = 1;
+    fleet.it.submit(job_id("1"), make_record({step}), at(0));
+    ASSERT_EQ(fleet.plan().size(), 2U);
+    fleet.it.set_published_state(state);
+    pool_planner planner{pool_planner_options{}};
+    std::set<target_id> drained;
+    for (std::int64_t ms = 0; ms <= 10'000; ms += 100)
+    {
+        for (const platform_instance& it : instances)
+            fleet.it.handle_status(it.target,
+                fleet.make_status(
+                    it.target, it.target.get() == "t0" ? 100 : 10),
+                at(ms), at(ms));
+        planner.set_instances(instances, at(ms));
+        planner.plan(fleet.it, at(ms));
+        for (const auto& [id, it] : fleet.it.get_targets())
+            if (it.is_cordoned)
+                drained.insert(id);
+    }
+    EXPECT_EQ(drained.size(), 2U);
+}
+
 // Guards against the same with a second event at any moment of the wave, and
 // against tasks that wait beside free capacity.
 TEST_P(maintenance_drain_test, leaves_no_instance_closed)
